--- /dev/null
+++ b/packages/backends/src/back-end.ts
@@ -0,0 +1,32 @@
+/** One run of a worker, as its record in the object store describes it. */
+
+/** A model resident on a worker, with its adapters. */
+export interface HeldModel {
+  readonly name: string;
+  readonly adapters: readonly string[];
+}
+
+/** Copies of weights that a worker can load without the weight store. */
+export interface NearbyCopies {
+  readonly inMemory: readonly string[];
+  readonly onDisk: readonly string[];
+}
+
+/** One incarnation of a worker; a restarted worker is another one. */
+export interface BackEnd {
+  /** Unique for each incarnation. */
+  readonly id: string;
+  readonly service: string;
+  /** `ip:port`; given to other workers once this one is gone. */
+  readonly address: string;
+  readonly zone: string;
+  /** Requests that it runs at once. */
+  readonly slots: number;
+  /** Takes no new requests. */
+  readonly draining: boolean;
+  readonly models: readonly HeldModel[];
+  readonly nearby: NearbyCopies;
+}
+
+/** No copies at hand. */
+export const NO_NEARBY_COPIES: NearbyCopies = { inMemory: [], onDisk: [] };
--- /dev/null
+++ b/packages/backends/src/index.ts
@@ -0,0 +1,6 @@
+/** Back ends as the daemons know them. */
+export * from './back-end.js';
+export * from './backend-directory.js';
+export * from './load-book.js';
+export * from './model-name.js';
+export * from './service-definition.js';
--- a/packages/configuration/src/configuration-relay.ts
+++ b/packages/configuration/src/configuration-relay.ts
@@ -7,7 +7,7 @@
 import { rankByRendezvous, type Lease, type LeaseCandidate } from '@woodbarrow/coordination';
 import type { Membership } from '@woodbarrow/membership';
 import type { PeerNetwork } from '@woodbarrow/peering';
-import type { PlatformClient, PlatformObject } from '@woodbarrow/platform';
+import type { PlatformClient, PlatformObject } from '@woodbarrow/object-store';
 import {
   pullConfigurationMethod,
   pushConfigurationMethod,
--- a/packages/configuration/src/voter-sets.ts
+++ b/packages/configuration/src/voter-sets.ts
@@ -1,7 +1,7 @@
 /** Voter sets as platform objects, and their replacement when voters fail. */
 import { rankByRendezvous, type VoterSets } from '@woodbarrow/coordination';
 import type { Membership } from '@woodbarrow/membership';
-import type { PlatformClient } from '@woodbarrow/platform';
+import type { PlatformClient } from '@woodbarrow/object-store';
 import type { MemberRecord, Voter, VoterSet } from '@woodbarrow/protocol';
 import { BackgroundService, type Clock, type Random } from '@woodbarrow/runtime';
 import { z } from 'zod';
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -7,3 +7,4 @@
 export * from './lease.js';
 export * from './rendezvous.js';
 export * from './voters.js';
+export * from './store-lease.js';
--- a/packages/daemon/src/daemon-metrics.ts
+++ b/packages/daemon/src/daemon-metrics.ts
@@ -1,7 +1,7 @@
 /** Numbers of a daemon's parts, as they appear under `/metrics`. */
 import type { Metrics } from '@woodbarrow/observability';
 import type { TrafficCounters } from '@woodbarrow/peering';
-import type { PlatformClient } from '@woodbarrow/platform';
+import type { PlatformClient } from '@woodbarrow/object-store';
 import type { JobService } from '@woodbarrow/gateway';
 import type { Daemon } from './daemon.js';
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -29,7 +29,7 @@
 import { Metrics } from '@woodbarrow/observability';
 import { PeerNetwork } from '@woodbarrow/peering';
 import { ZoneCoordinator } from '@woodbarrow/placement';
-import { MachineListClient, PlatformClient } from '@woodbarrow/platform';
+import { MachineListClient, PlatformClient } from '@woodbarrow/object-store';
 import { Admission, QueueOwner, Router } from '@woodbarrow/routing';
 import { sleep, tlsFromFiles, type HttpServer } from '@woodbarrow/runtime';
 import type { Settings } from '@woodbarrow/settings';
--- a/packages/daemon/src/seed-source.ts
+++ b/packages/daemon/src/seed-source.ts
@@ -1,5 +1,5 @@
 /** Peer addresses to join through: from the settings, and from the machine list while the daemon is alone. */
-import type { Machine, MachineListClient } from '@woodbarrow/platform';
+import type { Machine, MachineListClient } from '@woodbarrow/object-store';
 import { TaskGroup, type Clock } from '@woodbarrow/runtime';
 
 const REFRESH_MS = 30_000;
--- /dev/null
+++ b/packages/forwarding/src/backend-choice.ts
@@ -0,0 +1,16 @@
+/** What choosing a back end comes to. */
+import type { BackEnd } from '@woodbarrow/backends';
+
+/** A back end to send to, or why there is none. */
+export type BackendChoice =
+  | { readonly kind: 'send'; readonly backEnd: BackEnd; readonly reason: string }
+  | { readonly kind: 'refuse'; readonly reason: RefusalReason; readonly retryAfterMs: number };
+
+/** Why a request is refused without having run. */
+export type RefusalReason =
+  | 'no_backend'
+  | 'all_excluded'
+  | 'model_unavailable'
+  | 'model_too_late'
+  | 'client_gone'
+  | 'connections_exhausted';
--- /dev/null
+++ b/packages/forwarding/src/body-reader.ts
@@ -0,0 +1,42 @@
+/** Reads the body of a back end's answer with a limit on the time between two chunks. */
+import { settleWithin, type BackendAnswer, type Clock } from '@woodbarrow/runtime';
+
+/** Next piece of a body. */
+export type BodyStep =
+  | { readonly kind: 'chunk'; readonly chunk: Uint8Array }
+  | { readonly kind: 'end' }
+  /** It broke off, or nothing came in time; it is not complete. */
+  | { readonly kind: 'broken'; readonly silent: boolean };
+
+/** Reader of one body. */
+export class BodyReader {
+  private readonly iterator: AsyncIterator<Uint8Array>;
+
+  constructor(
+    private readonly answer: BackendAnswer,
+    private readonly clock: Clock,
+  ) {
+    this.iterator = answer.body[Symbol.asyncIterator]();
+  }
+
+  /** @param patienceMs Milliseconds to wait; without end when absent. */
+  async next(patienceMs?: number): Promise<BodyStep> {
+    try {
+      const step = await this.step(patienceMs);
+      if (step === undefined) {
+        this.answer.discard();
+        return { kind: 'broken', silent: true };
+      }
+      return step.done === true ? { kind: 'end' } : { kind: 'chunk', chunk: step.value };
+    } catch {
+      return { kind: 'broken', silent: false };
+    }
+  }
+
+  private async step(patienceMs?: number): Promise<IteratorResult<Uint8Array> | undefined> {
+    const pending = this.iterator.next();
+    if (patienceMs === undefined) return pending;
+    const settled = await settleWithin(this.clock, patienceMs, pending);
+    return settled.timedOut ? undefined : settled.value;
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/forwarding-context.ts
@@ -0,0 +1,24 @@
+/** What all requests of a daemon share. */
+import type { BackendDirectory, LoadBook } from '@woodbarrow/backends';
+import type { BackendClient, Clock } from '@woodbarrow/runtime';
+import type { RequestJournal } from './request-journal.js';
+import type { BackendHealth } from './backend-health.js';
+import type { PlainSelector } from './plain-selector.js';
+import type { RepeatBudget } from './repeat-budget.js';
+import type { ReplicaSelector } from './replica-selector.js';
+import type { WireDialect } from './wire-dialect.js';
+
+/** Shared parts, by role. */
+export interface ForwardingContext {
+  readonly clock: Clock;
+  readonly client: BackendClient;
+  readonly dialect: WireDialect;
+  readonly directory: BackendDirectory;
+  readonly loads: LoadBook;
+  readonly plain: PlainSelector;
+  readonly replicas: ReplicaSelector;
+  readonly budget: RepeatBudget;
+  readonly journal: RequestJournal;
+  /** Health of the back ends of a service. */
+  readonly healthOf: (service: string) => BackendHealth;
+}
--- /dev/null
+++ b/packages/forwarding/src/plain-selector.ts
@@ -0,0 +1,53 @@
+/** Chooses among the back ends of a service without models: the least loaded sound one. */
+import type { BackEnd, BackendDirectory, LoadBook } from '@woodbarrow/backends';
+import type { BackendChoice } from './backend-choice.js';
+import type { BackendHealth } from './backend-health.js';
+
+/** Time after which to come back when no back end takes requests, in milliseconds. */
+const NO_BACKEND_RETRY_MS = 100;
+/** Cost of a back end in another zone, as a share of one request under way. */
+const OTHER_ZONE_COST = 0.25;
+/** Cost of a back end that is avoided: used only when there is no other. */
+const AVOIDED_COST = 1000;
+/** Cost of a back end that fails more often than the others. */
+const OUTLIER_COST = 100;
+
+/** Chooser of one daemon for plain services. */
+export class PlainSelector {
+  constructor(
+    private readonly directory: BackendDirectory,
+    private readonly loads: LoadBook,
+    private readonly zone: string,
+  ) {}
+
+  /** @param excluded Back ends that have refused or failed this request. */
+  select(service: string, health: BackendHealth, excluded: ReadonlySet<string>): BackendChoice {
+    const open = this.directory.ofService(service).filter((backEnd) => !backEnd.draining);
+    const usable = open.filter((backEnd) => !excluded.has(backEnd.id));
+    if (usable.length === 0) {
+      const reason = open.length === 0 ? 'no_backend' : 'all_excluded';
+      return { kind: 'refuse', reason, retryAfterMs: NO_BACKEND_RETRY_MS };
+    }
+    const ids = open.map((backEnd) => backEnd.id);
+    let best = usable[0] as BackEnd;
+    let bestCost = Infinity;
+    for (const backEnd of usable) {
+      const cost = this.costOf(backEnd, health, ids);
+      if (cost < bestCost) {
+        best = backEnd;
+        bestCost = cost;
+      }
+    }
+    return { kind: 'send', backEnd: best, reason: 'least_loaded' };
+  }
+
+  private costOf(backEnd: BackEnd, health: BackendHealth, ids: readonly string[]): number {
+    const { requests } = this.loads.of(backEnd.id);
+    let cost = (requests + 1) * health.slowness(backEnd.id);
+    if (requests >= backEnd.slots) cost += requests;
+    if (backEnd.zone !== this.zone) cost += OTHER_ZONE_COST;
+    if (health.isAvoided(backEnd.id)) cost += AVOIDED_COST;
+    if (health.isOutlier(backEnd.id, ids)) cost += OUTLIER_COST;
+    return cost;
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/prompt-affinity.ts
@@ -0,0 +1,93 @@
+/** Which parts of prompts this daemon believes each worker to keep, from what it sent there. */
+import { targetKey, type ModelTarget } from '@woodbarrow/backends';
+import { rendezvousWeight } from './rendezvous-weight.js';
+import type { PromptPart } from './wire-dialect.js';
+
+/** Chains of parts remembered for each worker; the least recently used are dropped. */
+const REMEMBERED_CHAINS = 400;
+
+/** A prompt as chains: the key of each prefix and the tokens up to its end. */
+export interface PromptChain {
+  readonly keys: readonly string[];
+  readonly tokens: readonly number[];
+}
+
+/** Builds the chain of a prompt. A kept part serves the same model and adapter only. */
+export function chainOf(target: ModelTarget, parts: readonly PromptPart[]): PromptChain {
+  const keys: string[] = [];
+  const tokens: number[] = [];
+  let key = targetKey(target);
+  let sum = 0;
+  for (const part of parts) {
+    key = `${key}|${part.id}`;
+    sum += part.tokens;
+    keys.push(key);
+    tokens.push(sum);
+  }
+  return { keys, tokens };
+}
+
+/** Memory of sent prompts. */
+export class PromptAffinity {
+  private readonly sent = new Map<string, Map<string, true>>();
+
+  /** Notes that a worker reads a prompt. */
+  record(backEndId: string, chain: PromptChain): void {
+    let known = this.sent.get(backEndId);
+    if (known === undefined) {
+      known = new Map();
+      this.sent.set(backEndId, known);
+    }
+    for (const key of chain.keys) {
+      known.delete(key);
+      known.set(key, true);
+    }
+    for (const key of known.keys()) {
+      if (known.size <= REMEMBERED_CHAINS) break;
+      known.delete(key);
+    }
+  }
+
+  /** Tokens of a prompt that a worker probably keeps. */
+  keptTokens(backEndId: string, chain: PromptChain): number {
+    const known = this.sent.get(backEndId);
+    if (known === undefined) return 0;
+    for (let index = chain.keys.length - 1; index >= 0; index -= 1) {
+      if (known.has(chain.keys[index] as string)) return chain.tokens[index] as number;
+    }
+    return 0;
+  }
+
+  /**
+   * The worker that all daemons send a prompt's shared parts to when nothing else speaks against it, so that
+   * they need not tell each other what they sent.
+   */
+  preferred(backEndIds: readonly string[], chain: PromptChain): string | undefined {
+    // The last part is the request's own.
+    const shared = chain.keys[chain.keys.length - 2] ?? chain.keys[0];
+    if (shared === undefined) return undefined;
+    let best: string | undefined;
+    let bestWeight = -1;
+    for (const id of backEndIds) {
+      const weight = rendezvousWeight(shared, id);
+      if (weight > bestWeight) {
+        best = id;
+        bestWeight = weight;
+      }
+    }
+    return best;
+  }
+
+  /** Drops what is known of a worker: its incarnation ended, or it unloaded the model. */
+  forget(backEndId: string, model?: string): void {
+    if (model === undefined) {
+      this.sent.delete(backEndId);
+      return;
+    }
+    const known = this.sent.get(backEndId);
+    if (known === undefined) return;
+    for (const key of known.keys()) {
+      if (key.startsWith(`${model}|`) || key.startsWith(`${model}/`)) known.delete(key);
+    }
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/replica-selector.ts
@@ -0,0 +1,181 @@
+/**
+ * Chooses the worker that runs a request for a model: one that holds the model and adapter, by the time until
+ * the first token, from work under way, prompt parts kept, and health. Asks for the model when nobody holds it.
+ */
+import {
+  type BackEnd,
+  type BackendDirectory,
+  type EngineDefinition,
+  type LoadBook,
+  type ModelTarget,
+} from '@woodbarrow/backends';
+import type { Clock } from '@woodbarrow/runtime';
+import type { BackendChoice } from './backend-choice.js';
+import type { BackendHealth } from './backend-health.js';
+import { chainOf, type PromptAffinity, type PromptChain } from './prompt-affinity.js';
+import { rendezvousWeight } from './rendezvous-weight.js';
+import type { ResidencyClient } from './residency-port.js';
+import type { RequestFacts } from './wire-dialect.js';
+
+/** Prompt tokens that a worker is assumed to read in a millisecond until measured. */
+export const ASSUMED_TOKENS_PER_MS = 40;
+/** Time that a request under way adds to each token of the others, times their usual tokens, in milliseconds. */
+const COST_PER_REQUEST_MS = 2;
+const OTHER_ZONE_MS = 3;
+const AVOIDED_MS = 100_000;
+const OUTLIER_MS = 10_000;
+/** Cost of a worker whose prompt cache is full: running requests would be preempted. */
+const MEMORY_FULL_MS = 2000;
+/** Part of the target latency that waiting may take before another replica is asked for. */
+const CROWDED_SHARE = 0.35;
+/** Part of the prompt's shared tokens that the preferred worker is presumed to keep. */
+const PRESUMED_KEPT_SHARE = 0.6;
+const RETRY_AFTER_UNAVAILABLE_MS = 250;
+
+/** A request for a model. */
+export interface ReplicaRequest {
+  readonly service: string;
+  readonly engine: EngineDefinition;
+  readonly target: ModelTarget;
+  readonly facts: RequestFacts;
+  readonly priority: number;
+  readonly targetLatencyMs: number;
+  /** Monotonic time by which it must have begun. */
+  readonly startBy: number;
+  readonly excluded: ReadonlySet<string>;
+  readonly signal: AbortSignal;
+}
+
+/** Chooser of one daemon for services with models. */
+export class ReplicaSelector {
+  constructor(
+    private readonly directory: BackendDirectory,
+    private readonly loads: LoadBook,
+    private readonly affinity: PromptAffinity,
+    private readonly residency: ResidencyClient,
+    private readonly zone: string,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Resolves once a worker holds what the request needs, or when none will in time. */
+  async select(request: ReplicaRequest, health: BackendHealth): Promise<BackendChoice> {
+    const chain = chainOf(request.target, request.facts.promptParts);
+    for (;;) {
+      if (request.signal.aborted) return refusal('client_gone', 0);
+      const holders = this.usable(request, request.target);
+      const best = this.cheapest(holders, request, chain, health);
+      if (best !== undefined && !health.isAvoided(best.id)) return this.send(best, request, chain, 'resident');
+      const withinMs = request.startBy - this.clock.monotonic();
+      if (withinMs <= 0) return refusal('model_too_late', RETRY_AFTER_UNAVAILABLE_MS);
+      const outcome = await this.residency.request(
+        {
+          service: request.service,
+          target: request.target,
+          priority: request.priority,
+          withinMs,
+          ...this.workerForAdapter(request),
+        },
+        request.signal,
+      );
+      if (outcome.held) {
+        const backEnd = this.directory.get(outcome.backEndId);
+        if (backEnd !== undefined && !request.excluded.has(backEnd.id) && !backEnd.draining) {
+          return this.send(backEnd, request, chain, 'loaded');
+        }
+        if (backEnd !== undefined && best !== undefined) return this.send(best, request, chain, 'last_resort');
+        if (outcome.backEndId !== '' && request.excluded.has(outcome.backEndId)) {
+          return refusal('all_excluded', RETRY_AFTER_UNAVAILABLE_MS);
+        }
+      } else {
+        if (best !== undefined) return this.send(best, request, chain, 'last_resort');
+        if (request.signal.aborted) return refusal('client_gone', 0);
+        return refusal('model_unavailable', outcome.retryAfterMs);
+      }
+    }
+  }
+
+  private send(backEnd: BackEnd, request: ReplicaRequest, chain: PromptChain, reason: string): BackendChoice {
+    this.affinity.record(backEnd.id, chain);
+    if (reason === 'resident') this.askForReplicaIfCrowded(backEnd, request);
+    return { kind: 'send', backEnd, reason };
+  }
+
+  private usable(request: ReplicaRequest, target: ModelTarget): BackEnd[] {
+    return this.directory
+      .holdersOf(request.service, target)
+      .filter((backEnd) => !request.excluded.has(backEnd.id));
+  }
+
+  private cheapest(
+    holders: readonly BackEnd[],
+    request: ReplicaRequest,
+    chain: PromptChain,
+    health: BackendHealth,
+  ): BackEnd | undefined {
+    const ids = holders.map((holder) => holder.id);
+    const preferred = this.affinity.preferred(ids, chain);
+    let best: BackEnd | undefined;
+    let bestCost = Infinity;
+    for (const holder of holders) {
+      const cost = this.costOf(holder, request, chain, health, ids, holder.id === preferred);
+      if (cost < bestCost) {
+        best = holder;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  private costOf(
+    backEnd: BackEnd,
+    request: ReplicaRequest,
+    chain: PromptChain,
+    health: BackendHealth,
+    ids: readonly string[],
+    isPreferred: boolean,
+  ): number {
+    const load = this.loads.of(backEnd.id);
+    const { facts, engine } = request;
+    const shared = chain.tokens[chain.tokens.length - 2] ?? 0;
+    const presumed = isPreferred ? shared * PRESUMED_KEPT_SHARE : 0;
+    const kept = Math.min(facts.promptTokens, Math.max(this.affinity.keptTokens(backEnd.id, chain), presumed));
+    const unread = load.unreadTokens + facts.promptTokens - kept;
+    let cost = (unread / ASSUMED_TOKENS_PER_MS + load.requests * COST_PER_REQUEST_MS) * health.slowness(backEnd.id);
+    const held = load.heldTokens + facts.promptTokens + facts.outputTokens;
+    if (held > engine.cacheTokens || load.requests >= engine.slots) cost += MEMORY_FULL_MS;
+    if (backEnd.zone !== this.zone) cost += OTHER_ZONE_MS;
+    if (health.isAvoided(backEnd.id)) cost += AVOIDED_MS;
+    if (health.isOutlier(backEnd.id, ids)) cost += OUTLIER_MS;
+    return cost;
+  }
+
+  /** An adapter goes to a worker that holds its model: always the same one, unless that is crowded. */
+  private workerForAdapter(request: ReplicaRequest): { readonly backEndId?: string } {
+    const { target } = request;
+    if (target.adapter === undefined) return {};
+    const holders = this.usable(request, { model: target.model });
+    let best: BackEnd | undefined;
+    let bestWeight = -1;
+    for (const holder of holders) {
+      const weight = rendezvousWeight(`${target.model}/${target.adapter}`, holder.id);
+      if (weight > bestWeight) {
+        best = holder;
+        bestWeight = weight;
+      }
+    }
+    return best === undefined ? {} : { backEndId: best.id };
+  }
+
+  private askForReplicaIfCrowded(backEnd: BackEnd, request: ReplicaRequest): void {
+    const load = this.loads.of(backEnd.id);
+    const waitMs = load.unreadTokens / ASSUMED_TOKENS_PER_MS;
+    const isFull = load.heldTokens > request.engine.cacheTokens * 0.8 || load.requests > request.engine.slots * 0.8;
+    if (isFull || waitMs > request.targetLatencyMs * CROWDED_SHARE) {
+      this.residency.requestReplica(request.service, request.target.model, request.priority);
+    }
+  }
+}
+
+function refusal(reason: 'client_gone' | 'model_too_late' | 'model_unavailable' | 'all_excluded', retryAfterMs: number): BackendChoice {
+  return { kind: 'refuse', reason, retryAfterMs };
+}
--- /dev/null
+++ b/packages/forwarding/src/request-journal.ts
@@ -0,0 +1,26 @@
+/** Port: one line for each decision on a request, and counts of how requests end. */
+
+/** Decisions on a request, in the order they may come. */
+export type RequestDecision =
+  | 'request_admitted'
+  | 'request_sent'
+  | 'request_declined'
+  | 'request_repeated'
+  | 'request_resumed'
+  | 'request_answered'
+  | 'request_refused'
+  | 'request_failed'
+  | 'request_abandoned';
+
+/** Facts that decided. */
+export type DecisionFacts = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Receives decisions; never blocks. */
+export interface RequestJournal {
+  decided(decision: RequestDecision, requestId: string, facts: DecisionFacts): void;
+  /** Counts the end of a request. @param durationMs From its arrival. */
+  ended(route: string, outcome: string, durationMs: number): void;
+}
+
+/** Drops everything. */
+export const silentJournal: RequestJournal = { decided: () => undefined, ended: () => undefined };
--- /dev/null
+++ b/packages/forwarding/src/residency-port.ts
@@ -0,0 +1,27 @@
+/** Port: how the router asks for a model or adapter to be made resident. */
+import type { ModelTarget } from '@woodbarrow/backends';
+
+/** A wish for a target, on any worker or on a certain one. */
+export interface ResidencyDemand {
+  readonly service: string;
+  readonly target: ModelTarget;
+  /** The worker that must hold it; any when absent. */
+  readonly backEndId?: string;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Milliseconds after which it no longer helps. */
+  readonly withinMs: number;
+}
+
+/** What became of a demand. */
+export type ResidencyOutcome =
+  | { readonly held: true; readonly backEndId: string }
+  | { readonly held: false; readonly retryAfterMs: number; readonly reason: string };
+
+/** Makes targets resident. */
+export interface ResidencyClient {
+  /** Resolves when the target is resident somewhere, or when it will not be in time. Never rejects. */
+  request(demand: ResidencyDemand, signal: AbortSignal): Promise<ResidencyOutcome>;
+  /** Says that the replicas of a model have more work than they bear; returns at once. */
+  requestReplica(service: string, model: string, priority: number): void;
+}
--- /dev/null
+++ b/packages/forwarding/src/send-attempt.ts
@@ -0,0 +1,92 @@
+/** One request to one back end, from the connection to the head of the answer. */
+import type { BackEnd } from '@woodbarrow/backends';
+import { HttpNotSentError, type BackendAnswer, type BackendClient, type Clock } from '@woodbarrow/runtime';
+import type { AnswerVerdict, WireDialect } from './wire-dialect.js';
+
+/** Milliseconds that a new connection to a back end may take. */
+const CONNECT_TIMEOUT_MS = 400;
+
+/** What came of a send. */
+export type SendOutcome =
+  /** The answer to the request; its body is still to be read. */
+  | { readonly kind: 'answered'; readonly answer: BackendAnswer }
+  /** It states that it did not run the request. */
+  | { readonly kind: 'declined'; readonly verdict: 'not_run' | 'other_incarnation' | 'not_resident' }
+  /** No connection: it did not receive the request. */
+  | { readonly kind: 'unreachable' }
+  /** It may have run the request; no answer of use came. */
+  | { readonly kind: 'broken'; readonly detail: string }
+  /** It may have run the request; nothing came in the time allowed. */
+  | { readonly kind: 'silent' };
+
+/** What to send. */
+export interface SendPlan {
+  readonly backEnd: BackEnd;
+  readonly requestId: string;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: string[];
+  readonly body: Uint8Array;
+  /** Ended when the client has gone or time is up. */
+  readonly controller: AbortController;
+  /** Milliseconds to wait for the head of the answer; as long as the controller lets it when absent. */
+  readonly patienceMs?: number;
+}
+
+/** Sends a request and judges the head of the answer. */
+export async function sendAttempt(
+  plan: SendPlan,
+  client: BackendClient,
+  dialect: WireDialect,
+  clock: Clock,
+): Promise<SendOutcome> {
+  let silent = false;
+  const cancelPatience =
+    plan.patienceMs === undefined
+      ? undefined
+      : clock.schedule(plan.patienceMs, () => {
+          silent = true;
+          plan.controller.abort();
+        });
+  try {
+    const answer = await client.send({
+      address: plan.backEnd.address,
+      method: plan.method,
+      target: plan.target,
+      headers: plan.headers,
+      body: plan.body,
+      signal: plan.controller.signal,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    });
+    const sent = { requestId: plan.requestId, backEndId: plan.backEnd.id };
+    return outcomeOf(dialect.judge(sent, answer.status, answer.headers), answer);
+  } catch (error) {
+    if (silent) return { kind: 'silent' };
+    if (error instanceof HttpNotSentError) return { kind: 'unreachable' };
+    return { kind: 'broken', detail: error instanceof Error ? error.message : String(error) };
+  } finally {
+    cancelPatience?.();
+  }
+}
+
+function outcomeOf(verdict: AnswerVerdict, answer: BackendAnswer): SendOutcome {
+  switch (verdict) {
+    case 'genuine':
+      return { kind: 'answered', answer };
+    case 'foreign':
+      answer.discard();
+      return { kind: 'broken', detail: 'foreign answer' };
+    default:
+      void drain(answer);
+      return { kind: 'declined', verdict };
+  }
+}
+
+/** Reads the rest of an answer of no use, so that its connection can be kept. */
+async function drain(answer: BackendAnswer): Promise<void> {
+  try {
+    for await (const chunk of answer.body) void chunk;
+  } catch {
+    // The connection has ended, which is as good.
+  }
+}
--- a/packages/gateway/src/operator-api.ts
+++ b/packages/gateway/src/operator-api.ts
@@ -7,7 +7,7 @@
   type ObjectKind,
 } from '@woodbarrow/configuration';
 import { WoodbarrowError, isKind } from '@woodbarrow/errors';
-import type { PlatformClient, PlatformObject } from '@woodbarrow/platform';
+import type { PlatformClient, PlatformObject } from '@woodbarrow/object-store';
 import {
   AsyncQueue,
   encodeText,
--- /dev/null
+++ b/packages/observability/src/bounded-log.ts
@@ -0,0 +1,139 @@
+/**
+ * Structured log that is bounded and never blocks: lines of each class have a budget a second, and what standard
+ * output does not take in time is dropped. Both are counted and told once a second.
+ */
+import { write as writeToDescriptor } from 'node:fs';
+import { pino, type Logger } from 'pino';
+import type { Clock } from '@woodbarrow/runtime';
+import type { EventDetails, EventLog } from './event-log.js';
+
+/** Classes of lines, each with a budget of its own. */
+export type LineClass = 'routine' | 'failure' | 'change';
+
+/** Takes bytes; calls back when they are written or have failed. */
+export type ByteSink = (bytes: Buffer, done: () => void) => void;
+
+/** Options of {@link BoundedLog}. */
+export interface BoundedLogOptions {
+  readonly clock: Clock;
+  /** Fields of every line. */
+  readonly fields: EventDetails;
+  /** Where lines go. @default standard output */
+  readonly sink?: ByteSink;
+  /** Lines a second for each class. */
+  readonly linesPerSecond?: Readonly<Record<LineClass, number>>;
+}
+
+/** Bytes that may wait for standard output. */
+export const MAXIMUM_WAITING_BYTES = 256 * 1024;
+/** Lines are collected for this long before they are written, in milliseconds. */
+const FLUSH_INTERVAL_MS = 100;
+const BUDGET_WINDOW_MS = 1000;
+const DEFAULT_LINES_PER_SECOND: Readonly<Record<LineClass, number>> = { routine: 150, failure: 150, change: 200 };
+const STANDARD_OUTPUT = 1;
+
+/** Log of one daemon. */
+export class BoundedLog implements EventLog {
+  /** Lines left out since the start, over budget or not taken. */
+  readonly dropped: Record<LineClass | 'not_taken', number> = { routine: 0, failure: 0, change: 0, not_taken: 0 };
+  private readonly logger: Logger;
+  private readonly sink: ByteSink;
+  private readonly limits: Readonly<Record<LineClass, number>>;
+  private readonly used: Record<LineClass, number> = { routine: 0, failure: 0, change: 0 };
+  private windowStart = 0;
+  private toldDropped = 0;
+  private waiting: string[] = [];
+  private waitingBytes = 0;
+  private writing = false;
+  private flushScheduled = false;
+
+  constructor(private readonly options: BoundedLogOptions) {
+    this.sink = options.sink ?? standardOutput;
+    this.limits = options.linesPerSecond ?? DEFAULT_LINES_PER_SECOND;
+    this.logger = pino(
+      { base: { ...options.fields }, messageKey: 'event', timestamp: () => `,"time":${String(options.clock.wall())}` },
+      {
+        write: (line: string) => {
+          this.enqueue(line);
+        },
+      },
+    );
+  }
+
+  changed(event: string, details: EventDetails = {}): void {
+    if (this.allows('change')) this.logger.info(details, event);
+  }
+
+  warned(event: string, details: EventDetails = {}): void {
+    if (this.allows('failure')) this.logger.warn(details, event);
+  }
+
+  /** A step that every request takes. */
+  routine(event: string, details: EventDetails): void {
+    if (this.allows('routine')) this.logger.info(details, event);
+  }
+
+  /** Writes what waits, without the usual delay. */
+  flush(): void {
+    this.flushScheduled = false;
+    if (this.writing || this.waiting.length === 0) return;
+    const bytes = Buffer.from(this.waiting.join(''));
+    this.waiting = [];
+    this.waitingBytes = 0;
+    this.writing = true;
+    this.sink(bytes, () => {
+      this.writing = false;
+      if (this.waiting.length > 0) this.scheduleFlush();
+    });
+  }
+
+  private allows(lineClass: LineClass): boolean {
+    const now = this.options.clock.monotonic();
+    if (now - this.windowStart >= BUDGET_WINDOW_MS) this.beginWindow(now);
+    if (this.used[lineClass] >= this.limits[lineClass]) {
+      this.dropped[lineClass] += 1;
+      return false;
+    }
+    this.used[lineClass] += 1;
+    return true;
+  }
+
+  private beginWindow(now: number): void {
+    this.windowStart = now;
+    this.used.routine = 0;
+    this.used.failure = 0;
+    this.used.change = 0;
+    const { routine, failure, change, not_taken } = this.dropped;
+    const total = routine + failure + change + not_taken;
+    if (total > this.toldDropped) {
+      this.toldDropped = total;
+      this.logger.warn({ routine, failure, change, notTaken: not_taken }, 'log_lines_dropped');
+    }
+  }
+
+  private enqueue(line: string): void {
+    if (this.waitingBytes + line.length > MAXIMUM_WAITING_BYTES) {
+      this.dropped.not_taken += 1;
+      return;
+    }
+    this.waiting.push(line);
+    this.waitingBytes += line.length;
+    this.scheduleFlush();
+  }
+
+  private scheduleFlush(): void {
+    if (this.flushScheduled) return;
+    this.flushScheduled = true;
+    this.options.clock.schedule(FLUSH_INTERVAL_MS, () => {
+      this.flush();
+    });
+  }
+}
+
+/** Writes on a thread of the pool: a pipe that nobody reads holds up that thread, not the daemon. */
+function standardOutput(bytes: Buffer, done: () => void): void {
+  writeToDescriptor(STANDARD_OUTPUT, bytes, 0, bytes.length, null, (error, written) => {
+    if (error === null && written < bytes.length) standardOutput(bytes.subarray(written), done);
+    else done();
+  });
+}
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -1,3 +1,4 @@
 /** Logs and metrics. */
 export * from './event-log.js';
 export * from './metrics.js';
+export * from './bounded-log.js';
--- a/packages/placement/src/zone-coordinator.ts
+++ b/packages/placement/src/zone-coordinator.ts
@@ -8,7 +8,7 @@
 import type { EngineClient } from '@woodbarrow/engine';
 import type { Membership } from '@woodbarrow/membership';
 import type { PeerNetwork } from '@woodbarrow/peering';
-import type { Machine, MachineListClient } from '@woodbarrow/platform';
+import type { Machine, MachineListClient } from '@woodbarrow/object-store';
 import {
   describePlacementMethod,
   reportDemandMethod,
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -7,3 +7,4 @@
 export * from './method.js';
 export * from './placement-messages.js';
 export * from './routing-messages.js';
+export * from './residency-messages.js';
--- /dev/null
+++ b/packages/residency/src/index.ts
@@ -0,0 +1,10 @@
+/** Which model is resident on which worker. */
+export * from './coordinator-directory.js';
+export * from './demand-router.js';
+export * from './load-window.js';
+export * from './order-client.js';
+export * from './placement-choice.js';
+export * from './resident-set.js';
+export * from './residency-service.js';
+export * from './worker-orders.js';
+export * from './zone-residency.js';
--- /dev/null
+++ b/packages/residency/src/placement-choice.ts
@@ -0,0 +1,123 @@
+/** Decides which worker of a zone loads a model, and which resident models make way for it. */
+import type { BackEnd, EngineDefinition, LoadBook, ModelDefinition } from '@woodbarrow/backends';
+import type { ResidentModel, ResidentSet } from './resident-set.js';
+
+/** A worker as a candidate for a load. */
+export interface PlacementCandidate {
+  readonly backEnd: BackEnd;
+  readonly residents: ResidentSet;
+  /** Milliseconds until it can begin another load or unload. */
+  readonly busyMs: number;
+}
+
+/** What to do. */
+export interface PlacementChoice {
+  readonly candidate: PlacementCandidate;
+  /** Models to unload first. */
+  readonly victims: readonly string[];
+  /** Expected milliseconds until the model is resident. */
+  readonly readyMs: number;
+  readonly source: 'memory' | 'disk' | 'store';
+}
+
+/** Inputs of {@link choosePlacement}. */
+export interface PlacementInputs {
+  readonly model: ModelDefinition;
+  readonly engine: EngineDefinition;
+  readonly candidates: readonly PlacementCandidate[];
+  readonly loads: LoadBook;
+  readonly now: number;
+  /** Milliseconds until the weight store may be used. */
+  readonly storeWaitMs: number;
+  /** Number of workers in all zones that hold a model. */
+  readonly replicasOf: (model: string) => number;
+  /** Largest value of models that may make way; see {@link victimValue}. @default Infinity */
+  readonly maximumVictimValue?: number;
+}
+
+/** Expected time to unload an idle model, in milliseconds. */
+const UNLOAD_MS = 120;
+/** Expected wait for the runs of a model to end, in milliseconds. */
+const RUNS_END_MS = 900;
+/** Weight of one recent use of a model that makes way, in milliseconds. */
+const MS_PER_USE = 250;
+/** A model is hardly ever taken away this soon after its load, in milliseconds. */
+const SETTLING_MS = 1500;
+const SETTLING_COST_MS = 3000;
+
+interface VictimSet {
+  readonly names: readonly string[];
+  readonly costMs: number;
+  readonly waitMs: number;
+}
+
+/** The cheapest way to load a model, or undefined when no worker can. */
+export function choosePlacement(inputs: PlacementInputs): PlacementChoice | undefined {
+  let best: PlacementChoice | undefined;
+  let bestCost = Infinity;
+  for (const candidate of inputs.candidates) {
+    const victims = chooseVictims(candidate, inputs);
+    if (victims === undefined) continue;
+    const source = sourceOf(candidate.backEnd, inputs.model.name);
+    const storeWaitMs = source === 'store' ? inputs.storeWaitMs : 0;
+    const readyMs = Math.max(candidate.busyMs + victims.waitMs, storeWaitMs) + loadMs(inputs.model, source);
+    const cost = readyMs + victims.costMs;
+    if (cost < bestCost) {
+      best = { candidate, victims: victims.names, readyMs, source };
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+/** How much a resident model would be missed: its recent use, less where there are other replicas. */
+export function victimValue(inputs: PlacementInputs, backEndId: string, model: string): number {
+  const use = inputs.loads.recentUse(backEndId, model);
+  return use / Math.max(1, inputs.replicasOf(model));
+}
+
+/** Expected load time of a model, in milliseconds. */
+export function loadMs(model: ModelDefinition, source: PlacementChoice['source']): number {
+  if (source === 'memory') return model.memoryLoadMs;
+  return source === 'disk' ? model.diskLoadMs : model.storeLoadMs;
+}
+
+function sourceOf(backEnd: BackEnd, model: string): PlacementChoice['source'] {
+  if (backEnd.nearby.inMemory.includes(model)) return 'memory';
+  return backEnd.nearby.onDisk.includes(model) ? 'disk' : 'store';
+}
+
+function chooseVictims(candidate: PlacementCandidate, inputs: PlacementInputs): VictimSet | undefined {
+  const { residents, backEnd } = candidate;
+  const adapterReserveMb = reserveForAdapters(inputs.engine);
+  let missingMb = residents.committedMb + adapterReserveMb + inputs.model.weightsMb - inputs.engine.weightsMb;
+  const ranked = [...residents.models.values()]
+    .filter((model) => model.state === 'resident')
+    .map((model) => ({ model, costMs: costOf(model, backEnd, inputs) }))
+    .sort((left, right) => left.costMs - right.costMs);
+  const names: string[] = [];
+  let costMs = 0;
+  let waitMs = 0;
+  for (const { model, costMs: cost } of ranked) {
+    if (missingMb <= 0) break;
+    const { name, weightsMb } = model.definition;
+    if (victimValue(inputs, backEnd.id, name) > (inputs.maximumVictimValue ?? Infinity)) continue;
+    names.push(name);
+    missingMb -= weightsMb;
+    costMs += cost;
+    waitMs += inputs.loads.requestsFor(backEnd.id, name) > 0 ? RUNS_END_MS : UNLOAD_MS;
+  }
+  return missingMb > 0 ? undefined : { names, costMs, waitMs };
+}
+
+function costOf(model: ResidentModel, backEnd: BackEnd, inputs: PlacementInputs): number {
+  const settling = inputs.now - model.since < SETTLING_MS ? SETTLING_COST_MS : 0;
+  return settling + victimValue(inputs, backEnd.id, model.definition.name) * MS_PER_USE;
+}
+
+/** Memory that all adapter slots may take, in MB. */
+function reserveForAdapters(engine: EngineDefinition): number {
+  let largest = 0;
+  for (const model of engine.models.values()) largest = Math.max(largest, model.adapterMb);
+  return largest * engine.adapterSlots;
+}
--- /dev/null
+++ b/packages/residency/src/resident-set.ts
@@ -0,0 +1,72 @@
+/** What a coordinator believes one worker to hold, what it has ordered, and what is committed of its memory. */
+import type { HeldModel, ModelDefinition } from '@woodbarrow/backends';
+
+/** State of a model on a worker. Memory counts as taken in all of them. */
+export type ResidentState = 'resident' | 'loading' | 'unloading';
+
+/** A model on a worker. */
+export interface ResidentModel {
+  readonly definition: ModelDefinition;
+  state: ResidentState;
+  /** Monotonic time of the last change of state. */
+  since: number;
+  readonly adapters: Map<string, ResidentState>;
+}
+
+/** Models of one worker. */
+export class ResidentSet {
+  readonly models = new Map<string, ResidentModel>();
+
+  /** MB taken by weights, whatever their state. */
+  get committedMb(): number {
+    let sum = 0;
+    for (const model of this.models.values()) sum += model.definition.weightsMb;
+    return sum;
+  }
+
+  /** Adapters taken, those on their way included. */
+  get adapterCount(): number {
+    let count = 0;
+    for (const model of this.models.values()) count += model.adapters.size;
+    return count;
+  }
+
+  /** Whether a model, and an adapter of it if one is given, can take requests. */
+  isResident(model: string, adapter?: string): boolean {
+    const held = this.models.get(model);
+    if (held?.state !== 'resident') return false;
+    return adapter === undefined || held.adapters.get(adapter) === 'resident';
+  }
+
+  /** Notes a change of a model's state. */
+  setModel(definition: ModelDefinition, state: ResidentState, now: number): void {
+    const held = this.models.get(definition.name);
+    if (held === undefined) {
+      this.models.set(definition.name, { definition, state, since: now, adapters: new Map() });
+      return;
+    }
+    held.state = state;
+    held.since = now;
+  }
+
+  /** Replaces everything by what a worker reports; what it does not list is gone. */
+  replace(held: readonly HeldModel[], definitions: ReadonlyMap<string, ModelDefinition>, now: number): void {
+    const listed = new Set(held.map((model) => model.name));
+    for (const name of [...this.models.keys()]) {
+      if (!listed.has(name)) this.models.delete(name);
+    }
+    for (const { name, adapters } of held) {
+      const definition = definitions.get(name);
+      if (definition === undefined) continue;
+      if (this.models.get(name)?.state !== 'resident') this.setModel(definition, 'resident', now);
+      this.replaceAdapters(name, adapters);
+    }
+  }
+
+  private replaceAdapters(model: string, adapters: readonly string[]): void {
+    const held = this.models.get(model);
+    if (held === undefined) return;
+    held.adapters.clear();
+    for (const adapter of adapters) held.adapters.set(adapter, 'resident');
+  }
+}
--- /dev/null
+++ b/packages/residency/src/zone-residency.ts
@@ -0,0 +1,224 @@
+/** The coordinator of one zone: decides loads and unloads on its workers while it holds the zone's lease. */
+import {
+  type BackEnd,
+  type BackendDirectory,
+  type EngineDefinition,
+  type LoadBook,
+  type ModelTarget,
+  type ServiceDefinition,
+} from '@woodbarrow/backends';
+import type { StoreLease } from '@woodbarrow/coordination';
+import { WoodbarrowError } from '@woodbarrow/errors';
+import type { EventLog } from '@woodbarrow/observability';
+import type { ResidencyChange, ResidencyDemandAnswer, ResidencyDemandMessage } from '@woodbarrow/protocol';
+import { settleWithin, sleep, type Clock } from '@woodbarrow/runtime';
+import { LoadWindow } from './load-window.js';
+import type { OrderClient } from './order-client.js';
+import { choosePlacement, type PlacementCandidate, type PlacementChoice } from './placement-choice.js';
+import { WorkerOrders } from './worker-orders.js';
+
+/** Options of {@link ZoneResidency}. */
+export interface ZoneResidencyOptions {
+  readonly zone: string;
+  readonly holder: string;
+  readonly lease: StoreLease;
+  readonly directory: BackendDirectory;
+  readonly loads: LoadBook;
+  readonly orders: OrderClient;
+  readonly serviceOf: (name: string) => ServiceDefinition | undefined;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly signal: AbortSignal;
+  /** Number of zones that share the weight store. */
+  readonly zoneCount: () => number;
+  readonly storeWindow: StoreWindowOptions;
+  /** Tells all daemons. */
+  readonly announce: (change: ResidencyChange) => void;
+}
+
+/** What the weight store bears. */
+export interface StoreWindowOptions {
+  readonly windowMs: number;
+  /** Allowed excess over the rate, for example 1.1. */
+  readonly overshoot: number;
+}
+
+/** Loads allowed in a window beside the rate. */
+const WINDOW_EXTRA_LOADS = 3;
+/** Part of the allowed loads that is used; what other zones do at a change of hands is not known. */
+const WINDOW_SAFETY = 0.85;
+/** Loads and unloads that may wait for one worker. */
+const MAXIMUM_PENDING_SWAPS = 2;
+const RETRY_AFTER_BUSY_MS = 500;
+
+/** One zone's coordinator. */
+export class ZoneResidency {
+  private readonly workers = new Map<string, WorkerOrders>();
+  private readonly loading = new Map<string, Promise<string | undefined>>();
+  private readonly window: LoadWindow;
+  private storeLimit = 1;
+
+  constructor(private readonly options: ZoneResidencyOptions) {
+    const { storeWindow, clock, zoneCount } = options;
+    this.window = new LoadWindow(
+      { windowMs: storeWindow.windowMs, limit: () => this.storeLimit, sharers: zoneCount },
+      clock,
+    );
+  }
+
+  /** Answers a demand once the target is resident, or when it will not be in time. */
+  async demand(message: ResidencyDemandMessage): Promise<ResidencyDemandAnswer> {
+    const startedAt = this.options.clock.monotonic();
+    const leftMs = (): number => message.withinMs - (this.options.clock.monotonic() - startedAt);
+    const service = this.options.serviceOf(message.service);
+    if (service?.engine === undefined) return refused('no_engine', RETRY_AFTER_BUSY_MS);
+    if (!(await this.waitUntilActing(leftMs()))) return refused('not_acting', RETRY_AFTER_BUSY_MS);
+    const backEndId = await this.placeModel(service.name, service.engine, message, leftMs());
+    if (backEndId === undefined) return refused('no_place', RETRY_AFTER_BUSY_MS);
+    if (message.adapter === undefined) return { held: true, backEndId, retryAfterMs: 0, reason: 'resident' };
+    const loaded = await this.settle(this.workerOf(backEndId).loadAdapter(message.model, message.adapter), leftMs());
+    return loaded === true
+      ? { held: true, backEndId, retryAfterMs: 0, reason: 'resident' }
+      : refused('adapter_not_loaded', RETRY_AFTER_BUSY_MS);
+  }
+
+  /** Drops the workers that are gone. */
+  forget(backEndId: string): void {
+    this.workers.delete(backEndId);
+  }
+
+  private async waitUntilActing(withinMs: number): Promise<boolean> {
+    const waitMs = this.options.lease.actsInMs();
+    if (waitMs > withinMs) return false;
+    if (waitMs > 0) await sleep(this.options.clock, waitMs, this.options.signal);
+    return this.options.lease.mayAct();
+  }
+
+  /** The worker that holds the model, now or after a load. */
+  private async placeModel(
+    service: string,
+    engine: EngineDefinition,
+    message: ResidencyDemandMessage,
+    withinMs: number,
+  ): Promise<string | undefined> {
+    const { model, backEndId } = message;
+    if (backEndId !== undefined) {
+      return this.workerOf(backEndId).residents.isResident(model) ? backEndId : undefined;
+    }
+    if (message.another !== true) {
+      const holder = this.openWorkers(service).find((worker) => this.workerOf(worker.id).residents.isResident(model));
+      if (holder !== undefined) return holder.id;
+    }
+    const key = `${service} ${model}`;
+    let loading = this.loading.get(key);
+    if (loading === undefined) {
+      loading = this.load(service, engine, message, withinMs);
+      this.loading.set(key, loading);
+      const forget = (): void => {
+        this.loading.delete(key);
+      };
+      loading.then(forget, forget);
+    }
+    return this.settle(loading, withinMs);
+  }
+
+  private async load(
+    service: string,
+    engine: EngineDefinition,
+    message: ResidencyDemandMessage,
+    withinMs: number,
+  ): Promise<string | undefined> {
+    const choice = this.choose(service, engine, message);
+    this.options.log.changed('load_decided', {
+      zone: this.options.zone,
+      model: message.model,
+      withinMs: Math.round(withinMs),
+      another: message.another === true,
+      backEnd: choice?.candidate.backEnd.id,
+      victims: choice?.victims.join(','),
+      readyMs: choice === undefined ? undefined : Math.round(choice.readyMs),
+      source: choice?.source,
+    });
+    if (choice === undefined || choice.readyMs > withinMs) return undefined;
+    if (choice.source === 'store') this.window.record();
+    const { id } = choice.candidate.backEnd;
+    const expectedLoadMs = choice.readyMs - choice.candidate.busyMs;
+    const loaded = await this.workerOf(id).swap(message.model, choice.victims, expectedLoadMs);
+    return loaded ? id : undefined;
+  }
+
+  private choose(
+    service: string,
+    engine: EngineDefinition,
+    message: ResidencyDemandMessage,
+  ): PlacementChoice | undefined {
+    const { directory, loads, clock, storeWindow } = this.options;
+    const model = engine.models.get(message.model);
+    if (model === undefined) return undefined;
+    const allowed = (engine.storeLoadsPerSecond * storeWindow.windowMs * storeWindow.overshoot) / 1000;
+    this.storeLimit = Math.floor((allowed + WINDOW_EXTRA_LOADS) * WINDOW_SAFETY);
+    const candidates = this.openWorkers(service)
+      .map((backEnd) => this.candidateOf(backEnd))
+      .filter((candidate) => this.workerOf(candidate.backEnd.id).pendingSwaps < MAXIMUM_PENDING_SWAPS)
+      .filter((candidate) => !candidate.residents.models.has(message.model));
+    const replicasOf = (name: string): number => directory.holdersOf(service, { model: name }).length;
+    const inputs = { model, engine, candidates, loads, now: clock.monotonic(), storeWaitMs: this.window.waitMs(), replicasOf };
+    if (message.another !== true) return choosePlacement(inputs);
+    const holders = directory.holdersOf(service, { model: message.model });
+    const use = holders.reduce((sum, holder) => sum + loads.recentUse(holder.id, message.model), 0);
+    return choosePlacement({ ...inputs, maximumVictimValue: use / (holders.length + 1) / 2 });
+  }
+
+  private candidateOf(backEnd: BackEnd): PlacementCandidate {
+    const worker = this.workerOf(backEnd.id);
+    return { backEnd, residents: worker.residents, busyMs: worker.busyMs };
+  }
+
+  private openWorkers(service: string): BackEnd[] {
+    return this.options.directory
+      .ofService(service)
+      .filter((backEnd) => backEnd.zone === this.options.zone && !backEnd.draining);
+  }
+
+  private workerOf(backEndId: string): WorkerOrders {
+    const known = this.workers.get(backEndId);
+    if (known !== undefined) return known;
+    const { directory, loads, orders, clock, log, signal, holder } = this.options;
+    const service = directory.get(backEndId)?.service ?? '';
+    const worker = new WorkerOrders({
+      backEndId,
+      directory,
+      loads,
+      orders,
+      authority: { holder, currentFence: () => this.currentFence() },
+      engine: () => this.options.serviceOf(service)?.engine,
+      clock,
+      log,
+      signal,
+      announce: (target: ModelTarget, resident) => {
+        this.options.announce({ backEndId, ...target, resident });
+      },
+    });
+    this.workers.set(backEndId, worker);
+    return worker;
+  }
+
+  private currentFence(): number {
+    const { lease } = this.options;
+    if (!lease.mayAct()) throw new WoodbarrowError('lease_lost', `the lease on ${this.options.zone} may not be used now`);
+    return lease.fence;
+  }
+
+  private async settle<T>(promise: Promise<T>, withinMs: number): Promise<T | undefined> {
+    try {
+      const settled = await settleWithin(this.options.clock, Math.max(0, withinMs), promise);
+      return settled.timedOut ? undefined : settled.value;
+    } catch {
+      return undefined;
+    }
+  }
+}
+
+function refused(reason: string, retryAfterMs: number): ResidencyDemandAnswer {
+  return { held: false, backEndId: '', retryAfterMs, reason };
+}
--- /dev/null
+++ b/packages/runtime/src/node-backend-client.ts
@@ -0,0 +1,151 @@
+/** The client towards back ends, on the HTTP client of Node.js, with connections kept by address. */
+import { Agent, request as startRequest, type ClientRequest, type IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+import { HttpNotSentError } from './http.js';
+import type { BackendAnswer, BackendCall, BackendClient } from './streaming-http.js';
+import { parseAddress } from './transport.js';
+
+/** Kept connections at most for each address. */
+const MAXIMUM_IDLE_CONNECTIONS = 64;
+
+/** Keeps connections; one on which bytes arrive that nobody asked for is never used again. */
+class GuardedAgent extends Agent {
+  constructor(private readonly onOpened: () => void) {
+    super({ keepAlive: true, maxFreeSockets: MAXIMUM_IDLE_CONNECTIONS, scheduling: 'lifo' });
+  }
+
+  override createConnection(...parameters: Parameters<Agent['createConnection']>): Socket {
+    this.onOpened();
+    const socket = super.createConnection(...parameters) as Socket;
+    socket.setNoDelay(true);
+    return socket;
+  }
+
+  // The declared result of the method differs between versions of the types.
+  override keepSocketAlive(socket: Socket): void {
+    const keep = super.keepSocketAlive(socket) as unknown as boolean;
+    if (keep) socket.on('data', destroyOnData);
+    return keep as unknown as undefined;
+  }
+
+  override reuseSocket(socket: Socket, request: ClientRequest): void {
+    socket.off('data', destroyOnData);
+    super.reuseSocket(socket, request);
+  }
+}
+
+function destroyOnData(this: Socket): void {
+  this.destroy();
+}
+
+class NodeBackendAnswer implements BackendAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | undefined>>;
+  readonly rawHeaders: readonly string[];
+  readonly body: AsyncIterable<Uint8Array>;
+
+  constructor(
+    private readonly request: ClientRequest,
+    message: IncomingMessage,
+  ) {
+    this.status = message.statusCode ?? 0;
+    this.headers = message.headers as Readonly<Record<string, string | undefined>>;
+    this.rawHeaders = message.rawHeaders;
+    this.body = message;
+    // An answer that came before the request was read leaves its connection in doubt.
+    message.once('end', () => {
+      if (!request.writableFinished) request.destroy();
+    });
+  }
+
+  discard(): void {
+    this.request.destroy();
+  }
+}
+
+/** Sends requests over TCP. */
+export class NodeBackendClient implements BackendClient {
+  private readonly agents = new Map<string, GuardedAgent>();
+  private opened = 0;
+
+  get connectionsOpened(): number {
+    return this.opened;
+  }
+
+  send(call: BackendCall): Promise<BackendAnswer> {
+    return new Promise((resolve, reject) => {
+      if (call.signal.aborted) {
+        reject(new HttpNotSentError('given up before it was sent'));
+        return;
+      }
+      const { host, port } = parseAddress(call.address);
+      const request = startRequest({
+        host,
+        port,
+        method: call.method,
+        path: call.target,
+        headers: headersOf(call) as never,
+        setHost: false,
+        agent: this.agentOf(call.address),
+      });
+      let sent = false;
+      let connectTimer: NodeJS.Timeout | undefined;
+      const abort = (): void => {
+        request.destroy(new Error('given up'));
+      };
+      call.signal.addEventListener('abort', abort, { once: true });
+      request.once('close', () => {
+        clearTimeout(connectTimer);
+        call.signal.removeEventListener('abort', abort);
+      });
+      request.once('socket', (socket: Socket) => {
+        if (!socket.connecting) {
+          sent = true;
+          return;
+        }
+        connectTimer = setTimeout(() => {
+          request.destroy(new Error('no connection in time'));
+        }, call.connectTimeoutMs);
+        socket.once('connect', () => {
+          sent = true;
+          clearTimeout(connectTimer);
+        });
+      });
+      request.once('response', (message: IncomingMessage) => {
+        resolve(new NodeBackendAnswer(request, message));
+      });
+      request.on('error', (error) => {
+        if (sent) reject(error);
+        else reject(new HttpNotSentError(error.message, { cause: error }));
+      });
+      request.end(call.body);
+    });
+  }
+
+  forget(address: string): void {
+    const agent = this.agents.get(address);
+    if (agent === undefined) return;
+    this.agents.delete(address);
+    for (const sockets of Object.values(agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
+  private agentOf(address: string): GuardedAgent {
+    let agent = this.agents.get(address);
+    if (agent === undefined) {
+      agent = new GuardedAgent(() => {
+        this.opened += 1;
+      });
+      this.agents.set(address, agent);
+    }
+    return agent;
+  }
+}
+
+function headersOf(call: BackendCall): string[] {
+  const headers = [...call.headers, 'Connection', 'keep-alive'];
+  const bodyless = call.body.byteLength === 0 && (call.method === 'GET' || call.method === 'HEAD');
+  if (!bodyless) headers.push('Content-Length', String(call.body.byteLength));
+  return headers;
+}
--- /dev/null
+++ b/packages/runtime/src/node-ingress.ts
@@ -0,0 +1,217 @@
+/** The ingress of the shipped daemons, on the HTTP server of Node.js. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import {
+  BodyTooLargeError,
+  type IncomingExchange,
+  type Ingress,
+  type IngressLimits,
+  type RawHeaders,
+  type ResponseHead,
+  type ResponseStream,
+} from './streaming-http.js';
+import { parseAddress, type Address } from './transport.js';
+
+/** Answers one request; must answer or abort the exchange in the end. */
+export type ExchangeHandler = (exchange: IncomingExchange) => Promise<void>;
+
+/** Pause between two checks of connections for exceeded time limits, in milliseconds. */
+const LIMIT_CHECK_INTERVAL_MS = 500;
+/** A client that does not take its answer for this long is cut off, in milliseconds. */
+const WRITE_STALL_TIMEOUT_MS = 15_000;
+
+class NodeResponseStream implements ResponseStream {
+  constructor(private readonly response: ServerResponse) {}
+
+  async write(chunk: Uint8Array): Promise<void> {
+    const { response } = this;
+    if (response.destroyed || response.write(chunk)) return;
+    await new Promise<void>((resolve) => {
+      const finish = (): void => {
+        clearTimeout(timer);
+        response.off('drain', finish);
+        response.off('close', finish);
+        resolve();
+      };
+      const timer = setTimeout(() => response.destroy(), WRITE_STALL_TIMEOUT_MS);
+      response.on('drain', finish);
+      response.on('close', finish);
+    });
+  }
+
+  end(): void {
+    this.response.end();
+  }
+
+  abort(): void {
+    this.response.destroy();
+  }
+}
+
+class NodeExchange implements IncomingExchange {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: Readonly<Record<string, string | undefined>>;
+  readonly rawHeaders: RawHeaders;
+  readonly signal: AbortSignal;
+
+  constructor(
+    private readonly request: IncomingMessage,
+    private readonly response: ServerResponse,
+    private readonly isDraining: () => boolean,
+  ) {
+    this.method = request.method ?? 'GET';
+    this.target = request.url ?? '/';
+    this.headers = request.headers as Readonly<Record<string, string | undefined>>;
+    this.rawHeaders = request.rawHeaders;
+    const controller = new AbortController();
+    this.signal = controller.signal;
+    response.once('close', () => {
+      if (!response.writableFinished) controller.abort();
+    });
+  }
+
+  get answered(): boolean {
+    return this.response.headersSent;
+  }
+
+  readBody(maximumBytes: number): Promise<Uint8Array> {
+    return new Promise((resolve, reject) => {
+      const chunks: Buffer[] = [];
+      let size = 0;
+      this.request.on('data', (chunk: Buffer) => {
+        size += chunk.byteLength;
+        if (size > maximumBytes) reject(new BodyTooLargeError(`body larger than ${String(maximumBytes)} bytes`));
+        else chunks.push(chunk);
+      });
+      this.request.on('end', () => {
+        resolve(chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks));
+      });
+      this.request.on('error', reject);
+      this.request.on('close', () => {
+        reject(new Error('the client broke off its request'));
+      });
+    });
+  }
+
+  respond(head: ResponseHead, body: Uint8Array): void {
+    if (this.response.headersSent || this.response.destroyed) return;
+    // A request that was not read to its end cannot be followed by another one on its connection.
+    const unread = !this.request.complete;
+    const headers = [...head.headers, 'Content-Length', String(body.byteLength)];
+    this.writeHead(head.status, headers, unread);
+    if (unread) this.response.once('finish', () => this.request.destroy());
+    this.response.end(body);
+  }
+
+  beginStream(head: ResponseHead): ResponseStream {
+    this.writeHead(head.status, [...head.headers], false);
+    this.response.flushHeaders();
+    return new NodeResponseStream(this.response);
+  }
+
+  abort(): void {
+    this.response.destroy();
+    this.request.destroy();
+  }
+
+  private writeHead(status: number, headers: string[], closing: boolean): void {
+    if (closing || this.isDraining()) headers.push('Connection', 'close');
+    this.response.writeHead(status, headers);
+  }
+}
+
+/** Accepts requests over TCP. */
+export class NodeIngress implements Ingress {
+  private readonly server: Server;
+  private readonly busy = new Map<Socket, number>();
+  private readonly sockets = new Set<Socket>();
+  private draining = false;
+  private unanswered = 0;
+
+  private constructor(limits: IngressLimits, handler: ExchangeHandler) {
+    this.server = createServer({
+      maxHeaderSize: limits.maximumHeaderBytes,
+      connectionsCheckingInterval: LIMIT_CHECK_INTERVAL_MS,
+      requireHostHeader: true,
+      noDelay: true,
+    });
+    this.setLimits(limits);
+    this.server.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.on('close', () => {
+        this.sockets.delete(socket);
+        this.busy.delete(socket);
+      });
+    });
+    this.server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+      this.accept(request, response, handler);
+    });
+  }
+
+  /** Starts listening on `ip:port`. */
+  static async listen(address: Address, limits: IngressLimits, handler: ExchangeHandler): Promise<NodeIngress> {
+    const ingress = new NodeIngress(limits, handler);
+    const { host, port } = parseAddress(address);
+    await new Promise<void>((resolve, reject) => {
+      ingress.server.once('error', reject);
+      ingress.server.listen({ host, port, backlog: 1024 }, resolve);
+    });
+    return ingress;
+  }
+
+  /** Port in use; differs from the one asked for when that was 0. */
+  get port(): number {
+    const bound = this.server.address();
+    return typeof bound === 'object' && bound !== null ? bound.port : 0;
+  }
+
+  get inProgress(): number {
+    return this.unanswered;
+  }
+
+  setLimits(limits: IngressLimits): void {
+    this.server.headersTimeout = limits.headerTimeoutMs;
+    this.server.requestTimeout = 0;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+  }
+
+  startDraining(): void {
+    this.draining = true;
+  }
+
+  closeIdle(): void {
+    this.draining = true;
+    this.server.close(() => undefined);
+    for (const socket of this.sockets) {
+      if (!this.busy.has(socket)) socket.end();
+    }
+  }
+
+  async close(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.close(() => {
+        resolve();
+      });
+      for (const socket of this.sockets) socket.destroy();
+    });
+  }
+
+  private accept(request: IncomingMessage, response: ServerResponse, handler: ExchangeHandler): void {
+    const { socket } = request;
+    this.unanswered += 1;
+    this.busy.set(socket, (this.busy.get(socket) ?? 0) + 1);
+    response.once('close', () => {
+      this.unanswered -= 1;
+      this.release(socket);
+    });
+    const exchange = new NodeExchange(request, response, () => this.draining);
+    void handler(exchange);
+  }
+
+  private release(socket: Socket): void {
+    const left = (this.busy.get(socket) ?? 1) - 1;
+    if (left > 0) this.busy.set(socket, left);
+    else this.busy.delete(socket);
+  }
+}
--- /dev/null
+++ b/packages/serving/src/deployment-view.ts
@@ -0,0 +1,58 @@
+/** Puts what the deployment says in force, and says whether enough is known to serve. */
+import type { BackEnd, BackendDirectory } from '@woodbarrow/backends';
+import type { ConfigurationHolder, ForwardingConfiguration } from '@woodbarrow/forwarding';
+import type { EventLog } from '@woodbarrow/observability';
+import type { IngressLimits } from '@woodbarrow/runtime';
+import type { DeploymentSink } from './ports.js';
+
+/** Sink of a daemon's feed. */
+export class DeploymentView implements DeploymentSink {
+  private listed = false;
+
+  constructor(
+    private readonly holder: ConfigurationHolder,
+    private readonly directory: BackendDirectory,
+    private readonly log: EventLog,
+    private readonly onLimits: (limits: IngressLimits) => void,
+  ) {}
+
+  /** Whether configuration and back ends have been read. */
+  get isComplete(): boolean {
+    return this.listed && this.holder.current !== undefined;
+  }
+
+  configuration(configuration: ForwardingConfiguration): void {
+    const before = this.holder.current?.version;
+    if (!this.holder.apply(configuration)) return;
+    this.onLimits(configuration.limits);
+    this.log.changed('configuration_applied', {
+      version: configuration.version,
+      before,
+      routes: configuration.routes.length,
+      services: configuration.services.size,
+    });
+  }
+
+  backEndsListed(backEnds: readonly BackEnd[]): void {
+    this.listed = true;
+    this.directory.replaceAll(backEnds);
+    this.log.changed('back_ends_listed', { count: backEnds.length });
+  }
+
+  backEndChanged(backEnd: BackEnd): void {
+    const before = this.directory.get(backEnd.id);
+    this.directory.put(backEnd);
+    this.log.changed(before === undefined ? 'back_end_seen' : 'back_end_changed', {
+      backEnd: backEnd.id,
+      service: backEnd.service,
+      zone: backEnd.zone,
+      draining: backEnd.draining,
+      models: backEnd.models.map((model) => model.name).join(','),
+    });
+  }
+
+  backEndGone(id: string): void {
+    this.directory.remove(id);
+    this.log.changed('back_end_gone', { backEnd: id });
+  }
+}
--- /dev/null
+++ b/packages/serving/src/index.ts
@@ -0,0 +1,6 @@
+/** One serving daemon, put together from its parts. */
+export * from './deployment-view.js';
+export * from './journal.js';
+export * from './ports.js';
+export * from './serving-daemon.js';
+export * from './serving-settings.js';
--- /dev/null
+++ b/packages/serving/src/ports.ts
@@ -0,0 +1,47 @@
+/** Ports of a serving daemon: what the deployment around it provides. */
+import type { BackEnd } from '@woodbarrow/backends';
+import type { LeaseRecordStore } from '@woodbarrow/coordination';
+import type { ForwardingConfiguration, WireDialect } from '@woodbarrow/forwarding';
+import type { OrderClient } from '@woodbarrow/residency';
+import type { BackendClient, Clock, Random, Transport } from '@woodbarrow/runtime';
+
+/** Receives what the deployment says; called in the order of the changes. */
+export interface DeploymentSink {
+  configuration(configuration: ForwardingConfiguration): void;
+  /** All back ends there are; others are gone. */
+  backEndsListed(backEnds: readonly BackEnd[]): void;
+  backEndChanged(backEnd: BackEnd): void;
+  backEndGone(id: string): void;
+}
+
+/** Source of configuration and back ends. */
+export interface DeploymentFeed {
+  /** Reads and follows until `signal` aborts. */
+  run(sink: DeploymentSink, signal: AbortSignal): Promise<void>;
+}
+
+/** A daemon as it stands in the register. */
+export interface RegisteredMember {
+  readonly id: string;
+  /** Peer address. */
+  readonly address: string;
+}
+
+/** Register of daemons, through which they find each other. Calls may throw. */
+export interface MemberRegistry {
+  list(): Promise<RegisteredMember[]>;
+  join(member: RegisteredMember): Promise<void>;
+}
+
+/** Everything outside a daemon. */
+export interface ServingPorts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly transport: Transport;
+  readonly client: BackendClient;
+  readonly dialect: WireDialect;
+  readonly orders: OrderClient;
+  readonly leases: LeaseRecordStore;
+  readonly registry: MemberRegistry;
+  readonly feed: DeploymentFeed;
+}
--- /dev/null
+++ b/packages/serving/src/serving-daemon.ts
@@ -0,0 +1,235 @@
+/** One serving daemon: its parts, put together, started and stopped. */
+import { BackendDirectory, LoadBook, type ServiceDefinition } from '@woodbarrow/backends';
+import {
+  BackendHealth,
+  ConfigurationHolder,
+  Forwarder,
+  PlainSelector,
+  PromptAffinity,
+  RepeatBudget,
+  ReplicaSelector,
+} from '@woodbarrow/forwarding';
+import { Membership } from '@woodbarrow/membership';
+import type { BoundedLog } from '@woodbarrow/observability';
+import { PeerNetwork } from '@woodbarrow/peering';
+import { CoordinatorDirectory, DemandRouter, ResidencyService, type Member } from '@woodbarrow/residency';
+import { NodeIngress, TaskGroup, sleep, type IncomingExchange, type IngressLimits } from '@woodbarrow/runtime';
+import { DeploymentView } from './deployment-view.js';
+import { LoggedJournal } from './journal.js';
+import type { ServingPorts } from './ports.js';
+import type { ServingSettings } from './serving-settings.js';
+
+/** Name under which daemons accept each other's connections. */
+const PEER_DEPLOYMENT = 'woodbarrow-serving';
+/** Limits until the configuration has been read. */
+const FIRST_LIMITS: IngressLimits = { maximumHeaderBytes: 16_384, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 };
+const READINESS_LIMITS: IngressLimits = { maximumHeaderBytes: 8192, headerTimeoutMs: 3000, idleTimeoutMs: 60_000 };
+/** Failure detection among few daemons on fast links. */
+const MEMBERSHIP_TIMINGS = {
+  probeIntervalMs: 700,
+  probeTimeoutMs: 300,
+  indirectTimeoutMs: 600,
+  suspicionMs: 1500,
+  reconnectIntervalMs: 3000,
+};
+/** Register is read again this often while this daemon is alone, in milliseconds. */
+const REGISTRY_RETRY_MS = 1000;
+/** Time after the word to stop in which clients still find this daemon, in milliseconds. */
+const LEAVE_ENTRY_MS = 3200;
+/** Time kept at the end of the grace for the process to end, in milliseconds. */
+const STOP_MARGIN_MS = 500;
+const STOP_POLL_MS = 50;
+
+/** A daemon from start to stop. */
+export class ServingDaemon {
+  private readonly configuration = new ConfigurationHolder();
+  private readonly directory: BackendDirectory;
+  private readonly loads: LoadBook;
+  private readonly affinity = new PromptAffinity();
+  private readonly health = new Map<string, BackendHealth>();
+  private readonly peers: PeerNetwork;
+  private readonly membership: Membership;
+  private readonly residency: ResidencyService;
+  private readonly forwarder: Forwarder;
+  private readonly view: DeploymentView;
+  private readonly tasks: TaskGroup;
+  private seeds: readonly string[] = [];
+  private ingress: NodeIngress | undefined;
+  private readiness: NodeIngress | undefined;
+  private stopping = false;
+
+  constructor(
+    private readonly settings: ServingSettings,
+    private readonly ports: ServingPorts,
+    private readonly log: BoundedLog,
+  ) {
+    const { clock, transport } = ports;
+    this.tasks = new TaskGroup(clock, (task, error) => {
+      log.warned('task_failed', { task, cause: error instanceof Error ? error.message : String(error) });
+    });
+    this.directory = new BackendDirectory(clock);
+    this.loads = new LoadBook(clock);
+    this.view = new DeploymentView(this.configuration, this.directory, log, (limits) => this.ingress?.setLimits(limits));
+    this.peers = new PeerNetwork({ transport, clock, address: settings.peerAddress, deployment: PEER_DEPLOYMENT });
+    const instance = clock.wall();
+    this.membership = this.createMembership(instance);
+    const coordinators = new CoordinatorDirectory(clock);
+    this.residency = this.createResidency(instance, coordinators);
+    this.forwarder = this.createForwarder(coordinators);
+    this.directory.events.on('removed', (backEnd) => {
+      this.affinity.forget(backEnd.id);
+      this.health.get(backEnd.service)?.forget(backEnd.id);
+      ports.client.forget(backEnd.address);
+    });
+    this.directory.events.on('residency', ({ backEndId, target, resident }) => {
+      if (!resident && target.adapter === undefined) this.affinity.forget(backEndId, target.model);
+    });
+  }
+
+
+  /** Whether new requests should come here. */
+  get isReady(): boolean {
+    return !this.stopping && this.view.isComplete;
+  }
+
+  /** Starts listening and following the deployment. */
+  async start(): Promise<void> {
+    const { settings, ports } = this;
+    this.readiness = await NodeIngress.listen(settings.readinessAddress, READINESS_LIMITS, (exchange) =>
+      this.answerReadiness(exchange),
+    );
+    this.ingress = await NodeIngress.listen(settings.ingressAddress, FIRST_LIMITS, (exchange) =>
+      this.forwarder.handle(exchange),
+    );
+    await this.peers.start();
+    this.tasks.spawn('feed', (signal) => ports.feed.run(this.view, signal));
+    this.tasks.spawn('register', (signal) => this.register(signal));
+    this.membership.start();
+    this.residency.start();
+    this.log.changed('daemon_started', { zone: settings.zone, address: settings.ingressAddress });
+  }
+
+  /** Planned stop: no new connections, what is in progress ends, roles are handed over. */
+  async stop(): Promise<void> {
+    if (this.stopping) return;
+    this.stopping = true;
+    const { clock } = this.ports;
+    const startedAt = clock.monotonic();
+    const elapsed = (): number => clock.monotonic() - startedAt;
+    this.log.changed('daemon_stopping', { inProgress: this.ingress?.inProgress });
+    this.ingress?.startDraining();
+    await Promise.all([this.residency.leave(), this.membership.announceLeaving()]);
+    await sleep(clock, LEAVE_ENTRY_MS - elapsed());
+    this.ingress?.closeIdle();
+    while ((this.ingress?.inProgress ?? 0) > 0 && elapsed() < this.settings.stopGraceMs - STOP_MARGIN_MS) {
+      await sleep(clock, STOP_POLL_MS);
+    }
+    this.log.changed('daemon_stopped', { inProgress: this.ingress?.inProgress, tookMs: Math.round(elapsed()) });
+    this.log.flush();
+  }
+
+  private createMembership(instance: number): Membership {
+    const { settings, ports, log } = this;
+    const { name: id, zone, region } = settings;
+    const membership = new Membership({
+      identity: { id, zone, region, instance },
+      peers: this.peers,
+      clock: ports.clock,
+      random: ports.random.fork(),
+      seeds: () => this.seeds,
+      timings: MEMBERSHIP_TIMINGS,
+      onTaskFailure: (task, error) => {
+        log.warned('task_failed', { task, cause: error instanceof Error ? error.message : String(error) });
+      },
+    });
+    membership.events.on('up', (member) => {
+      log.changed('peer_up', { peer: member.id, instance: member.instance });
+    });
+    membership.events.on('down', (member) => {
+      log.changed('peer_down', { peer: member.id, status: member.status });
+    });
+    return membership;
+  }
+
+  private createResidency(instance: number, coordinators: CoordinatorDirectory): ResidencyService {
+    const { settings, ports, log, directory, loads, peers } = this;
+    return new ResidencyService({
+      self: { id: settings.name, address: settings.peerAddress, zone: settings.zone },
+      instance,
+      members: () => this.members(),
+      peers,
+      directory,
+      loads,
+      coordinators,
+      leases: ports.leases,
+      orders: ports.orders,
+      serviceOf: (name) => this.serviceOf(name),
+      handoverPauseMs: settings.handoverPauseMs,
+      storeWindow: settings.storeWindow,
+      clock: ports.clock,
+      log,
+    });
+  }
+
+  private createForwarder(coordinators: CoordinatorDirectory): Forwarder {
+    const { settings, ports, log, directory, loads, peers, affinity } = this;
+    const { clock, client, dialect, random } = ports;
+    const demands = new DemandRouter({ directory, coordinators, peers, clock });
+    const context = {
+      clock,
+      client,
+      dialect,
+      directory,
+      loads,
+      plain: new PlainSelector(directory, loads, settings.zone),
+      replicas: new ReplicaSelector(directory, loads, affinity, demands, settings.zone, clock),
+      budget: new RepeatBudget({ ...settings.repeats, sharers: () => this.members().length }, clock),
+      journal: new LoggedJournal(log),
+      healthOf: (service: string) => this.healthOf(service),
+    };
+    return new Forwarder(context, this.configuration, random.fork());
+  }
+
+  private members(): Member[] {
+    return this.membership.eligible().map(({ id, address, zone }) => ({ id, address, zone }));
+  }
+
+  private serviceOf(name: string): ServiceDefinition | undefined {
+    return this.configuration.current?.services.get(name);
+  }
+
+  private healthOf(service: string): BackendHealth {
+    let health = this.health.get(service);
+    if (health === undefined) {
+      health = new BackendHealth(this.ports.clock);
+      this.health.set(service, health);
+    }
+    return health;
+  }
+
+  /** Enters this daemon into the register and learns of the others from it. */
+  private async register(signal: AbortSignal): Promise<void> {
+    const { clock, registry } = this.ports;
+    const self = { id: this.settings.name, address: this.settings.peerAddress };
+    let joined = false;
+    while (!signal.aborted) {
+      try {
+        if (!joined) await registry.join(self);
+        joined = true;
+        if (this.membership.present().length <= 1 || this.seeds.length <= 1) {
+          const members = await registry.list();
+          this.seeds = members.map((member) => member.address).filter((address) => address !== self.address);
+        }
+        if (this.membership.present().length > 1) return;
+      } catch (error) {
+        this.log.warned('register_failed', { cause: error instanceof Error ? error.message : String(error) });
+      }
+      await sleep(clock, REGISTRY_RETRY_MS, signal);
+    }
+  }
+
+  private answerReadiness(exchange: IncomingExchange): Promise<void> {
+    exchange.respond({ status: this.isReady ? 200 : 503, headers: [] }, new Uint8Array());
+    return Promise.resolve();
+  }
+}
