Orders to a worker in parts: sender, adapters, models; what is uncertain stays counted

Cause: an adapter whose load was not seen in time was struck off while the worker held it, so a ninth was ordered. Ruled out: stale records (the coordinator had given every order itself).

--- a/packages/forwarding/src/backend-health.ts
+++ b/packages/forwarding/src/backend-health.ts
@@ -64,7 +64,8 @@
     if (own < FAILURE_MARGIN) return false;
     const others = peers.filter((peer) => peer !== backEndId);
     if (others.length === 0) return false;
-    const mean = others.reduce((sum, peer) => sum + (this.records.get(peer)?.failures ?? 0), 0) / others.length;
+    const mean =
+      others.reduce((sum, peer) => sum + (this.records.get(peer)?.failures ?? 0), 0) / others.length;
     return own > mean + FAILURE_MARGIN;
   }
 
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -1,7 +1,12 @@
 /** The task of one request: choose a back end, send, and pass the answer on; again where the route allows it. */
 import type { BackEnd, ModelTarget, ServiceDefinition, WorkTicket } from '@woodbarrow/backends';
 import { answerFor, type ErrorKind } from '@woodbarrow/errors';
-import { encodeText, type BackendAnswer, type IncomingExchange, type ResponseStream } from '@woodbarrow/runtime';
+import {
+  encodeText,
+  type BackendAnswer,
+  type IncomingExchange,
+  type ResponseStream,
+} from '@woodbarrow/runtime';
 import type { BackendChoice, RefusalReason } from './backend-choice.js';
 import type { BackendHealth, SendResult } from './backend-health.js';
 import { BodyReader } from './body-reader.js';
@@ -266,7 +271,11 @@
   private noteFailure(backEnd: BackEnd, result: SendResult, detail: string): void {
     this.health().record(backEnd.id, result);
     this.excluded.add(backEnd.id);
-    this.context.journal.decided('request_declined', this.facts.id, { backEnd: backEnd.id, verdict: result, detail });
+    this.context.journal.decided('request_declined', this.facts.id, {
+      backEnd: backEnd.id,
+      verdict: result,
+      detail,
+    });
   }
 
   private async passOn(answer: BackendAnswer, backEnd: BackEnd, sentAt: number): Promise<AttemptResult> {
@@ -293,13 +302,21 @@
       if (this.stream === undefined && size > HELD_ANSWER_BYTES) await this.openStream(answer, chunks);
     }
     const failed = answer.status >= 500;
-    this.health().record(backEnd.id, failed ? 'failed_answer' : 'good', failed ? undefined : tookMs / this.expectedMs());
+    this.health().record(
+      backEnd.id,
+      failed ? 'failed_answer' : 'good',
+      failed ? undefined : tookMs / this.expectedMs(),
+    );
     if (this.stream !== undefined) {
       this.stream.end();
       this.noteAnswered(answer.status, backEnd);
       return { kind: 'finished' };
     }
-    const held = { status: answer.status, headers: this.context.dialect.answerHeaders(answer.rawHeaders), body: Buffer.concat(chunks) };
+    const held = {
+      status: answer.status,
+      headers: this.context.dialect.answerHeaders(answer.rawHeaders),
+      body: Buffer.concat(chunks),
+    };
     if (failed && mayRunAgain(this.route.kind)) {
       this.excluded.add(backEnd.id);
       return { kind: 'failure', answer: held };
@@ -329,7 +346,9 @@
     }
     const reader = new BodyReader(answer, this.context.clock);
     const splitter = new EventSplitter();
-    const gapMs = resumable ? (this.route.targetGapMs ?? this.route.targetLatencyMs) * SILENT_GAPS : undefined;
+    const gapMs = resumable
+      ? (this.route.targetGapMs ?? this.route.targetLatencyMs) * SILENT_GAPS
+      : undefined;
     for (;;) {
       const step = await reader.next(gapMs);
       if (step.kind === 'broken') return this.onBrokenBody(backEnd);
@@ -393,7 +412,11 @@
   private breakOff(cause: string): void {
     this.stream?.abort();
     this.end('broken_off');
-    this.context.journal.decided('request_failed', this.facts.id, { answer: 'broken_off', cause, sends: this.sends });
+    this.context.journal.decided('request_failed', this.facts.id, {
+      answer: 'broken_off',
+      cause,
+      sends: this.sends,
+    });
   }
 
   private refuse(kind: ErrorKind, cause: string, retryAfterMs: number): void {
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -61,10 +61,18 @@
     await new ForwardedRequest(this.context, exchange, facts, route, service, body, arrivedAt).run();
   }
 
-  private refuse(exchange: IncomingExchange, facts: RequestFacts, kind: ErrorKind, retryAfterMs?: number): void {
+  private refuse(
+    exchange: IncomingExchange,
+    facts: RequestFacts,
+    kind: ErrorKind,
+    retryAfterMs?: number,
+  ): void {
     const { status } = answerFor(kind);
     const seconds = retryAfterMs === undefined ? undefined : retryAfterMs / 1000;
-    exchange.respond({ status, headers: this.context.dialect.ownHeaders(facts.id, seconds) }, encodeText(`${kind}\n`));
+    exchange.respond(
+      { status, headers: this.context.dialect.ownHeaders(facts.id, seconds) },
+      encodeText(`${kind}\n`),
+    );
     this.context.journal.ended('none', 'refused', 0);
     this.context.journal.decided('request_refused', facts.id, { kind, cause: kind });
   }
--- a/packages/forwarding/src/rendezvous-weight.ts
+++ b/packages/forwarding/src/rendezvous-weight.ts
@@ -7,7 +7,8 @@
 export function rendezvousWeight(key: string, member: string): number {
   let hash = OFFSET_BASIS;
   for (let index = 0; index < key.length; index += 1) hash = Math.imul(hash ^ key.charCodeAt(index), PRIME);
-  for (let index = 0; index < member.length; index += 1) hash = Math.imul(hash ^ member.charCodeAt(index), PRIME);
+  for (let index = 0; index < member.length; index += 1)
+    hash = Math.imul(hash ^ member.charCodeAt(index), PRIME);
   hash ^= hash >>> 16;
   hash = Math.imul(hash, 0x85ebca6b);
   hash ^= hash >>> 13;
--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -64,7 +64,8 @@
       if (request.signal.aborted) return refusal('client_gone', 0);
       const holders = this.usable(request, request.target);
       const best = this.cheapest(holders, request, chain, health);
-      if (best !== undefined && !health.isAvoided(best.id)) return this.send(best, request, chain, 'resident');
+      if (best !== undefined && !health.isAvoided(best.id))
+        return this.send(best, request, chain, 'resident');
       const withinMs = request.startBy - this.clock.monotonic();
       if (withinMs <= 0) return refusal('model_too_late', RETRY_AFTER_UNAVAILABLE_MS);
       const outcome = await this.residency.request(
@@ -82,7 +83,8 @@
         if (backEnd !== undefined && !request.excluded.has(backEnd.id) && !backEnd.draining) {
           return this.send(backEnd, request, chain, 'loaded');
         }
-        if (backEnd !== undefined && best !== undefined) return this.send(best, request, chain, 'last_resort');
+        if (backEnd !== undefined && best !== undefined)
+          return this.send(best, request, chain, 'last_resort');
         if (outcome.backEndId !== '' && request.excluded.has(outcome.backEndId)) {
           return refusal('all_excluded', RETRY_AFTER_UNAVAILABLE_MS);
         }
@@ -138,9 +140,13 @@
     const { facts, engine } = request;
     const shared = chain.tokens[chain.tokens.length - 2] ?? 0;
     const presumed = isPreferred ? shared * PRESUMED_KEPT_SHARE : 0;
-    const kept = Math.min(facts.promptTokens, Math.max(this.affinity.keptTokens(backEnd.id, chain), presumed));
+    const kept = Math.min(
+      facts.promptTokens,
+      Math.max(this.affinity.keptTokens(backEnd.id, chain), presumed),
+    );
     const unread = load.unreadTokens + facts.promptTokens - kept;
-    let cost = (unread / ASSUMED_TOKENS_PER_MS + load.requests * COST_PER_REQUEST_MS) * health.slowness(backEnd.id);
+    let cost =
+      (unread / ASSUMED_TOKENS_PER_MS + load.requests * COST_PER_REQUEST_MS) * health.slowness(backEnd.id);
     const held = load.heldTokens + facts.promptTokens + facts.outputTokens;
     if (held > engine.cacheTokens || load.requests >= engine.slots) cost += MEMORY_FULL_MS;
     if (backEnd.zone !== this.zone) cost += OTHER_ZONE_MS;
@@ -169,13 +175,17 @@
   private askForReplicaIfCrowded(backEnd: BackEnd, request: ReplicaRequest): void {
     const load = this.loads.of(backEnd.id);
     const waitMs = load.unreadTokens / ASSUMED_TOKENS_PER_MS;
-    const isFull = load.heldTokens > request.engine.cacheTokens * 0.8 || load.requests > request.engine.slots * 0.8;
+    const isFull =
+      load.heldTokens > request.engine.cacheTokens * 0.8 || load.requests > request.engine.slots * 0.8;
     if (isFull || waitMs > request.targetLatencyMs * CROWDED_SHARE) {
       this.residency.requestReplica(request.service, request.target.model, request.priority);
     }
   }
 }
 
-function refusal(reason: 'client_gone' | 'model_too_late' | 'model_unavailable' | 'all_excluded', retryAfterMs: number): BackendChoice {
+function refusal(
+  reason: 'client_gone' | 'model_too_late' | 'model_unavailable' | 'all_excluded',
+  retryAfterMs: number,
+): BackendChoice {
   return { kind: 'refuse', reason, retryAfterMs };
 }
--- a/packages/observability/src/bounded-log.ts
+++ b/packages/observability/src/bounded-log.ts
@@ -29,13 +29,22 @@
 /** Lines are collected for this long before they are written, in milliseconds. */
 const FLUSH_INTERVAL_MS = 100;
 const BUDGET_WINDOW_MS = 1000;
-const DEFAULT_LINES_PER_SECOND: Readonly<Record<LineClass, number>> = { routine: 150, failure: 150, change: 200 };
+const DEFAULT_LINES_PER_SECOND: Readonly<Record<LineClass, number>> = {
+  routine: 150,
+  failure: 150,
+  change: 200,
+};
 const STANDARD_OUTPUT = 1;
 
 /** Log of one daemon. */
 export class BoundedLog implements EventLog {
   /** Lines left out since the start, over budget or not taken. */
-  readonly dropped: Record<LineClass | 'not_taken', number> = { routine: 0, failure: 0, change: 0, not_taken: 0 };
+  readonly dropped: Record<LineClass | 'not_taken', number> = {
+    routine: 0,
+    failure: 0,
+    change: 0,
+    not_taken: 0,
+  };
   private readonly logger: Logger;
   private readonly sink: ByteSink;
   private readonly limits: Readonly<Record<LineClass, number>>;
@@ -51,7 +60,11 @@
     this.sink = options.sink ?? standardOutput;
     this.limits = options.linesPerSecond ?? DEFAULT_LINES_PER_SECOND;
     this.logger = pino(
-      { base: { ...options.fields }, messageKey: 'event', timestamp: () => `,"time":${String(options.clock.wall())}` },
+      {
+        base: { ...options.fields },
+        messageKey: 'event',
+        timestamp: () => `,"time":${String(options.clock.wall())}`,
+      },
       {
         write: (line: string) => {
           this.enqueue(line);
--- a/packages/residency/src/coordinator-directory.ts
+++ b/packages/residency/src/coordinator-directory.ts
@@ -25,7 +25,8 @@
   /** Takes the claims of one daemon; zones that it claimed before and does not now are free. */
   accept(memberId: string, address: string, claims: readonly ZoneClaim[]): void {
     for (const [zone, known] of this.claims) {
-      if (known.memberId === memberId && !claims.some((claim) => claim.zone === zone)) this.claims.delete(zone);
+      if (known.memberId === memberId && !claims.some((claim) => claim.zone === zone))
+        this.claims.delete(zone);
     }
     for (const { zone, fence } of claims) {
       const known = this.claims.get(zone);
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -69,7 +69,8 @@
     const key = `${demand.service} ${targetKey(demand.target)} ${demand.backEndId ?? ''}`;
     const now = this.options.clock.monotonic();
     const known = this.shared.get(key);
-    if (known !== undefined && known.expiresAt >= now + Math.min(demand.withinMs, SHARED_SLACK_MS)) return known.outcome;
+    if (known !== undefined && known.expiresAt >= now + Math.min(demand.withinMs, SHARED_SLACK_MS))
+      return known.outcome;
     const outcome = this.pursue(demand).finally(() => {
       if (this.shared.get(key)?.outcome === outcome) this.shared.delete(key);
     });
@@ -121,7 +122,10 @@
   }
 
   /** Undefined when the coordinator does not answer. */
-  private async ask(zone: string, message: ResidencyDemandMessage): Promise<ResidencyDemandAnswer | undefined> {
+  private async ask(
+    zone: string,
+    message: ResidencyDemandMessage,
+  ): Promise<ResidencyDemandAnswer | undefined> {
     const { coordinators, peers, clock } = this.options;
     const coordinator = coordinators.of(zone);
     if (coordinator === undefined || message.withinMs <= 0) return undefined;
--- /dev/null
+++ b/packages/residency/src/order-sender.ts
@@ -0,0 +1,166 @@
+/**
+ * Sends orders to one worker, one at a time. Every order names the number of orders the worker has taken, so that
+ * one whose answer was lost becomes void as soon as another has been taken in its place.
+ */
+import { targetKey, type BackEnd, type BackendDirectory, type ModelTarget } from '@woodbarrow/backends';
+import { WoodbarrowError } from '@woodbarrow/errors';
+import type { EventLog } from '@woodbarrow/observability';
+import { sleep, type Clock } from '@woodbarrow/runtime';
+import type { OrderClient, OrderOutcome, WorkerReport } from './order-client.js';
+
+/** Right to give orders at this moment. */
+export interface OrderAuthority {
+  readonly holder: string;
+  /** The fence to order under. @throws WoodbarrowError `lease_lost` when no order may be given now. */
+  currentFence(): number;
+}
+
+/** Options of {@link OrderSender}. */
+export interface OrderSenderOptions {
+  readonly backEndId: string;
+  readonly directory: BackendDirectory;
+  readonly orders: OrderClient;
+  readonly authority: OrderAuthority;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly signal: AbortSignal;
+}
+
+/**
+ * What came of an order in the end.
+ * - `surprised`: the worker has taken an order that this coordinator knows nothing of; what it holds must be
+ *   learnt anew before anything else is ordered.
+ */
+export type FinalOutcome = 'accepted' | 'done' | 'refused' | 'unknown' | 'surprised';
+
+/** Reports show a worker as it was up to this long before, in milliseconds. */
+export const REPORT_LAG_MS = 350;
+const SENDS_PER_ORDER = 10;
+const CONFLICT_PAUSE_MS = 120;
+const UNKNOWN_PAUSE_MS = 30;
+/** Conflicts after which a lower number of orders in a report is believed. */
+const CONFLICTS_BEFORE_DOUBT = 3;
+
+/** Sender for one incarnation of a worker. */
+export class OrderSender {
+  private sequence: number | undefined;
+  private lastSentAt = -Infinity;
+  private sending: Promise<unknown> = Promise.resolve();
+  private queued = 0;
+  /** Largest sequence under which an order was sent whose fate is unknown. */
+  private uncertainSequence = -1;
+
+  constructor(private readonly options: OrderSenderOptions) {}
+
+  /** Orders that the worker is believed to have taken; undefined until the first report. */
+  get expectedSequence(): number | undefined {
+    return this.sequence;
+  }
+
+  /** Whether orders are waiting or being sent. */
+  get isBusy(): boolean {
+    return this.queued > 0;
+  }
+
+  /** The worker's record. @throws WoodbarrowError when it is gone. */
+  backEnd(): BackEnd {
+    const backEnd = this.options.directory.get(this.options.backEndId);
+    if (backEnd === undefined) throw new WoodbarrowError('engine_refused', 'the worker is gone');
+    return backEnd;
+  }
+
+  /** A report, or undefined when none came. */
+  async report(): Promise<WorkerReport | undefined> {
+    const report = await this.options.orders.report(this.backEnd());
+    if (report !== undefined) this.sequence ??= report.sequence;
+    return report;
+  }
+
+  /** Whether a report shows all that came of the orders sent so far. */
+  isSettled(report: WorkerReport): boolean {
+    const isLate = this.options.clock.monotonic() - this.lastSentAt <= REPORT_LAG_MS;
+    const isQuiet = !report.busy && report.incoming.length === 0 && this.queued === 0;
+    return isQuiet && !isLate && report.sequence > this.uncertainSequence;
+  }
+
+  /** Believes a report about the number of orders taken. */
+  adopt(report: WorkerReport): void {
+    this.sequence = report.sequence;
+  }
+
+  /** Sends an order after all before it have been answered. */
+  send(operation: 'load' | 'unload', target: ModelTarget): Promise<FinalOutcome> {
+    this.queued += 1;
+    const result = this.sending.then(() => this.sendUntilKnown(operation, target));
+    this.sending = result
+      .catch(() => undefined)
+      .finally(() => {
+        this.queued -= 1;
+      });
+    return result;
+  }
+
+  private async sendUntilKnown(operation: 'load' | 'unload', target: ModelTarget): Promise<FinalOutcome> {
+    const { clock, signal } = this.options;
+    let isUncertain = false;
+    let conflicts = 0;
+    for (let attempt = 0; attempt < SENDS_PER_ORDER && !signal.aborted; attempt += 1) {
+      if (this.sequence === undefined && (await this.report()) === undefined) {
+        await sleep(clock, CONFLICT_PAUSE_MS, signal);
+        continue;
+      }
+      const outcome = await this.sendOnce(operation, target, this.sequence ?? 0);
+      if (outcome === 'accepted' || outcome === 'done') return outcome;
+      if (outcome === 'unknown') {
+        isUncertain = true;
+        this.uncertainSequence = Math.max(this.uncertainSequence, this.sequence ?? 0);
+        await sleep(clock, UNKNOWN_PAUSE_MS, signal);
+      } else if (outcome === 'conflict') {
+        conflicts += 1;
+        await sleep(clock, CONFLICT_PAUSE_MS, signal);
+        if (await this.isSurprised(conflicts)) return isUncertain ? 'unknown' : 'surprised';
+      } else {
+        return 'refused';
+      }
+    }
+    return isUncertain ? 'unknown' : 'refused';
+  }
+
+  private async sendOnce(
+    operation: 'load' | 'unload',
+    target: ModelTarget,
+    expectedSequence: number,
+  ): Promise<OrderOutcome> {
+    const { authority, clock, orders, log, backEndId } = this.options;
+    const fence = authority.currentFence();
+    this.lastSentAt = clock.monotonic();
+    const outcome = await orders.send(this.backEnd(), {
+      operation,
+      target,
+      holder: authority.holder,
+      fence,
+      expectedSequence,
+    });
+    log.changed('order_answered', {
+      backEnd: backEndId,
+      operation,
+      target: targetKey(target),
+      fence,
+      sequence: expectedSequence,
+      outcome,
+    });
+    // A load of what is there already is no order taken.
+    if (outcome === 'accepted' || (outcome === 'done' && operation === 'unload'))
+      this.sequence = expectedSequence + 1;
+    return outcome;
+  }
+
+  /** Whether the worker has taken an order that was not sent from here. */
+  private async isSurprised(conflicts: number): Promise<boolean> {
+    const report = await this.report();
+    const sequence = this.sequence ?? 0;
+    if (report === undefined || report.sequence === sequence) return false;
+    if (report.sequence > sequence) return true;
+    return conflicts >= CONFLICTS_BEFORE_DOUBT;
+  }
+}
--- a/packages/residency/src/placement-choice.ts
+++ b/packages/residency/src/placement-choice.ts
@@ -17,6 +17,8 @@
   readonly victims: readonly string[];
   /** Expected milliseconds until the model is resident. */
   readonly readyMs: number;
+  /** Expected milliseconds of the load alone. */
+  readonly loadMs: number;
   readonly source: 'memory' | 'disk' | 'store';
 }
 
@@ -60,10 +62,11 @@
     if (victims === undefined) continue;
     const source = sourceOf(candidate.backEnd, inputs.model.name);
     const storeWaitMs = source === 'store' ? inputs.storeWaitMs : 0;
-    const readyMs = Math.max(candidate.busyMs + victims.waitMs, storeWaitMs) + loadMs(inputs.model, source);
+    const loadMs = loadTimeMs(inputs.model, source);
+    const readyMs = Math.max(candidate.busyMs + victims.waitMs, storeWaitMs) + loadMs;
     const cost = readyMs + victims.costMs;
     if (cost < bestCost) {
-      best = { candidate, victims: victims.names, readyMs, source };
+      best = { candidate, victims: victims.names, readyMs, loadMs, source };
       bestCost = cost;
     }
   }
@@ -77,7 +80,7 @@
 }
 
 /** Expected load time of a model, in milliseconds. */
-export function loadMs(model: ModelDefinition, source: PlacementChoice['source']): number {
+export function loadTimeMs(model: ModelDefinition, source: PlacementChoice['source']): number {
   if (source === 'memory') return model.memoryLoadMs;
   return source === 'disk' ? model.diskLoadMs : model.storeLoadMs;
 }
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -74,7 +74,10 @@
 
   constructor(private readonly options: ResidencyServiceOptions) {
     super(options.clock, (task, error) => {
-      options.log.warned('task_failed', { task, cause: error instanceof Error ? error.message : String(error) });
+      options.log.warned('task_failed', {
+        task,
+        cause: error instanceof Error ? error.message : String(error),
+      });
     });
   }
 
@@ -134,7 +137,11 @@
       await sleep(this.options.clock, Math.min(result.retryAfterMs, RENEW_INTERVAL_MS), this.tasks.signal);
       return;
     }
-    this.options.log.changed('lease_gained', { zone, fence: lease.fence, actsInMs: Math.round(lease.actsInMs()) });
+    this.options.log.changed('lease_gained', {
+      zone,
+      fence: lease.fence,
+      actsInMs: Math.round(lease.actsInMs()),
+    });
     this.held.set(zone, { lease, residency: this.coordinate(zone, lease) });
     this.tasks.spawn(`residency.renew ${zone}`, (signal) => this.keep(zone, lease, signal));
     this.tellAll();
@@ -277,7 +284,14 @@
     let lease = this.leases.get(zone);
     if (lease === undefined) {
       const { self, instance, leases, clock, handoverPauseMs } = this.options;
-      lease = new StoreLease({ name: `zone-${zone}`, holder: self.id, instance, store: leases, clock, handoverPauseMs });
+      lease = new StoreLease({
+        name: `zone-${zone}`,
+        holder: self.id,
+        instance,
+        store: leases,
+        clock,
+        handoverPauseMs,
+      });
       this.leases.set(zone, lease);
     }
     return lease;
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -73,10 +73,14 @@
     const service = this.options.serviceOf(message.service);
     if (service?.engine === undefined) return refused('no_engine', RETRY_AFTER_BUSY_MS);
     if (!(await this.waitUntilActing(leftMs()))) return refused('not_acting', RETRY_AFTER_BUSY_MS);
+    await Promise.all(this.openWorkers(service.name).map((worker) => this.workerOf(worker.id).prepare()));
     const backEndId = await this.placeModel(service.name, service.engine, message, leftMs());
     if (backEndId === undefined) return refused('no_place', RETRY_AFTER_BUSY_MS);
     if (message.adapter === undefined) return { held: true, backEndId, retryAfterMs: 0, reason: 'resident' };
-    const loaded = await this.settle(this.workerOf(backEndId).loadAdapter(message.model, message.adapter), leftMs());
+    const loaded = await this.settle(
+      this.workerOf(backEndId).loadAdapter(message.model, message.adapter),
+      leftMs(),
+    );
     return loaded === true
       ? { held: true, backEndId, retryAfterMs: 0, reason: 'resident' }
       : refused('adapter_not_loaded', RETRY_AFTER_BUSY_MS);
@@ -103,10 +107,13 @@
   ): Promise<string | undefined> {
     const { model, backEndId } = message;
     if (backEndId !== undefined) {
+      if (this.options.directory.get(backEndId) === undefined) return undefined;
       return this.workerOf(backEndId).residents.isResident(model) ? backEndId : undefined;
     }
     if (message.another !== true) {
-      const holder = this.openWorkers(service).find((worker) => this.workerOf(worker.id).residents.isResident(model));
+      const holder = this.openWorkers(service).find((worker) =>
+        this.workerOf(worker.id).residents.isResident(model),
+      );
       if (holder !== undefined) return holder.id;
     }
     const key = `${service} ${model}`;
@@ -142,8 +149,8 @@
     if (choice === undefined || choice.readyMs > withinMs) return undefined;
     if (choice.source === 'store') this.window.record();
     const { id } = choice.candidate.backEnd;
-    const expectedLoadMs = choice.readyMs - choice.candidate.busyMs;
-    const loaded = await this.workerOf(id).swap(message.model, choice.victims, expectedLoadMs);
+    const expectedMs = choice.readyMs - choice.candidate.busyMs;
+    const loaded = await this.workerOf(id).swap(message.model, choice.victims, expectedMs, choice.loadMs);
     return loaded ? id : undefined;
   }
 
@@ -159,16 +166,28 @@
     this.storeLimit = Math.floor((allowed + WINDOW_EXTRA_LOADS) * WINDOW_SAFETY);
     const candidates = this.openWorkers(service)
       .map((backEnd) => this.candidateOf(backEnd))
-      .filter((candidate) => this.workerOf(candidate.backEnd.id).pendingSwaps < MAXIMUM_PENDING_SWAPS)
+      .filter(({ backEnd }) => this.canTakeSwap(this.workerOf(backEnd.id)))
       .filter((candidate) => !candidate.residents.models.has(message.model));
     const replicasOf = (name: string): number => directory.holdersOf(service, { model: name }).length;
-    const inputs = { model, engine, candidates, loads, now: clock.monotonic(), storeWaitMs: this.window.waitMs(), replicasOf };
+    const inputs = {
+      model,
+      engine,
+      candidates,
+      loads,
+      now: clock.monotonic(),
+      storeWaitMs: this.window.waitMs(),
+      replicasOf,
+    };
     if (message.another !== true) return choosePlacement(inputs);
     const holders = directory.holdersOf(service, { model: message.model });
     const use = holders.reduce((sum, holder) => sum + loads.recentUse(holder.id, message.model), 0);
     return choosePlacement({ ...inputs, maximumVictimValue: use / (holders.length + 1) / 2 });
   }
 
+  private canTakeSwap(worker: WorkerOrders): boolean {
+    return worker.isKnown && worker.pendingSwaps < MAXIMUM_PENDING_SWAPS;
+  }
+
   private candidateOf(backEnd: BackEnd): PlacementCandidate {
     const worker = this.workerOf(backEnd.id);
     return { backEnd, residents: worker.residents, busyMs: worker.busyMs };
@@ -205,7 +224,8 @@
 
   private currentFence(): number {
     const { lease } = this.options;
-    if (!lease.mayAct()) throw new WoodbarrowError('lease_lost', `the lease on ${this.options.zone} may not be used now`);
+    if (!lease.mayAct())
+      throw new WoodbarrowError('lease_lost', `the lease on ${this.options.zone} may not be used now`);
     return lease.fence;
   }
 
--- a/packages/runtime/src/node-ingress.ts
+++ b/packages/runtime/src/node-ingress.ts
@@ -81,7 +81,8 @@
       let size = 0;
       this.request.on('data', (chunk: Buffer) => {
         size += chunk.byteLength;
-        if (size > maximumBytes) reject(new BodyTooLargeError(`body larger than ${String(maximumBytes)} bytes`));
+        if (size > maximumBytes)
+          reject(new BodyTooLargeError(`body larger than ${String(maximumBytes)} bytes`));
         else chunks.push(chunk);
       });
       this.request.on('end', () => {
@@ -150,7 +151,11 @@
   }
 
   /** Starts listening on `ip:port`. */
-  static async listen(address: Address, limits: IngressLimits, handler: ExchangeHandler): Promise<NodeIngress> {
+  static async listen(
+    address: Address,
+    limits: IngressLimits,
+    handler: ExchangeHandler,
+  ): Promise<NodeIngress> {
     const ingress = new NodeIngress(limits, handler);
     const { host, port } = parseAddress(address);
     await new Promise<void>((resolve, reject) => {
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -13,7 +13,13 @@
 import type { BoundedLog } from '@woodbarrow/observability';
 import { PeerNetwork } from '@woodbarrow/peering';
 import { CoordinatorDirectory, DemandRouter, ResidencyService, type Member } from '@woodbarrow/residency';
-import { NodeIngress, TaskGroup, sleep, type IncomingExchange, type IngressLimits } from '@woodbarrow/runtime';
+import {
+  NodeIngress,
+  TaskGroup,
+  sleep,
+  type IncomingExchange,
+  type IngressLimits,
+} from '@woodbarrow/runtime';
 import { DeploymentView } from './deployment-view.js';
 import { LoggedJournal } from './journal.js';
 import type { ServingPorts } from './ports.js';
@@ -22,8 +28,16 @@
 /** Name under which daemons accept each other's connections. */
 const PEER_DEPLOYMENT = 'woodbarrow-serving';
 /** Limits until the configuration has been read. */
-const FIRST_LIMITS: IngressLimits = { maximumHeaderBytes: 16_384, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 };
-const READINESS_LIMITS: IngressLimits = { maximumHeaderBytes: 8192, headerTimeoutMs: 3000, idleTimeoutMs: 60_000 };
+const FIRST_LIMITS: IngressLimits = {
+  maximumHeaderBytes: 16_384,
+  headerTimeoutMs: 3000,
+  idleTimeoutMs: 15_000,
+};
+const READINESS_LIMITS: IngressLimits = {
+  maximumHeaderBytes: 8192,
+  headerTimeoutMs: 3000,
+  idleTimeoutMs: 60_000,
+};
 /** Failure detection among few daemons on fast links. */
 const MEMBERSHIP_TIMINGS = {
   probeIntervalMs: 700,
@@ -69,8 +83,15 @@
     });
     this.directory = new BackendDirectory(clock);
     this.loads = new LoadBook(clock);
-    this.view = new DeploymentView(this.configuration, this.directory, log, (limits) => this.ingress?.setLimits(limits));
-    this.peers = new PeerNetwork({ transport, clock, address: settings.peerAddress, deployment: PEER_DEPLOYMENT });
+    this.view = new DeploymentView(this.configuration, this.directory, log, (limits) =>
+      this.ingress?.setLimits(limits),
+    );
+    this.peers = new PeerNetwork({
+      transport,
+      clock,
+      address: settings.peerAddress,
+      deployment: PEER_DEPLOYMENT,
+    });
     const instance = clock.wall();
     this.membership = this.createMembership(instance);
     const coordinators = new CoordinatorDirectory(clock);
@@ -86,7 +107,6 @@
     });
   }
 
-
   /** Whether new requests should come here. */
   get isReady(): boolean {
     return !this.stopping && this.view.isComplete;
@@ -124,7 +144,10 @@
     while ((this.ingress?.inProgress ?? 0) > 0 && elapsed() < this.settings.stopGraceMs - STOP_MARGIN_MS) {
       await sleep(clock, STOP_POLL_MS);
     }
-    this.log.changed('daemon_stopped', { inProgress: this.ingress?.inProgress, tookMs: Math.round(elapsed()) });
+    this.log.changed('daemon_stopped', {
+      inProgress: this.ingress?.inProgress,
+      tookMs: Math.round(elapsed()),
+    });
     this.log.flush();
   }
 
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -11,7 +11,9 @@
   target: 'node20',
   format: 'esm',
   // Libraries written for CommonJS load modules of Node.js by require.
-  banner: { js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);" },
+  banner: {
+    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+  },
   conditions: ['source'],
   logLevel: 'warning',
 });
