One report at a time is adopted; waiting requests are refused at a planned stop; answers without length cut by a reset are broken

Causes: several reports asked for at once were each adopted, the late ones over a load already under way, so a fourth model was ordered (LIMIT); a request waiting for a model was still waiting when the process ended (LOST). Ruled out for LIMIT: two coordinators (one fence throughout), lost answers.

--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -33,6 +33,8 @@
 const PLAIN_EXPECTED_MS = 20;
 /** Expected time to a first token beside the reading of the prompt, for health only, in milliseconds. */
 const FIRST_TOKEN_EXPECTED_MS = 15;
+/** Time after which to come back to another daemon, in milliseconds. */
+const STOPPING_RETRY_MS = 10;
 /** Part of the remaining time that must be left to begin a request for a model. */
 const START_SHARE = 0.9;
 
@@ -60,6 +62,9 @@
   /** Back ends on which it may have run. */
   private readonly ranOn = new Set<string>();
   private sends = 0;
+  private isSending = false;
+  /** This daemon stops: no further send is begun. */
+  private stopped = false;
   private stream: ResponseStream | undefined;
   private lastEventId: string | undefined;
   private held: HeldAnswer | undefined;
@@ -90,6 +95,12 @@
     this.exchange.signal.addEventListener('abort', () => {
       this.expired.abort();
     });
+    const stop = (): void => {
+      if (!this.isSending) this.expired.abort();
+      this.stopped = true;
+    };
+    if (this.context.stopWaiting.aborted) stop();
+    this.context.stopWaiting.addEventListener('abort', stop);
     budget.recordRequest(this.service.name);
     journal.decided('request_admitted', this.facts.id, {
       route: this.route.name,
@@ -102,6 +113,7 @@
       await this.work();
     } finally {
       for (const cancel of cancelTimers) cancel();
+      this.context.stopWaiting.removeEventListener('abort', stop);
     }
   }
 
@@ -128,7 +140,7 @@
   /** Whether another send is allowed after one that brought no answer. */
   private mayContinue(result: AttemptResult): boolean {
     if (result.kind === 'failure') this.held = result.answer;
-    if (this.sends >= MAXIMUM_SENDS) return false;
+    if (this.sends >= MAXIMUM_SENDS || this.stopped) return false;
     const ran = result.kind === 'maybe_run' || result.kind === 'failure';
     if (ran && !mayRunAgain(this.route.kind)) return false;
     if (ran && this.ranOn.size >= this.route.maximumAttempts) return false;
@@ -177,6 +189,7 @@
     this.expired.signal.addEventListener('abort', abort);
     if (this.expired.signal.aborted) abort();
     this.sends += 1;
+    this.isSending = true;
     const ticket = loads.start(backEnd.id, this.facts.target, this.facts);
     const sentAt = clock.monotonic();
     journal.decided('request_sent', this.facts.id, {
@@ -206,6 +219,7 @@
       );
       return await this.conclude(outcome, backEnd, ticket, sentAt);
     } finally {
+      this.isSending = false;
       ticket.ended();
       this.expired.signal.removeEventListener('abort', abort);
     }
@@ -257,7 +271,7 @@
       directory.announce(backEnd.id, this.missingTarget(backEnd, this.facts.target), false);
     } else {
       this.excluded.add(backEnd.id);
-      if (verdict === 'other_incarnation') this.health().record(backEnd.id, 'unreachable');
+      if (verdict === 'other_incarnation') directory.remove(backEnd.id);
     }
     return { kind: 'not_run', arrived: true };
   }
@@ -389,7 +403,8 @@
     } else if (this.stream !== undefined) {
       this.breakOff('time is up');
     } else if (this.ranOn.size === 0) {
-      this.refuse('wait_expired', 'time is up', 0);
+      if (this.stopped) this.refuse('stopping', 'this daemon stops', STOPPING_RETRY_MS);
+      else this.refuse('wait_expired', 'time is up', 0);
     } else {
       this.fail('request_timeout', 'time is up');
     }
--- a/packages/forwarding/src/forwarding-context.ts
+++ b/packages/forwarding/src/forwarding-context.ts
@@ -19,6 +19,8 @@
   readonly replicas: ReplicaSelector;
   readonly budget: RepeatBudget;
   readonly journal: RequestJournal;
+  /** Aborts when this daemon stops and requests that have not been sent anywhere must be refused. */
+  readonly stopWaiting: AbortSignal;
   /** Health of the back ends of a service. */
   readonly healthOf: (service: string) => BackendHealth;
 }
--- a/packages/residency/src/order-client.ts
+++ b/packages/residency/src/order-client.ts
@@ -22,7 +22,7 @@
   | 'conflict'
   /** A higher fence has been seen. */
   | 'fenced'
-  /** The worker is not there any more, or it is another one. */
+  /** Another incarnation answers at the address: this one has ended. */
   | 'gone'
   /** Malformed. */
   | 'rejected'
--- a/packages/residency/src/order-sender.ts
+++ b/packages/residency/src/order-sender.ts
@@ -120,6 +120,7 @@
         await sleep(clock, CONFLICT_PAUSE_MS, signal);
         if (await this.isSurprised(conflicts)) return isUncertain ? 'unknown' : 'surprised';
       } else {
+        if (outcome === 'gone') this.options.directory.remove(this.options.backEndId);
         return 'refused';
       }
     }
@@ -141,6 +142,7 @@
       fence,
       expectedSequence,
     });
+    this.lastSentAt = clock.monotonic();
     log.changed('order_answered', {
       backEnd: backEndId,
       operation,
--- a/packages/residency/src/worker-orders.ts
+++ b/packages/residency/src/worker-orders.ts
@@ -42,6 +42,7 @@
   private readonly adapters: AdapterOrders;
   private known = false;
   private learning: Promise<void> | undefined;
+  private preparing: Promise<void> | undefined;
   private swapping: Promise<unknown> = Promise.resolve();
   private queuedSwaps = 0;
   private busyUntil = 0;
@@ -73,12 +74,12 @@
   }
 
   /** Learns what the worker holds, if that is not known. Resolves when it has been tried once. */
-  async prepare(): Promise<void> {
-    if (this.known) return;
-    const report = await this.tryReport();
-    if (report === undefined) return;
-    if (report.busy || report.incoming.length > 0) void this.learn();
-    else this.adopt(report);
+  prepare(): Promise<void> {
+    if (this.known || this.learning !== undefined) return Promise.resolve();
+    this.preparing ??= this.prepareOnce().finally(() => {
+      this.preparing = undefined;
+    });
+    return this.preparing;
   }
 
   /** Unloads `victims` and loads `model`. Resolves with whether it is resident. */
@@ -102,6 +103,14 @@
     return this.known && this.adapters.load({ model, adapter });
   }
 
+  /** One report is enough for a worker that nothing was ordered of. */
+  private async prepareOnce(): Promise<void> {
+    const report = await this.tryReport();
+    if (report === undefined) return;
+    if (this.sender.isSettled(report)) this.adopt(report);
+    else void this.learn();
+  }
+
   private reserve(model: string, victims: readonly string[]): void {
     const { clock, engine, announce } = this.options;
     const now = clock.monotonic();
--- a/packages/runtime/src/node-backend-client.ts
+++ b/packages/runtime/src/node-backend-client.ts
@@ -43,6 +43,7 @@
   readonly headers: Readonly<Record<string, string | undefined>>;
   readonly rawHeaders: readonly string[];
   readonly body: AsyncIterable<Uint8Array>;
+  private failed = false;
 
   constructor(
     private readonly request: ClientRequest,
@@ -51,7 +52,10 @@
     this.status = message.statusCode ?? 0;
     this.headers = message.headers as Readonly<Record<string, string | undefined>>;
     this.rawHeaders = message.rawHeaders;
-    this.body = message;
+    this.body = this.readToEnd(message);
+    request.once('error', () => {
+      this.failed = true;
+    });
     // An answer that came before the request was read leaves its connection in doubt.
     message.once('end', () => {
       if (!request.writableFinished) request.destroy();
@@ -61,6 +65,12 @@
   discard(): void {
     this.request.destroy();
   }
+
+  /** An answer without a length ends with its connection; when that was reset, it is not complete. */
+  private async *readToEnd(message: IncomingMessage): AsyncGenerator<Uint8Array> {
+    for await (const chunk of message) yield chunk as Uint8Array;
+    if (this.failed) throw new Error('the connection failed before the end of the answer');
+  }
 }
 
 /** Sends requests over TCP. */
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -70,6 +70,7 @@
   private seeds: readonly string[] = [];
   private ingress: NodeIngress | undefined;
   private readiness: NodeIngress | undefined;
+  private readonly stopWaiting = new AbortController();
   private stopping = false;
 
   constructor(
@@ -141,6 +142,7 @@
     await Promise.all([this.residency.leave(), this.membership.announceLeaving()]);
     await sleep(clock, LEAVE_ENTRY_MS - elapsed());
     this.ingress?.closeIdle();
+    this.stopWaiting.abort();
     while ((this.ingress?.inProgress ?? 0) > 0 && elapsed() < this.settings.stopGraceMs - STOP_MARGIN_MS) {
       await sleep(clock, STOP_POLL_MS);
     }
@@ -208,6 +210,7 @@
       replicas: new ReplicaSelector(directory, loads, affinity, demands, settings.zone, clock),
       budget: new RepeatBudget({ ...settings.repeats, sharers: () => this.members().length }, clock),
       journal: new LoggedJournal(log),
+      stopWaiting: this.stopWaiting.signal,
       healthOf: (service: string) => this.healthOf(service),
     };
     return new Forwarder(context, this.configuration, random.fork());
