A reset that comes together with data no longer passes for the end of an answer

Found by printing the socket's events: 'end' and no error. Ruled out: a plain close by the worker (a write of nothing fails after a reset only).

--- a/packages/runtime/src/node-backend-client.ts
+++ b/packages/runtime/src/node-backend-client.ts
@@ -8,6 +8,8 @@
 /** Kept connections at most for each address. */
 const MAXIMUM_IDLE_CONNECTIONS = 64;
 
+const NOTHING = Buffer.alloc(0);
+
 /** Keeps connections; one on which bytes arrive that nobody asked for is never used again. */
 class GuardedAgent extends Agent {
   constructor(private readonly onOpened: () => void) {
@@ -44,6 +46,7 @@
   readonly rawHeaders: readonly string[];
   readonly body: AsyncIterable<Uint8Array>;
   private failed = false;
+  private endChecked: Promise<void> | undefined;
 
   constructor(
     private readonly request: ClientRequest,
@@ -56,6 +59,7 @@
     request.once('error', () => {
       this.failed = true;
     });
+    if (endsWithConnection(message)) this.watchEnd(message.socket);
     // An answer that came before the request was read leaves its connection in doubt.
     message.once('end', () => {
       if (!request.writableFinished) request.destroy();
@@ -69,8 +73,30 @@
   /** An answer without a length ends with its connection; when that was reset, it is not complete. */
   private async *readToEnd(message: IncomingMessage): AsyncGenerator<Uint8Array> {
     for await (const chunk of message) yield chunk as Uint8Array;
+    await this.endChecked;
     if (this.failed) throw new Error('the connection failed before the end of the answer');
   }
+
+  /**
+   * A reset that arrives together with data is reported as a plain end of the connection. A write of nothing
+   * then fails, while after a plain end it does not.
+   */
+  private watchEnd(socket: Socket): void {
+    socket.prependOnceListener('end', () => {
+      this.endChecked = new Promise((resolve) => {
+        socket.write(NOTHING, (error) => {
+          if (error !== undefined && error !== null) this.failed = true;
+          resolve();
+        });
+      });
+    });
+  }
+}
+
+function endsWithConnection(message: IncomingMessage): boolean {
+  return (
+    message.headers['content-length'] === undefined && message.headers['transfer-encoding'] === undefined
+  );
 }
 
 /** Sends requests over TCP. */
