A worker whose record vanished while the store was down is taken back

Seen in the logs: 17 gone and 22 seen in the same second. Ruled out: leases (all kept through the outage). Only proof that an incarnation ended is final now; a vanished record has a grace of 0.7 s.

--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -3,7 +3,7 @@
  * announce of loads and unloads goes before a record for a while.
  */
 import Emittery from 'emittery';
-import type { Clock } from '@woodbarrow/runtime';
+import type { CancelTimer, Clock } from '@woodbarrow/runtime';
 import type { BackEnd } from './back-end.js';
 import { targetKey, type ModelTarget } from './model-name.js';
 
@@ -19,8 +19,13 @@
 
 /** Milliseconds during which an announcement goes before the worker's own record, which arrives late. */
 export const ANNOUNCEMENT_PRECEDENCE_MS = 4000;
-/** Milliseconds during which a removed incarnation is not believed to be back. */
-const REMOVED_MEMORY_MS = 60_000;
+/**
+ * Milliseconds for which a back end whose record has vanished is still used: records also vanish while the store
+ * is in trouble, and come back with the next heartbeat. Well below the time a leaving back end goes on to serve.
+ */
+export const ABSENCE_GRACE_MS = 700;
+/** Milliseconds during which an incarnation that is proven to have ended is not believed to be back. */
+const ENDED_MEMORY_MS = 60_000;
 
 interface Announcement {
   readonly resident: boolean;
@@ -34,6 +39,8 @@
   recorded: ReadonlySet<string>;
   /** When the record last changed, monotonic. */
   changedAt: number;
+  /** Set while the record has vanished and the grace runs. */
+  cancelRemoval: CancelTimer | undefined;
 }
 
 /** Back ends by id and by service. */
@@ -41,7 +48,7 @@
   readonly events = new Emittery<BackendDirectoryEvents>();
   private readonly entries = new Map<string, Entry>();
   private readonly byService = new Map<string, BackEnd[]>();
-  private readonly removedAt = new Map<string, number>();
+  private readonly endedAt = new Map<string, number>();
 
   constructor(private readonly clock: Clock) {}
 
@@ -67,13 +74,21 @@
 
   /** Enters a back end or a newer record of it. */
   put(backEnd: BackEnd): void {
-    if (this.removedAt.has(backEnd.id)) return;
+    if (this.endedAt.has(backEnd.id)) return;
     const now = this.clock.monotonic();
     const known = this.entries.get(backEnd.id);
     const recorded = recordedTargets(backEnd);
     if (known === undefined) {
-      this.entries.set(backEnd.id, { backEnd, announcements: new Map(), recorded, changedAt: now });
+      this.entries.set(backEnd.id, {
+        backEnd,
+        announcements: new Map(),
+        recorded,
+        changedAt: now,
+        cancelRemoval: undefined,
+      });
     } else {
+      known.cancelRemoval?.();
+      known.cancelRemoval = undefined;
       known.backEnd = backEnd;
       known.recorded = recorded;
       known.changedAt = now;
@@ -82,23 +97,28 @@
     void this.events.emit('changed', backEnd);
   }
 
-  /** Removes an incarnation for good; one that never was is only remembered. */
+  /** The record of a back end has vanished: it is removed unless the record comes back within a grace. */
+  recordVanished(id: string): void {
+    const entry = this.entries.get(id);
+    if (entry === undefined || entry.cancelRemoval !== undefined) return;
+    entry.cancelRemoval = this.clock.schedule(ABSENCE_GRACE_MS, () => {
+      this.delete(id);
+    });
+  }
+
+  /** An incarnation is proven to have ended: it is removed at once and for good. */
   remove(id: string): void {
     const now = this.clock.monotonic();
-    this.forgetRemoved(now);
-    this.removedAt.set(id, now);
-    const entry = this.entries.get(id);
-    if (entry === undefined) return;
-    this.entries.delete(id);
-    this.reindex(entry.backEnd.service);
-    void this.events.emit('removed', entry.backEnd);
+    this.forgetEnded(now);
+    this.endedAt.set(id, now);
+    this.delete(id);
   }
 
   /** Makes the directory hold just these back ends. */
   replaceAll(backEnds: readonly BackEnd[]): void {
     const ids = new Set(backEnds.map((backEnd) => backEnd.id));
     for (const id of [...this.entries.keys()]) {
-      if (!ids.has(id)) this.remove(id);
+      if (!ids.has(id)) this.recordVanished(id);
     }
     for (const backEnd of backEnds) this.put(backEnd);
   }
@@ -140,9 +160,18 @@
     else this.byService.set(service, members);
   }
 
-  private forgetRemoved(now: number): void {
-    for (const [id, at] of this.removedAt) {
-      if (now - at > REMOVED_MEMORY_MS) this.removedAt.delete(id);
+  private delete(id: string): void {
+    const entry = this.entries.get(id);
+    if (entry === undefined) return;
+    entry.cancelRemoval?.();
+    this.entries.delete(id);
+    this.reindex(entry.backEnd.service);
+    void this.events.emit('removed', entry.backEnd);
+  }
+
+  private forgetEnded(now: number): void {
+    for (const [id, at] of this.endedAt) {
+      if (now - at > ENDED_MEMORY_MS) this.endedAt.delete(id);
     }
   }
 }
--- /dev/null
+++ b/packages/backends/test/backend-directory.test.ts
@@ -0,0 +1,81 @@
+import { expect } from 'chai';
+import { SimulatedWorld } from './simulated-world.js';
+import {
+  ABSENCE_GRACE_MS,
+  ANNOUNCEMENT_PRECEDENCE_MS,
+  BackendDirectory,
+  NO_NEARBY_COPIES,
+  type BackEnd,
+} from '../src/index.js';
+
+function worker(id: string, models: readonly string[] = [], draining = false): BackEnd {
+  return {
+    id,
+    service: 'models',
+    address: '10.0.0.1:80',
+    zone: 'a',
+    slots: 4,
+    draining,
+    models: models.map((name) => ({ name, adapters: [] })),
+    nearby: NO_NEARBY_COPIES,
+  };
+}
+
+describe('BackendDirectory', () => {
+  let world: SimulatedWorld;
+  let directory: BackendDirectory;
+
+  beforeEach(() => {
+    world = new SimulatedWorld();
+    directory = new BackendDirectory(world);
+  });
+
+  it('uses a back end whose record vanished for a grace only', () => {
+    directory.put(worker('one'));
+    directory.recordVanished('one');
+    world.advance(ABSENCE_GRACE_MS - 1);
+    expect(directory.get('one')).to.exist;
+    world.advance(1);
+    expect(directory.get('one')).to.equal(undefined);
+  });
+
+  it('takes a record back that vanished while the store was in trouble', () => {
+    directory.put(worker('one'));
+    directory.recordVanished('one');
+    world.advance(ABSENCE_GRACE_MS / 2);
+    directory.put(worker('one'));
+    world.advance(ABSENCE_GRACE_MS * 2);
+    expect(directory.get('one')).to.exist;
+    directory.recordVanished('one');
+    world.advance(ABSENCE_GRACE_MS * 2);
+    directory.put(worker('one'));
+    expect(directory.ofService('models')).to.have.length(1);
+  });
+
+  it('never takes an incarnation back that is proven to have ended', () => {
+    directory.put(worker('one'));
+    directory.remove('one');
+    directory.put(worker('one'));
+    expect(directory.get('one')).to.equal(undefined);
+  });
+
+  it('believes an announcement before a record that lags, and the record after a while', () => {
+    directory.put(worker('one', ['m1']));
+    directory.announce('one', { model: 'm2' }, true);
+    directory.announce('one', { model: 'm1' }, false);
+    directory.put(worker('one', ['m1']));
+    expect(directory.holds('one', { model: 'm2' })).to.equal(true);
+    expect(directory.holdersOf('models', { model: 'm1' })).to.have.length(0);
+    world.advance(ANNOUNCEMENT_PRECEDENCE_MS + 1);
+    expect(directory.holds('one', { model: 'm2' })).to.equal(false);
+    expect(directory.holds('one', { model: 'm1' })).to.equal(true);
+  });
+
+  it('offers no back end that is draining, and no adapter without its model', () => {
+    directory.put(worker('one', ['m1'], true));
+    directory.put(worker('two', []));
+    directory.announce('two', { model: 'm1', adapter: 'a1' }, true);
+    expect(directory.holdersOf('models', { model: 'm1' })).to.have.length(0);
+    expect(directory.holds('two', { model: 'm1', adapter: 'a1' })).to.equal(false);
+  });
+});
--- a/packages/serving/src/deployment-view.ts
+++ b/packages/serving/src/deployment-view.ts
@@ -52,7 +52,7 @@
   }
 
   backEndGone(id: string): void {
-    this.directory.remove(id);
+    this.directory.recordVanished(id);
     this.log.changed('back_end_gone', { backEnd: id });
   }
 }
