--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,6 +4,23 @@
 const outsideRuntime =
   'take time, randomness and sockets from @woodbarrow/runtime, so that simulation controls them';
 
+const runtimeSyntax = [
+  {
+    selector: 'ImportDeclaration[source.value=/^(node:)?(net|dgram|tls|http|https)$/]',
+    message: outsideRuntime,
+  },
+];
+
+/** Headers, calls and fields of the platform that the product is deployed on. */
+const platformWords =
+  '(request-id|deadline-ms|prompt-prefix|server-stamp|expect-instance|server-load|not-run|instance-id|' +
+  'token-counts|request-urgency|weight-versions|length-hint|fencingToken|expectRevision|trafficSplit|routeKind|' +
+  'pathPrefix|kvCacheTokens|atHand)';
+const platformNames = ['Literal', 'TemplateElement'].map((node) => ({
+  selector: `${node}[value${node === 'Literal' ? '' : '.raw'}=/^${platformWords}$/i]`,
+  message: "the platform's names belong into platform/",
+}));
+
 /** Which packages a package of the library may import. */
 const layers = {
   errors: [],
@@ -12,25 +29,42 @@
   peering: ['errors', 'runtime', 'protocol'],
   membership: ['runtime', 'protocol', 'peering'],
   coordination: ['errors', 'runtime', 'protocol', 'peering'],
+  backends: ['errors', 'runtime'],
+  forwarding: ['errors', 'runtime', 'backends', 'coordination', 'observability'],
+  residency: [
+    'errors',
+    'runtime',
+    'protocol',
+    'peering',
+    'coordination',
+    'backends',
+    'forwarding',
+    'observability',
+  ],
 };
 
 const allPackages = [
+  'backends',
   'cli',
   'configuration',
   'coordination',
   'daemon',
   'engine',
   'errors',
+  'forwarding',
   'gateway',
   'lab',
   'membership',
+  'object-store',
   'observability',
   'peering',
   'placement',
   'platform',
   'protocol',
+  'residency',
   'routing',
   'runtime',
+  'serving',
   'settings',
   'standins',
 ];
@@ -50,10 +84,10 @@
 }));
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'reports/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'reports/**', 'target/**', 'journal/**'] },
   js.configs.recommended,
   {
-    files: ['packages/*/{src,test}/**/*.ts'],
+    files: ['packages/*/{src,test}/**/*.ts', 'platform/{src,test}/**/*.ts'],
     extends: [...tseslint.configs.recommendedTypeChecked],
     languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
     rules: {
@@ -68,7 +102,7 @@
     },
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: ['packages/runtime/src/**', 'packages/lab/src/real/**', 'packages/lab/src/commands/**'],
     rules: {
       'no-restricted-globals': [
@@ -83,23 +117,26 @@
         { object: 'Date', property: 'now', message: outsideRuntime },
         { object: 'Math', property: 'random', message: outsideRuntime },
       ],
-      'no-restricted-syntax': [
-        'error',
-        {
-          selector: 'ImportDeclaration[source.value=/^(node:)?(net|dgram|tls|http|https)$/]',
-          message: outsideRuntime,
-        },
-      ],
+      'no-restricted-syntax': ['error', ...runtimeSyntax],
     },
   },
   {
-    files: ['packages/*/test/**/*.ts'],
+    files: ['packages/*/test/**/*.ts', 'platform/test/**/*.ts'],
     rules: {
       '@typescript-eslint/no-unused-expressions': 'off',
       '@typescript-eslint/explicit-function-return-type': 'off',
     },
   },
   ...layerRules,
+  {
+    // The platform's names stand in its adapter alone.
+    files: ['packages/*/src/**/*.ts'],
+    rules: { 'no-restricted-syntax': ['error', ...runtimeSyntax, ...platformNames] },
+  },
+  {
+    files: ['packages/runtime/src/**/*.ts', 'packages/lab/src/{real,commands}/**/*.ts'],
+    rules: { 'no-restricted-syntax': ['error', ...platformNames] },
+  },
   {
     files: ['**/*.js', '**/*.cjs', '**/*.mjs'],
     languageOptions: {
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -153,6 +153,15 @@
     this.log.flush();
   }
 
+  /** Ends everything at once, as a crash would. */
+  async abort(): Promise<void> {
+    this.stopping = true;
+    this.tasks.abort();
+    this.residency.abort();
+    this.membership.abort();
+    await Promise.all([this.ingress?.close(), this.readiness?.close(), this.peers.close()]);
+  }
+
   private createMembership(instance: number): Membership {
     const { settings, ports, log } = this;
     const { name: id, zone, region } = settings;
