--- a/packages/backends/test/backend-directory.test.ts
+++ b/packages/backends/test/backend-directory.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { SimulatedWorld } from './simulated-world.js';
+import { SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
 import {
   ABSENCE_GRACE_MS,
   ANNOUNCEMENT_PRECEDENCE_MS,
@@ -27,27 +27,27 @@
 
   beforeEach(() => {
     world = new SimulatedWorld();
-    directory = new BackendDirectory(world);
+    directory = new BackendDirectory(new SimulatedProcess(world, { name: 'd', zone: 'a', region: 'r' }));
   });
 
-  it('uses a back end whose record vanished for a grace only', () => {
+  it('uses a back end whose record vanished for a grace only', async () => {
     directory.put(worker('one'));
     directory.recordVanished('one');
-    world.advance(ABSENCE_GRACE_MS - 1);
+    await world.run(world.now + ABSENCE_GRACE_MS - 1);
     expect(directory.get('one')).to.exist;
-    world.advance(1);
+    await world.run(world.now + 1);
     expect(directory.get('one')).to.equal(undefined);
   });
 
-  it('takes a record back that vanished while the store was in trouble', () => {
+  it('takes a record back that vanished while the store was in trouble', async () => {
     directory.put(worker('one'));
     directory.recordVanished('one');
-    world.advance(ABSENCE_GRACE_MS / 2);
+    await world.run(world.now + ABSENCE_GRACE_MS / 2);
     directory.put(worker('one'));
-    world.advance(ABSENCE_GRACE_MS * 2);
+    await world.run(world.now + ABSENCE_GRACE_MS * 2);
     expect(directory.get('one')).to.exist;
     directory.recordVanished('one');
-    world.advance(ABSENCE_GRACE_MS * 2);
+    await world.run(world.now + ABSENCE_GRACE_MS * 2);
     directory.put(worker('one'));
     expect(directory.ofService('models')).to.have.length(1);
   });
@@ -59,14 +59,14 @@
     expect(directory.get('one')).to.equal(undefined);
   });
 
-  it('believes an announcement before a record that lags, and the record after a while', () => {
+  it('believes an announcement before a record that lags, and the record after a while', async () => {
     directory.put(worker('one', ['m1']));
     directory.announce('one', { model: 'm2' }, true);
     directory.announce('one', { model: 'm1' }, false);
     directory.put(worker('one', ['m1']));
     expect(directory.holds('one', { model: 'm2' })).to.equal(true);
     expect(directory.holdersOf('models', { model: 'm1' })).to.have.length(0);
-    world.advance(ANNOUNCEMENT_PRECEDENCE_MS + 1);
+    await world.run(world.now + ANNOUNCEMENT_PRECEDENCE_MS + 1);
     expect(directory.holds('one', { model: 'm2' })).to.equal(false);
     expect(directory.holds('one', { model: 'm1' })).to.equal(true);
   });
--- a/packages/coordination/src/store-lease.ts
+++ b/packages/coordination/src/store-lease.ts
@@ -114,37 +114,41 @@
       const created = await store.create(name, this.ownRecord(1));
       return created === undefined
         ? this.waitFor('', CONFLICT_RETRY_MS)
-        : this.becomeHolder(created, now, now);
+        : this.becomeHolder(created, now);
     }
     const { record, revision } = seen;
     const isOwn = record.holder === this.options.holder;
-    if (isOwn && record.instance === this.options.instance) return this.becomeHolder(seen, now, this.actFrom);
     if (!isOwn && record.holder !== '') {
       const leftMs = this.unchangedLeftMs(revision, record.lifetimeMs, now);
       if (leftMs > 0) return this.waitFor(record.holder, leftMs);
     }
+    // Kept also when the write is not answered: it may be carried out all the same.
+    this.actFrom = now + (record.holder === '' ? handoverPauseMs : 0);
     const replaced = await store.replace(name, this.ownRecord(record.fence + 1), revision);
     if (replaced === undefined) return this.waitFor(record.holder, CONFLICT_RETRY_MS);
-    const pauseMs = record.holder === '' ? handoverPauseMs : 0;
-    return this.becomeHolder(replaced, now, now + pauseMs);
+    return this.becomeHolder(replaced, now);
   }
 
   /**
-   * Confirms the lease in the store. Returns false when another holds it now. A write without an answer is
-   * settled by reading the record back.
+   * Confirms the lease in the store, by a write: others watch for changes of the record, so reading that it is
+   * unchanged proves nothing. A write without an answer is found by reading the record and followed by another.
    *
+   * @returns false when another holds it now.
    * @throws what the store throws; the lease then stays as it was.
    */
   async renew(): Promise<boolean> {
-    const { store, clock, name } = this.options;
-    if (!this.isHolder || this.stored === undefined) return false;
-    const startedAt = clock.monotonic();
-    const renewed = await store.replace(name, this.stored.record, this.stored.revision);
-    if (renewed !== undefined) {
-      this.confirm(renewed, startedAt);
-      return true;
+    if (await this.confirmByWrite()) return true;
+    if (!this.isHolder) return false;
+    const seen = await this.options.store.read(this.options.name);
+    const isStillOurs =
+      seen?.record.holder === this.options.holder && seen.record.instance === this.options.instance;
+    if (!isStillOurs) {
+      this.isHolder = false;
+      return false;
     }
-    return this.readBack();
+    this.stored = seen;
+    await this.confirmByWrite();
+    return true;
   }
 
   /** Gives the lease back, so that others need not wait for its lifetime. @throws what the store throws. */
@@ -155,14 +159,13 @@
     await this.options.store.replace(this.options.name, { ...record, holder: '' }, revision);
   }
 
-  private async readBack(): Promise<boolean> {
-    const startedAt = this.options.clock.monotonic();
-    const seen = await this.options.store.read(this.options.name);
-    const isStillOurs =
-      seen?.record.holder === this.options.holder && seen.record.instance === this.options.instance;
-    if (isStillOurs) this.confirm(seen, startedAt);
-    else this.isHolder = false;
-    return isStillOurs;
+  private async confirmByWrite(): Promise<boolean> {
+    const { store, clock, name } = this.options;
+    if (!this.isHolder || this.stored === undefined) return false;
+    const startedAt = clock.monotonic();
+    const renewed = await store.replace(name, this.stored.record, this.stored.revision);
+    if (renewed !== undefined) this.confirm(renewed, startedAt);
+    return renewed !== undefined;
   }
 
   private confirm(stored: StoredLease, at: number): void {
@@ -170,9 +173,8 @@
     this.confirmedAt = at;
   }
 
-  private becomeHolder(stored: StoredLease, confirmedAt: number, actFrom: number): AcquireResult {
+  private becomeHolder(stored: StoredLease, confirmedAt: number): AcquireResult {
     this.confirm(stored, confirmedAt);
-    this.actFrom = actFrom;
     this.isHolder = true;
     this.observed = undefined;
     return { kind: 'held' };
--- /dev/null
+++ b/packages/coordination/test/store-lease.test.ts
@@ -0,0 +1,237 @@
+import { expect } from 'chai';
+import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
+import { StoreLease, type LeaseRecord, type LeaseRecordStore, type StoredLease } from '../src/index.js';
+
+const NAME = 'zone-a';
+const LIFETIME_MS = 1200;
+const PAUSE_MS = 300;
+
+/** What may go wrong with a call, each with its share of the calls. */
+interface Trouble {
+  readonly refused: number;
+  readonly answerLost: number;
+  readonly appliedLate: number;
+}
+
+const NO_TROUBLE: Trouble = { refused: 0, answerLost: 0, appliedLate: 0 };
+
+/** A linearizable store on virtual time; calls take time both ways. */
+class SimulatedStore {
+  trouble = NO_TROUBLE;
+  private kept: StoredLease | undefined;
+  private revision = 0;
+
+  constructor(
+    private readonly world: SimulatedWorld,
+    private readonly random: Random,
+  ) {}
+
+  /** The store as seen by one process. */
+  client(process: SimulatedProcess): LeaseRecordStore {
+    return {
+      read: () => this.call(process, () => this.kept),
+      create: (_name, record) =>
+        this.call(process, () => (this.kept === undefined ? this.write(record) : undefined)),
+      replace: (_name, record, revision) =>
+        this.call(process, () => (this.kept?.revision === revision ? this.write(record) : undefined)),
+    };
+  }
+
+  private write(record: LeaseRecord): StoredLease {
+    this.revision += 1;
+    this.kept = { record, revision: this.revision };
+    return this.kept;
+  }
+
+  private call<T>(process: SimulatedProcess, apply: () => T): Promise<T> {
+    const fate = this.random.next();
+    const { refused, answerLost, appliedLate } = this.trouble;
+    return new Promise((resolve, reject) => {
+      const fail = (): void => {
+        process.deliver(() => {
+          reject(new Error('no answer'));
+        });
+      };
+      const there = this.random.between(1, 20);
+      if (fate < refused) {
+        this.world.schedule(there, fail);
+      } else if (fate < refused + answerLost) {
+        this.world.schedule(there, () => void apply());
+        this.world.schedule(200, fail);
+      } else if (fate < refused + answerLost + appliedLate) {
+        this.world.schedule(this.random.between(300, 3000), () => void apply());
+        this.world.schedule(200, fail);
+      } else {
+        this.world.schedule(there, () => {
+          const result = apply();
+          this.world.schedule(this.random.between(1, 20), () => {
+            process.deliver(() => {
+              resolve(result);
+            });
+          });
+        });
+      }
+    });
+  }
+}
+
+/** One act of a holder. */
+interface Act {
+  readonly at: number;
+  readonly machine: string;
+  readonly fence: number;
+}
+
+/** Machines that stand for the lease, renew it, and act whenever they may. */
+class LeaseWorld {
+  readonly world = new SimulatedWorld();
+  readonly random: Random;
+  readonly store: SimulatedStore;
+  readonly acts: Act[] = [];
+  readonly processes = new Map<string, SimulatedProcess>();
+  private runs = 0;
+
+  constructor(seed: number) {
+    this.random = new Random(seed);
+    this.store = new SimulatedStore(this.world, this.random.fork());
+  }
+
+  /** Starts a machine's process, or starts it again after its end. */
+  start(machine: string, handover = true): SimulatedProcess {
+    this.processes.get(machine)?.kill();
+    const clockRate = this.random.between(0.995, 1.005);
+    const process = new SimulatedProcess(this.world, { name: machine, zone: 'a', region: 'r', clockRate });
+    this.processes.set(machine, process);
+    this.runs += 1;
+    const lease = new StoreLease({
+      name: NAME,
+      holder: machine,
+      instance: this.runs,
+      lifetimeMs: LIFETIME_MS,
+      handoverPauseMs: handover ? PAUSE_MS : 0,
+      store: this.store.client(process),
+      clock: process,
+    });
+    this.stand(process, lease);
+    this.act(process, machine, lease);
+    return process;
+  }
+
+  private stand(process: SimulatedProcess, lease: StoreLease): void {
+    const step = async (): Promise<void> => {
+      try {
+        if (lease.isHeld) await lease.renew();
+        else await lease.tryAcquire();
+      } catch {
+        // Asked again at the next step.
+      }
+      process.schedule(this.random.between(50, 250), () => void step());
+    };
+    process.schedule(this.random.between(0, 50), () => void step());
+  }
+
+  private act(process: SimulatedProcess, machine: string, lease: StoreLease): void {
+    process.schedule(7, () => {
+      if (lease.mayAct()) this.acts.push({ at: this.world.now, machine, fence: lease.fence });
+      this.act(process, machine, lease);
+    });
+  }
+
+  /** Fences only rise, and two machines never act within the pause of each other. */
+  check(pauseMs: number): void {
+    for (let index = 1; index < this.acts.length; index += 1) {
+      const before = this.acts[index - 1] as Act;
+      const after = this.acts[index] as Act;
+      expect(after.fence, `fence at ${String(after.at)}`).to.be.at.least(before.fence);
+      if (after.machine === before.machine) continue;
+      expect(after.fence).to.be.greaterThan(before.fence);
+      expect(after.at - before.at, `acts of ${before.machine} and ${after.machine}`).to.be.at.least(pauseMs);
+    }
+  }
+}
+
+describe('StoreLease', () => {
+  it('is taken at once when free, and by one of several', async () => {
+    const lease = new LeaseWorld(1);
+    for (const machine of ['a', 'b', 'c']) lease.start(machine);
+    await lease.world.run(2000);
+    lease.check(PAUSE_MS);
+    expect(new Set(lease.acts.map((act) => act.machine)).size).to.equal(1);
+    expect(lease.acts[0]?.at).to.be.lessThan(200);
+  });
+
+  it('is taken back at once by a machine whose process was started again, under a higher fence', async () => {
+    const lease = new LeaseWorld(2);
+    lease.start('a');
+    lease.start('b');
+    await lease.world.run(1000);
+    const holder = lease.acts[0]?.machine ?? '';
+    lease.start(holder);
+    await lease.world.run(1500);
+    lease.check(PAUSE_MS);
+    const later = lease.acts.filter((act) => act.at > 1000);
+    expect(later[0]).to.include({ machine: holder, fence: 2 });
+    expect((later[0]?.at ?? Infinity) - 1000).to.be.lessThan(200);
+  });
+
+  it('passes to another once its holder has been gone for its lifetime', async () => {
+    const lease = new LeaseWorld(3);
+    lease.start('a');
+    await lease.world.run(500);
+    lease.start('b');
+    await lease.world.run(1000);
+    lease.processes.get('a')?.kill();
+    await lease.world.run(1000 + LIFETIME_MS * 2);
+    lease.check(PAUSE_MS);
+    expect(lease.acts[lease.acts.length - 1]).to.include({ machine: 'b', fence: 2 });
+  });
+
+  it('is kept through an outage of the store shorter than its lifetime less the pause', async () => {
+    const lease = new LeaseWorld(4);
+    lease.start('a');
+    lease.start('b');
+    await lease.world.run(1000);
+    lease.store.trouble = { ...NO_TROUBLE, refused: 1 };
+    await lease.world.run(1500);
+    const holder = lease.acts[0]?.machine;
+    expect(lease.acts[lease.acts.length - 1]).to.include({ machine: holder, fence: 1 });
+    expect(lease.acts[lease.acts.length - 1]?.at).to.be.greaterThan(1450);
+  });
+
+  it('never has two holders act within the pause, whatever stops, comes back, freezes, or is answered late', async () => {
+    for (let seed = 100; seed < 160; seed += 1) {
+      const lease = new LeaseWorld(seed);
+      const machines = ['a', 'b', 'c'];
+      for (const machine of machines) lease.start(machine);
+      for (let step = 1; step <= 40; step += 1) {
+        await lease.world.run(step * 500);
+        const machine = lease.random.pick(machines) ?? 'a';
+        const choice = lease.random.integer(6);
+        if (choice === 0) lease.start(machine);
+        if (choice === 1) lease.processes.get(machine)?.pause(lease.random.between(100, 4000));
+        if (choice === 2) lease.processes.get(machine)?.kill();
+        if (choice === 3) lease.store.trouble = { refused: 0.2, answerLost: 0.3, appliedLate: 0.3 };
+        if (choice === 4) lease.store.trouble = { ...NO_TROUBLE, refused: 1 };
+        if (choice === 5) lease.store.trouble = NO_TROUBLE;
+      }
+      lease.check(PAUSE_MS);
+    }
+  });
+
+  it('would break without the pause: the check above sees it', async () => {
+    const lease = new LeaseWorld(5);
+    lease.start('a', false);
+    lease.start('b', false);
+    await lease.world.run(1000);
+    const holder = lease.acts[0]?.machine ?? '';
+    lease.processes.get(holder)?.pause(50);
+    lease.store.trouble = { ...NO_TROUBLE, refused: 1 };
+    await lease.world.run(1000 + LIFETIME_MS);
+    lease.store.trouble = NO_TROUBLE;
+    lease.processes.get(holder)?.kill();
+    await lease.world.run(6000);
+    expect(() => {
+      lease.check(LIFETIME_MS * 2);
+    }).to.throw();
+  });
+});
--- /dev/null
+++ b/packages/residency/test/simulated-workers.ts
@@ -0,0 +1,181 @@
+/** Workers on virtual time that take orders, also without answering, late, or not at all. */
+import type { BackEnd, ModelDefinition, ModelTarget } from '@woodbarrow/backends';
+import type { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
+import type { OrderClient, OrderOutcome, WorkerOrder, WorkerReport } from '../src/index.js';
+
+/** Shares of orders that go wrong. */
+export interface OrderTrouble {
+  /** Carried out, not answered. */
+  readonly answerLost: number;
+  /** Not answered, carried out seconds later if the sequence still fits. */
+  readonly appliedLate: number;
+}
+
+export const MODEL_MB = 65;
+export const WORKER_MB = 200;
+export const ADAPTER_SLOTS = 3;
+const LOAD_MS = 600;
+const UNLOAD_MS = 80;
+const ADAPTER_MS = 10;
+const REPORT_LAG_MS = 100;
+const ROUND_TRIP_MS = 2;
+const ORDER_TIMEOUT_MS = 400;
+
+/** Definition of a model of the tests. */
+export function modelDefinition(name: string): ModelDefinition {
+  return {
+    name,
+    weightsMb: MODEL_MB,
+    adapterMb: 0,
+    storeLoadMs: LOAD_MS,
+    diskLoadMs: LOAD_MS,
+    memoryLoadMs: LOAD_MS,
+  };
+}
+
+interface Snapshot {
+  readonly at: number;
+  readonly report: WorkerReport;
+}
+
+/** One worker. */
+export class SimulatedWorker {
+  readonly models = new Map<string, Set<string>>();
+  /** Descriptions of orders taken beyond what it holds. */
+  readonly violations: string[] = [];
+  /** Fences of the orders that arrived, in order. */
+  readonly fences: number[] = [];
+  private readonly incoming = new Map<string, ModelTarget>();
+  private sequence = 0;
+  private changing: string | undefined;
+  private snapshots: Snapshot[] = [];
+
+  constructor(
+    private readonly world: SimulatedWorld,
+    models: readonly string[],
+  ) {
+    for (const model of models) this.models.set(model, new Set());
+    this.remember();
+  }
+
+  /** The state as it was some time ago. */
+  report(): WorkerReport {
+    const until = this.world.now - REPORT_LAG_MS;
+    const known = this.snapshots.filter((snapshot) => snapshot.at <= until);
+    return (known[known.length - 1] ?? (this.snapshots[0] as Snapshot)).report;
+  }
+
+  /** Takes an order. */
+  take(order: WorkerOrder): OrderOutcome {
+    this.fences.push(order.fence);
+    if (order.expectedSequence !== this.sequence) return 'conflict';
+    const outcome = order.target.adapter === undefined ? this.takeModel(order) : this.takeAdapter(order);
+    this.remember();
+    return outcome;
+  }
+
+  private takeModel({ operation, target }: WorkerOrder): OrderOutcome {
+    if (this.changing !== undefined) return 'conflict';
+    const isHeld = this.models.has(target.model);
+    if (operation === 'load' ? isHeld : !isHeld) return 'done';
+    if (operation === 'load' && (this.models.size + 1) * MODEL_MB > WORKER_MB) {
+      this.violations.push(`load of ${target.model} at ${String(this.world.now)}`);
+    }
+    this.sequence += 1;
+    this.changing = target.model;
+    this.world.schedule(operation === 'load' ? LOAD_MS : UNLOAD_MS, () => {
+      this.changing = undefined;
+      if (operation === 'load') this.models.set(target.model, new Set());
+      else this.models.delete(target.model);
+      this.remember();
+    });
+    return 'accepted';
+  }
+
+  private takeAdapter({ operation, target }: WorkerOrder): OrderOutcome {
+    const adapters = this.models.get(target.model);
+    const adapter = target.adapter ?? '';
+    if (adapters === undefined) return 'rejected';
+    const isHeld = adapters.has(adapter);
+    if (operation === 'load' && isHeld) return 'done';
+    const taken = [...this.models.values()].reduce((sum, held) => sum + held.size, 0) + this.incoming.size;
+    if (operation === 'load' && taken + 1 > ADAPTER_SLOTS) {
+      this.violations.push(`adapter ${adapter} at ${String(this.world.now)}`);
+    }
+    this.sequence += 1;
+    if (operation === 'unload') {
+      adapters.delete(adapter);
+      return 'done';
+    }
+    const key = `${target.model}/${adapter}`;
+    this.incoming.set(key, target);
+    this.world.schedule(ADAPTER_MS, () => {
+      this.incoming.delete(key);
+      this.models.get(target.model)?.add(adapter);
+      this.remember();
+    });
+    return 'accepted';
+  }
+
+  private remember(): void {
+    const models = [...this.models].map(([name, adapters]) => ({ name, adapters: [...adapters] }));
+    const report = {
+      models,
+      incoming: [...this.incoming.values()],
+      busy: this.changing !== undefined,
+      sequence: this.sequence,
+      nearby: { inMemory: [], onDisk: [] },
+    };
+    this.snapshots.push({ at: this.world.now, report });
+  }
+}
+
+/** Orders and reports of one coordinator's process. */
+export class SimulatedOrderClient implements OrderClient {
+  trouble: OrderTrouble = { answerLost: 0, appliedLate: 0 };
+
+  constructor(
+    private readonly world: SimulatedWorld,
+    private readonly process: SimulatedProcess,
+    private readonly workers: ReadonlyMap<string, SimulatedWorker>,
+    private readonly random: Random,
+  ) {}
+
+  send(backEnd: BackEnd, order: WorkerOrder): Promise<OrderOutcome> {
+    const worker = this.workers.get(backEnd.id);
+    const fate = this.random.next();
+    const { answerLost, appliedLate } = this.trouble;
+    return new Promise((resolve) => {
+      const answer = (outcome: OrderOutcome, delayMs: number): void => {
+        this.world.schedule(delayMs, () => {
+          this.process.deliver(() => {
+            resolve(outcome);
+          });
+        });
+      };
+      if (worker === undefined) {
+        answer('unknown', ORDER_TIMEOUT_MS);
+      } else if (fate < appliedLate) {
+        this.world.schedule(this.random.between(2000, 12_000), () => void worker.take(order));
+        answer('unknown', ORDER_TIMEOUT_MS);
+      } else {
+        this.world.schedule(ROUND_TRIP_MS / 2, () => {
+          const outcome = worker.take(order);
+          if (fate < appliedLate + answerLost) answer('unknown', ORDER_TIMEOUT_MS);
+          else answer(outcome, ROUND_TRIP_MS / 2);
+        });
+      }
+    });
+  }
+
+  report(backEnd: BackEnd): Promise<WorkerReport | undefined> {
+    return new Promise((resolve) => {
+      this.world.schedule(ROUND_TRIP_MS, () => {
+        const report = this.workers.get(backEnd.id)?.report();
+        this.process.deliver(() => {
+          resolve(report);
+        });
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/residency/test/zone-residency.test.ts
@@ -0,0 +1,201 @@
+import { expect } from 'chai';
+import { BackendDirectory, LoadBook, NO_NEARBY_COPIES, type EngineDefinition } from '@woodbarrow/backends';
+import { StoreLease, type LeaseRecordStore, type StoredLease } from '@woodbarrow/coordination';
+import { silentLog } from '@woodbarrow/observability';
+import type { ResidencyDemandAnswer } from '@woodbarrow/protocol';
+import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
+import { ZoneResidency } from '../src/index.js';
+import {
+  ADAPTER_SLOTS,
+  SimulatedOrderClient,
+  SimulatedWorker,
+  WORKER_MB,
+  modelDefinition,
+} from './simulated-workers.js';
+
+const ZONE = 'zone-a';
+const SERVICE = 'models';
+const MODELS = Array.from({ length: 12 }, (_, index) => `m${String(index)}`);
+const WITHIN_MS = 8000;
+
+const ENGINE: EngineDefinition = {
+  slots: 8,
+  cacheTokens: 100_000,
+  weightsMb: WORKER_MB,
+  adapterSlots: ADAPTER_SLOTS,
+  storeLoadsPerSecond: 100,
+  models: new Map(MODELS.map((name) => [name, modelDefinition(name)])),
+};
+
+/** A store that always answers at once. */
+function plainLeaseStore(): LeaseRecordStore {
+  let kept: StoredLease | undefined;
+  return {
+    read: () => Promise.resolve(kept),
+    create: (_name, record) => Promise.resolve((kept = { record, revision: 1 })),
+    replace: (_name, record, revision) => Promise.resolve((kept = { record, revision: revision + 1 })),
+  };
+}
+
+/** One zone with its workers and a coordinator that can be replaced. */
+class ZoneWorld {
+  readonly world = new SimulatedWorld();
+  readonly workers = new Map<string, SimulatedWorker>();
+  readonly random: Random;
+  readonly directory: BackendDirectory;
+  readonly process: SimulatedProcess;
+  readonly orders: SimulatedOrderClient;
+  private readonly leases = plainLeaseStore();
+  private runs = 0;
+
+  constructor(seed: number, workerCount = 2) {
+    this.random = new Random(seed);
+    this.process = new SimulatedProcess(this.world, { name: 'daemon', zone: ZONE, region: 'r' });
+    this.directory = new BackendDirectory(this.process);
+    this.orders = new SimulatedOrderClient(this.world, this.process, this.workers, this.random.fork());
+    for (let index = 0; index < workerCount; index += 1) this.addWorker(`w${String(index)}`);
+  }
+
+  private addWorker(id: string): void {
+    const models = [`m${String(this.workers.size)}`];
+    this.workers.set(id, new SimulatedWorker(this.world, models));
+    this.directory.put({
+      id,
+      service: SERVICE,
+      address: '10.0.0.1:1',
+      zone: ZONE,
+      slots: 8,
+      draining: false,
+      models: models.map((name) => ({ name, adapters: [] })),
+      nearby: NO_NEARBY_COPIES,
+    });
+  }
+
+  /** A coordinator that knows nothing of earlier ones but what the workers report. */
+  async coordinator(): Promise<ZoneResidency> {
+    this.runs += 1;
+    const lease = new StoreLease({
+      name: ZONE,
+      holder: 'daemon',
+      instance: this.runs,
+      lifetimeMs: 3_600_000,
+      handoverPauseMs: 0,
+      store: this.leases,
+      clock: this.process,
+    });
+    await lease.tryAcquire();
+    return new ZoneResidency({
+      zone: ZONE,
+      holder: 'daemon',
+      lease,
+      directory: this.directory,
+      loads: new LoadBook(this.process),
+      orders: this.orders,
+      serviceOf: () => ({ name: SERVICE, connectionLimit: 100, engine: ENGINE }),
+      clock: this.process,
+      log: silentLog,
+      signal: new AbortController().signal,
+      zoneCount: () => 1,
+      storeWindow: { windowMs: 5000, overshoot: 1 },
+      announce: ({ backEndId, model, adapter, resident }) => {
+        this.directory.announce(backEndId, adapter === undefined ? { model } : { model, adapter }, resident);
+      },
+    });
+  }
+
+  async settle<T>(promise: Promise<T>): Promise<T> {
+    let settled = false;
+    const marked = promise.finally(() => {
+      settled = true;
+    });
+    await this.world.run(this.world.now + 60_000, () => settled);
+    return marked;
+  }
+
+  violations(): string[] {
+    return [...this.workers.values()].flatMap((worker) => worker.violations);
+  }
+}
+
+function demand(
+  zone: ZoneResidency,
+  model: string,
+  adapter?: string,
+  backEndId?: string,
+): Promise<ResidencyDemandAnswer> {
+  return zone.demand({
+    zone: ZONE,
+    service: SERVICE,
+    model,
+    ...(adapter === undefined ? {} : { adapter }),
+    ...(backEndId === undefined ? {} : { backEndId }),
+    priority: 1,
+    withinMs: WITHIN_MS,
+  });
+}
+
+describe('ZoneResidency', () => {
+  it('loads a model once for many demands at the same time', async () => {
+    const zone = new ZoneWorld(1);
+    const coordinator = await zone.coordinator();
+    const answers = await zone.settle(Promise.all(MODELS.map(() => demand(coordinator, 'm7'))));
+    for (const answer of answers) expect(answer).to.include({ held: true });
+    const holders = [...zone.workers.values()].filter((worker) => worker.models.has('m7'));
+    expect(holders).to.have.length(1);
+  });
+
+  it('asks one report at a time of a worker it does not know, however many demands come', async () => {
+    const zone = new ZoneWorld(2, 1);
+    const coordinator = await zone.coordinator();
+    const first = Array.from({ length: 8 }, (_, index) => demand(coordinator, `m${String(index + 2)}`));
+    await zone.settle(Promise.all(first));
+    expect(zone.violations()).to.deep.equal([]);
+  });
+
+  it('answers with a refusal when nothing can make way in time', async () => {
+    const zone = new ZoneWorld(3);
+    const coordinator = await zone.coordinator();
+    const answer = await zone.settle(
+      coordinator.demand({ zone: ZONE, service: SERVICE, model: 'm9', priority: 1, withinMs: 50 }),
+    );
+    expect(answer.held).to.equal(false);
+    expect(answer.retryAfterMs).to.be.greaterThan(0);
+  });
+
+  it('never orders more than a worker holds, with answers lost, orders late, and coordinators replaced', async () => {
+    for (let seed = 200; seed < 240; seed += 1) {
+      const zone = new ZoneWorld(seed);
+      let coordinator = await zone.coordinator();
+      for (let step = 0; step < 30; step += 1) {
+        const choice = zone.random.integer(8);
+        if (choice === 0) zone.orders.trouble = { answerLost: 0.3, appliedLate: 0.3 };
+        if (choice === 1) zone.orders.trouble = { answerLost: 0, appliedLate: 0 };
+        if (choice === 2) zone.orders.trouble = { answerLost: 0, appliedLate: 0.95 };
+        if (choice === 3) {
+          // The lease keeps its successor from acting before reports show what it did last.
+          await zone.world.run(zone.world.now + 500);
+          coordinator = await zone.coordinator();
+        }
+        const model = zone.random.pick(MODELS) ?? 'm0';
+        const adapter = zone.random.next() < 0.4 ? `a${String(zone.random.integer(5))}` : undefined;
+        void demand(coordinator, model, adapter);
+        await zone.world.run(zone.world.now + zone.random.between(1, 1200));
+      }
+      await zone.world.run(zone.world.now + 20_000);
+      expect(zone.violations(), `seed ${String(seed)}`).to.deep.equal([]);
+    }
+  });
+
+  it('serves again once orders are answered again', async () => {
+    const zone = new ZoneWorld(4);
+    const coordinator = await zone.coordinator();
+    zone.orders.trouble = { answerLost: 0.5, appliedLate: 0.5 };
+    for (const model of ['m4', 'm5', 'm6', 'm7']) void demand(coordinator, model);
+    await zone.world.run(15_000);
+    zone.orders.trouble = { answerLost: 0, appliedLate: 0 };
+    await zone.world.run(25_000);
+    const answer = await zone.settle(demand(coordinator, 'm10', 'a1'));
+    expect(answer.held).to.equal(true);
+    expect(zone.violations()).to.deep.equal([]);
+  });
+});
