--- a/packages/backends/src/load-book.ts
+++ b/packages/backends/src/load-book.ts
@@ -41,6 +41,8 @@
 
 /** Milliseconds after which a peer's report no longer counts. */
 const REPORT_LIFETIME_MS = 2000;
+/** Stands for requests that ask for a model, wherever they are sent. */
+const NO_BACK_END = '';
 /** Half-life of the rate of use of a target, in milliseconds. */
 const USE_HALF_LIFE_MS = 4000;
 
@@ -100,6 +102,17 @@
     };
   }
 
+  /** Notes a request that asks for a model, whether or not a back end can take it. */
+  noteDemand(model: string): void {
+    this.ownLoad(NO_BACK_END, model).started += 1;
+    this.noteUse(NO_BACK_END, model, 1);
+  }
+
+  /** Recent requests that asked for a model, over all daemons, older ones counting less. */
+  demandFor(model: string): number {
+    return this.recentUse(NO_BACK_END, model);
+  }
+
   /** Work under way on a back end, over all daemons. */
   of(backEndId: string): BackEndLoad {
     let requests = 0;
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -102,6 +102,7 @@
     if (this.context.stopWaiting.aborted) stop();
     this.context.stopWaiting.addEventListener('abort', stop);
     budget.recordRequest(this.service.name);
+    if (this.facts.target !== undefined) this.context.loads.noteDemand(this.facts.target.model);
     journal.decided('request_admitted', this.facts.id, {
       route: this.route.name,
       service: this.service.name,
@@ -171,7 +172,7 @@
         facts: this.facts,
         priority: this.route.priority,
         targetLatencyMs: this.route.targetLatencyMs,
-        startBy: this.arrivedAt + (this.elapsedMs() + this.leftMs()) * START_SHARE,
+        startBy: this.arrivedAt + this.startLimitMs(),
         excluded: this.excluded,
         signal: this.expired.signal,
       },
@@ -492,6 +493,12 @@
     return this.context.clock.monotonic() - this.arrivedAt;
   }
 
+  /** Milliseconds from its arrival by which a request for a model must have been sent. */
+  private startLimitMs(): number {
+    const limitMs = Math.min(this.elapsedMs() + this.leftMs(), this.route.clientGapMs ?? Infinity);
+    return limitMs * START_SHARE - this.expectedMs();
+  }
+
   /** Milliseconds in which an answer must have begun. */
   private leftMs(): number {
     const limit = Math.min(this.facts.waitMs ?? Infinity, this.route.timeoutMs);
--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -9,7 +9,7 @@
   type LoadBook,
   type ModelTarget,
 } from '@woodbarrow/backends';
-import type { Clock } from '@woodbarrow/runtime';
+import { sleep, type Clock } from '@woodbarrow/runtime';
 import type { BackendChoice } from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
 import { chainOf, type PromptAffinity, type PromptChain } from './prompt-affinity.js';
@@ -31,6 +31,8 @@
 /** Part of the prompt's shared tokens that the preferred worker is presumed to keep. */
 const PRESUMED_KEPT_SHARE = 0.6;
 const RETRY_AFTER_UNAVAILABLE_MS = 250;
+/** Pause before the workers are asked again for an adapter that none could take, in milliseconds. */
+const ADAPTER_RETRY_MS = 80;
 
 /** A request for a model. */
 export interface ReplicaRequest {
@@ -60,42 +62,54 @@
   /** Resolves once a worker holds what the request needs, or when none will in time. */
   async select(request: ReplicaRequest, health: BackendHealth): Promise<BackendChoice> {
     const chain = chainOf(request.target, request.facts.promptParts);
+    const declined = new Set<string>();
     for (;;) {
       if (request.signal.aborted) return refusal('client_gone', 0);
-      const holders = this.usable(request, request.target);
-      const best = this.cheapest(holders, request, chain, health);
+      const best = this.cheapest(this.usable(request, request.target), request, chain, health);
       if (best !== undefined && !health.isAvoided(best.id))
         return this.send(best, request, chain, 'resident');
       const withinMs = request.startBy - this.clock.monotonic();
-      if (withinMs <= 0) return refusal('model_too_late', RETRY_AFTER_UNAVAILABLE_MS);
+      if (withinMs <= 0) {
+        return best === undefined
+          ? refusal('model_too_late', RETRY_AFTER_UNAVAILABLE_MS)
+          : this.send(best, request, chain, 'last_resort');
+      }
+      const backEndId = this.workerForAdapter(request, declined);
       const outcome = await this.residency.request(
         {
           service: request.service,
           target: request.target,
           priority: request.priority,
           withinMs,
-          ...this.workerForAdapter(request),
+          ...(backEndId === undefined ? {} : { backEndId }),
         },
         request.signal,
       );
-      if (outcome.held) {
-        const backEnd = this.directory.get(outcome.backEndId);
-        if (backEnd !== undefined && !request.excluded.has(backEnd.id) && !backEnd.draining) {
-          return this.send(backEnd, request, chain, 'loaded');
-        }
-        if (backEnd !== undefined && best !== undefined)
-          return this.send(best, request, chain, 'last_resort');
-        if (outcome.backEndId !== '' && request.excluded.has(outcome.backEndId)) {
-          return refusal('all_excluded', RETRY_AFTER_UNAVAILABLE_MS);
-        }
-      } else {
-        if (best !== undefined) return this.send(best, request, chain, 'last_resort');
-        if (request.signal.aborted) return refusal('client_gone', 0);
-        return refusal('model_unavailable', outcome.retryAfterMs);
+      if (request.signal.aborted) return refusal('client_gone', 0);
+      const loaded = outcome.held ? this.directory.get(outcome.backEndId) : undefined;
+      if (loaded !== undefined && !request.excluded.has(loaded.id) && !loaded.draining) {
+        return this.send(loaded, request, chain, 'loaded');
+      }
+      if (best !== undefined) return this.send(best, request, chain, 'last_resort');
+      if (!outcome.held && backEndId !== undefined) {
+        await this.passOver(backEndId, declined, request);
+        continue;
       }
+      return outcome.held
+        ? refusal('all_excluded', RETRY_AFTER_UNAVAILABLE_MS)
+        : refusal('model_unavailable', outcome.retryAfterMs);
     }
   }
 
+  /** A worker cannot take the adapter now; once all have said so, they are asked again after a pause. */
+  private async passOver(backEndId: string, declined: Set<string>, request: ReplicaRequest): Promise<void> {
+    declined.add(backEndId);
+    const holders = this.usable(request, { model: request.target.model });
+    if (holders.some((holder) => !declined.has(holder.id))) return;
+    declined.clear();
+    await sleep(this.clock, ADAPTER_RETRY_MS, request.signal);
+  }
+
   private send(backEnd: BackEnd, request: ReplicaRequest, chain: PromptChain, reason: string): BackendChoice {
     this.affinity.record(backEnd.id, chain);
     if (reason === 'resident') this.askForReplicaIfCrowded(backEnd, request);
@@ -155,21 +169,19 @@
     return cost;
   }
 
-  /** An adapter goes to a worker that holds its model: always the same one, unless that is crowded. */
-  private workerForAdapter(request: ReplicaRequest): { readonly backEndId?: string } {
+  /** An adapter goes to a worker that holds its model: always the same one, while it can take it. */
+  private workerForAdapter(request: ReplicaRequest, declined: ReadonlySet<string>): string | undefined {
     const { target } = request;
-    if (target.adapter === undefined) return {};
-    const holders = this.usable(request, { model: target.model });
-    let best: BackEnd | undefined;
+    if (target.adapter === undefined) return undefined;
+    let best: string | undefined;
     let bestWeight = -1;
-    for (const holder of holders) {
+    for (const holder of this.usable(request, { model: target.model })) {
       const weight = rendezvousWeight(`${target.model}/${target.adapter}`, holder.id);
-      if (weight > bestWeight) {
-        best = holder;
-        bestWeight = weight;
-      }
+      if (declined.has(holder.id) || weight <= bestWeight) continue;
+      best = holder.id;
+      bestWeight = weight;
     }
-    return best === undefined ? {} : { backEndId: best.id };
+    return best;
   }
 
   private askForReplicaIfCrowded(backEnd: BackEnd, request: ReplicaRequest): void {
--- a/packages/forwarding/src/route.ts
+++ b/packages/forwarding/src/route.ts
@@ -27,6 +27,8 @@
   readonly timeoutMs: number;
   /** Time in which an answer, or the first event of a stream, should come. */
   readonly targetLatencyMs: number;
+  /** Time without an event after which clients leave a stream, before the first event too; streams only. */
+  readonly clientGapMs?: number;
   /** Longest pause between two events that is still in time; streams only. */
   readonly targetGapMs?: number;
   /** Back ends that one request may run on. */
--- a/packages/residency/src/placement-choice.ts
+++ b/packages/residency/src/placement-choice.ts
@@ -33,16 +33,18 @@
   readonly storeWaitMs: number;
   /** Number of workers in all zones that hold a model. */
   readonly replicasOf: (model: string) => number;
-  /** Largest value of models that may make way; see {@link victimValue}. @default Infinity */
-  readonly maximumVictimValue?: number;
+  /** Largest value of models that may make way; see {@link victimValue}. */
+  readonly maximumVictimValue: number;
 }
 
 /** Expected time to unload an idle model, in milliseconds. */
 const UNLOAD_MS = 120;
 /** Expected wait for the runs of a model to end, in milliseconds. */
 const RUNS_END_MS = 900;
-/** Weight of one recent use of a model that makes way, in milliseconds. */
-const MS_PER_USE = 250;
+/** Cost of one recent request, per replica, for a model that makes way, in milliseconds. */
+const MS_PER_REQUEST = 300;
+/** Cost of a worker whose adapters are in use: none can be loaded there meanwhile, in milliseconds. */
+const ADAPTERS_HELD_UP_MS = 400;
 /** A model is hardly ever taken away this soon after its load, in milliseconds. */
 const SETTLING_MS = 1500;
 const SETTLING_COST_MS = 3000;
@@ -64,7 +66,8 @@
     const storeWaitMs = source === 'store' ? inputs.storeWaitMs : 0;
     const loadMs = loadTimeMs(inputs.model, source);
     const readyMs = Math.max(candidate.busyMs + victims.waitMs, storeWaitMs) + loadMs;
-    const cost = readyMs + victims.costMs;
+    const heldUpMs = candidate.residents.adapterCount > 0 ? ADAPTERS_HELD_UP_MS : 0;
+    const cost = readyMs + victims.costMs + heldUpMs;
     if (cost < bestCost) {
       best = { candidate, victims: victims.names, readyMs, loadMs, source };
       bestCost = cost;
@@ -73,10 +76,9 @@
   return best;
 }
 
-/** How much a resident model would be missed: its recent use, less where there are other replicas. */
-export function victimValue(inputs: PlacementInputs, backEndId: string, model: string): number {
-  const use = inputs.loads.recentUse(backEndId, model);
-  return use / Math.max(1, inputs.replicasOf(model));
+/** How much a replica of a model would be missed: the recent requests that it serves its share of. */
+export function victimValue(inputs: PlacementInputs, model: string): number {
+  return inputs.loads.demandFor(model) / Math.max(1, inputs.replicasOf(model));
 }
 
 /** Expected load time of a model, in milliseconds. */
@@ -96,7 +98,7 @@
   let missingMb = residents.committedMb + adapterReserveMb + inputs.model.weightsMb - inputs.engine.weightsMb;
   const ranked = [...residents.models.values()]
     .filter((model) => model.state === 'resident')
-    .map((model) => ({ model, costMs: costOf(model, backEnd, inputs) }))
+    .map((model) => ({ model, costMs: costOf(model, inputs) }))
     .sort((left, right) => left.costMs - right.costMs);
   const names: string[] = [];
   let costMs = 0;
@@ -104,7 +106,7 @@
   for (const { model, costMs: cost } of ranked) {
     if (missingMb <= 0) break;
     const { name, weightsMb } = model.definition;
-    if (victimValue(inputs, backEnd.id, name) > (inputs.maximumVictimValue ?? Infinity)) continue;
+    if (victimValue(inputs, name) > inputs.maximumVictimValue) continue;
     names.push(name);
     missingMb -= weightsMb;
     costMs += cost;
@@ -113,9 +115,9 @@
   return missingMb > 0 ? undefined : { names, costMs, waitMs };
 }
 
-function costOf(model: ResidentModel, backEnd: BackEnd, inputs: PlacementInputs): number {
+function costOf(model: ResidentModel, inputs: PlacementInputs): number {
   const settling = inputs.now - model.since < SETTLING_MS ? SETTLING_COST_MS : 0;
-  return settling + victimValue(inputs, backEnd.id, model.definition.name) * MS_PER_USE;
+  return settling + victimValue(inputs, model.definition.name) * MS_PER_REQUEST;
 }
 
 /** Memory that all adapter slots may take, in MB. */
--- a/packages/residency/src/worker-orders.ts
+++ b/packages/residency/src/worker-orders.ts
@@ -100,7 +100,9 @@
   /** Loads an adapter of a resident model. Resolves with whether it is resident. */
   async loadAdapter(model: string, adapter: string): Promise<boolean> {
     if (!this.known) await this.prepare();
-    return this.known && this.adapters.load({ model, adapter });
+    // A worker takes no adapter while it loads or unloads a model.
+    if (!this.known || this.queuedSwaps > 0) return this.residents.isResident(model, adapter);
+    return this.adapters.load({ model, adapter });
   }
 
   /** One report is enough for a worker that nothing was ordered of. */
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -47,6 +47,8 @@
 const WINDOW_EXTRA_LOADS = 3;
 /** Part of the allowed loads that is used; what other zones do at a change of hands is not known. */
 const WINDOW_SAFETY = 0.85;
+/** Another replica takes the place only of models that are asked for clearly less, by this factor. */
+const ANOTHER_REPLICA_SHARE = 0.5;
 /** Loads and unloads that may wait for one worker. */
 const MAXIMUM_PENDING_SWAPS = 2;
 const RETRY_AFTER_BUSY_MS = 500;
@@ -169,7 +171,8 @@
       .filter(({ backEnd }) => this.canTakeSwap(this.workerOf(backEnd.id)))
       .filter((candidate) => !candidate.residents.models.has(message.model));
     const replicasOf = (name: string): number => directory.holdersOf(service, { model: name }).length;
-    const inputs = {
+    const share = (loads.demandFor(message.model) + 1) / (replicasOf(message.model) + 1);
+    return choosePlacement({
       model,
       engine,
       candidates,
@@ -177,11 +180,8 @@
       now: clock.monotonic(),
       storeWaitMs: this.window.waitMs(),
       replicasOf,
-    };
-    if (message.another !== true) return choosePlacement(inputs);
-    const holders = directory.holdersOf(service, { model: message.model });
-    const use = holders.reduce((sum, holder) => sum + loads.recentUse(holder.id, message.model), 0);
-    return choosePlacement({ ...inputs, maximumVictimValue: use / (holders.length + 1) / 2 });
+      maximumVictimValue: message.another === true ? share * ANOTHER_REPLICA_SHARE : Math.max(1, share),
+    });
   }
 
   private canTakeSwap(worker: WorkerOrders): boolean {
--- a/packages/residency/test/simulated-workers.ts
+++ b/packages/residency/test/simulated-workers.ts
@@ -62,7 +62,7 @@
   report(): WorkerReport {
     const until = this.world.now - REPORT_LAG_MS;
     const known = this.snapshots.filter((snapshot) => snapshot.at <= until);
-    return (known[known.length - 1] ?? (this.snapshots[0] as Snapshot)).report;
+    return (known[known.length - 1] ?? (this.snapshots[0])).report;
   }
 
   /** Takes an order. */
