--- a/packages/protocol/src/residency-messages.ts
+++ b/packages/protocol/src/residency-messages.ts
@@ -62,11 +62,18 @@
   readonly s: number;
 }
 
+/** How far the sender has followed a source of configuration or back ends. */
+export interface SourcePosition {
+  readonly source: string;
+  readonly revision: number;
+}
+
 /** What a daemon tells all others again and again. */
 export interface LoadReportMessage {
   readonly from: string;
   readonly claims: readonly ZoneClaim[];
   readonly loads: readonly LoadEntry[];
+  readonly positions: readonly SourcePosition[];
 }
 
 export type ResidencyAcknowledgement = Record<string, never>;
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -10,6 +10,7 @@
 } from '@woodbarrow/protocol';
 import { settleWithin, sleep, type Clock } from '@woodbarrow/runtime';
 import type { CoordinatorDirectory } from './coordinator-directory.js';
+import { LOADING_REASON } from './zone-residency.js';
 
 /** Options of {@link DemandRouter}. */
 export interface DemandRouterOptions {
@@ -91,6 +92,7 @@
         if (answer.held) return { held: true, backEndId: answer.backEndId };
         reason = answer.reason;
         retryAfterMs = answer.retryAfterMs;
+        if (reason === LOADING_REASON) return { held: false, retryAfterMs, reason };
       }
       if (zones.length > 0) break;
       await sleep(clock, NO_COORDINATOR_PAUSE_MS);
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -16,6 +16,7 @@
   type ResidencyChange,
   type ResidencyDemandAnswer,
   type ResidencyDemandMessage,
+  type SourcePosition,
 } from '@woodbarrow/protocol';
 import { BackgroundService, sleep, type Clock } from '@woodbarrow/runtime';
 import type { CoordinatorDirectory } from './coordinator-directory.js';
@@ -44,6 +45,9 @@
   readonly leases: LeaseRecordStore;
   readonly orders: OrderClient;
   readonly serviceOf: (name: string) => ServiceDefinition | undefined;
+  /** How far this daemon has followed its sources, to be told to others. */
+  readonly positions: () => readonly SourcePosition[];
+  readonly onPositions: (positions: readonly SourcePosition[]) => void;
   /** Milliseconds that must lie between the orders of two coordinators of a zone. */
   readonly handoverPauseMs: number;
   readonly storeWindow: StoreWindowOptions;
@@ -218,10 +222,15 @@
 
   /** Sends this daemon's load and claims to the others; one that has not answered the last is passed over. */
   private tellAll(): void {
-    const { self, loads, coordinators, peers } = this.options;
+    const { self, loads, coordinators, peers, positions } = this.options;
     const claims = [...this.held.entries()].map(([zone, { lease }]) => ({ zone, fence: lease.fence }));
     coordinators.accept(self.id, self.address, claims);
-    const message: LoadReportMessage = { from: self.id, claims, loads: loads.takeReport().map(toEntry) };
+    const message: LoadReportMessage = {
+      from: self.id,
+      claims,
+      loads: loads.takeReport().map(toEntry),
+      positions: positions(),
+    };
     for (const member of this.others()) {
       if (this.reporting.has(member.id)) continue;
       this.reporting.add(member.id);
@@ -233,7 +242,8 @@
   }
 
   private onReport(message: LoadReportMessage): void {
-    const { loads, coordinators, members } = this.options;
+    const { loads, coordinators, members, onPositions } = this.options;
+    onPositions(message.positions);
     loads.acceptReport(
       message.from,
       message.loads.map((entry) => ({
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -52,11 +52,29 @@
 /** Loads and unloads that may wait for one worker. */
 const MAXIMUM_PENDING_SWAPS = 2;
 const RETRY_AFTER_BUSY_MS = 500;
+/** Recent requests for a model that make a load worth it which is too late for the one that asks. */
+const DEMAND_WORTH_A_LATE_LOAD = 1.8;
+/** Models that are asked for less than this make way for any request. */
+const LEAST_VICTIM_VALUE = 3;
+/** Reason of a refusal while the model is being loaded: no other zone needs to be asked. */
+export const LOADING_REASON = 'loading';
+
+/** A load under way. */
+interface Loading {
+  /** The worker, or undefined when the load failed. */
+  readonly result: Promise<string | undefined>;
+  /** Monotonic time at which the model is expected to be resident. */
+  readonly readyAt: number;
+}
+
+type Placement =
+  | { readonly kind: 'resident'; readonly backEndId: string }
+  | { readonly kind: 'refused'; readonly reason: string; readonly retryAfterMs: number };
 
 /** One zone's coordinator. */
 export class ZoneResidency {
   private readonly workers = new Map<string, WorkerOrders>();
-  private readonly loading = new Map<string, Promise<string | undefined>>();
+  private readonly loading = new Map<string, Loading>();
   private readonly window: LoadWindow;
   private storeLimit = 1;
 
@@ -76,8 +94,9 @@
     if (service?.engine === undefined) return refused('no_engine', RETRY_AFTER_BUSY_MS);
     if (!(await this.waitUntilActing(leftMs()))) return refused('not_acting', RETRY_AFTER_BUSY_MS);
     await Promise.all(this.openWorkers(service.name).map((worker) => this.workerOf(worker.id).prepare()));
-    const backEndId = await this.placeModel(service.name, service.engine, message, leftMs());
-    if (backEndId === undefined) return refused('no_place', RETRY_AFTER_BUSY_MS);
+    const placed = await this.placeModel(service.name, service.engine, message, leftMs());
+    if (placed.kind === 'refused') return refused(placed.reason, placed.retryAfterMs);
+    const { backEndId } = placed;
     if (message.adapter === undefined) return { held: true, backEndId, retryAfterMs: 0, reason: 'resident' };
     const loaded = await this.settle(
       this.workerOf(backEndId).loadAdapter(message.model, message.adapter),
@@ -106,54 +125,85 @@
     engine: EngineDefinition,
     message: ResidencyDemandMessage,
     withinMs: number,
-  ): Promise<string | undefined> {
+  ): Promise<Placement> {
     const { model, backEndId } = message;
-    if (backEndId !== undefined) {
-      if (this.options.directory.get(backEndId) === undefined) return undefined;
-      return this.workerOf(backEndId).residents.isResident(model) ? backEndId : undefined;
-    }
+    if (backEndId !== undefined) return this.placeOn(backEndId, model);
     if (message.another !== true) {
       const holder = this.openWorkers(service).find((worker) =>
         this.workerOf(worker.id).residents.isResident(model),
       );
-      if (holder !== undefined) return holder.id;
+      if (holder !== undefined) return { kind: 'resident', backEndId: holder.id };
     }
     const key = `${service} ${model}`;
-    let loading = this.loading.get(key);
-    if (loading === undefined) {
-      loading = this.load(service, engine, message, withinMs);
-      this.loading.set(key, loading);
-      const forget = (): void => {
-        this.loading.delete(key);
-      };
-      loading.then(forget, forget);
-    }
-    return this.settle(loading, withinMs);
+    const loading = this.loading.get(key) ?? this.startLoading(key, service, engine, message, withinMs);
+    if (loading === undefined)
+      return { kind: 'refused', reason: 'no_place', retryAfterMs: RETRY_AFTER_BUSY_MS };
+    const readyMs = loading.readyAt - this.options.clock.monotonic();
+    if (readyMs > withinMs) return { kind: 'refused', reason: LOADING_REASON, retryAfterMs: readyMs };
+    const loaded = await this.settle(loading.result, withinMs);
+    return loaded === undefined
+      ? { kind: 'refused', reason: 'not_loaded', retryAfterMs: RETRY_AFTER_BUSY_MS }
+      : { kind: 'resident', backEndId: loaded };
   }
 
-  private async load(
+  private placeOn(backEndId: string, model: string): Placement {
+    const isThere = this.options.directory.get(backEndId) !== undefined;
+    if (isThere && this.workerOf(backEndId).residents.isResident(model))
+      return { kind: 'resident', backEndId };
+    return { kind: 'refused', reason: 'model_not_there', retryAfterMs: RETRY_AFTER_BUSY_MS };
+  }
+
+  /**
+   * Decides on a load and starts it. One that comes too late for the request that asks is worth it when more ask
+   * for the model.
+   */
+  private startLoading(
+    key: string,
     service: string,
     engine: EngineDefinition,
     message: ResidencyDemandMessage,
     withinMs: number,
-  ): Promise<string | undefined> {
+  ): Loading | undefined {
+    const { clock, loads } = this.options;
     const choice = this.choose(service, engine, message);
+    const demand = loads.demandFor(message.model);
+    const isWorthIt =
+      choice !== undefined && (choice.readyMs <= withinMs || demand >= DEMAND_WORTH_A_LATE_LOAD);
+    this.logDecision(message, withinMs, demand, choice, isWorthIt);
+    if (!isWorthIt) return undefined;
+    if (choice.source === 'store') this.window.record();
+    const { id } = choice.candidate.backEnd;
+    const expectedMs = choice.readyMs - choice.candidate.busyMs;
+    const swap = this.workerOf(id).swap(message.model, choice.victims, expectedMs, choice.loadMs);
+    const result = swap.then((loaded) => (loaded ? id : undefined));
+    const loading = { result, readyAt: clock.monotonic() + choice.readyMs };
+    this.loading.set(key, loading);
+    const forget = (): void => {
+      this.loading.delete(key);
+    };
+    result.then(forget, forget);
+    return loading;
+  }
+
+  private logDecision(
+    message: ResidencyDemandMessage,
+    withinMs: number,
+    demand: number,
+    choice: PlacementChoice | undefined,
+    started: boolean,
+  ): void {
     this.options.log.changed('load_decided', {
       zone: this.options.zone,
       model: message.model,
+      started,
       withinMs: Math.round(withinMs),
       another: message.another === true,
+      demand: Math.round(demand),
       backEnd: choice?.candidate.backEnd.id,
       victims: choice?.victims.join(','),
       readyMs: choice === undefined ? undefined : Math.round(choice.readyMs),
       source: choice?.source,
     });
-    if (choice === undefined || choice.readyMs > withinMs) return undefined;
-    if (choice.source === 'store') this.window.record();
-    const { id } = choice.candidate.backEnd;
-    const expectedMs = choice.readyMs - choice.candidate.busyMs;
-    const loaded = await this.workerOf(id).swap(message.model, choice.victims, expectedMs, choice.loadMs);
-    return loaded ? id : undefined;
   }
 
   private choose(
@@ -166,10 +216,7 @@
     if (model === undefined) return undefined;
     const allowed = (engine.storeLoadsPerSecond * storeWindow.windowMs * storeWindow.overshoot) / 1000;
     this.storeLimit = Math.floor((allowed + WINDOW_EXTRA_LOADS) * WINDOW_SAFETY);
-    const candidates = this.openWorkers(service)
-      .map((backEnd) => this.candidateOf(backEnd))
-      .filter(({ backEnd }) => this.canTakeSwap(this.workerOf(backEnd.id)))
-      .filter((candidate) => !candidate.residents.models.has(message.model));
+    const candidates = this.candidatesFor(service, message.model);
     const replicasOf = (name: string): number => directory.holdersOf(service, { model: name }).length;
     const share = (loads.demandFor(message.model) + 1) / (replicasOf(message.model) + 1);
     return choosePlacement({
@@ -180,10 +227,19 @@
       now: clock.monotonic(),
       storeWaitMs: this.window.waitMs(),
       replicasOf,
-      maximumVictimValue: message.another === true ? share * ANOTHER_REPLICA_SHARE : Math.max(1, share),
+      maximumVictimValue:
+        message.another === true ? share * ANOTHER_REPLICA_SHARE : Math.max(LEAST_VICTIM_VALUE, share),
     });
   }
 
+  /** Workers that could load a model. */
+  private candidatesFor(service: string, model: string): PlacementCandidate[] {
+    return this.openWorkers(service)
+      .filter((backEnd) => this.canTakeSwap(this.workerOf(backEnd.id)))
+      .map((backEnd) => this.candidateOf(backEnd))
+      .filter((candidate) => !candidate.residents.models.has(model));
+  }
+
   private canTakeSwap(worker: WorkerOrders): boolean {
     return worker.isKnown && worker.pendingSwaps < MAXIMUM_PENDING_SWAPS;
   }
--- a/packages/residency/test/simulated-workers.ts
+++ b/packages/residency/test/simulated-workers.ts
@@ -61,8 +61,9 @@
   /** The state as it was some time ago. */
   report(): WorkerReport {
     const until = this.world.now - REPORT_LAG_MS;
+    const [first = this.remember()] = this.snapshots;
     const known = this.snapshots.filter((snapshot) => snapshot.at <= until);
-    return (known[known.length - 1] ?? (this.snapshots[0])).report;
+    return (known[known.length - 1] ?? first).report;
   }
 
   /** Takes an order. */
@@ -117,7 +118,7 @@
     return 'accepted';
   }
 
-  private remember(): void {
+  private remember(): Snapshot {
     const models = [...this.models].map(([name, adapters]) => ({ name, adapters: [...adapters] }));
     const report = {
       models,
@@ -126,7 +127,9 @@
       sequence: this.sequence,
       nearby: { inMemory: [], onDisk: [] },
     };
-    this.snapshots.push({ at: this.world.now, report });
+    const snapshot = { at: this.world.now, report };
+    this.snapshots.push(snapshot);
+    return snapshot;
   }
 }
 
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -14,8 +14,19 @@
   backEndGone(id: string): void;
 }
 
+/** How far a daemon has followed one source of the feed. */
+export interface FeedPosition {
+  readonly source: string;
+  /** Revision of the newest record seen. */
+  readonly revision: number;
+}
+
 /** Source of configuration and back ends. */
 export interface DeploymentFeed {
+  /** How far each source has been followed. */
+  position(): readonly FeedPosition[];
+  /** Another daemon has come this far: what is behind for long is read again. */
+  noteElsewhere(positions: readonly FeedPosition[]): void;
   /** Reads and follows until `signal` aborts. */
   run(sink: DeploymentSink, signal: AbortSignal): Promise<void>;
 }
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -198,6 +198,10 @@
       leases: ports.leases,
       orders: ports.orders,
       serviceOf: (name) => this.serviceOf(name),
+      positions: () => ports.feed.position(),
+      onPositions: (positions) => {
+        ports.feed.noteElsewhere(positions);
+      },
       handoverPauseMs: settings.handoverPauseMs,
       storeWindow: settings.storeWindow,
       clock: ports.clock,
