--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -10,6 +10,9 @@
 /** Time after which to come back to a daemon that has no configuration yet, in milliseconds. */
 const NOT_READY_RETRY_MS = 500;
 
+/** Time after which to come back to another daemon, in milliseconds. */
+const STOPPING_RETRY_MS = 10;
+
 /** Entry of requests into one daemon. */
 export class Forwarder {
   private readonly splitter: TrafficSplitter;
@@ -42,6 +45,10 @@
   }
 
   private async forward(exchange: IncomingExchange, facts: RequestFacts, arrivedAt: number): Promise<void> {
+    if (this.context.stopWaiting.aborted) {
+      this.refuse(exchange, facts, 'stopping', STOPPING_RETRY_MS);
+      return;
+    }
     const { current, routes } = this.configuration;
     if (current === undefined || routes === undefined) {
       this.refuse(exchange, facts, 'not_ready', NOT_READY_RETRY_MS);
--- /dev/null
+++ b/packages/forwarding/test/forwarder.test.ts
@@ -0,0 +1,127 @@
+import { expect } from 'chai';
+import type { EngineDefinition } from '@woodbarrow/backends';
+import { ForwardingWorld, answer, type BackendScript } from './simulated-exchange.js';
+
+const serve: BackendScript = () => Promise.resolve(answer(200, 'served'));
+const reset: BackendScript = () => Promise.reject(new Error('reset'));
+const decline: BackendScript = () => Promise.resolve(answer(503));
+const silent: BackendScript = () => new Promise(() => undefined);
+const CUT = new Error('cut');
+
+const ENGINE: EngineDefinition = {
+  slots: 4,
+  cacheTokens: 10_000,
+  weightsMb: 100,
+  adapterSlots: 2,
+  storeLoadsPerSecond: 1,
+  models: new Map(),
+};
+
+describe('Forwarder', () => {
+  it('refuses new requests once the daemon no longer takes them', async () => {
+    const world = new ForwardingWorld([{}]);
+    world.add('b1', serve);
+    world.stop.abort();
+    const exchange = await world.ask();
+    expect(exchange.status).to.equal(503);
+    expect(exchange.answerHeaders).to.deep.equal(['retry', '0.01']);
+    expect(world.calls).to.have.length(0);
+  });
+
+  it('never sends a request that must run once again after it may have run', async () => {
+    for (const script of [reset, silent]) {
+      const world = new ForwardingWorld([{ kind: 'once' }, { kind: 'stream' }]);
+      world.add('b1', script);
+      world.add('b2', script);
+      for (const target of ['/r0/', '/r1/']) {
+        const before = world.calls.length;
+        const exchange = await world.ask({}, target);
+        expect(exchange.status).to.be.oneOf([502, 504]);
+        expect(world.calls.length - before).to.equal(1);
+      }
+    }
+  });
+
+  it('keeps to the back ends a route allows for one that may run again', async () => {
+    const world = new ForwardingWorld([{ kind: 'repeatable', maximumAttempts: 2 }]);
+    for (const id of ['b1', 'b2', 'b3', 'b4']) world.add(id, reset);
+    expect((await world.ask()).status).to.equal(502);
+    expect(world.calls).to.have.length(2);
+  });
+
+  it('refuses truthfully what every back end declined', async () => {
+    const world = new ForwardingWorld([{ kind: 'once' }]);
+    world.add('b1', decline);
+    world.add('b2', decline);
+    expect((await world.ask()).status).to.equal(503);
+  });
+
+  it('hands on what is left of the time, and answers at the time-out of the route', async () => {
+    const world = new ForwardingWorld([{ kind: 'once', timeoutMs: 500 }]);
+    world.add('b1', silent);
+    const exchange = await world.ask({ wait: '900' });
+    expect(exchange.status).to.equal(504);
+    expect(world.world.now).to.be.within(499, 520);
+    expect(world.calls[0]?.headers[1]).to.equal('500');
+  });
+
+  it('takes a stream up after the last whole event, and passes every event once', async () => {
+    const world = new ForwardingWorld([{ kind: 'resumable_stream' }], ENGINE);
+    const script: BackendScript = (call) => {
+      const after = call.headers[3] ?? '';
+      return Promise.resolve(
+        after === ''
+          ? answer(200, 'id: 0\ndata: a\n\nid: 1\nda', 'ta: b\n\nid: 2\nda', CUT)
+          : answer(200, `id: 2\ndata: c (after ${after})\n\n`, 'id: 3\ndata: d\n\n'),
+      );
+    };
+    world.add('b1', script, ['m']);
+    world.add('b2', script, ['m']);
+    const exchange = await world.ask({ model: 'm' });
+    expect(exchange.body).to.equal(
+      'id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\ndata: c (after 1)\n\nid: 3\ndata: d\n\n',
+    );
+    expect(exchange.ending).to.equal('complete');
+  });
+
+  it('lets no stream that broke off look complete', async () => {
+    const world = new ForwardingWorld([{ kind: 'stream' }], ENGINE);
+    world.add('b1', () => Promise.resolve(answer(200, 'id: 0\ndata: a\n\n', CUT)), ['m']);
+    expect((await world.ask({ model: 'm' })).ending).to.equal('aborted');
+  });
+
+  it('replaces a whole answer that broke off where the request may run again', async () => {
+    const world = new ForwardingWorld([{ kind: 'repeatable' }]);
+    let sends = 0;
+    const script: BackendScript = () => {
+      sends += 1;
+      return Promise.resolve(sends === 1 ? answer(200, 'par', CUT) : answer(200, 'whole'));
+    };
+    world.add('b1', script);
+    world.add('b2', script);
+    expect(await world.ask()).to.include({ status: 200, body: 'whole' });
+  });
+
+  it('waits for a model no longer than clients wait for a first event, and says when to come back', async () => {
+    const world = new ForwardingWorld([{ kind: 'stream', timeoutMs: 15_000, clientGapMs: 2000 }], ENGINE);
+    world.residency = async (demand) => {
+      await world.wait(demand.withinMs);
+      return { held: false, retryAfterMs: 300, reason: 'late' };
+    };
+    const exchange = await world.ask({ model: 'm' });
+    expect(exchange.status).to.equal(503);
+    expect(world.world.now).to.be.lessThan(2000);
+    expect(exchange.answerHeaders).to.deep.equal(['retry', '0.3']);
+  });
+
+  it('sends to the worker where the model was made resident', async () => {
+    const world = new ForwardingWorld([{ kind: 'stream' }], ENGINE);
+    world.add('b1', serve);
+    world.residency = async () => {
+      await world.wait(300);
+      return { held: true, backEndId: 'b1' };
+    };
+    expect(await world.ask({ model: 'm' })).to.include({ status: 200, body: 'served' });
+    expect(world.demands).to.have.length(1);
+  });
+});
--- /dev/null
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -0,0 +1,262 @@
+/** Exchanges, back ends and a dialect in memory, for tests of forwarding on virtual time. */
+import {
+  BackendDirectory,
+  LoadBook,
+  NO_NEARBY_COPIES,
+  type BackEnd,
+  type EngineDefinition,
+  type ServiceDefinition,
+} from '@woodbarrow/backends';
+import {
+  HttpNotSentError,
+  Random,
+  SimulatedProcess,
+  SimulatedWorld,
+  encodeText,
+  type BackendAnswer,
+  type BackendCall,
+  type BackendClient,
+  type IncomingExchange,
+  type ResponseHead,
+  type ResponseStream,
+} from '@woodbarrow/runtime';
+import {
+  BackendHealth,
+  ConfigurationHolder,
+  Forwarder,
+  PlainSelector,
+  PromptAffinity,
+  RepeatBudget,
+  ReplicaSelector,
+  silentJournal,
+  type ForwardingContext,
+  type ResidencyClient,
+  type ResidencyDemand,
+  type ResidencyOutcome,
+  type Route,
+  type WireDialect,
+} from '../src/index.js';
+
+/** What a back end does with a request. */
+export type BackendScript = (call: BackendCall, world: ForwardingWorld) => Promise<BackendAnswer>;
+
+/** An exchange that keeps what it was answered with. */
+export class SimulatedExchange implements IncomingExchange {
+  readonly method = 'POST';
+  readonly rawHeaders: string[] = [];
+  readonly controller = new AbortController();
+  status = 0;
+  answerHeaders: readonly string[] = [];
+  body = '';
+  /** How it ended. */
+  ending: 'open' | 'complete' | 'aborted' = 'open';
+
+  constructor(
+    readonly target: string,
+    readonly headers: Record<string, string | undefined>,
+  ) {}
+
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  get answered(): boolean {
+    return this.status !== 0;
+  }
+
+  readBody(): Promise<Uint8Array> {
+    return Promise.resolve(encodeText('body'));
+  }
+
+  respond(head: ResponseHead, body: Uint8Array): void {
+    this.status = head.status;
+    this.answerHeaders = head.headers;
+    this.body = Buffer.from(body).toString();
+    this.ending = 'complete';
+  }
+
+  beginStream(head: ResponseHead): ResponseStream {
+    this.status = head.status;
+    return {
+      write: (chunk) => {
+        this.body += Buffer.from(chunk).toString();
+        return Promise.resolve();
+      },
+      end: () => (this.ending = 'complete'),
+      abort: () => (this.ending = 'aborted'),
+    };
+  }
+
+  abort(): void {
+    if (this.ending === 'open') this.ending = 'aborted';
+  }
+}
+
+const dialect: WireDialect = {
+  readFacts: (headers) => ({
+    id: headers['id'] ?? '',
+    ...(headers['wait'] === undefined ? {} : { waitMs: Number(headers['wait']) }),
+    ...(headers['model'] === undefined ? {} : { target: { model: headers['model'] } }),
+    promptTokens: 100,
+    outputTokens: 10,
+    promptParts: [],
+  }),
+  requestHeaders: (_received, send) => ['left', String(send.remainingMs), 'resume', send.resumeAfter ?? ''],
+  answerHeaders: () => [],
+  ownHeaders: (_id, retryAfterSeconds) =>
+    retryAfterSeconds === undefined ? [] : ['retry', String(retryAfterSeconds)],
+  judge: (_sent, status) => (status === 503 ? 'not_run' : 'genuine'),
+  reportedLoad: () => undefined,
+};
+
+/** A forwarder on virtual time. */
+export class ForwardingWorld {
+  readonly world = new SimulatedWorld();
+  readonly process = new SimulatedProcess(this.world, { name: 'd', zone: 'a', region: 'r' });
+  readonly directory = new BackendDirectory(this.process);
+  readonly loads = new LoadBook(this.process);
+  readonly stop = new AbortController();
+  readonly calls: BackendCall[] = [];
+  readonly demands: ResidencyDemand[] = [];
+  /** Answers demands; refuses them at once by default. */
+  residency: (demand: ResidencyDemand) => Promise<ResidencyOutcome> = () =>
+    Promise.resolve({ held: false, retryAfterMs: 700, reason: 'none' });
+  readonly forwarder: Forwarder;
+  private readonly configuration = new ConfigurationHolder();
+  private readonly scripts = new Map<string, BackendScript>();
+  private readonly health = new Map<string, BackendHealth>();
+
+  constructor(routes: readonly Partial<Route>[], engine?: EngineDefinition) {
+    const service: ServiceDefinition = {
+      name: 'service',
+      connectionLimit: 100,
+      ...(engine === undefined ? {} : { engine }),
+    };
+    this.configuration.apply({
+      version: 1,
+      routes: routes.map((route, index) => ({ ...defaultRoute(index), ...route })),
+      services: new Map([['service', service]]),
+      limits: {
+        maximumHeaderBytes: 1000,
+        maximumBodyBytes: 1000,
+        headerTimeoutMs: 1000,
+        idleTimeoutMs: 1000,
+      },
+    });
+    this.forwarder = new Forwarder(this.context(), this.configuration, new Random(1));
+  }
+
+  /** Adds a back end that follows a script. */
+  add(id: string, script: BackendScript, models: readonly string[] = []): BackEnd {
+    const backEnd: BackEnd = {
+      id,
+      service: 'service',
+      address: id,
+      zone: 'a',
+      slots: 4,
+      draining: false,
+      models: models.map((name) => ({ name, adapters: [] })),
+      nearby: NO_NEARBY_COPIES,
+    };
+    this.scripts.set(id, script);
+    this.directory.put(backEnd);
+    return backEnd;
+  }
+
+  /** Sends a request and resolves once it has been answered or ended. */
+  async ask(headers: Record<string, string> = {}, target = '/r0/'): Promise<SimulatedExchange> {
+    const exchange = new SimulatedExchange(target, { host: 'host', id: 'x', ...headers });
+    let settled = false;
+    const handled = this.forwarder.handle(exchange).finally(() => (settled = true));
+    await this.world.run(this.world.now + 60_000, () => settled);
+    await handled;
+    return exchange;
+  }
+
+  /** Resolves after virtual time. */
+  wait(durationMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.process.schedule(durationMs, resolve);
+    });
+  }
+
+  private context(): ForwardingContext {
+    const client: BackendClient = {
+      connectionsOpened: 0,
+      forget: () => undefined,
+      send: (call) => {
+        this.calls.push(call);
+        const script = this.scripts.get(call.address);
+        return script === undefined
+          ? Promise.reject(new HttpNotSentError('nobody'))
+          : abortable(script(call, this), call);
+      },
+    };
+    const residency: ResidencyClient = {
+      request: (demand) => {
+        this.demands.push(demand);
+        return this.residency(demand);
+      },
+      requestReplica: () => undefined,
+    };
+    return {
+      clock: this.process,
+      client,
+      dialect,
+      directory: this.directory,
+      loads: this.loads,
+      plain: new PlainSelector(this.directory, this.loads, 'a'),
+      replicas: new ReplicaSelector(
+        this.directory,
+        this.loads,
+        new PromptAffinity(),
+        residency,
+        'a',
+        this.process,
+      ),
+      budget: new RepeatBudget({ ratio: 0.2, extra: 40, windowMs: 10_000, sharers: () => 1 }, this.process),
+      journal: silentJournal,
+      stopWaiting: this.stop.signal,
+      healthOf: (name) => {
+        const known = this.health.get(name) ?? new BackendHealth(this.process);
+        this.health.set(name, known);
+        return known;
+      },
+    };
+  }
+}
+
+function defaultRoute(index: number): Route {
+  return {
+    name: `r${String(index)}`,
+    host: 'host',
+    pathPrefix: `/r${String(index)}/`,
+    kind: 'once',
+    timeoutMs: 3000,
+    targetLatencyMs: 200,
+    maximumAttempts: 2,
+    priority: 1,
+    targets: [{ service: 'service', weight: 1 }],
+  };
+}
+
+function abortable(answer: Promise<BackendAnswer>, call: BackendCall): Promise<BackendAnswer> {
+  return new Promise((resolve, reject) => {
+    answer.then(resolve, reject);
+    call.signal.addEventListener('abort', () => {
+      reject(new Error('given up'));
+    });
+  });
+}
+
+/** An answer with the given pieces; a piece that is an error breaks it off. */
+export function answer(status: number, ...pieces: (string | Error)[]): BackendAnswer {
+  async function* body(): AsyncGenerator<Uint8Array> {
+    for (const piece of pieces) {
+      await Promise.resolve();
+      if (piece instanceof Error) throw piece;
+      yield encodeText(piece);
+    }
+  }
+  return { status, headers: {}, rawHeaders: [], body: body(), discard: () => undefined };
+}
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -48,8 +48,11 @@
 };
 /** Register is read again this often while this daemon is alone, in milliseconds. */
 const REGISTRY_RETRY_MS = 1000;
-/** Time after the word to stop in which clients still find this daemon, in milliseconds. */
-const LEAVE_ENTRY_MS = 3200;
+/**
+ * Time after the word to stop in which requests are still taken: clients are led elsewhere after two missed looks
+ * at the readiness, a second apart. What is taken later may not end within the grace.
+ */
+const LEAVE_ENTRY_MS = 2600;
 /** Time kept at the end of the grace for the process to end, in milliseconds. */
 const STOP_MARGIN_MS = 500;
 const STOP_POLL_MS = 50;
