A lease that must be waited for does not hold up those of other zones

Ruled out: the store (answered at once), the pause between holders (same machine). The test fails without the change.

--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -56,7 +56,6 @@
 }
 
 const CANDIDATE_PAUSE_MS = 250;
-/** A zone without a coordinator for this long is taken by whoever comes next, in milliseconds. */
 const RENEW_INTERVAL_MS = 3000;
 const RENEW_RETRY_MS = 600;
 const REPORT_INTERVAL_MS = 300;
@@ -74,6 +73,8 @@
   private readonly leases = new Map<string, StoreLease>();
   private readonly held = new Map<string, HeldZone>();
   private readonly reporting = new Set<string>();
+  /** Monotonic time before which a zone's lease is not asked for again. */
+  private readonly askAgainAt = new Map<string, number>();
   private leaving = false;
 
   constructor(private readonly options: ResidencyServiceOptions) {
@@ -130,6 +131,7 @@
     if (this.leaving) return;
     for (const zone of this.zones()) {
       if (this.held.has(zone) || this.options.coordinators.of(zone) !== undefined) continue;
+      if (this.options.clock.monotonic() < (this.askAgainAt.get(zone) ?? 0)) continue;
       if (this.firstInLine(zone) === this.options.self.id) await this.tryTake(zone);
     }
   }
@@ -138,7 +140,9 @@
     const lease = this.leaseOf(zone);
     const result = await lease.tryAcquire();
     if (result.kind === 'waiting') {
-      await sleep(this.options.clock, Math.min(result.retryAfterMs, RENEW_INTERVAL_MS), this.tasks.signal);
+      // One zone that must be waited for does not hold up the others.
+      const pauseMs = Math.min(result.retryAfterMs, RENEW_INTERVAL_MS);
+      this.askAgainAt.set(zone, this.options.clock.monotonic() + pauseMs);
       return;
     }
     this.options.log.changed('lease_gained', {
--- /dev/null
+++ b/packages/residency/test/residency-service.test.ts
@@ -0,0 +1,139 @@
+import { expect } from 'chai';
+import { BackendDirectory, LoadBook, NO_NEARBY_COPIES } from '@woodbarrow/backends';
+import type { LeaseRecord, LeaseRecordStore, StoredLease } from '@woodbarrow/coordination';
+import { silentLog } from '@woodbarrow/observability';
+import { SimulatedCluster } from '@woodbarrow/peering';
+import { CoordinatorDirectory, ResidencyService, type Member, type OrderClient } from '../src/index.js';
+
+const ZONES = ['alpha', 'beta', 'gamma'];
+
+/** Leases in memory; every write is kept with its time. */
+class LeaseStore implements LeaseRecordStore {
+  readonly writes: { readonly name: string; readonly record: LeaseRecord; readonly at: number }[] = [];
+  private readonly kept = new Map<string, StoredLease>();
+
+  constructor(private readonly now: () => number) {}
+
+  read(name: string): Promise<StoredLease | undefined> {
+    return Promise.resolve(this.kept.get(name));
+  }
+
+  create(name: string, record: LeaseRecord): Promise<StoredLease | undefined> {
+    return Promise.resolve(this.kept.has(name) ? undefined : this.write(name, record, 1));
+  }
+
+  replace(name: string, record: LeaseRecord, revision: number): Promise<StoredLease | undefined> {
+    const isCurrent = this.kept.get(name)?.revision === revision;
+    return Promise.resolve(isCurrent ? this.write(name, record, revision + 1) : undefined);
+  }
+
+  private write(name: string, record: LeaseRecord, revision: number): StoredLease {
+    const stored = { record, revision };
+    this.kept.set(name, stored);
+    this.writes.push({ name, record, at: this.now() });
+    return stored;
+  }
+}
+
+const noOrders: OrderClient = {
+  send: () => Promise.resolve('unknown'),
+  report: () => Promise.resolve(undefined),
+};
+
+/** Daemons of three zones with a worker in each. */
+class ServiceWorld {
+  readonly cluster = new SimulatedCluster({ seed: 1 });
+  readonly store = new LeaseStore(() => this.cluster.world.now);
+  private readonly members = new Map<string, Member>();
+  private runs = 0;
+
+  async start(name: string, zone: string): Promise<() => void> {
+    const node = await this.cluster.add(name, zone);
+    const self = { id: name, address: node.peers.address, zone };
+    this.members.set(name, self);
+    const directory = new BackendDirectory(node.process);
+    for (const workerZone of ZONES) {
+      directory.put({
+        id: `worker-${workerZone}`,
+        service: 'models',
+        address: '10.0.0.1:1',
+        zone: workerZone,
+        slots: 1,
+        draining: false,
+        models: [],
+        nearby: NO_NEARBY_COPIES,
+      });
+    }
+    this.runs += 1;
+    const engine = {
+      slots: 1,
+      cacheTokens: 1,
+      weightsMb: 1,
+      adapterSlots: 1,
+      storeLoadsPerSecond: 1,
+      models: new Map(),
+    };
+    const service = new ResidencyService({
+      self,
+      instance: this.runs,
+      // A daemon that has just started knows only itself.
+      members: () => (node.process.monotonic() < 1000 ? [self] : [...this.members.values()]),
+      peers: node.peers,
+      directory,
+      loads: new LoadBook(node.process),
+      coordinators: new CoordinatorDirectory(node.process),
+      leases: this.store,
+      orders: noOrders,
+      serviceOf: () => ({ name: 'models', connectionLimit: 1, engine }),
+      positions: () => [],
+      onPositions: () => undefined,
+      handoverPauseMs: 3000,
+      storeWindow: { windowMs: 5000, overshoot: 1 },
+      clock: node.process,
+      log: silentLog,
+    });
+    service.start();
+    return () => {
+      service.abort();
+      node.process.kill();
+    };
+  }
+
+  holderOf(zone: string): string | undefined {
+    const writes = this.store.writes.filter((write) => write.name === `zone-${zone}`);
+    return writes[writes.length - 1]?.record.holder;
+  }
+}
+
+describe('ResidencyService', () => {
+  it('takes its lease back at once after a restart, whatever the leases of other zones', async () => {
+    const world = new ServiceWorld();
+    const stops = new Map<string, () => void>();
+    for (const zone of ZONES) {
+      stops.set(zone, await world.start(`daemon-${zone}`, zone));
+      await world.cluster.advance(2000);
+    }
+    // The first to start took all zones; the zones it was alone for stay with it.
+    const holder = world.holderOf('gamma') ?? '';
+    const zone = holder.replace('daemon-', '');
+    stops.get(zone)?.();
+    await world.cluster.advance(500);
+    const restartedAt = world.cluster.world.now;
+    await world.start(holder, zone);
+    await world.cluster.advance(800);
+    const retaken = world.store.writes.filter(
+      (write) => write.at >= restartedAt && write.record.holder === holder,
+    );
+    expect(new Set(retaken.map((write) => write.name)).size).to.equal(ZONES.length);
+  });
+
+  it('is not held up in one zone by the lease of a zone that another holds', async () => {
+    const world = new ServiceWorld();
+    await world.store.create('zone-alpha', { holder: 'other', instance: 1, fence: 4, lifetimeMs: 12_000 });
+    await world.start('daemon-beta', 'beta');
+    await world.cluster.advance(1000);
+    expect(world.holderOf('beta')).to.equal('daemon-beta');
+    expect(world.holderOf('gamma')).to.equal('daemon-beta');
+    expect(world.holderOf('alpha')).to.equal('other');
+  });
+});
