Workers that cannot be used are named in a demand, and silent ones get no new orders

Ruled out: the directory (a crash declares nothing; the record stays for three heartbeats). Two tests fail without the change.

--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -81,6 +81,7 @@
           target: request.target,
           priority: request.priority,
           withinMs,
+          without: this.unusable(request, health),
           ...(backEndId === undefined ? {} : { backEndId }),
         },
         request.signal,
@@ -101,6 +102,15 @@
     }
   }
 
+  /** Workers that declined or failed this request, and those that cannot be reached now. */
+  private unusable(request: ReplicaRequest, health: BackendHealth): string[] {
+    const avoided = this.directory
+      .ofService(request.service)
+      .map((backEnd) => backEnd.id)
+      .filter((id) => health.isAvoided(id));
+    return [...new Set([...request.excluded, ...avoided])].sort();
+  }
+
   /** A worker cannot take the adapter now; once all have said so, they are asked again after a pause. */
   private async passOver(backEndId: string, declined: Set<string>, request: ReplicaRequest): Promise<void> {
     declined.add(backEndId);
--- a/packages/forwarding/src/residency-port.ts
+++ b/packages/forwarding/src/residency-port.ts
@@ -7,6 +7,8 @@
   readonly target: ModelTarget;
   /** The worker that must hold it; any when absent. */
   readonly backEndId?: string;
+  /** Workers that cannot be used for it. */
+  readonly without: readonly string[];
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Milliseconds after which it no longer helps. */
--- a/packages/protocol/src/residency-messages.ts
+++ b/packages/protocol/src/residency-messages.ts
@@ -14,6 +14,8 @@
   readonly priority: number;
   /** Milliseconds after which it no longer helps. */
   readonly withinMs: number;
+  /** Workers that the sender cannot use now. */
+  readonly without: readonly string[];
   /** Wants one more replica beside those there are. */
   readonly another?: boolean;
 }
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -62,12 +62,22 @@
       (left, right) => (replicas.get(left) ?? 0) - (replicas.get(right) ?? 0),
     );
     if (zone === undefined) return;
-    const message = { zone, service, model, priority, withinMs: REPLICA_WITHIN_MS, another: true };
+    const message = {
+      zone,
+      service,
+      model,
+      priority,
+      without: [],
+      withinMs: REPLICA_WITHIN_MS,
+      another: true,
+    };
     void this.ask(zone, message);
   }
 
   private share(demand: ResidencyDemand): Promise<ResidencyOutcome> {
-    const key = `${demand.service} ${targetKey(demand.target)} ${demand.backEndId ?? ''}`;
+    const key = [demand.service, targetKey(demand.target), demand.backEndId ?? '', ...demand.without].join(
+      ' ',
+    );
     const now = this.options.clock.monotonic();
     const known = this.shared.get(key);
     if (known !== undefined && known.expiresAt >= now + Math.min(demand.withinMs, SHARED_SLACK_MS))
@@ -149,6 +159,7 @@
     ...demand.target,
     ...(demand.backEndId === undefined ? {} : { backEndId: demand.backEndId }),
     priority: demand.priority,
+    without: demand.without,
     withinMs: Math.floor(withinMs),
   };
 }
--- a/packages/residency/src/order-sender.ts
+++ b/packages/residency/src/order-sender.ts
@@ -38,6 +38,9 @@
 const SENDS_PER_ORDER = 10;
 const CONFLICT_PAUSE_MS = 120;
 const UNKNOWN_PAUSE_MS = 30;
+/** Calls without an answer in a row after which nothing new is asked of a worker for a while. */
+const SILENCES_BEFORE_DOUBT = 2;
+const SILENCE_PAUSE_MS = 2000;
 /** Conflicts after which a lower number of orders in a report is believed. */
 const CONFLICTS_BEFORE_DOUBT = 3;
 
@@ -47,6 +50,9 @@
   private lastSentAt = -Infinity;
   private sending: Promise<unknown> = Promise.resolve();
   private queued = 0;
+  /** Calls without an answer in a row, and when the last was given up. */
+  private silences = 0;
+  private silentAt = -Infinity;
   /** Largest sequence under which an order was sent whose fate is unknown. */
   private uncertainSequence = -1;
 
@@ -57,9 +63,10 @@
     return this.sequence;
   }
 
-  /** Whether orders are waiting or being sent. */
-  get isBusy(): boolean {
-    return this.queued > 0;
+  /** Whether it has answered of late; one that has not is asked again after a while. */
+  get isResponsive(): boolean {
+    if (this.silences < SILENCES_BEFORE_DOUBT) return true;
+    return this.options.clock.monotonic() - this.silentAt > SILENCE_PAUSE_MS;
   }
 
   /** The worker's record. @throws WoodbarrowError when it is gone. */
@@ -72,6 +79,7 @@
   /** A report, or undefined when none came. */
   async report(): Promise<WorkerReport | undefined> {
     const report = await this.options.orders.report(this.backEnd());
+    this.noteAnswer(report !== undefined);
     if (report !== undefined) this.sequence ??= report.sequence;
     return report;
   }
@@ -143,6 +151,7 @@
       expectedSequence,
     });
     this.lastSentAt = clock.monotonic();
+    this.noteAnswer(outcome !== 'unknown');
     log.changed('order_answered', {
       backEnd: backEndId,
       operation,
@@ -157,6 +166,11 @@
     return outcome;
   }
 
+  private noteAnswer(answered: boolean): void {
+    this.silences = answered ? 0 : this.silences + 1;
+    this.silentAt = this.options.clock.monotonic();
+  }
+
   /** Whether the worker has taken an order that was not sent from here. */
   private async isSurprised(conflicts: number): Promise<boolean> {
     const report = await this.report();
--- a/packages/residency/src/worker-orders.ts
+++ b/packages/residency/src/worker-orders.ts
@@ -63,6 +63,11 @@
     return this.known;
   }
 
+  /** Whether it has answered of late. */
+  get isResponsive(): boolean {
+    return this.sender.isResponsive;
+  }
+
   /** Milliseconds until all loads and unloads decided so far are expected to be done. */
   get busyMs(): number {
     return Math.max(0, this.busyUntil - this.options.clock.monotonic());
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -129,9 +129,9 @@
     const { model, backEndId } = message;
     if (backEndId !== undefined) return this.placeOn(backEndId, model);
     if (message.another !== true) {
-      const holder = this.openWorkers(service).find((worker) =>
-        this.workerOf(worker.id).residents.isResident(model),
-      );
+      const holder = this.openWorkers(service)
+        .filter((worker) => !message.without.includes(worker.id))
+        .find((worker) => this.workerOf(worker.id).residents.isResident(model));
       if (holder !== undefined) return { kind: 'resident', backEndId: holder.id };
     }
     const key = `${service} ${model}`;
@@ -216,7 +216,9 @@
     if (model === undefined) return undefined;
     const allowed = (engine.storeLoadsPerSecond * storeWindow.windowMs * storeWindow.overshoot) / 1000;
     this.storeLimit = Math.floor((allowed + WINDOW_EXTRA_LOADS) * WINDOW_SAFETY);
-    const candidates = this.candidatesFor(service, message.model);
+    const candidates = this.candidatesFor(service, message.model).filter(
+      ({ backEnd }) => !message.without.includes(backEnd.id),
+    );
     const replicasOf = (name: string): number => directory.holdersOf(service, { model: name }).length;
     const share = (loads.demandFor(message.model) + 1) / (replicasOf(message.model) + 1);
     return choosePlacement({
@@ -241,7 +243,7 @@
   }
 
   private canTakeSwap(worker: WorkerOrders): boolean {
-    return worker.isKnown && worker.pendingSwaps < MAXIMUM_PENDING_SWAPS;
+    return worker.isKnown && worker.isResponsive && worker.pendingSwaps < MAXIMUM_PENDING_SWAPS;
   }
 
   private candidateOf(backEnd: BackEnd): PlacementCandidate {
--- a/packages/residency/test/zone-residency.test.ts
+++ b/packages/residency/test/zone-residency.test.ts
@@ -130,6 +130,7 @@
     ...(adapter === undefined ? {} : { adapter }),
     ...(backEndId === undefined ? {} : { backEndId }),
     priority: 1,
+    without: [],
     withinMs: WITHIN_MS,
   });
 }
@@ -156,7 +157,14 @@
     const zone = new ZoneWorld(3);
     const coordinator = await zone.coordinator();
     const answer = await zone.settle(
-      coordinator.demand({ zone: ZONE, service: SERVICE, model: 'm9', priority: 1, withinMs: 50 }),
+      coordinator.demand({
+        zone: ZONE,
+        service: SERVICE,
+        model: 'm9',
+        priority: 1,
+        without: [],
+        withinMs: 50,
+      }),
     );
     expect(answer.held).to.equal(false);
     expect(answer.retryAfterMs).to.be.greaterThan(0);
@@ -186,6 +194,33 @@
     }
   });
 
+  it('loads elsewhere what the only holder cannot serve', async () => {
+    const zone = new ZoneWorld(6);
+    const coordinator = await zone.coordinator();
+    const answer = await zone.settle(
+      coordinator.demand({
+        zone: ZONE,
+        service: SERVICE,
+        model: 'm0',
+        priority: 1,
+        without: ['w0'],
+        withinMs: WITHIN_MS,
+      }),
+    );
+    expect(answer).to.include({ held: true, backEndId: 'w1' });
+  });
+
+  it('orders nothing of a worker that has stopped answering while others answer', async () => {
+    const zone = new ZoneWorld(7);
+    const coordinator = await zone.coordinator();
+    await zone.settle(demand(coordinator, 'm0'));
+    zone.workers.delete('w0');
+    for (const model of ['m3', 'm4', 'm5']) void demand(coordinator, model);
+    await zone.world.run(zone.world.now + 1500);
+    const answer = await zone.settle(demand(coordinator, 'm6'));
+    expect(answer).to.include({ held: true, backEndId: 'w1' });
+  });
+
   it('serves again once orders are answered again', async () => {
     const zone = new ZoneWorld(4);
     const coordinator = await zone.coordinator();
