--- a/packages/coordination/src/store-lease.ts
+++ b/packages/coordination/src/store-lease.ts
@@ -112,9 +112,7 @@
     const now = clock.monotonic();
     if (seen === undefined) {
       const created = await store.create(name, this.ownRecord(1));
-      return created === undefined
-        ? this.waitFor('', CONFLICT_RETRY_MS)
-        : this.becomeHolder(created, now);
+      return created === undefined ? this.waitFor('', CONFLICT_RETRY_MS) : this.becomeHolder(created, now);
     }
     const { record, revision } = seen;
     const isOwn = record.holder === this.options.holder;
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -2,3 +2,4 @@
 export * from './event-log.js';
 export * from './metrics.js';
 export * from './bounded-log.js';
+export * from './metric-registry.js';
--- /dev/null
+++ b/packages/observability/src/metric-registry.ts
@@ -0,0 +1,146 @@
+/**
+ * Counters, gauges and histograms in the Prometheus text format, kept small: a serving daemon's memory is paid for,
+ * and the usual client library takes 6 MB of it (docs/BENCHMARKS.md).
+ */
+
+/** Label names and values of one series. */
+export type MetricLabels = Readonly<Record<string, string>>;
+
+/** Upper bounds of the buckets of latencies, in seconds. */
+export const LATENCY_BUCKETS_SECONDS: readonly number[] = [
+  0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
+];
+
+/** Series of one family are bounded, so that labels from outside cannot fill the memory. */
+const MAXIMUM_SERIES = 200;
+
+interface Family {
+  readonly name: string;
+  readonly help: string;
+  readonly type: 'counter' | 'gauge' | 'histogram';
+  readonly lines: () => string[];
+}
+
+/** Numbers that only rise, by labels. */
+export class Counter {
+  private readonly values = new Map<string, number>();
+
+  constructor(private readonly name: string) {}
+
+  /** Adds to one series. */
+  add(labels: MetricLabels, amount = 1): void {
+    const key = labelText(labels);
+    const known = this.values.get(key);
+    if (known === undefined && this.values.size >= MAXIMUM_SERIES) return;
+    this.values.set(key, (known ?? 0) + amount);
+  }
+
+  /** Lines of the text format. */
+  lines(): string[] {
+    return [...this.values].map(([labels, value]) => `${this.name}${braced(labels)} ${String(value)}`);
+  }
+}
+
+interface Series {
+  readonly counts: number[];
+  sum: number;
+  total: number;
+}
+
+/** Distribution of values, by labels. */
+export class Histogram {
+  private readonly series = new Map<string, Series>();
+
+  constructor(
+    private readonly name: string,
+    private readonly bounds: readonly number[],
+  ) {}
+
+  /** Records one value. */
+  observe(labels: MetricLabels, value: number): void {
+    const key = labelText(labels);
+    let series = this.series.get(key);
+    if (series === undefined) {
+      if (this.series.size >= MAXIMUM_SERIES) return;
+      series = { counts: this.bounds.map(() => 0), sum: 0, total: 0 };
+      this.series.set(key, series);
+    }
+    const bucket = this.bounds.findIndex((bound) => value <= bound);
+    if (bucket >= 0) series.counts[bucket] = (series.counts[bucket] ?? 0) + 1;
+    series.sum += value;
+    series.total += 1;
+  }
+
+  /** Lines of the text format. */
+  lines(): string[] {
+    return [...this.series].flatMap(([labels, series]) => this.seriesLines(labels, series));
+  }
+
+  private seriesLines(labels: string, series: Series): string[] {
+    const prefix = labels === '' ? '' : `${labels},`;
+    let below = 0;
+    const buckets = this.bounds.map((bound, index) => {
+      below += series.counts[index] ?? 0;
+      return `${this.name}_bucket{${prefix}le="${String(bound)}"} ${String(below)}`;
+    });
+    return [
+      ...buckets,
+      `${this.name}_bucket{${prefix}le="+Inf"} ${String(series.total)}`,
+      `${this.name}_sum${braced(labels)} ${String(series.sum)}`,
+      `${this.name}_count${braced(labels)} ${String(series.total)}`,
+    ];
+  }
+}
+
+/** All metrics of a daemon. */
+export class MetricRegistry {
+  /** Media type of {@link render}. */
+  readonly contentType = 'text/plain; version=0.0.4; charset=utf-8';
+  private readonly families: Family[] = [];
+
+  /** Adds a counter; its name ends in `_total`. */
+  counter(name: string, help: string): Counter {
+    const counter = new Counter(name);
+    this.families.push({ name, help, type: 'counter', lines: () => counter.lines() });
+    return counter;
+  }
+
+  /** Adds a histogram. */
+  histogram(name: string, help: string, bounds = LATENCY_BUCKETS_SECONDS): Histogram {
+    const histogram = new Histogram(name, bounds);
+    this.families.push({ name, help, type: 'histogram', lines: () => histogram.lines() });
+    return histogram;
+  }
+
+  /** Adds a number, or one for each label value, that is read when metrics are asked for. */
+  gauge(name: string, help: string, read: () => number | ReadonlyMap<string, number>, label = 'name'): void {
+    const lines = (): string[] => {
+      const value = read();
+      if (typeof value === 'number') return [`${name} ${String(value)}`];
+      return [...value].map(([key, each]) => `${name}{${labelText({ [label]: key })}} ${String(each)}`);
+    };
+    this.families.push({ name, help, type: 'gauge', lines });
+  }
+
+  /** All metrics as text. */
+  render(): string {
+    return this.families
+      .flatMap(({ name, help, type, lines }) => [
+        `# HELP ${name} ${help}`,
+        `# TYPE ${name} ${type}`,
+        ...lines(),
+      ])
+      .join('\n')
+      .concat('\n');
+  }
+}
+
+function labelText(labels: MetricLabels): string {
+  return Object.entries(labels)
+    .map(([name, value]) => `${name}="${value.replace(/[\\"\n]/g, '_')}"`)
+    .join(',');
+}
+
+function braced(labels: string): string {
+  return labels === '' ? '' : `{${labels}}`;
+}
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -114,6 +114,11 @@
     );
   }
 
+  /** Fence of each zone that this daemon coordinates. */
+  fencesHeld(): ReadonlyMap<string, number> {
+    return new Map([...this.held].map(([zone, { lease }]) => [zone, lease.fence]));
+  }
+
   /** Gives all leases back: a planned stop. */
   async leave(): Promise<void> {
     this.leaving = true;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -4,3 +4,4 @@
 export * from './ports.js';
 export * from './serving-daemon.js';
 export * from './serving-settings.js';
+export * from './serving-metrics.js';
--- a/packages/serving/src/journal.ts
+++ b/packages/serving/src/journal.ts
@@ -1,6 +1,7 @@
 /** Writes decisions on requests to the log and counts how requests end. */
 import type { DecisionFacts, RequestDecision, RequestJournal } from '@woodbarrow/forwarding';
 import type { BoundedLog } from '@woodbarrow/observability';
+import type { ServingMetrics } from './serving-metrics.js';
 
 /** Decisions that say that something went wrong. */
 const FAILURES: ReadonlySet<RequestDecision> = new Set([
@@ -13,18 +14,19 @@
 
 /** Journal of one daemon. */
 export class LoggedJournal implements RequestJournal {
-  /** Ended requests by outcome. */
-  readonly outcomes = new Map<string, number>();
-
-  constructor(private readonly log: BoundedLog) {}
+  constructor(
+    private readonly log: BoundedLog,
+    private readonly metrics: ServingMetrics,
+  ) {}
 
   decided(decision: RequestDecision, requestId: string, facts: DecisionFacts): void {
+    this.metrics.decided(decision);
     const details = { request: requestId, ...facts };
     if (FAILURES.has(decision)) this.log.warned(decision, details);
     else this.log.routine(decision, details);
   }
 
-  ended(_route: string, outcome: string): void {
-    this.outcomes.set(outcome, (this.outcomes.get(outcome) ?? 0) + 1);
+  ended(_route: string, outcome: string, durationMs: number): void {
+    this.metrics.ended(outcome, durationMs);
   }
 }
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -55,4 +55,6 @@
   readonly leases: LeaseRecordStore;
   readonly registry: MemberRegistry;
   readonly feed: DeploymentFeed;
+  /** Calls to the store since the start, by outcome. */
+  readonly storeCalls: () => ReadonlyMap<string, number>;
 }
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -16,12 +16,14 @@
 import {
   NodeIngress,
   TaskGroup,
+  encodeText,
   sleep,
   type IncomingExchange,
   type IngressLimits,
 } from '@woodbarrow/runtime';
 import { DeploymentView } from './deployment-view.js';
 import { LoggedJournal } from './journal.js';
+import { ServingMetrics } from './serving-metrics.js';
 import type { ServingPorts } from './ports.js';
 import type { ServingSettings } from './serving-settings.js';
 
@@ -68,11 +70,13 @@
   private readonly membership: Membership;
   private readonly residency: ResidencyService;
   private readonly forwarder: Forwarder;
+  private readonly metrics: ServingMetrics;
   private readonly view: DeploymentView;
   private readonly tasks: TaskGroup;
   private seeds: readonly string[] = [];
   private ingress: NodeIngress | undefined;
   private readiness: NodeIngress | undefined;
+  private metricsServer: NodeIngress | undefined;
   private readonly stopWaiting = new AbortController();
   private stopping = false;
 
@@ -100,6 +104,7 @@
     this.membership = this.createMembership(instance);
     const coordinators = new CoordinatorDirectory(clock);
     this.residency = this.createResidency(instance, coordinators);
+    this.metrics = this.createMetrics();
     this.forwarder = this.createForwarder(coordinators);
     this.directory.events.on('removed', (backEnd) => {
       this.affinity.forget(backEnd.id);
@@ -125,6 +130,7 @@
     this.ingress = await NodeIngress.listen(settings.ingressAddress, FIRST_LIMITS, (exchange) =>
       this.forwarder.handle(exchange),
     );
+    await this.startMetrics();
     await this.peers.start();
     this.tasks.spawn('feed', (signal) => ports.feed.run(this.view, signal));
     this.tasks.spawn('register', (signal) => this.register(signal));
@@ -162,7 +168,12 @@
     this.tasks.abort();
     this.residency.abort();
     this.membership.abort();
-    await Promise.all([this.ingress?.close(), this.readiness?.close(), this.peers.close()]);
+    await Promise.all([
+      this.ingress?.close(),
+      this.readiness?.close(),
+      this.metricsServer?.close(),
+      this.peers.close(),
+    ]);
   }
 
   private createMembership(instance: number): Membership {
@@ -212,6 +223,20 @@
     });
   }
 
+  private createMetrics(): ServingMetrics {
+    const { configuration, directory, membership, residency, ports, log } = this;
+    return new ServingMetrics({
+      configurationVersion: () => configuration.current?.version ?? 0,
+      backEndsByService: () => countBy(directory.all().map((backEnd) => backEnd.service)),
+      peersPresent: () => membership.present().length,
+      requestsInProgress: () => this.ingress?.inProgress ?? 0,
+      zonesHeld: () => residency.fencesHeld(),
+      connectionsOpened: () => ports.client.connectionsOpened,
+      storeCalls: () => ports.storeCalls(),
+      log,
+    });
+  }
+
   private createForwarder(coordinators: CoordinatorDirectory): Forwarder {
     const { settings, ports, log, directory, loads, peers, affinity } = this;
     const { clock, client, dialect, random } = ports;
@@ -225,7 +250,7 @@
       plain: new PlainSelector(directory, loads, settings.zone),
       replicas: new ReplicaSelector(directory, loads, affinity, demands, settings.zone, clock),
       budget: new RepeatBudget({ ...settings.repeats, sharers: () => this.members().length }, clock),
-      journal: new LoggedJournal(log),
+      journal: new LoggedJournal(log, this.metrics),
       stopWaiting: this.stopWaiting.signal,
       healthOf: (service: string) => this.healthOf(service),
     };
@@ -270,8 +295,28 @@
     }
   }
 
+  private async startMetrics(): Promise<void> {
+    const { metrics: endpoint } = this.settings;
+    if (endpoint === undefined) return;
+    this.metricsServer = await NodeIngress.listen(endpoint.address, READINESS_LIMITS, (exchange) => {
+      const isAsked = exchange.target === endpoint.path;
+      const headers = isAsked ? ['Content-Type', this.metrics.contentType] : [];
+      exchange.respond(
+        { status: isAsked ? 200 : 404, headers },
+        encodeText(isAsked ? this.metrics.render() : ''),
+      );
+      return Promise.resolve();
+    });
+  }
+
   private answerReadiness(exchange: IncomingExchange): Promise<void> {
     exchange.respond({ status: this.isReady ? 200 : 503, headers: [] }, new Uint8Array());
     return Promise.resolve();
   }
 }
+
+function countBy(names: readonly string[]): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const name of names) counts.set(name, (counts.get(name) ?? 0) + 1);
+  return counts;
+}
