--- /dev/null
+++ b/packages/cli/src/explain/log-line.ts
@@ -0,0 +1,83 @@
+/** Lines of daemons' logs, read from files of any size, with whatever stands around the JSON. */
+import { createReadStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+
+/** One line. */
+export interface LogLine {
+  readonly event: string;
+  readonly daemon: string;
+  /** The daemon's own time of day, milliseconds since the Unix epoch. */
+  readonly time: number;
+  readonly details: Readonly<Record<string, unknown>>;
+}
+
+/** What reading came to. */
+export interface ReadSummary {
+  readonly lines: number;
+  /** Lines that are no whole log line: cut, or not ours. */
+  readonly unreadable: number;
+  /** Daemons that wrote at least one line. */
+  readonly daemons: ReadonlySet<string>;
+  /** Lines that daemons left out, as they said themselves. */
+  readonly dropped: number;
+}
+
+/** Source of lines; standard input for `-`. */
+export type LineSource = AsyncIterable<string>;
+
+/** Opens a file, or standard input. */
+export function openLines(file: string): LineSource {
+  const input = file === '-' ? process.stdin : createReadStream(file);
+  return createInterface({ input, crlfDelay: Infinity });
+}
+
+/** Reads sources one after another and passes on the lines that are wanted. */
+export async function readLogs(
+  sources: readonly LineSource[],
+  onLine: (line: LogLine) => void,
+): Promise<ReadSummary> {
+  const daemons = new Set<string>();
+  const droppedBy = new Map<string, number>();
+  let lines = 0;
+  let unreadable = 0;
+  for (const source of sources) {
+    for await (const text of source) {
+      if (text.trim() === '') continue;
+      lines += 1;
+      const line = parseLine(text);
+      if (line === undefined) {
+        unreadable += 1;
+        continue;
+      }
+      daemons.add(line.daemon);
+      if (line.event === 'log_lines_dropped') droppedBy.set(line.daemon, totalOf(line.details));
+      onLine(line);
+    }
+  }
+  const dropped = [...droppedBy.values()].reduce((sum, count) => sum + count, 0);
+  return { lines, unreadable, daemons, dropped };
+}
+
+/** Parses one line; undefined when it is none. */
+export function parseLine(text: string): LogLine | undefined {
+  const start = text.indexOf('{');
+  if (start < 0) return undefined;
+  try {
+    const { event, daemon, time, level, ...details } = JSON.parse(text.slice(start)) as Record<
+      string,
+      unknown
+    >;
+    void level;
+    if (typeof event !== 'string' || typeof daemon !== 'string' || typeof time !== 'number') return undefined;
+    return { event, daemon, time, details };
+  } catch {
+    return undefined;
+  }
+}
+
+function totalOf(details: LogLine['details']): number {
+  return Object.values(details).reduce<number>(
+    (sum, value) => sum + (typeof value === 'number' ? value : 0),
+    0,
+  );
+}
--- /dev/null
+++ b/packages/cli/src/explain/request-course.ts
@@ -0,0 +1,158 @@
+/** The course of one request over all daemons, and its cause in a sentence. */
+import type { LogLine } from './log-line.js';
+
+/** What is known of a request. */
+export interface RequestCourse {
+  readonly request: string;
+  /** In the order of the daemons' clocks. */
+  readonly steps: readonly LogLine[];
+  /** What the daemons believed and decided about its model and its back ends meanwhile. */
+  readonly surroundings: readonly LogLine[];
+  readonly cause: string;
+}
+
+/** Milliseconds around the course from which beliefs are shown; daemons' clocks may differ by some. */
+const SURROUNDINGS_MS = 5000;
+/** Events that change what is believed of a model or a back end. */
+const BELIEFS: ReadonlySet<string> = new Set([
+  'back_end_seen',
+  'back_end_changed',
+  'back_end_gone',
+  'load_decided',
+  'load_failed',
+  'order_answered',
+  'worker_learnt',
+  'lease_gained',
+  'lease_lost',
+  'lease_unconfirmed',
+  'store_lost',
+  'store_regained',
+  'daemon_stopping',
+]);
+/** Beliefs kept while reading; the oldest are dropped. */
+const KEPT_BELIEFS = 200_000;
+
+/** Collects the lines of one request while logs are read. */
+export class CourseCollector {
+  private readonly steps: LogLine[] = [];
+  private readonly beliefs: LogLine[] = [];
+
+  constructor(private readonly request: string) {}
+
+  /** Takes a line if it matters. */
+  add(line: LogLine): void {
+    if (line.details['request'] === this.request) this.steps.push(line);
+    else if (BELIEFS.has(line.event)) this.keepBelief(line);
+  }
+
+  /** The course, or undefined when no line names the request. */
+  course(): RequestCourse | undefined {
+    const steps = [...this.steps].sort((left, right) => left.time - right.time);
+    const [first] = steps;
+    const last = steps[steps.length - 1];
+    if (first === undefined || last === undefined) return undefined;
+    const names = namesIn(steps);
+    const surroundings = this.beliefs
+      .filter((line) => line.time >= first.time - SURROUNDINGS_MS && line.time <= last.time + SURROUNDINGS_MS)
+      .filter((line) => concerns(line, names))
+      .sort((left, right) => left.time - right.time);
+    return { request: this.request, steps, surroundings, cause: causeOf(steps, surroundings) };
+  }
+
+  private keepBelief(line: LogLine): void {
+    this.beliefs.push(line);
+    if (this.beliefs.length > KEPT_BELIEFS * 2) this.beliefs.splice(0, KEPT_BELIEFS);
+  }
+}
+
+interface Names {
+  readonly models: ReadonlySet<string>;
+  readonly backEnds: ReadonlySet<string>;
+  readonly daemons: ReadonlySet<string>;
+}
+
+function namesIn(steps: readonly LogLine[]): Names {
+  const texts = (field: string): Set<string> =>
+    new Set(steps.map((step) => step.details[field]).filter((value) => typeof value === 'string'));
+  return {
+    models: texts('model'),
+    backEnds: texts('backEnd'),
+    daemons: new Set(steps.map((step) => step.daemon)),
+  };
+}
+
+function concerns(line: LogLine, names: Names): boolean {
+  const { model, backEnd, target } = line.details;
+  if (typeof model === 'string' && names.models.has(model)) return true;
+  if (typeof target === 'string' && names.models.has(target.split('/')[0] ?? '')) return true;
+  if (typeof backEnd === 'string' && names.backEnds.has(backEnd)) return names.daemons.has(line.daemon);
+  return model === undefined && backEnd === undefined && names.daemons.has(line.daemon);
+}
+
+function causeOf(steps: readonly LogLine[], surroundings: readonly LogLine[]): string {
+  const last = steps[steps.length - 1] as LogLine;
+  const find = (event: string): LogLine | undefined =>
+    [...steps].reverse().find((step) => step.event === event);
+  const refused = find('request_refused');
+  const failed = find('request_failed');
+  const abandoned = find('request_abandoned');
+  const declined = find('request_declined');
+  if (refused !== undefined) return refusalCause(refused, surroundings);
+  if (failed !== undefined) return failureCause(failed, declined);
+  if (abandoned !== undefined) return abandonedCause(steps, surroundings);
+  const answered = find('request_answered');
+  if (answered !== undefined) {
+    return `Answered ${text(answered, 'status')} by ${text(answered, 'backEnd')} after ${text(answered, 'tookMs')} ms.`;
+  }
+  return `No end is logged; the last word is ${last.event} on ${last.daemon}. Lines may have been dropped, or the daemon ended.`;
+}
+
+function refusalCause(refused: LogLine, surroundings: readonly LogLine[]): string {
+  const cause = text(refused, 'cause');
+  const after = `refused as not run after ${text(refused, 'waitedMs')} ms`;
+  const loads = surroundings.filter((line) => line.event === 'load_decided');
+  const lastLoad = loads[loads.length - 1];
+  if (cause === 'model_unavailable' || cause === 'model_too_late') {
+    if (lastLoad === undefined)
+      return `The model was resident nowhere and no coordinator decided on a load: ${after}.`;
+    const outcome =
+      lastLoad.details['started'] === true
+        ? `a load from ${text(lastLoad, 'source')} would have taken ${text(lastLoad, 'readyMs')} ms of the ${text(lastLoad, 'withinMs')} ms left`
+        : 'no worker could make room for it';
+    return `The model was not resident; in zone ${text(lastLoad, 'zone')} ${outcome}: ${after}.`;
+  }
+  if (cause === 'all_excluded')
+    return `Every back end that could serve it had declined or could not be reached: ${after}.`;
+  if (cause === 'no_backend') return `No back end of the service was known: ${after}.`;
+  if (cause === 'this daemon stops') return `The daemon was stopping and had not sent it anywhere: ${after}.`;
+  return `${cause}: ${after}.`;
+}
+
+function failureCause(failed: LogLine, declined: LogLine | undefined): string {
+  const answer = text(failed, 'answer');
+  const where =
+    declined === undefined
+      ? ''
+      : ` Back end ${text(declined, 'backEnd')}: ${text(declined, 'verdict')}, ${text(declined, 'detail')}.`;
+  if (answer === 'broken_off')
+    return `The stream broke off (${text(failed, 'cause')}); the client saw it cut, not complete.${where}`;
+  if (answer === 'backend_broken')
+    return `It may have run: no whole answer came, and it must not run again.${where}`;
+  if (answer === 'request_timeout')
+    return `Time was up while a back end worked on it; it may have run.${where}`;
+  return `${answer}: ${text(failed, 'cause')}.${where}`;
+}
+
+function abandonedCause(steps: readonly LogLine[], surroundings: readonly LogLine[]): string {
+  const sent = steps.filter((step) => step.event === 'request_sent');
+  const lastSent = sent[sent.length - 1];
+  if (lastSent !== undefined) return `The client left while ${text(lastSent, 'backEnd')} worked on it.`;
+  const load = surroundings.filter((line) => line.event === 'load_decided').pop();
+  if (load === undefined) return 'The client left before any back end could take it.';
+  return `The client left while its model was waited for: zone ${text(load, 'zone')}, load of ${text(load, 'readyMs')} ms.`;
+}
+
+function text(line: LogLine, field: string): string {
+  const value = line.details[field];
+  return value === undefined ? 'unknown' : String(value as string | number | boolean);
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -10,6 +10,7 @@
 import yargs, { type Argv } from 'yargs';
 import { stringify } from 'yaml';
 import { EXIT_CODES } from './exit-codes.js';
+import { addLogCommands } from './explain/explain-command.js';
 import { OBJECT_COMMANDS, ObjectCommands, type CommandOutput } from './object-commands.js';
 import { CommandError, OperatorClient } from './operator-client.js';
 import { serve } from './serve.js';
@@ -32,6 +33,8 @@
 
 type Arguments = Readonly<Record<string, unknown>>;
 
+export * from './explain/explain-command.js';
+
 /** Runs the command and ends the process with its exit code. */
 export async function runCli(argv: readonly string[]): Promise<void> {
   const parser = yargs([...argv])
@@ -68,6 +71,7 @@
   addObjectCommand(parser, 'tenant');
   addStatusCommand(parser);
   addTokenCommand(parser);
+  addLogCommands(parser);
   try {
     await parser.parseAsync();
   } catch (error) {
