--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -74,7 +74,7 @@
           ? refusal('model_too_late', RETRY_AFTER_UNAVAILABLE_MS)
           : this.send(best, request, chain, 'last_resort');
       }
-      const backEndId = this.workerForAdapter(request, declined);
+      const backEndId = this.workerForAdapter(request, declined, health);
       const outcome = await this.residency.request(
         {
           service: request.service,
@@ -93,7 +93,7 @@
       }
       if (best !== undefined) return this.send(best, request, chain, 'last_resort');
       if (!outcome.held && backEndId !== undefined) {
-        await this.passOver(backEndId, declined, request);
+        await this.passOver(backEndId, declined, request, health);
         continue;
       }
       return outcome.held
@@ -112,10 +112,15 @@
   }
 
   /** A worker cannot take the adapter now; once all have said so, they are asked again after a pause. */
-  private async passOver(backEndId: string, declined: Set<string>, request: ReplicaRequest): Promise<void> {
+  private async passOver(
+    backEndId: string,
+    declined: Set<string>,
+    request: ReplicaRequest,
+    health: BackendHealth,
+  ): Promise<void> {
     declined.add(backEndId);
     const holders = this.usable(request, { model: request.target.model });
-    if (holders.some((holder) => !declined.has(holder.id))) return;
+    if (holders.some((holder) => !declined.has(holder.id) && !health.isAvoided(holder.id))) return;
     declined.clear();
     await sleep(this.clock, ADAPTER_RETRY_MS, request.signal);
   }
@@ -180,14 +185,18 @@
   }
 
   /** An adapter goes to a worker that holds its model: always the same one, while it can take it. */
-  private workerForAdapter(request: ReplicaRequest, declined: ReadonlySet<string>): string | undefined {
+  private workerForAdapter(
+    request: ReplicaRequest,
+    declined: ReadonlySet<string>,
+    health: BackendHealth,
+  ): string | undefined {
     const { target } = request;
     if (target.adapter === undefined) return undefined;
     let best: string | undefined;
     let bestWeight = -1;
     for (const holder of this.usable(request, { model: target.model })) {
       const weight = rendezvousWeight(`${target.model}/${target.adapter}`, holder.id);
-      if (declined.has(holder.id) || weight <= bestWeight) continue;
+      if (declined.has(holder.id) || health.isAvoided(holder.id) || weight <= bestWeight) continue;
       best = holder.id;
       bestWeight = weight;
     }
--- a/packages/forwarding/test/forwarder.test.ts
+++ b/packages/forwarding/test/forwarder.test.ts
@@ -114,6 +114,20 @@
     expect(exchange.answerHeaders).to.deep.equal(['retry', '0.3']);
   });
 
+  it('asks for an adapter at a holder of its model that can be reached', async () => {
+    const world = new ForwardingWorld([{ kind: 'stream' }], ENGINE);
+    for (const id of ['b1', 'b2', 'b3']) world.add(id, serve, ['m']);
+    world.residency = (demand) => Promise.resolve({ held: true, backEndId: demand.backEndId ?? '' });
+    await world.ask({ model: 'm/a1' });
+    const [first] = world.demands;
+    world.scripts.delete(first?.backEndId ?? '');
+    await world.ask({ model: 'm' });
+    await world.ask({ model: 'm' });
+    await world.ask({ model: 'm' });
+    await world.ask({ model: 'm/a1' });
+    expect(world.demands[world.demands.length - 1]?.backEndId).to.not.equal(first?.backEndId);
+  });
+
   it('sends to the worker where the model was made resident', async () => {
     const world = new ForwardingWorld([{ kind: 'stream' }], ENGINE);
     world.add('b1', serve);
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -5,6 +5,7 @@
   NO_NEARBY_COPIES,
   type BackEnd,
   type EngineDefinition,
+  type ModelTarget,
   type ServiceDefinition,
 } from '@woodbarrow/backends';
 import {
@@ -96,7 +97,7 @@
   readFacts: (headers) => ({
     id: headers['id'] ?? '',
     ...(headers['wait'] === undefined ? {} : { waitMs: Number(headers['wait']) }),
-    ...(headers['model'] === undefined ? {} : { target: { model: headers['model'] } }),
+    ...(headers['model'] === undefined ? {} : { target: toTarget(headers['model']) }),
     promptTokens: 100,
     outputTokens: 10,
     promptParts: [],
@@ -123,7 +124,7 @@
     Promise.resolve({ held: false, retryAfterMs: 700, reason: 'none' });
   readonly forwarder: Forwarder;
   private readonly configuration = new ConfigurationHolder();
-  private readonly scripts = new Map<string, BackendScript>();
+  readonly scripts = new Map<string, BackendScript>();
   private readonly health = new Map<string, BackendHealth>();
 
   constructor(routes: readonly Partial<Route>[], engine?: EngineDefinition) {
@@ -226,6 +227,11 @@
   }
 }
 
+function toTarget(text: string): ModelTarget {
+  const [model = '', adapter] = text.split('/');
+  return adapter === undefined ? { model } : { model, adapter };
+}
+
 function defaultRoute(index: number): Route {
   return {
     name: `r${String(index)}`,
