--- a/packages/residency/test/zone-residency.test.ts
+++ b/packages/residency/test/zone-residency.test.ts
@@ -45,6 +45,7 @@
   readonly directory: BackendDirectory;
   readonly process: SimulatedProcess;
   readonly orders: SimulatedOrderClient;
+  readonly loads: LoadBook;
   private readonly leases = plainLeaseStore();
   private runs = 0;
 
@@ -52,6 +53,7 @@
     this.random = new Random(seed);
     this.process = new SimulatedProcess(this.world, { name: 'daemon', zone: ZONE, region: 'r' });
     this.directory = new BackendDirectory(this.process);
+    this.loads = new LoadBook(this.process);
     this.orders = new SimulatedOrderClient(this.world, this.process, this.workers, this.random.fork());
     for (let index = 0; index < workerCount; index += 1) this.addWorker(`w${String(index)}`);
   }
@@ -89,7 +91,7 @@
       holder: 'daemon',
       lease,
       directory: this.directory,
-      loads: new LoadBook(this.process),
+      loads: this.loads,
       orders: this.orders,
       serviceOf: () => ({ name: SERVICE, connectionLimit: 100, engine: ENGINE }),
       clock: this.process,
@@ -194,6 +196,19 @@
     }
   });
 
+  it('starts a load for those that come next when it is too late for the one that asks', async () => {
+    const zone = new ZoneWorld(5);
+    const coordinator = await zone.coordinator();
+    zone.loads.noteDemand('m9');
+    zone.loads.noteDemand('m9');
+    const message = { zone: ZONE, service: SERVICE, model: 'm9', priority: 1, without: [], withinMs: 200 };
+    const answer = await zone.settle(coordinator.demand(message));
+    expect(answer).to.include({ held: false, reason: 'loading' });
+    expect(answer.retryAfterMs).to.be.greaterThan(200);
+    await zone.world.run(zone.world.now + answer.retryAfterMs + 500);
+    expect(await zone.settle(coordinator.demand(message))).to.include({ held: true });
+  });
+
   it('loads elsewhere what the only holder cannot serve', async () => {
     const zone = new ZoneWorld(6);
     const coordinator = await zone.coordinator();
