Connections to a back end are shared among the daemons; rendezvous hashing stands once

connectionLimit counts over all daemons; until now a daemon might have kept 64 idle connections to each worker. The second hash function is gone: the one of the coordination package serves.

--- a/packages/backends/src/load-book.ts
+++ b/packages/backends/src/load-book.ts
@@ -131,6 +131,13 @@
     };
   }
 
+  /** Requests of this daemon under way on a back end; each has a connection of its own. */
+  ownRequests(backEndId: string): number {
+    let requests = 0;
+    for (const load of this.own.get(backEndId)?.values() ?? []) requests += load.requests;
+    return requests;
+  }
+
   /** Requests under way for a target, or for a model with all its adapters, on a back end. */
   requestsFor(backEndId: string, model: string): number {
     let requests = 0;
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -125,6 +125,8 @@
         this.finishWithout(choice.reason, choice.retryAfterMs);
         return;
       }
+      // Others may have taken the last connections since the choice was made.
+      if (!this.context.connections.allows(this.service, choice.backEnd.id)) continue;
       const result = await this.attempt(choice);
       if (result.kind === 'finished') return;
       if (this.expired.signal.aborted) {
@@ -162,11 +164,11 @@
     const { engine } = this.service;
     const { target } = this.facts;
     if (engine === undefined || target === undefined) {
-      return this.context.plain.select(this.service.name, health, this.excluded);
+      return this.context.plain.select(this.service, health, this.excluded);
     }
     return this.context.replicas.select(
       {
-        service: this.service.name,
+        service: this.service,
         engine,
         target,
         facts: this.facts,
--- a/packages/forwarding/src/forwarding-context.ts
+++ b/packages/forwarding/src/forwarding-context.ts
@@ -3,6 +3,7 @@
 import type { BackendClient, Clock } from '@woodbarrow/runtime';
 import type { RequestJournal } from './request-journal.js';
 import type { BackendHealth } from './backend-health.js';
+import type { ConnectionShare } from './connection-share.js';
 import type { PlainSelector } from './plain-selector.js';
 import type { RepeatBudget } from './repeat-budget.js';
 import type { ReplicaSelector } from './replica-selector.js';
@@ -15,6 +16,7 @@
   readonly dialect: WireDialect;
   readonly directory: BackendDirectory;
   readonly loads: LoadBook;
+  readonly connections: ConnectionShare;
   readonly plain: PlainSelector;
   readonly replicas: ReplicaSelector;
   readonly budget: RepeatBudget;
--- a/packages/forwarding/src/plain-selector.ts
+++ b/packages/forwarding/src/plain-selector.ts
@@ -1,7 +1,8 @@
 /** Chooses among the back ends of a service without models: the least loaded sound one. */
-import type { BackEnd, BackendDirectory, LoadBook } from '@woodbarrow/backends';
+import type { BackEnd, BackendDirectory, LoadBook, ServiceDefinition } from '@woodbarrow/backends';
 import type { BackendChoice } from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
+import type { ConnectionShare } from './connection-share.js';
 
 /** Time after which to come back when no back end takes requests, in milliseconds. */
 const NO_BACKEND_RETRY_MS = 100;
@@ -17,15 +18,18 @@
   constructor(
     private readonly directory: BackendDirectory,
     private readonly loads: LoadBook,
+    private readonly connections: ConnectionShare,
     private readonly zone: string,
   ) {}
 
   /** @param excluded Back ends that have refused or failed this request. */
-  select(service: string, health: BackendHealth, excluded: ReadonlySet<string>): BackendChoice {
-    const open = this.directory.ofService(service).filter((backEnd) => !backEnd.draining);
-    const usable = open.filter((backEnd) => !excluded.has(backEnd.id));
+  select(service: ServiceDefinition, health: BackendHealth, excluded: ReadonlySet<string>): BackendChoice {
+    const open = this.directory.ofService(service.name).filter((backEnd) => !backEnd.draining);
+    const willing = open.filter((backEnd) => !excluded.has(backEnd.id));
+    const usable = willing.filter((backEnd) => this.connections.allows(service, backEnd.id));
     if (usable.length === 0) {
-      const reason = open.length === 0 ? 'no_backend' : 'all_excluded';
+      const whenWilling = willing.length === 0 ? 'all_excluded' : 'connections_exhausted';
+      const reason = open.length === 0 ? 'no_backend' : whenWilling;
       return { kind: 'refuse', reason, retryAfterMs: NO_BACKEND_RETRY_MS };
     }
     const ids = open.map((backEnd) => backEnd.id);
--- a/packages/forwarding/src/prompt-affinity.ts
+++ b/packages/forwarding/src/prompt-affinity.ts
@@ -1,6 +1,6 @@
 /** Which parts of prompts this daemon believes each worker to keep, from what it sent there. */
 import { targetKey, type ModelTarget } from '@woodbarrow/backends';
-import { rendezvousWeight } from './rendezvous-weight.js';
+import { ownerByRendezvous, type Candidate } from '@woodbarrow/coordination';
 import type { PromptPart } from './wire-dialect.js';
 
 /** Chains of parts remembered for each worker; the least recently used are dropped. */
@@ -62,20 +62,10 @@
    * The worker that all daemons send a prompt's shared parts to when nothing else speaks against it, so that
    * they need not tell each other what they sent.
    */
-  preferred(backEndIds: readonly string[], chain: PromptChain): string | undefined {
+  preferred<T extends Candidate>(workers: readonly T[], chain: PromptChain): T | undefined {
     // The last part is the request's own.
     const shared = chain.keys[chain.keys.length - 2] ?? chain.keys[0];
-    if (shared === undefined) return undefined;
-    let best: string | undefined;
-    let bestWeight = -1;
-    for (const id of backEndIds) {
-      const weight = rendezvousWeight(shared, id);
-      if (weight > bestWeight) {
-        best = id;
-        bestWeight = weight;
-      }
-    }
-    return best;
+    return shared === undefined ? undefined : ownerByRendezvous(shared, workers);
   }
 
   /** Drops what is known of a worker: its incarnation ended, or it unloaded the model. */
--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -3,17 +3,20 @@
  * the first token, from work under way, prompt parts kept, and health. Asks for the model when nobody holds it.
  */
 import {
+  targetKey,
   type BackEnd,
   type BackendDirectory,
   type EngineDefinition,
   type LoadBook,
   type ModelTarget,
+  type ServiceDefinition,
 } from '@woodbarrow/backends';
+import { ownerByRendezvous } from '@woodbarrow/coordination';
 import { sleep, type Clock } from '@woodbarrow/runtime';
 import type { BackendChoice } from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
+import type { ConnectionShare } from './connection-share.js';
 import { chainOf, type PromptAffinity, type PromptChain } from './prompt-affinity.js';
-import { rendezvousWeight } from './rendezvous-weight.js';
 import type { ResidencyClient } from './residency-port.js';
 import type { RequestFacts } from './wire-dialect.js';
 
@@ -36,7 +39,7 @@
 
 /** A request for a model. */
 export interface ReplicaRequest {
-  readonly service: string;
+  readonly service: ServiceDefinition;
   readonly engine: EngineDefinition;
   readonly target: ModelTarget;
   readonly facts: RequestFacts;
@@ -55,6 +58,7 @@
     private readonly loads: LoadBook,
     private readonly affinity: PromptAffinity,
     private readonly residency: ResidencyClient,
+    private readonly connections: ConnectionShare,
     private readonly zone: string,
     private readonly clock: Clock,
   ) {}
@@ -77,7 +81,7 @@
       const backEndId = this.workerForAdapter(request, declined, health);
       const outcome = await this.residency.request(
         {
-          service: request.service,
+          service: request.service.name,
           target: request.target,
           priority: request.priority,
           withinMs,
@@ -88,7 +92,7 @@
       );
       if (request.signal.aborted) return refusal('client_gone', 0);
       const loaded = outcome.held ? this.directory.get(outcome.backEndId) : undefined;
-      if (loaded !== undefined && !request.excluded.has(loaded.id) && !loaded.draining) {
+      if (loaded !== undefined && this.mayTake(loaded, request)) {
         return this.send(loaded, request, chain, 'loaded');
       }
       if (best !== undefined) return this.send(best, request, chain, 'last_resort');
@@ -105,7 +109,7 @@
   /** Workers that declined or failed this request, and those that cannot be reached now. */
   private unusable(request: ReplicaRequest, health: BackendHealth): string[] {
     const avoided = this.directory
-      .ofService(request.service)
+      .ofService(request.service.name)
       .map((backEnd) => backEnd.id)
       .filter((id) => health.isAvoided(id));
     return [...new Set([...request.excluded, ...avoided])].sort();
@@ -131,10 +135,16 @@
     return { kind: 'send', backEnd, reason };
   }
 
+  private mayTake(backEnd: BackEnd, request: ReplicaRequest): boolean {
+    if (backEnd.draining || request.excluded.has(backEnd.id)) return false;
+    return this.connections.allows(request.service, backEnd.id);
+  }
+
   private usable(request: ReplicaRequest, target: ModelTarget): BackEnd[] {
     return this.directory
-      .holdersOf(request.service, target)
-      .filter((backEnd) => !request.excluded.has(backEnd.id));
+      .holdersOf(request.service.name, target)
+      .filter((backEnd) => !request.excluded.has(backEnd.id))
+      .filter((backEnd) => this.connections.allows(request.service, backEnd.id));
   }
 
   private cheapest(
@@ -144,7 +154,7 @@
     health: BackendHealth,
   ): BackEnd | undefined {
     const ids = holders.map((holder) => holder.id);
-    const preferred = this.affinity.preferred(ids, chain);
+    const preferred = this.affinity.preferred(holders, chain)?.id;
     let best: BackEnd | undefined;
     let bestCost = Infinity;
     for (const holder of holders) {
@@ -192,15 +202,10 @@
   ): string | undefined {
     const { target } = request;
     if (target.adapter === undefined) return undefined;
-    let best: string | undefined;
-    let bestWeight = -1;
-    for (const holder of this.usable(request, { model: target.model })) {
-      const weight = rendezvousWeight(`${target.model}/${target.adapter}`, holder.id);
-      if (declined.has(holder.id) || health.isAvoided(holder.id) || weight <= bestWeight) continue;
-      best = holder.id;
-      bestWeight = weight;
-    }
-    return best;
+    const holders = this.usable(request, { model: target.model }).filter(
+      (holder) => !declined.has(holder.id) && !health.isAvoided(holder.id),
+    );
+    return ownerByRendezvous(targetKey(target), holders)?.id;
   }
 
   private askForReplicaIfCrowded(backEnd: BackEnd, request: ReplicaRequest): void {
@@ -209,7 +214,7 @@
     const isFull =
       load.heldTokens > request.engine.cacheTokens * 0.8 || load.requests > request.engine.slots * 0.8;
     if (isFull || waitMs > request.targetLatencyMs * CROWDED_SHARE) {
-      this.residency.requestReplica(request.service, request.target.model, request.priority);
+      this.residency.requestReplica(request.service.name, request.target.model, request.priority);
     }
   }
 }
--- a/packages/forwarding/test/forwarder.test.ts
+++ b/packages/forwarding/test/forwarder.test.ts
@@ -84,6 +84,15 @@
     expect(exchange.ending).to.equal('complete');
   });
 
+  it('sends no more requests at once to a back end than its part of the connections', async () => {
+    const world = new ForwardingWorld([{ kind: 'once', timeoutMs: 500 }], undefined, 10);
+    world.add('b1', silent);
+    const asked = Array.from({ length: 8 }, (_, index) => world.ask({ id: String(index) }));
+    const statuses = (await Promise.all(asked)).map((exchange) => exchange.status);
+    expect(world.calls).to.have.length(4);
+    expect(statuses.filter((status) => status === 503)).to.have.length(4);
+  });
+
   it('lets no stream that broke off look complete', async () => {
     const world = new ForwardingWorld([{ kind: 'stream' }], ENGINE);
     world.add('b1', () => Promise.resolve(answer(200, 'id: 0\ndata: a\n\n', CUT)), ['m']);
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -24,6 +24,7 @@
 import {
   BackendHealth,
   ConfigurationHolder,
+  ConnectionShare,
   Forwarder,
   PlainSelector,
   PromptAffinity,
@@ -127,10 +128,10 @@
   readonly scripts = new Map<string, BackendScript>();
   private readonly health = new Map<string, BackendHealth>();
 
-  constructor(routes: readonly Partial<Route>[], engine?: EngineDefinition) {
+  constructor(routes: readonly Partial<Route>[], engine?: EngineDefinition, connectionLimit = 100) {
     const service: ServiceDefinition = {
       name: 'service',
-      connectionLimit: 100,
+      connectionLimit,
       ...(engine === undefined ? {} : { engine }),
     };
     this.configuration.apply({
@@ -200,18 +201,21 @@
       },
       requestReplica: () => undefined,
     };
+    const connections = new ConnectionShare(this.loads, () => 1);
     return {
       clock: this.process,
       client,
       dialect,
       directory: this.directory,
       loads: this.loads,
-      plain: new PlainSelector(this.directory, this.loads, 'a'),
+      connections,
+      plain: new PlainSelector(this.directory, this.loads, connections, 'a'),
       replicas: new ReplicaSelector(
         this.directory,
         this.loads,
         new PromptAffinity(),
         residency,
+        connections,
         'a',
         this.process,
       ),
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -1,7 +1,7 @@
 /** Sends demands for models to the coordinators of the zones, the most suitable zone first. */
 import { targetKey, type BackendDirectory } from '@woodbarrow/backends';
 import type { ResidencyClient, ResidencyDemand, ResidencyOutcome } from '@woodbarrow/forwarding';
-import { rendezvousWeight } from '@woodbarrow/forwarding';
+import { rankByRendezvous } from '@woodbarrow/coordination';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import {
   residencyDemandMethod,
@@ -125,12 +125,12 @@
       const isNear = backEnd.nearby.inMemory.includes(model) || backEnd.nearby.onDisk.includes(model);
       nearby.set(backEnd.zone, (nearby.get(backEnd.zone) ?? 0) + (isNear ? 1 : 0));
     }
-    return [...nearby.keys()]
+    const zones = [...nearby.keys()]
       .filter((zone) => coordinators.of(zone) !== undefined)
-      .sort((left, right) => {
-        const byCopies = Math.sign(nearby.get(right) ?? 0) - Math.sign(nearby.get(left) ?? 0);
-        return byCopies !== 0 ? byCopies : rendezvousWeight(model, right) - rendezvousWeight(model, left);
-      });
+      .map((id) => ({ id }));
+    const ranked = rankByRendezvous(model, zones).map(({ id }) => id);
+    const hasCopies = (zone: string): number => Math.sign(nearby.get(zone) ?? 0);
+    return ranked.sort((left, right) => hasCopies(right) - hasCopies(left));
   }
 
   /** Undefined when the coordinator does not answer. */
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -3,9 +3,8 @@
  * holds, and teller of its load to the others.
  */
 import type { BackendDirectory, LoadBook, ServiceDefinition, TargetLoad } from '@woodbarrow/backends';
-import { StoreLease, type LeaseRecordStore } from '@woodbarrow/coordination';
+import { StoreLease, ownerByRendezvous, type LeaseRecordStore } from '@woodbarrow/coordination';
 import { WoodbarrowError } from '@woodbarrow/errors';
-import { rendezvousWeight } from '@woodbarrow/forwarding';
 import type { EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import {
@@ -287,16 +286,9 @@
 
   /** Who takes a free zone: a daemon of the zone before others, always the same one. */
   private firstInLine(zone: string): string | undefined {
-    let best: Member | undefined;
-    let bestWeight = -1;
-    for (const member of this.options.members()) {
-      const weight = rendezvousWeight(zone, member.id) + (member.zone === zone ? 2 ** 32 : 0);
-      if (weight > bestWeight) {
-        best = member;
-        bestWeight = weight;
-      }
-    }
-    return best?.id;
+    const members = this.options.members();
+    const ofZone = members.filter((member) => member.zone === zone);
+    return ownerByRendezvous(zone, ofZone.length > 0 ? ofZone : members)?.id;
   }
 
   private leaseOf(zone: string): StoreLease {
--- a/packages/runtime/src/node-backend-client.ts
+++ b/packages/runtime/src/node-backend-client.ts
@@ -6,14 +6,14 @@
 import { parseAddress } from './transport.js';
 
 /** Kept connections at most for each address. */
-const MAXIMUM_IDLE_CONNECTIONS = 64;
+export const IDLE_CONNECTIONS_KEPT = 4;
 
 const NOTHING = Buffer.alloc(0);
 
 /** Keeps connections; one on which bytes arrive that nobody asked for is never used again. */
 class GuardedAgent extends Agent {
   constructor(private readonly onOpened: () => void) {
-    super({ keepAlive: true, maxFreeSockets: MAXIMUM_IDLE_CONNECTIONS, scheduling: 'lifo' });
+    super({ keepAlive: true, maxFreeSockets: IDLE_CONNECTIONS_KEPT, scheduling: 'lifo' });
   }
 
   override createConnection(...parameters: Parameters<Agent['createConnection']>): Socket {
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -3,6 +3,7 @@
 import {
   BackendHealth,
   ConfigurationHolder,
+  ConnectionShare,
   Forwarder,
   PlainSelector,
   PromptAffinity,
@@ -241,14 +242,16 @@
     const { settings, ports, log, directory, loads, peers, affinity } = this;
     const { clock, client, dialect, random } = ports;
     const demands = new DemandRouter({ directory, coordinators, peers, clock });
+    const connections = new ConnectionShare(loads, () => this.members().length);
     const context = {
       clock,
       client,
       dialect,
       directory,
       loads,
-      plain: new PlainSelector(directory, loads, settings.zone),
-      replicas: new ReplicaSelector(directory, loads, affinity, demands, settings.zone, clock),
+      connections,
+      plain: new PlainSelector(directory, loads, connections, settings.zone),
+      replicas: new ReplicaSelector(directory, loads, affinity, demands, connections, settings.zone, clock),
       budget: new RepeatBudget({ ...settings.repeats, sharers: () => this.members().length }, clock),
       journal: new LoggedJournal(log, this.metrics),
       stopWaiting: this.stopWaiting.signal,
