--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -1,24 +1,16 @@
 /** The task of one request: choose a back end, send, and pass the answer on; again where the route allows it. */
 import type { BackEnd, ModelTarget, ServiceDefinition, WorkTicket } from '@woodbarrow/backends';
-import { answerFor, type ErrorKind } from '@woodbarrow/errors';
-import {
-  encodeText,
-  type BackendAnswer,
-  type IncomingExchange,
-  type ResponseStream,
-} from '@woodbarrow/runtime';
+import type { BackendAnswer, IncomingExchange } from '@woodbarrow/runtime';
+import { AnswerRelay, type StreamOptions } from './answer-relay.js';
 import type { BackendChoice, RefusalReason } from './backend-choice.js';
 import type { BackendHealth, SendResult } from './backend-health.js';
-import { BodyReader } from './body-reader.js';
-import { EventSplitter } from './event-splitter.js';
 import type { ForwardingContext } from './forwarding-context.js';
 import { ASSUMED_TOKENS_PER_MS } from './replica-selector.js';
+import { RequestEnding, type HeldAnswer } from './request-ending.js';
 import { isStream, mayRunAgain, type Route } from './route.js';
 import { sendAttempt, type SendOutcome } from './send-attempt.js';
 import type { RequestFacts } from './wire-dialect.js';
 
-/** Answers up to this size are held until they are whole, so that a broken one can be replaced, in bytes. */
-const HELD_ANSWER_BYTES = 64 * 1024;
 /** Sends at most, whatever came of them. */
 const MAXIMUM_SENDS = 6;
 /** Time kept for the answer to reach the client, in milliseconds. */
@@ -48,12 +40,6 @@
   /** A failure that the back end answered with, held back. */
   | { readonly kind: 'failure'; readonly answer: HeldAnswer };
 
-interface HeldAnswer {
-  readonly status: number;
-  readonly headers: string[];
-  readonly body: Uint8Array;
-}
-
 /** One request and all that is done for it. */
 export class ForwardedRequest {
   private readonly arrivedAt: number;
@@ -65,8 +51,8 @@
   private isSending = false;
   /** This daemon stops: no further send is begun. */
   private stopped = false;
-  private stream: ResponseStream | undefined;
-  private lastEventId: string | undefined;
+  private readonly relay: AnswerRelay;
+  private readonly ending: RequestEnding;
   private held: HeldAnswer | undefined;
 
   constructor(
@@ -79,6 +65,18 @@
     arrivedAt: number,
   ) {
     this.arrivedAt = arrivedAt;
+    const { clock, dialect, journal } = context;
+    this.relay = new AnswerRelay(exchange, dialect, clock);
+    this.ending = new RequestEnding({
+      exchange,
+      requestId: facts.id,
+      routeName: route.name,
+      arrivedAt,
+      clock,
+      dialect,
+      journal,
+      sends: () => this.sends,
+    });
   }
 
   /** Ends when the exchange has been answered or aborted. */
@@ -86,7 +84,7 @@
     const { clock, budget, journal } = this.context;
     const cancelTimers = [
       clock.schedule(this.leftMs(), () => {
-        if (this.stream === undefined) this.expired.abort();
+        if (!this.relay.hasBegun) this.expired.abort();
       }),
       clock.schedule(this.route.timeoutMs - this.elapsedMs(), () => {
         this.expired.abort();
@@ -233,7 +231,7 @@
       remainingMs: Math.max(1, Math.floor(this.leftMs())),
       backEndId: backEnd.id,
       priority: this.route.priority,
-      ...(this.lastEventId === undefined ? {} : { resumeAfter: this.lastEventId }),
+      ...(this.relay.lastEventId === undefined ? {} : { resumeAfter: this.relay.lastEventId }),
     });
   }
 
@@ -298,94 +296,47 @@
   private async passOn(answer: BackendAnswer, backEnd: BackEnd, sentAt: number): Promise<AttemptResult> {
     const tookMs = this.context.clock.monotonic() - sentAt;
     this.ranOn.add(backEnd.id);
-    if (isStream(this.route.kind) && answer.status >= 200 && answer.status < 300) {
-      this.health().record(backEnd.id, 'good', tookMs / this.expectedMs());
-      return this.passStream(answer, backEnd);
-    }
+    const isSuccess = answer.status >= 200 && answer.status < 300;
+    if (isStream(this.route.kind) && isSuccess) return this.passStream(answer, backEnd, tookMs);
     return this.passWhole(answer, backEnd, tookMs);
   }
 
   private async passWhole(answer: BackendAnswer, backEnd: BackEnd, tookMs: number): Promise<AttemptResult> {
-    const reader = new BodyReader(answer, this.context.clock);
-    const chunks: Uint8Array[] = [];
-    let size = 0;
-    for (;;) {
-      const step = await reader.next();
-      if (step.kind === 'broken') return this.onBrokenBody(backEnd);
-      if (step.kind === 'end') break;
-      size += step.chunk.byteLength;
-      if (this.stream === undefined) chunks.push(step.chunk);
-      else await this.stream.write(step.chunk);
-      if (this.stream === undefined && size > HELD_ANSWER_BYTES) await this.openStream(answer, chunks);
-    }
+    const result = await this.relay.passWhole(answer);
+    if (result.kind === 'broken') return this.noteBrokenBody(backEnd);
     const failed = answer.status >= 500;
-    this.health().record(
-      backEnd.id,
-      failed ? 'failed_answer' : 'good',
-      failed ? undefined : tookMs / this.expectedMs(),
-    );
-    if (this.stream !== undefined) {
-      this.stream.end();
-      this.noteAnswered(answer.status, backEnd);
-      return { kind: 'finished' };
-    }
-    const held = {
-      status: answer.status,
-      headers: this.context.dialect.answerHeaders(answer.rawHeaders),
-      body: Buffer.concat(chunks),
-    };
-    if (failed && mayRunAgain(this.route.kind)) {
-      this.excluded.add(backEnd.id);
-      return { kind: 'failure', answer: held };
+    const ratio = failed ? undefined : tookMs / this.expectedMs();
+    this.health().record(backEnd.id, failed ? 'failed_answer' : 'good', ratio);
+    if (result.kind === 'held') {
+      if (failed && mayRunAgain(this.route.kind)) {
+        this.excluded.add(backEnd.id);
+        return { kind: 'failure', answer: result.answer };
+      }
+      this.exchange.respond(result.answer, result.answer.body);
     }
-    this.exchange.respond(held, held.body);
-    this.noteAnswered(answer.status, backEnd);
+    this.ending.answered(answer.status, backEnd.id);
     return { kind: 'finished' };
   }
 
-  private async openStream(answer: BackendAnswer, chunks: Uint8Array[]): Promise<void> {
-    const headers = this.context.dialect.answerHeaders(answer.rawHeaders);
-    this.stream = this.exchange.beginStream({ status: answer.status, headers });
-    for (const chunk of chunks) await this.stream.write(chunk);
-    chunks.length = 0;
-  }
-
-  private async passStream(answer: BackendAnswer, backEnd: BackEnd): Promise<AttemptResult> {
-    const resumable = this.route.kind === 'resumable_stream';
-    if (this.stream === undefined) {
-      const headers = this.context.dialect.answerHeaders(answer.rawHeaders);
-      this.stream = this.exchange.beginStream({ status: answer.status, headers });
-    } else {
-      this.context.journal.decided('request_resumed', this.facts.id, {
-        backEnd: backEnd.id,
-        afterEvent: this.lastEventId,
-      });
-    }
-    const reader = new BodyReader(answer, this.context.clock);
-    const splitter = new EventSplitter();
-    const gapMs = resumable
-      ? (this.route.targetGapMs ?? this.route.targetLatencyMs) * SILENT_GAPS
-      : undefined;
-    for (;;) {
-      const step = await reader.next(gapMs);
-      if (step.kind === 'broken') return this.onBrokenBody(backEnd);
-      if (step.kind === 'end') break;
-      if (!resumable) {
-        await this.stream.write(step.chunk);
-        continue;
-      }
-      const batch = splitter.push(step.chunk);
-      if (batch === undefined) continue;
-      if (batch.lastId !== undefined) this.lastEventId = batch.lastId;
-      await this.stream.write(batch.bytes);
+  private async passStream(answer: BackendAnswer, backEnd: BackEnd, tookMs: number): Promise<AttemptResult> {
+    this.health().record(backEnd.id, 'good', tookMs / this.expectedMs());
+    if (this.relay.hasBegun) {
+      const afterEvent = this.relay.lastEventId;
+      this.context.journal.decided('request_resumed', this.facts.id, { backEnd: backEnd.id, afterEvent });
     }
-    if (splitter.hasPartialEvent) await this.stream.write(splitter.remainder());
-    this.stream.end();
-    this.noteAnswered(answer.status, backEnd);
+    const result = await this.relay.passStream(answer, this.streamOptions());
+    if (result.kind === 'broken') return this.noteBrokenBody(backEnd);
+    this.ending.answered(answer.status, backEnd.id);
     return { kind: 'finished' };
   }
 
-  private onBrokenBody(backEnd: BackEnd): AttemptResult {
+  private streamOptions(): StreamOptions {
+    if (this.route.kind !== 'resumable_stream') return { resumable: false };
+    const gapMs = this.route.targetGapMs ?? this.route.targetLatencyMs;
+    return { resumable: true, silentAfterMs: gapMs * SILENT_GAPS };
+  }
+
+  private noteBrokenBody(backEnd: BackEnd): AttemptResult {
     if (!this.expired.signal.aborted) this.noteFailure(backEnd, 'broken', 'the answer broke off');
     return { kind: 'maybe_run' };
   }
@@ -394,86 +345,30 @@
   private finishWithout(reason: RefusalReason, retryAfterMs: number): void {
     if (this.expired.signal.aborted) this.finishExpired();
     else if (this.ranOn.size > 0) this.finishUnserved();
-    else this.refuse(reason === 'model_too_late' ? 'wait_expired' : 'no_replica', reason, retryAfterMs);
+    else
+      this.ending.refuse(reason === 'model_too_late' ? 'wait_expired' : 'no_replica', reason, retryAfterMs);
   }
 
-  /** Time is up, or the client has gone. */
+  /** Time is up, the daemon stops, or the client has gone. */
   private finishExpired(): void {
-    if (this.exchange.signal.aborted) {
-      this.exchange.abort();
-      this.end('abandoned');
-      this.context.journal.decided('request_abandoned', this.facts.id, { sends: this.sends });
-    } else if (this.stream !== undefined) {
-      this.breakOff('time is up');
-    } else if (this.ranOn.size === 0) {
-      if (this.stopped) this.refuse('stopping', 'this daemon stops', STOPPING_RETRY_MS);
-      else this.refuse('wait_expired', 'time is up', 0);
-    } else {
-      this.fail('request_timeout', 'time is up');
-    }
+    if (this.exchange.signal.aborted) this.ending.abandoned();
+    else if (this.relay.hasBegun) this.breakOff('time is up');
+    else if (this.ranOn.size > 0) this.ending.fail('request_timeout', 'time is up');
+    else if (this.stopped) this.ending.refuse('stopping', 'this daemon stops', STOPPING_RETRY_MS);
+    else this.ending.refuse('wait_expired', 'time is up', 0);
   }
 
   /** No further send is allowed. */
   private finishUnserved(): void {
-    if (this.stream !== undefined) {
-      this.breakOff('no back end may take the stream up');
-    } else if (this.held !== undefined) {
-      this.exchange.respond(this.held, this.held.body);
-      this.end('failure_passed_on');
-    } else if (this.ranOn.size === 0) {
-      this.refuse('no_replica', 'all back ends declined', 0);
-    } else {
-      this.fail('backend_broken', 'no answer after a send that may have run');
-    }
+    if (this.relay.hasBegun) this.breakOff('no back end may take the stream up');
+    else if (this.held !== undefined) this.ending.passFailure(this.held);
+    else if (this.ranOn.size === 0) this.ending.refuse('no_replica', 'all back ends declined', 0);
+    else this.ending.fail('backend_broken', 'no answer after a send that may have run');
   }
 
   private breakOff(cause: string): void {
-    this.stream?.abort();
-    this.end('broken_off');
-    this.context.journal.decided('request_failed', this.facts.id, {
-      answer: 'broken_off',
-      cause,
-      sends: this.sends,
-    });
-  }
-
-  private refuse(kind: ErrorKind, cause: string, retryAfterMs: number): void {
-    this.answerError(kind, retryAfterMs);
-    this.end('refused');
-    this.context.journal.decided('request_refused', this.facts.id, {
-      kind,
-      cause,
-      retryAfterMs: Math.round(retryAfterMs),
-      sends: this.sends,
-      waitedMs: Math.round(this.elapsedMs()),
-    });
-  }
-
-  private fail(kind: ErrorKind, cause: string): void {
-    this.answerError(kind, 0);
-    this.end('failed');
-    this.context.journal.decided('request_failed', this.facts.id, { answer: kind, cause, sends: this.sends });
-  }
-
-  private answerError(kind: ErrorKind, retryAfterMs: number): void {
-    const { status } = answerFor(kind);
-    const retryAfterSeconds = retryAfterMs > 0 ? retryAfterMs / 1000 : undefined;
-    const headers = this.context.dialect.ownHeaders(this.facts.id, retryAfterSeconds);
-    this.exchange.respond({ status, headers }, encodeText(`${kind}\n`));
-  }
-
-  private noteAnswered(status: number, backEnd: BackEnd): void {
-    this.end(status < 500 ? 'served' : 'failure_passed_on');
-    this.context.journal.decided('request_answered', this.facts.id, {
-      status,
-      backEnd: backEnd.id,
-      sends: this.sends,
-      tookMs: Math.round(this.elapsedMs()),
-    });
-  }
-
-  private end(outcome: string): void {
-    this.context.journal.ended(this.route.name, outcome, this.elapsedMs());
+    this.relay.cut();
+    this.ending.brokenOff(cause);
   }
 
   /** How long to wait for a first answer before another back end is tried, where that is allowed. */
--- /dev/null
+++ b/packages/forwarding/src/request-ending.ts
@@ -0,0 +1,97 @@
+/** The final answers of the product's own, and the records of how a request ended. */
+import { answerFor, type ErrorKind } from '@woodbarrow/errors';
+import { encodeText, type Clock, type IncomingExchange } from '@woodbarrow/runtime';
+import type { RequestJournal } from './request-journal.js';
+import type { WireDialect } from './wire-dialect.js';
+
+/** What {@link RequestEnding} needs of the request. */
+export interface EndingOptions {
+  readonly exchange: IncomingExchange;
+  readonly requestId: string;
+  readonly routeName: string;
+  /** Monotonic. */
+  readonly arrivedAt: number;
+  readonly clock: Clock;
+  readonly dialect: WireDialect;
+  readonly journal: RequestJournal;
+  /** Sends so far. */
+  readonly sends: () => number;
+}
+
+/** A whole answer of a back end, held back. */
+export interface HeldAnswer {
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly body: Uint8Array;
+}
+
+/** Ends one request, exactly once. */
+export class RequestEnding {
+  constructor(private readonly options: EndingOptions) {}
+
+  /** Answers that the request was not run and never will be. @param retryAfterMs 0 when nothing is known. */
+  refuse(kind: ErrorKind, cause: string, retryAfterMs: number): void {
+    this.answerError(kind, retryAfterMs);
+    this.end('refused');
+    this.decide('request_refused', {
+      kind,
+      cause,
+      retryAfterMs: Math.round(retryAfterMs),
+      waitedMs: Math.round(this.elapsedMs()),
+    });
+  }
+
+  /** Answers that the request may have run. */
+  fail(kind: ErrorKind, cause: string): void {
+    this.answerError(kind, 0);
+    this.end('failed');
+    this.decide('request_failed', { answer: kind, cause });
+  }
+
+  /** A back end's failure is the last word. */
+  passFailure(held: HeldAnswer): void {
+    this.options.exchange.respond(held, held.body);
+    this.end('failure_passed_on');
+  }
+
+  /** The stream could not be completed and has been cut. */
+  brokenOff(cause: string): void {
+    this.end('broken_off');
+    this.decide('request_failed', { answer: 'broken_off', cause });
+  }
+
+  /** The client has gone. */
+  abandoned(): void {
+    this.options.exchange.abort();
+    this.end('abandoned');
+    this.decide('request_abandoned', {});
+  }
+
+  /** A back end's answer has been passed on whole. */
+  answered(status: number, backEndId: string): void {
+    this.end(status < 500 ? 'served' : 'failure_passed_on');
+    this.decide('request_answered', { status, backEnd: backEndId, tookMs: Math.round(this.elapsedMs()) });
+  }
+
+  private answerError(kind: ErrorKind, retryAfterMs: number): void {
+    const { exchange, dialect, requestId } = this.options;
+    const retryAfterSeconds = retryAfterMs > 0 ? retryAfterMs / 1000 : undefined;
+    const headers = dialect.ownHeaders(requestId, retryAfterSeconds);
+    exchange.respond({ status: answerFor(kind).status, headers }, encodeText(`${kind}\n`));
+  }
+
+  private decide(
+    decision: 'request_refused' | 'request_failed' | 'request_abandoned' | 'request_answered',
+    facts: Readonly<Record<string, string | number>>,
+  ): void {
+    this.options.journal.decided(decision, this.options.requestId, { ...facts, sends: this.options.sends() });
+  }
+
+  private end(outcome: string): void {
+    this.options.journal.ended(this.options.routeName, outcome, this.elapsedMs());
+  }
+
+  private elapsedMs(): number {
+    return this.options.clock.monotonic() - this.options.arrivedAt;
+  }
+}
