--- a/packages/lab/src/commands/check-model.ts
+++ b/packages/lab/src/commands/check-model.ts
@@ -2,9 +2,12 @@
 import { SystemClock } from '@woodbarrow/runtime';
 import { CLAIMS_DEFECTS, claimsModel } from '../model/claims-model.js';
 import { explore, type Exploration } from '../model/explore.js';
+import { LEASE_BOUNDS, LEASE_DEFECTS, leaseModel } from '../model/lease-model.js';
+import { ORDER_DEFECTS, orderModel } from '../model/order-model.js';
 import { PLACEMENT_BOUNDS } from '../model/placement-model-state.js';
-import { PLACEMENT_DEFECTS, placementModel, type PlacementDefect } from '../model/placement-model.js';
+import { PLACEMENT_DEFECTS, placementModel } from '../model/placement-model.js';
 import { PLATFORM_WRITE_DEFECTS, platformWriteModel } from '../model/platform-write-model.js';
+import type { TransitionSystem } from '../model/transition-system.js';
 import { print } from './print.js';
 
 /** One exploration to make. */
@@ -21,7 +24,17 @@
       defect: undefined,
       run: () => explore(placementModel(new Set(), bounds)),
     })),
-    ...PLACEMENT_DEFECTS.map((defect) => ({ defect, run: () => explorePlacementDefect(defect) })),
+    ...PLACEMENT_DEFECTS.map((defect) => ({
+      defect,
+      run: () => exploreUnder(PLACEMENT_BOUNDS, (bounds) => placementModel(new Set([defect]), bounds)),
+    })),
+    ...LEASE_BOUNDS.map((bounds) => ({ defect: undefined, run: () => explore(leaseModel(bounds)) })),
+    ...LEASE_DEFECTS.map((defect) => ({
+      defect,
+      run: () => exploreUnder(LEASE_BOUNDS, (bounds) => leaseModel(bounds, new Set([defect]))),
+    })),
+    { defect: undefined, run: () => explore(orderModel()) },
+    ...ORDER_DEFECTS.map((defect) => ({ defect, run: () => explore(orderModel(new Set([defect]))) })),
     { defect: undefined, run: () => explore(claimsModel()) },
     ...CLAIMS_DEFECTS.map((defect) => ({ defect, run: () => explore(claimsModel(new Set([defect]))) })),
     { defect: undefined, run: () => explore(platformWriteModel()) },
@@ -33,10 +46,13 @@
 }
 
 /** The first counterexample under any of the bounds, or the last exploration. */
-function explorePlacementDefect(defect: PlacementDefect): Exploration {
+function exploreUnder<Bounds, State>(
+  allBounds: readonly Bounds[],
+  model: (bounds: Bounds) => TransitionSystem<State>,
+): Exploration {
   let result: Exploration | undefined;
-  for (const bounds of PLACEMENT_BOUNDS) {
-    result = explore(placementModel(new Set([defect]), bounds));
+  for (const bounds of allBounds) {
+    result = explore(model(bounds));
     if (result.counterexample !== undefined) break;
   }
   if (result === undefined) throw new Error('no bounds');
--- /dev/null
+++ b/packages/lab/src/model/lease-model.ts
@@ -0,0 +1,307 @@
+/**
+ * Specification of a lease kept as one record of a linearizable store (`coordination/src/store-lease.ts`): writes
+ * may be carried out late or not be answered, processes may be started again, time passes in ticks. Two machines
+ * never act within the pause of each other, and fences only rise.
+ */
+import type { Step, TransitionSystem } from './transition-system.js';
+
+/** Guards that can be taken out; each must lead to a counterexample. */
+export const LEASE_DEFECTS = [
+  'confirm-by-reading',
+  'confirm-at-answer',
+  'no-wait-for-lifetime',
+  'no-pause-before-end',
+  'no-pause-after-release',
+  'no-compare',
+] as const;
+
+export type LeaseDefect = (typeof LEASE_DEFECTS)[number];
+
+/** Bounds of one exploration; times in ticks. */
+export interface LeaseBounds {
+  readonly maximumFence: number;
+  readonly revisions: number;
+  readonly restarts: number;
+}
+
+/** Bounds that the checks use. */
+export const LEASE_BOUNDS: readonly LeaseBounds[] = [
+  { maximumFence: 2, revisions: 4, restarts: 0 },
+  { maximumFence: 2, revisions: 3, restarts: 1 },
+];
+
+const LIFETIME = 3;
+const PAUSE = 2;
+const WRITES_UNDER_WAY = 1;
+const MACHINES = [0, 1] as const;
+const NOBODY = -1;
+/** Ages are counted up to this: nothing depends on longer ones. */
+const OLD = LIFETIME + 1;
+
+interface LeaseRecordState {
+  readonly holder: number;
+  readonly fence: number;
+  readonly revision: number;
+}
+
+interface MachineState {
+  /** Believes to be the holder. */
+  readonly holds: boolean;
+  readonly fence: number;
+  readonly revision: number;
+  /** Ticks since the start of the write that last confirmed it. */
+  readonly confirmedAge: number;
+  /** Ticks to wait before it may act. */
+  readonly actsIn: number;
+  /** Revision seen last while waiting for another's lease, and for how long it has been unchanged. */
+  readonly seenRevision: number;
+  readonly seenAge: number;
+}
+
+/** A write sent and not yet carried out. */
+interface WriteState {
+  readonly machine: number;
+  readonly expected: number;
+  readonly holder: number;
+  readonly fence: number;
+  /** Ticks since it was sent. */
+  readonly age: number;
+  /** Revision that it made; 0 while it has not been carried out. */
+  readonly made: number;
+  /** Waiting time for the writer before it may act, once it is the holder. */
+  readonly actsIn: number;
+}
+
+/** A state of the specification. */
+export interface LeaseState {
+  readonly record: LeaseRecordState;
+  readonly machines: readonly MachineState[];
+  readonly writes: readonly WriteState[];
+  readonly lastActor: number;
+  /** Ticks since the last act. */
+  readonly lastActAge: number;
+  readonly highestActedFence: number;
+  readonly restartsLeft: number;
+  readonly broken: string;
+}
+
+const IDLE: MachineState = {
+  holds: false,
+  fence: 0,
+  revision: 0,
+  confirmedAge: OLD,
+  actsIn: 0,
+  seenRevision: 0,
+  seenAge: 0,
+};
+
+/** Makes the specification, with some guards taken out. */
+export function leaseModel(
+  bounds: LeaseBounds,
+  defects: ReadonlySet<LeaseDefect> = new Set(),
+): TransitionSystem<LeaseState> {
+  return {
+    name: 'lease',
+    bounds: {
+      ...bounds,
+      lifetime: LIFETIME,
+      pause: PAUSE,
+      writesUnderWay: WRITES_UNDER_WAY,
+      machines: MACHINES.length,
+    },
+    initial: {
+      record: { holder: NOBODY, fence: 0, revision: 1 },
+      machines: [IDLE, IDLE],
+      writes: [],
+      lastActor: NOBODY,
+      lastActAge: OLD,
+      highestActedFence: 0,
+      restartsLeft: bounds.restarts,
+      broken: '',
+    },
+    steps: (state) => {
+      if (state.broken !== '' || state.record.revision > bounds.revisions) return [];
+      return [
+        tick(state),
+        ...MACHINES.flatMap((machine) => machineSteps(state, machine, bounds, defects)),
+        ...state.writes.flatMap((_, index) => writeSteps(state, index, defects)),
+      ];
+    },
+    canonical: (state) => JSON.stringify({ ...state, machines: state.machines.map(relevant) }),
+    invariants: [
+      { name: 'two machines never act within the pause', holds: (state) => state.broken !== 'pause' },
+      { name: 'fences only rise', holds: (state) => state.broken !== 'fence' },
+    ],
+  };
+}
+
+/** What the future of a machine depends on. */
+function relevant(machine: MachineState): MachineState {
+  if (machine.holds) return { ...machine, seenRevision: 0, seenAge: 0 };
+  return { ...IDLE, seenRevision: machine.seenRevision, seenAge: machine.seenAge };
+}
+
+function tick(state: LeaseState): Step<LeaseState> {
+  const older = (age: number): number => Math.min(OLD, age + 1);
+  return {
+    label: 'time passes',
+    next: {
+      ...state,
+      machines: state.machines.map((machine) => ({
+        ...machine,
+        confirmedAge: older(machine.confirmedAge),
+        actsIn: Math.max(0, machine.actsIn - 1),
+        seenAge: older(machine.seenAge),
+      })),
+      writes: state.writes.map((write) => ({ ...write, age: older(write.age) })),
+      lastActAge: older(state.lastActAge),
+    },
+  };
+}
+
+function machineSteps(
+  state: LeaseState,
+  index: number,
+  bounds: LeaseBounds,
+  defects: ReadonlySet<LeaseDefect>,
+): Step<LeaseState>[] {
+  const machine = state.machines[index] as MachineState;
+  const steps: Step<LeaseState>[] = [];
+  if (state.restartsLeft > 0) {
+    const writes = state.writes.filter((write) => write.machine !== index || write.made === 0);
+    const next = { ...withMachine(state, index, IDLE), writes, restartsLeft: state.restartsLeft - 1 };
+    steps.push({ label: `${String(index)} is started again`, next });
+  }
+  const end = LIFETIME - (defects.has('no-pause-before-end') ? 0 : PAUSE);
+  if (machine.holds && machine.actsIn === 0 && machine.confirmedAge < end) steps.push(act(state, index));
+  if (!machine.holds) steps.push(...candidateSteps(state, index, bounds, defects));
+  else steps.push(...holderSteps(state, index, bounds, defects));
+  return steps;
+}
+
+/** Reads the record, and asks for the lease when that is allowed. */
+function candidateSteps(
+  state: LeaseState,
+  index: number,
+  bounds: LeaseBounds,
+  defects: ReadonlySet<LeaseDefect>,
+): Step<LeaseState>[] {
+  const machine = state.machines[index] as MachineState;
+  const { record } = state;
+  const isFree = record.holder === NOBODY || record.holder === index;
+  const unchanged = machine.seenRevision === record.revision;
+  const waited = unchanged && machine.seenAge >= LIFETIME;
+  if (isFree || waited || defects.has('no-wait-for-lifetime')) {
+    const isReleased = record.holder === NOBODY && record.fence > 0;
+    const pause = isReleased && !defects.has('no-pause-after-release') ? PAUSE + 1 : 0;
+    return send(
+      state,
+      index,
+      bounds,
+      { holder: index, fence: record.fence + 1, actsIn: pause },
+      'asks for the lease',
+    );
+  }
+  if (unchanged) return [];
+  const seen = { ...machine, seenRevision: record.revision, seenAge: 0 };
+  return [{ label: `${String(index)} sees another's lease`, next: withMachine(state, index, seen) }];
+}
+
+/** Renews, gives back, or reads back what it holds. */
+function holderSteps(
+  state: LeaseState,
+  index: number,
+  bounds: LeaseBounds,
+  defects: ReadonlySet<LeaseDefect>,
+): Step<LeaseState>[] {
+  const machine = state.machines[index] as MachineState;
+  const { record } = state;
+  const known = { ...machine, revision: record.revision };
+  const isOurs = record.holder === index && record.fence === machine.fence;
+  const afterReading = !isOurs
+    ? { ...machine, holds: false }
+    : defects.has('confirm-by-reading')
+      ? { ...known, confirmedAge: 0 }
+      : known;
+  const released = withMachine(state, index, { ...machine, holds: false });
+  return [
+    { label: `${String(index)} reads its lease back`, next: withMachine(state, index, afterReading) },
+    ...send(state, index, bounds, { holder: index, fence: machine.fence, actsIn: machine.actsIn }, 'renews'),
+    ...send(
+      released,
+      index,
+      bounds,
+      { holder: NOBODY, fence: machine.fence, actsIn: 0 },
+      'gives the lease back',
+    ),
+  ];
+}
+
+function send(
+  state: LeaseState,
+  machine: number,
+  bounds: LeaseBounds,
+  write: Pick<WriteState, 'holder' | 'fence' | 'actsIn'>,
+  label: string,
+): Step<LeaseState>[] {
+  const isBusy = state.writes.filter((other) => other.machine === machine).length >= WRITES_UNDER_WAY;
+  if (isBusy || write.fence > bounds.maximumFence) return [];
+  const known = state.machines[machine] as MachineState;
+  const expected = known.holds ? known.revision : state.record.revision;
+  const sent: WriteState = { ...write, machine, expected, age: 0, made: 0 };
+  return [{ label: `${String(machine)} ${label}`, next: { ...state, writes: [...state.writes, sent] } }];
+}
+
+/** A write is carried out at any time, and answered later or not at all. */
+function writeSteps(state: LeaseState, index: number, defects: ReadonlySet<LeaseDefect>): Step<LeaseState>[] {
+  const write = state.writes[index] as WriteState;
+  const name = `the write of ${String(write.machine)}`;
+  const gone = { ...state, writes: state.writes.filter((_, other) => other !== index) };
+  if (write.made > 0) {
+    const lost = { label: `the answer to ${name} is lost`, next: gone };
+    return write.holder === NOBODY ? [lost] : [lost, answer(gone, write, defects)];
+  }
+  const applies = write.expected === state.record.revision || defects.has('no-compare');
+  if (!applies) return [{ label: `${name} meets another revision`, next: gone }];
+  const made = state.record.revision + 1;
+  const record = { holder: write.holder, fence: write.fence, revision: made };
+  const writes = state.writes.map((other, at) => (at === index ? { ...other, made } : other));
+  return [{ label: `${name} is carried out`, next: { ...state, record, writes } }];
+}
+
+function answer(state: LeaseState, write: WriteState, defects: ReadonlySet<LeaseDefect>): Step<LeaseState> {
+  const holder: MachineState = {
+    ...(state.machines[write.machine] as MachineState),
+    holds: true,
+    fence: write.fence,
+    revision: write.made,
+    confirmedAge: defects.has('confirm-at-answer') ? 0 : write.age,
+    actsIn: Math.max(0, write.actsIn - write.age),
+  };
+  return {
+    label: `the write of ${String(write.machine)} is answered`,
+    next: withMachine(state, write.machine, holder),
+  };
+}
+
+function act(state: LeaseState, index: number): Step<LeaseState> {
+  const machine = state.machines[index] as MachineState;
+  const isOther = state.lastActor !== NOBODY && state.lastActor !== index;
+  const tooSoon = isOther && state.lastActAge < PAUSE;
+  const isLower =
+    machine.fence < state.highestActedFence || (isOther && machine.fence === state.highestActedFence);
+  return {
+    label: `${String(index)} acts under fence ${String(machine.fence)}`,
+    next: {
+      ...state,
+      lastActor: index,
+      lastActAge: 0,
+      highestActedFence: Math.max(state.highestActedFence, machine.fence),
+      broken: isLower ? 'fence' : tooSoon ? 'pause' : '',
+    },
+  };
+}
+
+function withMachine(state: LeaseState, index: number, machine: MachineState): LeaseState {
+  return { ...state, machines: state.machines.map((other, at) => (at === index ? machine : other)) };
+}
