--- a/eslint.config.js
+++ b/eslint.config.js
@@ -140,7 +140,13 @@
   {
     files: ['**/*.js', '**/*.cjs', '**/*.mjs'],
     languageOptions: {
-      globals: { process: 'readonly', console: 'readonly', URL: 'readonly', require: 'readonly', module: 'writable' },
+      globals: {
+        process: 'readonly',
+        console: 'readonly',
+        URL: 'readonly',
+        require: 'readonly',
+        module: 'writable',
+      },
     },
   },
 );
