--- a/packages/cli/src/explain/request-course.ts
+++ b/packages/cli/src/explain/request-course.ts
@@ -154,5 +154,5 @@
 
 function text(line: LogLine, field: string): string {
   const value = line.details[field];
-  return value === undefined ? 'unknown' : String(value as string | number | boolean);
+  return value === undefined ? 'unknown' : String(value);
 }
