--- a/packages/cli/src/explain/request-course.ts
+++ b/packages/cli/src/explain/request-course.ts
@@ -154,5 +154,6 @@
 
 function text(line: LogLine, field: string): string {
   const value = line.details[field];
-  return value === undefined ? 'unknown' : String(value);
+  if (typeof value === 'string') return value;
+  return value === undefined ? 'unknown' : JSON.stringify(value);
 }
