Following records of a store is the product's own; the adapter only calls

Cause: the decision when a watch is not to be believed (a cut, a lost history, peers that are ahead) stood in the adapter, beside the calls. It is a decision of the product. Ruled out: leaving it there with an interface; the product would then have had no test of its own of a silent watch.

--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -14,6 +14,40 @@
   backEndGone(id: string): void;
 }
 
+/** A record of a store with revisions. */
+export interface StoredRecord {
+  readonly name: string;
+  /** Revision of its last change. */
+  readonly revision: number;
+  readonly value: unknown;
+}
+
+/** All records of a kind. */
+export interface RecordListing {
+  readonly records: readonly StoredRecord[];
+  /** Revision of the store from which changes are to be watched. */
+  readonly revision: number;
+}
+
+/** One change of a record. */
+export interface RecordChange {
+  readonly record: StoredRecord;
+  readonly gone: boolean;
+}
+
+/** What a watch brought. */
+export type WatchResult =
+  | { readonly kind: 'changes'; readonly changes: readonly RecordChange[]; readonly revision: number }
+  /** The history since the revision is gone: list again. */
+  | { readonly kind: 'history_gone' };
+
+/** A store that can be listed and watched. Calls may throw. */
+export interface RecordSource {
+  listAll(kind: string): Promise<RecordListing>;
+  /** Waits for changes after a revision, for `waitMs` at most. */
+  watch(kind: string, revision: number, waitMs: number, signal: AbortSignal): Promise<WatchResult>;
+}
+
 /** How far a daemon has followed one source of the feed. */
 export interface FeedPosition {
   readonly source: string;
--- a/platform/src/kind-watch.ts
+++ b/packages/serving/src/record-watch.ts
@@ -1,21 +1,22 @@
 /**
- * Follows the objects of one kind: lists them, then watches for changes. After any failure it lists again, for a
+ * Follows the records of one kind: lists them, then watches for changes. After any failure it lists again, for a
  * watch begun anew may hear nothing of what happened in between. It also lists again when another daemon has seen
- * a newer object for a while: a watch may stay silent without an error.
+ * a newer record for a while: a watch may stay silent without an error.
  */
+import { messageOf } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
 import { backoffDelay, sleep, type Clock, type Random } from '@woodbarrow/runtime';
-import type { StoreClient, StoreObject } from './store-client.js';
+import type { RecordSource, StoredRecord } from './ports.js';
 
-/** Options of {@link KindWatch}. */
-export interface KindWatchOptions {
+/** Options of {@link RecordWatch}. */
+export interface RecordWatchOptions {
   readonly kind: string;
   /** Pause after a watch brought changes, in milliseconds. */
   readonly pauseMs: number;
-  readonly onList: (items: readonly StoreObject[]) => void;
-  readonly onChange: (object: StoreObject) => void;
+  readonly onList: (records: readonly StoredRecord[]) => void;
+  readonly onChange: (record: StoredRecord) => void;
   readonly onGone: (name: string) => void;
-  readonly store: StoreClient;
+  readonly store: RecordSource;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: EventLog;
@@ -24,23 +25,23 @@
 /** Milliseconds that a watch waits for a change. */
 const WATCH_WAIT_MS = 8000;
 const RETRY = { initialMs: 100, maximumMs: 800 };
-/** A newer object elsewhere is looked for after this long: watches are answered at different moments. */
+/** A newer record elsewhere is looked for after this long: watches are answered at different moments. */
 const BEHIND_PATIENCE_MS = 700;
 
-/** Watch of one kind. */
-export class KindWatch {
+/** Watch of the records of one kind. */
+export class RecordWatch {
   private newest = 0;
   private behindSince: number | undefined;
   private cutShort: AbortController | undefined;
 
-  constructor(private readonly options: KindWatchOptions) {}
+  constructor(private readonly options: RecordWatchOptions) {}
 
-  /** Revision of the newest object seen. */
+  /** Revision of the newest record seen. */
   get newestRevision(): number {
     return this.newest;
   }
 
-  /** Another daemon has seen an object of this revision. */
+  /** Another daemon has seen a record of this revision. */
   noteElsewhere(revision: number): void {
     const now = this.options.clock.monotonic();
     if (revision <= this.newest) return;
@@ -63,7 +64,7 @@
       } catch (error) {
         revision = undefined;
         if (failures === 0) {
-          log.warned('store_lost', { kind, cause: error instanceof Error ? error.message : String(error) });
+          log.warned('store_lost', { kind, cause: messageOf(error) });
         }
         await sleep(clock, backoffDelay(RETRY, failures, random), signal);
         failures += 1;
@@ -73,12 +74,10 @@
 
   private async list(): Promise<number> {
     const { store, kind, onList } = this.options;
-    const { items, at } = await store.listAll(kind);
-    onList(items);
-    items.forEach((item) => {
-      this.noteSeen(item);
-    });
-    return at;
+    const { records, revision } = await store.listAll(kind);
+    onList(records);
+    for (const record of records) this.noteSeen(record);
+    return revision;
   }
 
   /** Waits for changes. Returns the revision to go on from, or undefined to list again. */
@@ -96,9 +95,9 @@
         log.changed('store_history_gone', { kind, revision });
         return undefined;
       }
-      for (const { object, gone } of result.events) this.apply(object, gone);
-      if (result.events.length > 0) await sleep(clock, pauseMs, cutShort.signal);
-      return cutShort.signal.aborted ? undefined : result.at;
+      for (const { record, gone } of result.changes) this.apply(record, gone);
+      if (result.changes.length > 0) await sleep(clock, pauseMs, cutShort.signal);
+      return cutShort.signal.aborted ? undefined : result.revision;
     } catch (error) {
       if (!cutShort.signal.aborted || signal.aborted) throw error;
       log.changed('store_watch_behind', { kind, revision, newest: this.newest });
@@ -108,18 +107,18 @@
     }
   }
 
-  private apply(object: StoreObject, gone: boolean): void {
+  private apply(record: StoredRecord, gone: boolean): void {
     if (gone) {
-      this.options.onGone(object.metadata.name);
+      this.options.onGone(record.name);
       return;
     }
-    this.noteSeen(object);
-    this.options.onChange(object);
+    this.noteSeen(record);
+    this.options.onChange(record);
   }
 
-  private noteSeen(object: StoreObject): void {
-    if (object.metadata.revision <= this.newest) return;
-    this.newest = object.metadata.revision;
+  private noteSeen(record: StoredRecord): void {
+    if (record.revision <= this.newest) return;
+    this.newest = record.revision;
     this.behindSince = undefined;
   }
 }
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -1,4 +1,5 @@
 /** One serving daemon: its parts, put together, started and stopped. */
+import { messageOf } from '@woodbarrow/errors';
 import { BackendDirectory, LoadBook, type ServiceDefinition } from '@woodbarrow/backends';
 import {
   BackendHealth,
@@ -11,7 +12,7 @@
   ReplicaSelector,
 } from '@woodbarrow/forwarding';
 import { Membership } from '@woodbarrow/membership';
-import type { BoundedLog } from '@woodbarrow/observability';
+import { logTaskFailures, type BoundedLog } from '@woodbarrow/observability';
 import { PeerNetwork } from '@woodbarrow/peering';
 import { CoordinatorDirectory, DemandRouter, ResidencyService, type Member } from '@woodbarrow/residency';
 import {
@@ -87,9 +88,7 @@
     private readonly log: BoundedLog,
   ) {
     const { clock, transport } = ports;
-    this.tasks = new TaskGroup(clock, (task, error) => {
-      log.warned('task_failed', { task, cause: error instanceof Error ? error.message : String(error) });
-    });
+    this.tasks = new TaskGroup(clock, logTaskFailures(log));
     this.directory = new BackendDirectory(clock);
     this.loads = new LoadBook(clock);
     this.view = new DeploymentView(this.configuration, this.directory, log, (limits) =>
@@ -187,9 +186,7 @@
       random: ports.random.fork(),
       seeds: () => this.seeds,
       timings: MEMBERSHIP_TIMINGS,
-      onTaskFailure: (task, error) => {
-        log.warned('task_failed', { task, cause: error instanceof Error ? error.message : String(error) });
-      },
+      onTaskFailure: logTaskFailures(log),
     });
     membership.events.on('up', (member) => {
       log.changed('peer_up', { peer: member.id, instance: member.instance });
@@ -242,7 +239,7 @@
     const { settings, ports, log, directory, loads, peers, affinity } = this;
     const { clock, client, dialect, random } = ports;
     const demands = new DemandRouter({ directory, coordinators, peers, clock });
-    const connections = new ConnectionShare(loads, () => this.members().length);
+    const connections = new ConnectionShare(loads, () => this.membership.eligible().length);
     const context = {
       clock,
       client,
@@ -252,7 +249,10 @@
       connections,
       plain: new PlainSelector(directory, loads, connections, settings.zone),
       replicas: new ReplicaSelector(directory, loads, affinity, demands, connections, settings.zone, clock),
-      budget: new RepeatBudget({ ...settings.repeats, sharers: () => this.members().length }, clock),
+      budget: new RepeatBudget(
+        { ...settings.repeats, sharers: () => this.membership.eligible().length },
+        clock,
+      ),
       journal: new LoggedJournal(log, this.metrics),
       stopWaiting: this.stopWaiting.signal,
       healthOf: (service: string) => this.healthOf(service),
@@ -292,7 +292,7 @@
         }
         if (this.membership.present().length > 1) return;
       } catch (error) {
-        this.log.warned('register_failed', { cause: error instanceof Error ? error.message : String(error) });
+        this.log.warned('register_failed', { cause: messageOf(error) });
       }
       await sleep(clock, REGISTRY_RETRY_MS, signal);
     }
