--- a/packages/runtime/src/node-ingress.ts
+++ b/packages/runtime/src/node-ingress.ts
@@ -17,6 +17,12 @@
 
 /** Pause between two checks of connections for exceeded time limits, in milliseconds. */
 const LIMIT_CHECK_INTERVAL_MS = 500;
+/** Largest head that the server can be told to take, in bytes; the limit in force is checked beside it. */
+const LARGEST_HEAD_BYTES = 256 * 1024;
+/** Bytes of a head around each name and value, and around the request line. */
+const HEADER_LINE_BYTES = 4;
+const REQUEST_LINE_BYTES = 14;
+const HEAD_TOO_LARGE = 431;
 /** A client that does not take its answer for this long is cut off, in milliseconds. */
 const WRITE_STALL_TIMEOUT_MS = 15_000;
 
@@ -71,10 +77,6 @@
     });
   }
 
-  get answered(): boolean {
-    return this.response.headersSent;
-  }
-
   readBody(maximumBytes: number): Promise<Uint8Array> {
     return new Promise((resolve, reject) => {
       const chunks: Buffer[] = [];
@@ -129,14 +131,16 @@
   private readonly sockets = new Set<Socket>();
   private draining = false;
   private unanswered = 0;
+  private maximumHeaderBytes: number;
 
   private constructor(limits: IngressLimits, handler: ExchangeHandler) {
     this.server = createServer({
-      maxHeaderSize: limits.maximumHeaderBytes,
+      maxHeaderSize: LARGEST_HEAD_BYTES,
       connectionsCheckingInterval: LIMIT_CHECK_INTERVAL_MS,
       requireHostHeader: true,
       noDelay: true,
     });
+    this.maximumHeaderBytes = limits.maximumHeaderBytes;
     this.setLimits(limits);
     this.server.on('connection', (socket: Socket) => {
       this.sockets.add(socket);
@@ -176,6 +180,7 @@
   }
 
   setLimits(limits: IngressLimits): void {
+    this.maximumHeaderBytes = limits.maximumHeaderBytes;
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.server.requestTimeout = 0;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -210,6 +215,10 @@
       this.unanswered -= 1;
       this.release(socket);
     });
+    if (headBytes(request) > this.maximumHeaderBytes) {
+      response.writeHead(HEAD_TOO_LARGE, { Connection: 'close' }).end();
+      return;
+    }
     const exchange = new NodeExchange(request, response, () => this.draining);
     void handler(exchange);
   }
@@ -220,3 +229,10 @@
     else this.busy.delete(socket);
   }
 }
+
+/** Size of a request's head as it came. */
+function headBytes(request: IncomingMessage): number {
+  const line = (request.method?.length ?? 0) + (request.url?.length ?? 0) + REQUEST_LINE_BYTES;
+  const lines = request.rawHeaders.length / 2;
+  return request.rawHeaders.reduce((sum, text) => sum + text.length, line + lines * HEADER_LINE_BYTES);
+}
--- a/packages/runtime/src/streaming-http.ts
+++ b/packages/runtime/src/streaming-http.ts
@@ -22,8 +22,6 @@
   readonly rawHeaders: RawHeaders;
   /** Aborts when the client has gone before its answer was complete. */
   readonly signal: AbortSignal;
-  /** Whether bytes of an answer have been handed over. */
-  readonly answered: boolean;
   /** Collects the body. @throws BodyTooLargeError beyond `maximumBytes`; Error when the client breaks off. */
   readBody(maximumBytes: number): Promise<Uint8Array>;
   /** Sends a whole answer. */
--- a/packages/runtime/test/primitives.test.ts
+++ b/packages/runtime/test/primitives.test.ts
@@ -5,8 +5,10 @@
   RetryBudget,
   SimulatedProcess,
   SimulatedWorld,
+  SlidingWindow,
   Wakeup,
   backoffDelay,
+  leastBy,
   settleWithin,
   sleep,
 } from '../src/index.js';
@@ -106,3 +108,31 @@
     expect(wokenAt).to.equal(70);
   });
 });
+
+describe('SlidingWindow', () => {
+  it('counts what happened in the window, and says when there is room again', async () => {
+    const world = new SimulatedWorld();
+    const window = new SlidingWindow(1000, newProcess(world));
+    const begun: number[] = [];
+    while (world.now < 10_000) {
+      await world.run(world.now + window.waitMs(3));
+      window.add();
+      begun.push(world.now);
+    }
+    for (const start of begun) {
+      const within = begun.filter((at) => at >= start && at < start + 1000);
+      expect(within.length, `from ${String(start)}`).to.be.at.most(3);
+    }
+    expect(begun.length).to.be.greaterThan(25);
+    await world.run(world.now + 1001);
+    expect(window.count()).to.equal(0);
+  });
+});
+
+describe('leastBy', () => {
+  it('gives the first of the cheapest, and nothing of nothing', () => {
+    const items = ['bb', 'a', 'c'];
+    expect(leastBy(items, (item) => item.length)).to.equal('a');
+    expect(leastBy([], () => 0)).to.equal(undefined);
+  });
+});
