Logic that stood twice: times of a request, failures of tasks, demand apart from use

Cause: several modules worked out the same times, messages and windows for themselves, and one map held both the demand for models and the use of targets.

--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -47,6 +47,7 @@
 export class BackendDirectory {
   readonly events = new Emittery<BackendDirectoryEvents>();
   private readonly entries = new Map<string, Entry>();
+  /** Back ends by service, put together when asked for after a change. */
   private readonly byService = new Map<string, BackEnd[]>();
   private readonly endedAt = new Map<string, number>();
 
@@ -54,7 +55,12 @@
 
   /** Back ends of a service, those that are draining included. */
   ofService(service: string): readonly BackEnd[] {
-    return this.byService.get(service) ?? [];
+    let members = this.byService.get(service);
+    if (members === undefined) {
+      members = this.all().filter((backEnd) => backEnd.service === service);
+      this.byService.set(service, members);
+    }
+    return members;
   }
 
   /** All back ends. */
@@ -93,7 +99,7 @@
       known.recorded = recorded;
       known.changedAt = now;
     }
-    this.reindex(backEnd.service);
+    this.byService.delete(backEnd.service);
     void this.events.emit('changed', backEnd);
   }
 
@@ -152,20 +158,12 @@
     return entry.recorded.has(key);
   }
 
-  private reindex(service: string): void {
-    const members = [...this.entries.values()]
-      .map((entry) => entry.backEnd)
-      .filter((backEnd) => backEnd.service === service);
-    if (members.length === 0) this.byService.delete(service);
-    else this.byService.set(service, members);
-  }
-
   private delete(id: string): void {
     const entry = this.entries.get(id);
     if (entry === undefined) return;
     entry.cancelRemoval?.();
     this.entries.delete(id);
-    this.reindex(entry.backEnd.service);
+    this.byService.delete(entry.backEnd.service);
     void this.events.emit('removed', entry.backEnd);
   }
 
--- a/packages/backends/src/load-book.ts
+++ b/packages/backends/src/load-book.ts
@@ -1,6 +1,6 @@
 /**
  * Work under way on each back end: this daemon's own, known at once, and that of its peers, as they last
- * reported it. Also when each resident model was last used.
+ * reported it. Also when targets were last used, and what is asked for.
  */
 import type { Clock } from '@woodbarrow/runtime';
 import { targetKey, type ModelTarget } from './model-name.js';
@@ -43,8 +43,8 @@
 const REPORT_LIFETIME_MS = 2000;
 /** Stands for requests that ask for a model, wherever they are sent. */
 const NO_BACK_END = '';
-/** Half-life of the rate of use of a target, in milliseconds. */
-const USE_HALF_LIFE_MS = 4000;
+/** Half-life of the demand for a model, in milliseconds. */
+const DEMAND_HALF_LIFE_MS = 4000;
 
 interface MutableLoad {
   requests: number;
@@ -58,10 +58,11 @@
   readonly loads: readonly TargetLoad[];
 }
 
-interface Use {
-  /** Decayed number of requests. */
-  weight: number;
-  at: number;
+/** Recent requests that asked for a model. */
+interface Demand {
+  /** Decayed number. */
+  readonly weight: number;
+  readonly at: number;
 }
 
 const NO_LOAD: BackEndLoad = { requests: 0, unreadTokens: 0, heldTokens: 0 };
@@ -70,7 +71,9 @@
 export class LoadBook {
   private readonly own = new Map<string, Map<string, MutableLoad>>();
   private readonly reports = new Map<string, PeerReport>();
-  private readonly uses = new Map<string, Use>();
+  /** When each target was last used on each back end, monotonic. */
+  private readonly lastUsed = new Map<string, number>();
+  private readonly demand = new Map<string, Demand>();
 
   constructor(private readonly clock: Clock) {}
 
@@ -83,7 +86,7 @@
     load.unreadTokens += size.promptTokens;
     load.heldTokens += held;
     load.started += 1;
-    this.noteUse(backEndId, key, 1);
+    this.noteUse(backEndId, key);
     let unread = size.promptTokens;
     let open = true;
     const begun = (): void => {
@@ -105,12 +108,13 @@
   /** Notes a request that asks for a model, whether or not a back end can take it. */
   noteDemand(model: string): void {
     this.ownLoad(NO_BACK_END, model).started += 1;
-    this.noteUse(NO_BACK_END, model, 1);
+    this.addDemand(model, 1);
   }
 
   /** Recent requests that asked for a model, over all daemons, older ones counting less. */
   demandFor(model: string): number {
-    return this.recentUse(NO_BACK_END, model);
+    const demand = this.demand.get(model);
+    return demand === undefined ? 0 : decayed(demand, this.clock.monotonic());
   }
 
   /** Work under way on a back end, over all daemons. */
@@ -152,16 +156,10 @@
     return requests;
   }
 
-  /** Recent requests for a model on a back end, older ones counting less. */
-  recentUse(backEndId: string, model: string): number {
-    const use = this.uses.get(useKey(backEndId, model));
-    return use === undefined ? 0 : decayed(use, this.clock.monotonic());
-  }
-
-  /** Milliseconds since a model was last used on a back end; Infinity when never. */
-  idleMs(backEndId: string, model: string): number {
-    const use = this.uses.get(useKey(backEndId, model));
-    return use === undefined ? Infinity : this.clock.monotonic() - use.at;
+  /** Milliseconds since a target was last used on a back end; Infinity when never. */
+  idleMs(backEndId: string, target: string): number {
+    const at = this.lastUsed.get(useKey(backEndId, target));
+    return at === undefined ? Infinity : this.clock.monotonic() - at;
   }
 
   /** This daemon's own work, for its peers; begins a new count of started requests. */
@@ -182,14 +180,16 @@
   acceptReport(peer: string, loads: readonly TargetLoad[]): void {
     this.reports.set(peer, { at: this.clock.monotonic(), loads });
     for (const load of loads) {
-      if (load.started > 0) this.noteUse(load.backEndId, load.target, load.started);
+      if (load.started === 0) continue;
+      if (load.backEndId === NO_BACK_END) this.addDemand(load.target, load.started);
+      else this.noteUse(load.backEndId, load.target);
     }
   }
 
   /** Drops what is known of a back end that is gone. */
   forget(backEndId: string): void {
-    for (const key of this.uses.keys()) {
-      if (key.startsWith(`${backEndId} `)) this.uses.delete(key);
+    for (const key of this.lastUsed.keys()) {
+      if (key.startsWith(`${backEndId} `)) this.lastUsed.delete(key);
     }
   }
 
@@ -228,21 +228,15 @@
     }
   }
 
-  private noteUse(backEndId: string, target: string, count: number): void {
-    const now = this.clock.monotonic();
-    const separator = target.indexOf('/');
-    this.addUse(useKey(backEndId, target), count, now);
-    if (separator >= 0) this.addUse(useKey(backEndId, target.slice(0, separator)), count, now);
+  private noteUse(backEndId: string, target: string): void {
+    this.lastUsed.set(useKey(backEndId, target), this.clock.monotonic());
   }
 
-  private addUse(key: string, count: number, now: number): void {
-    const use = this.uses.get(key);
-    if (use === undefined) {
-      this.uses.set(key, { weight: count, at: now });
-      return;
-    }
-    use.weight = decayed(use, now) + count;
-    use.at = now;
+  private addDemand(model: string, count: number): void {
+    const now = this.clock.monotonic();
+    const demand = this.demand.get(model);
+    const before = demand === undefined ? 0 : decayed(demand, now);
+    this.demand.set(model, { weight: before + count, at: now });
   }
 }
 
@@ -254,6 +248,6 @@
   return key === model || (key.startsWith(model) && key.charAt(model.length) === '/');
 }
 
-function decayed(use: Use, now: number): number {
-  return use.weight * 0.5 ** ((now - use.at) / USE_HALF_LIFE_MS);
+function decayed(demand: Demand, now: number): number {
+  return demand.weight * 0.5 ** ((now - demand.at) / DEMAND_HALF_LIFE_MS);
 }
--- a/packages/errors/src/woodbarrow-error.ts
+++ b/packages/errors/src/woodbarrow-error.ts
@@ -56,11 +56,15 @@
   custom: CustomError as never,
 }) as unknown as WoodbarrowErrorConstructor;
 
+/** What something thrown says. */
+export function messageOf(thrown: unknown): string {
+  return thrown instanceof Error ? thrown.message : String(thrown);
+}
+
 /** Turns anything thrown into a {@link WoodbarrowError}; unknown errors become `internal`. */
 export function toWoodbarrowError(thrown: unknown): WoodbarrowError {
   if (thrown instanceof WoodbarrowError) return thrown;
-  const message = thrown instanceof Error ? thrown.message : String(thrown);
-  return new WoodbarrowError('internal', message, { cause: thrown });
+  return new WoodbarrowError('internal', messageOf(thrown), { cause: thrown });
 }
 
 /** Whether something thrown is a {@link WoodbarrowError} of one of the given kinds. */
--- a/packages/forwarding/src/backend-health.ts
+++ b/packages/forwarding/src/backend-health.ts
@@ -75,11 +75,6 @@
     return record === undefined ? 1 : Math.max(0.5, record.ratio / this.serviceRatio);
   }
 
-  /** Average of measured over expected times in the service. */
-  get averageRatio(): number {
-    return this.serviceRatio;
-  }
-
   /** Drops what is known of a back end that is gone. */
   forget(backEndId: string): void {
     this.records.delete(backEndId);
--- a/packages/forwarding/src/connection-share.ts
+++ b/packages/forwarding/src/connection-share.ts
@@ -14,11 +14,17 @@
 
   /** Whether another request may be sent to a back end now. */
   allows(service: ServiceDefinition, backEndId: string): boolean {
-    return this.loads.ownRequests(backEndId) < this.limitOf(service);
+    return this.checkOf(service)(backEndId);
+  }
+
+  /** The same question for many back ends of a service, with the limit worked out once. */
+  checkOf(service: ServiceDefinition): (backEndId: string) => boolean {
+    const limit = this.limitOf(service);
+    return (backEndId) => this.loads.ownRequests(backEndId) < limit;
   }
 
   /** Requests at once to one back end; idle connections are kept beside them. */
-  limitOf(service: ServiceDefinition): number {
+  private limitOf(service: ServiceDefinition): number {
     const usable = service.connectionLimit * (1 - RESERVED_SHARE);
     return Math.max(1, Math.floor(usable / Math.max(1, this.daemons())) - IDLE_CONNECTIONS_KEPT);
   }
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -5,8 +5,8 @@
 import type { BackendChoice, RefusalReason } from './backend-choice.js';
 import type { BackendHealth, SendResult } from './backend-health.js';
 import type { ForwardingContext } from './forwarding-context.js';
-import { ASSUMED_TOKENS_PER_MS } from './replica-selector.js';
 import { RequestEnding, type HeldAnswer } from './request-ending.js';
+import { RequestTimes } from './request-times.js';
 import { isStream, mayRunAgain, type Route } from './route.js';
 import { sendAttempt, type SendOutcome } from './send-attempt.js';
 import type { RequestFacts } from './wire-dialect.js';
@@ -17,19 +17,6 @@
 const ANSWER_MARGIN_MS = 20;
 /** A stream silent for this many times its longest pause in time is taken up elsewhere. */
 const SILENT_GAPS = 2.5;
-/** Patience with the first answer, as a multiple of the target latency, where the request may run again. */
-const PATIENCE_TARGETS = 1.5;
-/** Part of the time left that one send may take, where the request may run again. */
-const PATIENCE_SHARE = 0.5;
-/** Expected time of a plain request, for health only, in milliseconds. */
-const PLAIN_EXPECTED_MS = 20;
-/** Expected time to a first token beside the reading of the prompt, for health only, in milliseconds. */
-const FIRST_TOKEN_EXPECTED_MS = 15;
-/** Time after which to come back to another daemon, in milliseconds. */
-const STOPPING_RETRY_MS = 10;
-/** Part of the remaining time that must be left to begin a request for a model. */
-const START_SHARE = 0.9;
-
 /** What one send came to. */
 type AttemptResult =
   | { readonly kind: 'finished' }
@@ -42,7 +29,6 @@
 
 /** One request and all that is done for it. */
 export class ForwardedRequest {
-  private readonly arrivedAt: number;
   private readonly expired = new AbortController();
   private readonly excluded = new Set<string>();
   /** Back ends on which it may have run. */
@@ -53,6 +39,7 @@
   private stopped = false;
   private readonly relay: AnswerRelay;
   private readonly ending: RequestEnding;
+  private readonly times: RequestTimes;
   private held: HeldAnswer | undefined;
 
   constructor(
@@ -64,15 +51,14 @@
     private readonly body: Uint8Array,
     arrivedAt: number,
   ) {
-    this.arrivedAt = arrivedAt;
     const { clock, dialect, journal } = context;
+    this.times = new RequestTimes(arrivedAt, facts, route, clock);
     this.relay = new AnswerRelay(exchange, dialect, clock);
     this.ending = new RequestEnding({
       exchange,
       requestId: facts.id,
       routeName: route.name,
-      arrivedAt,
-      clock,
+      elapsedMs: () => this.times.elapsedMs(),
       dialect,
       journal,
       sends: () => this.sends,
@@ -83,10 +69,10 @@
   async run(): Promise<void> {
     const { clock, budget, journal } = this.context;
     const cancelTimers = [
-      clock.schedule(this.leftMs(), () => {
+      clock.schedule(this.times.leftMs(), () => {
         if (!this.relay.hasBegun) this.expired.abort();
       }),
-      clock.schedule(this.route.timeoutMs - this.elapsedMs(), () => {
+      clock.schedule(this.times.untilTimeoutMs(), () => {
         this.expired.abort();
       }),
     ];
@@ -106,7 +92,7 @@
       service: this.service.name,
       model: this.facts.target?.model,
       adapter: this.facts.target?.adapter,
-      leftMs: Math.round(this.leftMs()),
+      leftMs: Math.round(this.times.leftMs()),
     });
     try {
       await this.work();
@@ -145,7 +131,7 @@
     const ran = result.kind === 'maybe_run' || result.kind === 'failure';
     if (ran && !mayRunAgain(this.route.kind)) return false;
     if (ran && this.ranOn.size >= this.route.maximumAttempts) return false;
-    if (this.leftMs() <= ANSWER_MARGIN_MS) return false;
+    if (this.times.leftMs() <= ANSWER_MARGIN_MS) return false;
     const arrived = ran || (result.kind === 'not_run' && result.arrived);
     const allowed = !arrived || this.context.budget.tryRepeat(this.service.name);
     this.context.journal.decided('request_repeated', this.facts.id, {
@@ -172,7 +158,7 @@
         facts: this.facts,
         priority: this.route.priority,
         targetLatencyMs: this.route.targetLatencyMs,
-        startBy: this.arrivedAt + this.startLimitMs(),
+        startBy: this.times.startBy(),
         excluded: this.excluded,
         signal: this.expired.signal,
       },
@@ -199,7 +185,7 @@
       reason: choice.reason,
       running: loads.of(backEnd.id).requests,
       recordAgeMs: Math.round(this.context.directory.recordAgeMs(backEnd.id)),
-      leftMs: Math.round(this.leftMs()),
+      leftMs: Math.round(this.times.leftMs()),
     });
     try {
       const patienceMs = this.patienceMs();
@@ -228,7 +214,7 @@
 
   private requestHeaders(backEnd: BackEnd): string[] {
     return this.context.dialect.requestHeaders(this.exchange.rawHeaders, {
-      remainingMs: Math.max(1, Math.floor(this.leftMs())),
+      remainingMs: Math.max(1, Math.floor(this.times.leftMs())),
       backEndId: backEnd.id,
       priority: this.route.priority,
       ...(this.relay.lastEventId === undefined ? {} : { resumeAfter: this.relay.lastEventId }),
@@ -305,7 +291,7 @@
     const result = await this.relay.passWhole(answer);
     if (result.kind === 'broken') return this.noteBrokenBody(backEnd);
     const failed = answer.status >= 500;
-    const ratio = failed ? undefined : tookMs / this.expectedMs();
+    const ratio = failed ? undefined : tookMs / this.times.expectedMs();
     this.health().record(backEnd.id, failed ? 'failed_answer' : 'good', ratio);
     if (result.kind === 'held') {
       if (failed && mayRunAgain(this.route.kind)) {
@@ -319,7 +305,7 @@
   }
 
   private async passStream(answer: BackendAnswer, backEnd: BackEnd, tookMs: number): Promise<AttemptResult> {
-    this.health().record(backEnd.id, 'good', tookMs / this.expectedMs());
+    this.health().record(backEnd.id, 'good', tookMs / this.times.expectedMs());
     if (this.relay.hasBegun) {
       const afterEvent = this.relay.lastEventId;
       this.context.journal.decided('request_resumed', this.facts.id, { backEnd: backEnd.id, afterEvent });
@@ -354,7 +340,7 @@
     if (this.exchange.signal.aborted) this.ending.abandoned();
     else if (this.relay.hasBegun) this.breakOff('time is up');
     else if (this.ranOn.size > 0) this.ending.fail('request_timeout', 'time is up');
-    else if (this.stopped) this.ending.refuse('stopping', 'this daemon stops', STOPPING_RETRY_MS);
+    else if (this.stopped) this.ending.refuseStopping();
     else this.ending.refuse('wait_expired', 'time is up', 0);
   }
 
@@ -373,32 +359,11 @@
 
   /** How long to wait for a first answer before another back end is tried, where that is allowed. */
   private patienceMs(): number | undefined {
-    if (!mayRunAgain(this.route.kind) || this.ranOn.size + 1 >= this.route.maximumAttempts) return undefined;
-    return Math.min(this.leftMs() * PATIENCE_SHARE, this.route.targetLatencyMs * PATIENCE_TARGETS);
-  }
-
-  private expectedMs(): number {
-    if (this.facts.target === undefined) return PLAIN_EXPECTED_MS;
-    return FIRST_TOKEN_EXPECTED_MS + this.facts.promptTokens / ASSUMED_TOKENS_PER_MS;
+    const mayTryAnother = mayRunAgain(this.route.kind) && this.ranOn.size + 1 < this.route.maximumAttempts;
+    return mayTryAnother ? this.times.patienceMs() : undefined;
   }
 
   private health(): BackendHealth {
     return this.context.healthOf(this.service.name);
   }
-
-  private elapsedMs(): number {
-    return this.context.clock.monotonic() - this.arrivedAt;
-  }
-
-  /** Milliseconds from its arrival by which a request for a model must have been sent. */
-  private startLimitMs(): number {
-    const limitMs = Math.min(this.elapsedMs() + this.leftMs(), this.route.clientGapMs ?? Infinity);
-    return limitMs * START_SHARE - this.expectedMs();
-  }
-
-  /** Milliseconds in which an answer must have begun. */
-  private leftMs(): number {
-    const limit = Math.min(this.facts.waitMs ?? Infinity, this.route.timeoutMs);
-    return Math.max(0, limit - this.elapsedMs());
-  }
 }
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -1,21 +1,24 @@
 /** Takes requests of clients in: finds the route, bounds the body, and starts the task of each. */
-import { answerFor, type ErrorKind } from '@woodbarrow/errors';
-import { BodyTooLargeError, encodeText, type IncomingExchange, type Random } from '@woodbarrow/runtime';
+import { messageOf } from '@woodbarrow/errors';
+import { BodyTooLargeError, type IncomingExchange, type Random } from '@woodbarrow/runtime';
 import { ForwardedRequest } from './forwarded-request.js';
-import type { ConfigurationHolder } from './forwarding-configuration.js';
+import type { ConfigurationHolder, ForwardingConfiguration } from './forwarding-configuration.js';
 import type { ForwardingContext } from './forwarding-context.js';
+import { RequestEnding } from './request-ending.js';
 import { TrafficSplitter } from './traffic-splitter.js';
 import type { RequestFacts } from './wire-dialect.js';
 
 /** Time after which to come back to a daemon that has no configuration yet, in milliseconds. */
 const NOT_READY_RETRY_MS = 500;
 
-/** Time after which to come back to another daemon, in milliseconds. */
-const STOPPING_RETRY_MS = 10;
+/** Stands for the route of requests that were refused before one was found. */
+const NO_ROUTE = 'none';
 
 /** Entry of requests into one daemon. */
 export class Forwarder {
   private readonly splitter: TrafficSplitter;
+  /** Version of the configuration that the splits belong to. */
+  private splitVersion = -1;
 
   constructor(
     private readonly context: ForwardingContext,
@@ -33,54 +36,60 @@
       await this.forward(exchange, facts, arrivedAt);
     } catch (error) {
       if (error instanceof BodyTooLargeError) {
-        this.refuse(exchange, facts, 'body_too_large');
+        this.endingOf(exchange, facts, arrivedAt).refuse('body_too_large', 'body_too_large', 0);
         return;
       }
       exchange.abort();
       this.context.journal.decided('request_failed', facts.id, {
         answer: 'connection_closed',
-        cause: error instanceof Error ? error.message : String(error),
+        cause: messageOf(error),
       });
     }
   }
 
   private async forward(exchange: IncomingExchange, facts: RequestFacts, arrivedAt: number): Promise<void> {
+    const ending = this.endingOf(exchange, facts, arrivedAt);
     if (this.context.stopWaiting.aborted) {
-      this.refuse(exchange, facts, 'stopping', STOPPING_RETRY_MS);
+      ending.refuseStopping();
       return;
     }
     const { current, routes } = this.configuration;
     if (current === undefined || routes === undefined) {
-      this.refuse(exchange, facts, 'not_ready', NOT_READY_RETRY_MS);
+      ending.refuse('not_ready', 'not_ready', NOT_READY_RETRY_MS);
       return;
     }
     const route = routes.match(exchange.headers['host'] ?? '', exchange.target);
     if (route === undefined) {
-      this.refuse(exchange, facts, 'not_found');
+      ending.refuse('not_found', 'not_found', 0);
       return;
     }
+    this.dropOldSplits(current);
     const service = current.services.get(this.splitter.choose(route));
     if (service === undefined) {
-      this.refuse(exchange, facts, 'no_replica', NOT_READY_RETRY_MS);
+      ending.refuse('no_replica', 'no_replica', NOT_READY_RETRY_MS);
       return;
     }
     const body = await exchange.readBody(current.limits.maximumBodyBytes);
     await new ForwardedRequest(this.context, exchange, facts, route, service, body, arrivedAt).run();
   }
 
-  private refuse(
-    exchange: IncomingExchange,
-    facts: RequestFacts,
-    kind: ErrorKind,
-    retryAfterMs?: number,
-  ): void {
-    const { status } = answerFor(kind);
-    const seconds = retryAfterMs === undefined ? undefined : retryAfterMs / 1000;
-    exchange.respond(
-      { status, headers: this.context.dialect.ownHeaders(facts.id, seconds) },
-      encodeText(`${kind}\n`),
-    );
-    this.context.journal.ended('none', 'refused', 0);
-    this.context.journal.decided('request_refused', facts.id, { kind, cause: kind });
+  private dropOldSplits(current: ForwardingConfiguration): void {
+    if (current.version === this.splitVersion) return;
+    this.splitVersion = current.version;
+    this.splitter.retain(current.routes);
+  }
+
+  /** The ending of a request that has no route yet. */
+  private endingOf(exchange: IncomingExchange, facts: RequestFacts, arrivedAt: number): RequestEnding {
+    const { clock, dialect, journal } = this.context;
+    return new RequestEnding({
+      exchange,
+      requestId: facts.id,
+      routeName: NO_ROUTE,
+      elapsedMs: () => clock.monotonic() - arrivedAt,
+      dialect,
+      journal,
+      sends: () => 0,
+    });
   }
 }
--- a/packages/forwarding/src/plain-selector.ts
+++ b/packages/forwarding/src/plain-selector.ts
@@ -1,5 +1,6 @@
 /** Chooses among the back ends of a service without models: the least loaded sound one. */
 import type { BackEnd, BackendDirectory, LoadBook, ServiceDefinition } from '@woodbarrow/backends';
+import { leastBy } from '@woodbarrow/runtime';
 import type { BackendChoice } from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
 import type { ConnectionShare } from './connection-share.js';
@@ -26,22 +27,15 @@
   select(service: ServiceDefinition, health: BackendHealth, excluded: ReadonlySet<string>): BackendChoice {
     const open = this.directory.ofService(service.name).filter((backEnd) => !backEnd.draining);
     const willing = open.filter((backEnd) => !excluded.has(backEnd.id));
-    const usable = willing.filter((backEnd) => this.connections.allows(service, backEnd.id));
-    if (usable.length === 0) {
+    const mayTake = this.connections.checkOf(service);
+    const usable = willing.filter((backEnd) => mayTake(backEnd.id));
+    const ids = open.map((backEnd) => backEnd.id);
+    const best = leastBy(usable, (backEnd) => this.costOf(backEnd, health, ids));
+    if (best === undefined) {
       const whenWilling = willing.length === 0 ? 'all_excluded' : 'connections_exhausted';
       const reason = open.length === 0 ? 'no_backend' : whenWilling;
       return { kind: 'refuse', reason, retryAfterMs: NO_BACKEND_RETRY_MS };
     }
-    const ids = open.map((backEnd) => backEnd.id);
-    let best = usable[0] as BackEnd;
-    let bestCost = Infinity;
-    for (const backEnd of usable) {
-      const cost = this.costOf(backEnd, health, ids);
-      if (cost < bestCost) {
-        best = backEnd;
-        bestCost = cost;
-      }
-    }
     return { kind: 'send', backEnd: best, reason: 'least_loaded' };
   }
 
--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -12,7 +12,7 @@
   type ServiceDefinition,
 } from '@woodbarrow/backends';
 import { ownerByRendezvous } from '@woodbarrow/coordination';
-import { sleep, type Clock } from '@woodbarrow/runtime';
+import { leastBy, sleep, type Clock } from '@woodbarrow/runtime';
 import type { BackendChoice } from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
 import type { ConnectionShare } from './connection-share.js';
@@ -31,6 +31,8 @@
 const MEMORY_FULL_MS = 2000;
 /** Part of the target latency that waiting may take before another replica is asked for. */
 const CROWDED_SHARE = 0.35;
+/** Part of a worker's cache or slots in use at which another replica is asked for. */
+const NEARLY_FULL = 0.8;
 /** Part of the prompt's shared tokens that the preferred worker is presumed to keep. */
 const PRESUMED_KEPT_SHARE = 0.6;
 const RETRY_AFTER_UNAVAILABLE_MS = 250;
@@ -141,10 +143,10 @@
   }
 
   private usable(request: ReplicaRequest, target: ModelTarget): BackEnd[] {
+    const mayTake = this.connections.checkOf(request.service);
     return this.directory
       .holdersOf(request.service.name, target)
-      .filter((backEnd) => !request.excluded.has(backEnd.id))
-      .filter((backEnd) => this.connections.allows(request.service, backEnd.id));
+      .filter((backEnd) => !request.excluded.has(backEnd.id) && mayTake(backEnd.id));
   }
 
   private cheapest(
@@ -155,16 +157,9 @@
   ): BackEnd | undefined {
     const ids = holders.map((holder) => holder.id);
     const preferred = this.affinity.preferred(holders, chain)?.id;
-    let best: BackEnd | undefined;
-    let bestCost = Infinity;
-    for (const holder of holders) {
-      const cost = this.costOf(holder, request, chain, health, ids, holder.id === preferred);
-      if (cost < bestCost) {
-        best = holder;
-        bestCost = cost;
-      }
-    }
-    return best;
+    return leastBy(holders, (holder) =>
+      this.costOf(holder, request, chain, health, ids, holder.id === preferred),
+    );
   }
 
   private costOf(
@@ -212,7 +207,8 @@
     const load = this.loads.of(backEnd.id);
     const waitMs = load.unreadTokens / ASSUMED_TOKENS_PER_MS;
     const isFull =
-      load.heldTokens > request.engine.cacheTokens * 0.8 || load.requests > request.engine.slots * 0.8;
+      load.heldTokens > request.engine.cacheTokens * NEARLY_FULL ||
+      load.requests > request.engine.slots * NEARLY_FULL;
     if (isFull || waitMs > request.targetLatencyMs * CROWDED_SHARE) {
       this.residency.requestReplica(request.service.name, request.target.model, request.priority);
     }
--- a/packages/forwarding/src/request-ending.ts
+++ b/packages/forwarding/src/request-ending.ts
@@ -1,17 +1,19 @@
 /** The final answers of the product's own, and the records of how a request ended. */
 import { answerFor, type ErrorKind } from '@woodbarrow/errors';
-import { encodeText, type Clock, type IncomingExchange } from '@woodbarrow/runtime';
+import { encodeText, type IncomingExchange } from '@woodbarrow/runtime';
 import type { RequestJournal } from './request-journal.js';
 import type { WireDialect } from './wire-dialect.js';
 
+/** Time after which to come back to another daemon, in milliseconds. */
+const STOPPING_RETRY_MS = 10;
+
 /** What {@link RequestEnding} needs of the request. */
 export interface EndingOptions {
   readonly exchange: IncomingExchange;
   readonly requestId: string;
   readonly routeName: string;
-  /** Monotonic. */
-  readonly arrivedAt: number;
-  readonly clock: Clock;
+  /** Milliseconds since the request arrived. */
+  readonly elapsedMs: () => number;
   readonly dialect: WireDialect;
   readonly journal: RequestJournal;
   /** Sends so far. */
@@ -37,10 +39,15 @@
       kind,
       cause,
       retryAfterMs: Math.round(retryAfterMs),
-      waitedMs: Math.round(this.elapsedMs()),
+      waitedMs: Math.round(this.options.elapsedMs()),
     });
   }
 
+  /** Refuses because this daemon stops: another one can take it at once. */
+  refuseStopping(): void {
+    this.refuse('stopping', 'this daemon stops', STOPPING_RETRY_MS);
+  }
+
   /** Answers that the request may have run. */
   fail(kind: ErrorKind, cause: string): void {
     this.answerError(kind, 0);
@@ -70,7 +77,11 @@
   /** A back end's answer has been passed on whole. */
   answered(status: number, backEndId: string): void {
     this.end(status < 500 ? 'served' : 'failure_passed_on');
-    this.decide('request_answered', { status, backEnd: backEndId, tookMs: Math.round(this.elapsedMs()) });
+    this.decide('request_answered', {
+      status,
+      backEnd: backEndId,
+      tookMs: Math.round(this.options.elapsedMs()),
+    });
   }
 
   private answerError(kind: ErrorKind, retryAfterMs: number): void {
@@ -88,10 +99,6 @@
   }
 
   private end(outcome: string): void {
-    this.options.journal.ended(this.options.routeName, outcome, this.elapsedMs());
-  }
-
-  private elapsedMs(): number {
-    return this.options.clock.monotonic() - this.options.arrivedAt;
+    this.options.journal.ended(this.options.routeName, outcome, this.options.elapsedMs());
   }
 }
--- /dev/null
+++ b/packages/forwarding/src/request-times.ts
@@ -0,0 +1,64 @@
+/** The limits in time of one request, all counted from its arrival. */
+import type { Clock } from '@woodbarrow/runtime';
+import { ASSUMED_TOKENS_PER_MS } from './replica-selector.js';
+import type { Route } from './route.js';
+import type { RequestFacts } from './wire-dialect.js';
+
+/** Patience with the first answer, as a multiple of the target latency, where the request may run again. */
+const PATIENCE_TARGETS = 1.5;
+/** Part of the time left that one send may take, where the request may run again. */
+const PATIENCE_SHARE = 0.5;
+/** Expected time of a plain request, for health only, in milliseconds. */
+const PLAIN_EXPECTED_MS = 20;
+/** Expected time to a first token beside the reading of the prompt, for health only, in milliseconds. */
+const FIRST_TOKEN_EXPECTED_MS = 15;
+/** Part of the allowed time by which a request for a model must have been sent. */
+const START_SHARE = 0.9;
+
+/** Times of one request, in milliseconds. */
+export class RequestTimes {
+  /** @param arrivedAt Monotonic. */
+  constructor(
+    private readonly arrivedAt: number,
+    private readonly facts: RequestFacts,
+    private readonly route: Route,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Time since the request arrived. */
+  elapsedMs(): number {
+    return this.clock.monotonic() - this.arrivedAt;
+  }
+
+  /** Time in which an answer must have begun. */
+  leftMs(): number {
+    return Math.max(0, this.limitMs() - this.elapsedMs());
+  }
+
+  /** Time until the route's time-out, at which even an answer in progress ends. */
+  untilTimeoutMs(): number {
+    return this.route.timeoutMs - this.elapsedMs();
+  }
+
+  /** How long one send may take without an answer before another back end is tried. */
+  patienceMs(): number {
+    return Math.min(this.leftMs() * PATIENCE_SHARE, this.route.targetLatencyMs * PATIENCE_TARGETS);
+  }
+
+  /** Time to the head of an answer that would be usual. */
+  expectedMs(): number {
+    if (this.facts.target === undefined) return PLAIN_EXPECTED_MS;
+    return FIRST_TOKEN_EXPECTED_MS + this.facts.promptTokens / ASSUMED_TOKENS_PER_MS;
+  }
+
+  /** Monotonic time by which a request for a model must have been sent. */
+  startBy(): number {
+    const allowedMs = Math.max(this.elapsedMs(), this.limitMs());
+    const limitMs = Math.min(allowedMs, this.route.clientGapMs ?? Infinity);
+    return this.arrivedAt + limitMs * START_SHARE - this.expectedMs();
+  }
+
+  private limitMs(): number {
+    return Math.min(this.facts.waitMs ?? Infinity, this.route.timeoutMs);
+  }
+}
--- a/packages/forwarding/src/send-attempt.ts
+++ b/packages/forwarding/src/send-attempt.ts
@@ -1,4 +1,5 @@
 /** One request to one back end, from the connection to the head of the answer. */
+import { messageOf } from '@woodbarrow/errors';
 import type { BackEnd } from '@woodbarrow/backends';
 import { HttpNotSentError, type BackendAnswer, type BackendClient, type Clock } from '@woodbarrow/runtime';
 import type { AnswerVerdict, WireDialect } from './wire-dialect.js';
@@ -63,7 +64,7 @@
   } catch (error) {
     if (silent) return { kind: 'silent' };
     if (error instanceof HttpNotSentError) return { kind: 'unreachable' };
-    return { kind: 'broken', detail: error instanceof Error ? error.message : String(error) };
+    return { kind: 'broken', detail: messageOf(error) };
   } finally {
     cancelPatience?.();
   }
--- a/packages/forwarding/src/wire-dialect.ts
+++ b/packages/forwarding/src/wire-dialect.ts
@@ -56,13 +56,6 @@
   readonly backEndId: string;
 }
 
-/** Load that a back end told with an answer. */
-export interface ReportedLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-}
-
 /** Names and meanings on the wire. */
 export interface WireDialect {
   readFacts(headers: Readonly<Record<string, string | undefined>>): RequestFacts;
@@ -78,5 +71,4 @@
     status: number,
     headers: Readonly<Record<string, string | undefined>>,
   ): AnswerVerdict;
-  reportedLoad(headers: Readonly<Record<string, string | undefined>>): ReportedLoad | undefined;
 }
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -62,10 +62,6 @@
     return this.controller.signal;
   }
 
-  get answered(): boolean {
-    return this.status !== 0;
-  }
-
   readBody(): Promise<Uint8Array> {
     return Promise.resolve(encodeText('body'));
   }
@@ -108,7 +104,6 @@
   ownHeaders: (_id, retryAfterSeconds) =>
     retryAfterSeconds === undefined ? [] : ['retry', String(retryAfterSeconds)],
   judge: (_sent, status) => (status === 503 ? 'not_run' : 'genuine'),
-  reportedLoad: () => undefined,
 };
 
 /** A forwarder on virtual time. */
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -3,3 +3,4 @@
 export * from './metrics.js';
 export * from './bounded-log.js';
 export * from './metric-registry.js';
+export * from './task-failures.js';
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -28,8 +28,8 @@
 const REPLICA_PAUSE_MS = 1200;
 /** Time in which another replica is of use, in milliseconds. */
 const REPLICA_WITHIN_MS = 6000;
-/** Requests that arrive later than the first of a shared demand by less than this count as in time with it. */
-const SHARED_SLACK_MS = 50;
+/** A demand under way that ends sooner than this is not joined by another request, in milliseconds. */
+const LEAST_SHARED_MS = 50;
 
 interface SharedDemand {
   readonly outcome: Promise<ResidencyOutcome>;
@@ -80,7 +80,7 @@
     );
     const now = this.options.clock.monotonic();
     const known = this.shared.get(key);
-    if (known !== undefined && known.expiresAt >= now + Math.min(demand.withinMs, SHARED_SLACK_MS))
+    if (known !== undefined && known.expiresAt >= now + Math.min(demand.withinMs, LEAST_SHARED_MS))
       return known.outcome;
     const outcome = this.pursue(demand).finally(() => {
       if (this.shared.get(key)?.outcome === outcome) this.shared.delete(key);
--- a/packages/residency/src/load-window.ts
+++ b/packages/residency/src/load-window.ts
@@ -1,5 +1,5 @@
 /** Bounds the loads from the weight store that begin in a sliding window: this zone's share of what it bears. */
-import type { Clock } from '@woodbarrow/runtime';
+import { SlidingWindow, type Clock } from '@woodbarrow/runtime';
 
 /** Options of {@link LoadWindow}. */
 export interface LoadWindowOptions {
@@ -12,29 +12,23 @@
 
 /** One zone's loads. */
 export class LoadWindow {
-  private readonly begun: number[] = [];
+  private readonly begun: SlidingWindow;
 
   constructor(
     private readonly options: LoadWindowOptions,
-    private readonly clock: Clock,
-  ) {}
+    clock: Clock,
+  ) {
+    this.begun = new SlidingWindow(options.windowMs, clock);
+  }
 
   /** Milliseconds until another load may begin. */
   waitMs(): number {
-    const now = this.clock.monotonic();
-    this.dropOld(now);
-    const share = Math.max(1, Math.floor(this.options.limit() / Math.max(1, this.options.sharers())));
-    if (this.begun.length < share) return 0;
-    const blocking = this.begun[this.begun.length - share] ?? now;
-    return Math.max(0, blocking + this.options.windowMs - now);
+    const { limit, sharers } = this.options;
+    return this.begun.waitMs(Math.max(1, Math.floor(limit() / Math.max(1, sharers()))));
   }
 
   /** Counts a load that begins now. */
   record(): void {
-    this.begun.push(this.clock.monotonic());
-  }
-
-  private dropOld(now: number): void {
-    while (this.begun.length > 0 && (this.begun[0] ?? 0) <= now - this.options.windowMs) this.begun.shift();
+    this.begun.add();
   }
 }
--- a/packages/residency/src/placement-choice.ts
+++ b/packages/residency/src/placement-choice.ts
@@ -1,5 +1,6 @@
 /** Decides which worker of a zone loads a model, and which resident models make way for it. */
 import type { BackEnd, EngineDefinition, LoadBook, ModelDefinition } from '@woodbarrow/backends';
+import { leastBy } from '@woodbarrow/runtime';
 import type { ResidentModel, ResidentSet } from './resident-set.js';
 
 /** A worker as a candidate for a load. */
@@ -33,7 +34,7 @@
   readonly storeWaitMs: number;
   /** Number of workers in all zones that hold a model. */
   readonly replicasOf: (model: string) => number;
-  /** Largest value of models that may make way; see {@link victimValue}. */
+  /** Largest value of models that may make way: recent requests for each replica. */
   readonly maximumVictimValue: number;
 }
 
@@ -49,6 +50,11 @@
 const SETTLING_MS = 1500;
 const SETTLING_COST_MS = 3000;
 
+interface PlacementOption {
+  readonly choice: PlacementChoice;
+  readonly costMs: number;
+}
+
 interface VictimSet {
   readonly names: readonly string[];
   readonly costMs: number;
@@ -57,32 +63,30 @@
 
 /** The cheapest way to load a model, or undefined when no worker can. */
 export function choosePlacement(inputs: PlacementInputs): PlacementChoice | undefined {
-  let best: PlacementChoice | undefined;
-  let bestCost = Infinity;
-  for (const candidate of inputs.candidates) {
-    const victims = chooseVictims(candidate, inputs);
-    if (victims === undefined) continue;
-    const source = sourceOf(candidate.backEnd, inputs.model.name);
-    const storeWaitMs = source === 'store' ? inputs.storeWaitMs : 0;
-    const loadMs = loadTimeMs(inputs.model, source);
-    const readyMs = Math.max(candidate.busyMs + victims.waitMs, storeWaitMs) + loadMs;
-    const heldUpMs = candidate.residents.adapterCount > 0 ? ADAPTERS_HELD_UP_MS : 0;
-    const cost = readyMs + victims.costMs + heldUpMs;
-    if (cost < bestCost) {
-      best = { candidate, victims: victims.names, readyMs, loadMs, source };
-      bestCost = cost;
-    }
-  }
-  return best;
+  const options = inputs.candidates.flatMap((candidate) => optionsOf(candidate, inputs));
+  return leastBy(options, (option) => option.costMs)?.choice;
+}
+
+/** One way to load the model, or none where nothing can make way. */
+function optionsOf(candidate: PlacementCandidate, inputs: PlacementInputs): PlacementOption[] {
+  const victims = chooseVictims(candidate, inputs);
+  if (victims === undefined) return [];
+  const source = sourceOf(candidate.backEnd, inputs.model.name);
+  const storeWaitMs = source === 'store' ? inputs.storeWaitMs : 0;
+  const loadMs = loadTimeMs(inputs.model, source);
+  const readyMs = Math.max(candidate.busyMs + victims.waitMs, storeWaitMs) + loadMs;
+  const heldUpMs = candidate.residents.adapterCount > 0 ? ADAPTERS_HELD_UP_MS : 0;
+  const choice = { candidate, victims: victims.names, readyMs, loadMs, source };
+  return [{ choice, costMs: readyMs + victims.costMs + heldUpMs }];
 }
 
 /** How much a replica of a model would be missed: the recent requests that it serves its share of. */
-export function victimValue(inputs: PlacementInputs, model: string): number {
+function victimValue(inputs: PlacementInputs, model: string): number {
   return inputs.loads.demandFor(model) / Math.max(1, inputs.replicasOf(model));
 }
 
 /** Expected load time of a model, in milliseconds. */
-export function loadTimeMs(model: ModelDefinition, source: PlacementChoice['source']): number {
+function loadTimeMs(model: ModelDefinition, source: PlacementChoice['source']): number {
   if (source === 'memory') return model.memoryLoadMs;
   return source === 'disk' ? model.diskLoadMs : model.storeLoadMs;
 }
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -4,8 +4,8 @@
  */
 import type { BackendDirectory, LoadBook, ServiceDefinition, TargetLoad } from '@woodbarrow/backends';
 import { StoreLease, ownerByRendezvous, type LeaseRecordStore } from '@woodbarrow/coordination';
-import { WoodbarrowError } from '@woodbarrow/errors';
-import type { EventLog } from '@woodbarrow/observability';
+import { messageOf, WoodbarrowError } from '@woodbarrow/errors';
+import { logTaskFailures, type EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import {
   loadReportMethod,
@@ -77,12 +77,7 @@
   private leaving = false;
 
   constructor(private readonly options: ResidencyServiceOptions) {
-    super(options.clock, (task, error) => {
-      options.log.warned('task_failed', {
-        task,
-        cause: error instanceof Error ? error.message : String(error),
-      });
-    });
+    super(options.clock, logTaskFailures(options.log));
   }
 
   /** Starts. The peer network must be listening. */
@@ -172,7 +167,7 @@
         this.options.log.warned('lease_unconfirmed', {
           zone,
           confirmedAgoMs: Math.round(lease.confirmedAgoMs()),
-          cause: error instanceof Error ? error.message : String(error),
+          cause: messageOf(error),
         });
       }
     }
--- a/packages/residency/src/worker-orders.ts
+++ b/packages/residency/src/worker-orders.ts
@@ -1,6 +1,6 @@
 /** What one worker is to hold: loads, unloads, and what is known of their outcome. */
 import type { BackendDirectory, EngineDefinition, LoadBook, ModelTarget } from '@woodbarrow/backends';
-import { WoodbarrowError } from '@woodbarrow/errors';
+import { messageOf, WoodbarrowError } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
 import { sleep, type Clock } from '@woodbarrow/runtime';
 import { AdapterOrders } from './adapter-orders.js';
@@ -141,7 +141,7 @@
       this.options.log.warned('load_failed', {
         backEnd: this.options.backEndId,
         model,
-        cause: error instanceof Error ? error.message : String(error),
+        cause: messageOf(error),
       });
       this.busyUntil = 0;
       void this.learn();
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -219,7 +219,7 @@
     const candidates = this.candidatesFor(service, message.model).filter(
       ({ backEnd }) => !message.without.includes(backEnd.id),
     );
-    const replicasOf = (name: string): number => directory.holdersOf(service, { model: name }).length;
+    const replicasOf = countOnce((name) => directory.holdersOf(service, { model: name }).length);
     const share = (loads.demandFor(message.model) + 1) / (replicasOf(message.model) + 1);
     return choosePlacement({
       model,
@@ -297,6 +297,16 @@
   }
 }
 
+/** Remembers counts, for the time of one decision. */
+function countOnce(count: (name: string) => number): (name: string) => number {
+  const known = new Map<string, number>();
+  return (name) => {
+    const counted = known.get(name) ?? count(name);
+    known.set(name, counted);
+    return counted;
+  };
+}
+
 function refused(reason: string, retryAfterMs: number): ResidencyDemandAnswer {
   return { held: false, backEndId: '', retryAfterMs, reason };
 }
