--- a/eslint.config.js
+++ b/eslint.config.js
@@ -31,6 +31,7 @@
   coordination: ['errors', 'runtime', 'protocol', 'peering'],
   backends: ['errors', 'runtime'],
   forwarding: ['errors', 'runtime', 'backends', 'coordination', 'observability'],
+  exchange: ['errors', 'runtime', 'protocol', 'peering', 'coordination', 'backends', 'observability'],
   residency: [
     'errors',
     'runtime',
@@ -39,6 +40,7 @@
     'coordination',
     'backends',
     'forwarding',
+    'exchange',
     'observability',
   ],
 };
--- a/packages/backends/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -2,5 +2,6 @@
 export * from './back-end.js';
 export * from './backend-directory.js';
 export * from './load-book.js';
+export * from './load-report.js';
 export * from './model-name.js';
 export * from './service-definition.js';
--- a/packages/backends/src/load-book.ts
+++ b/packages/backends/src/load-book.ts
@@ -1,24 +1,19 @@
 /**
- * Work under way on each back end: this daemon's own, known at once, and that of its peers, as they last
- * reported it. Also when targets were last used, and what is asked for.
+ * Work under way on each back end: this daemon's own, known at once, and that of others, as they last reported
+ * it. Also when targets were last used, and what is asked for. Reports hold states and not differences, so one
+ * that is lost or comes twice does no harm.
  */
 import type { Clock } from '@woodbarrow/runtime';
+import {
+  LEAST_DEMAND,
+  LoadSum,
+  type LoadReport,
+  type ModelDemand,
+  type ReportScope,
+  type TargetLoad,
+} from './load-report.js';
 import { targetKey, type ModelTarget } from './model-name.js';
 
-/** Work under way for one target on one back end. */
-export interface TargetLoad {
-  readonly backEndId: string;
-  /** Empty for back ends without models. */
-  readonly target: string;
-  readonly requests: number;
-  /** Prompt tokens of requests that have not begun to answer. */
-  readonly unreadTokens: number;
-  /** Prompt and expected output tokens of all requests under way. */
-  readonly heldTokens: number;
-  /** Requests begun since the previous report. */
-  readonly started: number;
-}
-
 /** Sum of the work under way on a back end. */
 export interface BackEndLoad {
   readonly requests: number;
@@ -39,10 +34,12 @@
   readonly outputTokens: number;
 }
 
-/** Milliseconds after which a peer's report no longer counts. */
+/** Milliseconds after which a report of work no longer counts. */
 const REPORT_LIFETIME_MS = 2000;
-/** Stands for requests that ask for a model, wherever they are sent. */
-const NO_BACK_END = '';
+/** Milliseconds after which a report of demand no longer counts; until then it decays. */
+const DEMAND_LIFETIME_MS = 12_000;
+/** A target with no request under way is reported for this long after its last one began, in milliseconds. */
+const RECENT_USE_MS = 600;
 /** Half-life of the demand for a model, in milliseconds. */
 const DEMAND_HALF_LIFE_MS = 4000;
 
@@ -50,12 +47,14 @@
   requests: number;
   unreadTokens: number;
   heldTokens: number;
-  started: number;
+  startedAt: number;
 }
 
-interface PeerReport {
+interface SourceReport {
+  readonly scope: ReportScope;
   readonly at: number;
-  readonly loads: readonly TargetLoad[];
+  readonly loads: ReadonlyMap<string, readonly TargetLoad[]>;
+  readonly demand: ReadonlyMap<string, number>;
 }
 
 /** Recent requests that asked for a model. */
@@ -70,7 +69,7 @@
 /** Load of all back ends. */
 export class LoadBook {
   private readonly own = new Map<string, Map<string, MutableLoad>>();
-  private readonly reports = new Map<string, PeerReport>();
+  private readonly reports = new Map<string, SourceReport>();
   /** When each target was last used on each back end, monotonic. */
   private readonly lastUsed = new Map<string, number>();
   private readonly demand = new Map<string, Demand>();
@@ -85,7 +84,7 @@
     load.requests += 1;
     load.unreadTokens += size.promptTokens;
     load.heldTokens += held;
-    load.started += 1;
+    load.startedAt = this.clock.monotonic();
     this.noteUse(backEndId, key);
     let unread = size.promptTokens;
     let open = true;
@@ -107,14 +106,19 @@
 
   /** Notes a request that asks for a model, whether or not a back end can take it. */
   noteDemand(model: string): void {
-    this.ownLoad(NO_BACK_END, model).started += 1;
-    this.addDemand(model, 1);
+    const now = this.clock.monotonic();
+    this.demand.set(model, { weight: this.ownDemand(model, now) + 1, at: now });
   }
 
   /** Recent requests that asked for a model, over all daemons, older ones counting less. */
   demandFor(model: string): number {
-    const demand = this.demand.get(model);
-    return demand === undefined ? 0 : decayed(demand, this.clock.monotonic());
+    const now = this.clock.monotonic();
+    let weight = this.ownDemand(model, now);
+    for (const report of this.reports.values()) {
+      const reported = report.demand.get(model);
+      if (reported !== undefined) weight += decayed({ weight: reported, at: report.at }, now);
+    }
+    return weight;
   }
 
   /** Work under way on a back end, over all daemons. */
@@ -149,8 +153,8 @@
       if (belongsTo(key, model)) requests += load.requests;
     }
     for (const report of this.freshReports()) {
-      for (const load of report.loads) {
-        if (load.backEndId === backEndId && belongsTo(load.target, model)) requests += load.requests;
+      for (const load of report.loads.get(backEndId) ?? []) {
+        if (belongsTo(load.target, model)) requests += load.requests;
       }
     }
     return requests;
@@ -162,28 +166,44 @@
     return at === undefined ? Infinity : this.clock.monotonic() - at;
   }
 
-  /** This daemon's own work, for its peers; begins a new count of started requests. */
-  takeReport(): TargetLoad[] {
-    const loads: TargetLoad[] = [];
-    for (const [backEndId, targets] of this.own) {
-      for (const [target, load] of targets) {
-        if (load.requests > 0 || load.started > 0) loads.push({ backEndId, target, ...load });
-        load.started = 0;
-        if (load.requests === 0) targets.delete(target);
+  /** This daemon's own work and demand. */
+  ownReport(): LoadReport {
+    return { loads: this.ownLoads(), demand: this.ownDemands() };
+  }
+
+  /** This daemon's own work and that of sources of the given scopes, one of which may be left out. */
+  combinedReport(scopes: readonly ReportScope[], without?: string): LoadReport {
+    const sum = new LoadSum();
+    sum.add(this.ownReport());
+    const now = this.clock.monotonic();
+    for (const [source, report] of this.reports) {
+      if (source === without || !scopes.includes(report.scope)) continue;
+      for (const [model, weight] of report.demand) {
+        sum.addDemand(model, decayed({ weight, at: report.at }, now));
       }
-      if (targets.size === 0) this.own.delete(backEndId);
+      if (now - report.at > REPORT_LIFETIME_MS) continue;
+      for (const loads of report.loads.values()) loads.forEach((load) => sum.addLoad(load));
     }
-    return loads;
+    return sum.report();
   }
 
-  /** Takes a peer's report; it replaces the one before. */
-  acceptReport(peer: string, loads: readonly TargetLoad[]): void {
-    this.reports.set(peer, { at: this.clock.monotonic(), loads });
+  /** Takes the report of a source; it replaces the one before. */
+  accept(source: string, scope: ReportScope, { loads, demand }: LoadReport): void {
+    const byBackEnd = new Map<string, TargetLoad[]>();
     for (const load of loads) {
-      if (load.started === 0) continue;
-      if (load.backEndId === NO_BACK_END) this.addDemand(load.target, load.started);
-      else this.noteUse(load.backEndId, load.target);
+      const known = byBackEnd.get(load.backEndId);
+      if (known === undefined) byBackEnd.set(load.backEndId, [load]);
+      else known.push(load);
+      if (load.target !== '') this.noteUse(load.backEndId, load.target);
     }
+    const weights = new Map(demand.map(({ model, weight }) => [model, weight]));
+    this.reports.set(source, { scope, at: this.clock.monotonic(), loads: byBackEnd, demand: weights });
+    this.forgetOld();
+  }
+
+  /** Drops all reports of others, when they are to come another way. */
+  dropReports(): void {
+    this.reports.clear();
   }
 
   /** Drops what is known of a back end that is gone. */
@@ -201,7 +221,7 @@
     }
     let load = targets.get(key);
     if (load === undefined) {
-      load = { requests: 0, unreadTokens: 0, heldTokens: 0, started: 0 };
+      load = { requests: 0, unreadTokens: 0, heldTokens: 0, startedAt: -Infinity };
       targets.set(key, load);
     }
     return load;
@@ -210,8 +230,7 @@
   private peerLoad(backEndId: string): BackEndLoad {
     let sum: { -readonly [Field in keyof BackEndLoad]: BackEndLoad[Field] } | undefined;
     for (const report of this.freshReports()) {
-      for (const load of report.loads) {
-        if (load.backEndId !== backEndId) continue;
+      for (const load of report.loads.get(backEndId) ?? []) {
         sum ??= { ...NO_LOAD };
         sum.requests += load.requests;
         sum.unreadTokens += load.unreadTokens;
@@ -221,22 +240,53 @@
     return sum ?? NO_LOAD;
   }
 
-  private *freshReports(): Generator<PeerReport> {
+  private *freshReports(): Generator<SourceReport> {
     const oldest = this.clock.monotonic() - REPORT_LIFETIME_MS;
     for (const report of this.reports.values()) {
       if (report.at >= oldest) yield report;
     }
   }
 
-  private noteUse(backEndId: string, target: string): void {
-    this.lastUsed.set(useKey(backEndId, target), this.clock.monotonic());
+  private forgetOld(): void {
+    const oldest = this.clock.monotonic() - DEMAND_LIFETIME_MS;
+    for (const [source, report] of this.reports) {
+      if (report.at < oldest) this.reports.delete(source);
+    }
   }
 
-  private addDemand(model: string, count: number): void {
+  private ownLoads(): TargetLoad[] {
+    const loads: TargetLoad[] = [];
+    const oldest = this.clock.monotonic() - RECENT_USE_MS;
+    for (const [backEndId, targets] of this.own) {
+      for (const [target, load] of targets) {
+        const { requests, unreadTokens, heldTokens, startedAt } = load;
+        if (requests > 0 || startedAt >= oldest) {
+          loads.push({ backEndId, target, requests, unreadTokens, heldTokens });
+        } else targets.delete(target);
+      }
+      if (targets.size === 0) this.own.delete(backEndId);
+    }
+    return loads;
+  }
+
+  private ownDemands(): ModelDemand[] {
     const now = this.clock.monotonic();
+    const demands: ModelDemand[] = [];
+    for (const [model, demand] of this.demand) {
+      const weight = decayed(demand, now);
+      if (weight >= LEAST_DEMAND) demands.push({ model, weight });
+      else this.demand.delete(model);
+    }
+    return demands;
+  }
+
+  private ownDemand(model: string, now: number): number {
     const demand = this.demand.get(model);
-    const before = demand === undefined ? 0 : decayed(demand, now);
-    this.demand.set(model, { weight: before + count, at: now });
+    return demand === undefined ? 0 : decayed(demand, now);
+  }
+
+  private noteUse(backEndId: string, target: string): void {
+    this.lastUsed.set(useKey(backEndId, target), this.clock.monotonic());
   }
 }
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -8,3 +8,4 @@
 export * from './rendezvous.js';
 export * from './voters.js';
 export * from './store-lease.js';
+export * from './relay-topology.js';
--- /dev/null
+++ b/packages/coordination/src/relay-topology.ts
@@ -0,0 +1,49 @@
+/**
+ * Who tells whom in a large group of daemons, agreed without messages by equal views. Some daemons of each zone are
+ * relays: they exchange what they know with all other relays, and the other daemons of the zone attach to one of
+ * them. In a small group every daemon is a relay. Views that differ for a moment cost an attempt at a daemon that
+ * is no relay, and nothing else.
+ */
+import { rankByRendezvous, type Candidate } from './rendezvous.js';
+
+/** A daemon that may be a relay. */
+export interface RelayCandidate extends Candidate {
+  readonly zone: string;
+}
+
+/** Groups up to this size have no daemons but relays. */
+export const LARGEST_DIRECT_GROUP = 12;
+/** Relays of a zone: one may be lost without a pause. */
+export const RELAYS_PER_ZONE = 2;
+
+/** Places of the daemons of a group, as one of them sees it. */
+export interface RelayTopology<T extends RelayCandidate> {
+  /** Whether this daemon is a relay. */
+  readonly isRelay: boolean;
+  /** Relays of the own zone without this daemon, in the order in which it attaches to them. */
+  readonly ownRelays: readonly T[];
+  /** All relays but this daemon. */
+  readonly relays: readonly T[];
+}
+
+/** Works out the relays among the members of a group, which need not name this daemon. */
+export function relayTopology<T extends RelayCandidate>(self: T, members: readonly T[]): RelayTopology<T> {
+  const others = members.filter((member) => member.id !== self.id);
+  if (others.length < LARGEST_DIRECT_GROUP) return { isRelay: true, ownRelays: [], relays: others };
+  const byZone = new Map<string, T[]>();
+  for (const member of [self, ...others]) {
+    const ofZone = byZone.get(member.zone);
+    if (ofZone === undefined) byZone.set(member.zone, [member]);
+    else ofZone.push(member);
+  }
+  const relays = [...byZone].flatMap(([zone, ofZone]) => relaysOf(zone, ofZone));
+  const isRelay = relays.some((relay) => relay.id === self.id);
+  const otherRelays = relays.filter((relay) => relay.id !== self.id);
+  const ofOwnZone = otherRelays.filter((relay) => relay.zone === self.zone);
+  // Each daemon has an order of its own, so that the relays of a zone share the work.
+  return { isRelay, ownRelays: rankByRendezvous(`attach ${self.id}`, ofOwnZone), relays: otherRelays };
+}
+
+function relaysOf<T extends RelayCandidate>(zone: string, members: readonly T[]): T[] {
+  return rankByRendezvous(`relay ${zone}`, members).slice(0, RELAYS_PER_ZONE);
+}
--- /dev/null
+++ b/packages/exchange/src/change-log.ts
@@ -0,0 +1,52 @@
+/** Recent changes of residency, for daemons that fetch them one after the other. */
+import type { ResidencyChange } from '@woodbarrow/protocol';
+import type { Clock } from '@woodbarrow/runtime';
+
+/** Milliseconds for which a change is kept; later the workers' own records tell it. */
+const CHANGE_LIFETIME_MS = 4000;
+/** A reader that stayed away for longer may have missed an answer, and begins anew, in milliseconds. */
+const READER_LIFETIME_MS = 1000;
+
+interface NumberedChange {
+  readonly number: number;
+  readonly at: number;
+  readonly change: ResidencyChange;
+}
+
+interface Reader {
+  readonly number: number;
+  readonly at: number;
+}
+
+/** Changes in the order in which they came, and how far each reader has come. */
+export class ChangeLog {
+  private changes: NumberedChange[] = [];
+  private lastNumber = 0;
+  private readonly readers = new Map<string, Reader>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Whether a reader has read here lately. */
+  knows(reader: string): boolean {
+    const known = this.readers.get(reader);
+    return known !== undefined && this.clock.monotonic() - known.at <= READER_LIFETIME_MS;
+  }
+
+  add(changes: readonly ResidencyChange[]): void {
+    const at = this.clock.monotonic();
+    for (const change of changes) {
+      this.lastNumber += 1;
+      this.changes.push({ number: this.lastNumber, at, change });
+    }
+    this.changes = this.changes.filter((kept) => at - kept.at <= CHANGE_LIFETIME_MS);
+  }
+
+  /** Changes that a reader has not yet been given; all recent ones when it comes anew. */
+  read(reader: string): ResidencyChange[] {
+    const now = this.clock.monotonic();
+    const after = this.knows(reader) ? (this.readers.get(reader)?.number ?? 0) : 0;
+    this.readers.set(reader, { number: this.lastNumber, at: now });
+    const fresh = this.changes.filter((kept) => kept.number > after && now - kept.at <= CHANGE_LIFETIME_MS);
+    return fresh.map((kept) => kept.change);
+  }
+}
--- /dev/null
+++ b/packages/exchange/src/peer-exchange.ts
@@ -0,0 +1,344 @@
+/**
+ * What a daemon tells others again and again, and is told: load, demand, claims of zones, and records of the store.
+ * Relays exchange reports with all other relays and follow the store themselves. Another daemon attaches to a relay
+ * of its zone: it sends its report, and the relay answers after a while, or at once when something urgent comes.
+ * A daemon that finds no relay follows the store itself until it does.
+ */
+import { summarizedReport, type LoadBook, type ReportScope } from '@woodbarrow/backends';
+import { relayTopology, type RelayTopology } from '@woodbarrow/coordination';
+import { logTaskFailures, type EventLog } from '@woodbarrow/observability';
+import type { PeerNetwork } from '@woodbarrow/peering';
+import {
+  attachMethod,
+  residencyChangedMethod,
+  stateReportMethod,
+  type AttachAnswer,
+  type AttachMessage,
+  type RecordUpdate,
+  type ResidencyChange,
+  type SourcePosition,
+  type StateReport,
+  type StateReportAnswer,
+  type StateReportMessage,
+  type ZoneClaim,
+} from '@woodbarrow/protocol';
+import { BackgroundService, sleep, type Clock } from '@woodbarrow/runtime';
+import { ChangeLog } from './change-log.js';
+import type { CoordinatorDirectory } from './coordinator-directory.js';
+import type { RecordSet } from './record-set.js';
+import { toLoadReport, toStateReport } from './state-entries.js';
+
+/** A daemon as seen by the others. */
+export interface Member {
+  readonly id: string;
+  /** Peer address. */
+  readonly address: string;
+  readonly zone: string;
+}
+
+/** Records of the store as this daemon follows them. */
+export interface FollowedRecords {
+  readonly sets: readonly RecordSet[];
+  /** Whether the store answers this daemon. */
+  readonly isFollowing: boolean;
+  /** Whether to follow the store itself. */
+  followStore(wanted: boolean): void;
+  /** Another daemon has come this far. */
+  noteElsewhere(positions: readonly SourcePosition[]): void;
+}
+
+/** Options of {@link PeerExchange}. */
+export interface PeerExchangeOptions {
+  readonly self: Member;
+  /** Daemons that may be relays. */
+  readonly members: () => readonly Member[];
+  readonly peers: PeerNetwork;
+  readonly loads: LoadBook;
+  readonly coordinators: CoordinatorDirectory;
+  readonly records: FollowedRecords;
+  /** Kinds of records whose changes are passed on at once. */
+  readonly urgentSources: readonly string[];
+  /** Zones that this daemon coordinates. */
+  readonly ownClaims: () => readonly ZoneClaim[];
+  readonly onChanges: (changes: readonly ResidencyChange[]) => void;
+  readonly clock: Clock;
+  readonly log: EventLog;
+}
+
+/** Pause between two reports of a relay, and time for which it holds the call of a daemon attached to it. */
+export const REPORT_INTERVAL_MS = 300;
+const REPORT_TIMEOUT_MS = 1000;
+/** Time beyond the hold after which a relay that has not answered is given up. */
+const ATTACH_SLACK_MS = 500;
+/** Pause after an answer that came at once, so that many urgent changes cost few calls. */
+const ATTACH_PAUSE_MS = 30;
+/** Time for which a relay that failed is not tried again. */
+const AVOIDANCE_MS = 3000;
+/** A newer record elsewhere is looked for after this long. */
+const BEHIND_PATIENCE_MS = 700;
+
+const RELAY_SCOPES: readonly ReportScope[] = ['attached'];
+const ALL_SCOPES: readonly ReportScope[] = ['attached', 'relay'];
+
+/** Exchange of state between one daemon and the others. */
+export class PeerExchange extends BackgroundService {
+  private readonly reporting = new Set<string>();
+  private readonly avoidedUntil = new Map<string, number>();
+  private readonly held = new Set<() => void>();
+  private readonly changes: ChangeLog;
+  private topology: RelayTopology<Member>;
+  /** Relay that this daemon is attached to. */
+  private relay: Member | undefined;
+  private behindSince: number | undefined;
+  private attachFailed = false;
+
+  constructor(private readonly options: PeerExchangeOptions) {
+    super(options.clock, logTaskFailures(options.log));
+    this.changes = new ChangeLog(options.clock);
+    this.topology = relayTopology(options.self, []);
+  }
+
+  /** Starts. The peer network must be listening. */
+  start(): void {
+    const { peers } = this.options;
+    peers.handle(stateReportMethod, (message) => this.onReport(message));
+    peers.handle(attachMethod, (message) => this.onAttach(message));
+    peers.handle(residencyChangedMethod, ({ changes }) => {
+      this.takeChanges(changes);
+      return {};
+    });
+    this.tasks.loop(
+      'exchange',
+      () => (this.relay === undefined ? REPORT_INTERVAL_MS : ATTACH_PAUSE_MS),
+      () => this.step(),
+    );
+  }
+
+  /** Whether this daemon is a relay. */
+  get isRelay(): boolean {
+    return this.topology.isRelay;
+  }
+
+  /** Tells the relays of this daemon's state now. */
+  tellNow(): void {
+    const { self, coordinators, ownClaims } = this.options;
+    coordinators.accept(self.id, 'own', this.toClaims(ownClaims()));
+    const scopes = this.topology.isRelay ? RELAY_SCOPES : [];
+    const message = this.reportMessage(scopes);
+    const attachedTo = this.relay === undefined ? [] : [this.relay];
+    const receivers = this.topology.isRelay ? this.topology.relays : attachedTo;
+    for (const relay of receivers) void this.report(relay, message);
+  }
+
+  /** Tells all daemons of a change of residency; this one is told as well. */
+  announce(change: ResidencyChange): void {
+    const message = { changes: [change] };
+    this.takeChanges(message.changes);
+    for (const relay of this.topology.relays) {
+      this.options.peers
+        .call(relay.address, residencyChangedMethod, message, { timeoutMs: REPORT_TIMEOUT_MS })
+        .catch(() => undefined);
+    }
+  }
+
+  /** A record of an urgent kind has been seen: calls that are held are answered. */
+  wakeAttached(): void {
+    for (const answer of this.held) answer();
+  }
+
+  /** Another daemon, met by chance, has seen a record of an urgent kind of this revision. */
+  noteUrgentElsewhere(revision: number): void {
+    const { clock } = this.options;
+    if (this.relay === undefined || revision <= this.newestUrgent()) {
+      this.behindSince = undefined;
+      return;
+    }
+    this.behindSince ??= clock.monotonic();
+    if (clock.monotonic() - this.behindSince < BEHIND_PATIENCE_MS) return;
+    this.behindSince = undefined;
+    this.avoid(this.relay, 'behind');
+  }
+
+  private async step(): Promise<void> {
+    const { self, members, coordinators, ownClaims } = this.options;
+    const wasRelay = this.topology.isRelay;
+    this.topology = relayTopology(self, members());
+    if (wasRelay !== this.topology.isRelay) this.changeRole();
+    coordinators.accept(self.id, 'own', this.toClaims(ownClaims()));
+    if (this.topology.isRelay) {
+      this.relay = undefined;
+      this.options.records.followStore(true);
+      this.tellNow();
+    } else await this.attach();
+  }
+
+  /** Reports come another way from now on; those of the former way would count twice. */
+  private changeRole(): void {
+    const { loads, coordinators, log } = this.options;
+    loads.dropReports();
+    coordinators.dropReports();
+    log.changed('exchange_role', { relay: this.topology.isRelay, relays: this.topology.relays.length });
+  }
+
+  private async report(relay: Member, message: StateReportMessage): Promise<void> {
+    if (this.reporting.has(relay.id)) return;
+    this.reporting.add(relay.id);
+    try {
+      const options = { timeoutMs: REPORT_TIMEOUT_MS };
+      const answer = await this.options.peers.call(relay.address, stateReportMethod, message, options);
+      this.merge(answer.updates);
+    } catch {
+      // The next report follows soon; membership finds out whether the relay is gone.
+    } finally {
+      this.reporting.delete(relay.id);
+    }
+  }
+
+  /** Attaches to the first relay that answers. */
+  private async attach(): Promise<void> {
+    const { records, clock, log } = this.options;
+    const now = clock.monotonic();
+    for (const relay of this.topology.ownRelays) {
+      if ((this.avoidedUntil.get(relay.id) ?? 0) > now) continue;
+      if (await this.attachTo(relay)) return;
+    }
+    this.relay = undefined;
+    if (!this.attachFailed) log.warned('exchange_unattached', { relays: this.topology.ownRelays.length });
+    this.attachFailed = true;
+    records.followStore(true);
+  }
+
+  private async attachTo(relay: Member): Promise<boolean> {
+    const { peers, records, log } = this.options;
+    const options = { timeoutMs: REPORT_INTERVAL_MS + ATTACH_SLACK_MS };
+    let answer: AttachAnswer;
+    try {
+      answer = await peers.call(relay.address, attachMethod, this.attachMessage(), options);
+    } catch {
+      this.avoid(relay, 'no answer');
+      return false;
+    }
+    if (!answer.isRelay) {
+      this.avoid(relay, 'no relay');
+      return false;
+    }
+    if (this.relay?.id !== relay.id) {
+      log.changed('exchange_attached', { relay: relay.id, before: this.relay?.id });
+      this.options.loads.dropReports();
+      this.options.coordinators.dropReports();
+    }
+    this.relay = relay;
+    this.attachFailed = false;
+    this.take(relay.id, 'all', answer.state);
+    this.merge(answer.updates);
+    this.options.onChanges(answer.changes);
+    records.followStore(!records.sets.every((set) => set.isListed));
+    return true;
+  }
+
+  private avoid(relay: Member, cause: string): void {
+    const { clock, log } = this.options;
+    this.avoidedUntil.set(relay.id, clock.monotonic() + AVOIDANCE_MS);
+    log.changed('exchange_relay_avoided', { relay: relay.id, cause });
+  }
+
+  private onReport(message: StateReportMessage): StateReportAnswer {
+    const { records } = this.options;
+    this.take(message.from, message.isRelay ? 'relay' : 'attached', message.state);
+    records.noteElsewhere(message.positions);
+    return { updates: message.needsRecords ? this.updatesFor(message.positions) : [] };
+  }
+
+  private async onAttach(message: AttachMessage): Promise<AttachAnswer> {
+    if (!this.topology.isRelay) return NO_RELAY;
+    this.take(message.from, 'attached', message.state);
+    this.options.records.noteElsewhere(message.positions);
+    if (this.changes.knows(message.from) && !this.hasUrgentFor(message)) await this.hold();
+    const { loads, coordinators } = this.options;
+    const combined = loads.combinedReport(ALL_SCOPES, message.from);
+    return {
+      isRelay: this.topology.isRelay,
+      state: toStateReport(
+        message.needsDetail ? combined : summarizedReport(combined),
+        coordinators.claims(['own', ...ALL_SCOPES]),
+      ),
+      updates: this.updatesFor(message.positions),
+      changes: this.changes.read(message.from),
+    };
+  }
+
+  /** Waits for the time that a call is held, or for something urgent. */
+  private async hold(): Promise<void> {
+    const urgent = new AbortController();
+    const wake = (): void => {
+      urgent.abort();
+    };
+    this.held.add(wake);
+    await sleep(this.options.clock, REPORT_INTERVAL_MS, urgent.signal);
+    this.held.delete(wake);
+  }
+
+  private hasUrgentFor({ positions }: AttachMessage): boolean {
+    const behind = positions.filter(({ source, revision }) => {
+      const own = this.options.records.sets.find((set) => set.source === source)?.position.revision ?? 0;
+      return own > revision && (revision === 0 || this.options.urgentSources.includes(source));
+    });
+    return behind.length > 0;
+  }
+
+  private take(source: string, scope: ReportScope, state: StateReport): void {
+    this.options.loads.accept(source, scope, toLoadReport(state));
+    this.options.coordinators.accept(source, scope, state.claims);
+  }
+
+  private takeChanges(changes: readonly ResidencyChange[]): void {
+    this.changes.add(changes);
+    this.options.onChanges(changes);
+  }
+
+  private merge(updates: readonly RecordUpdate[]): void {
+    for (const update of updates) {
+      this.options.records.sets.find((set) => set.source === update.source)?.merge(update);
+    }
+  }
+
+  private updatesFor(positions: readonly SourcePosition[]): RecordUpdate[] {
+    return positions.flatMap((position) => {
+      const set = this.options.records.sets.find(({ source }) => source === position.source);
+      const update = set?.updateFor(position);
+      return update === undefined ? [] : [update];
+    });
+  }
+
+  private attachMessage(): AttachMessage {
+    return { ...this.reportMessage([]), needsDetail: this.options.ownClaims().length > 0 };
+  }
+
+  private reportMessage(scopes: readonly ReportScope[]): StateReportMessage {
+    const { self, loads, coordinators, records } = this.options;
+    return {
+      from: self.id,
+      isRelay: this.topology.isRelay,
+      state: toStateReport(loads.combinedReport(scopes), coordinators.claims(['own', ...scopes])),
+      positions: records.sets.map((set) => set.position),
+      needsRecords: !records.isFollowing,
+    };
+  }
+
+  private toClaims(claims: readonly ZoneClaim[]): StateReport['claims'] {
+    const { id, address } = this.options.self;
+    return claims.map((claim) => ({ ...claim, holder: id, address }));
+  }
+
+  private newestUrgent(): number {
+    const urgent = this.options.records.sets.filter((set) => this.options.urgentSources.includes(set.source));
+    return Math.max(0, ...urgent.map((set) => set.position.revision));
+  }
+}
+
+const NO_RELAY: AttachAnswer = {
+  isRelay: false,
+  state: { loads: [], demand: [], claims: [] },
+  updates: [],
+  changes: [],
+};
--- /dev/null
+++ b/packages/exchange/src/state-entries.ts
@@ -0,0 +1,32 @@
+/** Reports as they stand in messages. */
+import type { LoadReport } from '@woodbarrow/backends';
+import type { RelayedClaim, StateReport } from '@woodbarrow/protocol';
+
+/** Puts a report into the form of a message. */
+export function toStateReport({ loads, demand }: LoadReport, claims: readonly RelayedClaim[]): StateReport {
+  return {
+    loads: loads.map((load) => ({
+      b: load.backEndId,
+      t: load.target,
+      r: load.requests,
+      u: load.unreadTokens,
+      h: load.heldTokens,
+    })),
+    demand: demand.map(({ model, weight }) => ({ m: model, w: weight })),
+    claims,
+  };
+}
+
+/** Work and demand in a message. */
+export function toLoadReport({ loads, demand }: StateReport): LoadReport {
+  return {
+    loads: loads.map((entry) => ({
+      backEndId: entry.b,
+      target: entry.t,
+      requests: entry.r,
+      unreadTokens: entry.u,
+      heldTokens: entry.h,
+    })),
+    demand: demand.map(({ m, w }) => ({ model: m, weight: w })),
+  };
+}
--- /dev/null
+++ b/packages/protocol/src/exchange-messages.ts
@@ -0,0 +1,102 @@
+/** Messages by which daemons tell each other their load, their claims and what they have read of the store. */
+import { definePeerMethod } from './method.js';
+import type { ResidencyChange, ZoneClaim } from './residency-messages.js';
+
+/** Work on one target of one back end; the names are short because there are many. */
+export interface LoadEntry {
+  /** Back end. */
+  readonly b: string;
+  /** Target, `model` or `model/adapter`; empty for back ends without models, and in summaries. */
+  readonly t: string;
+  /** Requests under way. */
+  readonly r: number;
+  /** Prompt tokens not yet read. */
+  readonly u: number;
+  /** Tokens held. */
+  readonly h: number;
+}
+
+/** Recent requests for a model. */
+export interface DemandEntry {
+  /** Model. */
+  readonly m: string;
+  /** Their number, older ones counting less. */
+  readonly w: number;
+}
+
+/** A zone and the daemon that coordinates it. */
+export interface RelayedClaim extends ZoneClaim {
+  readonly holder: string;
+  /** Peer address of the holder. */
+  readonly address: string;
+}
+
+/** How far the sender has followed the records of one kind. */
+export interface SourcePosition {
+  /** Kind of the records. */
+  readonly source: string;
+  /** Revision of the newest record seen; 0 before the first listing. */
+  readonly revision: number;
+  /** Digest of the names of all records. */
+  readonly names: number;
+}
+
+/** State of the part of the deployment that the sender speaks for. */
+export interface StateReport {
+  readonly loads: readonly LoadEntry[];
+  readonly demand: readonly DemandEntry[];
+  readonly claims: readonly RelayedClaim[];
+}
+
+/** What a daemon tells a relay. */
+export interface StateReportMessage {
+  readonly from: string;
+  /** Whether the sender is a relay, and speaks for the daemons attached to it. */
+  readonly isRelay: boolean;
+  readonly state: StateReport;
+  readonly positions: readonly SourcePosition[];
+  /** Whether the sender cannot follow the store itself at present. */
+  readonly needsRecords: boolean;
+}
+
+/** One record of the store. */
+export interface RecordEntry {
+  readonly name: string;
+  readonly revision: number;
+  readonly value: unknown;
+}
+
+/** What a daemon lacks of the records of one kind. */
+export interface RecordUpdate {
+  readonly source: string;
+  /** Revision up to which the sender knows every change. */
+  readonly revision: number;
+  readonly records: readonly RecordEntry[];
+  /** Names of all records there are; absent where the receiver has just these. */
+  readonly names?: readonly string[];
+}
+
+/** Answer to a report. */
+export interface StateReportAnswer {
+  /** Empty unless asked for. */
+  readonly updates: readonly RecordUpdate[];
+}
+
+/** A daemon's report to the relay of its choice, which answers after a while or when something urgent comes. */
+export interface AttachMessage extends StateReportMessage {
+  /** Whether loads by target and the demand for models are wanted as well. */
+  readonly needsDetail: boolean;
+}
+
+/** What a relay tells a daemon that is attached to it. */
+export interface AttachAnswer {
+  /** False where the receiver is no relay: nothing else counts. */
+  readonly isRelay: boolean;
+  /** State of all others. */
+  readonly state: StateReport;
+  readonly updates: readonly RecordUpdate[];
+  readonly changes: readonly ResidencyChange[];
+}
+
+export const stateReportMethod = definePeerMethod<StateReportMessage, StateReportAnswer>('exchange.report');
+export const attachMethod = definePeerMethod<AttachMessage, AttachAnswer>('exchange.attach');
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -2,6 +2,7 @@
 export * from './configuration-messages.js';
 export * from './coordination-messages.js';
 export * from './envelope.js';
+export * from './exchange-messages.js';
 export * from './gateway-messages.js';
 export * from './membership-messages.js';
 export * from './method.js';
--- a/packages/protocol/src/residency-messages.ts
+++ b/packages/protocol/src/residency-messages.ts
@@ -48,36 +48,6 @@
   readonly fence: number;
 }
 
-/** Work of the sender on one target of one back end; the names are short because there are many. */
-export interface LoadEntry {
-  /** Back end. */
-  readonly b: string;
-  /** Target, `model` or `model/adapter`; empty for back ends without models. */
-  readonly t: string;
-  /** Requests under way. */
-  readonly r: number;
-  /** Prompt tokens not yet read. */
-  readonly u: number;
-  /** Tokens held. */
-  readonly h: number;
-  /** Requests started since the last report. */
-  readonly s: number;
-}
-
-/** How far the sender has followed a source of configuration or back ends. */
-export interface SourcePosition {
-  readonly source: string;
-  readonly revision: number;
-}
-
-/** What a daemon tells all others again and again. */
-export interface LoadReportMessage {
-  readonly from: string;
-  readonly claims: readonly ZoneClaim[];
-  readonly loads: readonly LoadEntry[];
-  readonly positions: readonly SourcePosition[];
-}
-
 export type ResidencyAcknowledgement = Record<string, never>;
 
 export const residencyDemandMethod = definePeerMethod<ResidencyDemandMessage, ResidencyDemandAnswer>(
@@ -86,4 +56,3 @@
 export const residencyChangedMethod = definePeerMethod<ResidencyChangedMessage, ResidencyAcknowledgement>(
   'residency.changed',
 );
-export const loadReportMethod = definePeerMethod<LoadReportMessage, ResidencyAcknowledgement>('load.report');
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -2,6 +2,7 @@
 import { targetKey, type BackendDirectory } from '@woodbarrow/backends';
 import type { ResidencyClient, ResidencyDemand, ResidencyOutcome } from '@woodbarrow/forwarding';
 import { rankByRendezvous } from '@woodbarrow/coordination';
+import type { CoordinatorDirectory } from '@woodbarrow/exchange';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import {
   residencyDemandMethod,
@@ -9,7 +10,6 @@
   type ResidencyDemandMessage,
 } from '@woodbarrow/protocol';
 import { settleWithin, sleep, type Clock } from '@woodbarrow/runtime';
-import type { CoordinatorDirectory } from './coordinator-directory.js';
 import { LOADING_REASON } from './zone-residency.js';
 
 /** Options of {@link DemandRouter}. */
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -1,5 +1,4 @@
 /** Which model is resident on which worker. */
-export * from './coordinator-directory.js';
 export * from './demand-router.js';
 export * from './load-window.js';
 export * from './adapter-orders.js';
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -3,7 +3,8 @@
 import type { LeaseRecord, LeaseRecordStore, StoredLease } from '@woodbarrow/coordination';
 import { silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster } from '@woodbarrow/peering';
-import { CoordinatorDirectory, ResidencyService, type Member, type OrderClient } from '../src/index.js';
+import { CoordinatorDirectory, PeerExchange, type FollowedRecords, type Member } from '@woodbarrow/exchange';
+import { ResidencyService, type OrderClient } from '../src/index.js';
 
 const ZONES = ['alpha', 'beta', 'gamma'];
 
@@ -40,6 +41,13 @@
   report: () => Promise.resolve(undefined),
 };
 
+const noRecords: FollowedRecords = {
+  sets: [],
+  isFollowing: true,
+  followStore: () => undefined,
+  noteElsewhere: () => undefined,
+};
+
 /** Daemons of three zones with a worker in each. */
 class ServiceWorld {
   readonly cluster = new SimulatedCluster({ seed: 1 });
@@ -73,27 +81,49 @@
       storeLoadsPerSecond: 1,
       models: new Map(),
     };
+    // A daemon that has just started knows only itself.
+    const members = (): Member[] => (node.process.monotonic() < 1000 ? [self] : [...this.members.values()]);
+    const loads = new LoadBook(node.process);
+    const coordinators = new CoordinatorDirectory(node.process, name);
+    const exchange: PeerExchange = new PeerExchange({
+      self,
+      members,
+      peers: node.peers,
+      loads,
+      coordinators,
+      records: noRecords,
+      urgentSources: [],
+      ownClaims: () => service.claims(),
+      onChanges: () => undefined,
+      clock: node.process,
+      log: silentLog,
+    });
     const service = new ResidencyService({
       self,
       instance: this.runs,
-      // A daemon that has just started knows only itself.
-      members: () => (node.process.monotonic() < 1000 ? [self] : [...this.members.values()]),
+      members,
       peers: node.peers,
       directory,
-      loads: new LoadBook(node.process),
-      coordinators: new CoordinatorDirectory(node.process),
+      loads,
+      coordinators,
+      announce: (change) => {
+        exchange.announce(change);
+      },
+      onClaimsChanged: () => {
+        exchange.tellNow();
+      },
       leases: this.store,
       orders: noOrders,
       serviceOf: () => ({ name: 'models', connectionLimit: 1, engine }),
-      positions: () => [],
-      onPositions: () => undefined,
       handoverPauseMs: 3000,
       storeWindow: { windowMs: 5000, overshoot: 1 },
       clock: node.process,
       log: silentLog,
     });
+    exchange.start();
     service.start();
     return () => {
+      exchange.abort();
       service.abort();
       node.process.kill();
     };
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -2,6 +2,7 @@
 export * from './deployment-view.js';
 export * from './journal.js';
 export * from './ports.js';
+export * from './record-follower.js';
 export * from './record-watch.js';
 export * from './serving-daemon.js';
 export * from './serving-settings.js';
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -1,10 +1,14 @@
 /** Ports of a serving daemon: what the deployment around it provides. */
 import type { BackEnd } from '@woodbarrow/backends';
 import type { LeaseRecordStore } from '@woodbarrow/coordination';
+import type { RecordHandlers } from '@woodbarrow/exchange';
 import type { ForwardingConfiguration, WireDialect } from '@woodbarrow/forwarding';
+import type { RecordEntry } from '@woodbarrow/protocol';
 import type { OrderClient } from '@woodbarrow/residency';
 import type { BackendClient, Clock, Random, Transport } from '@woodbarrow/runtime';
 
+export type { RecordEntry };
+
 /** Receives what the deployment says; called in the order of the changes. */
 export interface DeploymentSink {
   configuration(configuration: ForwardingConfiguration): void;
@@ -14,24 +18,16 @@
   backEndGone(id: string): void;
 }
 
-/** A record of a store with revisions. */
-export interface StoredRecord {
-  readonly name: string;
-  /** Revision of its last change. */
-  readonly revision: number;
-  readonly value: unknown;
-}
-
 /** All records of a kind. */
 export interface RecordListing {
-  readonly records: readonly StoredRecord[];
+  readonly records: readonly RecordEntry[];
   /** Revision of the store from which changes are to be watched. */
   readonly revision: number;
 }
 
 /** One change of a record. */
 export interface RecordChange {
-  readonly record: StoredRecord;
+  readonly record: RecordEntry;
   readonly gone: boolean;
 }
 
@@ -48,21 +44,22 @@
   watch(kind: string, revision: number, waitMs: number, signal: AbortSignal): Promise<WatchResult>;
 }
 
-/** How far a daemon has followed one source of the feed. */
-export interface FeedPosition {
+/** One kind of records that say what the deployment is. */
+export interface FeedKind {
+  /** Kind of the records in the store. */
   readonly source: string;
-  /** Revision of the newest record seen. */
-  readonly revision: number;
+  /** Whether changes are passed on to other daemons at once. */
+  readonly isUrgent: boolean;
+  /** Pause after a watch brought changes, so that changes close to each other come in one answer, in milliseconds. */
+  readonly pauseMs: number;
+  /** Turns records into what the deployment says. */
+  readonly handlers: (sink: DeploymentSink) => RecordHandlers;
 }
 
 /** Source of configuration and back ends. */
 export interface DeploymentFeed {
-  /** How far each source has been followed. */
-  position(): readonly FeedPosition[];
-  /** Another daemon has come this far: what is behind for long is read again. */
-  noteElsewhere(positions: readonly FeedPosition[]): void;
-  /** Reads and follows until `signal` aborts. */
-  run(sink: DeploymentSink, signal: AbortSignal): Promise<void>;
+  readonly store: RecordSource;
+  readonly kinds: readonly FeedKind[];
 }
 
 /** A daemon as it stands in the register. */
--- /dev/null
+++ b/packages/serving/src/record-follower.ts
@@ -0,0 +1,59 @@
+/** The records that say what the deployment is, followed in the store while this daemon is to do so itself. */
+import { RecordSet, type FollowedRecords } from '@woodbarrow/exchange';
+import type { EventLog } from '@woodbarrow/observability';
+import type { SourcePosition } from '@woodbarrow/protocol';
+import type { Clock, Random } from '@woodbarrow/runtime';
+import type { DeploymentFeed, DeploymentSink, FeedKind } from './ports.js';
+import { RecordWatch } from './record-watch.js';
+
+/** Options of {@link RecordFollower}. */
+export interface RecordFollowerOptions {
+  readonly feed: DeploymentFeed;
+  readonly sink: DeploymentSink;
+  /** Called whenever a newer record of an urgent kind has been seen. */
+  readonly onUrgent: () => void;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: EventLog;
+}
+
+/** A record set and a watch for each kind. */
+export class RecordFollower implements FollowedRecords {
+  readonly sets: readonly RecordSet[];
+  private readonly watches: readonly RecordWatch[];
+
+  constructor(private readonly options: RecordFollowerOptions) {
+    const { feed, clock, random, log } = options;
+    this.sets = feed.kinds.map((kind) => this.createSet(kind));
+    this.watches = feed.kinds.flatMap(({ pauseMs }, index) => {
+      const set = this.sets[index];
+      const shared = { pauseMs, store: feed.store, clock, random, log };
+      return set === undefined ? [] : [new RecordWatch({ ...shared, set })];
+    });
+  }
+
+  get isFollowing(): boolean {
+    return this.watches.every((watch) => watch.isFollowing);
+  }
+
+  followStore(wanted: boolean): void {
+    for (const watch of this.watches) watch.setWanted(wanted);
+  }
+
+  noteElsewhere(positions: readonly SourcePosition[]): void {
+    for (const { source, revision } of positions) {
+      const index = this.sets.findIndex((set) => set.source === source);
+      this.watches[index]?.noteElsewhere(revision);
+    }
+  }
+
+  /** Follows until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all(this.watches.map((watch) => watch.run(signal)));
+  }
+
+  private createSet({ source, isUrgent, handlers }: FeedKind): RecordSet {
+    const { sink, onUrgent } = this.options;
+    return new RecordSet(source, handlers(sink), isUrgent ? onUrgent : undefined);
+  }
+}
--- a/packages/serving/src/record-watch.ts
+++ b/packages/serving/src/record-watch.ts
@@ -1,21 +1,20 @@
 /**
- * Follows the records of one kind: lists them, then watches for changes. After any failure it lists again, for a
+ * Follows the records of one kind in the store, while that is wanted: lists them, then watches for changes. After any failure it lists again, for a
  * watch begun anew may hear nothing of what happened in between. It also lists again when another daemon has seen
  * a newer record for a while: a watch may stay silent without an error.
  */
 import { messageOf } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
-import { backoffDelay, sleep, type Clock, type Random } from '@woodbarrow/runtime';
-import type { RecordSource, StoredRecord } from './ports.js';
+import { backoffDelay, sleep, Wakeup, type Clock, type Random } from '@woodbarrow/runtime';
+import type { RecordSet } from '@woodbarrow/exchange';
+import type { RecordChange, RecordSource } from './ports.js';
 
 /** Options of {@link RecordWatch}. */
 export interface RecordWatchOptions {
-  readonly kind: string;
+  /** Receives the records; its source is the kind that is followed. */
+  readonly set: RecordSet;
   /** Pause after a watch brought changes, in milliseconds. */
   readonly pauseMs: number;
-  readonly onList: (records: readonly StoredRecord[]) => void;
-  readonly onChange: (record: StoredRecord) => void;
-  readonly onGone: (name: string) => void;
   readonly store: RecordSource;
   readonly clock: Clock;
   readonly random: Random;
@@ -24,27 +23,40 @@
 
 /** Milliseconds that a watch waits for a change. */
 const WATCH_WAIT_MS = 8000;
+/** While the store need not be followed, this is looked at again after so many milliseconds at most. */
+const IDLE_WAIT_MS = 1000;
 const RETRY = { initialMs: 100, maximumMs: 800 };
 /** A newer record elsewhere is looked for after this long: watches are answered at different moments. */
 const BEHIND_PATIENCE_MS = 700;
 
 /** Watch of the records of one kind. */
 export class RecordWatch {
-  private newest = 0;
+  private wanted = true;
+  private following = false;
   private behindSince: number | undefined;
   private cutShort: AbortController | undefined;
+  private readonly wakeup = new Wakeup();
 
   constructor(private readonly options: RecordWatchOptions) {}
 
-  /** Revision of the newest record seen. */
-  get newestRevision(): number {
-    return this.newest;
+  /** Whether the store answers, and no other daemon has long been ahead. */
+  get isFollowing(): boolean {
+    return this.following && this.behindSince === undefined;
+  }
+
+  /** Whether the store is to be followed. A watch under way ends by itself. */
+  setWanted(wanted: boolean): void {
+    this.wanted = wanted;
+    if (wanted) this.wakeup.wake();
   }
 
   /** Another daemon has seen a record of this revision. */
   noteElsewhere(revision: number): void {
     const now = this.options.clock.monotonic();
-    if (revision <= this.newest) return;
+    if (revision <= this.options.set.position.revision) {
+      this.behindSince = undefined;
+      return;
+    }
     this.behindSince ??= now;
     if (now - this.behindSince < BEHIND_PATIENCE_MS) return;
     this.behindSince = undefined;
@@ -53,19 +65,25 @@
 
   /** Follows until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, random, log, kind } = this.options;
+    const { clock, random, log, set } = this.options;
     let revision: number | undefined;
     let failures = 0;
     while (!signal.aborted) {
+      if (!this.wanted) {
+        revision = undefined;
+        this.following = false;
+        await this.wakeup.wait(clock, IDLE_WAIT_MS, signal);
+        continue;
+      }
       try {
         revision = revision === undefined ? await this.list() : await this.wait(revision, signal);
-        if (failures > 0) log.changed('store_regained', { kind, failures });
+        if (failures > 0) log.changed('store_regained', { kind: set.source, failures });
         failures = 0;
+        this.following = true;
       } catch (error) {
         revision = undefined;
-        if (failures === 0) {
-          log.warned('store_lost', { kind, cause: messageOf(error) });
-        }
+        this.following = false;
+        if (failures === 0) log.warned('store_lost', { kind: set.source, cause: messageOf(error) });
         await sleep(clock, backoffDelay(RETRY, failures, random), signal);
         failures += 1;
       }
@@ -73,16 +91,15 @@
   }
 
   private async list(): Promise<number> {
-    const { store, kind, onList } = this.options;
-    const { records, revision } = await store.listAll(kind);
-    onList(records);
-    for (const record of records) this.noteSeen(record);
+    const { store, set } = this.options;
+    const { records, revision } = await store.listAll(set.source);
+    set.replaceAll(records, revision);
     return revision;
   }
 
   /** Waits for changes. Returns the revision to go on from, or undefined to list again. */
   private async wait(revision: number, signal: AbortSignal): Promise<number | undefined> {
-    const { store, kind, clock, log, pauseMs } = this.options;
+    const { store, set, clock, log, pauseMs } = this.options;
     const cutShort = new AbortController();
     this.cutShort = cutShort;
     const stop = (): void => {
@@ -90,35 +107,26 @@
     };
     signal.addEventListener('abort', stop);
     try {
-      const result = await store.watch(kind, revision, WATCH_WAIT_MS, cutShort.signal);
+      const result = await store.watch(set.source, revision, WATCH_WAIT_MS, cutShort.signal);
       if (result.kind === 'history_gone') {
-        log.changed('store_history_gone', { kind, revision });
+        log.changed('store_history_gone', { kind: set.source, revision });
         return undefined;
       }
-      for (const { record, gone } of result.changes) this.apply(record, gone);
+      for (const change of result.changes) this.apply(change);
+      set.noteComplete(result.revision);
       if (result.changes.length > 0) await sleep(clock, pauseMs, cutShort.signal);
       return cutShort.signal.aborted ? undefined : result.revision;
     } catch (error) {
       if (!cutShort.signal.aborted || signal.aborted) throw error;
-      log.changed('store_watch_behind', { kind, revision, newest: this.newest });
+      log.changed('store_watch_behind', { kind: set.source, revision, newest: set.position.revision });
       return undefined;
     } finally {
       signal.removeEventListener('abort', stop);
     }
   }
 
-  private apply(record: StoredRecord, gone: boolean): void {
-    if (gone) {
-      this.options.onGone(record.name);
-      return;
-    }
-    this.noteSeen(record);
-    this.options.onChange(record);
-  }
-
-  private noteSeen(record: StoredRecord): void {
-    if (record.revision <= this.newest) return;
-    this.newest = record.revision;
-    this.behindSince = undefined;
+  private apply({ record, gone }: RecordChange): void {
+    if (gone) this.options.set.remove(record.name);
+    else this.options.set.put(record);
   }
 }
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -11,10 +11,11 @@
   RepeatBudget,
   ReplicaSelector,
 } from '@woodbarrow/forwarding';
+import { CoordinatorDirectory, PeerExchange, type Member } from '@woodbarrow/exchange';
 import { Membership } from '@woodbarrow/membership';
 import { logTaskFailures, type BoundedLog } from '@woodbarrow/observability';
 import { PeerNetwork } from '@woodbarrow/peering';
-import { CoordinatorDirectory, DemandRouter, ResidencyService, type Member } from '@woodbarrow/residency';
+import { DemandRouter, ResidencyService } from '@woodbarrow/residency';
 import {
   NodeIngress,
   TaskGroup,
@@ -27,6 +28,7 @@
 import { LoggedJournal } from './journal.js';
 import { ServingMetrics } from './serving-metrics.js';
 import type { ServingPorts } from './ports.js';
+import { RecordFollower } from './record-follower.js';
 import type { ServingSettings } from './serving-settings.js';
 
 /** Name under which daemons accept each other's connections. */
@@ -71,6 +73,8 @@
   private readonly peers: PeerNetwork;
   private readonly membership: Membership;
   private readonly residency: ResidencyService;
+  private readonly records: RecordFollower;
+  private readonly exchange: PeerExchange;
   private readonly forwarder: Forwarder;
   private readonly metrics: ServingMetrics;
   private readonly view: DeploymentView;
@@ -102,7 +106,12 @@
     });
     const instance = clock.wall();
     this.membership = this.createMembership(instance);
-    const coordinators = new CoordinatorDirectory(clock);
+    const coordinators = new CoordinatorDirectory(clock, settings.name);
+    this.records = this.createFollower();
+    this.exchange = this.createExchange(coordinators);
+    this.membership.events.on('attachment', ({ attachment }) => {
+      this.exchange.noteUrgentElsewhere(attachment);
+    });
     this.residency = this.createResidency(instance, coordinators);
     this.metrics = this.createMetrics();
     this.forwarder = this.createForwarder(coordinators);
@@ -123,7 +132,7 @@
 
   /** Starts listening and following the deployment. */
   async start(): Promise<void> {
-    const { settings, ports } = this;
+    const { settings } = this;
     this.readiness = await NodeIngress.listen(settings.readinessAddress, READINESS_LIMITS, (exchange) =>
       this.answerReadiness(exchange),
     );
@@ -132,9 +141,10 @@
     );
     await this.startMetrics();
     await this.peers.start();
-    this.tasks.spawn('feed', (signal) => ports.feed.run(this.view, signal));
+    this.tasks.spawn('feed', (signal) => this.records.run(signal));
     this.tasks.spawn('register', (signal) => this.register(signal));
     this.membership.start();
+    this.exchange.start();
     this.residency.start();
     this.log.changed('daemon_started', { zone: settings.zone, address: settings.ingressAddress });
   }
@@ -167,6 +177,7 @@
     this.stopping = true;
     this.tasks.abort();
     this.residency.abort();
+    this.exchange.abort();
     this.membership.abort();
     await Promise.all([
       this.ingress?.close(),
@@ -186,6 +197,7 @@
       random: ports.random.fork(),
       seeds: () => this.seeds,
       timings: MEMBERSHIP_TIMINGS,
+      attachment: () => this.newestUrgentRevision(),
       onTaskFailure: logTaskFailures(log),
     });
     membership.events.on('up', (member) => {
@@ -200,7 +212,7 @@
   private createResidency(instance: number, coordinators: CoordinatorDirectory): ResidencyService {
     const { settings, ports, log, directory, loads, peers } = this;
     return new ResidencyService({
-      self: { id: settings.name, address: settings.peerAddress, zone: settings.zone },
+      self: this.self(),
       instance,
       members: () => this.members(),
       peers,
@@ -210,9 +222,11 @@
       leases: ports.leases,
       orders: ports.orders,
       serviceOf: (name) => this.serviceOf(name),
-      positions: () => ports.feed.position(),
-      onPositions: (positions) => {
-        ports.feed.noteElsewhere(positions);
+      announce: (change) => {
+        this.exchange.announce(change);
+      },
+      onClaimsChanged: () => {
+        this.exchange.tellNow();
       },
       handoverPauseMs: settings.handoverPauseMs,
       storeWindow: settings.storeWindow,
@@ -221,6 +235,45 @@
     });
   }
 
+  private createFollower(): RecordFollower {
+    const { ports, log, view } = this;
+    return new RecordFollower({
+      feed: ports.feed,
+      sink: view,
+      onUrgent: () => {
+        this.exchange.wakeAttached();
+      },
+      clock: ports.clock,
+      random: ports.random.fork(),
+      log,
+    });
+  }
+
+  private createExchange(coordinators: CoordinatorDirectory): PeerExchange {
+    const { ports, log, loads, peers, records } = this;
+    return new PeerExchange({
+      self: this.self(),
+      members: () => this.members(),
+      peers,
+      loads,
+      coordinators,
+      records,
+      urgentSources: ports.feed.kinds.filter((kind) => kind.isUrgent).map((kind) => kind.source),
+      ownClaims: () => this.residency.claims(),
+      onChanges: (changes) => {
+        for (const { backEndId, model, adapter, resident } of changes) {
+          this.directory.announce(
+            backEndId,
+            adapter === undefined ? { model } : { model, adapter },
+            resident,
+          );
+        }
+      },
+      clock: ports.clock,
+      log,
+    });
+  }
+
   private createMetrics(): ServingMetrics {
     const { configuration, directory, membership, residency, ports, log } = this;
     return new ServingMetrics({
@@ -260,6 +313,18 @@
     return new Forwarder(context, this.configuration, random.fork());
   }
 
+  private self(): Member {
+    const { name: id, peerAddress: address, zone } = this.settings;
+    return { id, address, zone };
+  }
+
+  /** Newest revision of the records that others are to have at once. */
+  private newestUrgentRevision(): number {
+    const urgent = this.ports.feed.kinds.filter((kind) => kind.isUrgent).map((kind) => kind.source);
+    const sets = this.records.sets.filter((set) => urgent.includes(set.source));
+    return Math.max(0, ...sets.map((set) => set.position.revision));
+  }
+
   private members(): Member[] {
     return this.membership.eligible().map(({ id, address, zone }) => ({ id, address, zone }));
   }
