Tests of the exchange on virtual time; announcers are not told their own changes

Twenty daemons in two zones: only relays call the store; records, loads, claims and changes reach all, each counted once; relays killed, standing still, cut off from the store, from other relays, or all gone. Found by them: a daemon heard its own announcement again from its relay, and could take an older one for news.

--- a/packages/exchange/src/change-log.ts
+++ b/packages/exchange/src/change-log.ts
@@ -10,6 +10,8 @@
 interface NumberedChange {
   readonly number: number;
   readonly at: number;
+  /** Daemon that announced it, and needs not be told. */
+  readonly from: string;
   readonly change: ResidencyChange;
 }
 
@@ -32,11 +34,12 @@
     return known !== undefined && this.clock.monotonic() - known.at <= READER_LIFETIME_MS;
   }
 
-  add(changes: readonly ResidencyChange[]): void {
+  /** Enters what a daemon announced. */
+  add(changes: readonly ResidencyChange[], from: string): void {
     const at = this.clock.monotonic();
     for (const change of changes) {
       this.lastNumber += 1;
-      this.changes.push({ number: this.lastNumber, at, change });
+      this.changes.push({ number: this.lastNumber, at, from, change });
     }
     this.changes = this.changes.filter((kept) => at - kept.at <= CHANGE_LIFETIME_MS);
   }
@@ -47,6 +50,7 @@
     const after = this.knows(reader) ? (this.readers.get(reader)?.number ?? 0) : 0;
     this.readers.set(reader, { number: this.lastNumber, at: now });
     const fresh = this.changes.filter((kept) => kept.number > after && now - kept.at <= CHANGE_LIFETIME_MS);
-    return fresh.map((kept) => kept.change);
+    const news = fresh.filter((kept) => kept.from !== reader);
+    return news.map((kept) => kept.change);
   }
 }
--- a/packages/exchange/src/peer-exchange.ts
+++ b/packages/exchange/src/peer-exchange.ts
@@ -103,8 +103,8 @@
     const { peers } = this.options;
     peers.handle(stateReportMethod, (message) => this.onReport(message));
     peers.handle(attachMethod, (message) => this.onAttach(message));
-    peers.handle(residencyChangedMethod, ({ changes }) => {
-      this.takeChanges(changes);
+    peers.handle(residencyChangedMethod, ({ from, changes }) => {
+      this.takeChanges(changes, from);
       return {};
     });
     this.tasks.loop(
@@ -132,8 +132,8 @@
 
   /** Tells all daemons of a change of residency; this one is told as well. */
   announce(change: ResidencyChange): void {
-    const message = { changes: [change] };
-    this.takeChanges(message.changes);
+    const message = { from: this.options.self.id, changes: [change] };
+    this.takeChanges(message.changes, message.from);
     for (const relay of this.topology.relays) {
       this.options.peers
         .call(relay.address, residencyChangedMethod, message, { timeoutMs: REPORT_TIMEOUT_MS })
@@ -291,8 +291,8 @@
     this.options.coordinators.accept(source, scope, state.claims);
   }
 
-  private takeChanges(changes: readonly ResidencyChange[]): void {
-    this.changes.add(changes);
+  private takeChanges(changes: readonly ResidencyChange[], from: string): void {
+    this.changes.add(changes, from);
     this.options.onChanges(changes);
   }
 
--- a/packages/protocol/src/residency-messages.ts
+++ b/packages/protocol/src/residency-messages.ts
@@ -39,6 +39,8 @@
 
 /** News from a zone's coordinator to all daemons. */
 export interface ResidencyChangedMessage {
+  /** Daemon that announces them. */
+  readonly from: string;
   readonly changes: readonly ResidencyChange[];
 }
 
--- /dev/null
+++ b/packages/serving/test/exchange.test.ts
@@ -0,0 +1,295 @@
+import { expect } from 'chai';
+import { LoadBook } from '@woodbarrow/backends';
+import { relayTopology } from '@woodbarrow/coordination';
+import { CoordinatorDirectory, PeerExchange, type Member } from '@woodbarrow/exchange';
+import { silentLog } from '@woodbarrow/observability';
+import { SimulatedCluster, type SimulatedNode } from '@woodbarrow/peering';
+import type { ResidencyChange, ZoneClaim } from '@woodbarrow/protocol';
+import { RecordFollower, type DeploymentSink, type FeedKind } from '../src/index.js';
+import { StoreInMemory } from './store-in-memory.js';
+
+const CONFIGURATION = 'settings';
+const BACK_ENDS = 'workers';
+const noSink: DeploymentSink = {
+  configuration: () => undefined,
+  backEndsListed: () => undefined,
+  backEndChanged: () => undefined,
+  backEndGone: () => undefined,
+};
+
+/** One daemon's exchange, and what it has learned. */
+class ExchangingDaemon {
+  readonly loads: LoadBook;
+  readonly coordinators: CoordinatorDirectory;
+  readonly changes: ResidencyChange[] = [];
+  readonly values = new Map<string, unknown>();
+  claims: ZoneClaim[] = [];
+  readonly exchange: PeerExchange;
+  private readonly follower: RecordFollower;
+  private readonly stopped = new AbortController();
+
+  constructor(
+    readonly self: Member,
+    private readonly node: SimulatedNode,
+    store: StoreInMemory,
+    members: () => readonly Member[],
+  ) {
+    const { process: clock, peers, random } = node;
+    this.loads = new LoadBook(clock);
+    this.coordinators = new CoordinatorDirectory(clock, self.id);
+    this.follower = new RecordFollower({
+      feed: {
+        store: store.clientOf(self.id, clock),
+        kinds: [this.kind(CONFIGURATION, true), this.kind(BACK_ENDS, false)],
+      },
+      sink: noSink,
+      onUrgent: () => {
+        this.exchange.wakeAttached();
+      },
+      clock,
+      random,
+      log: silentLog,
+    });
+    this.exchange = new PeerExchange({
+      self,
+      members,
+      peers,
+      loads: this.loads,
+      coordinators: this.coordinators,
+      records: this.follower,
+      urgentSources: [CONFIGURATION],
+      ownClaims: () => this.claims,
+      onChanges: (changes) => this.changes.push(...changes),
+      clock,
+      log: silentLog,
+    });
+  }
+
+  start(): void {
+    void this.follower.run(this.stopped.signal);
+    this.exchange.start();
+  }
+
+  kill(): void {
+    this.stopped.abort();
+    this.exchange.abort();
+    this.node.process.kill();
+  }
+
+  freeze(durationMs: number): void {
+    this.node.process.pause(durationMs);
+  }
+
+  private kind(source: string, isUrgent: boolean): FeedKind {
+    return {
+      source,
+      isUrgent,
+      pauseMs: isUrgent ? 0 : 400,
+      handlers: () => ({
+        onList: (records) => {
+          for (const name of [...this.values.keys()]) {
+            if (name.startsWith(`${source}/`)) this.values.delete(name);
+          }
+          for (const record of records) this.values.set(`${source}/${record.name}`, record.value);
+        },
+        onChange: (record) => this.values.set(`${source}/${record.name}`, record.value),
+        onGone: (name) => this.values.delete(`${source}/${name}`),
+      }),
+    };
+  }
+}
+
+/** Daemons of two zones and a store. */
+class ExchangeWorld {
+  readonly cluster = new SimulatedCluster({ seed: 7 });
+  readonly store = new StoreInMemory();
+  readonly daemons: ExchangingDaemon[] = [];
+  private readonly members: Member[] = [];
+
+  async start(count: number): Promise<void> {
+    this.store.put(CONFIGURATION, 'main', 1);
+    this.store.put(BACK_ENDS, 'w1', 'here');
+    for (let index = 0; index < count; index += 1) {
+      const zone = index % 2 === 0 ? 'alpha' : 'beta';
+      const id = `daemon-${String(index)}`;
+      const node = await this.cluster.add(id, zone);
+      const self = { id, address: node.peers.address, zone };
+      this.members.push(self);
+      this.daemons.push(new ExchangingDaemon(self, node, this.store, () => this.members));
+    }
+    for (const daemon of this.daemons) daemon.start();
+    await this.cluster.advance(12_000);
+  }
+
+  relays(zone?: string): ExchangingDaemon[] {
+    return this.daemons.filter(
+      ({ exchange, self }) => exchange.isRelay && (zone === undefined || self.zone === zone),
+    );
+  }
+
+  /** Daemons for which a condition does not hold. */
+  except(condition: (daemon: ExchangingDaemon) => boolean, among = this.daemons): string[] {
+    return among.filter((daemon) => !condition(daemon)).map((daemon) => daemon.self.id);
+  }
+}
+
+function hasConfiguration(value: number): (daemon: ExchangingDaemon) => boolean {
+  return (daemon) => daemon.values.get(`${CONFIGURATION}/main`) === value;
+}
+
+describe('relay topology', () => {
+  const members = Array.from({ length: 30 }, (_, index) => ({
+    id: `d${String(index)}`,
+    zone: `z${String(index % 3)}`,
+  }));
+
+  it('makes every daemon of a small group a relay', () => {
+    const few = members.slice(0, 7);
+    for (const self of few) {
+      const { isRelay, relays } = relayTopology(self, few);
+      expect(isRelay).to.equal(true);
+      expect(relays).to.have.lengthOf(6);
+    }
+  });
+
+  it('chooses two relays a zone in a large one, the same in every view', () => {
+    const relays = members.filter((self) => relayTopology(self, members).isRelay);
+    expect(relays).to.have.lengthOf(6);
+    for (const self of members) {
+      const { ownRelays, relays: others } = relayTopology(self, members);
+      const expected = relays.filter((relay) => relay.id !== self.id);
+      expect(others.map((relay) => relay.id)).to.have.members(expected.map((relay) => relay.id));
+      expect(ownRelays.every((relay) => relay.zone === self.zone)).to.equal(true);
+    }
+  });
+});
+
+describe('exchange among 20 daemons', () => {
+  let world: ExchangeWorld;
+
+  beforeEach(async () => {
+    world = new ExchangeWorld();
+    await world.start(20);
+  });
+
+  afterEach(() => {
+    for (const daemon of world.daemons) daemon.kill();
+  });
+
+  it('lets only relays follow the store, and passes changes and removals on', async () => {
+    world.store.takeCallers();
+    world.store.put(CONFIGURATION, 'main', 2);
+    world.store.put(BACK_ENDS, 'w2', 'here');
+    world.store.remove(BACK_ENDS, 'w1');
+    await world.cluster.advance(1500);
+    expect(world.except(hasConfiguration(2))).to.deep.equal([]);
+    expect(world.except(({ values }) => values.has(`${BACK_ENDS}/w2`))).to.deep.equal([]);
+    expect(world.except(({ values }) => !values.has(`${BACK_ENDS}/w1`))).to.deep.equal([]);
+    expect(world.store.takeCallers()).to.have.members(world.relays().map(({ self }) => self.id));
+  });
+
+  it('passes urgent records on without waiting for the next report', async () => {
+    world.store.put(CONFIGURATION, 'main', 2);
+    await world.cluster.advance(120);
+    expect(world.except(hasConfiguration(2))).to.deep.equal([]);
+  });
+
+  it('counts each request once at every daemon', async () => {
+    const tickets = world.daemons.map(({ loads }) =>
+      loads.start('w1', { model: 'm' }, { promptTokens: 10, outputTokens: 5 }),
+    );
+    for (const { loads } of world.daemons) loads.noteDemand('m');
+    await world.cluster.advance(1200);
+    expect(world.except(({ loads }) => loads.of('w1').requests === 20)).to.deep.equal([]);
+    expect(world.except(({ loads }) => loads.of('w1').heldTokens === 300)).to.deep.equal([]);
+    for (const ticket of tickets) ticket.ended();
+    await world.cluster.advance(1500);
+    expect(world.except(({ loads }) => loads.of('w1').requests === 0)).to.deep.equal([]);
+  });
+
+  it('tells coordinators of the loads by target and of the demand', async () => {
+    const coordinator = world.daemons.find(({ exchange }) => !exchange.isRelay);
+    if (coordinator === undefined) throw new Error('all are relays');
+    coordinator.claims = [{ zone: 'alpha', fence: 3 }];
+    for (const { loads } of world.daemons) {
+      loads.start('w1', { model: 'm' }, { promptTokens: 1, outputTokens: 1 });
+      loads.noteDemand('m');
+    }
+    await world.cluster.advance(1200);
+    expect(coordinator.loads.requestsFor('w1', 'm')).to.equal(20);
+    expect(coordinator.loads.demandFor('m')).to.be.within(14, 20);
+    const knows = ({ coordinators }: ExchangingDaemon) =>
+      coordinators.of('alpha')?.memberId === coordinator.self.id;
+    expect(world.except(knows)).to.deep.equal([]);
+    coordinator.claims = [];
+    coordinator.exchange.tellNow();
+    await world.cluster.advance(1000);
+    expect(world.except((daemon) => !knows(daemon))).to.deep.equal([]);
+  });
+
+  it('announces changes of residency to all, each once', async () => {
+    const change = { backEndId: 'w1', model: 'm', resident: false };
+    world.daemons[5]?.exchange.announce(change);
+    await world.cluster.advance(600);
+    expect(world.except(({ changes }) => changes.length === 1)).to.deep.equal([]);
+  });
+
+  it('goes on when a relay is killed, without counting anything twice', async () => {
+    const [relay] = world.relays('alpha');
+    relay?.kill();
+    world.store.put(CONFIGURATION, 'main', 2);
+    const alive = world.daemons.filter((daemon) => daemon !== relay);
+    for (const { loads } of alive) loads.start('w1', { model: 'm' }, { promptTokens: 1, outputTokens: 1 });
+    await world.cluster.advance(1500);
+    expect(world.except(hasConfiguration(2), alive)).to.deep.equal([]);
+    await world.cluster.advance(2500);
+    expect(world.except(({ loads }) => loads.of('w1').requests === 19, alive)).to.deep.equal([]);
+  });
+
+  it('goes on when a relay stands still', async () => {
+    const [relay] = world.relays('beta');
+    relay?.freeze(6000);
+    world.store.put(CONFIGURATION, 'main', 2);
+    await world.cluster.advance(1500);
+    const others = world.daemons.filter((daemon) => daemon !== relay);
+    expect(world.except(hasConfiguration(2), others)).to.deep.equal([]);
+  });
+
+  it('takes records from other relays where the store does not answer a relay', async () => {
+    for (const { self } of world.relays('alpha')) world.store.unreachableFor.add(self.id);
+    await world.cluster.advance(500);
+    world.store.put(CONFIGURATION, 'main', 2);
+    await world.cluster.advance(1500);
+    expect(world.except(hasConfiguration(2))).to.deep.equal([]);
+  });
+
+  it('follows the store itself where no relay answers', async () => {
+    const dead = world.relays('beta');
+    for (const relay of dead) relay.kill();
+    world.store.put(CONFIGURATION, 'main', 2);
+    await world.cluster.advance(1900);
+    const alive = world.daemons.filter((daemon) => !dead.includes(daemon));
+    expect(world.except(hasConfiguration(2), alive)).to.deep.equal([]);
+  });
+
+  it('leaves a relay whose records have long been behind those of others', async () => {
+    const [relay, other] = world.relays('alpha');
+    if (relay === undefined || other === undefined) throw new Error('too few relays');
+    // Cut off from the store and from all relays, and still reached by those attached to it.
+    world.store.unreachableFor.add(relay.self.id);
+    const relayIds = world.relays().map(({ self }) => self.id);
+    world.cluster.network.cut(
+      (from, to) =>
+        (from.name === relay.self.id && relayIds.includes(to.name)) ||
+        (to.name === relay.self.id && relayIds.includes(from.name)),
+    );
+    const { revision } = world.store.put(CONFIGURATION, 'main', 2);
+    for (let step = 0; step < 16; step += 1) {
+      await world.cluster.advance(100);
+      for (const { exchange } of world.daemons) exchange.noteUrgentElsewhere(revision);
+    }
+    await world.cluster.advance(900);
+    const others = world.daemons.filter((daemon) => daemon !== relay);
+    expect(world.except(hasConfiguration(2), others)).to.deep.equal([]);
+  });
+});
--- /dev/null
+++ b/packages/serving/test/store-in-memory.ts
@@ -0,0 +1,93 @@
+/** A store of records on virtual time, for several daemons. */
+import { sleep, type Clock } from '@woodbarrow/runtime';
+import type { RecordEntry, RecordListing, RecordSource, WatchResult } from '../src/index.js';
+
+const ANSWER_MS = 4;
+const LOOK_INTERVAL_MS = 20;
+
+interface Change {
+  readonly kind: string;
+  readonly record: RecordEntry;
+  readonly gone: boolean;
+}
+
+/** Records and their history. */
+export class StoreInMemory {
+  /** Daemons that get no answer. */
+  readonly unreachableFor = new Set<string>();
+  private readonly changes: Change[] = [];
+  private readonly kinds = new Map<string, Map<string, RecordEntry>>();
+  private readonly calls = new Map<string, number>();
+  private revision = 0;
+
+  put(kind: string, name: string, value: unknown): RecordEntry {
+    this.revision += 1;
+    const record = { name, revision: this.revision, value };
+    this.ofKind(kind).set(name, record);
+    this.changes.push({ kind, record, gone: false });
+    return record;
+  }
+
+  remove(kind: string, name: string): void {
+    const record = this.ofKind(kind).get(name);
+    if (record === undefined) return;
+    this.revision += 1;
+    this.ofKind(kind).delete(name);
+    this.changes.push({ kind, record: { ...record, revision: this.revision }, gone: true });
+  }
+
+  /** Daemons that have called since the last time this was asked. */
+  takeCallers(): string[] {
+    const callers = [...this.calls.keys()];
+    this.calls.clear();
+    return callers;
+  }
+
+  /** The store as one daemon sees it. */
+  clientOf(daemon: string, clock: Clock): RecordSource {
+    return {
+      listAll: (kind) => this.list(daemon, kind, clock),
+      watch: (kind, revision, waitMs, signal) => this.watch(daemon, kind, revision, waitMs, signal, clock),
+    };
+  }
+
+  private async list(daemon: string, kind: string, clock: Clock): Promise<RecordListing> {
+    await this.answer(daemon, clock);
+    return { records: [...this.ofKind(kind).values()], revision: this.revision };
+  }
+
+  private async watch(
+    daemon: string,
+    kind: string,
+    from: number,
+    waitMs: number,
+    signal: AbortSignal,
+    clock: Clock,
+  ): Promise<WatchResult> {
+    const until = clock.monotonic() + waitMs;
+    for (;;) {
+      await this.answer(daemon, clock);
+      const changes = this.changes.filter((change) => change.kind === kind && change.record.revision > from);
+      if (changes.length > 0 || clock.monotonic() >= until) {
+        return { kind: 'changes', changes, revision: this.revision };
+      }
+      await sleep(clock, LOOK_INTERVAL_MS, signal);
+      if (signal.aborted) throw new Error('cut short');
+    }
+  }
+
+  private async answer(daemon: string, clock: Clock): Promise<void> {
+    await sleep(clock, ANSWER_MS);
+    if (this.unreachableFor.has(daemon)) throw new Error('no answer');
+    this.calls.set(daemon, (this.calls.get(daemon) ?? 0) + 1);
+  }
+
+  private ofKind(kind: string): Map<string, RecordEntry> {
+    let records = this.kinds.get(kind);
+    if (records === undefined) {
+      records = new Map();
+      this.kinds.set(kind, records);
+    }
+    return records;
+  }
+}
