Log events in one typed list, from which docs/LOGS.md is generated; what a coordinator answered is logged where it was asked

Names of events were plain texts, described by hand. Change: lines can only be written under the names of the list, a test holds page and list together, and each answer of a coordinator is a line (zone, coordinator, held or why not, time taken). Wishes for one model are shared, so the lines are bounded by models, not by requests.

--- a/packages/cli/src/explain/request-course.ts
+++ b/packages/cli/src/explain/request-course.ts
@@ -113,6 +113,9 @@
   const loads = surroundings.filter((line) => line.event === 'load_decided');
   const lastLoad = loads[loads.length - 1];
   if (cause === 'model_unavailable' || cause === 'model_too_late') {
+    const told = surroundings.filter((line) => line.event === 'demand_answered').pop();
+    if (lastLoad === undefined && told !== undefined)
+      return `The model was not resident; the coordinator of zone ${text(told, 'zone')} (${text(told, 'coordinator')}) said ${text(told, 'reason')}: ${after}.`;
     if (lastLoad === undefined)
       return `The model was resident nowhere and no coordinator decided on a load: ${after}.`;
     const outcome =
--- a/packages/observability/src/bounded-log.ts
+++ b/packages/observability/src/bounded-log.ts
@@ -6,6 +6,7 @@
 import { pino, type Logger } from 'pino';
 import type { Clock } from '@woodbarrow/runtime';
 import type { EventDetails, EventLog } from './event-log.js';
+import type { LogEventName } from './log-events.js';
 
 /** Classes of lines, each with a budget of its own. */
 export type LineClass = 'routine' | 'failure' | 'change';
@@ -73,16 +74,16 @@
     );
   }
 
-  changed(event: string, details: EventDetails = {}): void {
+  changed(event: LogEventName, details: EventDetails = {}): void {
     if (this.allows('change')) this.logger.info(details, event);
   }
 
-  warned(event: string, details: EventDetails = {}): void {
+  warned(event: LogEventName, details: EventDetails = {}): void {
     if (this.allows('failure')) this.logger.warn(details, event);
   }
 
   /** A step that every request takes. */
-  routine(event: string, details: EventDetails): void {
+  routine(event: LogEventName, details: EventDetails): void {
     if (this.allows('routine')) this.logger.info(details, event);
   }
 
--- a/packages/observability/src/event-log.ts
+++ b/packages/observability/src/event-log.ts
@@ -1,5 +1,6 @@
 /** Structured log lines, for changes of state only. What happens often is counted instead. */
 import { pino, type Logger } from 'pino';
+import type { LogEventName } from './log-events.js';
 
 /** Facts of one event. */
 export type EventDetails = Readonly<Record<string, unknown>>;
@@ -7,9 +8,9 @@
 /** Writes events under stable names. */
 export interface EventLog {
   /** A change of state. */
-  changed(event: string, details?: EventDetails): void;
+  changed(event: LogEventName, details?: EventDetails): void;
   /** Something went wrong that an operator may want to know of. */
-  warned(event: string, details?: EventDetails): void;
+  warned(event: LogEventName, details?: EventDetails): void;
 }
 
 /** Options of {@link createEventLog}. */
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -4,3 +4,4 @@
 export * from './bounded-log.js';
 export * from './metric-registry.js';
 export * from './task-failures.js';
+export * from './log-events.js';
--- /dev/null
+++ b/packages/observability/src/log-events.ts
@@ -0,0 +1,80 @@
+/**
+ * All events that daemons log, each with what it means and its facts. docs/LOGS.md is generated from this list, and
+ * lines can only be written under these names.
+ */
+export const LOG_EVENTS = {
+  request_admitted: 'A request was read and has a route. Route, service, model, adapter, time left.',
+  request_sent: 'A send begins. Back end, why it was chosen, requests there, age of its record, time left.',
+  request_declined:
+    'A back end did not take it, or did not answer it. Verdict: `not_run`, `not_resident`, `other_incarnation`, `unreachable`, `broken` or `timed_out`.',
+  request_repeated: 'Another send is considered. Whether it is allowed, after what, budget left.',
+  request_resumed: 'A stream is taken up at another back end. After which event.',
+  request_answered: 'Ended with an answer of a back end. Status, back end, time taken.',
+  request_refused: 'Ended as not run. Kind, cause, when to come back, sends, time waited.',
+  request_failed: 'Ended without a whole answer, and may have run. Answer given, cause, sends.',
+  request_abandoned: 'The client has gone. What is under way is cancelled.',
+  demand_answered:
+    "A zone's coordinator answered this daemon's wish for a model. Zone, coordinator, model, adapter, whether it is held, reason, time taken, time that was left.",
+  load_decided:
+    'A coordinator decided on a wish. Zone, model, whether a load was started, time that it takes, source of the weights, what makes way, demand.',
+  order_answered: 'A worker answered an order, or did not. Order, sequence, outcome.',
+  worker_learnt: 'A report of a worker was adopted. Sequence, models.',
+  load_failed: 'A load did not come about. Worker, model, cause.',
+  lease_gained: 'This daemon coordinates a zone. Fence, time until it may act.',
+  lease_unconfirmed: 'A renewal failed. Age of the last confirmation, cause.',
+  lease_lost: 'This daemon no longer coordinates a zone. Fence.',
+  lease_released: 'A lease was given back at a planned stop. Fence.',
+  configuration_applied:
+    'A configuration is in force. Version now and before, number of routes and services.',
+  back_ends_listed: 'All back ends were read anew. Their number.',
+  back_end_seen: 'A back end appeared. Service, zone, state, models.',
+  back_end_changed: 'The record of a back end changed. Service, zone, state, models.',
+  back_end_gone: 'The record of a back end vanished.',
+  store_lost: 'The store does not answer this daemon. Kind of records, cause.',
+  store_regained: 'The store answers again. Kind of records, failures in between.',
+  store_history_gone: 'The store has forgotten changes; records are listed again. Kind, revision.',
+  store_watch_behind: 'A watch was silent while others had newer records; records are listed again.',
+  exchange_role: 'This daemon became a relay, or is none any more. Number of other relays.',
+  exchange_attached: 'This daemon attached to a relay. The relay, and the one before.',
+  exchange_relay_avoided: 'A relay is not tried for a while. Cause: `no answer`, `no relay` or `behind`.',
+  exchange_unattached: 'No relay answers; this daemon follows the store itself. Number of relays tried.',
+  peer_up: 'Another daemon is present. Its run.',
+  peer_down: 'Another daemon is no longer present. Its status.',
+  register_failed: 'The register of daemons could not be read or written. Cause.',
+  daemon_started: 'This daemon listens. Zone, addresses.',
+  daemon_draining: 'An operator asked this daemon to drain.',
+  daemon_stopping: 'A planned stop began. Requests in progress.',
+  daemon_stopped: 'A planned stop ended. Requests still in progress, time taken.',
+  start_failed: 'The daemon could not start. Cause.',
+  reload_requested: 'The settings file has changed.',
+  coordinator_started:
+    'Own interface: this daemon coordinates a zone. Fence, whether its records are complete.',
+  coordinator_stopped: 'Own interface: it no longer does. Fence.',
+  coordinator_recovered: 'Own interface: it knows what the workers hold. Their number.',
+  worker_state_changed: 'Own interface: the machine list tells another state. Worker, state.',
+  worker_gone: 'Own interface: a worker left the machine list.',
+  replica_loading: 'Own interface: a load was ordered. Model, worker, source of the weights.',
+  replica_unloading: 'Own interface: an unload was ordered. Model, worker, reason.',
+  checkpoint_warming: 'Own interface: a checkpoint is brought near. Model, worker.',
+  task_failed: 'A task in the background threw. Its name, cause.',
+  log_lines_dropped: 'Lines were left out in the last second. Their number by class.',
+} as const;
+
+/** Name of an event. */
+export type LogEventName = keyof typeof LOG_EVENTS;
+
+/** The page docs/LOGS.md. */
+export function renderLogEvents(): string {
+  const rows = Object.entries(LOG_EVENTS).map(([name, meaning]) => `| \`${name}\` | ${meaning} |`);
+  return [
+    '# Log events',
+    '',
+    'Generated from `packages/observability/src/log-events.ts` by `npm run docs:logs`; a test holds both together.',
+    'Lines are JSON: `level`, `time`, `daemon`, `event`, and the facts named here.',
+    '',
+    '| event | meaning and facts |',
+    '| --- | --- |',
+    ...rows,
+    '',
+  ].join('\n');
+}
--- a/packages/observability/test/observability.test.ts
+++ b/packages/observability/test/observability.test.ts
@@ -1,6 +1,7 @@
+import { readFileSync } from 'node:fs';
 import { expect } from 'chai';
 import { SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
-import { BoundedLog, MAXIMUM_WAITING_BYTES, MetricRegistry } from '../src/index.js';
+import { BoundedLog, MAXIMUM_WAITING_BYTES, MetricRegistry, renderLogEvents } from '../src/index.js';
 
 function clockOf(world: SimulatedWorld): SimulatedProcess {
   return new SimulatedProcess(world, { name: 'd', zone: 'a', region: 'r' });
@@ -44,7 +45,7 @@
     });
     const details = { text: 'x'.repeat(1000) };
     for (let count = 0; count < 5000; count += 1) {
-      log.changed('event', details);
+      log.changed('daemon_started', details);
       if (count % 100 === 0) await world.run(world.now + 200);
     }
     expect(taken).to.be.at.most(MAXIMUM_WAITING_BYTES);
@@ -52,6 +53,13 @@
   });
 });
 
+describe('log events', () => {
+  it('stand in docs/LOGS.md as they stand in the code', () => {
+    const page = new URL('../../../../docs/LOGS.md', import.meta.url);
+    expect(readFileSync(page, 'utf8')).to.equal(renderLogEvents());
+  });
+});
+
 describe('MetricRegistry', () => {
   it('renders counters, gauges and cumulative histograms as text', () => {
     const registry = new MetricRegistry();
--- a/packages/placement/src/zone-coordinator.ts
+++ b/packages/placement/src/zone-coordinator.ts
@@ -3,6 +3,7 @@
  * zone's lease. Every load is recorded at a majority of voters before it is ordered, and memory counts as taken
  * from the record on until the worker itself says otherwise.
  */
+import type { LogEventName } from '@woodbarrow/observability';
 import type { Lease, LeaseCandidate } from '@woodbarrow/coordination';
 import type { Catalog } from '@woodbarrow/configuration';
 import type { EngineClient } from '@woodbarrow/engine';
@@ -66,7 +67,7 @@
   readonly clock: Clock;
   readonly timings?: Partial<CoordinatorTimings>;
   /** Called for each change of state worth a log line. */
-  readonly onEvent?: (event: string, details: Readonly<Record<string, unknown>>) => void;
+  readonly onEvent?: (event: LogEventName, details: Readonly<Record<string, unknown>>) => void;
   readonly onTaskFailure?: (name: string, error: unknown) => void;
 }
 
@@ -419,7 +420,7 @@
     };
   }
 
-  private event(name: string, details: Readonly<Record<string, unknown>>): void {
+  private event(name: LogEventName, details: Readonly<Record<string, unknown>>): void {
     this.options.onEvent?.(name, { zone: this.options.zone, ...details });
   }
 }
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -3,6 +3,7 @@
 import type { ResidencyClient, ResidencyDemand, ResidencyOutcome } from '@woodbarrow/forwarding';
 import { rankByRendezvous } from '@woodbarrow/coordination';
 import type { CoordinatorDirectory } from '@woodbarrow/exchange';
+import type { EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import {
   residencyDemandMethod,
@@ -18,6 +19,7 @@
   readonly coordinators: CoordinatorDirectory;
   readonly peers: PeerNetwork;
   readonly clock: Clock;
+  readonly log: EventLog;
 }
 
 const NO_COORDINATOR_PAUSE_MS = 100;
@@ -141,15 +143,39 @@
     const { coordinators, peers, clock } = this.options;
     const coordinator = coordinators.of(zone);
     if (coordinator === undefined || message.withinMs <= 0) return undefined;
+    const askedAt = clock.monotonic();
     const answered = peers
       .call(coordinator.address, residencyDemandMethod, message, { timeoutMs: message.withinMs })
       .catch(() => undefined);
     for (;;) {
       const settled = await settleWithin(clock, COORDINATOR_CHECK_MS, answered);
-      if (!settled.timedOut) return settled.value;
-      if (coordinators.of(zone)?.memberId !== coordinator.memberId) return undefined;
+      const isStillThere = coordinators.of(zone)?.memberId === coordinator.memberId;
+      if (!settled.timedOut || !isStillThere) {
+        const answer = settled.timedOut ? undefined : settled.value;
+        this.logAnswer(coordinator.memberId, message, clock.monotonic() - askedAt, answer);
+        return answer;
+      }
     }
   }
+
+  private logAnswer(
+    coordinator: string,
+    { zone, model, adapter, withinMs }: ResidencyDemandMessage,
+    tookMs: number,
+    answer: ResidencyDemandAnswer | undefined,
+  ): void {
+    this.options.log.changed('demand_answered', {
+      zone,
+      coordinator,
+      model,
+      adapter,
+      held: answer?.held ?? false,
+      reason: answer?.reason ?? 'no answer',
+      backEnd: answer?.held === true ? answer.backEndId : undefined,
+      tookMs: Math.round(tookMs),
+      withinMs,
+    });
+  }
 }
 
 function messageOf(zone: string, demand: ResidencyDemand, withinMs: number): ResidencyDemandMessage {
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -291,7 +291,7 @@
   private createForwarder(coordinators: CoordinatorDirectory): Forwarder {
     const { settings, ports, log, directory, loads, peers, affinity } = this;
     const { clock, client, dialect, random } = ports;
-    const demands = new DemandRouter({ directory, coordinators, peers, clock });
+    const demands = new DemandRouter({ directory, coordinators, peers, clock, log });
     const connections = new ConnectionShare(loads, () => this.membership.eligible().length);
     const context = {
       clock,
