A relay that is behind is not taken for up to date because another is behind too

Cause: how long a daemon had been behind was reset by every report with an older revision, also by reports of daemons that were themselves behind. Test: serving/test/exchange.test.ts, silent watches of a zone: fails before (ten daemons without the record after 1.3 s), passes after.

--- a/packages/exchange/src/index.ts
+++ b/packages/exchange/src/index.ts
@@ -1,4 +1,5 @@
 /** What daemons tell each other again and again: load, claims, and records of the store, by way of relays. */
+export * from './behind.js';
 export * from './change-log.js';
 export * from './coordinator-directory.js';
 export * from './peer-exchange.js';
--- a/packages/exchange/src/peer-exchange.ts
+++ b/packages/exchange/src/peer-exchange.ts
@@ -23,6 +23,7 @@
   type ZoneClaim,
 } from '@woodbarrow/protocol';
 import { BackgroundService, sleep, type Clock } from '@woodbarrow/runtime';
+import { BehindTracker } from './behind.js';
 import { ChangeLog } from './change-log.js';
 import type { CoordinatorDirectory } from './coordinator-directory.js';
 import type { RecordSet } from './record-set.js';
@@ -89,12 +90,13 @@
   private topology: RelayTopology<Member>;
   /** Relay that this daemon is attached to. */
   private relay: Member | undefined;
-  private behindSince: number | undefined;
+  private readonly behind: BehindTracker;
   private attachFailed = false;
 
   constructor(private readonly options: PeerExchangeOptions) {
     super(options.clock, logTaskFailures(options.log));
     this.changes = new ChangeLog(options.clock);
+    this.behind = new BehindTracker(options.clock, () => this.newestUrgent());
     this.topology = relayTopology(options.self, []);
   }
 
@@ -148,14 +150,9 @@
 
   /** Another daemon, met by chance, has seen a record of an urgent kind of this revision. */
   noteUrgentElsewhere(revision: number): void {
-    const { clock } = this.options;
-    if (this.relay === undefined || revision <= this.newestUrgent()) {
-      this.behindSince = undefined;
-      return;
-    }
-    this.behindSince ??= clock.monotonic();
-    if (clock.monotonic() - this.behindSince < BEHIND_PATIENCE_MS) return;
-    this.behindSince = undefined;
+    this.behind.note(revision);
+    if (this.relay === undefined || this.behind.behindMs < BEHIND_PATIENCE_MS) return;
+    this.behind.restart();
     this.avoid(this.relay, 'behind');
   }
 
--- a/packages/serving/src/record-watch.ts
+++ b/packages/serving/src/record-watch.ts
@@ -6,7 +6,7 @@
 import { messageOf } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
 import { backoffDelay, sleep, Wakeup, type Clock, type Random } from '@woodbarrow/runtime';
-import type { RecordSet } from '@woodbarrow/exchange';
+import { BehindTracker, type RecordSet } from '@woodbarrow/exchange';
 import type { RecordChange, RecordSource } from './ports.js';
 
 /** Options of {@link RecordWatch}. */
@@ -33,15 +33,18 @@
 export class RecordWatch {
   private wanted = true;
   private following = false;
-  private behindSince: number | undefined;
   private cutShort: AbortController | undefined;
   private readonly wakeup = new Wakeup();
 
-  constructor(private readonly options: RecordWatchOptions) {}
+  private readonly behind: BehindTracker;
 
-  /** Whether the store answers, and no other daemon has long been ahead. */
+  constructor(private readonly options: RecordWatchOptions) {
+    this.behind = new BehindTracker(options.clock, () => options.set.position.revision);
+  }
+
+  /** Whether the store answers, and no other daemon is ahead. */
   get isFollowing(): boolean {
-    return this.following && this.behindSince === undefined;
+    return this.following && !this.behind.isBehind;
   }
 
   /** Whether the store is to be followed. A watch under way ends by itself. */
@@ -52,14 +55,9 @@
 
   /** Another daemon has seen a record of this revision. */
   noteElsewhere(revision: number): void {
-    const now = this.options.clock.monotonic();
-    if (revision <= this.options.set.position.revision) {
-      this.behindSince = undefined;
-      return;
-    }
-    this.behindSince ??= now;
-    if (now - this.behindSince < BEHIND_PATIENCE_MS) return;
-    this.behindSince = undefined;
+    this.behind.note(revision);
+    if (this.behind.behindMs < BEHIND_PATIENCE_MS) return;
+    this.behind.restart();
     this.cutShort?.abort();
   }
 
--- a/packages/serving/test/exchange.test.ts
+++ b/packages/serving/test/exchange.test.ts
@@ -263,6 +263,16 @@
     expect(world.except(hasConfiguration(2))).to.deep.equal([]);
   });
 
+  it('takes records from other relays soon where the watches of a zone are silent', async () => {
+    for (const { self } of world.relays('beta')) world.store.silentFor.add(self.id);
+    await world.cluster.advance(500);
+    world.store.put(BACK_ENDS, 'w2', 'here');
+    world.store.remove(BACK_ENDS, 'w1');
+    await world.cluster.advance(1300);
+    expect(world.except(({ values }) => values.has(`${BACK_ENDS}/w2`))).to.deep.equal([]);
+    expect(world.except(({ values }) => !values.has(`${BACK_ENDS}/w1`))).to.deep.equal([]);
+  });
+
   it('follows the store itself where no relay answers', async () => {
     const dead = world.relays('beta');
     for (const relay of dead) relay.kill();
--- a/packages/serving/test/store-in-memory.ts
+++ b/packages/serving/test/store-in-memory.ts
@@ -4,6 +4,8 @@
 
 const ANSWER_MS = 4;
 const LOOK_INTERVAL_MS = 20;
+/** A call that gets no answer is given up after this long by its caller. */
+const SILENT_CALL_MS = 9000;
 
 interface Change {
   readonly kind: string;
@@ -15,6 +17,8 @@
 export class StoreInMemory {
   /** Daemons that get no answer. */
   readonly unreachableFor = new Set<string>();
+  /** Daemons whose calls are taken and never answered, watches under way included. */
+  readonly silentFor = new Set<string>();
   private readonly changes: Change[] = [];
   private readonly kinds = new Map<string, Map<string, RecordEntry>>();
   private readonly calls = new Map<string, number>();
@@ -79,6 +83,10 @@
   private async answer(daemon: string, clock: Clock): Promise<void> {
     await sleep(clock, ANSWER_MS);
     if (this.unreachableFor.has(daemon)) throw new Error('no answer');
+    if (this.silentFor.has(daemon)) {
+      await sleep(clock, SILENT_CALL_MS);
+      throw new Error('no answer in time');
+    }
     this.calls.set(daemon, (this.calls.get(daemon) ?? 0) + 1);
   }
 
