Renewals of a lease change its record

Cause: a renewal wrote the same record again, and the store takes a write that changes nothing for no change: no revision, no event. Others who watch for changes saw none, and a daemon that had looked at the lease once took it as soon as it heard no claim for a moment, while its holder believed it renewed. Ruled out: the lifetime (12 s were not over since the last renewal), a zone with two leases, an address used again (orders name the incarnation). Why own tests missed it: the stand-ins raised the revision with every write. They now do as the store does; two tests of store-lease fail without the change.

--- a/packages/coordination/src/store-lease.ts
+++ b/packages/coordination/src/store-lease.ts
@@ -16,6 +16,8 @@
   readonly fence: number;
   /** Milliseconds that the record must be seen unchanged before another may take the lease. */
   readonly lifetimeMs: number;
+  /** Counts renewals: the store takes a write that changes nothing for no change, and others would see none. */
+  readonly renewal: number;
 }
 
 /** A record with the revision of its last change. */
@@ -161,7 +163,8 @@
     const { store, clock, name } = this.options;
     if (!this.isHolder || this.stored === undefined) return false;
     const startedAt = clock.monotonic();
-    const renewed = await store.replace(name, this.stored.record, this.stored.revision);
+    const { record, revision } = this.stored;
+    const renewed = await store.replace(name, { ...record, renewal: record.renewal + 1 }, revision);
     if (renewed !== undefined) this.confirm(renewed, startedAt);
     return renewed !== undefined;
   }
@@ -193,6 +196,6 @@
 
   private ownRecord(fence: number): LeaseRecord {
     const { holder, instance } = this.options;
-    return { holder, instance, fence, lifetimeMs: this.lifetimeMs };
+    return { holder, instance, fence, lifetimeMs: this.lifetimeMs, renewal: 0 };
   }
 }
--- a/packages/coordination/test/store-lease.test.ts
+++ b/packages/coordination/test/store-lease.test.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import { expect } from 'chai';
 import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
 import { StoreLease, type LeaseRecord, type LeaseRecordStore, type StoredLease } from '../src/index.js';
@@ -37,7 +38,9 @@
     };
   }
 
+  /** A write that changes nothing leaves the revision as it is. */
   private write(record: LeaseRecord): StoredLease {
+    if (this.kept !== undefined && isDeepStrictEqual(this.kept.record, record)) return this.kept;
     this.revision += 1;
     this.kept = { record, revision: this.revision };
     return this.kept;
--- a/packages/lab/src/model/lease-model.ts
+++ b/packages/lab/src/model/lease-model.ts
@@ -13,6 +13,7 @@
   'no-pause-before-end',
   'no-pause-after-release',
   'no-compare',
+  'unchanged-renewal',
 ] as const;
 
 export type LeaseDefect = (typeof LEASE_DEFECTS)[number];
@@ -263,7 +264,10 @@
   }
   const applies = write.expected === state.record.revision || defects.has('no-compare');
   if (!applies) return [{ label: `${name} meets another revision`, next: gone }];
-  const made = state.record.revision + 1;
+  // The store takes a write that changes nothing for no change; renewals therefore count.
+  const isRenewal = write.holder === state.record.holder && write.fence === state.record.fence;
+  const isUnchanged = isRenewal && defects.has('unchanged-renewal');
+  const made = state.record.revision + (isUnchanged ? 0 : 1);
   const record = { holder: write.holder, fence: write.fence, revision: made };
   const writes = state.writes.map((other, at) => (at === index ? { ...other, made } : other));
   return [{ label: `${name} is carried out`, next: { ...state, record, writes } }];
