--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -159,7 +159,13 @@
 
   it('is not held up in one zone by the lease of a zone that another holds', async () => {
     const world = new ServiceWorld();
-    await world.store.create('zone-alpha', { holder: 'other', instance: 1, fence: 4, lifetimeMs: 12_000, renewal: 0 });
+    await world.store.create('zone-alpha', {
+      holder: 'other',
+      instance: 1,
+      fence: 4,
+      lifetimeMs: 12_000,
+      renewal: 0,
+    });
     await world.start('daemon-beta', 'beta');
     await world.cluster.advance(1000);
     expect(world.holderOf('beta')).to.equal('daemon-beta');
