An answer that stops without an end is replaced where the request may run again

Test: forwarding/test/forwarder.test.ts, a body that stalls: fails before (answered at the time-out), passes after.

--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -51,13 +51,17 @@
     this.stream?.abort();
   }
 
-  /** Reads an answer to its end; a large one is passed on while it comes. */
-  async passWhole(answer: BackendAnswer): Promise<RelayResult> {
+  /**
+   * Reads an answer to its end; a large one is passed on while it comes.
+   *
+   * @param silentAfterMs Milliseconds without a byte after which it counts as broken; without end when absent.
+   */
+  async passWhole(answer: BackendAnswer, silentAfterMs?: number): Promise<RelayResult> {
     const reader = new BodyReader(answer, this.clock);
     const chunks: Uint8Array[] = [];
     let size = 0;
     for (;;) {
-      const step = await reader.next();
+      const step = await reader.next(silentAfterMs);
       if (step.kind === 'broken') return { kind: 'broken' };
       if (step.kind === 'end') break;
       size += step.chunk.byteLength;
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -188,7 +188,7 @@
       leftMs: Math.round(this.times.leftMs()),
     });
     try {
-      const patienceMs = this.patienceMs();
+      const patienceMs = this.patienceMs(this.ranOn.size + 1);
       const outcome = await sendAttempt(
         {
           backEnd,
@@ -288,7 +288,7 @@
   }
 
   private async passWhole(answer: BackendAnswer, backEnd: BackEnd, tookMs: number): Promise<AttemptResult> {
-    const result = await this.relay.passWhole(answer);
+    const result = await this.relay.passWhole(answer, this.patienceMs(this.ranOn.size));
     if (result.kind === 'broken') return this.noteBrokenBody(backEnd);
     const failed = answer.status >= 500;
     const ratio = failed ? undefined : tookMs / this.times.expectedMs();
@@ -357,9 +357,13 @@
     this.ending.brokenOff(cause);
   }
 
-  /** How long to wait for a first answer before another back end is tried, where that is allowed. */
-  private patienceMs(): number | undefined {
-    const mayTryAnother = mayRunAgain(this.route.kind) && this.ranOn.size + 1 < this.route.maximumAttempts;
+  /**
+   * How long a back end may be silent before another is tried, where that is allowed.
+   *
+   * @param ranOn Back ends on which the request may have run, this one included.
+   */
+  private patienceMs(ranOn: number): number | undefined {
+    const mayTryAnother = mayRunAgain(this.route.kind) && ranOn < this.route.maximumAttempts;
     return mayTryAnother ? this.times.patienceMs() : undefined;
   }
 
--- a/packages/forwarding/test/forwarder.test.ts
+++ b/packages/forwarding/test/forwarder.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import type { EngineDefinition } from '@woodbarrow/backends';
-import { ForwardingWorld, answer, type BackendScript } from './simulated-exchange.js';
+import { ForwardingWorld, answer, stalled, type BackendScript } from './simulated-exchange.js';
 
 const serve: BackendScript = () => Promise.resolve(answer(200, 'served'));
 const reset: BackendScript = () => Promise.reject(new Error('reset'));
@@ -111,6 +111,19 @@
     expect(await world.ask()).to.include({ status: 200, body: 'whole' });
   });
 
+  it('replaces a whole answer that stops without an end, and answers well within the time left', async () => {
+    const world = new ForwardingWorld([{ kind: 'repeatable' }]);
+    let sends = 0;
+    const script: BackendScript = () => {
+      sends += 1;
+      return Promise.resolve(sends === 1 ? stalled(200, 'par') : answer(200, 'whole'));
+    };
+    world.add('b1', script);
+    world.add('b2', script);
+    expect(await world.ask({ wait: '1000' })).to.include({ status: 200, body: 'whole' });
+    expect(world.world.now).to.be.lessThan(600);
+  });
+
   it('waits for a model no longer than clients wait for a first event, and says when to come back', async () => {
     const world = new ForwardingWorld([{ kind: 'stream', timeoutMs: 15_000, clientGapMs: 2000 }], ENGINE);
     world.residency = async (demand) => {
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -254,6 +254,15 @@
   });
 }
 
+/** An answer whose body stops without an end. */
+export function stalled(status: number, text: string): BackendAnswer {
+  async function* body(): AsyncGenerator<Uint8Array> {
+    yield encodeText(text);
+    await new Promise(() => undefined);
+  }
+  return { ...answer(status), body: body() };
+}
+
 /** An answer with the given pieces; a piece that is an error breaks it off. */
 export function answer(status: number, ...pieces: (string | Error)[]): BackendAnswer {
   async function* body(): AsyncGenerator<Uint8Array> {
