Watches wait 2.5 s instead of 8 s

Ruled out: a relay that was behind (no daemon was ahead). Test: serving/test/exchange.test.ts, a store silent to all for half a second: fails before, passes after.

--- a/packages/serving/src/record-watch.ts
+++ b/packages/serving/src/record-watch.ts
@@ -21,8 +21,11 @@
   readonly log: EventLog;
 }
 
-/** Milliseconds that a watch waits for a change. */
-const WATCH_WAIT_MS = 8000;
+/**
+ * Milliseconds that a watch waits for a change. A watch that the store took while it was in trouble may never be
+ * answered, so this also bounds how long after it a change is heard of.
+ */
+const WATCH_WAIT_MS = 2500;
 /** While the store need not be followed, this is looked at again after so many milliseconds at most. */
 const IDLE_WAIT_MS = 1000;
 const RETRY = { initialMs: 100, maximumMs: 800 };
--- a/packages/serving/test/exchange.test.ts
+++ b/packages/serving/test/exchange.test.ts
@@ -273,6 +273,16 @@
     expect(world.except(({ values }) => !values.has(`${BACK_ENDS}/w1`))).to.deep.equal([]);
   });
 
+  it('hears of a change soon after the store has been silent to all', async () => {
+    for (const { self } of world.daemons) world.store.silentFor.add(self.id);
+    await world.cluster.advance(500);
+    world.store.silentFor.clear();
+    // The watches begun meanwhile stay without an answer.
+    world.store.put(CONFIGURATION, 'main', 2);
+    await world.cluster.advance(4500);
+    expect(world.except(hasConfiguration(2))).to.deep.equal([]);
+  });
+
   it('follows the store itself where no relay answers', async () => {
     const dead = world.relays('beta');
     for (const relay of dead) relay.kill();
