--- /dev/null
+++ b/packages/backends/test/load-book.test.ts
@@ -0,0 +1,65 @@
+import { expect } from 'chai';
+import { SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
+import { LoadBook, summarizedReport } from '../src/index.js';
+
+const SIZE = { promptTokens: 100, outputTokens: 10 };
+
+describe('LoadBook', () => {
+  let world: SimulatedWorld;
+  let books: LoadBook[];
+
+  beforeEach(() => {
+    world = new SimulatedWorld();
+    const process = new SimulatedProcess(world, { name: 'd', zone: 'a', region: 'r' });
+    books = [0, 1, 2].map(() => new LoadBook(process));
+  });
+
+  const book = (index: number): LoadBook => books[index] as LoadBook;
+
+  it('adds reports of several sources up, each counted once however often it comes', () => {
+    for (const each of books) each.start('w', { model: 'm' }, SIZE);
+    for (let time = 0; time < 3; time += 1) book(0).accept('1', 'attached', book(1).ownReport());
+    book(0).accept('2', 'relay', book(2).ownReport());
+    expect(book(0).of('w')).to.deep.equal({ requests: 3, unreadTokens: 300, heldTokens: 330 });
+    expect(book(0).requestsFor('w', 'm')).to.equal(3);
+  });
+
+  it('leaves a source out of what it is told, and tells relays only of attached ones', () => {
+    for (const each of books) each.start('w', { model: 'm' }, SIZE);
+    book(0).accept('1', 'attached', book(1).ownReport());
+    book(0).accept('2', 'relay', book(2).ownReport());
+    expect(book(0).combinedReport(['attached', 'relay'], '1').loads[0]?.requests).to.equal(2);
+    expect(book(0).combinedReport(['attached']).loads[0]?.requests).to.equal(2);
+    expect(book(0).combinedReport([]).loads[0]?.requests).to.equal(1);
+  });
+
+  it('forgets work that is no longer reported, and lets demand decay', async () => {
+    book(1).start('w', { model: 'm' }, SIZE);
+    for (let count = 0; count < 8; count += 1) book(1).noteDemand('m');
+    book(0).accept('1', 'attached', book(1).ownReport());
+    expect(book(0).demandFor('m')).to.be.closeTo(8, 0.01);
+    await world.run(4000);
+    expect(book(0).of('w').requests).to.equal(0);
+    expect(book(0).demandFor('m')).to.be.closeTo(4, 0.01);
+  });
+
+  it('reports a target for a moment after its last request, for others to see that it was used', async () => {
+    book(1).start('w', { model: 'm', adapter: 'a' }, SIZE).ended();
+    await world.run(300);
+    book(0).accept('1', 'attached', book(1).ownReport());
+    expect(book(0).idleMs('w', 'm/a')).to.equal(0);
+    await world.run(2000);
+    expect(book(1).ownReport().loads).to.deep.equal([]);
+  });
+
+  it('summarizes by back end what is under way', () => {
+    book(0).start('w', { model: 'm' }, SIZE);
+    book(0).start('w', { model: 'n' }, SIZE);
+    book(0).start('v', { model: 'n' }, SIZE).ended();
+    const { loads, demand } = summarizedReport(book(0).ownReport());
+    expect(loads).to.deep.equal([
+      { backEndId: 'w', target: '', requests: 2, unreadTokens: 200, heldTokens: 220 },
+    ]);
+    expect(demand).to.deep.equal([]);
+  });
+});
