--- a/packages/cli/src/explain/request-course.ts
+++ b/packages/cli/src/explain/request-course.ts
@@ -18,6 +18,7 @@
   'back_end_seen',
   'back_end_changed',
   'back_end_gone',
+  'demand_answered',
   'load_decided',
   'load_failed',
   'order_answered',
