--- a/packages/cli/src/explain/request-course.ts
+++ b/packages/cli/src/explain/request-course.ts
@@ -20,6 +20,7 @@
   'back_end_gone',
   'demand_answered',
   'load_decided',
+  'demand_refused',
   'load_failed',
   'order_answered',
   'worker_learnt',
@@ -111,20 +112,8 @@
 function refusalCause(refused: LogLine, surroundings: readonly LogLine[]): string {
   const cause = text(refused, 'cause');
   const after = `refused as not run after ${text(refused, 'waitedMs')} ms`;
-  const loads = surroundings.filter((line) => line.event === 'load_decided');
-  const lastLoad = loads[loads.length - 1];
-  if (cause === 'model_unavailable' || cause === 'model_too_late') {
-    const told = surroundings.filter((line) => line.event === 'demand_answered').pop();
-    if (lastLoad === undefined && told !== undefined)
-      return `The model was not resident; the coordinator of zone ${text(told, 'zone')} (${text(told, 'coordinator')}) said ${text(told, 'reason')}: ${after}.`;
-    if (lastLoad === undefined)
-      return `The model was resident nowhere and no coordinator decided on a load: ${after}.`;
-    const outcome =
-      lastLoad.details['started'] === true
-        ? `a load from ${text(lastLoad, 'source')} would have taken ${text(lastLoad, 'readyMs')} ms of the ${text(lastLoad, 'withinMs')} ms left`
-        : 'no worker could make room for it';
-    return `The model was not resident; in zone ${text(lastLoad, 'zone')} ${outcome}: ${after}.`;
-  }
+  if (cause === 'model_unavailable' || cause === 'model_too_late')
+    return `The model was not resident; ${unavailableCause(surroundings)}: ${after}.`;
   if (cause === 'all_excluded')
     return `Every back end that could serve it had declined or could not be reached: ${after}.`;
   if (cause === 'no_backend') return `No back end of the service was known: ${after}.`;
@@ -132,6 +121,23 @@
   return `${cause}: ${after}.`;
 }
 
+/** Why a model was not made resident, from what the coordinators logged, or what was answered. */
+function unavailableCause(surroundings: readonly LogLine[]): string {
+  const last = (event: string): LogLine | undefined =>
+    surroundings.filter((line) => line.event === event).pop();
+  const refused = last('demand_refused');
+  if (refused?.details['readyMs'] !== undefined)
+    return `in zone ${text(refused, 'zone')} it would have been resident in ${text(refused, 'readyMs')} ms, with ${text(refused, 'leftMs')} ms left`;
+  if (refused !== undefined) return `in zone ${text(refused, 'zone')} no worker could make room for it`;
+  const load = last('load_decided');
+  if (load !== undefined)
+    return `in zone ${text(load, 'zone')} a load from ${text(load, 'source')} was to take ${text(load, 'readyMs')} ms`;
+  const told = last('demand_answered');
+  if (told !== undefined)
+    return `the coordinator of zone ${text(told, 'zone')} (${text(told, 'coordinator')}) said ${text(told, 'reason')}`;
+  return 'it was resident nowhere and no coordinator decided on a load';
+}
+
 function failureCause(failed: LogLine, declined: LogLine | undefined): string {
   const answer = text(failed, 'answer');
   const where =
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -158,6 +158,7 @@
         facts: this.facts,
         priority: this.route.priority,
         targetLatencyMs: this.route.targetLatencyMs,
+        targetBy: this.times.targetBy(),
         startBy: this.times.startBy(),
         excluded: this.excluded,
         signal: this.expired.signal,
--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -3,7 +3,6 @@
  * the first token, from work under way, prompt parts kept, and health. Asks for the model when nobody holds it.
  */
 import {
-  targetKey,
   type BackEnd,
   type BackendDirectory,
   type EngineDefinition,
@@ -11,8 +10,7 @@
   type ModelTarget,
   type ServiceDefinition,
 } from '@woodbarrow/backends';
-import { ownerByRendezvous } from '@woodbarrow/coordination';
-import { leastBy, sleep, type Clock } from '@woodbarrow/runtime';
+import { leastBy, type Clock } from '@woodbarrow/runtime';
 import type { BackendChoice } from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
 import type { ConnectionShare } from './connection-share.js';
@@ -36,8 +34,6 @@
 /** Part of the prompt's shared tokens that the preferred worker is presumed to keep. */
 const PRESUMED_KEPT_SHARE = 0.6;
 const RETRY_AFTER_UNAVAILABLE_MS = 250;
-/** Pause before the workers are asked again for an adapter that none could take, in milliseconds. */
-const ADAPTER_RETRY_MS = 80;
 
 /** A request for a model. */
 export interface ReplicaRequest {
@@ -47,6 +43,8 @@
   readonly facts: RequestFacts;
   readonly priority: number;
   readonly targetLatencyMs: number;
+  /** Monotonic time by which it must have begun for an answer in time. */
+  readonly targetBy: number;
   /** Monotonic time by which it must have begun. */
   readonly startBy: number;
   readonly excluded: ReadonlySet<string>;
@@ -68,44 +66,35 @@
   /** Resolves once a worker holds what the request needs, or when none will in time. */
   async select(request: ReplicaRequest, health: BackendHealth): Promise<BackendChoice> {
     const chain = chainOf(request.target, request.facts.promptParts);
-    const declined = new Set<string>();
-    for (;;) {
-      if (request.signal.aborted) return refusal('client_gone', 0);
-      const best = this.cheapest(this.usable(request, request.target), request, chain, health);
-      if (best !== undefined && !health.isAvoided(best.id))
-        return this.send(best, request, chain, 'resident');
-      const withinMs = request.startBy - this.clock.monotonic();
-      if (withinMs <= 0) {
-        return best === undefined
-          ? refusal('model_too_late', RETRY_AFTER_UNAVAILABLE_MS)
-          : this.send(best, request, chain, 'last_resort');
-      }
-      const backEndId = this.workerForAdapter(request, declined, health);
-      const outcome = await this.residency.request(
-        {
-          service: request.service.name,
-          target: request.target,
-          priority: request.priority,
-          withinMs,
-          without: this.unusable(request, health),
-          ...(backEndId === undefined ? {} : { backEndId }),
-        },
-        request.signal,
-      );
-      if (request.signal.aborted) return refusal('client_gone', 0);
-      const loaded = outcome.held ? this.directory.get(outcome.backEndId) : undefined;
-      if (loaded !== undefined && this.mayTake(loaded, request)) {
-        return this.send(loaded, request, chain, 'loaded');
-      }
-      if (best !== undefined) return this.send(best, request, chain, 'last_resort');
-      if (!outcome.held && backEndId !== undefined) {
-        await this.passOver(backEndId, declined, request, health);
-        continue;
-      }
-      return outcome.held
-        ? refusal('all_excluded', RETRY_AFTER_UNAVAILABLE_MS)
-        : refusal('model_unavailable', outcome.retryAfterMs);
+    if (request.signal.aborted) return refusal('client_gone', 0);
+    const best = this.cheapest(this.usable(request, request.target), request, chain, health);
+    if (best !== undefined && !health.isAvoided(best.id)) return this.send(best, request, chain, 'resident');
+    const withinMs = request.startBy - this.clock.monotonic();
+    if (withinMs <= 0) {
+      return best === undefined
+        ? refusal('model_too_late', RETRY_AFTER_UNAVAILABLE_MS)
+        : this.send(best, request, chain, 'last_resort');
     }
+    const outcome = await this.residency.request(
+      {
+        service: request.service.name,
+        target: request.target,
+        priority: request.priority,
+        targetMs: Math.max(0, request.targetBy - this.clock.monotonic()),
+        withinMs,
+        without: this.unusable(request, health),
+      },
+      request.signal,
+    );
+    if (request.signal.aborted) return refusal('client_gone', 0);
+    const loaded = outcome.held ? this.directory.get(outcome.backEndId) : undefined;
+    if (loaded !== undefined && this.mayTake(loaded, request)) {
+      return this.send(loaded, request, chain, 'loaded');
+    }
+    if (best !== undefined) return this.send(best, request, chain, 'last_resort');
+    return outcome.held
+      ? refusal('all_excluded', RETRY_AFTER_UNAVAILABLE_MS)
+      : refusal('model_unavailable', outcome.retryAfterMs);
   }
 
   /** Workers that declined or failed this request, and those that cannot be reached now. */
@@ -117,20 +106,6 @@
     return [...new Set([...request.excluded, ...avoided])].sort();
   }
 
-  /** A worker cannot take the adapter now; once all have said so, they are asked again after a pause. */
-  private async passOver(
-    backEndId: string,
-    declined: Set<string>,
-    request: ReplicaRequest,
-    health: BackendHealth,
-  ): Promise<void> {
-    declined.add(backEndId);
-    const holders = this.usable(request, { model: request.target.model });
-    if (holders.some((holder) => !declined.has(holder.id) && !health.isAvoided(holder.id))) return;
-    declined.clear();
-    await sleep(this.clock, ADAPTER_RETRY_MS, request.signal);
-  }
-
   private send(backEnd: BackEnd, request: ReplicaRequest, chain: PromptChain, reason: string): BackendChoice {
     this.affinity.record(backEnd.id, chain);
     if (reason === 'resident') this.askForReplicaIfCrowded(backEnd, request);
@@ -189,20 +164,6 @@
     return cost;
   }
 
-  /** An adapter goes to a worker that holds its model: always the same one, while it can take it. */
-  private workerForAdapter(
-    request: ReplicaRequest,
-    declined: ReadonlySet<string>,
-    health: BackendHealth,
-  ): string | undefined {
-    const { target } = request;
-    if (target.adapter === undefined) return undefined;
-    const holders = this.usable(request, { model: target.model }).filter(
-      (holder) => !declined.has(holder.id) && !health.isAvoided(holder.id),
-    );
-    return ownerByRendezvous(targetKey(target), holders)?.id;
-  }
-
   private askForReplicaIfCrowded(backEnd: BackEnd, request: ReplicaRequest): void {
     const load = this.loads.of(backEnd.id);
     const waitMs = load.unreadTokens / ASSUMED_TOKENS_PER_MS;
--- a/packages/forwarding/src/request-times.ts
+++ b/packages/forwarding/src/request-times.ts
@@ -58,6 +58,11 @@
     return this.arrivedAt + limitMs * START_SHARE - this.expectedMs();
   }
 
+  /** Monotonic time by which a request for a model must have been sent for an answer in time. */
+  targetBy(): number {
+    return this.arrivedAt + this.route.targetLatencyMs - this.expectedMs();
+  }
+
   private limitMs(): number {
     return Math.min(this.facts.waitMs ?? Infinity, this.route.timeoutMs);
   }
--- a/packages/forwarding/src/residency-port.ts
+++ b/packages/forwarding/src/residency-port.ts
@@ -1,16 +1,16 @@
 /** Port: how the router asks for a model or adapter to be made resident. */
 import type { ModelTarget } from '@woodbarrow/backends';
 
-/** A wish for a target, on any worker or on a certain one. */
+/** A demand for a target, on any worker. */
 export interface ResidencyDemand {
   readonly service: string;
   readonly target: ModelTarget;
-  /** The worker that must hold it; any when absent. */
-  readonly backEndId?: string;
   /** Workers that cannot be used for it. */
   readonly without: readonly string[];
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Milliseconds within which it must be resident for an answer in time. */
+  readonly targetMs: number;
   /** Milliseconds after which it no longer helps. */
   readonly withinMs: number;
 }
--- a/packages/forwarding/test/forwarder.test.ts
+++ b/packages/forwarding/test/forwarder.test.ts
@@ -136,18 +136,19 @@
     expect(exchange.answerHeaders).to.deep.equal(['retry', '0.3']);
   });
 
-  it('asks for an adapter at a holder of its model that can be reached', async () => {
+  it('asks for an adapter at any holder of its model but those that cannot be reached', async () => {
     const world = new ForwardingWorld([{ kind: 'stream' }], ENGINE);
     for (const id of ['b1', 'b2', 'b3']) world.add(id, serve, ['m']);
-    world.residency = (demand) => Promise.resolve({ held: true, backEndId: demand.backEndId ?? '' });
-    await world.ask({ model: 'm/a1' });
-    const [first] = world.demands;
-    world.scripts.delete(first?.backEndId ?? '');
-    await world.ask({ model: 'm' });
-    await world.ask({ model: 'm' });
-    await world.ask({ model: 'm' });
-    await world.ask({ model: 'm/a1' });
-    expect(world.demands[world.demands.length - 1]?.backEndId).to.not.equal(first?.backEndId);
+    world.residency = ({ without }) =>
+      Promise.resolve({
+        held: true,
+        backEndId: ['b1', 'b2', 'b3'].find((id) => !without.includes(id)) ?? '',
+      });
+    expect(await world.ask({ model: 'm/a1' })).to.include({ status: 200 });
+    world.scripts.delete('b1');
+    for (let count = 0; count < 3; count += 1) await world.ask({ model: 'm' });
+    expect(await world.ask({ model: 'm/a1' })).to.include({ status: 200 });
+    expect(world.demands[world.demands.length - 1]?.without).to.deep.equal(['b1']);
   });
 
   it('sends to the worker where the model was made resident', async () => {
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -14,11 +14,14 @@
   request_failed: 'Ended without a whole answer, and may have run. Answer given, cause, sends.',
   request_abandoned: 'The client has gone. What is under way is cancelled.',
   demand_answered:
-    "A zone's coordinator answered this daemon's wish for a model. Zone, coordinator, model, adapter, whether it is held, reason, time taken, time that was left.",
+    "A zone's coordinator answered this daemon's demand for a model. Zone, coordinator, model, adapter, whether it is held, reason, time taken, time that was left.",
   load_decided:
-    'A coordinator decided on a wish. Zone, model, whether a load was started, time that it takes, source of the weights, what makes way, demand.',
+    'A coordinator starts a load. Zone, model, demands that wait for it and how long, all that wait, worker, what makes way, time that it takes, source of the weights, recent demand.',
+  demand_refused:
+    'A coordinator turned a demand for a model down. Zone, model, reason, time that was left, time that it would take, demands that wait.',
   order_answered: 'A worker answered an order, or did not. Order, sequence, outcome.',
   worker_learnt: 'A report of a worker was adopted. Sequence, models.',
+  load_finished: 'A load has come about. Worker, model, time until what made way was gone, time in all.',
   load_failed: 'A load did not come about. Worker, model, cause.',
   lease_gained: 'This daemon coordinates a zone. Fence, time until it may act.',
   lease_unconfirmed: 'A renewal failed. Age of the last confirmation, cause.',
--- a/packages/protocol/src/residency-messages.ts
+++ b/packages/protocol/src/residency-messages.ts
@@ -8,16 +8,20 @@
   readonly service: string;
   readonly model: string;
   readonly adapter?: string;
-  /** The worker that must hold it; any of the zone when absent. */
-  readonly backEndId?: string;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Milliseconds after which it no longer helps. */
   readonly withinMs: number;
   /** Workers that the sender cannot use now. */
   readonly without: readonly string[];
+  /** Milliseconds after which an answer to the request earns less; `withinMs` when absent. */
+  readonly targetMs?: number;
   /** Wants one more replica beside those there are. */
   readonly another?: boolean;
+  /** Whether the weight store may be used: not while a worker has a copy that can be loaded in much less time. */
+  readonly mayUseStore: boolean;
+  /** Only asks how long it would take: nothing is loaded, and the answer tells it as `retryAfterMs`. */
+  readonly quote?: boolean;
 }
 
 /** Answer to a demand, sent when the target is resident or will not be in time. */
@@ -27,6 +31,8 @@
   readonly backEndId: string;
   readonly retryAfterMs: number;
   readonly reason: string;
+  /** Of a quote: milliseconds for which the load would occupy a worker. */
+  readonly occupiesMs?: number;
 }
 
 /** A target that is, or is no longer, resident on a worker. */
--- a/packages/residency/src/adapter-orders.ts
+++ b/packages/residency/src/adapter-orders.ts
@@ -1,7 +1,8 @@
 /** Adapters of one worker: loads those wanted, unloads those unused longest, never more than there are slots. */
 import { targetKey, type BackendDirectory, type LoadBook, type ModelTarget } from '@woodbarrow/backends';
 import { sleep, type Clock } from '@woodbarrow/runtime';
-import type { OrderSender } from './order-sender.js';
+import type { WorkerReport } from './order-client.js';
+import { REPORT_LAG_MS, type OrderSender } from './order-sender.js';
 import type { ResidentSet } from './resident-set.js';
 
 /** Options of {@link AdapterOrders}. */
@@ -27,45 +28,78 @@
 /** First look after an order and the pause between looks, in milliseconds. */
 const FIRST_POLL_MS = 25;
 const POLL_MS = 40;
+/** Time that an adapter usually takes, and until one in use makes way, in milliseconds. */
+const EXPECTED_MS = 40;
+const SLOT_WAIT_MS = 400;
 /** Time that an adapter takes at most, in milliseconds. */
 const LIMIT_MS = 2000;
+/** Time that the runs which use an adapter take at most, in milliseconds. */
+const UNLOAD_LIMIT_MS = 12_000;
 
 /** Adapters of one incarnation of a worker. */
 export class AdapterOrders {
   private readonly loading = new Map<string, Promise<boolean>>();
+  private lastTurn: Promise<unknown> = Promise.resolve();
 
   constructor(private readonly options: AdapterOrdersOptions) {}
 
-  /** Loads an adapter of a resident model. Resolves with whether it is resident. */
-  load(target: AdapterTarget): Promise<boolean> {
+  /**
+   * Loads an adapter of a resident model. Resolves with whether it is resident.
+   *
+   * @param deadline Monotonic time until which it waits for a slot.
+   */
+  load(target: AdapterTarget, deadline: number): Promise<boolean> {
     const key = targetKey(target);
     const known = this.loading.get(key);
     if (known !== undefined) return known;
-    const loading = this.carryOut(target).finally(() => this.loading.delete(key));
+    const loading = this.carryOut(target, deadline).finally(() => this.loading.delete(key));
     this.loading.set(key, loading);
     return loading;
   }
 
-  private async carryOut(target: AdapterTarget): Promise<boolean> {
+  /** Expected wait for an adapter that is asked for now, in milliseconds: those before it, and a slot. */
+  waitMs(): number {
+    const { residents, slots } = this.options;
+    const isFull = residents.adapterCount >= slots() && this.longestUnused() === undefined;
+    return (this.loading.size + 1) * EXPECTED_MS + (isFull ? SLOT_WAIT_MS : 0);
+  }
+
+  private async carryOut(target: AdapterTarget, deadline: number): Promise<boolean> {
     const { residents, sender } = this.options;
-    const held = residents.models.get(target.model);
-    if (held?.state !== 'resident') return false;
-    if (held.adapters.get(target.adapter) === 'resident') return true;
-    if (held.adapters.has(target.adapter)) return false;
-    held.adapters.set(target.adapter, 'loading');
-    if (!(await this.makeRoom())) {
-      held.adapters.delete(target.adapter);
-      return false;
-    }
+    if (residents.isResident(target.model, target.adapter)) return true;
+    if (!(await this.takeSlot(target, deadline))) return residents.isResident(target.model, target.adapter);
     const outcome = await sender.send('load', target);
     if (outcome === 'done') return this.finish(target);
     if (outcome === 'accepted') return this.awaitLoaded(target);
     // After a refusal nothing is there; after anything else it may be, or may come: it stays counted.
-    if (outcome === 'refused') held.adapters.delete(target.adapter);
+    if (outcome === 'refused') residents.models.get(target.model)?.adapters.delete(target.adapter);
     else this.options.onDoubt();
     return false;
   }
 
+  /** Takes a slot for an adapter, in the order in which they were asked for. */
+  private takeSlot(target: AdapterTarget, deadline: number): Promise<boolean> {
+    const taken = this.lastTurn.then(() => this.takeSlotInTurn(target, deadline));
+    this.lastTurn = taken.catch(() => false);
+    return taken;
+  }
+
+  private async takeSlotInTurn({ model, adapter }: AdapterTarget, deadline: number): Promise<boolean> {
+    const { clock, signal, residents, slots } = this.options;
+    while (!signal.aborted) {
+      const held = residents.models.get(model);
+      if (held?.state !== 'resident' || held.adapters.get(adapter) === 'resident') return false;
+      const hasRoom = residents.adapterCount < slots() && !held.adapters.has(adapter);
+      if (hasRoom) {
+        held.adapters.set(adapter, 'loading');
+        return true;
+      }
+      if (clock.monotonic() >= deadline) return false;
+      if (!(await this.makeRoom())) await sleep(clock, POLL_MS, signal);
+    }
+    return false;
+  }
+
   private async awaitLoaded(target: AdapterTarget): Promise<boolean> {
     const { clock, signal, sender } = this.options;
     const startedAt = clock.monotonic();
@@ -90,14 +124,10 @@
     return true;
   }
 
-  /** Unloads adapters until the ones wanted fit; false when those in use leave no room. */
+  /** Unloads the adapter unused longest; false when those in use leave no room. */
   private async makeRoom(): Promise<boolean> {
-    const { residents, slots } = this.options;
-    while (residents.adapterCount > slots()) {
-      const victim = this.longestUnused();
-      if (victim === undefined || !(await this.unload(victim))) return false;
-    }
-    return true;
+    const victim = this.longestUnused();
+    return victim !== undefined && this.unload(victim);
   }
 
   private async unload(victim: AdapterTarget): Promise<boolean> {
@@ -111,10 +141,37 @@
       return true;
     }
     // Taken, but a run still uses it: it holds its slot until a report shows it gone.
-    onDoubt();
+    if (outcome === 'accepted') void this.awaitUnloaded(victim);
+    else onDoubt();
     return false;
   }
 
+  private async awaitUnloaded(victim: AdapterTarget): Promise<void> {
+    const { clock, signal, sender, residents, onDoubt } = this.options;
+    const startedAt = clock.monotonic();
+    while (!signal.aborted && clock.monotonic() - startedAt < UNLOAD_LIMIT_MS) {
+      await sleep(clock, REPORT_LAG_MS, signal);
+      const adapters = residents.models.get(victim.model)?.adapters;
+      if (adapters?.get(victim.adapter) !== 'unloading') return;
+      const report = await this.tryReport(sender);
+      const held = report?.models.find((model) => model.name === victim.model);
+      if (report !== undefined && held?.adapters.includes(victim.adapter) !== true) {
+        adapters.delete(victim.adapter);
+        return;
+      }
+    }
+    onDoubt();
+  }
+
+  private async tryReport(sender: OrderSender): Promise<WorkerReport | undefined> {
+    try {
+      return await sender.report();
+    } catch {
+      // The worker is gone.
+      return undefined;
+    }
+  }
+
   private longestUnused(): AdapterTarget | undefined {
     const { loads, backEndId, residents } = this.options;
     let victim: AdapterTarget | undefined;
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -1,5 +1,5 @@
 /** Sends demands for models to the coordinators of the zones, the most suitable zone first. */
-import { targetKey, type BackendDirectory } from '@woodbarrow/backends';
+import { targetKey, type BackEnd, type BackendDirectory, type ModelTarget } from '@woodbarrow/backends';
 import type { ResidencyClient, ResidencyDemand, ResidencyOutcome } from '@woodbarrow/forwarding';
 import { rankByRendezvous } from '@woodbarrow/coordination';
 import type { CoordinatorDirectory } from '@woodbarrow/exchange';
@@ -10,8 +10,9 @@
   type ResidencyDemandAnswer,
   type ResidencyDemandMessage,
 } from '@woodbarrow/protocol';
-import { settleWithin, sleep, type Clock } from '@woodbarrow/runtime';
-import { LOADING_REASON } from './zone-residency.js';
+import { leastBy, settleWithin, sleep, type Clock } from '@woodbarrow/runtime';
+import { OCCUPANCY_WEIGHT } from './placement-choice.js';
+import { QUOTE_REASON } from './zone-residency.js';
 
 /** Options of {@link DemandRouter}. */
 export interface DemandRouterOptions {
@@ -33,6 +34,17 @@
 /** A demand under way that ends sooner than this is not joined by another request, in milliseconds. */
 const LEAST_SHARED_MS = 50;
 
+/** Time in which a coordinator tells how long a load would take; one that does not is passed over, in milliseconds. */
+const QUOTE_LIMIT_MS = 300;
+
+/** A zone's word on how long it would take. */
+interface Quote {
+  /** What was asked. */
+  readonly message: ResidencyDemandMessage;
+  /** Time until it is resident, and what others lose meanwhile, in milliseconds. */
+  readonly costMs: number;
+}
+
 interface SharedDemand {
   readonly outcome: Promise<ResidencyOutcome>;
   readonly expiresAt: number;
@@ -56,13 +68,16 @@
     const key = `${service} ${model}`;
     if (now - (this.replicaWishes.get(key) ?? -Infinity) < REPLICA_PAUSE_MS) return;
     this.replicaWishes.set(key, now);
-    const replicas = new Map<string, number>();
-    for (const holder of directory.holdersOf(service, { model })) {
-      replicas.set(holder.zone, (replicas.get(holder.zone) ?? 0) + 1);
-    }
-    const [zone] = this.zonesFor(service, model).sort(
-      (left, right) => (replicas.get(left) ?? 0) - (replicas.get(right) ?? 0),
-    );
+    const holders = new Set(directory.holdersOf(service, { model }).map((holder) => holder.id));
+    const copyZones = directory
+      .ofService(service)
+      .filter((backEnd) => !backEnd.draining && !holders.has(backEnd.id) && hasCopy(backEnd, model))
+      .map((backEnd) => backEnd.zone);
+    const zones = this.zonesFor(service, { model });
+    const near = zones.filter((candidate) => copyZones.includes(candidate));
+    const replicasIn = (zone: string): number =>
+      [...holders].filter((id) => directory.get(id)?.zone === zone).length;
+    const zone = leastBy(near.length > 0 ? near : zones, replicasIn);
     if (zone === undefined) return;
     const message = {
       zone,
@@ -71,15 +86,14 @@
       priority,
       without: [],
       withinMs: REPLICA_WITHIN_MS,
+      mayUseStore: near.length === 0,
       another: true,
     };
-    void this.ask(zone, message);
+    void this.ask(message, REPLICA_WITHIN_MS);
   }
 
   private share(demand: ResidencyDemand): Promise<ResidencyOutcome> {
-    const key = [demand.service, targetKey(demand.target), demand.backEndId ?? '', ...demand.without].join(
-      ' ',
-    );
+    const key = [demand.service, targetKey(demand.target), ...demand.without].join(' ');
     const now = this.options.clock.monotonic();
     const known = this.shared.get(key);
     if (known !== undefined && known.expiresAt >= now + Math.min(demand.withinMs, LEAST_SHARED_MS))
@@ -91,61 +105,84 @@
     return outcome;
   }
 
+  /** Asks every zone how long it would take, and the fastest for the model; the next one when it does not answer. */
   private async pursue(demand: ResidencyDemand): Promise<ResidencyOutcome> {
     const { clock } = this.options;
     const deadline = clock.monotonic() + demand.withinMs;
-    let reason = 'no_coordinator';
-    let retryAfterMs = RETRY_AFTER_MS;
+    const targetAt = clock.monotonic() + demand.targetMs;
+    let refusal: ResidencyOutcome = { held: false, retryAfterMs: RETRY_AFTER_MS, reason: 'no_coordinator' };
     while (clock.monotonic() < deadline) {
-      const zones = this.zonesToAsk(demand);
-      for (const zone of zones) {
-        const answer = await this.ask(zone, messageOf(zone, demand, deadline - clock.monotonic()));
+      for (const { message } of await this.bestQuotes(demand, deadline, targetAt)) {
+        const leftMs = deadline - clock.monotonic();
+        const answer = await this.ask({ ...message, quote: false, withinMs: Math.floor(leftMs) }, leftMs);
         if (answer === undefined) continue;
         if (answer.held) return { held: true, backEndId: answer.backEndId };
-        reason = answer.reason;
-        retryAfterMs = answer.retryAfterMs;
-        if (reason === LOADING_REASON) return { held: false, retryAfterMs, reason };
+        refusal = { held: false, retryAfterMs: answer.retryAfterMs, reason: answer.reason };
+        if (answer.reason !== 'not_acting') return refusal;
       }
-      if (zones.length > 0) break;
       await sleep(clock, NO_COORDINATOR_PAUSE_MS);
     }
-    return { held: false, retryAfterMs, reason };
+    return refusal;
+  }
+
+  /** What the zones would take, the cheapest first. */
+  private async bestQuotes(demand: ResidencyDemand, deadline: number, targetAt: number): Promise<Quote[]> {
+    const now = this.options.clock.monotonic();
+    const mayUseStore = !this.hasUsableCopy(demand);
+    const asked = this.zonesFor(demand.service, demand.target).map((zone) =>
+      this.quote({ ...messageOf(zone, demand, deadline - now, targetAt - now), mayUseStore, quote: true }),
+    );
+    const quotes = (await Promise.all(asked)).filter((quote) => quote !== undefined);
+    return quotes
+      .filter(({ costMs }) => Number.isFinite(costMs))
+      .sort((left, right) => left.costMs - right.costMs);
   }
 
-  private zonesToAsk(demand: ResidencyDemand): string[] {
-    if (demand.backEndId === undefined) return this.zonesFor(demand.service, demand.target.model);
-    const zone = this.options.directory.get(demand.backEndId)?.zone;
-    return zone !== undefined && this.options.coordinators.of(zone) !== undefined ? [zone] : [];
+  /** A load from the weight store holds a worker up for seconds; it is not for what a worker has near. */
+  private hasUsableCopy({ service, target, without }: ResidencyDemand): boolean {
+    return this.options.directory
+      .ofService(service)
+      .some(
+        (backEnd) => !backEnd.draining && !without.includes(backEnd.id) && hasCopy(backEnd, target.model),
+      );
+  }
+
+  private async quote(message: ResidencyDemandMessage): Promise<Quote | undefined> {
+    const answer = await this.ask(message, QUOTE_LIMIT_MS);
+    if (answer?.reason !== QUOTE_REASON) return undefined;
+    const costMs = answer.retryAfterMs + (answer.occupiesMs ?? 0) * OCCUPANCY_WEIGHT;
+    return { message, costMs };
   }
 
   /** Zones with a coordinator: those with a copy of the weights at hand first, then always in the same order. */
-  private zonesFor(service: string, model: string): string[] {
+  private zonesFor(service: string, target: ModelTarget): string[] {
+    const { model } = target;
     const { directory, coordinators } = this.options;
     const nearby = new Map<string, number>();
     for (const backEnd of directory.ofService(service)) {
       if (backEnd.draining) continue;
-      const isNear = backEnd.nearby.inMemory.includes(model) || backEnd.nearby.onDisk.includes(model);
-      nearby.set(backEnd.zone, (nearby.get(backEnd.zone) ?? 0) + (isNear ? 1 : 0));
+      nearby.set(backEnd.zone, (nearby.get(backEnd.zone) ?? 0) + (hasCopy(backEnd, model) ? 1 : 0));
     }
     const zones = [...nearby.keys()]
       .filter((zone) => coordinators.of(zone) !== undefined)
       .map((id) => ({ id }));
-    const ranked = rankByRendezvous(model, zones).map(({ id }) => id);
+    const ranked = rankByRendezvous(targetKey(target), zones).map(({ id }) => id);
     const hasCopies = (zone: string): number => Math.sign(nearby.get(zone) ?? 0);
     return ranked.sort((left, right) => hasCopies(right) - hasCopies(left));
   }
 
   /** Undefined when the coordinator does not answer. */
   private async ask(
-    zone: string,
     message: ResidencyDemandMessage,
+    limitMs: number,
   ): Promise<ResidencyDemandAnswer | undefined> {
     const { coordinators, peers, clock } = this.options;
+    const { zone } = message;
     const coordinator = coordinators.of(zone);
-    if (coordinator === undefined || message.withinMs <= 0) return undefined;
+    if (coordinator === undefined || limitMs <= 0) return undefined;
     const askedAt = clock.monotonic();
     const answered = peers
-      .call(coordinator.address, residencyDemandMethod, message, { timeoutMs: message.withinMs })
+      .call(coordinator.address, residencyDemandMethod, message, { timeoutMs: limitMs })
       .catch(() => undefined);
     for (;;) {
       const settled = await settleWithin(clock, COORDINATOR_CHECK_MS, answered);
@@ -164,6 +201,7 @@
     tookMs: number,
     answer: ResidencyDemandAnswer | undefined,
   ): void {
+    if (answer?.reason === QUOTE_REASON) return;
     this.options.log.changed('demand_answered', {
       zone,
       coordinator,
@@ -178,14 +216,24 @@
   }
 }
 
-function messageOf(zone: string, demand: ResidencyDemand, withinMs: number): ResidencyDemandMessage {
+function hasCopy({ nearby }: BackEnd, model: string): boolean {
+  return nearby.inMemory.includes(model) || nearby.onDisk.includes(model);
+}
+
+function messageOf(
+  zone: string,
+  demand: ResidencyDemand,
+  withinMs: number,
+  targetMs: number,
+): ResidencyDemandMessage {
   return {
     zone,
     service: demand.service,
     ...demand.target,
-    ...(demand.backEndId === undefined ? {} : { backEndId: demand.backEndId }),
     priority: demand.priority,
     without: demand.without,
+    mayUseStore: false,
+    targetMs: Math.max(0, Math.floor(targetMs)),
     withinMs: Math.floor(withinMs),
   };
 }
--- /dev/null
+++ b/packages/residency/src/load-scheduler.ts
@@ -0,0 +1,379 @@
+/**
+ * Carries out the loads of one zone: keeps the demands that wait, plans again whenever something has changed, starts
+ * the loads whose worker is free, and settles the demands that a load has served.
+ */
+import type { BackendDirectory, EngineDefinition, LoadBook, ServiceDefinition } from '@woodbarrow/backends';
+import type { EventLog } from '@woodbarrow/observability';
+import type { Clock } from '@woodbarrow/runtime';
+import { planLoads, type PlannedLoad } from './load-plan.js';
+import { LoadWindow } from './load-window.js';
+import {
+  DemandQueue,
+  groupKey,
+  type DemandGroup,
+  type PendingDemand,
+  type Placement,
+  type RefusedPlacement,
+  type WantedModel,
+} from './pending-demand.js';
+import { choosePlacement, type PlacementCandidate, type PlacementChoice } from './placement-choice.js';
+import type { WorkerOrders } from './worker-orders.js';
+
+/** What the weight store bears. */
+export interface StoreWindowOptions {
+  readonly windowMs: number;
+  /** Allowed excess over the rate, for example 1.1. */
+  readonly overshoot: number;
+}
+
+/** Options of {@link LoadScheduler}. */
+export interface LoadSchedulerOptions {
+  readonly zone: string;
+  readonly directory: BackendDirectory;
+  readonly loads: LoadBook;
+  readonly serviceOf: (name: string) => ServiceDefinition | undefined;
+  /** Workers of the zone that take requests, by service. */
+  readonly workersOf: (service: string) => readonly WorkerOrders[];
+  /** Whether orders may be given now. */
+  readonly mayAct: () => boolean;
+  /** Number of zones that share the weight store. */
+  readonly zoneCount: () => number;
+  readonly storeWindow: StoreWindowOptions;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly signal: AbortSignal;
+}
+
+/** What a load would take. */
+export interface LoadQuote {
+  /** Milliseconds until the model would be resident; Infinity when no worker can make room. */
+  readonly readyMs: number;
+  /** Milliseconds for which a worker would be occupied. */
+  readonly occupiesMs: number;
+}
+
+/** What may be used for a demand. */
+export type DemandLimits = Pick<PendingDemand, 'without' | 'mayUseStore'>;
+
+/** Milliseconds that a demand has. */
+export interface DemandTimes {
+  /** Within which an answer is in time. */
+  readonly targetMs: number;
+  /** Within which it is of any use. */
+  readonly withinMs: number;
+}
+
+/** A load under way, with the demands that it will serve. */
+interface Loading {
+  /** Monotonic time at which the model is expected to be resident. */
+  readonly readyAt: number;
+  readonly backEndId: string;
+  readonly demands: PendingDemand[];
+}
+
+/** Loads allowed in a window beside the rate. */
+const WINDOW_EXTRA_LOADS = 3;
+/** Part of the allowed loads that is used; what other zones do at a change of hands is not known. */
+const WINDOW_SAFETY = 0.85;
+/** Another replica takes the place only of models that are asked for clearly less, by this factor. */
+const ANOTHER_REPLICA_SHARE = 0.5;
+/** Models that are asked for less than this make way for any request. */
+const LEAST_VICTIM_VALUE = 3;
+/** Pause between two plans while demands wait and nothing else causes one, in milliseconds. */
+const PLAN_INTERVAL_MS = 100;
+/** A load that takes longer than expected is expected to end this soon, in milliseconds. */
+const OVERDUE_MS = 100;
+/** Time after which to come back where no worker can make room, in milliseconds. */
+const NO_PLACE_RETRY_MS = 500;
+/** Recent requests for a model that make a load worth it which is too late for the one that asks. */
+const DEMAND_WORTH_A_LATE_LOAD = 1.8;
+/** Those who are told to come back later than this are not counted on, in milliseconds. */
+const LONGEST_RETURN_MS = 8000;
+/** Time for which a load is still wanted after those who were told to come back should have, in milliseconds. */
+const RETURN_SLACK_MS = 1500;
+
+/** Scheduler of one zone's loads. */
+export class LoadScheduler {
+  private readonly queue: DemandQueue;
+  private readonly loading = new Map<string, Loading>();
+  private readonly window: LoadWindow;
+  private storeLimit = 1;
+  private ticking = false;
+
+  constructor(private readonly options: LoadSchedulerOptions) {
+    const { storeWindow, clock, zoneCount } = options;
+    this.queue = new DemandQueue(clock);
+    this.window = new LoadWindow(
+      { windowMs: storeWindow.windowMs, limit: () => this.storeLimit, sharers: zoneCount },
+      clock,
+    );
+  }
+
+  /** When a model that is asked for now would be resident. */
+  quote(wanted: WantedModel, { without, mayUseStore }: DemandLimits): LoadQuote {
+    const now = this.options.clock.monotonic();
+    const key = groupKey(wanted);
+    const loading = this.loading.get(key);
+    if (loading !== undefined) return { readyMs: Math.max(OVERDUE_MS, loading.readyAt - now), occupiesMs: 0 };
+    const demand = {
+      arrivedAt: now,
+      targetAt: Infinity,
+      deadline: Infinity,
+      without,
+      mayUseStore,
+      settle: () => false,
+    };
+    const known = this.queue.all().find((group) => group.key === key);
+    const asked = { ...wanted, key, demands: [...(known?.demands ?? []), demand] };
+    const others = this.queue.all().filter((group) => group.key !== key);
+    const planned = this.plan(wanted.service, [...others, asked]).find(({ group }) => group.key === key);
+    if (planned === undefined) return { readyMs: Infinity, occupiesMs: 0 };
+    return { readyMs: planned.choice.readyMs, occupiesMs: planned.choice.loadMs };
+  }
+
+  /** Waits for a model. Resolves when it is resident or will not be in time. */
+  wait(wanted: WantedModel, times: DemandTimes, limits: DemandLimits): Promise<Placement> {
+    const arrivedAt = this.options.clock.monotonic();
+    return new Promise((resolve) => {
+      let isWaiting = true;
+      const settle = (placement: Placement): boolean => {
+        const wasWaiting = isWaiting;
+        isWaiting = false;
+        resolve(placement);
+        return wasWaiting;
+      };
+      const demand = {
+        arrivedAt,
+        targetAt: arrivedAt + times.targetMs,
+        deadline: arrivedAt + times.withinMs,
+        ...limits,
+        settle,
+      };
+      this.admit(wanted, demand, times.withinMs);
+    });
+  }
+
+  /** Something has changed: loads may begin. */
+  schedule(): void {
+    if (!this.options.mayAct()) return;
+    for (const { wanted, demand } of this.queue.takeExpired()) this.settleLate(wanted, demand);
+    const services = new Set(this.queue.all().map((group) => group.service));
+    for (const service of services) this.startLoads(service);
+    this.tickWhileWaiting();
+  }
+
+  private admit(wanted: WantedModel, demand: PendingDemand, withinMs: number): void {
+    const now = this.options.clock.monotonic();
+    const loading = this.loading.get(groupKey(wanted));
+    if (loading !== undefined) {
+      const readyMs = loading.readyAt - now;
+      if (readyMs > withinMs)
+        this.settleRefused(wanted, demand, { kind: 'refused', reason: 'loading', retryAfterMs: readyMs });
+      else this.attach(wanted, loading, demand);
+      return;
+    }
+    const { readyMs } = this.quote(wanted, demand);
+    if (readyMs > withinMs) {
+      this.refuse(wanted, demand, readyMs);
+      return;
+    }
+    if (!this.queue.add(wanted, demand)) {
+      this.settleRefused(wanted, demand, { kind: 'refused', reason: 'queue_full', retryAfterMs: readyMs });
+      return;
+    }
+    this.schedule();
+  }
+
+  /**
+   * Too late for this one: it is told when to come back, and the load is wanted for when it does, or for others that
+   * ask for the model as well.
+   */
+  private refuse(wanted: WantedModel, demand: PendingDemand, readyMs: number): void {
+    if (!Number.isFinite(readyMs)) {
+      this.settleRefused(wanted, demand, {
+        kind: 'refused',
+        reason: 'no_place',
+        retryAfterMs: NO_PLACE_RETRY_MS,
+      });
+      return;
+    }
+    this.settleRefused(wanted, demand, { kind: 'refused', reason: 'loading', retryAfterMs: readyMs });
+    const isAskedFor = this.options.loads.demandFor(wanted.model) >= DEMAND_WORTH_A_LATE_LOAD;
+    if (readyMs > LONGEST_RETURN_MS && !isAskedFor) return;
+    const deadline = demand.arrivedAt + readyMs + RETURN_SLACK_MS;
+    this.queue.add(wanted, { ...demand, deadline, settle: () => false });
+    this.schedule();
+  }
+
+  /** Its time has passed while it waited: its group may be loaded for others soon. */
+  private settleLate(wanted: WantedModel, demand: PendingDemand): void {
+    const { readyMs } = this.quote(wanted, demand);
+    const retryAfterMs = Number.isFinite(readyMs) ? readyMs : NO_PLACE_RETRY_MS;
+    this.settleRefused(wanted, demand, { kind: 'refused', reason: 'not_in_time', retryAfterMs });
+  }
+
+  private settleRefused(wanted: WantedModel, demand: PendingDemand, refusal: RefusedPlacement): void {
+    if (!demand.settle(refusal)) return;
+    const { log, zone, clock } = this.options;
+    log.changed('demand_refused', {
+      zone,
+      model: wanted.model,
+      reason: refusal.reason,
+      leftMs: Math.round(demand.deadline - clock.monotonic()),
+      readyMs: refusal.reason === 'no_place' ? undefined : Math.round(refusal.retryAfterMs),
+      queued: this.queue.length,
+    });
+  }
+
+  /** A demand that joins a load under way leaves it when its time has passed. */
+  private attach(wanted: WantedModel, loading: Loading, demand: PendingDemand): void {
+    const { clock } = this.options;
+    loading.demands.push(demand);
+    const leftMs = demand.deadline - clock.monotonic();
+    if (!Number.isFinite(leftMs)) return;
+    clock.schedule(leftMs, () => {
+      this.settleLate(wanted, demand);
+    });
+  }
+
+  private startLoads(service: string): void {
+    const groups = this.queue.all().filter((group) => group.service === service);
+    for (const planned of this.plan(service, groups)) {
+      if (planned.startsNow) this.start(planned);
+    }
+  }
+
+  private start(planned: PlannedLoad): void {
+    const { group, choice } = planned;
+    const { clock, workersOf } = this.options;
+    const { id } = choice.candidate.backEnd;
+    const worker = workersOf(group.service).find((candidate) => candidate.backEndId === id);
+    if (worker === undefined) return;
+    this.logDecision(group, choice);
+    if (choice.source === 'store') this.window.record();
+    const expectedMs = choice.readyMs - choice.candidate.busyMs;
+    const loading: Loading = { readyAt: clock.monotonic() + choice.readyMs, backEndId: id, demands: [] };
+    this.loading.set(group.key, loading);
+    for (const demand of this.queue.take(group.key)) this.attach(group, loading, demand);
+    worker.swap(group.model, choice.victims, expectedMs, choice.loadMs).then(
+      (loaded) => {
+        this.finish(group, loading, loaded);
+      },
+      () => {
+        this.finish(group, loading, false);
+      },
+    );
+  }
+
+  /** Demands of a load that did not come about wait for another one. */
+  private finish(group: DemandGroup, loading: Loading, loaded: boolean): void {
+    this.loading.delete(group.key);
+    for (const demand of loading.demands) {
+      if (loaded) demand.settle({ kind: 'resident', backEndId: loading.backEndId });
+      else this.queue.add(group, demand);
+    }
+    this.schedule();
+  }
+
+  private plan(service: string, groups: readonly DemandGroup[]): PlannedLoad[] {
+    const { clock, serviceOf } = this.options;
+    const engine = serviceOf(service)?.engine;
+    if (engine === undefined || groups.length === 0) return [];
+    this.storeLimit = this.storeLimitOf(engine);
+    const candidates = this.candidates(service);
+    const replicasOf = this.countReplicas(service);
+    return planLoads({
+      groups,
+      candidates,
+      now: clock.monotonic(),
+      choose: (group, available) => this.choose(group, available, engine, replicasOf),
+    });
+  }
+
+  private storeLimitOf(engine: EngineDefinition): number {
+    const { windowMs, overshoot } = this.options.storeWindow;
+    const allowed = (engine.storeLoadsPerSecond * windowMs * overshoot) / 1000;
+    return Math.floor((allowed + WINDOW_EXTRA_LOADS) * WINDOW_SAFETY);
+  }
+
+  private choose(
+    group: DemandGroup,
+    available: readonly PlacementCandidate[],
+    engine: EngineDefinition,
+    replicasOf: (model: string) => number,
+  ): PlacementChoice | undefined {
+    const { loads, clock } = this.options;
+    const model = engine.models.get(group.model);
+    if (model === undefined) return undefined;
+    const isUsable = (candidate: PlacementCandidate): boolean =>
+      mayHold(candidate, model.name) &&
+      group.demands.some((demand) => !demand.without.includes(candidate.backEnd.id));
+    const wanted = loads.demandFor(model.name) + group.demands.length;
+    const share = wanted / (replicasOf(model.name) + 1);
+    return choosePlacement({
+      model,
+      engine,
+      candidates: available.filter(isUsable),
+      loads,
+      now: clock.monotonic(),
+      storeWaitMs: group.demands.some((demand) => demand.mayUseStore) ? this.window.waitMs() : Infinity,
+      replicasOf,
+      maximumVictimValue: group.another ? share * ANOTHER_REPLICA_SHARE : Math.max(LEAST_VICTIM_VALUE, share),
+    });
+  }
+
+  private candidates(service: string): PlacementCandidate[] {
+    const { directory, workersOf } = this.options;
+    return workersOf(service)
+      .filter((worker) => worker.isKnown && worker.isResponsive)
+      .flatMap((worker) => {
+        const backEnd = directory.get(worker.backEndId);
+        const busyMs = Math.max(worker.pendingSwaps > 0 ? OVERDUE_MS : 0, worker.busyMs);
+        return backEnd === undefined ? [] : [{ backEnd, residents: worker.residents, busyMs }];
+      });
+  }
+
+  private countReplicas(service: string): (model: string) => number {
+    const counts = new Map<string, number>();
+    return (model) => {
+      const known = counts.get(model) ?? this.options.directory.holdersOf(service, { model }).length;
+      counts.set(model, known);
+      return known;
+    };
+  }
+
+  /** Time alone can make a load possible: a worker answers again, the weight store bears more. */
+  private tickWhileWaiting(): void {
+    if (this.ticking || this.queue.length === 0 || this.options.signal.aborted) return;
+    this.ticking = true;
+    this.options.clock.schedule(PLAN_INTERVAL_MS, () => {
+      this.ticking = false;
+      this.schedule();
+      this.tickWhileWaiting();
+    });
+  }
+
+  private logDecision(group: DemandGroup, choice: PlacementChoice): void {
+    const { log, zone, loads, clock } = this.options;
+    const oldest = Math.min(...group.demands.map((demand) => demand.arrivedAt));
+    log.changed('load_decided', {
+      zone,
+      model: group.model,
+      another: group.another,
+      waiting: group.demands.length,
+      waitedMs: Math.round(clock.monotonic() - oldest),
+      queued: this.queue.length,
+      demand: Math.round(loads.demandFor(group.model)),
+      backEnd: choice.candidate.backEnd.id,
+      victims: choice.victims.join(','),
+      readyMs: Math.round(choice.readyMs),
+      source: choice.source,
+    });
+  }
+}
+
+/** Whether a worker can load a model now, or once it is free: one that unloads it is soon without it. */
+function mayHold({ residents, busyMs }: PlacementCandidate, model: string): boolean {
+  const state = residents.models.get(model)?.state;
+  return state === undefined || (state === 'unloading' && busyMs > 0);
+}
--- a/packages/residency/src/order-sender.ts
+++ b/packages/residency/src/order-sender.ts
@@ -38,6 +38,8 @@
 const SENDS_PER_ORDER = 10;
 const CONFLICT_PAUSE_MS = 120;
 const UNKNOWN_PAUSE_MS = 30;
+/** Pause after the first conflict with an order that the worker is expected to be carrying out still. */
+const FIRST_BUSY_PAUSE_MS = 20;
 /** Calls without an answer in a row after which nothing new is asked of a worker for a while. */
 const SILENCES_BEFORE_DOUBT = 2;
 const SILENCE_PAUSE_MS = 2000;
@@ -96,10 +98,14 @@
     this.sequence = report.sequence;
   }
 
-  /** Sends an order after all before it have been answered. */
-  send(operation: 'load' | 'unload', target: ModelTarget): Promise<FinalOutcome> {
+  /**
+   * Sends an order after all before it have been answered.
+   *
+   * @param busyMs Time for which the worker may still be carrying out the order before: conflicts are expected.
+   */
+  send(operation: 'load' | 'unload', target: ModelTarget, busyMs = 0): Promise<FinalOutcome> {
     this.queued += 1;
-    const result = this.sending.then(() => this.sendUntilKnown(operation, target));
+    const result = this.sending.then(() => this.sendUntilKnown(operation, target, busyMs));
     this.sending = result
       .catch(() => undefined)
       .finally(() => {
@@ -108,10 +114,16 @@
     return result;
   }
 
-  private async sendUntilKnown(operation: 'load' | 'unload', target: ModelTarget): Promise<FinalOutcome> {
+  private async sendUntilKnown(
+    operation: 'load' | 'unload',
+    target: ModelTarget,
+    busyMs: number,
+  ): Promise<FinalOutcome> {
     const { clock, signal } = this.options;
+    const startedAt = clock.monotonic();
     let isUncertain = false;
     let conflicts = 0;
+    let busyPauseMs = FIRST_BUSY_PAUSE_MS;
     for (let attempt = 0; attempt < SENDS_PER_ORDER && !signal.aborted; attempt += 1) {
       if (this.sequence === undefined && (await this.report()) === undefined) {
         await sleep(clock, CONFLICT_PAUSE_MS, signal);
@@ -123,6 +135,12 @@
         isUncertain = true;
         this.uncertainSequence = Math.max(this.uncertainSequence, this.sequence ?? 0);
         await sleep(clock, UNKNOWN_PAUSE_MS, signal);
+      } else if (outcome === 'conflict' && !isUncertain && clock.monotonic() - startedAt < busyMs) {
+        attempt -= 1;
+        await sleep(clock, busyPauseMs, signal);
+        busyPauseMs = Math.min(busyPauseMs * 2, CONFLICT_PAUSE_MS);
+        const isReported = clock.monotonic() - startedAt > REPORT_LAG_MS;
+        if (isReported && (await this.isSurprised(0))) return 'surprised';
       } else if (outcome === 'conflict') {
         conflicts += 1;
         await sleep(clock, CONFLICT_PAUSE_MS, signal);
--- a/packages/residency/src/placement-choice.ts
+++ b/packages/residency/src/placement-choice.ts
@@ -30,7 +30,7 @@
   readonly candidates: readonly PlacementCandidate[];
   readonly loads: LoadBook;
   readonly now: number;
-  /** Milliseconds until the weight store may be used. */
+  /** Milliseconds until the weight store may be used; Infinity when it may not. */
   readonly storeWaitMs: number;
   /** Number of workers in all zones that hold a model. */
   readonly replicasOf: (model: string) => number;
@@ -39,13 +39,17 @@
 }
 
 /** Expected time to unload an idle model, in milliseconds. */
-const UNLOAD_MS = 120;
+const UNLOAD_MS = 50;
 /** Expected wait for the runs of a model to end, in milliseconds. */
 const RUNS_END_MS = 900;
+/** A model that was used this lately may be in use again, in milliseconds. */
+const UNREPORTED_USE_MS = 600;
 /** Cost of one recent request, per replica, for a model that makes way, in milliseconds. */
 const MS_PER_REQUEST = 300;
 /** Cost of a worker whose adapters are in use: none can be loaded there meanwhile, in milliseconds. */
 const ADAPTERS_HELD_UP_MS = 400;
+/** A worker takes no other load meanwhile: each millisecond of a load costs this many of others' waits. */
+export const OCCUPANCY_WEIGHT = 2;
 /** A model is hardly ever taken away this soon after its load, in milliseconds. */
 const SETTLING_MS = 1500;
 const SETTLING_COST_MS = 3000;
@@ -73,11 +77,12 @@
   if (victims === undefined) return [];
   const source = sourceOf(candidate.backEnd, inputs.model.name);
   const storeWaitMs = source === 'store' ? inputs.storeWaitMs : 0;
+  if (storeWaitMs === Infinity) return [];
   const loadMs = loadTimeMs(inputs.model, source);
   const readyMs = Math.max(candidate.busyMs + victims.waitMs, storeWaitMs) + loadMs;
   const heldUpMs = candidate.residents.adapterCount > 0 ? ADAPTERS_HELD_UP_MS : 0;
   const choice = { candidate, victims: victims.names, readyMs, loadMs, source };
-  return [{ choice, costMs: readyMs + victims.costMs + heldUpMs }];
+  return [{ choice, costMs: readyMs + victims.costMs + heldUpMs + loadMs * OCCUPANCY_WEIGHT }];
 }
 
 /** How much a replica of a model would be missed: the recent requests that it serves its share of. */
@@ -103,22 +108,33 @@
   const ranked = [...residents.models.values()]
     .filter((model) => model.state === 'resident')
     .map((model) => ({ model, costMs: costOf(model, inputs) }))
-    .sort((left, right) => left.costMs - right.costMs);
+    .map(({ model, costMs }) => ({
+      model,
+      costMs,
+      unloadMs: unloadMs(backEnd, model.definition.name, inputs),
+    }))
+    .sort((left, right) => left.costMs + left.unloadMs - right.costMs - right.unloadMs);
   const names: string[] = [];
   let costMs = 0;
   let waitMs = 0;
-  for (const { model, costMs: cost } of ranked) {
+  for (const { model, costMs: cost, unloadMs: modelWaitMs } of ranked) {
     if (missingMb <= 0) break;
     const { name, weightsMb } = model.definition;
     if (victimValue(inputs, name) > inputs.maximumVictimValue) continue;
     names.push(name);
     missingMb -= weightsMb;
     costMs += cost;
-    waitMs += inputs.loads.requestsFor(backEnd.id, name) > 0 ? RUNS_END_MS : UNLOAD_MS;
+    waitMs += modelWaitMs;
   }
   return missingMb > 0 ? undefined : { names, costMs, waitMs };
 }
 
+/** Expected time to unload a model: its runs must end first, those that reports do not show yet included. */
+function unloadMs({ id }: BackEnd, model: string, { loads }: PlacementInputs): number {
+  if (loads.requestsFor(id, model) > 0) return RUNS_END_MS;
+  return loads.idleMs(id, model) < UNREPORTED_USE_MS ? UNLOAD_MS + RUNS_END_MS / 2 : UNLOAD_MS;
+}
+
 function costOf(model: ResidentModel, inputs: PlacementInputs): number {
   const settling = inputs.now - model.since < SETTLING_MS ? SETTLING_COST_MS : 0;
   return settling + victimValue(inputs, model.definition.name) * MS_PER_REQUEST;
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -17,7 +17,8 @@
 } from '@woodbarrow/protocol';
 import { BackgroundService, sleep, type Clock } from '@woodbarrow/runtime';
 import type { OrderClient } from './order-client.js';
-import { ZoneResidency, type StoreWindowOptions } from './zone-residency.js';
+import type { StoreWindowOptions } from './load-scheduler.js';
+import { ZoneResidency } from './zone-residency.js';
 
 /** Options of {@link ResidencyService}. */
 export interface ResidencyServiceOptions {
--- a/packages/residency/src/worker-orders.ts
+++ b/packages/residency/src/worker-orders.ts
@@ -2,7 +2,7 @@
 import type { BackendDirectory, EngineDefinition, LoadBook, ModelTarget } from '@woodbarrow/backends';
 import { messageOf, WoodbarrowError } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
-import { sleep, type Clock } from '@woodbarrow/runtime';
+import { settleWithin, sleep, type Clock } from '@woodbarrow/runtime';
 import { AdapterOrders } from './adapter-orders.js';
 import type { OrderClient, WorkerReport } from './order-client.js';
 import { OrderSender, REPORT_LAG_MS, type FinalOutcome, type OrderAuthority } from './order-sender.js';
@@ -32,6 +32,8 @@
 const LOAD_LIMIT_MS = 3000;
 /** A load is looked after from this part of its expected time on. */
 const FIRST_LOOK_SHARE = 0.9;
+/** Time that a worker is left to adapters after a load that they waited for, in milliseconds. */
+const ADAPTERS_TURN_MS = 60;
 /** Pause between two attempts to learn what a worker holds, in milliseconds. */
 const LEARN_PAUSE_MS = 400;
 
@@ -46,6 +48,8 @@
   private swapping: Promise<unknown> = Promise.resolve();
   private queuedSwaps = 0;
   private busyUntil = 0;
+  /** Adapters wanted that wait for the end of a load or unload. */
+  private adaptersWaiting = 0;
 
   constructor(private readonly options: WorkerOrdersOptions) {
     this.sender = new OrderSender(options);
@@ -58,6 +62,10 @@
     });
   }
 
+  get backEndId(): string {
+    return this.options.backEndId;
+  }
+
   /** Whether what it holds is known well enough to order anything. */
   get isKnown(): boolean {
     return this.known;
@@ -73,6 +81,11 @@
     return Math.max(0, this.busyUntil - this.options.clock.monotonic());
   }
 
+  /** Milliseconds until an adapter of a model that it holds is expected to be resident. */
+  adapterReadyMs(model: string, adapter: string): number {
+    return this.residents.isResident(model, adapter) ? 0 : this.busyMs + this.adapters.waitMs();
+  }
+
   /** Loads and unloads that are decided and not done. */
   get pendingSwaps(): number {
     return this.queuedSwaps;
@@ -98,16 +111,36 @@
       .catch(() => undefined)
       .finally(() => {
         this.queuedSwaps -= 1;
+        this.letAdaptersIn();
       });
     return result;
   }
 
-  /** Loads an adapter of a resident model. Resolves with whether it is resident. */
-  async loadAdapter(model: string, adapter: string): Promise<boolean> {
+  /**
+   * Loads an adapter of a resident model. Resolves with whether it is resident. Waits while the worker loads or
+   * unloads a model, as it takes no adapter then.
+   */
+  async loadAdapter(model: string, adapter: string, withinMs: number): Promise<boolean> {
+    const { clock } = this.options;
+    const deadline = clock.monotonic() + withinMs;
     if (!this.known) await this.prepare();
-    // A worker takes no adapter while it loads or unloads a model.
+    if (this.residents.isResident(model, adapter)) return true;
+    this.adaptersWaiting += 1;
+    try {
+      while (this.queuedSwaps > 0 && clock.monotonic() < deadline) {
+        await settleWithin(clock, deadline - clock.monotonic(), this.swapping);
+      }
+    } finally {
+      this.adaptersWaiting -= 1;
+    }
     if (!this.known || this.queuedSwaps > 0) return this.residents.isResident(model, adapter);
-    return this.adapters.load({ model, adapter });
+    return this.adapters.load({ model, adapter }, deadline);
+  }
+
+  /** Adapters that have waited for a load go before the next one. */
+  private letAdaptersIn(): void {
+    if (this.queuedSwaps > 0) return;
+    this.busyUntil = this.adaptersWaiting > 0 ? this.options.clock.monotonic() + ADAPTERS_TURN_MS : 0;
   }
 
   /** One report is enough for a worker that nothing was ordered of. */
@@ -133,40 +166,53 @@
   }
 
   private async carryOutSwap(model: string, victims: readonly string[], loadMs: number): Promise<boolean> {
+    const { clock, log, backEndId } = this.options;
+    const startedAt = clock.monotonic();
     try {
-      for (const victim of victims) await this.unload(victim);
-      await this.load(model, loadMs);
-      return true;
-    } catch (error) {
-      this.options.log.warned('load_failed', {
-        backEnd: this.options.backEndId,
+      for (const [index, victim] of victims.entries()) {
+        await this.unload(victim, index === victims.length - 1);
+      }
+      const orderedAt = await this.load(model, victims, loadMs);
+      log.changed('load_finished', {
+        backEnd: backEndId,
         model,
-        cause: messageOf(error),
+        unloadMs: Math.round(orderedAt - startedAt),
+        tookMs: Math.round(clock.monotonic() - startedAt),
       });
+      return true;
+    } catch (error) {
+      log.warned('load_failed', { backEnd: backEndId, model, cause: messageOf(error) });
       this.busyUntil = 0;
       void this.learn();
       return false;
     }
   }
 
-  private async unload(victim: string): Promise<void> {
+  /** The last unload before a load is not waited for: the worker takes the load as soon as it is done. */
+  private async unload(victim: string, isLast: boolean): Promise<void> {
     if (!this.residents.models.has(victim)) return;
     const outcome = await this.sender.send('unload', { model: victim });
+    if (outcome !== 'accepted' && outcome !== 'done') throw failedOrder(`unload of ${victim}`, outcome);
+    if (outcome === 'accepted' && isLast) return;
     if (outcome === 'accepted') await this.awaitModel(victim, false, 0, UNLOAD_LIMIT_MS);
-    else if (outcome !== 'done') throw failedOrder(`unload of ${victim}`, outcome);
     this.residents.models.delete(victim);
   }
 
-  private async load(model: string, loadMs: number): Promise<void> {
-    const outcome = await this.sender.send('load', { model });
+  /** @returns When the worker had taken the order, monotonic: what makes way is gone then. */
+  private async load(model: string, victims: readonly string[], loadMs: number): Promise<number> {
+    const { clock } = this.options;
+    const outcome = await this.sender.send('load', { model }, victims.length > 0 ? UNLOAD_LIMIT_MS : 0);
+    if (outcome !== 'accepted' && outcome !== 'done') throw failedOrder(`load of ${model}`, outcome);
+    const orderedAt = clock.monotonic();
+    for (const victim of victims) this.residents.models.delete(victim);
     const limitMs = loadMs * LOAD_LIMIT_FACTOR + LOAD_LIMIT_MS;
     if (outcome === 'accepted') await this.awaitModel(model, true, loadMs, limitMs);
-    else if (outcome !== 'done') throw failedOrder(`load of ${model}`, outcome);
     const held = this.residents.models.get(model);
-    if (held === undefined) return;
+    if (held === undefined) return orderedAt;
     held.state = 'resident';
-    held.since = this.options.clock.monotonic();
+    held.since = clock.monotonic();
     this.options.announce({ model }, true);
+    return orderedAt;
   }
 
   private async awaitModel(
--- a/packages/residency/test/zone-residency.test.ts
+++ b/packages/residency/test/zone-residency.test.ts
@@ -119,20 +119,15 @@
   }
 }
 
-function demand(
-  zone: ZoneResidency,
-  model: string,
-  adapter?: string,
-  backEndId?: string,
-): Promise<ResidencyDemandAnswer> {
+function demand(zone: ZoneResidency, model: string, adapter?: string): Promise<ResidencyDemandAnswer> {
   return zone.demand({
     zone: ZONE,
     service: SERVICE,
     model,
     ...(adapter === undefined ? {} : { adapter }),
-    ...(backEndId === undefined ? {} : { backEndId }),
     priority: 1,
     without: [],
+    mayUseStore: true,
     withinMs: WITHIN_MS,
   });
 }
@@ -165,6 +160,7 @@
         model: 'm9',
         priority: 1,
         without: [],
+        mayUseStore: true,
         withinMs: 50,
       }),
     );
@@ -201,7 +197,15 @@
     const coordinator = await zone.coordinator();
     zone.loads.noteDemand('m9');
     zone.loads.noteDemand('m9');
-    const message = { zone: ZONE, service: SERVICE, model: 'm9', priority: 1, without: [], withinMs: 200 };
+    const message = {
+      zone: ZONE,
+      service: SERVICE,
+      model: 'm9',
+      priority: 1,
+      without: [],
+      mayUseStore: true,
+      withinMs: 200,
+    };
     const answer = await zone.settle(coordinator.demand(message));
     expect(answer).to.include({ held: false, reason: 'loading' });
     expect(answer.retryAfterMs).to.be.greaterThan(200);
@@ -219,6 +223,7 @@
         model: 'm0',
         priority: 1,
         without: ['w0'],
+        mayUseStore: true,
         withinMs: WITHIN_MS,
       }),
     );
