First tries that cannot be in time are told when to come back; demands that can still be in time go first

A first try is told from one that comes back by the time that the client says it waits, as observed for its route.

--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -41,6 +41,7 @@
   private readonly ending: RequestEnding;
   private readonly times: RequestTimes;
   private held: HeldAnswer | undefined;
+  private readonly isFirstTry: boolean;
 
   constructor(
     private readonly context: ForwardingContext,
@@ -53,6 +54,7 @@
   ) {
     const { clock, dialect, journal } = context;
     this.times = new RequestTimes(arrivedAt, facts, route, clock);
+    this.isFirstTry = context.patience.isFirstTry(route.name, facts.waitMs);
     this.relay = new AnswerRelay(exchange, dialect, clock);
     this.ending = new RequestEnding({
       exchange,
@@ -161,6 +163,7 @@
         targetBy: this.times.targetBy(),
         startBy: this.times.startBy(),
         excluded: this.excluded,
+        comeBack: this.isFirstTry && this.sends === 0 ? this.times.comeBack() : undefined,
         signal: this.expired.signal,
       },
       health,
--- a/packages/forwarding/src/forwarding-context.ts
+++ b/packages/forwarding/src/forwarding-context.ts
@@ -3,6 +3,7 @@
 import type { BackendClient, Clock } from '@woodbarrow/runtime';
 import type { RequestJournal } from './request-journal.js';
 import type { BackendHealth } from './backend-health.js';
+import type { ClientPatience } from './client-patience.js';
 import type { ConnectionShare } from './connection-share.js';
 import type { PlainSelector } from './plain-selector.js';
 import type { RepeatBudget } from './repeat-budget.js';
@@ -17,6 +18,7 @@
   readonly directory: BackendDirectory;
   readonly loads: LoadBook;
   readonly connections: ConnectionShare;
+  readonly patience: ClientPatience;
   readonly plain: PlainSelector;
   readonly replicas: ReplicaSelector;
   readonly budget: RepeatBudget;
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -25,6 +25,7 @@
   BackendHealth,
   ConfigurationHolder,
   ConnectionShare,
+  ClientPatience,
   Forwarder,
   PlainSelector,
   PromptAffinity,
@@ -205,6 +206,7 @@
       loads: this.loads,
       connections,
       plain: new PlainSelector(this.directory, this.loads, connections, 'a'),
+      patience: new ClientPatience(),
       replicas: new ReplicaSelector(
         this.directory,
         this.loads,
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -93,7 +93,12 @@
   }
 
   private share(demand: ResidencyDemand): Promise<ResidencyOutcome> {
-    const key = [demand.service, targetKey(demand.target), ...demand.without].join(' ');
+    const key = [
+      demand.service,
+      targetKey(demand.target),
+      demand.comeBack === undefined ? 'held' : 'returns',
+      ...demand.without,
+    ].join(' ');
     const now = this.options.clock.monotonic();
     const known = this.shared.get(key);
     if (known !== undefined && known.expiresAt >= now + Math.min(demand.withinMs, LEAST_SHARED_MS))
@@ -108,13 +113,20 @@
   /** Asks every zone how long it would take, and the fastest for the model; the next one when it does not answer. */
   private async pursue(demand: ResidencyDemand): Promise<ResidencyOutcome> {
     const { clock } = this.options;
-    const deadline = clock.monotonic() + demand.withinMs;
+    const startedAt = clock.monotonic();
+    const deadline = startedAt + demand.withinMs;
     const targetAt = clock.monotonic() + demand.targetMs;
     let refusal: ResidencyOutcome = { held: false, retryAfterMs: RETRY_AFTER_MS, reason: 'no_coordinator' };
     while (clock.monotonic() < deadline) {
       for (const { message } of await this.bestQuotes(demand, deadline, targetAt)) {
         const leftMs = deadline - clock.monotonic();
-        const answer = await this.ask({ ...message, quote: false, withinMs: Math.floor(leftMs) }, leftMs);
+        const final = {
+          ...message,
+          ...returnOf(demand, clock.monotonic() - startedAt),
+          quote: false,
+          withinMs: Math.floor(leftMs),
+        };
+        const answer = await this.ask(final, leftMs);
         if (answer === undefined) continue;
         if (answer.held) return { held: true, backEndId: answer.backEndId };
         refusal = { held: false, retryAfterMs: answer.retryAfterMs, reason: answer.reason };
@@ -216,6 +228,13 @@
   }
 }
 
+/** Whether the client can still be told to come back. */
+function returnOf({ comeBack }: ResidencyDemand, waitedMs: number): { longestReturnMs?: number } {
+  return comeBack !== undefined && waitedMs <= comeBack.tellWithinMs
+    ? { longestReturnMs: comeBack.longestMs }
+    : {};
+}
+
 function hasCopy({ nearby }: BackEnd, model: string): boolean {
   return nearby.inMemory.includes(model) || nearby.onDisk.includes(model);
 }
--- a/packages/residency/src/load-plan.ts
+++ b/packages/residency/src/load-plan.ts
@@ -32,8 +32,12 @@
 
 /** Groups that a plan looks at, the most urgent first: a bound on the work of planning. */
 const LARGEST_PLAN = 48;
-/** Targets count as at least this long, in milliseconds. */
-const LEAST_TARGET_MS = 200;
+/** Time that a load from a disk usually takes, what makes way included, in milliseconds. */
+const USUAL_LOAD_MS = 1000;
+/** Targets that lie further ahead than this hardly count yet, in milliseconds. */
+const LOOK_AHEAD_MS = 1500;
+/** What an answer is worth that comes too late for its target, as a part of one in time. */
+const LATE_WEIGHT = 0.2;
 
 /** Loads in the order of urgency. Groups for which no worker can make room are left out. */
 export function planLoads(inputs: LoadPlanInputs): PlannedLoad[] {
@@ -51,17 +55,28 @@
   return planned;
 }
 
-/** Groups by urgency: many demands, and demands that have waited long, first. */
+/** Groups by urgency, the most urgent first. */
 export function byUrgency(groups: readonly DemandGroup[], now: number): DemandGroup[] {
   const urgency = new Map(groups.map((group) => [group.key, urgencyOf(group, now)]));
   return [...groups].sort((left, right) => (urgency.get(right.key) ?? 0) - (urgency.get(left.key) ?? 0));
 }
 
-/** Sum over the demands: one for each, and the part of its time to the target that it has waited. */
+/**
+ * What is lost when a group waits for one more load, summed over its demands: the rule of apparent tardiness cost. A
+ * demand counts the more the less time it has to its target; one that has missed it counts little, until its time
+ * runs out.
+ */
 function urgencyOf(group: DemandGroup, now: number): number {
   let urgency = 0;
-  for (const { arrivedAt, targetAt } of group.demands) {
-    urgency += 1 + (now - arrivedAt) / Math.max(LEAST_TARGET_MS, targetAt - arrivedAt);
+  for (const { targetAt, deadline } of group.demands) {
+    const slackMs = targetAt - now - USUAL_LOAD_MS;
+    urgency +=
+      slackMs >= 0 ? nearness(slackMs) : LATE_WEIGHT * (1 + nearness(deadline - now - USUAL_LOAD_MS));
   }
   return urgency;
 }
+
+/** From 0 for a moment far away to 1 for one that has come. */
+function nearness(leftMs: number): number {
+  return Math.exp(-Math.max(0, leftMs) / LOOK_AHEAD_MS);
+}
--- a/packages/residency/src/load-scheduler.ts
+++ b/packages/residency/src/load-scheduler.ts
@@ -13,6 +13,7 @@
   type DemandGroup,
   type PendingDemand,
   type Placement,
+  type RefusedDemandReason,
   type RefusedPlacement,
   type WantedModel,
 } from './pending-demand.js';
@@ -61,6 +62,8 @@
   readonly targetMs: number;
   /** Within which it is of any use. */
   readonly withinMs: number;
+  /** Longest time after which the request comes back when told to; 0 when it does not. */
+  readonly longestReturnMs: number;
 }
 
 /** A load under way, with the demands that it will serve. */
@@ -89,6 +92,8 @@
 const DEMAND_WORTH_A_LATE_LOAD = 1.8;
 /** Those who are told to come back later than this are not counted on, in milliseconds. */
 const LONGEST_RETURN_MS = 8000;
+/** Added to the time after which to come back, in milliseconds. */
+const RETURN_MARGIN_MS = 50;
 /** Time for which a load is still wanted after those who were told to come back should have, in milliseconds. */
 const RETURN_SLACK_MS = 1500;
 
@@ -96,6 +101,8 @@
 export class LoadScheduler {
   private readonly queue: DemandQueue;
   private readonly loading = new Map<string, Loading>();
+  /** Models that requests were told to come back for, with the monotonic time until which they are kept. */
+  private readonly promisedUntil = new Map<string, number>();
   private readonly window: LoadWindow;
   private storeLimit = 1;
   private ticking = false;
@@ -149,59 +156,54 @@
         ...limits,
         settle,
       };
-      this.admit(wanted, demand, times.withinMs);
+      this.admit(wanted, demand, times);
     });
   }
 
   /** Something has changed: loads may begin. */
   schedule(): void {
     if (!this.options.mayAct()) return;
+    this.forgetPromises();
     for (const { wanted, demand } of this.queue.takeExpired()) this.settleLate(wanted, demand);
     const services = new Set(this.queue.all().map((group) => group.service));
     for (const service of services) this.startLoads(service);
     this.tickWhileWaiting();
   }
 
-  private admit(wanted: WantedModel, demand: PendingDemand, withinMs: number): void {
+  private admit(wanted: WantedModel, demand: PendingDemand, times: DemandTimes): void {
     const now = this.options.clock.monotonic();
     const loading = this.loading.get(groupKey(wanted));
-    if (loading !== undefined) {
-      const readyMs = loading.readyAt - now;
-      if (readyMs > withinMs)
-        this.settleRefused(wanted, demand, { kind: 'refused', reason: 'loading', retryAfterMs: readyMs });
-      else this.attach(wanted, loading, demand);
-      return;
-    }
-    const { readyMs } = this.quote(wanted, demand);
-    if (readyMs > withinMs) {
-      this.refuse(wanted, demand, readyMs);
-      return;
-    }
-    if (!this.queue.add(wanted, demand)) {
+    const readyMs =
+      loading === undefined ? this.quote(wanted, demand).readyMs : Math.max(0, loading.readyAt - now);
+    const reason = reasonToRefuse(readyMs, times);
+    if (reason !== undefined) {
+      this.refuse(wanted, demand, reason, readyMs);
+    } else if (loading !== undefined) {
+      this.attach(wanted, loading, demand);
+    } else if (this.queue.add(wanted, demand)) {
+      this.schedule();
+    } else {
       this.settleRefused(wanted, demand, { kind: 'refused', reason: 'queue_full', retryAfterMs: readyMs });
-      return;
     }
-    this.schedule();
   }
 
-  /**
-   * Too late for this one: it is told when to come back, and the load is wanted for when it does, or for others that
-   * ask for the model as well.
-   */
-  private refuse(wanted: WantedModel, demand: PendingDemand, readyMs: number): void {
-    if (!Number.isFinite(readyMs)) {
-      this.settleRefused(wanted, demand, {
-        kind: 'refused',
-        reason: 'no_place',
-        retryAfterMs: NO_PLACE_RETRY_MS,
-      });
-      return;
-    }
-    this.settleRefused(wanted, demand, { kind: 'refused', reason: 'loading', retryAfterMs: readyMs });
+  /** It is told when to come back; the load is wanted for when it does, or for others that ask for the model as well. */
+  private refuse(
+    wanted: WantedModel,
+    demand: PendingDemand,
+    reason: RefusedDemandReason,
+    readyMs: number,
+  ): void {
+    const retryAfterMs = reason === 'no_place' ? NO_PLACE_RETRY_MS : readyMs + RETURN_MARGIN_MS;
+    this.settleRefused(wanted, demand, { kind: 'refused', reason, retryAfterMs });
     const isAskedFor = this.options.loads.demandFor(wanted.model) >= DEMAND_WORTH_A_LATE_LOAD;
-    if (readyMs > LONGEST_RETURN_MS && !isAskedFor) return;
-    const deadline = demand.arrivedAt + readyMs + RETURN_SLACK_MS;
-    this.queue.add(wanted, { ...demand, deadline, settle: () => false });
+    if (reason === 'no_place' || (reason === 'loading' && readyMs > LONGEST_RETURN_MS && !isAskedFor)) return;
+    const returnAt = demand.arrivedAt + retryAfterMs;
+    const deadline = returnAt + RETURN_SLACK_MS;
+    const promised = this.promisedUntil.get(wanted.model) ?? 0;
+    this.promisedUntil.set(wanted.model, Math.max(promised, deadline));
+    if (this.loading.has(groupKey(wanted))) return;
+    this.queue.add(wanted, { ...demand, targetAt: returnAt, deadline, settle: () => false });
     this.schedule();
   }
 
@@ -236,6 +238,13 @@
     });
   }
 
+  private forgetPromises(): void {
+    const now = this.options.clock.monotonic();
+    for (const [model, until] of this.promisedUntil) {
+      if (until <= now) this.promisedUntil.delete(model);
+    }
+  }
+
   private startLoads(service: string): void {
     const groups = this.queue.all().filter((group) => group.service === service);
     for (const planned of this.plan(service, groups)) {
@@ -303,6 +312,7 @@
     replicasOf: (model: string) => number,
   ): PlacementChoice | undefined {
     const { loads, clock } = this.options;
+    const now = clock.monotonic();
     const model = engine.models.get(group.model);
     if (model === undefined) return undefined;
     const isUsable = (candidate: PlacementCandidate): boolean =>
@@ -315,7 +325,8 @@
       engine,
       candidates: available.filter(isUsable),
       loads,
-      now: clock.monotonic(),
+      now,
+      isPromised: (name) => (this.promisedUntil.get(name) ?? 0) > now,
       storeWaitMs: group.demands.some((demand) => demand.mayUseStore) ? this.window.waitMs() : Infinity,
       replicasOf,
       maximumVictimValue: group.another ? share * ANOTHER_REPLICA_SHARE : Math.max(LEAST_VICTIM_VALUE, share),
@@ -377,3 +388,10 @@
   const state = residents.models.get(model)?.state;
   return state === undefined || (state === 'unloading' && busyMs > 0);
 }
+
+/** Why a demand is turned down whose model is resident after `readyMs`; undefined when it may wait. */
+function reasonToRefuse(readyMs: number, times: DemandTimes): RefusedDemandReason | undefined {
+  if (readyMs === Infinity) return 'no_place';
+  if (readyMs > times.targetMs && readyMs <= times.longestReturnMs) return 'come_back';
+  return readyMs > times.withinMs ? 'loading' : undefined;
+}
--- a/packages/residency/src/pending-demand.ts
+++ b/packages/residency/src/pending-demand.ts
@@ -14,6 +14,8 @@
 
 /** Why a demand is turned down. */
 export type RefusedDemandReason =
+  /** It will be resident after the target: the client is told to come back then. */
+  | 'come_back'
   /** No worker can make room at all. */
   | 'no_place'
   /** The model will be resident, but later than the demand can wait. */
--- a/packages/residency/src/placement-choice.ts
+++ b/packages/residency/src/placement-choice.ts
@@ -32,6 +32,8 @@
   readonly now: number;
   /** Milliseconds until the weight store may be used; Infinity when it may not. */
   readonly storeWaitMs: number;
+  /** Whether requests were told to come back for a model: it does not make way before. */
+  readonly isPromised: (model: string) => boolean;
   /** Number of workers in all zones that hold a model. */
   readonly replicasOf: (model: string) => number;
   /** Largest value of models that may make way: recent requests for each replica. */
@@ -106,7 +108,7 @@
   const adapterReserveMb = reserveForAdapters(inputs.engine);
   let missingMb = residents.committedMb + adapterReserveMb + inputs.model.weightsMb - inputs.engine.weightsMb;
   const ranked = [...residents.models.values()]
-    .filter((model) => model.state === 'resident')
+    .filter((model) => model.state === 'resident' && !inputs.isPromised(model.definition.name))
     .map((model) => ({ model, costMs: costOf(model, inputs) }))
     .map(({ model, costMs }) => ({
       model,
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -103,7 +103,7 @@
     if (holder !== undefined) return { kind: 'resident', backEndId: holder.backEndId };
     return this.scheduler.wait(
       { service, model, another },
-      { targetMs: targetMs ?? withinMs, withinMs },
+      { targetMs: targetMs ?? withinMs, withinMs, longestReturnMs: message.longestReturnMs ?? 0 },
       { without: message.without, mayUseStore: message.mayUseStore },
     );
   }
--- a/packages/residency/test/placement-choice.test.ts
+++ b/packages/residency/test/placement-choice.test.ts
@@ -69,6 +69,7 @@
       loads,
       now: 0,
       storeWaitMs: 0,
+      isPromised: () => false,
       replicasOf: () => 1,
       maximumVictimValue: 3,
       ...changes,
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -5,6 +5,7 @@
   BackendHealth,
   ConfigurationHolder,
   ConnectionShare,
+  ClientPatience,
   Forwarder,
   PlainSelector,
   PromptAffinity,
@@ -300,6 +301,7 @@
       directory,
       loads,
       connections,
+      patience: new ClientPatience(),
       plain: new PlainSelector(directory, loads, connections, settings.zone),
       replicas: new ReplicaSelector(directory, loads, affinity, demands, connections, settings.zone, clock),
       budget: new RepeatBudget(
