--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -21,8 +21,8 @@
 export interface StreamOptions {
   /** Only whole events are passed on, so that another run can go on after the last of them. */
   readonly resumable: boolean;
-  /** Milliseconds without a byte after which the stream counts as broken; without end when absent. */
-  readonly silentAfterMs?: number;
+  /** Milliseconds without a byte after which the stream counts as broken, asked anew before each wait. */
+  readonly silentAfterMs: () => number | undefined;
 }
 
 /** Relay of one request; a stream may go on from one answer to the next. */
@@ -84,7 +84,7 @@
     const reader = new BodyReader(answer, this.clock);
     const splitter = new EventSplitter();
     for (;;) {
-      const step = await reader.next(options.silentAfterMs);
+      const step = await reader.next(options.silentAfterMs());
       if (step.kind === 'broken') return { kind: 'broken' };
       if (step.kind === 'end') break;
       if (options.resumable) await this.passEvents(splitter, stream, step.chunk);
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -17,6 +17,8 @@
 const ANSWER_MARGIN_MS = 20;
 /** A stream silent for this many times its longest pause in time is taken up elsewhere. */
 const SILENT_GAPS = 2.5;
+/** Part of the client's patience with a gap for which a back end may be silent while no other holds the model. */
+const LONE_SHARE = 0.5;
 /** What one send came to. */
 type AttemptResult =
   | { readonly kind: 'finished' }
@@ -161,7 +163,7 @@
         priority: this.route.priority,
         targetLatencyMs: this.route.targetLatencyMs,
         targetBy: this.times.targetBy(),
-        startBy: this.times.startBy(),
+        startBy: this.relay.hasBegun ? this.times.resumeBy() : this.times.startBy(),
         excluded: this.excluded,
         comeBack: this.isFirstTry && this.sends === 0 ? this.times.comeBack() : undefined,
         signal: this.expired.signal,
@@ -314,16 +316,30 @@
       const afterEvent = this.relay.lastEventId;
       this.context.journal.decided('request_resumed', this.facts.id, { backEnd: backEnd.id, afterEvent });
     }
-    const result = await this.relay.passStream(answer, this.streamOptions());
+    const result = await this.relay.passStream(answer, this.streamOptions(backEnd));
     if (result.kind === 'broken') return this.noteBrokenBody(backEnd);
     this.ending.answered(answer.status, backEnd.id);
     return { kind: 'finished' };
   }
 
-  private streamOptions(): StreamOptions {
-    if (this.route.kind !== 'resumable_stream') return { resumable: false };
+  private streamOptions(backEnd: BackEnd): StreamOptions {
+    if (this.route.kind !== 'resumable_stream') return { resumable: false, silentAfterMs: () => undefined };
     const gapMs = this.route.targetGapMs ?? this.route.targetLatencyMs;
-    return { resumable: true, silentAfterMs: gapMs * SILENT_GAPS };
+    const clientGapMs = this.route.clientGapMs ?? Infinity;
+    return {
+      resumable: true,
+      silentAfterMs: () =>
+        this.hasAlternative(backEnd) ? gapMs * SILENT_GAPS : Math.max(gapMs, clientGapMs * LONE_SHARE),
+    };
+  }
+
+  /** Whether another back end could take the stream up at once. */
+  private hasAlternative(backEnd: BackEnd): boolean {
+    const { target } = this.facts;
+    if (target === undefined || this.stopped) return false;
+    return this.context.directory
+      .holdersOf(this.service.name, target)
+      .some(({ id }) => id !== backEnd.id && !this.excluded.has(id));
   }
 
   private noteBrokenBody(backEnd: BackEnd): AttemptResult {
--- a/packages/forwarding/src/request-times.ts
+++ b/packages/forwarding/src/request-times.ts
@@ -63,6 +63,12 @@
     return this.arrivedAt + limitMs * START_SHARE - this.expectedMs();
   }
 
+  /** Monotonic time by which a stream that broke off now must have been sent on: its client waits for an event. */
+  resumeBy(): number {
+    const gapMs = Math.min(this.leftMs(), this.route.clientGapMs ?? Infinity);
+    return this.clock.monotonic() + gapMs * START_SHARE - this.expectedMs();
+  }
+
   /** Monotonic time by which a request for a model must have been sent for an answer in time. */
   targetBy(): number {
     return this.arrivedAt + this.route.targetLatencyMs - this.expectedMs();
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -1,5 +1,5 @@
 /** Sends demands for models to the coordinators of the zones, the most suitable zone first. */
-import { targetKey, type BackEnd, type BackendDirectory, type ModelTarget } from '@woodbarrow/backends';
+import { targetKey, type BackendDirectory, type ModelTarget } from '@woodbarrow/backends';
 import type { ResidencyClient, ResidencyDemand, ResidencyOutcome } from '@woodbarrow/forwarding';
 import { rankByRendezvous } from '@woodbarrow/coordination';
 import type { CoordinatorDirectory } from '@woodbarrow/exchange';
@@ -11,6 +11,7 @@
   type ResidencyDemandMessage,
 } from '@woodbarrow/protocol';
 import { leastBy, settleWithin, sleep, type Clock } from '@woodbarrow/runtime';
+import { hasCopy } from './copy-plan.js';
 import { OCCUPANCY_WEIGHT } from './placement-choice.js';
 import { QUOTE_REASON } from './zone-residency.js';
 
@@ -235,10 +236,6 @@
     : {};
 }
 
-function hasCopy({ nearby }: BackEnd, model: string): boolean {
-  return nearby.inMemory.includes(model) || nearby.onDisk.includes(model);
-}
-
 function messageOf(
   zone: string,
   demand: ResidencyDemand,
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -1,4 +1,5 @@
 /** Which model is resident on which worker. */
+export * from './copy-plan.js';
 export * from './demand-router.js';
 export * from './load-plan.js';
 export * from './load-scheduler.js';
--- a/packages/residency/src/load-plan.ts
+++ b/packages/residency/src/load-plan.ts
@@ -47,7 +47,7 @@
     const choice = inputs.choose(group, candidates);
     if (choice === undefined) continue;
     const { id } = choice.candidate.backEnd;
-    planned.push({ group, choice, startsNow: choice.candidate.busyMs <= 0 });
+    planned.push({ group, choice, startsNow: choice.candidate.busyMs <= 0 && choice.notBeforeMs <= 0 });
     candidates = candidates.map((candidate) =>
       candidate.backEnd.id === id ? { ...candidate, busyMs: choice.readyMs } : candidate,
     );
--- a/packages/residency/src/load-scheduler.ts
+++ b/packages/residency/src/load-scheduler.ts
@@ -5,6 +5,7 @@
 import type { BackendDirectory, EngineDefinition, LoadBook, ServiceDefinition } from '@woodbarrow/backends';
 import type { EventLog } from '@woodbarrow/observability';
 import type { Clock } from '@woodbarrow/runtime';
+import { copiesToBring } from './copy-plan.js';
 import { planLoads, type PlannedLoad } from './load-plan.js';
 import { LoadWindow } from './load-window.js';
 import {
@@ -37,8 +38,8 @@
   readonly workersOf: (service: string) => readonly WorkerOrders[];
   /** Whether orders may be given now. */
   readonly mayAct: () => boolean;
-  /** Number of zones that share the weight store. */
-  readonly zoneCount: () => number;
+  /** Zones with workers that run models: they share the weight store. */
+  readonly zones: () => readonly string[];
   readonly storeWindow: StoreWindowOptions;
   readonly clock: Clock;
   readonly log: EventLog;
@@ -82,6 +83,16 @@
 const ANOTHER_REPLICA_SHARE = 0.5;
 /** Models that are asked for less than this make way for any request. */
 const LEAST_VICTIM_VALUE = 3;
+/** Part of a zone's workers that bring copies near at once while models are asked for. */
+const COPYING_SHARE = 0.5;
+/** Stands for the demand of a copy that is brought near ahead of any. */
+const NOBODY = {
+  targetAt: Infinity,
+  deadline: Infinity,
+  without: [],
+  mayUseStore: true,
+  settle: () => false,
+};
 /** Pause between two plans while demands wait and nothing else causes one, in milliseconds. */
 const PLAN_INTERVAL_MS = 100;
 /** A load that takes longer than expected is expected to end this soon, in milliseconds. */
@@ -108,23 +119,27 @@
   private ticking = false;
 
   constructor(private readonly options: LoadSchedulerOptions) {
-    const { storeWindow, clock, zoneCount } = options;
+    const { storeWindow, clock, zones } = options;
     this.queue = new DemandQueue(clock);
     this.window = new LoadWindow(
-      { windowMs: storeWindow.windowMs, limit: () => this.storeLimit, sharers: zoneCount },
+      { windowMs: storeWindow.windowMs, limit: () => this.storeLimit, sharers: () => zones().length },
       clock,
     );
   }
 
-  /** When a model that is asked for now would be resident. */
-  quote(wanted: WantedModel, { without, mayUseStore }: DemandLimits): LoadQuote {
+  /**
+   * When a model that is asked for now would be resident.
+   *
+   * @param targetMs Milliseconds within which an answer is in time.
+   */
+  quote(wanted: WantedModel, targetMs: number, { without, mayUseStore }: DemandLimits): LoadQuote {
     const now = this.options.clock.monotonic();
     const key = groupKey(wanted);
     const loading = this.loading.get(key);
     if (loading !== undefined) return { readyMs: Math.max(OVERDUE_MS, loading.readyAt - now), occupiesMs: 0 };
     const demand = {
       arrivedAt: now,
-      targetAt: Infinity,
+      targetAt: now + targetMs,
       deadline: Infinity,
       without,
       mayUseStore,
@@ -170,11 +185,37 @@
     this.tickWhileWaiting();
   }
 
+  /** Brings copies near that the zone's workers should have, while nothing is waited for. */
+  bringCopies(service: string): void {
+    const { directory, loads, serviceOf, mayAct, zones, zone } = this.options;
+    const engine = serviceOf(service)?.engine;
+    if (engine === undefined || !mayAct() || this.queue.length > 0) return;
+    const candidates = this.candidates(service);
+    const idle = candidates.filter(({ busyMs }) => busyMs <= 0);
+    const isAsked = [...engine.models.keys()].some((model) => loads.demandFor(model) > 0);
+    const limit = isAsked ? Math.floor(candidates.length * COPYING_SHARE) : candidates.length;
+    if (candidates.length - idle.length >= limit) return;
+    const [model] = copiesToBring(zone, {
+      engine,
+      workers: directory.ofService(service).filter((backEnd) => !backEnd.draining),
+      zones: zones(),
+      demandFor: (name) => loads.demandFor(name),
+    }).filter((name) => !this.loading.has(groupKey({ service, model: name, another: false })));
+    if (model === undefined) return;
+    const wanted = { service, model, another: false };
+    const demands = [{ ...NOBODY, arrivedAt: this.options.clock.monotonic() }];
+    const group = { ...wanted, key: groupKey(wanted), demands };
+    const choice = this.choose(group, idle, engine, this.countReplicas(service));
+    if (choice !== undefined && this.window.waitMs() <= 0) this.start({ group, choice, startsNow: true });
+  }
+
   private admit(wanted: WantedModel, demand: PendingDemand, times: DemandTimes): void {
     const now = this.options.clock.monotonic();
     const loading = this.loading.get(groupKey(wanted));
     const readyMs =
-      loading === undefined ? this.quote(wanted, demand).readyMs : Math.max(0, loading.readyAt - now);
+      loading === undefined
+        ? this.quote(wanted, times.targetMs, demand).readyMs
+        : Math.max(0, loading.readyAt - now);
     const reason = reasonToRefuse(readyMs, times);
     if (reason !== undefined) {
       this.refuse(wanted, demand, reason, readyMs);
@@ -209,7 +250,7 @@
 
   /** Its time has passed while it waited: its group may be loaded for others soon. */
   private settleLate(wanted: WantedModel, demand: PendingDemand): void {
-    const { readyMs } = this.quote(wanted, demand);
+    const { readyMs } = this.quote(wanted, 0, demand);
     const retryAfterMs = Number.isFinite(readyMs) ? readyMs : NO_PLACE_RETRY_MS;
     this.settleRefused(wanted, demand, { kind: 'refused', reason: 'not_in_time', retryAfterMs });
   }
@@ -326,7 +367,7 @@
       candidates: available.filter(isUsable),
       loads,
       now,
-      isPromised: (name) => (this.promisedUntil.get(name) ?? 0) > now,
+      promisedUntil: (name) => this.promisedUntil.get(name) ?? 0,
       storeWaitMs: group.demands.some((demand) => demand.mayUseStore) ? this.window.waitMs() : Infinity,
       replicasOf,
       maximumVictimValue: group.another ? share * ANOTHER_REPLICA_SHARE : Math.max(LEAST_VICTIM_VALUE, share),
--- a/packages/residency/src/placement-choice.ts
+++ b/packages/residency/src/placement-choice.ts
@@ -18,6 +18,8 @@
   readonly victims: readonly string[];
   /** Expected milliseconds until the model is resident. */
   readonly readyMs: number;
+  /** Milliseconds for which what makes way is still needed; the load must not begin before. */
+  readonly notBeforeMs: number;
   /** Expected milliseconds of the load alone. */
   readonly loadMs: number;
   readonly source: 'memory' | 'disk' | 'store';
@@ -32,8 +34,8 @@
   readonly now: number;
   /** Milliseconds until the weight store may be used; Infinity when it may not. */
   readonly storeWaitMs: number;
-  /** Whether requests were told to come back for a model: it does not make way before. */
-  readonly isPromised: (model: string) => boolean;
+  /** Monotonic time until which a model is kept for requests that were told to come back for it. */
+  readonly promisedUntil: (model: string) => number;
   /** Number of workers in all zones that hold a model. */
   readonly replicasOf: (model: string) => number;
   /** Largest value of models that may make way: recent requests for each replica. */
@@ -41,17 +43,17 @@
 }
 
 /** Expected time to unload an idle model, in milliseconds. */
-const UNLOAD_MS = 50;
+const UNLOAD_MS = 70;
 /** Expected wait for the runs of a model to end, in milliseconds. */
-const RUNS_END_MS = 900;
-/** A model that was used this lately may be in use again, in milliseconds. */
-const UNREPORTED_USE_MS = 600;
+const RUNS_END_MS = 1300;
 /** Cost of one recent request, per replica, for a model that makes way, in milliseconds. */
 const MS_PER_REQUEST = 300;
 /** Cost of a worker whose adapters are in use: none can be loaded there meanwhile, in milliseconds. */
 const ADAPTERS_HELD_UP_MS = 400;
 /** A worker takes no other load meanwhile: each millisecond of a load costs this many of others' waits. */
 export const OCCUPANCY_WEIGHT = 2;
+/** Time in which the requests that have waited for a model are sent to its worker, in milliseconds. */
+const DISPATCH_MS = 300;
 /** A model is hardly ever taken away this soon after its load, in milliseconds. */
 const SETTLING_MS = 1500;
 const SETTLING_COST_MS = 3000;
@@ -65,6 +67,7 @@
   readonly names: readonly string[];
   readonly costMs: number;
   readonly waitMs: number;
+  readonly notBeforeMs: number;
 }
 
 /** The cheapest way to load a model, or undefined when no worker can. */
@@ -81,10 +84,14 @@
   const storeWaitMs = source === 'store' ? inputs.storeWaitMs : 0;
   if (storeWaitMs === Infinity) return [];
   const loadMs = loadTimeMs(inputs.model, source);
-  const readyMs = Math.max(candidate.busyMs + victims.waitMs, storeWaitMs) + loadMs;
+  const beginMs = Math.max(candidate.busyMs, victims.notBeforeMs) + victims.waitMs;
+  const readyMs = Math.max(beginMs, storeWaitMs) + loadMs;
   const heldUpMs = candidate.residents.adapterCount > 0 ? ADAPTERS_HELD_UP_MS : 0;
-  const choice = { candidate, victims: victims.names, readyMs, loadMs, source };
-  return [{ choice, costMs: readyMs + victims.costMs + heldUpMs + loadMs * OCCUPANCY_WEIGHT }];
+  const { names, notBeforeMs } = victims;
+  const choice = { candidate, victims: names, readyMs, notBeforeMs, loadMs, source };
+  return [
+    { choice, costMs: readyMs + victims.costMs + heldUpMs + (victims.waitMs + loadMs) * OCCUPANCY_WEIGHT },
+  ];
 }
 
 /** How much a replica of a model would be missed: the recent requests that it serves its share of. */
@@ -108,8 +115,9 @@
   const adapterReserveMb = reserveForAdapters(inputs.engine);
   let missingMb = residents.committedMb + adapterReserveMb + inputs.model.weightsMb - inputs.engine.weightsMb;
   const ranked = [...residents.models.values()]
-    .filter((model) => model.state === 'resident' && !inputs.isPromised(model.definition.name))
+    .filter((model) => model.state === 'resident')
     .map((model) => ({ model, costMs: costOf(model, inputs) }))
+    .map(({ model, costMs }) => ({ model, costMs: costMs + neededMs(model, inputs) }))
     .map(({ model, costMs }) => ({
       model,
       costMs,
@@ -119,6 +127,7 @@
   const names: string[] = [];
   let costMs = 0;
   let waitMs = 0;
+  let notBeforeMs = 0;
   for (const { model, costMs: cost, unloadMs: modelWaitMs } of ranked) {
     if (missingMb <= 0) break;
     const { name, weightsMb } = model.definition;
@@ -127,14 +136,20 @@
     missingMb -= weightsMb;
     costMs += cost;
     waitMs += modelWaitMs;
+    notBeforeMs = Math.max(notBeforeMs, neededMs(model, inputs));
   }
-  return missingMb > 0 ? undefined : { names, costMs, waitMs };
+  return missingMb > 0 ? undefined : { names, costMs, waitMs, notBeforeMs };
 }
 
-/** Expected time to unload a model: its runs must end first, those that reports do not show yet included. */
+/** Milliseconds for which a model is needed by requests that have waited for it, or come back for it. */
+function neededMs({ definition, since }: ResidentModel, inputs: PlacementInputs): number {
+  const until = Math.max(since + DISPATCH_MS, inputs.promisedUntil(definition.name));
+  return Math.max(0, until - inputs.now);
+}
+
+/** Expected time to unload a model: its runs must end first. */
 function unloadMs({ id }: BackEnd, model: string, { loads }: PlacementInputs): number {
-  if (loads.requestsFor(id, model) > 0) return RUNS_END_MS;
-  return loads.idleMs(id, model) < UNREPORTED_USE_MS ? UNLOAD_MS + RUNS_END_MS / 2 : UNLOAD_MS;
+  return loads.requestsFor(id, model) > 0 ? RUNS_END_MS : UNLOAD_MS;
 }
 
 function costOf(model: ResidentModel, inputs: PlacementInputs): number {
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -46,6 +46,8 @@
 }
 
 const CANDIDATE_PAUSE_MS = 250;
+/** Pause between two looks at what can be done without being asked, in milliseconds. */
+const TEND_PAUSE_MS = 500;
 const RENEW_INTERVAL_MS = 3000;
 const RENEW_RETRY_MS = 600;
 interface HeldZone {
@@ -78,6 +80,14 @@
       () => CANDIDATE_PAUSE_MS,
       () => this.stand(),
     );
+    this.tasks.loop(
+      'residency.tend',
+      () => TEND_PAUSE_MS,
+      () => {
+        this.tend();
+        return Promise.resolve();
+      },
+    );
   }
 
   /** Fence of each zone that this daemon coordinates. */
@@ -102,6 +112,18 @@
     this.options.onClaimsChanged();
   }
 
+  private tend(): void {
+    if (this.held.size === 0) return;
+    for (const service of this.engineServices()) {
+      for (const { residency } of this.held.values()) residency.tend(service);
+    }
+  }
+
+  private engineServices(): Set<string> {
+    const names = this.options.directory.all().map((backEnd) => backEnd.service);
+    return new Set(names.filter((name) => this.options.serviceOf(name)?.engine !== undefined));
+  }
+
   /** Takes a free zone if this daemon is next in line for it. */
   private async stand(): Promise<void> {
     if (this.leaving) return;
@@ -166,7 +188,7 @@
       log,
       storeWindow,
       signal: this.tasks.signal,
-      zoneCount: () => this.zones().length,
+      zones: () => this.zones(),
       announce,
     });
   }
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -29,8 +29,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly signal: AbortSignal;
-  /** Number of zones that share the weight store. */
-  readonly zoneCount: () => number;
+  /** Zones with workers that run models: they share the weight store. */
+  readonly zones: () => readonly string[];
   readonly storeWindow: StoreWindowOptions;
   /** Tells all daemons. */
   readonly announce: (change: ResidencyChange) => void;
@@ -68,8 +68,15 @@
     return this.placeAdapter(placed.backEndId, message, leftMs());
   }
 
+  /** What is done without being asked: learns of workers, begins what time alone has made possible, brings copies. */
+  tend(service: string): void {
+    void this.prepareWorkers(service);
+    this.scheduler.schedule();
+    // this.scheduler.bringCopies(service);
+  }
+
   /** Learns what the workers hold; waits for it only while none is known. */
-  async prepareWorkers(service: string): Promise<void> {
+  private async prepareWorkers(service: string): Promise<void> {
     const workers = this.openWorkers(service).map((worker) => this.workerOf(worker.id));
     const prepared = Promise.all(workers.map((worker) => worker.prepare()));
     if (!workers.some((worker) => worker.isKnown)) await prepared;
@@ -91,7 +98,11 @@
     const { service, model } = message;
     const holder = this.holderOf(message);
     if (holder !== undefined) return refused(QUOTE_REASON, readyOn(holder, message));
-    const { readyMs, occupiesMs } = this.scheduler.quote({ service, model, another: false }, message);
+    const { readyMs, occupiesMs } = this.scheduler.quote(
+      { service, model, another: false },
+      message.targetMs ?? message.withinMs,
+      message,
+    );
     return { ...refused(QUOTE_REASON, readyMs), occupiesMs };
   }
 
--- a/packages/residency/test/placement-choice.test.ts
+++ b/packages/residency/test/placement-choice.test.ts
@@ -69,7 +69,7 @@
       loads,
       now: 0,
       storeWaitMs: 0,
-      isPromised: () => false,
+      promisedUntil: () => 0,
       replicasOf: () => 1,
       maximumVictimValue: 3,
       ...changes,
--- a/packages/residency/test/zone-residency.test.ts
+++ b/packages/residency/test/zone-residency.test.ts
@@ -97,7 +97,7 @@
       clock: this.process,
       log: silentLog,
       signal: new AbortController().signal,
-      zoneCount: () => 1,
+      zones: () => [ZONE],
       storeWindow: { windowMs: 5000, overshoot: 1 },
       announce: ({ backEndId, model, adapter, resident }) => {
         this.directory.announce(backEndId, adapter === undefined ? { model } : { model, adapter }, resident);
