Demand that has stopped is not counted on

Hypothesis: when demand moves, the decaying count keeps places for models that nobody asks for any more: from 100 recent requests to 3 takes 22 s. Change: of a model that was not asked for of late, no more is counted than its silence allows.

--- a/packages/backends/src/load-book.ts
+++ b/packages/backends/src/load-book.ts
@@ -43,6 +43,13 @@
 /** Half-life of the demand for a model, in milliseconds. */
 const DEMAND_HALF_LIFE_MS = 4000;
 
+/** Word of a request may be this late, in milliseconds. */
+const REPORT_DELAY_MS = 700;
+/** Of a model that has not been asked for of late, at most this divided by the milliseconds since is counted. */
+const SILENCE_WEIGHT_MS = 12_000;
+/** Growth of a reported demand that stands for a request. */
+const LEAST_GROWTH = 0.3;
+
 interface MutableLoad {
   requests: number;
   unreadTokens: number;
@@ -73,6 +80,8 @@
   /** When each target was last used on each back end, monotonic. */
   private readonly lastUsed = new Map<string, number>();
   private readonly demand = new Map<string, Demand>();
+  /** When each model was last asked for, as far as reports tell, monotonic. */
+  private readonly lastAsked = new Map<string, number>();
 
   constructor(private readonly clock: Clock) {}
 
@@ -108,11 +117,21 @@
   noteDemand(model: string): void {
     const now = this.clock.monotonic();
     this.demand.set(model, { weight: this.ownDemand(model, now) + 1, at: now });
+    this.lastAsked.set(model, now);
   }
 
-  /** Recent requests that asked for a model, over all daemons, older ones counting less. */
+  /**
+   * Recent requests that asked for a model, over all daemons, older ones counting less. When none has come for much
+   * longer than they usually lie apart, demand has moved to other models, and no more is counted than that allows.
+   */
   demandFor(model: string): number {
     const now = this.clock.monotonic();
+    const weight = this.decayedDemand(model, now);
+    const silentMs = now - (this.lastAsked.get(model) ?? now) - REPORT_DELAY_MS;
+    return silentMs > 0 ? Math.min(weight, SILENCE_WEIGHT_MS / silentMs) : weight;
+  }
+
+  private decayedDemand(model: string, now: number): number {
     let weight = this.ownDemand(model, now);
     for (const report of this.reports.values()) {
       const reported = report.demand.get(model);
@@ -197,6 +216,7 @@
       if (load.target !== '') this.noteUse(load.backEndId, load.target);
     }
     const weights = new Map(demand.map(({ model, weight }) => [model, weight]));
+    this.noteAsked(source, weights);
     this.reports.set(source, { scope, at: this.clock.monotonic(), loads: byBackEnd, demand: weights });
     this.forgetOld();
   }
@@ -247,7 +267,20 @@
     }
   }
 
+  /** A demand that is larger than what is left of the one before has grown since. */
+  private noteAsked(source: string, weights: ReadonlyMap<string, number>): void {
+    const now = this.clock.monotonic();
+    const before = this.reports.get(source);
+    for (const [model, weight] of weights) {
+      const left = decayed({ weight: before?.demand.get(model) ?? 0, at: before?.at ?? now }, now);
+      if (weight > left + LEAST_GROWTH) this.lastAsked.set(model, now);
+    }
+  }
+
   private forgetOld(): void {
+    for (const [model, at] of this.lastAsked) {
+      if (this.clock.monotonic() - at > DEMAND_LIFETIME_MS) this.lastAsked.delete(model);
+    }
     const oldest = this.clock.monotonic() - DEMAND_LIFETIME_MS;
     for (const [source, report] of this.reports) {
       if (report.at < oldest) this.reports.delete(source);
