Plans remember what they read and end where they are asked to; stocking of new workers tried and removed

Tried and reverted: a worker that has joined, with no copies, loads from the weight store what is likely to be asked for.

--- a/packages/backends/test/load-book.test.ts
+++ b/packages/backends/test/load-book.test.ts
@@ -38,9 +38,27 @@
     for (let count = 0; count < 8; count += 1) book(1).noteDemand('m');
     book(0).accept('1', 'attached', book(1).ownReport());
     expect(book(0).demandFor('m')).to.be.closeTo(8, 0.01);
-    await world.run(4000);
+    await world.run(2000);
+    expect(book(0).demandFor('m')).to.be.closeTo(8 * Math.SQRT1_2, 0.01);
+    await world.run(2100);
     expect(book(0).of('w').requests).to.equal(0);
-    expect(book(0).demandFor('m')).to.be.closeTo(4, 0.01);
+  });
+
+  it('does not count on demand that has stopped, however much there was', async () => {
+    const ask = (): void => {
+      for (let count = 0; count < 100; count += 1) book(1).noteDemand('m');
+      book(0).accept('1', 'attached', book(1).ownReport());
+    };
+    ask();
+    await world.run(600);
+    expect(book(0).demandFor('m')).to.be.greaterThan(80);
+    for (let report = 0; report < 10; report += 1) {
+      await world.run(world.now + 300);
+      book(0).accept('1', 'attached', book(1).ownReport());
+    }
+    expect(book(0).demandFor('m')).to.be.lessThan(5);
+    ask();
+    expect(book(0).demandFor('m')).to.be.greaterThan(100);
   });
 
   it('reports a target for a moment after its last request, for others to see that it was used', async () => {
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -11,7 +11,7 @@
   type ResidencyDemandMessage,
 } from '@woodbarrow/protocol';
 import { leastBy, settleWithin, sleep, type Clock } from '@woodbarrow/runtime';
-import { hasCopy } from './copy-plan.js';
+import { hasCopy } from './copies.js';
 import { OCCUPANCY_WEIGHT } from './placement-choice.js';
 import { QUOTE_REASON } from './zone-residency.js';
 
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -1,8 +1,9 @@
 /** Which model is resident on which worker. */
-export * from './copy-plan.js';
+export * from './copies.js';
 export * from './demand-router.js';
 export * from './load-plan.js';
 export * from './load-scheduler.js';
+export * from './load-view.js';
 export * from './load-window.js';
 export * from './adapter-orders.js';
 export * from './order-client.js';
--- a/packages/residency/src/load-plan.ts
+++ b/packages/residency/src/load-plan.ts
@@ -20,6 +20,8 @@
   readonly choose: ChooseForGroup;
   /** Monotonic time. */
   readonly now: number;
+  /** Key of the group after which the plan need not go on; it goes to the end when absent. */
+  readonly until?: string;
 }
 
 /** One load of the plan. */
@@ -45,9 +47,11 @@
   const planned: PlannedLoad[] = [];
   for (const group of byUrgency(inputs.groups, inputs.now).slice(0, LARGEST_PLAN)) {
     const choice = inputs.choose(group, candidates);
+    if (choice === undefined && group.key === inputs.until) break;
     if (choice === undefined) continue;
     const { id } = choice.candidate.backEnd;
     planned.push({ group, choice, startsNow: choice.candidate.busyMs <= 0 && choice.notBeforeMs <= 0 });
+    if (group.key === inputs.until) break;
     candidates = candidates.map((candidate) =>
       candidate.backEnd.id === id ? { ...candidate, busyMs: choice.readyMs } : candidate,
     );
--- a/packages/residency/src/load-scheduler.ts
+++ b/packages/residency/src/load-scheduler.ts
@@ -5,8 +5,8 @@
 import type { BackendDirectory, EngineDefinition, LoadBook, ServiceDefinition } from '@woodbarrow/backends';
 import type { EventLog } from '@woodbarrow/observability';
 import type { Clock } from '@woodbarrow/runtime';
-import { copiesToBring } from './copy-plan.js';
 import { planLoads, type PlannedLoad } from './load-plan.js';
+import { RememberedLoads, remembered, type LoadView } from './load-view.js';
 import { LoadWindow } from './load-window.js';
 import {
   DemandQueue,
@@ -67,6 +67,14 @@
   readonly longestReturnMs: number;
 }
 
+/** What one plan reads. */
+interface PlanView {
+  readonly engine: EngineDefinition;
+  readonly loads: LoadView;
+  /** Workers in all zones that hold a model. */
+  readonly replicasOf: (model: string) => number;
+}
+
 /** A load under way, with the demands that it will serve. */
 interface Loading {
   /** Monotonic time at which the model is expected to be resident. */
@@ -83,16 +91,6 @@
 const ANOTHER_REPLICA_SHARE = 0.5;
 /** Models that are asked for less than this make way for any request. */
 const LEAST_VICTIM_VALUE = 3;
-/** Part of a zone's workers that bring copies near at once while models are asked for. */
-const COPYING_SHARE = 0.5;
-/** Stands for the demand of a copy that is brought near ahead of any. */
-const NOBODY = {
-  targetAt: Infinity,
-  deadline: Infinity,
-  without: [],
-  mayUseStore: true,
-  settle: () => false,
-};
 /** Pause between two plans while demands wait and nothing else causes one, in milliseconds. */
 const PLAN_INTERVAL_MS = 100;
 /** A load that takes longer than expected is expected to end this soon, in milliseconds. */
@@ -148,7 +146,7 @@
     const known = this.queue.all().find((group) => group.key === key);
     const asked = { ...wanted, key, demands: [...(known?.demands ?? []), demand] };
     const others = this.queue.all().filter((group) => group.key !== key);
-    const planned = this.plan(wanted.service, [...others, asked]).find(({ group }) => group.key === key);
+    const planned = this.plan(wanted.service, [...others, asked], key).find(({ group }) => group.key === key);
     if (planned === undefined) return { readyMs: Infinity, occupiesMs: 0 };
     return { readyMs: planned.choice.readyMs, occupiesMs: planned.choice.loadMs };
   }
@@ -185,30 +183,6 @@
     this.tickWhileWaiting();
   }
 
-  /** Brings copies near that the zone's workers should have, while nothing is waited for. */
-  bringCopies(service: string): void {
-    const { directory, loads, serviceOf, mayAct, zones, zone } = this.options;
-    const engine = serviceOf(service)?.engine;
-    if (engine === undefined || !mayAct() || this.queue.length > 0) return;
-    const candidates = this.candidates(service);
-    const idle = candidates.filter(({ busyMs }) => busyMs <= 0);
-    const isAsked = [...engine.models.keys()].some((model) => loads.demandFor(model) > 0);
-    const limit = isAsked ? Math.floor(candidates.length * COPYING_SHARE) : candidates.length;
-    if (candidates.length - idle.length >= limit) return;
-    const [model] = copiesToBring(zone, {
-      engine,
-      workers: directory.ofService(service).filter((backEnd) => !backEnd.draining),
-      zones: zones(),
-      demandFor: (name) => loads.demandFor(name),
-    }).filter((name) => !this.loading.has(groupKey({ service, model: name, another: false })));
-    if (model === undefined) return;
-    const wanted = { service, model, another: false };
-    const demands = [{ ...NOBODY, arrivedAt: this.options.clock.monotonic() }];
-    const group = { ...wanted, key: groupKey(wanted), demands };
-    const choice = this.choose(group, idle, engine, this.countReplicas(service));
-    if (choice !== undefined && this.window.waitMs() <= 0) this.start({ group, choice, startsNow: true });
-  }
-
   private admit(wanted: WantedModel, demand: PendingDemand, times: DemandTimes): void {
     const now = this.options.clock.monotonic();
     const loading = this.loading.get(groupKey(wanted));
@@ -287,6 +261,7 @@
   }
 
   private startLoads(service: string): void {
+    if (!this.candidates(service).some(({ busyMs }) => busyMs <= 0)) return;
     const groups = this.queue.all().filter((group) => group.service === service);
     for (const planned of this.plan(service, groups)) {
       if (planned.startsNow) this.start(planned);
@@ -325,18 +300,19 @@
     this.schedule();
   }
 
-  private plan(service: string, groups: readonly DemandGroup[]): PlannedLoad[] {
-    const { clock, serviceOf } = this.options;
+  /** @param until Group after which the plan need not go on. */
+  private plan(service: string, groups: readonly DemandGroup[], until?: string): PlannedLoad[] {
+    const { clock, loads, serviceOf } = this.options;
     const engine = serviceOf(service)?.engine;
     if (engine === undefined || groups.length === 0) return [];
     this.storeLimit = this.storeLimitOf(engine);
-    const candidates = this.candidates(service);
-    const replicasOf = this.countReplicas(service);
+    const view = { engine, loads: new RememberedLoads(loads), replicasOf: this.countReplicas(service) };
     return planLoads({
       groups,
-      candidates,
+      candidates: this.candidates(service),
       now: clock.monotonic(),
-      choose: (group, available) => this.choose(group, available, engine, replicasOf),
+      choose: (group, available) => this.choose(group, available, view),
+      ...(until === undefined ? {} : { until }),
     });
   }
 
@@ -349,11 +325,9 @@
   private choose(
     group: DemandGroup,
     available: readonly PlacementCandidate[],
-    engine: EngineDefinition,
-    replicasOf: (model: string) => number,
+    { engine, loads, replicasOf }: PlanView,
   ): PlacementChoice | undefined {
-    const { loads, clock } = this.options;
-    const now = clock.monotonic();
+    const now = this.options.clock.monotonic();
     const model = engine.models.get(group.model);
     if (model === undefined) return undefined;
     const isUsable = (candidate: PlacementCandidate): boolean =>
@@ -387,11 +361,8 @@
 
   private countReplicas(service: string): (model: string) => number {
     const counts = new Map<string, number>();
-    return (model) => {
-      const known = counts.get(model) ?? this.options.directory.holdersOf(service, { model }).length;
-      counts.set(model, known);
-      return known;
-    };
+    const { directory } = this.options;
+    return (model) => remembered(counts, model, () => directory.holdersOf(service, { model }).length);
   }
 
   /** Time alone can make a load possible: a worker answers again, the weight store bears more. */
--- a/packages/residency/src/placement-choice.ts
+++ b/packages/residency/src/placement-choice.ts
@@ -1,6 +1,7 @@
 /** Decides which worker of a zone loads a model, and which resident models make way for it. */
-import type { BackEnd, EngineDefinition, LoadBook, ModelDefinition } from '@woodbarrow/backends';
+import type { BackEnd, EngineDefinition, ModelDefinition } from '@woodbarrow/backends';
 import { leastBy } from '@woodbarrow/runtime';
+import type { LoadView } from './load-view.js';
 import type { ResidentModel, ResidentSet } from './resident-set.js';
 
 /** A worker as a candidate for a load. */
@@ -30,7 +31,7 @@
   readonly model: ModelDefinition;
   readonly engine: EngineDefinition;
   readonly candidates: readonly PlacementCandidate[];
-  readonly loads: LoadBook;
+  readonly loads: LoadView;
   readonly now: number;
   /** Milliseconds until the weight store may be used; Infinity when it may not. */
   readonly storeWaitMs: number;
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -68,11 +68,10 @@
     return this.placeAdapter(placed.backEndId, message, leftMs());
   }
 
-  /** What is done without being asked: learns of workers, begins what time alone has made possible, brings copies. */
+  /** What is done without being asked: learns of workers, begins what time alone has made possible. */
   tend(service: string): void {
     void this.prepareWorkers(service);
     this.scheduler.schedule();
-    // this.scheduler.bringCopies(service);
   }
 
   /** Learns what the workers hold; waits for it only while none is known. */
--- /dev/null
+++ b/packages/residency/test/load-plan.test.ts
@@ -0,0 +1,120 @@
+import { expect } from 'chai';
+import { NO_NEARBY_COPIES } from '@woodbarrow/backends';
+import {
+  ResidentSet,
+  byUrgency,
+  planLoads,
+  type DemandGroup,
+  type PendingDemand,
+  type PlacementCandidate,
+  type PlacementChoice,
+} from '../src/index.js';
+
+const NOW = 10_000;
+const LOAD_MS = 900;
+
+function demand(targetInMs: number, leftMs = 9000): PendingDemand {
+  return {
+    arrivedAt: NOW,
+    targetAt: NOW + targetInMs,
+    deadline: NOW + leftMs,
+    without: [],
+    mayUseStore: false,
+    settle: () => true,
+  };
+}
+
+function group(model: string, ...demands: readonly PendingDemand[]): DemandGroup {
+  return { service: 's', model, another: false, key: model, demands };
+}
+
+function candidate(id: string, busyMs: number): PlacementCandidate {
+  const backEnd = {
+    id,
+    service: 's',
+    address: '10.0.0.1:1',
+    zone: 'z',
+    slots: 4,
+    draining: false,
+    models: [],
+    nearby: NO_NEARBY_COPIES,
+  };
+  return { backEnd, residents: new ResidentSet(), busyMs };
+}
+
+/** The worker that is free first takes the load. */
+function firstFree(
+  _group: DemandGroup,
+  candidates: readonly PlacementCandidate[],
+  notBeforeMs = 0,
+): PlacementChoice | undefined {
+  const [first] = [...candidates].sort((left, right) => left.busyMs - right.busyMs);
+  if (first === undefined) return undefined;
+  const readyMs = Math.max(first.busyMs, notBeforeMs) + LOAD_MS;
+  return { candidate: first, victims: [], readyMs, notBeforeMs, loadMs: LOAD_MS, source: 'disk' };
+}
+
+function names(groups: readonly DemandGroup[]): string[] {
+  return groups.map(({ model }) => model);
+}
+
+describe('byUrgency', () => {
+  it('puts a demand that is about to miss its target before one with time', () => {
+    expect(names(byUrgency([group('far', demand(6000)), group('near', demand(1200))], NOW))).to.deep.equal([
+      'near',
+      'far',
+    ]);
+  });
+
+  it('puts one that has missed its target behind, until its time runs out', () => {
+    const late = group('late', demand(-500, 8000));
+    const ending = group('ending', demand(-500, 1000), demand(-500, 1000), demand(-500, 1000));
+    expect(names(byUrgency([late, group('near', demand(1500))], NOW))).to.deep.equal(['near', 'late']);
+    expect(names(byUrgency([group('near', demand(1500)), ending], NOW))).to.deep.equal(['ending', 'near']);
+  });
+
+  it('puts many demands before few of the same kind', () => {
+    const many = group('many', demand(2000), demand(2000), demand(2000));
+    expect(names(byUrgency([group('few', demand(2000)), many], NOW))).to.deep.equal(['many', 'few']);
+  });
+});
+
+describe('planLoads', () => {
+  it('gives each group a worker, and lets later ones wait for those that are taken', () => {
+    const groups = [group('a', demand(1000)), group('b', demand(1500)), group('c', demand(2000))];
+    const plan = planLoads({
+      groups,
+      candidates: [candidate('w0', 0), candidate('w1', 0)],
+      choose: firstFree,
+      now: NOW,
+    });
+    expect(plan.map(({ group: { model }, startsNow }) => [model, startsNow])).to.deep.equal([
+      ['a', true],
+      ['b', true],
+      ['c', false],
+    ]);
+    expect(plan[2]?.choice.readyMs).to.equal(2 * LOAD_MS);
+  });
+
+  it('begins nothing on a worker that is busy, nor while what makes way is needed', () => {
+    const inputs = { groups: [group('a', demand(1000))], now: NOW };
+    const busy = planLoads({ ...inputs, candidates: [candidate('w0', 300)], choose: firstFree });
+    expect(busy[0]?.startsNow).to.equal(false);
+    const needed = planLoads({
+      ...inputs,
+      candidates: [candidate('w0', 0)],
+      choose: (each, candidates) => firstFree(each, candidates, 200),
+    });
+    expect(needed[0]?.startsNow).to.equal(false);
+  });
+
+  it('leaves out what no worker can make room for', () => {
+    const plan = planLoads({
+      groups: [group('a', demand(1000)), group('b', demand(1000))],
+      candidates: [candidate('w0', 0)],
+      choose: (each, candidates) => (each.model === 'a' ? undefined : firstFree(each, candidates)),
+      now: NOW,
+    });
+    expect(plan.map((planned) => planned.group.model)).to.deep.equal(['b']);
+  });
+});
--- a/packages/residency/test/simulated-workers.ts
+++ b/packages/residency/test/simulated-workers.ts
@@ -46,6 +46,9 @@
   /** Fences of the orders that arrived, in order. */
   readonly fences: number[] = [];
   private readonly incoming = new Map<string, ModelTarget>();
+  /** Adapters that runs use, and those of them that are to be unloaded. */
+  private readonly inUse = new Set<string>();
+  private readonly leaving = new Set<string>();
   private sequence = 0;
   private changing: string | undefined;
   private snapshots: Snapshot[] = [];
@@ -75,6 +78,18 @@
     return outcome;
   }
 
+  /** A run uses an adapter for a while: an unload is taken, and done when the run has ended. */
+  useAdapter(model: string, adapter: string, durationMs: number): void {
+    const key = `${model}/${adapter}`;
+    this.inUse.add(key);
+    this.world.schedule(durationMs, () => {
+      this.inUse.delete(key);
+      if (!this.leaving.delete(key)) return;
+      this.models.get(model)?.delete(adapter);
+      this.remember();
+    });
+  }
+
   private takeModel({ operation, target }: WorkerOrder): OrderOutcome {
     if (this.changing !== undefined) return 'conflict';
     const isHeld = this.models.has(target.model);
@@ -104,11 +119,15 @@
       this.violations.push(`adapter ${adapter} at ${String(this.world.now)}`);
     }
     this.sequence += 1;
+    const key = `${target.model}/${adapter}`;
+    if (operation === 'unload' && this.inUse.has(key)) {
+      this.leaving.add(key);
+      return 'accepted';
+    }
     if (operation === 'unload') {
       adapters.delete(adapter);
       return 'done';
     }
-    const key = `${target.model}/${adapter}`;
     this.incoming.set(key, target);
     this.world.schedule(ADAPTER_MS, () => {
       this.incoming.delete(key);
--- a/packages/residency/test/zone-residency.test.ts
+++ b/packages/residency/test/zone-residency.test.ts
@@ -241,6 +241,99 @@
     expect(answer).to.include({ held: true, backEndId: 'w1' });
   });
 
+  it('lets demands wait for a worker instead of refusing them', async () => {
+    const zone = new ZoneWorld(8, 1);
+    const coordinator = await zone.coordinator();
+    const answers = await zone.settle(
+      Promise.all(['m3', 'm4', 'm5', 'm6', 'm7'].map((model) => demand(coordinator, model))),
+    );
+    for (const answer of answers) expect(answer.held).to.equal(true);
+    expect(zone.violations()).to.deep.equal([]);
+  });
+
+  it('keeps a model that was just loaded until those that waited for it are sent', async () => {
+    const zone = new ZoneWorld(9, 1);
+    const coordinator = await zone.coordinator();
+    // Everything else on the worker is in use: what was just loaded is the cheapest to take away.
+    for (const model of ['m0', 'm1', 'm2']) await zone.settle(demand(coordinator, model));
+    for (const model of ['m0', 'm1'])
+      for (let count = 0; count < 50; count += 1) zone.loads.noteDemand(model);
+    const first = zone.settle(demand(coordinator, 'm3'));
+    const second = demand(coordinator, 'm4');
+    const answer = await first;
+    const heldAt = zone.world.now;
+    expect(answer).to.include({ held: true, backEndId: 'w0' });
+    await zone.world.run(heldAt + 250);
+    expect(zone.workers.get('w0')?.models.has('m3')).to.equal(true);
+    expect((await zone.settle(second)).held).to.equal(true);
+  });
+
+  it('tells a first try when its model will be there, and keeps the model for its return', async () => {
+    const zone = new ZoneWorld(10, 1);
+    const coordinator = await zone.coordinator();
+    const message = {
+      zone: ZONE,
+      service: SERVICE,
+      model: 'm9',
+      priority: 1,
+      without: [],
+      mayUseStore: true,
+      targetMs: 100,
+      withinMs: WITHIN_MS,
+    };
+    const told = await zone.settle(coordinator.demand({ ...message, longestReturnMs: 5000 }));
+    expect(told).to.include({ held: false, reason: 'come_back' });
+    for (const model of ['m3', 'm4', 'm5', 'm6']) void demand(coordinator, model);
+    await zone.world.run(zone.world.now + told.retryAfterMs);
+    const askedAt = zone.world.now;
+    expect(await zone.settle(coordinator.demand(message))).to.include({ held: true });
+    expect(zone.world.now - askedAt).to.be.lessThan(100);
+  });
+
+  it('does not use the weight store for what another worker has near', async () => {
+    const zone = new ZoneWorld(11, 1);
+    const coordinator = await zone.coordinator();
+    const message = {
+      zone: ZONE,
+      service: SERVICE,
+      model: 'm9',
+      priority: 1,
+      without: [],
+      withinMs: WITHIN_MS,
+      quote: true,
+    };
+    const without = await zone.settle(coordinator.demand({ ...message, mayUseStore: false }));
+    const withStore = await zone.settle(coordinator.demand({ ...message, mayUseStore: true }));
+    expect(without).to.include({ reason: 'quote', retryAfterMs: Infinity });
+    expect(withStore.retryAfterMs).to.be.within(600, 2000);
+    expect(zone.workers.get('w0')?.models.has('m9')).to.equal(false);
+  });
+
+  it('loads an adapter that was asked for while its worker loaded a model', async () => {
+    const zone = new ZoneWorld(12, 1);
+    const coordinator = await zone.coordinator();
+    await zone.settle(demand(coordinator, 'm0'));
+    const swap = demand(coordinator, 'm5');
+    await zone.world.run(zone.world.now + 150);
+    const adapter = await zone.settle(demand(coordinator, 'm0', 'a1'));
+    expect(adapter).to.include({ held: true, backEndId: 'w0' });
+    expect((await zone.settle(swap)).held).to.equal(true);
+    expect(zone.violations()).to.deep.equal([]);
+  });
+
+  it('goes on ordering loads while a run still uses an adapter that is to make way', async () => {
+    const zone = new ZoneWorld(13, 1);
+    const coordinator = await zone.coordinator();
+    for (const adapter of ['a1', 'a2', 'a3']) await zone.settle(demand(coordinator, 'm0', adapter));
+    zone.workers.get('w0')?.useAdapter('m0', 'a1', 1500);
+    void demand(coordinator, 'm0', 'a4');
+    await zone.world.run(zone.world.now + 50);
+    const askedAt = zone.world.now;
+    expect((await zone.settle(demand(coordinator, 'm7'))).held).to.equal(true);
+    expect(zone.world.now - askedAt).to.be.lessThan(1400);
+    expect(zone.violations()).to.deep.equal([]);
+  });
+
   it('serves again once orders are answered again', async () => {
     const zone = new ZoneWorld(4);
     const coordinator = await zone.coordinator();
