--- a/packages/forwarding/test/forwarder.test.ts
+++ b/packages/forwarding/test/forwarder.test.ts
@@ -136,6 +136,44 @@
     expect(exchange.answerHeaders).to.deep.equal(['retry', '0.3']);
   });
 
+  it('lets a first try be told to come back, and holds one that has come back', async () => {
+    const world = new ForwardingWorld(
+      [{ kind: 'stream', targetLatencyMs: 1000, timeoutMs: 15_000, clientGapMs: 4000 }],
+      ENGINE,
+    );
+    await world.ask({ model: 'm', wait: '12000' });
+    await world.ask({ model: 'm', wait: '9000' });
+    const [first, second] = world.demands.map(({ comeBack }) => comeBack);
+    expect(first?.tellWithinMs).to.be.within(150, 250);
+    expect(first?.longestMs).to.be.within(3000, 4000);
+    expect(second).to.equal(undefined);
+  });
+
+  it('does not give a silent stream up soon while no other back end holds its model', async () => {
+    const events = ['id: 0\ndata: a\n\n', 'id: 1\ndata: b\n\n'];
+    const slow: BackendScript = (call, world) => {
+      const whole = answer(200, ...events);
+      async function* body(): AsyncGenerator<Uint8Array> {
+        let count = 0;
+        for await (const chunk of whole.body) {
+          if (count > 0) await world.wait(700);
+          count += 1;
+          yield chunk;
+        }
+      }
+      return Promise.resolve({ ...whole, body: body() });
+    };
+    const route = { kind: 'resumable_stream', targetGapMs: 150, clientGapMs: 2000 } as const;
+    const lone = new ForwardingWorld([route], ENGINE);
+    lone.add('b1', slow, ['m']);
+    expect(await lone.ask({ model: 'm' })).to.include({ body: events.join(''), ending: 'complete' });
+    expect(lone.calls).to.have.length(1);
+    const two = new ForwardingWorld([route], ENGINE);
+    for (const id of ['b1', 'b2']) two.add(id, slow, ['m']);
+    await two.ask({ model: 'm' });
+    expect(two.calls.length).to.be.greaterThan(1);
+  });
+
   it('asks for an adapter at any holder of its model but those that cannot be reached', async () => {
     const world = new ForwardingWorld([{ kind: 'stream' }], ENGINE);
     for (const id of ['b1', 'b2', 'b3']) world.add(id, serve, ['m']);
--- /dev/null
+++ b/packages/residency/test/demand-router.test.ts
@@ -0,0 +1,154 @@
+import { expect } from 'chai';
+import { BackendDirectory, NO_NEARBY_COPIES } from '@woodbarrow/backends';
+import { CoordinatorDirectory } from '@woodbarrow/exchange';
+import type { ResidencyDemand, ResidencyOutcome } from '@woodbarrow/forwarding';
+import { silentLog } from '@woodbarrow/observability';
+import { SimulatedCluster, type SimulatedNode } from '@woodbarrow/peering';
+import {
+  residencyDemandMethod,
+  type RelayedClaim,
+  type ResidencyDemandAnswer,
+  type ResidencyDemandMessage,
+} from '@woodbarrow/protocol';
+import { DemandRouter, QUOTE_REASON } from '../src/index.js';
+
+const ZONES = ['alpha', 'beta'];
+
+type Answer = (message: ResidencyDemandMessage) => Promise<ResidencyDemandAnswer>;
+
+function quoting(readyMs: number, occupiesMs = 0): Answer {
+  return ({ quote, zone }) =>
+    Promise.resolve(
+      quote === true
+        ? { held: false, backEndId: '', retryAfterMs: readyMs, reason: QUOTE_REASON, occupiesMs }
+        : { held: true, backEndId: `worker-${zone}`, retryAfterMs: 0, reason: 'resident' },
+    );
+}
+
+/** One daemon that asks, and a coordinator for each zone. */
+class RouterWorld {
+  readonly cluster = new SimulatedCluster({ seed: 1 });
+  readonly asked: ResidencyDemandMessage[] = [];
+  readonly answers = new Map<string, Answer>();
+  readonly coordinators = new Map<string, SimulatedNode>();
+  private router: DemandRouter | undefined;
+
+  async start(copies: readonly string[] = []): Promise<void> {
+    const node = await this.cluster.add('asking');
+    const directory = new BackendDirectory(node.process);
+    const directoryOfCoordinators = new CoordinatorDirectory(node.process, 'asking');
+    const claims: RelayedClaim[] = [];
+    for (const zone of ZONES) {
+      const coordinator = await this.cluster.add(`coordinator-${zone}`, zone);
+      this.coordinators.set(zone, coordinator);
+      coordinator.peers.handle(residencyDemandMethod, (message) => {
+        this.asked.push(message);
+        const answer = this.answers.get(zone);
+        if (answer === undefined) throw new Error('no answer for this zone');
+        return answer(message);
+      });
+      claims.push({ zone, holder: `coordinator-${zone}`, address: coordinator.peers.address, fence: 1 });
+      directory.put({
+        id: `worker-${zone}`,
+        service: 'models',
+        address: '10.0.0.1:1',
+        zone,
+        slots: 1,
+        draining: false,
+        models: [],
+        nearby: { ...NO_NEARBY_COPIES, onDisk: copies.includes(zone) ? ['m'] : [] },
+      });
+    }
+    const repeat = (): void => {
+      directoryOfCoordinators.accept('relay', 'relay', claims);
+      node.process.schedule(300, repeat);
+    };
+    repeat();
+    this.router = new DemandRouter({
+      directory,
+      coordinators: directoryOfCoordinators,
+      peers: node.peers,
+      clock: node.process,
+      log: silentLog,
+    });
+  }
+
+  ask(changes: Partial<ResidencyDemand> = {}): Promise<ResidencyOutcome> {
+    const demand = {
+      service: 'models',
+      target: { model: 'm' },
+      without: [],
+      priority: 1,
+      targetMs: 1000,
+      withinMs: 4000,
+      ...changes,
+    };
+    const asked = this.router?.request(demand, new AbortController().signal);
+    if (asked === undefined) throw new Error('not started');
+    return this.cluster.settle(asked);
+  }
+}
+
+describe('DemandRouter', () => {
+  let world: RouterWorld;
+
+  beforeEach(() => {
+    world = new RouterWorld();
+  });
+
+  it('goes to the zone that has the model first, and asks the others only for a quote', async () => {
+    await world.start();
+    world.answers.set('alpha', quoting(900));
+    world.answers.set('beta', quoting(300));
+    expect(await world.ask()).to.deep.equal({ held: true, backEndId: 'worker-beta' });
+    expect(world.asked.filter(({ quote }) => quote !== true).map(({ zone }) => zone)).to.deep.equal(['beta']);
+  });
+
+  it('counts the time for which a load would occupy a worker', async () => {
+    await world.start();
+    world.answers.set('alpha', quoting(900, 100));
+    world.answers.set('beta', quoting(600, 2000));
+    expect(await world.ask()).to.deep.equal({ held: true, backEndId: 'worker-alpha' });
+  });
+
+  it('passes over a coordinator that does not answer, within a third of a second', async () => {
+    await world.start();
+    world.answers.set('alpha', () => new Promise(() => undefined));
+    world.answers.set('beta', quoting(500));
+    expect(await world.ask()).to.deep.equal({ held: true, backEndId: 'worker-beta' });
+    expect(world.cluster.world.now).to.be.lessThan(400);
+  });
+
+  it('asks again until its time is up while no zone can make room', async () => {
+    await world.start();
+    for (const zone of ZONES) world.answers.set(zone, quoting(Infinity));
+    const asked = world.ask();
+    world.cluster.world.schedule(700, () => world.answers.set('beta', quoting(100)));
+    expect(await asked).to.deep.equal({ held: true, backEndId: 'worker-beta' });
+    for (const zone of ZONES) world.answers.set(zone, quoting(Infinity));
+    const startedAt = world.cluster.world.now;
+    expect((await world.ask({ withinMs: 800 })).held).to.equal(false);
+    expect(world.cluster.world.now - startedAt).to.be.within(700, 1000);
+  });
+
+  it('allows the weight store only for a model that no worker has near', async () => {
+    await world.start(['alpha']);
+    for (const zone of ZONES) world.answers.set(zone, quoting(100));
+    await world.ask();
+    expect(world.asked.every(({ mayUseStore }) => !mayUseStore)).to.equal(true);
+    world.asked.length = 0;
+    await world.ask({ without: ['worker-alpha'] });
+    expect(world.asked.every(({ mayUseStore }) => mayUseStore)).to.equal(true);
+  });
+
+  it('tells coordinators that a client comes back only while it can be told in time', async () => {
+    await world.start();
+    for (const zone of ZONES) world.answers.set(zone, quoting(100));
+    await world.ask({ comeBack: { tellWithinMs: 200, longestMs: 3000 } });
+    expect(world.asked.find(({ quote }) => quote !== true)?.longestReturnMs).to.equal(3000);
+    world.asked.length = 0;
+    world.answers.set('alpha', () => new Promise(() => undefined));
+    await world.ask({ comeBack: { tellWithinMs: 200, longestMs: 3000 } });
+    expect(world.asked.find(({ quote }) => quote !== true)?.longestReturnMs).to.equal(undefined);
+  });
+});
