--- a/packages/residency/src/load-scheduler.ts
+++ b/packages/residency/src/load-scheduler.ts
@@ -12,6 +12,8 @@
   DemandQueue,
   groupKey,
   type DemandGroup,
+  type DemandLimits,
+  type DemandTimes,
   type PendingDemand,
   type Placement,
   type RefusedDemandReason,
@@ -54,19 +56,6 @@
   readonly occupiesMs: number;
 }
 
-/** What may be used for a demand. */
-export type DemandLimits = Pick<PendingDemand, 'without' | 'mayUseStore'>;
-
-/** Milliseconds that a demand has. */
-export interface DemandTimes {
-  /** Within which an answer is in time. */
-  readonly targetMs: number;
-  /** Within which it is of any use. */
-  readonly withinMs: number;
-  /** Longest time after which the request comes back when told to; 0 when it does not. */
-  readonly longestReturnMs: number;
-}
-
 /** What one plan reads. */
 interface PlanView {
   readonly engine: EngineDefinition;
@@ -141,7 +130,8 @@
       deadline: Infinity,
       without,
       mayUseStore,
-      settle: () => false,
+      isWaiting: () => false,
+      settle: () => undefined,
     };
     const known = this.queue.all().find((group) => group.key === key);
     const asked = { ...wanted, key, demands: [...(known?.demands ?? []), demand] };
@@ -155,18 +145,17 @@
   wait(wanted: WantedModel, times: DemandTimes, limits: DemandLimits): Promise<Placement> {
     const arrivedAt = this.options.clock.monotonic();
     return new Promise((resolve) => {
-      let isWaiting = true;
-      const settle = (placement: Placement): boolean => {
-        const wasWaiting = isWaiting;
-        isWaiting = false;
+      let settled = false;
+      const settle = (placement: Placement): void => {
+        settled = true;
         resolve(placement);
-        return wasWaiting;
       };
       const demand = {
         arrivedAt,
         targetAt: arrivedAt + times.targetMs,
         deadline: arrivedAt + times.withinMs,
         ...limits,
+        isWaiting: () => !settled,
         settle,
       };
       this.admit(wanted, demand, times);
@@ -218,19 +207,27 @@
     const promised = this.promisedUntil.get(wanted.model) ?? 0;
     this.promisedUntil.set(wanted.model, Math.max(promised, deadline));
     if (this.loading.has(groupKey(wanted))) return;
-    this.queue.add(wanted, { ...demand, targetAt: returnAt, deadline, settle: () => false });
+    this.queue.add(wanted, {
+      ...demand,
+      targetAt: returnAt,
+      deadline,
+      isWaiting: () => false,
+      settle: () => undefined,
+    });
     this.schedule();
   }
 
   /** Its time has passed while it waited: its group may be loaded for others soon. */
   private settleLate(wanted: WantedModel, demand: PendingDemand): void {
+    if (!demand.isWaiting()) return;
     const { readyMs } = this.quote(wanted, 0, demand);
     const retryAfterMs = Number.isFinite(readyMs) ? readyMs : NO_PLACE_RETRY_MS;
     this.settleRefused(wanted, demand, { kind: 'refused', reason: 'not_in_time', retryAfterMs });
   }
 
   private settleRefused(wanted: WantedModel, demand: PendingDemand, refusal: RefusedPlacement): void {
-    if (!demand.settle(refusal)) return;
+    if (!demand.isWaiting()) return;
+    demand.settle(refusal);
     const { log, zone, clock } = this.options;
     log.changed('demand_refused', {
       zone,
@@ -264,10 +261,15 @@
     if (!this.candidates(service).some(({ busyMs }) => busyMs <= 0)) return;
     const groups = this.queue.all().filter((group) => group.service === service);
     for (const planned of this.plan(service, groups)) {
-      if (planned.startsNow) this.start(planned);
+      if (planned.startsNow && this.storeAllows(planned)) this.start(planned);
     }
   }
 
+  /** Loads that begin in one pass count as well. */
+  private storeAllows({ choice }: PlannedLoad): boolean {
+    return choice.source !== 'store' || this.window.waitMs() <= 0;
+  }
+
   private start(planned: PlannedLoad): void {
     const { group, choice } = planned;
     const { clock, workersOf } = this.options;
--- a/packages/residency/src/pending-demand.ts
+++ b/packages/residency/src/pending-demand.ts
@@ -36,8 +36,23 @@
   readonly without: readonly string[];
   /** Whether the weight store may be used for it. */
   readonly mayUseStore: boolean;
-  /** Ends the wait. @returns Whether it was still waiting; later calls do nothing. */
-  readonly settle: (placement: Placement) => boolean;
+  /** Whether it has not been settled. */
+  readonly isWaiting: () => boolean;
+  /** Ends the wait; later calls do nothing. */
+  readonly settle: (placement: Placement) => void;
+}
+
+/** What may be used for a demand. */
+export type DemandLimits = Pick<PendingDemand, 'without' | 'mayUseStore'>;
+
+/** Milliseconds that a demand has. */
+export interface DemandTimes {
+  /** Within which an answer is in time. */
+  readonly targetMs: number;
+  /** Within which it is of any use. */
+  readonly withinMs: number;
+  /** Longest time after which the request comes back when told to; 0 when it does not. */
+  readonly longestReturnMs: number;
 }
 
 /** What is wanted: a model of a service, on any worker of the zone or on one more. */
--- a/packages/residency/test/load-plan.test.ts
+++ b/packages/residency/test/load-plan.test.ts
@@ -20,7 +20,8 @@
     deadline: NOW + leftMs,
     without: [],
     mayUseStore: false,
-    settle: () => true,
+    isWaiting: () => true,
+    settle: () => undefined,
   };
 }
 
--- a/packages/residency/test/zone-residency.test.ts
+++ b/packages/residency/test/zone-residency.test.ts
@@ -46,6 +46,7 @@
   readonly process: SimulatedProcess;
   readonly orders: SimulatedOrderClient;
   readonly loads: LoadBook;
+  engine = ENGINE;
   private readonly leases = plainLeaseStore();
   private runs = 0;
 
@@ -93,7 +94,7 @@
       directory: this.directory,
       loads: this.loads,
       orders: this.orders,
-      serviceOf: () => ({ name: SERVICE, connectionLimit: 100, engine: ENGINE }),
+      serviceOf: () => ({ name: SERVICE, connectionLimit: 100, engine: this.engine }),
       clock: this.process,
       log: silentLog,
       signal: new AbortController().signal,
@@ -309,6 +310,19 @@
     expect(zone.workers.get('w0')?.models.has('m9')).to.equal(false);
   });
 
+  it('begins no more loads from the weight store in a window than it bears', async () => {
+    const zone = new ZoneWorld(14, 6);
+    zone.engine = { ...ENGINE, storeLoadsPerSecond: 0.2 };
+    const coordinator = await zone.coordinator();
+    // (0.2 a second times 5 s, and 3 beside the rate) times the part of it that is used.
+    const limit = 3;
+    for (const model of ['m6', 'm7', 'm8', 'm9', 'm10', 'm11']) void demand(coordinator, model);
+    await zone.world.run(zone.world.now + 3000);
+    const loaded = [...zone.workers.values()].flatMap((worker) => [...worker.models.keys()]);
+    const fromStore = loaded.filter((model) => Number(model.slice(1)) >= 6);
+    expect(fromStore).to.have.length(limit);
+  });
+
   it('loads an adapter that was asked for while its worker loaded a model', async () => {
     const zone = new ZoneWorld(12, 1);
     const coordinator = await zone.coordinator();
