Planning of loads and promises to return stand in modules of their own

LoadPlanner asks placement and plan for what is to be loaded, ReturnPromises keeps what requests were told to come back for; the scheduler keeps what it carries out.

--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -2,6 +2,7 @@
 export * from './copies.js';
 export * from './demand-router.js';
 export * from './load-plan.js';
+export * from './load-planner.js';
 export * from './load-scheduler.js';
 export * from './load-view.js';
 export * from './load-window.js';
@@ -12,5 +13,6 @@
 export * from './placement-choice.js';
 export * from './resident-set.js';
 export * from './residency-service.js';
+export * from './return-promises.js';
 export * from './worker-orders.js';
 export * from './zone-residency.js';
--- /dev/null
+++ b/packages/residency/src/load-planner.ts
@@ -0,0 +1,160 @@
+/**
+ * Plans the loads of one zone from what is known now: which workers may load, what the weight store bears, how many
+ * replicas there are and what is asked for. Decides nothing by itself: see {@link planLoads} and
+ * {@link choosePlacement}.
+ */
+import type { BackendDirectory, EngineDefinition, LoadBook, ServiceDefinition } from '@woodbarrow/backends';
+import type { Clock } from '@woodbarrow/runtime';
+import { planLoads, type PlannedLoad } from './load-plan.js';
+import { RememberedLoads, remembered, type LoadView } from './load-view.js';
+import { LoadWindow } from './load-window.js';
+import type { DemandGroup } from './pending-demand.js';
+import { choosePlacement, type PlacementCandidate, type PlacementChoice } from './placement-choice.js';
+import type { ReturnPromises } from './return-promises.js';
+import type { WorkerOrders } from './worker-orders.js';
+
+/** What the weight store bears. */
+export interface StoreWindowOptions {
+  readonly windowMs: number;
+  /** Allowed excess over the rate, for example 1.1. */
+  readonly overshoot: number;
+}
+
+/** Options of {@link LoadPlanner}. */
+export interface LoadPlannerOptions {
+  readonly directory: BackendDirectory;
+  readonly loads: LoadBook;
+  readonly serviceOf: (name: string) => ServiceDefinition | undefined;
+  /** Workers of the zone that take requests, by service. */
+  readonly workersOf: (service: string) => readonly WorkerOrders[];
+  /** Zones with workers that run models: they share the weight store. */
+  readonly zones: () => readonly string[];
+  readonly storeWindow: StoreWindowOptions;
+  readonly clock: Clock;
+}
+
+/** What one plan reads. */
+interface PlanView {
+  readonly engine: EngineDefinition;
+  readonly loads: LoadView;
+  /** Workers in all zones that hold a model. */
+  readonly replicasOf: (model: string) => number;
+}
+
+/** Loads allowed in a window beside the rate. */
+const WINDOW_EXTRA_LOADS = 3;
+/** Part of the allowed loads that is used; what other zones do at a change of hands is not known. */
+const WINDOW_SAFETY = 0.85;
+/** Another replica takes the place only of models that are asked for clearly less, by this factor. */
+const ANOTHER_REPLICA_SHARE = 0.5;
+/** Models that are asked for less than this make way for any request. */
+const LEAST_VICTIM_VALUE = 3;
+/** A load that takes longer than expected is expected to end this soon, in milliseconds. */
+export const OVERDUE_MS = 100;
+
+/** Planner of one zone's loads. */
+export class LoadPlanner {
+  private readonly window: LoadWindow;
+  private storeLimit = 1;
+
+  constructor(
+    private readonly options: LoadPlannerOptions,
+    private readonly promises: ReturnPromises,
+  ) {
+    const { storeWindow, clock, zones } = options;
+    this.window = new LoadWindow(
+      { windowMs: storeWindow.windowMs, limit: () => this.storeLimit, sharers: () => zones().length },
+      clock,
+    );
+  }
+
+  /**
+   * Loads for groups of demands, the most urgent first.
+   *
+   * @param until Group after which the plan need not go on.
+   */
+  plan(service: string, groups: readonly DemandGroup[], until?: string): PlannedLoad[] {
+    const { clock, loads, serviceOf } = this.options;
+    const engine = serviceOf(service)?.engine;
+    if (engine === undefined || groups.length === 0) return [];
+    this.storeLimit = this.storeLimitOf(engine);
+    const view = { engine, loads: new RememberedLoads(loads), replicasOf: this.countReplicas(service) };
+    return planLoads({
+      groups,
+      candidates: this.candidates(service),
+      now: clock.monotonic(),
+      choose: (group, available) => this.choose(group, available, view),
+      ...(until === undefined ? {} : { until }),
+    });
+  }
+
+  /** Whether a worker could begin a load now. */
+  hasFreeWorker(service: string): boolean {
+    return this.candidates(service).some(({ busyMs }) => busyMs <= 0);
+  }
+
+  /** Whether the weight store bears a load now; loads that begin in one pass count as well. */
+  storeAllows({ choice }: PlannedLoad): boolean {
+    return choice.source !== 'store' || this.window.waitMs() <= 0;
+  }
+
+  /** Counts a load that begins. */
+  noteStart({ choice }: PlannedLoad): void {
+    if (choice.source === 'store') this.window.record();
+  }
+
+  private storeLimitOf(engine: EngineDefinition): number {
+    const { windowMs, overshoot } = this.options.storeWindow;
+    const allowed = (engine.storeLoadsPerSecond * windowMs * overshoot) / 1000;
+    return Math.floor((allowed + WINDOW_EXTRA_LOADS) * WINDOW_SAFETY);
+  }
+
+  private choose(
+    group: DemandGroup,
+    available: readonly PlacementCandidate[],
+    { engine, loads, replicasOf }: PlanView,
+  ): PlacementChoice | undefined {
+    const now = this.options.clock.monotonic();
+    const model = engine.models.get(group.model);
+    if (model === undefined) return undefined;
+    const isUsable = (candidate: PlacementCandidate): boolean =>
+      mayHold(candidate, model.name) &&
+      group.demands.some((demand) => !demand.without.includes(candidate.backEnd.id));
+    const wanted = loads.demandFor(model.name) + group.demands.length;
+    const share = wanted / (replicasOf(model.name) + 1);
+    return choosePlacement({
+      model,
+      engine,
+      candidates: available.filter(isUsable),
+      loads,
+      now,
+      promisedUntil: (name) => this.promises.until(name),
+      storeWaitMs: group.demands.some((demand) => demand.mayUseStore) ? this.window.waitMs() : Infinity,
+      replicasOf,
+      maximumVictimValue: group.another ? share * ANOTHER_REPLICA_SHARE : Math.max(LEAST_VICTIM_VALUE, share),
+    });
+  }
+
+  private candidates(service: string): PlacementCandidate[] {
+    const { directory, workersOf } = this.options;
+    return workersOf(service)
+      .filter((worker) => worker.isKnown && worker.isResponsive)
+      .flatMap((worker) => {
+        const backEnd = directory.get(worker.backEndId);
+        const busyMs = Math.max(worker.pendingSwaps > 0 ? OVERDUE_MS : 0, worker.busyMs);
+        return backEnd === undefined ? [] : [{ backEnd, residents: worker.residents, busyMs }];
+      });
+  }
+
+  private countReplicas(service: string): (model: string) => number {
+    const counts = new Map<string, number>();
+    const { directory } = this.options;
+    return (model) => remembered(counts, model, () => directory.holdersOf(service, { model }).length);
+  }
+}
+
+/** Whether a worker can load a model now, or once it is free: one that unloads it is soon without it. */
+function mayHold({ residents, busyMs }: PlacementCandidate, model: string): boolean {
+  const state = residents.models.get(model)?.state;
+  return state === undefined || (state === 'unloading' && busyMs > 0);
+}
--- a/packages/residency/src/load-scheduler.ts
+++ b/packages/residency/src/load-scheduler.ts
@@ -2,12 +2,9 @@
  * Carries out the loads of one zone: keeps the demands that wait, plans again whenever something has changed, starts
  * the loads whose worker is free, and settles the demands that a load has served.
  */
-import type { BackendDirectory, EngineDefinition, LoadBook, ServiceDefinition } from '@woodbarrow/backends';
 import type { EventLog } from '@woodbarrow/observability';
-import type { Clock } from '@woodbarrow/runtime';
-import { planLoads, type PlannedLoad } from './load-plan.js';
-import { RememberedLoads, remembered, type LoadView } from './load-view.js';
-import { LoadWindow } from './load-window.js';
+import type { PlannedLoad } from './load-plan.js';
+import { LoadPlanner, OVERDUE_MS, type LoadPlannerOptions } from './load-planner.js';
 import {
   DemandQueue,
   groupKey,
@@ -20,30 +17,14 @@
   type RefusedPlacement,
   type WantedModel,
 } from './pending-demand.js';
-import { choosePlacement, type PlacementCandidate, type PlacementChoice } from './placement-choice.js';
-import type { WorkerOrders } from './worker-orders.js';
-
-/** What the weight store bears. */
-export interface StoreWindowOptions {
-  readonly windowMs: number;
-  /** Allowed excess over the rate, for example 1.1. */
-  readonly overshoot: number;
-}
+import type { PlacementChoice } from './placement-choice.js';
+import { ReturnPromises } from './return-promises.js';
 
 /** Options of {@link LoadScheduler}. */
-export interface LoadSchedulerOptions {
+export interface LoadSchedulerOptions extends LoadPlannerOptions {
   readonly zone: string;
-  readonly directory: BackendDirectory;
-  readonly loads: LoadBook;
-  readonly serviceOf: (name: string) => ServiceDefinition | undefined;
-  /** Workers of the zone that take requests, by service. */
-  readonly workersOf: (service: string) => readonly WorkerOrders[];
   /** Whether orders may be given now. */
   readonly mayAct: () => boolean;
-  /** Zones with workers that run models: they share the weight store. */
-  readonly zones: () => readonly string[];
-  readonly storeWindow: StoreWindowOptions;
-  readonly clock: Clock;
   readonly log: EventLog;
   readonly signal: AbortSignal;
 }
@@ -56,14 +37,6 @@
   readonly occupiesMs: number;
 }
 
-/** What one plan reads. */
-interface PlanView {
-  readonly engine: EngineDefinition;
-  readonly loads: LoadView;
-  /** Workers in all zones that hold a model. */
-  readonly replicasOf: (model: string) => number;
-}
-
 /** A load under way, with the demands that it will serve. */
 interface Loading {
   /** Monotonic time at which the model is expected to be resident. */
@@ -72,18 +45,8 @@
   readonly demands: PendingDemand[];
 }
 
-/** Loads allowed in a window beside the rate. */
-const WINDOW_EXTRA_LOADS = 3;
-/** Part of the allowed loads that is used; what other zones do at a change of hands is not known. */
-const WINDOW_SAFETY = 0.85;
-/** Another replica takes the place only of models that are asked for clearly less, by this factor. */
-const ANOTHER_REPLICA_SHARE = 0.5;
-/** Models that are asked for less than this make way for any request. */
-const LEAST_VICTIM_VALUE = 3;
 /** Pause between two plans while demands wait and nothing else causes one, in milliseconds. */
 const PLAN_INTERVAL_MS = 100;
-/** A load that takes longer than expected is expected to end this soon, in milliseconds. */
-const OVERDUE_MS = 100;
 /** Time after which to come back where no worker can make room, in milliseconds. */
 const NO_PLACE_RETRY_MS = 500;
 /** Recent requests for a model that make a load worth it which is too late for the one that asks. */
@@ -99,19 +62,14 @@
 export class LoadScheduler {
   private readonly queue: DemandQueue;
   private readonly loading = new Map<string, Loading>();
-  /** Models that requests were told to come back for, with the monotonic time until which they are kept. */
-  private readonly promisedUntil = new Map<string, number>();
-  private readonly window: LoadWindow;
-  private storeLimit = 1;
+  private readonly promises: ReturnPromises;
+  private readonly planner: LoadPlanner;
   private ticking = false;
 
   constructor(private readonly options: LoadSchedulerOptions) {
-    const { storeWindow, clock, zones } = options;
-    this.queue = new DemandQueue(clock);
-    this.window = new LoadWindow(
-      { windowMs: storeWindow.windowMs, limit: () => this.storeLimit, sharers: () => zones().length },
-      clock,
-    );
+    this.queue = new DemandQueue(options.clock);
+    this.promises = new ReturnPromises(options.clock);
+    this.planner = new LoadPlanner(options, this.promises);
   }
 
   /**
@@ -136,7 +94,9 @@
     const known = this.queue.all().find((group) => group.key === key);
     const asked = { ...wanted, key, demands: [...(known?.demands ?? []), demand] };
     const others = this.queue.all().filter((group) => group.key !== key);
-    const planned = this.plan(wanted.service, [...others, asked], key).find(({ group }) => group.key === key);
+    const planned = this.planner
+      .plan(wanted.service, [...others, asked], key)
+      .find(({ group }) => group.key === key);
     if (planned === undefined) return { readyMs: Infinity, occupiesMs: 0 };
     return { readyMs: planned.choice.readyMs, occupiesMs: planned.choice.loadMs };
   }
@@ -165,7 +125,7 @@
   /** Something has changed: loads may begin. */
   schedule(): void {
     if (!this.options.mayAct()) return;
-    this.forgetPromises();
+    this.promises.forgetPast();
     for (const { wanted, demand } of this.queue.takeExpired()) this.settleLate(wanted, demand);
     const services = new Set(this.queue.all().map((group) => group.service));
     for (const service of services) this.startLoads(service);
@@ -204,8 +164,7 @@
     if (reason === 'no_place' || (reason === 'loading' && readyMs > LONGEST_RETURN_MS && !isAskedFor)) return;
     const returnAt = demand.arrivedAt + retryAfterMs;
     const deadline = returnAt + RETURN_SLACK_MS;
-    const promised = this.promisedUntil.get(wanted.model) ?? 0;
-    this.promisedUntil.set(wanted.model, Math.max(promised, deadline));
+    this.promises.keep(wanted.model, deadline);
     if (this.loading.has(groupKey(wanted))) return;
     this.queue.add(wanted, {
       ...demand,
@@ -250,26 +209,14 @@
     });
   }
 
-  private forgetPromises(): void {
-    const now = this.options.clock.monotonic();
-    for (const [model, until] of this.promisedUntil) {
-      if (until <= now) this.promisedUntil.delete(model);
-    }
-  }
-
   private startLoads(service: string): void {
-    if (!this.candidates(service).some(({ busyMs }) => busyMs <= 0)) return;
+    if (!this.planner.hasFreeWorker(service)) return;
     const groups = this.queue.all().filter((group) => group.service === service);
-    for (const planned of this.plan(service, groups)) {
-      if (planned.startsNow && this.storeAllows(planned)) this.start(planned);
+    for (const planned of this.planner.plan(service, groups)) {
+      if (planned.startsNow && this.planner.storeAllows(planned)) this.start(planned);
     }
   }
 
-  /** Loads that begin in one pass count as well. */
-  private storeAllows({ choice }: PlannedLoad): boolean {
-    return choice.source !== 'store' || this.window.waitMs() <= 0;
-  }
-
   private start(planned: PlannedLoad): void {
     const { group, choice } = planned;
     const { clock, workersOf } = this.options;
@@ -277,7 +224,7 @@
     const worker = workersOf(group.service).find((candidate) => candidate.backEndId === id);
     if (worker === undefined) return;
     this.logDecision(group, choice);
-    if (choice.source === 'store') this.window.record();
+    this.planner.noteStart(planned);
     const expectedMs = choice.readyMs - choice.candidate.busyMs;
     const loading: Loading = { readyAt: clock.monotonic() + choice.readyMs, backEndId: id, demands: [] };
     this.loading.set(group.key, loading);
@@ -302,71 +249,6 @@
     this.schedule();
   }
 
-  /** @param until Group after which the plan need not go on. */
-  private plan(service: string, groups: readonly DemandGroup[], until?: string): PlannedLoad[] {
-    const { clock, loads, serviceOf } = this.options;
-    const engine = serviceOf(service)?.engine;
-    if (engine === undefined || groups.length === 0) return [];
-    this.storeLimit = this.storeLimitOf(engine);
-    const view = { engine, loads: new RememberedLoads(loads), replicasOf: this.countReplicas(service) };
-    return planLoads({
-      groups,
-      candidates: this.candidates(service),
-      now: clock.monotonic(),
-      choose: (group, available) => this.choose(group, available, view),
-      ...(until === undefined ? {} : { until }),
-    });
-  }
-
-  private storeLimitOf(engine: EngineDefinition): number {
-    const { windowMs, overshoot } = this.options.storeWindow;
-    const allowed = (engine.storeLoadsPerSecond * windowMs * overshoot) / 1000;
-    return Math.floor((allowed + WINDOW_EXTRA_LOADS) * WINDOW_SAFETY);
-  }
-
-  private choose(
-    group: DemandGroup,
-    available: readonly PlacementCandidate[],
-    { engine, loads, replicasOf }: PlanView,
-  ): PlacementChoice | undefined {
-    const now = this.options.clock.monotonic();
-    const model = engine.models.get(group.model);
-    if (model === undefined) return undefined;
-    const isUsable = (candidate: PlacementCandidate): boolean =>
-      mayHold(candidate, model.name) &&
-      group.demands.some((demand) => !demand.without.includes(candidate.backEnd.id));
-    const wanted = loads.demandFor(model.name) + group.demands.length;
-    const share = wanted / (replicasOf(model.name) + 1);
-    return choosePlacement({
-      model,
-      engine,
-      candidates: available.filter(isUsable),
-      loads,
-      now,
-      promisedUntil: (name) => this.promisedUntil.get(name) ?? 0,
-      storeWaitMs: group.demands.some((demand) => demand.mayUseStore) ? this.window.waitMs() : Infinity,
-      replicasOf,
-      maximumVictimValue: group.another ? share * ANOTHER_REPLICA_SHARE : Math.max(LEAST_VICTIM_VALUE, share),
-    });
-  }
-
-  private candidates(service: string): PlacementCandidate[] {
-    const { directory, workersOf } = this.options;
-    return workersOf(service)
-      .filter((worker) => worker.isKnown && worker.isResponsive)
-      .flatMap((worker) => {
-        const backEnd = directory.get(worker.backEndId);
-        const busyMs = Math.max(worker.pendingSwaps > 0 ? OVERDUE_MS : 0, worker.busyMs);
-        return backEnd === undefined ? [] : [{ backEnd, residents: worker.residents, busyMs }];
-      });
-  }
-
-  private countReplicas(service: string): (model: string) => number {
-    const counts = new Map<string, number>();
-    const { directory } = this.options;
-    return (model) => remembered(counts, model, () => directory.holdersOf(service, { model }).length);
-  }
-
   /** Time alone can make a load possible: a worker answers again, the weight store bears more. */
   private tickWhileWaiting(): void {
     if (this.ticking || this.queue.length === 0 || this.options.signal.aborted) return;
@@ -397,12 +279,6 @@
   }
 }
 
-/** Whether a worker can load a model now, or once it is free: one that unloads it is soon without it. */
-function mayHold({ residents, busyMs }: PlacementCandidate, model: string): boolean {
-  const state = residents.models.get(model)?.state;
-  return state === undefined || (state === 'unloading' && busyMs > 0);
-}
-
 /** Why a demand is turned down whose model is resident after `readyMs`; undefined when it may wait. */
 function reasonToRefuse(readyMs: number, times: DemandTimes): RefusedDemandReason | undefined {
   if (readyMs === Infinity) return 'no_place';
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -17,7 +17,7 @@
 } from '@woodbarrow/protocol';
 import { BackgroundService, sleep, type Clock } from '@woodbarrow/runtime';
 import type { OrderClient } from './order-client.js';
-import type { StoreWindowOptions } from './load-scheduler.js';
+import type { StoreWindowOptions } from './load-planner.js';
 import { ZoneResidency } from './zone-residency.js';
 
 /** Options of {@link ResidencyService}. */
