--- a/packages/backends/src/load-book.ts
+++ b/packages/backends/src/load-book.ts
@@ -4,6 +4,7 @@
  * that is lost or comes twice does no harm.
  */
 import type { Clock } from '@woodbarrow/runtime';
+import { LEAST_REMAINING_MS, remainingMs } from './expected-time.js';
 import {
   LEAST_DEMAND,
   LoadSum,
@@ -32,6 +33,8 @@
 export interface WorkSize {
   readonly promptTokens: number;
   readonly outputTokens: number;
+  /** Milliseconds that it is expected to take; nothing is known of its end when absent. */
+  readonly expectedMs?: number;
 }
 
 /** Milliseconds after which a report of work no longer counts. */
@@ -55,6 +58,13 @@
   unreadTokens: number;
   heldTokens: number;
   startedAt: number;
+  readonly runs: Set<Run>;
+}
+
+/** A request under way. */
+interface Run {
+  readonly beganAt: number;
+  readonly expectedMs: number;
 }
 
 interface SourceReport {
@@ -94,6 +104,8 @@
     load.unreadTokens += size.promptTokens;
     load.heldTokens += held;
     load.startedAt = this.clock.monotonic();
+    const run = { beganAt: load.startedAt, expectedMs: size.expectedMs ?? 0 };
+    load.runs.add(run);
     this.noteUse(backEndId, key);
     let unread = size.promptTokens;
     let open = true;
@@ -107,6 +119,7 @@
         if (!open) return;
         open = false;
         begun();
+        load.runs.delete(run);
         load.requests -= 1;
         load.heldTokens -= held;
       },
@@ -179,6 +192,25 @@
     return requests;
   }
 
+  /**
+   * Milliseconds until the last request for a model, its adapters included, is expected to have ended on a back end; 0
+   * when there is none.
+   */
+  endsInMs(backEndId: string, model: string): number {
+    const now = this.clock.monotonic();
+    let latestMs = 0;
+    for (const [key, load] of this.own.get(backEndId) ?? []) {
+      if (belongsTo(key, model)) latestMs = Math.max(latestMs, endOf(load, now));
+    }
+    for (const report of this.freshReports()) {
+      for (const load of report.loads.get(backEndId) ?? []) {
+        if (load.requests === 0 || !belongsTo(load.target, model)) continue;
+        latestMs = Math.max(latestMs, endSeenLater(load, now - report.at));
+      }
+    }
+    return latestMs;
+  }
+
   /** Milliseconds since a target was last used on a back end; Infinity when never. */
   idleMs(backEndId: string, target: string): number {
     const at = this.lastUsed.get(useKey(backEndId, target));
@@ -201,7 +233,10 @@
         sum.addDemand(model, decayed({ weight, at: report.at }, now));
       }
       if (now - report.at > REPORT_LIFETIME_MS) continue;
-      for (const loads of report.loads.values()) loads.forEach((load) => sum.addLoad(load));
+      const ageMs = now - report.at;
+      for (const loads of report.loads.values()) {
+        for (const load of loads) sum.addLoad({ ...load, endsInMs: endSeenLater(load, ageMs) });
+      }
     }
     return sum.report();
   }
@@ -241,7 +276,7 @@
     }
     let load = targets.get(key);
     if (load === undefined) {
-      load = { requests: 0, unreadTokens: 0, heldTokens: 0, startedAt: -Infinity };
+      load = { requests: 0, unreadTokens: 0, heldTokens: 0, startedAt: -Infinity, runs: new Set() };
       targets.set(key, load);
     }
     return load;
@@ -289,12 +324,20 @@
 
   private ownLoads(): TargetLoad[] {
     const loads: TargetLoad[] = [];
-    const oldest = this.clock.monotonic() - RECENT_USE_MS;
+    const now = this.clock.monotonic();
+    const oldest = now - RECENT_USE_MS;
     for (const [backEndId, targets] of this.own) {
       for (const [target, load] of targets) {
         const { requests, unreadTokens, heldTokens, startedAt } = load;
         if (requests > 0 || startedAt >= oldest) {
-          loads.push({ backEndId, target, requests, unreadTokens, heldTokens });
+          loads.push({
+            backEndId,
+            target,
+            requests,
+            unreadTokens,
+            heldTokens,
+            endsInMs: Math.round(endOf(load, now)),
+          });
         } else targets.delete(target);
       }
       if (targets.size === 0) this.own.delete(backEndId);
@@ -323,6 +366,19 @@
   }
 }
 
+/** Milliseconds until the last run is expected to have ended. */
+function endOf({ runs }: MutableLoad, now: number): number {
+  let latestMs = 0;
+  for (const { beganAt, expectedMs } of runs)
+    latestMs = Math.max(latestMs, remainingMs(expectedMs, now - beganAt));
+  return latestMs;
+}
+
+/** What is left of an expected end that was told some time ago, while the requests are still believed to run. */
+function endSeenLater({ requests, endsInMs }: TargetLoad, ageMs: number): number {
+  return requests === 0 ? 0 : Math.max(LEAST_REMAINING_MS, endsInMs - ageMs);
+}
+
 function useKey(backEndId: string, target: string): string {
   return `${backEndId} ${target}`;
 }
--- a/packages/backends/src/load-report.ts
+++ b/packages/backends/src/load-report.ts
@@ -10,6 +10,8 @@
   readonly unreadTokens: number;
   /** Prompt and expected output tokens of all requests under way. */
   readonly heldTokens: number;
+  /** Milliseconds until the last of them is expected to have ended; 0 without requests. */
+  readonly endsInMs: number;
 }
 
 /** Recent requests that asked for a model, older ones counting less. */
@@ -66,7 +68,7 @@
 export function summarizedReport(report: LoadReport): LoadReport {
   const sum = new LoadSum();
   for (const load of report.loads) {
-    if (load.requests > 0) sum.addLoad({ ...load, target: '' });
+    if (load.requests > 0) sum.addLoad({ ...load, target: '', endsInMs: 0 });
   }
   return sum.report();
 }
@@ -77,5 +79,6 @@
     requests: left.requests + right.requests,
     unreadTokens: left.unreadTokens + right.unreadTokens,
     heldTokens: left.heldTokens + right.heldTokens,
+    endsInMs: Math.max(left.endsInMs, right.endsInMs),
   };
 }
--- a/packages/backends/test/load-book.test.ts
+++ b/packages/backends/test/load-book.test.ts
@@ -76,7 +76,7 @@
     book(0).start('v', { model: 'n' }, SIZE).ended();
     const { loads, demand } = summarizedReport(book(0).ownReport());
     expect(loads).to.deep.equal([
-      { backEndId: 'w', target: '', requests: 2, unreadTokens: 200, heldTokens: 220 },
+      { backEndId: 'w', target: '', requests: 2, unreadTokens: 200, heldTokens: 220, endsInMs: 0 },
     ]);
     expect(demand).to.deep.equal([]);
   });
--- a/packages/coordination/src/store-lease.ts
+++ b/packages/coordination/src/store-lease.ts
@@ -36,6 +36,14 @@
   replace(name: string, record: LeaseRecord, revision: number): Promise<StoredLease | undefined>;
 }
 
+/** Word from a holder, passed on by daemons: its last write that the store confirmed. */
+export interface LeaseConfirmation {
+  /** Revision of the record after that write. */
+  readonly revision: number;
+  /** Monotonic time of this daemon at which the write had begun at the latest. */
+  readonly at: number;
+}
+
 /** Options of {@link StoreLease}. */
 export interface StoreLeaseOptions {
   /** Name of the record. */
@@ -44,7 +52,7 @@
   readonly holder: string;
   /** This run of the process; differs between runs. */
   readonly instance: number;
-  /** Milliseconds that others wait before they take it. @default 12000 */
+  /** Milliseconds that others wait before they take it. @default 10000 */
   readonly lifetimeMs?: number;
   /** Milliseconds that must lie between the acts of two holders. */
   readonly handoverPauseMs: number;
@@ -58,7 +66,11 @@
   /** Another holds it, or held it; ask again after `retryAfterMs`. */
   | { readonly kind: 'waiting'; readonly holder: string; readonly retryAfterMs: number };
 
-const DEFAULT_LIFETIME_MS = 12_000;
+/**
+ * With renewals each 2 s a holder acts on for 5 s or more while the store does not answer, longer than the outages of
+ * the store that are common; a lost holder is replaced within 10 s of its last renewal.
+ */
+const DEFAULT_LIFETIME_MS = 10_000;
 /** Allowance for clocks that run at different speeds, as a share of the lifetime. */
 const DRIFT_SHARE = 0.02;
 /** Pause before a record that changed under us is looked at again, in milliseconds. */
@@ -107,8 +119,19 @@
     return this.options.clock.monotonic() - this.confirmedAt;
   }
 
-  /** Takes the lease if that is allowed now. @throws what the store throws. */
-  async tryAcquire(): Promise<AcquireResult> {
+  /** Revision of the record that this daemon last wrote or read back as the holder; 0 before the first. */
+  get revision(): number {
+    return this.stored?.revision ?? 0;
+  }
+
+  /**
+   * Takes the lease if that is allowed now.
+   *
+   * @param told What the holder told of its last confirmed write: where the record still is as that write left it, its
+   *   lifetime is counted from then on instead of from when it was first read here.
+   * @throws what the store throws.
+   */
+  async tryAcquire(told?: LeaseConfirmation): Promise<AcquireResult> {
     const { store, clock, name, handoverPauseMs } = this.options;
     const seen = await store.read(name);
     const now = clock.monotonic();
@@ -119,7 +142,7 @@
     const { record, revision } = seen;
     const isOwn = record.holder === this.options.holder;
     if (!isOwn && record.holder !== '') {
-      const leftMs = this.unchangedLeftMs(revision, record.lifetimeMs, now);
+      const leftMs = this.unchangedLeftMs(revision, record.lifetimeMs, now, told);
       if (leftMs > 0) return this.waitFor(record.holder, leftMs);
     }
     // Kept also when the write is not answered: it may be carried out all the same.
@@ -185,8 +208,14 @@
     return { kind: 'waiting', holder, retryAfterMs };
   }
 
-  private unchangedLeftMs(revision: number, lifetimeMs: number, now: number): number {
+  private unchangedLeftMs(
+    revision: number,
+    lifetimeMs: number,
+    now: number,
+    told: LeaseConfirmation | undefined,
+  ): number {
     if (this.observed?.revision !== revision) this.observed = { revision, at: now };
+    if (told?.revision === revision) this.observed = { revision, at: Math.min(this.observed.at, told.at) };
     return this.observed.at + lifetimeMs * (1 + DRIFT_SHARE) - now;
   }
 
--- a/packages/coordination/test/store-lease.test.ts
+++ b/packages/coordination/test/store-lease.test.ts
@@ -1,7 +1,13 @@
 import { isDeepStrictEqual } from 'node:util';
 import { expect } from 'chai';
 import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
-import { StoreLease, type LeaseRecord, type LeaseRecordStore, type StoredLease } from '../src/index.js';
+import {
+  StoreLease,
+  type LeaseConfirmation,
+  type LeaseRecord,
+  type LeaseRecordStore,
+  type StoredLease,
+} from '../src/index.js';
 
 const NAME = 'zone-a';
 const LIFETIME_MS = 1200;
@@ -92,6 +98,8 @@
   readonly store: SimulatedStore;
   readonly acts: Act[] = [];
   readonly processes = new Map<string, SimulatedProcess>();
+  /** What each machine was last told of the holder's confirmed writes. */
+  private readonly told = new Map<string, LeaseConfirmation>();
   private runs = 0;
 
   constructor(seed: number) {
@@ -115,16 +123,18 @@
       store: this.store.client(process),
       clock: process,
     });
-    this.stand(process, lease);
+    this.stand(process, machine, lease);
     this.act(process, machine, lease);
     return process;
   }
 
-  private stand(process: SimulatedProcess, lease: StoreLease): void {
+  private stand(process: SimulatedProcess, machine: string, lease: StoreLease): void {
     const step = async (): Promise<void> => {
       try {
-        if (lease.isHeld) await lease.renew();
-        else await lease.tryAcquire();
+        if (lease.isHeld) {
+          await lease.renew();
+          this.tell(machine, lease);
+        } else await lease.tryAcquire(this.told.get(machine));
       } catch {
         // Asked again at the next step.
       }
@@ -133,6 +143,20 @@
     process.schedule(this.random.between(0, 50), () => void step());
   }
 
+  /** The holder tells all others of its last confirmed write; the word takes a while. */
+  private tell(sender: string, lease: StoreLease): void {
+    const { revision } = lease;
+    const agoMs = lease.confirmedAgoMs();
+    for (const [name, process] of this.processes) {
+      if (name === sender) continue;
+      this.world.schedule(this.random.between(1, 400), () => {
+        process.deliver(() => {
+          this.told.set(name, { revision, at: process.monotonic() - agoMs });
+        });
+      });
+    }
+  }
+
   private act(process: SimulatedProcess, machine: string, lease: StoreLease): void {
     process.schedule(7, () => {
       if (lease.mayAct()) this.acts.push({ at: this.world.now, machine, fence: lease.fence });
@@ -189,6 +213,22 @@
     expect(lease.acts[lease.acts.length - 1]).to.include({ machine: 'b', fence: 2 });
   });
 
+  it('counts its lifetime from the last confirmation that the holder told, not from the first look', async () => {
+    const lease = new LeaseWorld(6);
+    lease.start('a');
+    lease.start('b');
+    await lease.world.run(1000);
+    const holder = lease.acts[0]?.machine ?? '';
+    lease.store.trouble = { ...NO_TROUBLE, refused: 1 };
+    lease.processes.get(holder)?.kill();
+    // The other one cannot look at the record for most of the lifetime.
+    await lease.world.run(1000 + LIFETIME_MS * 0.8);
+    lease.store.trouble = NO_TROUBLE;
+    await lease.world.run(1000 + LIFETIME_MS * 1.4);
+    lease.check(PAUSE_MS);
+    expect(lease.acts[lease.acts.length - 1]?.machine).not.to.equal(holder);
+  });
+
   it('is kept through an outage of the store shorter than its lifetime less the pause', async () => {
     const lease = new LeaseWorld(4);
     lease.start('a');
--- a/packages/exchange/src/coordinator-directory.ts
+++ b/packages/exchange/src/coordinator-directory.ts
@@ -8,6 +8,8 @@
   readonly memberId: string;
   readonly address: string;
   readonly fence: number;
+  /** Loads from the weight store that it had under way when it last told. */
+  readonly storeLoads: number;
 }
 
 /** Milliseconds after which a claim that is not repeated is no longer believed. */
@@ -22,9 +24,18 @@
   readonly claims: readonly RelayedClaim[];
 }
 
+/** A confirmation of a zone's lease that its holder told. */
+export interface ToldConfirmation {
+  readonly revision: number;
+  /** Monotonic time at which the confirming write had begun at the latest. */
+  readonly at: number;
+}
+
 /** Claims by the source that told them. */
 export class CoordinatorDirectory {
   private readonly sources = new Map<string, SourceClaims>();
+  /** Newest confirmation of each zone's lease, kept when its claims lapse. */
+  private readonly confirmations = new Map<string, ToldConfirmation>();
 
   constructor(
     private readonly clock: Clock,
@@ -35,7 +46,21 @@
   accept(source: string, scope: ClaimScope, claims: readonly RelayedClaim[]): void {
     // Others may still tell of claims of this daemon's former run.
     const believed = scope === 'own' ? claims : claims.filter((claim) => claim.holder !== this.selfId);
-    this.sources.set(source, { scope, at: this.clock.monotonic(), claims: believed });
+    const at = this.clock.monotonic();
+    this.sources.set(source, { scope, at, claims: believed });
+    for (const { zone, leaseRevision, confirmedAgoMs } of believed) {
+      const known = this.confirmations.get(zone);
+      if (known !== undefined && known.revision > leaseRevision) continue;
+      // Claims are passed on, so the write began no later than this, and perhaps earlier.
+      const beganAt = at - confirmedAgoMs;
+      const earliest = known?.revision === leaseRevision ? Math.min(known.at, beganAt) : beganAt;
+      this.confirmations.set(zone, { revision: leaseRevision, at: earliest });
+    }
+  }
+
+  /** The last confirmation of a zone's lease that its holder told, also when its claim has lapsed. */
+  lastConfirmation(zone: string): ToldConfirmation | undefined {
+    return this.confirmations.get(zone);
   }
 
   /** The coordinator of a zone, when one has claimed it lately. */
@@ -45,9 +70,9 @@
       const claim = claims.find((candidate) => candidate.zone === zone);
       if (claim !== undefined && claim.fence >= (best?.fence ?? -Infinity)) best = claim;
     }
-    return best === undefined
-      ? undefined
-      : { memberId: best.holder, address: best.address, fence: best.fence };
+    if (best === undefined) return undefined;
+    const { holder, address, fence, storeLoads } = best;
+    return { memberId: holder, address, fence, storeLoads };
   }
 
   /** Fresh claims told by sources of the given scopes. */
--- a/packages/exchange/src/state-entries.ts
+++ b/packages/exchange/src/state-entries.ts
@@ -11,6 +11,7 @@
       r: load.requests,
       u: load.unreadTokens,
       h: load.heldTokens,
+      e: Math.round(load.endsInMs),
     })),
     demand: demand.map(({ model, weight }) => ({ m: model, w: weight })),
     claims,
@@ -26,6 +27,7 @@
       requests: entry.r,
       unreadTokens: entry.u,
       heldTokens: entry.h,
+      endsInMs: entry.e,
     })),
     demand: demand.map(({ m, w }) => ({ model: m, weight: w })),
   };
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -96,6 +96,8 @@
       service: this.service.name,
       model: this.facts.target?.model,
       adapter: this.facts.target?.adapter,
+      promptTokens: this.facts.promptTokens,
+      outputTokens: this.facts.outputTokens,
       leftMs: Math.round(this.times.leftMs()),
     });
     try {
@@ -183,7 +185,10 @@
     if (this.expired.signal.aborted) abort();
     this.sends += 1;
     this.isSending = true;
-    const ticket = loads.start(backEnd.id, this.facts.target, this.facts);
+    const ticket = loads.start(backEnd.id, this.facts.target, {
+      ...this.facts,
+      expectedMs: this.expectedRunMs(),
+    });
     const sentAt = clock.monotonic();
     journal.decided('request_sent', this.facts.id, {
       backEnd: backEnd.id,
@@ -289,7 +294,7 @@
     const tookMs = this.context.clock.monotonic() - sentAt;
     this.ranOn.add(backEnd.id);
     const isSuccess = answer.status >= 200 && answer.status < 300;
-    if (isStream(this.route.kind) && isSuccess) return this.passStream(answer, backEnd, tookMs);
+    if (isStream(this.route.kind) && isSuccess) return this.passStream(answer, backEnd, sentAt);
     return this.passWhole(answer, backEnd, tookMs);
   }
 
@@ -310,7 +315,8 @@
     return { kind: 'finished' };
   }
 
-  private async passStream(answer: BackendAnswer, backEnd: BackEnd, tookMs: number): Promise<AttemptResult> {
+  private async passStream(answer: BackendAnswer, backEnd: BackEnd, sentAt: number): Promise<AttemptResult> {
+    const tookMs = this.context.clock.monotonic() - sentAt;
     this.health().record(backEnd.id, 'good', tookMs / this.times.expectedMs());
     if (this.relay.hasBegun) {
       const afterEvent = this.relay.lastEventId;
@@ -318,10 +324,25 @@
     }
     const result = await this.relay.passStream(answer, this.streamOptions(backEnd));
     if (result.kind === 'broken') return this.noteBrokenBody(backEnd);
+    this.noteRunTime(sentAt);
     this.ending.answered(answer.status, backEnd.id);
     return { kind: 'finished' };
   }
 
+  /** Milliseconds that a run of this request is expected to take; 0 where no model runs. */
+  private expectedRunMs(): number {
+    const { target, expectedTokens } = this.facts;
+    return target === undefined ? 0 : this.context.runTimes.expectedMs(target.model, expectedTokens);
+  }
+
+  /** A run that took a stream up in the middle says nothing of whole ones. */
+  private noteRunTime(sentAt: number): void {
+    const { target, expectedTokens } = this.facts;
+    if (target === undefined || this.ranOn.size > 1) return;
+    const tookMs = this.context.clock.monotonic() - sentAt;
+    this.context.runTimes.note(target.model, expectedTokens, tookMs);
+  }
+
   private streamOptions(backEnd: BackEnd): StreamOptions {
     if (this.route.kind !== 'resumable_stream') return { resumable: false, silentAfterMs: () => undefined };
     const gapMs = this.route.targetGapMs ?? this.route.targetLatencyMs;
--- a/packages/forwarding/src/forwarding-context.ts
+++ b/packages/forwarding/src/forwarding-context.ts
@@ -1,5 +1,5 @@
 /** What all requests of a daemon share. */
-import type { BackendDirectory, LoadBook } from '@woodbarrow/backends';
+import type { BackendDirectory, LoadBook, RunTimes } from '@woodbarrow/backends';
 import type { BackendClient, Clock } from '@woodbarrow/runtime';
 import type { RequestJournal } from './request-journal.js';
 import type { BackendHealth } from './backend-health.js';
@@ -17,6 +17,7 @@
   readonly dialect: WireDialect;
   readonly directory: BackendDirectory;
   readonly loads: LoadBook;
+  readonly runTimes: RunTimes;
   readonly connections: ConnectionShare;
   readonly patience: ClientPatience;
   readonly plain: PlainSelector;
--- a/packages/forwarding/src/wire-dialect.ts
+++ b/packages/forwarding/src/wire-dialect.ts
@@ -21,6 +21,8 @@
   readonly promptTokens: number;
   /** Most tokens out. */
   readonly outputTokens: number;
+  /** Tokens out that the client expects, often wrong by a factor of two; absent when it does not say. */
+  readonly expectedTokens?: number;
   /** In order; the last is the request's own or its session's. */
   readonly promptParts: readonly PromptPart[];
 }
--- a/packages/protocol/src/exchange-messages.ts
+++ b/packages/protocol/src/exchange-messages.ts
@@ -14,6 +14,8 @@
   readonly u: number;
   /** Tokens held. */
   readonly h: number;
+  /** Milliseconds until the last of the requests is expected to have ended. */
+  readonly e: number;
 }
 
 /** Recent requests for a model. */
--- a/packages/protocol/src/residency-messages.ts
+++ b/packages/protocol/src/residency-messages.ts
@@ -56,6 +56,12 @@
 export interface ZoneClaim {
   readonly zone: string;
   readonly fence: number;
+  /** Loads from the weight store under way on the zone's workers; all zones share its link. */
+  readonly storeLoads: number;
+  /** Revision of the lease's record after the last write of the sender that the store confirmed. */
+  readonly leaseRevision: number;
+  /** Milliseconds since that write began, when the claim was first told. */
+  readonly confirmedAgoMs: number;
 }
 
 export type ResidencyAcknowledgement = Record<string, never>;
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -35,8 +35,20 @@
 /** A demand under way that ends sooner than this is not joined by another request, in milliseconds. */
 const LEAST_SHARED_MS = 50;
 
+/**
+ * Time kept for a coordinator's refusal to arrive before the asker gives up, in milliseconds: refusals came up to 6 ms
+ * late when both limits were the same, and a slow machine takes some tens more.
+ */
+const ANSWER_MARGIN_MS = 80;
+/** Largest part of a demand's time that is kept for the refusal. */
+const ANSWER_MARGIN_SHARE = 0.2;
 /** Time in which a coordinator tells how long a load would take; one that does not is passed over, in milliseconds. */
 const QUOTE_LIMIT_MS = 300;
+/**
+ * Time for further quotes after the first that can be used, in milliseconds: several round trips between zones and a
+ * slow machine's turn. A coordinator that is lost does not hold up the demands of others.
+ */
+const FURTHER_QUOTES_MS = 60;
 
 /** A zone's word on how long it would take. */
 interface Quote {
@@ -125,7 +137,7 @@
           ...message,
           ...returnOf(demand, clock.monotonic() - startedAt),
           quote: false,
-          withinMs: Math.floor(leftMs),
+          withinMs: Math.floor(leftMs - Math.min(ANSWER_MARGIN_MS, leftMs * ANSWER_MARGIN_SHARE)),
         };
         const answer = await this.ask(final, leftMs);
         if (answer === undefined) continue;
@@ -145,10 +157,28 @@
     const asked = this.zonesFor(demand.service, demand.target).map((zone) =>
       this.quote({ ...messageOf(zone, demand, deadline - now, targetAt - now), mayUseStore, quote: true }),
     );
-    const quotes = (await Promise.all(asked)).filter((quote) => quote !== undefined);
-    return quotes
-      .filter(({ costMs }) => Number.isFinite(costMs))
-      .sort((left, right) => left.costMs - right.costMs);
+    const quotes = await this.usableQuotes(asked);
+    return quotes.sort((left, right) => left.costMs - right.costMs);
+  }
+
+  /** Quotes that promise a load: all of them, or those that came soon after the first. */
+  private async usableQuotes(asked: readonly Promise<Quote | undefined>[]): Promise<Quote[]> {
+    const usable: Quote[] = [];
+    let noteFirst: () => void = () => undefined;
+    const first = new Promise<void>((resolve) => {
+      noteFirst = resolve;
+    });
+    const all = Promise.all(
+      asked.map(async (pending) => {
+        const quote = await pending;
+        if (quote === undefined || !Number.isFinite(quote.costMs)) return;
+        usable.push(quote);
+        noteFirst();
+      }),
+    );
+    await Promise.race([first, all]);
+    if (usable.length > 0) await settleWithin(this.options.clock, FURTHER_QUOTES_MS, all);
+    return [...usable];
   }
 
   /** A load from the weight store holds a worker up for seconds; it is not for what a worker has near. */
--- a/packages/residency/src/load-plan.ts
+++ b/packages/residency/src/load-plan.ts
@@ -52,6 +52,8 @@
     const { id } = choice.candidate.backEnd;
     planned.push({ group, choice, startsNow: choice.candidate.busyMs <= 0 && choice.notBeforeMs <= 0 });
     if (group.key === inputs.until) break;
+    // A load that waits for the weight store leaves its worker to others meanwhile.
+    if (choice.storeWaitMs > 0) continue;
     candidates = candidates.map((candidate) =>
       candidate.backEnd.id === id ? { ...candidate, busyMs: choice.readyMs } : candidate,
     );
@@ -59,6 +61,25 @@
   return planned;
 }
 
+/** Time that word of a model which makes way takes to all daemons, in milliseconds: two reports of relays. */
+const TELLING_MS = 500;
+
+/**
+ * Models that make way for the load that is planned next on each occupied worker, by worker. Left out are workers that
+ * are not free by the time at which the runs of these models should have ended, and models that are still needed when
+ * the worker is free.
+ */
+export function victimsAhead(plan: readonly PlannedLoad[]): ReadonlyMap<string, readonly string[]> {
+  const victims = new Map<string, readonly string[]>();
+  for (const { choice, startsNow } of plan) {
+    const { backEnd, busyMs } = choice.candidate;
+    if (victims.has(backEnd.id)) continue;
+    const isSoon = !startsNow && busyMs > 0 && busyMs <= choice.unloadMs + TELLING_MS;
+    victims.set(backEnd.id, isSoon && choice.notBeforeMs <= busyMs ? choice.victims : []);
+  }
+  return victims;
+}
+
 /** Groups by urgency, the most urgent first. */
 export function byUrgency(groups: readonly DemandGroup[], now: number): DemandGroup[] {
   const urgency = new Map(groups.map((group) => [group.key, urgencyOf(group, now)]));
--- a/packages/residency/src/load-planner.ts
+++ b/packages/residency/src/load-planner.ts
@@ -6,11 +6,13 @@
 import type { BackendDirectory, EngineDefinition, LoadBook, ServiceDefinition } from '@woodbarrow/backends';
 import type { Clock } from '@woodbarrow/runtime';
 import { planLoads, type PlannedLoad } from './load-plan.js';
+import type { LoadTimes } from './load-times.js';
 import { RememberedLoads, remembered, type LoadView } from './load-view.js';
 import { LoadWindow } from './load-window.js';
 import type { DemandGroup } from './pending-demand.js';
 import { choosePlacement, type PlacementCandidate, type PlacementChoice } from './placement-choice.js';
 import type { ReturnPromises } from './return-promises.js';
+import type { StoreLink, StoreLoad } from './store-link.js';
 import type { WorkerOrders } from './worker-orders.js';
 
 /** What the weight store bears. */
@@ -30,6 +32,8 @@
   /** Zones with workers that run models: they share the weight store. */
   readonly zones: () => readonly string[];
   readonly storeWindow: StoreWindowOptions;
+  readonly link: StoreLink;
+  readonly times: LoadTimes;
   readonly clock: Clock;
 }
 
@@ -49,8 +53,8 @@
 const ANOTHER_REPLICA_SHARE = 0.5;
 /** Models that are asked for less than this make way for any request. */
 const LEAST_VICTIM_VALUE = 3;
-/** A load that takes longer than expected is expected to end this soon, in milliseconds. */
-export const OVERDUE_MS = 100;
+/** Part of the weight store's link that second replicas may use; the rest is for models that nobody has. */
+const ANOTHER_REPLICA_LINK_SHARE = 0.5;
 
 /** Planner of one zone's loads. */
 export class LoadPlanner {
@@ -74,9 +78,10 @@
    * @param until Group after which the plan need not go on.
    */
   plan(service: string, groups: readonly DemandGroup[], until?: string): PlannedLoad[] {
-    const { clock, loads, serviceOf } = this.options;
+    const { clock, loads, serviceOf, link } = this.options;
     const engine = serviceOf(service)?.engine;
     if (engine === undefined || groups.length === 0) return [];
+    link.account();
     this.storeLimit = this.storeLimitOf(engine);
     const view = { engine, loads: new RememberedLoads(loads), replicasOf: this.countReplicas(service) };
     return planLoads({
@@ -94,13 +99,25 @@
   }
 
   /** Whether the weight store bears a load now; loads that begin in one pass count as well. */
-  storeAllows({ choice }: PlannedLoad): boolean {
-    return choice.source !== 'store' || this.window.waitMs() <= 0;
+  storeAllows({ group, choice }: PlannedLoad): boolean {
+    return choice.source !== 'store' || this.storeWaitMs(group, choice.loadMs) <= 0;
   }
 
-  /** Counts a load that begins. */
-  noteStart({ choice }: PlannedLoad): void {
-    if (choice.source === 'store') this.window.record();
+  /** Counts a load from the weight store that begins; undefined for any other. */
+  noteStart({ group, choice }: PlannedLoad): StoreLoad | undefined {
+    if (choice.source !== 'store') return undefined;
+    this.window.record();
+    const { link, serviceOf } = this.options;
+    const model = serviceOf(group.service)?.engine?.models.get(group.model);
+    return link.begin(model?.storeLoadMs ?? choice.loadMs);
+  }
+
+  /** Milliseconds until the weight store may be used for a group; Infinity when it may not. */
+  private storeWaitMs(group: DemandGroup, loadMs: number): number {
+    const { link } = this.options;
+    if (!group.demands.some((demand) => demand.mayUseStore)) return Infinity;
+    if (group.another && link.atOnce >= link.limit * ANOTHER_REPLICA_LINK_SHARE) return Infinity;
+    return Math.max(this.window.waitMs(), link.waitMs(loadMs));
   }
 
   private storeLimitOf(engine: EngineDefinition): number {
@@ -129,7 +146,9 @@
       loads,
       now,
       promisedUntil: (name) => this.promises.until(name),
-      storeWaitMs: group.demands.some((demand) => demand.mayUseStore) ? this.window.waitMs() : Infinity,
+      times: this.options.times,
+      storeWaitMs: this.storeWaitMs(group, model.storeLoadMs),
+      storeSlowdown: this.options.link.slowdown(),
       replicasOf,
       maximumVictimValue: group.another ? share * ANOTHER_REPLICA_SHARE : Math.max(LEAST_VICTIM_VALUE, share),
     });
@@ -141,8 +160,7 @@
       .filter((worker) => worker.isKnown && worker.isResponsive)
       .flatMap((worker) => {
         const backEnd = directory.get(worker.backEndId);
-        const busyMs = Math.max(worker.pendingSwaps > 0 ? OVERDUE_MS : 0, worker.busyMs);
-        return backEnd === undefined ? [] : [{ backEnd, residents: worker.residents, busyMs }];
+        return backEnd === undefined ? [] : [{ backEnd, residents: worker.residents, busyMs: worker.busyMs }];
       });
   }
 
--- a/packages/residency/src/load-scheduler.ts
+++ b/packages/residency/src/load-scheduler.ts
@@ -2,9 +2,10 @@
  * Carries out the loads of one zone: keeps the demands that wait, plans again whenever something has changed, starts
  * the loads whose worker is free, and settles the demands that a load has served.
  */
+import { remainingMs } from '@woodbarrow/backends';
 import type { EventLog } from '@woodbarrow/observability';
-import type { PlannedLoad } from './load-plan.js';
-import { LoadPlanner, OVERDUE_MS, type LoadPlannerOptions } from './load-planner.js';
+import { victimsAhead, type PlannedLoad } from './load-plan.js';
+import { LoadPlanner, type LoadPlannerOptions } from './load-planner.js';
 import {
   DemandQueue,
   groupKey,
@@ -39,8 +40,9 @@
 
 /** A load under way, with the demands that it will serve. */
 interface Loading {
-  /** Monotonic time at which the model is expected to be resident. */
-  readonly readyAt: number;
+  readonly beganAt: number;
+  /** Milliseconds after which the model was expected to be resident, when it began. */
+  readonly expectedMs: number;
   readonly backEndId: string;
   readonly demands: PendingDemand[];
 }
@@ -64,6 +66,10 @@
   private readonly loading = new Map<string, Loading>();
   private readonly promises: ReturnPromises;
   private readonly planner: LoadPlanner;
+  /** Services on whose workers models may have been retired. */
+  private readonly retiring = new Set<string>();
+  /** Monotonic time of the last plan. */
+  private plannedAt = -Infinity;
   private ticking = false;
 
   constructor(private readonly options: LoadSchedulerOptions) {
@@ -81,7 +87,7 @@
     const now = this.options.clock.monotonic();
     const key = groupKey(wanted);
     const loading = this.loading.get(key);
-    if (loading !== undefined) return { readyMs: Math.max(OVERDUE_MS, loading.readyAt - now), occupiesMs: 0 };
+    if (loading !== undefined) return { readyMs: this.leftOf(loading), occupiesMs: 0 };
     const demand = {
       arrivedAt: now,
       targetAt: now + targetMs,
@@ -129,16 +135,13 @@
     for (const { wanted, demand } of this.queue.takeExpired()) this.settleLate(wanted, demand);
     const services = new Set(this.queue.all().map((group) => group.service));
     for (const service of services) this.startLoads(service);
+    for (const service of this.retiring) if (!services.has(service)) this.retire(service, []);
     this.tickWhileWaiting();
   }
 
   private admit(wanted: WantedModel, demand: PendingDemand, times: DemandTimes): void {
-    const now = this.options.clock.monotonic();
     const loading = this.loading.get(groupKey(wanted));
-    const readyMs =
-      loading === undefined
-        ? this.quote(wanted, times.targetMs, demand).readyMs
-        : Math.max(0, loading.readyAt - now);
+    const { readyMs } = this.quote(wanted, times.targetMs, demand);
     const reason = reasonToRefuse(readyMs, times);
     if (reason !== undefined) {
       this.refuse(wanted, demand, reason, readyMs);
@@ -209,12 +212,30 @@
     });
   }
 
+  /** Milliseconds that a load is expected to take still. */
+  private leftOf({ beganAt, expectedMs }: Loading): number {
+    return remainingMs(expectedMs, this.options.clock.monotonic() - beganAt);
+  }
+
   private startLoads(service: string): void {
-    if (!this.planner.hasFreeWorker(service)) return;
+    const now = this.options.clock.monotonic();
+    // While all workers are occupied a plan only looks ahead, which need not follow each change.
+    if (!this.planner.hasFreeWorker(service) && now - this.plannedAt < PLAN_INTERVAL_MS) return;
+    this.plannedAt = now;
     const groups = this.queue.all().filter((group) => group.service === service);
-    for (const planned of this.planner.plan(service, groups)) {
+    const plan = this.planner.plan(service, groups);
+    for (const planned of plan) {
       if (planned.startsNow && this.planner.storeAllows(planned)) this.start(planned);
     }
+    this.retire(service, plan);
+  }
+
+  /** Models that make way next take no new requests, so that their runs end while the load before goes on. */
+  private retire(service: string, plan: readonly PlannedLoad[]): void {
+    const victims = victimsAhead(plan);
+    for (const worker of this.options.workersOf(service)) worker.retire(victims.get(worker.backEndId) ?? []);
+    if (plan.length > 0) this.retiring.add(service);
+    else this.retiring.delete(service);
   }
 
   private start(planned: PlannedLoad): void {
@@ -224,19 +245,19 @@
     const worker = workersOf(group.service).find((candidate) => candidate.backEndId === id);
     if (worker === undefined) return;
     this.logDecision(group, choice);
-    this.planner.noteStart(planned);
-    const expectedMs = choice.readyMs - choice.candidate.busyMs;
-    const loading: Loading = { readyAt: clock.monotonic() + choice.readyMs, backEndId: id, demands: [] };
+    const storeLoad = this.planner.noteStart(planned);
+    const expectedMs = choice.unloadMs + choice.loadMs;
+    const loading: Loading = { beganAt: clock.monotonic(), expectedMs, backEndId: id, demands: [] };
     this.loading.set(group.key, loading);
     for (const demand of this.queue.take(group.key)) this.attach(group, loading, demand);
-    worker.swap(group.model, choice.victims, expectedMs, choice.loadMs).then(
-      (loaded) => {
-        this.finish(group, loading, loaded);
-      },
-      () => {
-        this.finish(group, loading, false);
-      },
-    );
+    const finish = (loaded: boolean): void => {
+      storeLoad?.ended(loaded);
+      this.finish(group, loading, loaded);
+    };
+    const { victims, unloadMs, loadMs, source } = choice;
+    worker.swap({ model: group.model, victims, unloadMs, loadMs, source }).then(finish, () => {
+      finish(false);
+    });
   }
 
   /** Demands of a load that did not come about wait for another one. */
--- a/packages/residency/src/load-view.ts
+++ b/packages/residency/src/load-view.ts
@@ -2,12 +2,12 @@
 import type { LoadBook } from '@woodbarrow/backends';
 
 /** Demand and runs, as a plan sees them. */
-export type LoadView = Pick<LoadBook, 'demandFor' | 'requestsFor'>;
+export type LoadView = Pick<LoadBook, 'demandFor' | 'endsInMs'>;
 
 /** Answers of a load book as they were when first asked for; for the time of one plan. */
 export class RememberedLoads implements LoadView {
   private readonly demand = new Map<string, number>();
-  private readonly requests = new Map<string, number>();
+  private readonly ends = new Map<string, number>();
 
   constructor(private readonly loads: LoadView) {}
 
@@ -15,9 +15,9 @@
     return remembered(this.demand, model, () => this.loads.demandFor(model));
   }
 
-  requestsFor(backEndId: string, model: string): number {
+  endsInMs(backEndId: string, model: string): number {
     const key = `${backEndId} ${model}`;
-    return remembered(this.requests, key, () => this.loads.requestsFor(backEndId, model));
+    return remembered(this.ends, key, () => this.loads.endsInMs(backEndId, model));
   }
 }
 
--- a/packages/residency/src/placement-choice.ts
+++ b/packages/residency/src/placement-choice.ts
@@ -1,6 +1,7 @@
 /** Decides which worker of a zone loads a model, and which resident models make way for it. */
 import type { BackEnd, EngineDefinition, ModelDefinition } from '@woodbarrow/backends';
 import { leastBy } from '@woodbarrow/runtime';
+import type { LoadTimes, WeightSource } from './load-times.js';
 import type { LoadView } from './load-view.js';
 import type { ResidentModel, ResidentSet } from './resident-set.js';
 
@@ -21,9 +22,13 @@
   readonly readyMs: number;
   /** Milliseconds for which what makes way is still needed; the load must not begin before. */
   readonly notBeforeMs: number;
+  /** Expected milliseconds until what makes way is gone, once its worker is free. */
+  readonly unloadMs: number;
   /** Expected milliseconds of the load alone. */
   readonly loadMs: number;
-  readonly source: 'memory' | 'disk' | 'store';
+  readonly source: WeightSource;
+  /** Milliseconds until the weight store takes the load; its worker is not occupied before. */
+  readonly storeWaitMs: number;
 }
 
 /** Inputs of {@link choosePlacement}. */
@@ -32,9 +37,12 @@
   readonly engine: EngineDefinition;
   readonly candidates: readonly PlacementCandidate[];
   readonly loads: LoadView;
+  readonly times: Pick<LoadTimes, 'loadMs' | 'unloadMs'>;
   readonly now: number;
   /** Milliseconds until the weight store may be used; Infinity when it may not. */
   readonly storeWaitMs: number;
+  /** How many times longer a load from the weight store takes while others share its link. */
+  readonly storeSlowdown: number;
   /** Monotonic time until which a model is kept for requests that were told to come back for it. */
   readonly promisedUntil: (model: string) => number;
   /** Number of workers in all zones that hold a model. */
@@ -43,10 +51,6 @@
   readonly maximumVictimValue: number;
 }
 
-/** Expected time to unload an idle model, in milliseconds. */
-const UNLOAD_MS = 70;
-/** Expected wait for the runs of a model to end, in milliseconds. */
-const RUNS_END_MS = 1300;
 /** Cost of one recent request, per replica, for a model that makes way, in milliseconds. */
 const MS_PER_REQUEST = 300;
 /** Cost of a worker whose adapters are in use: none can be loaded there meanwhile, in milliseconds. */
@@ -84,12 +88,12 @@
   const source = sourceOf(candidate.backEnd, inputs.model.name);
   const storeWaitMs = source === 'store' ? inputs.storeWaitMs : 0;
   if (storeWaitMs === Infinity) return [];
-  const loadMs = loadTimeMs(inputs.model, source);
+  const loadMs = inputs.times.loadMs(inputs.model, source) * (source === 'store' ? inputs.storeSlowdown : 1);
   const beginMs = Math.max(candidate.busyMs, victims.notBeforeMs) + victims.waitMs;
   const readyMs = Math.max(beginMs, storeWaitMs) + loadMs;
   const heldUpMs = candidate.residents.adapterCount > 0 ? ADAPTERS_HELD_UP_MS : 0;
-  const { names, notBeforeMs } = victims;
-  const choice = { candidate, victims: names, readyMs, notBeforeMs, loadMs, source };
+  const { names, notBeforeMs, waitMs: unloadMs } = victims;
+  const choice = { candidate, victims: names, readyMs, notBeforeMs, unloadMs, loadMs, source, storeWaitMs };
   return [
     { choice, costMs: readyMs + victims.costMs + heldUpMs + (victims.waitMs + loadMs) * OCCUPANCY_WEIGHT },
   ];
@@ -100,13 +104,7 @@
   return inputs.loads.demandFor(model) / Math.max(1, inputs.replicasOf(model));
 }
 
-/** Expected load time of a model, in milliseconds. */
-function loadTimeMs(model: ModelDefinition, source: PlacementChoice['source']): number {
-  if (source === 'memory') return model.memoryLoadMs;
-  return source === 'disk' ? model.diskLoadMs : model.storeLoadMs;
-}
-
-function sourceOf(backEnd: BackEnd, model: string): PlacementChoice['source'] {
+function sourceOf(backEnd: BackEnd, model: string): WeightSource {
   if (backEnd.nearby.inMemory.includes(model)) return 'memory';
   return backEnd.nearby.onDisk.includes(model) ? 'disk' : 'store';
 }
@@ -122,7 +120,7 @@
     .map(({ model, costMs }) => ({
       model,
       costMs,
-      unloadMs: unloadMs(backEnd, model.definition.name, inputs),
+      unloadMs: unloadMs(backEnd, model, inputs),
     }))
     .sort((left, right) => left.costMs + left.unloadMs - right.costMs - right.unloadMs);
   const names: string[] = [];
@@ -149,8 +147,8 @@
 }
 
 /** Expected time to unload a model: its runs must end first. */
-function unloadMs({ id }: BackEnd, model: string, { loads }: PlacementInputs): number {
-  return loads.requestsFor(id, model) > 0 ? RUNS_END_MS : UNLOAD_MS;
+function unloadMs({ id }: BackEnd, model: ResidentModel, { loads, times }: PlacementInputs): number {
+  return times.unloadMs(loads.endsInMs(id, model.definition.name));
 }
 
 function costOf(model: ResidentModel, inputs: PlacementInputs): number {
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -15,7 +15,7 @@
   type ResidencyDemandMessage,
   type ZoneClaim,
 } from '@woodbarrow/protocol';
-import { BackgroundService, sleep, type Clock } from '@woodbarrow/runtime';
+import { BackgroundService, sleep, type Clock, type Random } from '@woodbarrow/runtime';
 import type { OrderClient } from './order-client.js';
 import type { StoreWindowOptions } from './load-planner.js';
 import { ZoneResidency } from './zone-residency.js';
@@ -42,13 +42,15 @@
   readonly handoverPauseMs: number;
   readonly storeWindow: StoreWindowOptions;
   readonly clock: Clock;
+  readonly random: Random;
   readonly log: EventLog;
 }
 
 const CANDIDATE_PAUSE_MS = 250;
 /** Pause between two looks at what can be done without being asked, in milliseconds. */
 const TEND_PAUSE_MS = 500;
-const RENEW_INTERVAL_MS = 3000;
+/** Pause between two renewals of a lease, in milliseconds: a fifth of its lifetime. */
+const RENEW_INTERVAL_MS = 2000;
 const RENEW_RETRY_MS = 600;
 interface HeldZone {
   readonly lease: StoreLease;
@@ -97,7 +99,13 @@
 
   /** Zones that this daemon coordinates. */
   claims(): ZoneClaim[] {
-    return [...this.held].map(([zone, { lease }]) => ({ zone, fence: lease.fence }));
+    return [...this.held].map(([zone, { lease, residency }]) => ({
+      zone,
+      fence: lease.fence,
+      storeLoads: residency.storeLoads,
+      leaseRevision: lease.revision,
+      confirmedAgoMs: Math.floor(lease.confirmedAgoMs()),
+    }));
   }
 
   /** Gives all leases back: a planned stop. */
@@ -136,7 +144,7 @@
 
   private async tryTake(zone: string): Promise<void> {
     const lease = this.leaseOf(zone);
-    const result = await lease.tryAcquire();
+    const result = await lease.tryAcquire(this.options.coordinators.lastConfirmation(zone));
     if (result.kind === 'waiting') {
       // One zone that must be waited for does not hold up the others.
       const pauseMs = Math.min(result.retryAfterMs, RENEW_INTERVAL_MS);
@@ -165,7 +173,7 @@
         pauseMs = RENEW_RETRY_MS;
         this.options.log.warned('lease_unconfirmed', {
           zone,
-          confirmedAgoMs: Math.round(lease.confirmedAgoMs()),
+          confirmedAgoMs: Math.floor(lease.confirmedAgoMs()),
           cause: messageOf(error),
         });
       }
@@ -175,7 +183,8 @@
   }
 
   private coordinate(zone: string, lease: StoreLease): ZoneResidency {
-    const { self, directory, loads, orders, serviceOf, announce, clock, log, storeWindow } = this.options;
+    const { self, directory, loads, orders, serviceOf, announce, clock, random, log, storeWindow } =
+      this.options;
     return new ZoneResidency({
       zone,
       holder: self.id,
@@ -185,14 +194,27 @@
       orders,
       serviceOf,
       clock,
+      random: random.fork(),
       log,
       storeWindow,
       signal: this.tasks.signal,
       zones: () => this.zones(),
+      storeLoadsElsewhere: () => this.storeLoadsBeside(zone),
       announce,
     });
   }
 
+  /** Loads from the weight store that the coordinators of all zones but one have under way, as they last told. */
+  private storeLoadsBeside(zone: string): number {
+    let loads = 0;
+    for (const other of this.zones()) {
+      if (other === zone) continue;
+      const ownZone = this.held.get(other);
+      loads += ownZone?.residency.storeLoads ?? this.options.coordinators.of(other)?.storeLoads ?? 0;
+    }
+    return loads;
+  }
+
   private async onDemand(message: ResidencyDemandMessage): Promise<ResidencyDemandAnswer> {
     const held = this.held.get(message.zone);
     if (held === undefined) throw new WoodbarrowError('not_leader', 'no lease on that zone');
--- a/packages/residency/src/resident-set.ts
+++ b/packages/residency/src/resident-set.ts
@@ -10,6 +10,11 @@
   state: ResidentState;
   /** Monotonic time of the last change of state. */
   since: number;
+  /**
+   * Monotonic time since which no new requests are sent to it, because it makes way for the load that is planned next
+   * on its worker; undefined while it takes requests.
+   */
+  retiredAt?: number | undefined;
   readonly adapters: Map<string, ResidentState>;
 }
 
@@ -47,6 +52,7 @@
     }
     held.state = state;
     held.since = now;
+    held.retiredAt = undefined;
   }
 
   /** Replaces everything by what a worker reports; what it does not list is gone. */
--- a/packages/residency/src/worker-orders.ts
+++ b/packages/residency/src/worker-orders.ts
@@ -1,9 +1,16 @@
 /** What one worker is to hold: loads, unloads, and what is known of their outcome. */
-import type { BackendDirectory, EngineDefinition, LoadBook, ModelTarget } from '@woodbarrow/backends';
+import {
+  remainingMs,
+  type BackendDirectory,
+  type EngineDefinition,
+  type LoadBook,
+  type ModelTarget,
+} from '@woodbarrow/backends';
 import { messageOf, WoodbarrowError } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
 import { settleWithin, sleep, type Clock } from '@woodbarrow/runtime';
 import { AdapterOrders } from './adapter-orders.js';
+import type { LoadTimes, WeightSource } from './load-times.js';
 import type { OrderClient, WorkerReport } from './order-client.js';
 import { OrderSender, REPORT_LAG_MS, type FinalOutcome, type OrderAuthority } from './order-sender.js';
 import { ResidentSet } from './resident-set.js';
@@ -16,6 +23,8 @@
   readonly orders: OrderClient;
   readonly authority: OrderAuthority;
   readonly engine: () => EngineDefinition | undefined;
+  /** Told how long loads and unloads have taken. */
+  readonly times: LoadTimes;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly signal: AbortSignal;
@@ -23,6 +32,29 @@
   readonly announce: (target: ModelTarget, resident: boolean) => void;
 }
 
+/** A load to carry out, with the models that make way for it first. Times in milliseconds, as expected. */
+export interface SwapOrder {
+  readonly model: string;
+  readonly victims: readonly string[];
+  readonly unloadMs: number;
+  readonly loadMs: number;
+  readonly source: WeightSource;
+}
+
+/** A swap under way. */
+interface SwapUnderWay {
+  readonly beganAt: number;
+  readonly expectedMs: number;
+}
+
+/** How the models of a swap made way. */
+interface UnloadFacts {
+  /** Foretold end of the last run of any of them, in milliseconds; 0 without runs. */
+  readonly endsInMs: number;
+  /** Longest time for which one of them had taken no requests before. */
+  readonly retiredMs: number;
+}
+
 /** Pause between two reports while a model is loaded or unloaded, in milliseconds. */
 const MODEL_POLL_MS = 60;
 /** Time that an unload takes at most: runs must end first, in milliseconds. */
@@ -47,7 +79,9 @@
   private preparing: Promise<void> | undefined;
   private swapping: Promise<unknown> = Promise.resolve();
   private queuedSwaps = 0;
-  private busyUntil = 0;
+  /** Monotonic time until which adapters have their turn. */
+  private adaptersUntil = 0;
+  private current: SwapUnderWay | undefined;
   /** Adapters wanted that wait for the end of a load or unload. */
   private adaptersWaiting = 0;
 
@@ -78,7 +112,9 @@
 
   /** Milliseconds until all loads and unloads decided so far are expected to be done. */
   get busyMs(): number {
-    return Math.max(0, this.busyUntil - this.options.clock.monotonic());
+    const now = this.options.clock.monotonic();
+    if (this.current !== undefined) return remainingMs(this.current.expectedMs, now - this.current.beganAt);
+    return Math.max(0, this.adaptersUntil - now);
   }
 
   /** Milliseconds until an adapter of a model that it holds is expected to be resident. */
@@ -100,13 +136,18 @@
     return this.preparing;
   }
 
-  /** Unloads `victims` and loads `model`. Resolves with whether it is resident. */
-  swap(model: string, victims: readonly string[], expectedMs: number, loadMs: number): Promise<boolean> {
-    const { clock } = this.options;
-    this.busyUntil = Math.max(this.busyUntil, clock.monotonic()) + expectedMs;
-    this.reserve(model, victims);
+  /** Unloads the victims and loads the model. Resolves with whether it is resident. */
+  swap(order: SwapOrder): Promise<boolean> {
+    const { clock, loads, backEndId } = this.options;
+    const now = clock.monotonic();
+    this.current ??= { beganAt: now, expectedMs: order.unloadMs + order.loadMs };
+    const unloads = {
+      endsInMs: Math.max(0, ...order.victims.map((victim) => loads.endsInMs(backEndId, victim))),
+      retiredMs: Math.max(0, ...order.victims.map((victim) => this.retiredMs(victim))),
+    };
+    this.reserve(order.model, order.victims);
     this.queuedSwaps += 1;
-    const result = this.swapping.then(() => this.carryOutSwap(model, victims, loadMs));
+    const result = this.swapping.then(() => this.carryOutSwap(order, unloads));
     this.swapping = result
       .catch(() => undefined)
       .finally(() => {
@@ -116,6 +157,35 @@
     return result;
   }
 
+  /**
+   * Stops new requests for just these models and lets requests for all others in again. They make way for the load
+   * that is planned next here, so that their runs end while the worker is still occupied by the load before.
+   */
+  retire(models: readonly string[]): void {
+    const now = this.options.clock.monotonic();
+    for (const [name, held] of this.residents.models) {
+      if (held.state !== 'resident') continue;
+      const retires = models.includes(name);
+      if ((held.retiredAt !== undefined) === retires) continue;
+      held.retiredAt = retires ? now : undefined;
+      this.options.announce({ model: name }, !retires);
+    }
+  }
+
+  /** Milliseconds for which a model has taken no new requests. */
+  private retiredMs(model: string): number {
+    const retiredAt = this.residents.models.get(model)?.retiredAt;
+    return retiredAt === undefined ? 0 : this.options.clock.monotonic() - retiredAt;
+  }
+
+  /** Lets requests for a model in again, which is asked for after all. */
+  keep(model: string): void {
+    const held = this.residents.models.get(model);
+    if (held?.state !== 'resident' || held.retiredAt === undefined) return;
+    held.retiredAt = undefined;
+    this.options.announce({ model }, true);
+  }
+
   /**
    * Loads an adapter of a resident model. Resolves with whether it is resident. Waits while the worker loads or
    * unloads a model, as it takes no adapter then.
@@ -140,7 +210,8 @@
   /** Adapters that have waited for a load go before the next one. */
   private letAdaptersIn(): void {
     if (this.queuedSwaps > 0) return;
-    this.busyUntil = this.adaptersWaiting > 0 ? this.options.clock.monotonic() + ADAPTERS_TURN_MS : 0;
+    this.current = undefined;
+    if (this.adaptersWaiting > 0) this.adaptersUntil = this.options.clock.monotonic() + ADAPTERS_TURN_MS;
   }
 
   /** One report is enough for a worker that nothing was ordered of. */
@@ -160,29 +231,39 @@
       if (held === undefined) continue;
       held.state = 'unloading';
       held.since = now;
-      announce({ model: victim }, false);
+      if (held.retiredAt === undefined) announce({ model: victim }, false);
     }
     if (definition !== undefined) this.residents.setModel(definition, 'loading', now);
   }
 
-  private async carryOutSwap(model: string, victims: readonly string[], loadMs: number): Promise<boolean> {
-    const { clock, log, backEndId } = this.options;
+  private async carryOutSwap(order: SwapOrder, unloads: UnloadFacts): Promise<boolean> {
+    const { clock, log, backEndId, times, engine } = this.options;
+    const { model, victims, source } = order;
     const startedAt = clock.monotonic();
     try {
       for (const [index, victim] of victims.entries()) {
         await this.unload(victim, index === victims.length - 1);
       }
-      const orderedAt = await this.load(model, victims, loadMs);
+      const orderedAt = await this.load(model, victims, order.loadMs);
+      const unloadMs = orderedAt - startedAt;
+      const loadMs = clock.monotonic() - orderedAt;
+      if (victims.length > 0) times.noteUnload(unloads.endsInMs, unloadMs);
+      const definition = engine()?.models.get(model);
+      if (definition !== undefined) times.noteLoad(definition, source, loadMs);
       log.changed('load_finished', {
         backEnd: backEndId,
         model,
-        unloadMs: Math.round(orderedAt - startedAt),
+        source,
+        unloadMs: Math.round(unloadMs),
+        expectedUnloadMs: Math.round(order.unloadMs),
+        retiredMs: Math.round(unloads.retiredMs),
+        loadMs: Math.round(loadMs),
+        expectedLoadMs: Math.round(order.loadMs),
         tookMs: Math.round(clock.monotonic() - startedAt),
       });
       return true;
     } catch (error) {
       log.warned('load_failed', { backEnd: backEndId, model, cause: messageOf(error) });
-      this.busyUntil = 0;
       void this.learn();
       return false;
     }
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -11,11 +11,13 @@
 import { WoodbarrowError } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
 import type { ResidencyChange, ResidencyDemandAnswer, ResidencyDemandMessage } from '@woodbarrow/protocol';
-import { leastBy, settleWithin, sleep, type Clock } from '@woodbarrow/runtime';
+import { leastBy, settleWithin, sleep, type Clock, type Random } from '@woodbarrow/runtime';
 import type { StoreWindowOptions } from './load-planner.js';
+import { LoadTimes } from './load-times.js';
 import { LoadScheduler } from './load-scheduler.js';
 import type { OrderClient } from './order-client.js';
 import type { Placement } from './pending-demand.js';
+import { StoreLink } from './store-link.js';
 import { WorkerOrders } from './worker-orders.js';
 
 /** Options of {@link ZoneResidency}. */
@@ -28,11 +30,14 @@
   readonly orders: OrderClient;
   readonly serviceOf: (name: string) => ServiceDefinition | undefined;
   readonly clock: Clock;
+  readonly random: Random;
   readonly log: EventLog;
   readonly signal: AbortSignal;
   /** Zones with workers that run models: they share the weight store. */
   readonly zones: () => readonly string[];
   readonly storeWindow: StoreWindowOptions;
+  /** Loads from the weight store that the coordinators of other zones have under way. */
+  readonly storeLoadsElsewhere: () => number;
   /** Tells all daemons. */
   readonly announce: (change: ResidencyChange) => void;
 }
@@ -45,15 +50,30 @@
 export class ZoneResidency {
   private readonly workers = new Map<string, WorkerOrders>();
   private readonly scheduler: LoadScheduler;
+  private readonly times = new LoadTimes();
+  private readonly link: StoreLink;
 
   constructor(private readonly options: ZoneResidencyOptions) {
+    this.link = new StoreLink({
+      clock: options.clock,
+      random: options.random,
+      elsewhere: options.storeLoadsElsewhere,
+      sharers: () => options.zones().length,
+    });
     this.scheduler = new LoadScheduler({
       ...options,
+      times: this.times,
+      link: this.link,
       workersOf: (service) => this.openWorkers(service).map((backEnd) => this.workerOf(backEnd.id)),
       mayAct: () => options.lease.mayAct(),
     });
   }
 
+  /** Loads from the weight store that this coordinator has under way. */
+  get storeLoads(): number {
+    return this.link.own;
+  }
+
   /** Answers a demand once the target is resident, or when it will not be in time; a quote at once. */
   async demand(message: ResidencyDemandMessage): Promise<ResidencyDemandAnswer> {
     const { clock } = this.options;
@@ -111,7 +131,10 @@
     const { service, model, targetMs } = message;
     const another = message.another === true;
     const holder = another ? undefined : this.holderOf(message);
-    if (holder !== undefined) return { kind: 'resident', backEndId: holder.backEndId };
+    if (holder !== undefined) {
+      holder.keep(model);
+      return { kind: 'resident', backEndId: holder.backEndId };
+    }
     return this.scheduler.wait(
       { service, model, another },
       { targetMs: targetMs ?? withinMs, withinMs, longestReturnMs: message.longestReturnMs ?? 0 },
@@ -162,6 +185,7 @@
       orders,
       authority: { holder, currentFence: () => this.currentFence() },
       engine: () => this.options.serviceOf(service)?.engine,
+      times: this.times,
       clock,
       log,
       signal,
--- a/packages/residency/test/demand-router.test.ts
+++ b/packages/residency/test/demand-router.test.ts
@@ -10,6 +10,7 @@
   type ResidencyDemandAnswer,
   type ResidencyDemandMessage,
 } from '@woodbarrow/protocol';
+import type { SimulatedWorld } from '@woodbarrow/runtime';
 import { DemandRouter, QUOTE_REASON } from '../src/index.js';
 
 const ZONES = ['alpha', 'beta'];
@@ -25,6 +26,16 @@
     );
 }
 
+/** The same answer, some time later. */
+function later(world: SimulatedWorld, delayMs: number, answer: Answer): Answer {
+  return (message) =>
+    new Promise((resolve) => {
+      world.schedule(delayMs, () => {
+        resolve(answer(message));
+      });
+    });
+}
+
 /** One daemon that asks, and a coordinator for each zone. */
 class RouterWorld {
   readonly cluster = new SimulatedCluster({ seed: 1 });
@@ -47,7 +58,15 @@
         if (answer === undefined) throw new Error('no answer for this zone');
         return answer(message);
       });
-      claims.push({ zone, holder: `coordinator-${zone}`, address: coordinator.peers.address, fence: 1 });
+      claims.push({
+        zone,
+        holder: `coordinator-${zone}`,
+        address: coordinator.peers.address,
+        fence: 1,
+        storeLoads: 0,
+        leaseRevision: 1,
+        confirmedAgoMs: 0,
+      });
       directory.put({
         id: `worker-${zone}`,
         service: 'models',
@@ -119,6 +138,24 @@
     expect(world.cluster.world.now).to.be.lessThan(400);
   });
 
+  it('does not wait for a silent coordinator when another has promised a load', async () => {
+    await world.start();
+    world.answers.set('alpha', () => new Promise(() => undefined));
+    world.answers.set('beta', quoting(500));
+    const startedAt = world.cluster.world.now;
+    expect(await world.ask()).to.deep.equal({ held: true, backEndId: 'worker-beta' });
+    expect(world.cluster.world.now - startedAt).to.be.below(150);
+  });
+
+  it('leaves a coordinator time to refuse before it gives up itself', async () => {
+    await world.start();
+    world.answers.set('alpha', quoting(100));
+    world.answers.set('beta', quoting(Infinity));
+    await world.ask({ withinMs: 1000 });
+    const [final] = world.asked.filter(({ quote }) => quote !== true);
+    expect(final?.withinMs).to.be.within(850, 925);
+  });
+
   it('asks again until its time is up while no zone can make room', async () => {
     await world.start();
     for (const zone of ZONES) world.answers.set(zone, quoting(Infinity));
@@ -147,7 +184,8 @@
     await world.ask({ comeBack: { tellWithinMs: 200, longestMs: 3000 } });
     expect(world.asked.find(({ quote }) => quote !== true)?.longestReturnMs).to.equal(3000);
     world.asked.length = 0;
-    world.answers.set('alpha', () => new Promise(() => undefined));
+    // All quotes come when it is too late to tell the client.
+    for (const zone of ZONES) world.answers.set(zone, later(world.cluster.world, 250, quoting(100)));
     await world.ask({ comeBack: { tellWithinMs: 200, longestMs: 3000 } });
     expect(world.asked.find(({ quote }) => quote !== true)?.longestReturnMs).to.equal(undefined);
   });
--- a/packages/residency/test/load-plan.test.ts
+++ b/packages/residency/test/load-plan.test.ts
@@ -52,7 +52,16 @@
   const [first] = [...candidates].sort((left, right) => left.busyMs - right.busyMs);
   if (first === undefined) return undefined;
   const readyMs = Math.max(first.busyMs, notBeforeMs) + LOAD_MS;
-  return { candidate: first, victims: [], readyMs, notBeforeMs, loadMs: LOAD_MS, source: 'disk' };
+  return {
+    candidate: first,
+    victims: [],
+    readyMs,
+    notBeforeMs,
+    unloadMs: 0,
+    loadMs: LOAD_MS,
+    source: 'disk',
+    storeWaitMs: 0,
+  };
 }
 
 function names(groups: readonly DemandGroup[]): string[] {
--- a/packages/residency/test/placement-choice.test.ts
+++ b/packages/residency/test/placement-choice.test.ts
@@ -2,6 +2,7 @@
 import { LoadBook, NO_NEARBY_COPIES, type EngineDefinition, type NearbyCopies } from '@woodbarrow/backends';
 import { SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
 import {
+  LoadTimes,
   LoadWindow,
   ResidentSet,
   choosePlacement,
@@ -67,8 +68,10 @@
       engine: ENGINE,
       candidates,
       loads,
+      times: new LoadTimes(),
       now: 0,
       storeWaitMs: 0,
+      storeSlowdown: 1,
       promisedUntil: () => 0,
       replicasOf: () => 1,
       maximumVictimValue: 3,
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -3,6 +3,7 @@
 import type { LeaseRecord, LeaseRecordStore, StoredLease } from '@woodbarrow/coordination';
 import { silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster } from '@woodbarrow/peering';
+import { Random } from '@woodbarrow/runtime';
 import { CoordinatorDirectory, PeerExchange, type FollowedRecords, type Member } from '@woodbarrow/exchange';
 import { ResidencyService, type OrderClient } from '../src/index.js';
 
@@ -118,6 +119,7 @@
       handoverPauseMs: 3000,
       storeWindow: { windowMs: 5000, overshoot: 1 },
       clock: node.process,
+      random: new Random(1),
       log: silentLog,
     });
     exchange.start();
--- /dev/null
+++ b/packages/residency/test/store-link.test.ts
@@ -0,0 +1,153 @@
+import { expect } from 'chai';
+import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
+import { StoreLink, type StoreLoad } from '../src/index.js';
+
+/** Configured time of each load, in milliseconds. */
+const LOAD_MS = 6000;
+const STEP_MS = 50;
+/** Lag with which zones learn of each other's loads, in milliseconds: the pause between two reports. */
+const TOLD_AFTER_MS = 300;
+
+interface Transfer {
+  readonly load: StoreLoad;
+  leftMs: number;
+}
+
+/** A shared link: beyond its capacity all transfers slow down in proportion. Every zone always has loads waiting. */
+class SharedLink {
+  readonly world = new SimulatedWorld();
+  readonly zones: StoreLink[] = [];
+  completed = 0;
+  /** Loads at once, summed over all steps. */
+  private atOnceSum = 0;
+  private steps = 0;
+  private readonly transfers = new Map<StoreLink, Transfer[]>();
+  private readonly told = new Map<StoreLink, number>();
+
+  constructor(
+    public capacity: number,
+    zoneCount: number,
+  ) {
+    const clock = new SimulatedProcess(this.world, { name: 'd', zone: 'z', region: 'r' });
+    for (let index = 0; index < zoneCount; index += 1) {
+      const link: StoreLink = new StoreLink({
+        clock,
+        elsewhere: () => this.toldBeside(link),
+        sharers: () => zoneCount,
+        random: new Random(index + 1),
+      });
+      this.zones.push(link);
+      this.transfers.set(link, []);
+    }
+  }
+
+  /** Runs for a while and returns the throughput as a share of the best there is. */
+  async run(seconds: number): Promise<number> {
+    const completedBefore = this.completed;
+    const steps = (seconds * 1000) / STEP_MS;
+    this.atOnceSum = 0;
+    this.steps = 0;
+    for (let step = 0; step < steps; step += 1) {
+      if (step % (TOLD_AFTER_MS / STEP_MS) === 0) this.tell();
+      this.begin();
+      this.advance();
+      await this.world.run(this.world.now + STEP_MS);
+    }
+    return ((this.completed - completedBefore) * LOAD_MS) / (seconds * 1000 * this.capacity);
+  }
+
+  /** Mean number of loads at once in the last run. */
+  get meanAtOnce(): number {
+    return this.atOnceSum / this.steps;
+  }
+
+  private toldBeside(link: StoreLink): number {
+    return this.zones.reduce((sum, other) => sum + (other === link ? 0 : (this.told.get(other) ?? 0)), 0);
+  }
+
+  private tell(): void {
+    for (const link of this.zones) this.told.set(link, link.own);
+  }
+
+  private begin(): void {
+    for (const link of this.zones) {
+      link.account();
+      if (link.hasRoom) this.transfers.get(link)?.push({ load: link.begin(LOAD_MS), leftMs: LOAD_MS });
+    }
+  }
+
+  private advance(): void {
+    const all = [...this.transfers.values()].flat();
+    this.atOnceSum += all.length;
+    this.steps += 1;
+    const progressMs = STEP_MS * Math.min(1, this.capacity / Math.max(1, all.length));
+    for (const [link, transfers] of this.transfers) {
+      for (const transfer of transfers) transfer.leftMs -= progressMs;
+      const ended = transfers.filter(({ leftMs }) => leftMs <= 0);
+      this.completed += ended.length;
+      for (const { load } of ended) load.ended(true);
+      this.transfers.set(
+        link,
+        transfers.filter(({ leftMs }) => leftMs > 0),
+      );
+    }
+  }
+}
+
+describe('StoreLink', () => {
+  for (const capacity of [1, 4, 8, 50]) {
+    it(`finds a link that bears ${String(capacity)} loads at once, and keeps to it`, async () => {
+      const link = new SharedLink(capacity, 1);
+      await link.run(120);
+      expect(await link.run(240)).to.be.at.least(0.9);
+      expect(link.meanAtOnce).to.be.at.most(capacity * 1.35 + 1);
+    });
+  }
+
+  it('is shared by several zones that hear of each other late', async () => {
+    const link = new SharedLink(4, 6);
+    await link.run(120);
+    expect(await link.run(240)).to.be.at.least(0.9);
+    expect(link.meanAtOnce).to.be.at.most(8);
+  });
+
+  it('follows a link whose capacity changes', async () => {
+    const link = new SharedLink(8, 1);
+    await link.run(120);
+    link.capacity = 2;
+    await link.run(90);
+    expect(await link.run(240)).to.be.at.least(0.9);
+    expect(link.meanAtOnce).to.be.at.most(4);
+    link.capacity = 8;
+    await link.run(120);
+    expect(await link.run(240)).to.be.at.least(0.9);
+  });
+
+  it('does not wait for zones that no longer tell of their loads', () => {
+    let elsewhere = 20;
+    const clock = new SimulatedProcess(new SimulatedWorld(), { name: 'd', zone: 'z', region: 'r' });
+    const link = new StoreLink({
+      clock,
+      elsewhere: () => elsewhere,
+      sharers: () => 1,
+      random: new Random(1),
+    });
+    expect(link.hasRoom).to.equal(false);
+    expect(link.waitMs(LOAD_MS)).to.be.within(1, 100 * LOAD_MS);
+    elsewhere = 0;
+    expect(link.hasRoom).to.equal(true);
+    expect(link.waitMs(LOAD_MS)).to.equal(0);
+  });
+
+  it('learns nothing from loads that did not come about', async () => {
+    const world = new SimulatedWorld();
+    const clock = new SimulatedProcess(world, { name: 'd', zone: 'z', region: 'r' });
+    const link = new StoreLink({ clock, elsewhere: () => 0, sharers: () => 1, random: new Random(1) });
+    const before = link.limit;
+    const load = link.begin(LOAD_MS);
+    await world.run(world.now + 10 * LOAD_MS);
+    load.ended(false);
+    expect(link.limit).to.equal(before);
+    expect(link.own).to.equal(0);
+  });
+});
--- a/packages/residency/test/zone-residency.test.ts
+++ b/packages/residency/test/zone-residency.test.ts
@@ -96,10 +96,12 @@
       orders: this.orders,
       serviceOf: () => ({ name: SERVICE, connectionLimit: 100, engine: this.engine }),
       clock: this.process,
+      random: this.random.fork(),
       log: silentLog,
       signal: new AbortController().signal,
       zones: () => [ZONE],
       storeWindow: { windowMs: 5000, overshoot: 1 },
+      storeLoadsElsewhere: () => 0,
       announce: ({ backEndId, model, adapter, resident }) => {
         this.directory.announce(backEndId, adapter === undefined ? { model } : { model, adapter }, resident);
       },
@@ -151,6 +153,69 @@
     expect(zone.violations()).to.deep.equal([]);
   });
 
+  /** One worker that holds m0, m1 and m2, the first load of two under way. */
+  async function fullWorkerWithTwoLoads(): Promise<{ zone: ZoneWorld; coordinator: ZoneResidency }> {
+    const zone = new ZoneWorld(31, 1);
+    const coordinator = await zone.coordinator();
+    await zone.settle(Promise.all([demand(coordinator, 'm1'), demand(coordinator, 'm2')]));
+    await zone.world.run(zone.world.now + 2000);
+    void demand(coordinator, 'm5');
+    void demand(coordinator, 'm6');
+    await zone.world.run(zone.world.now + 400);
+    return { zone, coordinator };
+  }
+
+  function holdersNow(zone: ZoneWorld): string[] {
+    return ['m0', 'm1', 'm2'].filter((model) => zone.directory.holdersOf(SERVICE, { model }).length > 0);
+  }
+
+  it('sends no new requests to what makes way next while the load before goes on', async () => {
+    const { zone } = await fullWorkerWithTwoLoads();
+    expect([...(zone.workers.get('w0')?.models.keys() ?? [])]).to.have.length(2);
+    expect(holdersNow(zone)).to.have.length(1);
+    await zone.world.run(zone.world.now + 2000);
+    expect(zone.directory.holdersOf(SERVICE, { model: 'm6' })).to.have.length(1);
+    expect(zone.violations()).to.deep.equal([]);
+  });
+
+  it('lets requests in again for a model that was to make way, when it is asked for', async () => {
+    const { zone, coordinator } = await fullWorkerWithTwoLoads();
+    const [kept] = holdersNow(zone);
+    const held = [...(zone.workers.get('w0')?.models.keys() ?? [])];
+    const retired = held.find((model) => model !== kept) ?? '';
+    const askedAt = zone.world.now;
+    const answer = await zone.settle(demand(coordinator, retired));
+    expect(answer).to.include({ held: true, backEndId: 'w0' });
+    expect(zone.world.now - askedAt).to.be.below(50);
+    expect(zone.directory.holdersOf(SERVICE, { model: retired })).to.have.length(1);
+  });
+
+  it('expects a load that takes longer than usual to take longer still', async () => {
+    const zone = new ZoneWorld(32, 1);
+    const coordinator = await zone.coordinator();
+    await zone.settle(demand(coordinator, 'm1'));
+    zone.orders.trouble = { answerLost: 0, appliedLate: 1 };
+    void demand(coordinator, 'm5');
+    const quotes: number[] = [];
+    for (const afterMs of [500, 2000]) {
+      await zone.world.run(zone.world.now + afterMs);
+      const quote = await zone.settle(
+        coordinator.demand({
+          zone: ZONE,
+          service: SERVICE,
+          model: 'm5',
+          priority: 1,
+          without: [],
+          mayUseStore: true,
+          withinMs: WITHIN_MS,
+          quote: true,
+        }),
+      );
+      quotes.push(quote.retryAfterMs);
+    }
+    expect(quotes[1]).to.be.above(400);
+  });
+
   it('answers with a refusal when nothing can make way in time', async () => {
     const zone = new ZoneWorld(3);
     const coordinator = await zone.coordinator();
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -1,6 +1,6 @@
 /** One serving daemon: its parts, put together, started and stopped. */
 import { messageOf } from '@woodbarrow/errors';
-import { BackendDirectory, LoadBook, type ServiceDefinition } from '@woodbarrow/backends';
+import { BackendDirectory, LoadBook, RunTimes, type ServiceDefinition } from '@woodbarrow/backends';
 import {
   BackendHealth,
   ConfigurationHolder,
@@ -232,6 +232,7 @@
       handoverPauseMs: settings.handoverPauseMs,
       storeWindow: settings.storeWindow,
       clock: ports.clock,
+      random: ports.random.fork(),
       log,
     });
   }
@@ -300,6 +301,7 @@
       dialect,
       directory,
       loads,
+      runTimes: new RunTimes(),
       connections,
       patience: new ClientPatience(),
       plain: new PlainSelector(directory, loads, connections, settings.zone),
