Three relays follow the store, newcomers begin from the register, calls to the store are counted by kind

Change: relays come in one order in which they follow the store; the first three that can do, the others take records from them with their reports, urgent ones at once. A restart writes nothing. Calls are counted by operation, kind of record and outcome on the metrics address.

--- a/packages/coordination/src/relay-topology.ts
+++ b/packages/coordination/src/relay-topology.ts
@@ -13,6 +13,11 @@
 
 /** Groups up to this size have no daemons but relays. */
 export const LARGEST_DIRECT_GROUP = 12;
+/**
+ * Relays of all zones that follow the store at once, the others learn of changes from them. Each costs calls to the
+ * store; with three, one may be silent and one lost while the third tells of a change.
+ */
+export const STORE_FOLLOWERS = 3;
 /** Relays of a zone: one may be lost without a pause. */
 export const RELAYS_PER_ZONE = 2;
 
@@ -24,12 +29,16 @@
   readonly ownRelays: readonly T[];
   /** All relays but this daemon. */
   readonly relays: readonly T[];
+  /** Relays that follow the store rather than this daemon, as long as they can. */
+  readonly followersBefore: readonly T[];
 }
 
 /** Works out the relays among the members of a group, which need not name this daemon. */
 export function relayTopology<T extends RelayCandidate>(self: T, members: readonly T[]): RelayTopology<T> {
   const others = members.filter((member) => member.id !== self.id);
-  if (others.length < LARGEST_DIRECT_GROUP) return { isRelay: true, ownRelays: [], relays: others };
+  if (others.length < LARGEST_DIRECT_GROUP) {
+    return { isRelay: true, ownRelays: [], relays: others, followersBefore: followersBefore(self, others) };
+  }
   const byZone = new Map<string, T[]>();
   for (const member of [self, ...others]) {
     const ofZone = byZone.get(member.zone);
@@ -41,7 +50,21 @@
   const otherRelays = relays.filter((relay) => relay.id !== self.id);
   const ofOwnZone = otherRelays.filter((relay) => relay.zone === self.zone);
   // Each daemon has an order of its own, so that the relays of a zone share the work.
-  return { isRelay, ownRelays: rankByRendezvous(`attach ${self.id}`, ofOwnZone), relays: otherRelays };
+  return {
+    isRelay,
+    ownRelays: rankByRendezvous(`attach ${self.id}`, ofOwnZone),
+    relays: otherRelays,
+    followersBefore: isRelay ? followersBefore(self, otherRelays) : [],
+  };
+}
+
+/** Relays that come before a daemon in the order in which they follow the store. */
+function followersBefore<T extends RelayCandidate>(self: T, otherRelays: readonly T[]): T[] {
+  const ranked = rankByRendezvous('follow the store', [self, ...otherRelays]);
+  return ranked.slice(
+    0,
+    ranked.findIndex(({ id }) => id === self.id),
+  );
 }
 
 function relaysOf<T extends RelayCandidate>(zone: string, members: readonly T[]): T[] {
--- a/packages/exchange/src/peer-exchange.ts
+++ b/packages/exchange/src/peer-exchange.ts
@@ -5,7 +5,7 @@
  * A daemon that finds no relay follows the store itself until it does.
  */
 import { summarizedReport, type LoadBook, type ReportScope } from '@woodbarrow/backends';
-import { relayTopology, type RelayTopology } from '@woodbarrow/coordination';
+import { relayTopology, STORE_FOLLOWERS, type RelayTopology } from '@woodbarrow/coordination';
 import { logTaskFailures, type EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import {
@@ -26,6 +26,7 @@
 import { BehindTracker } from './behind.js';
 import { ChangeLog } from './change-log.js';
 import type { CoordinatorDirectory } from './coordinator-directory.js';
+import { FollowerWatch } from './follower-watch.js';
 import type { RecordSet } from './record-set.js';
 import { toLoadReport, toStateReport } from './state-entries.js';
 
@@ -53,6 +54,8 @@
   readonly self: Member;
   /** Daemons that may be relays. */
   readonly members: () => readonly Member[];
+  /** Whether enough is known of them to tell the relays; nothing is done before. */
+  readonly isGroupKnown: () => boolean;
   readonly peers: PeerNetwork;
   readonly loads: LoadBook;
   readonly coordinators: CoordinatorDirectory;
@@ -91,11 +94,13 @@
   /** Relay that this daemon is attached to. */
   private relay: Member | undefined;
   private readonly behind: BehindTracker;
+  private readonly followers: FollowerWatch;
   private attachFailed = false;
 
   constructor(private readonly options: PeerExchangeOptions) {
     super(options.clock, logTaskFailures(options.log));
     this.changes = new ChangeLog(options.clock);
+    this.followers = new FollowerWatch(options.clock);
     this.behind = new BehindTracker(options.clock, () => this.newestUrgent());
     this.topology = relayTopology(options.self, []);
   }
@@ -143,9 +148,10 @@
     }
   }
 
-  /** A record of an urgent kind has been seen: calls that are held are answered. */
-  wakeAttached(): void {
+  /** A record of an urgent kind has been seen: calls that are held are answered, and other relays told. */
+  passOnUrgent(): void {
     for (const answer of this.held) answer();
+    if (this.topology.isRelay && this.options.records.isFollowing) this.tellNow();
   }
 
   /** Another daemon, met by chance, has seen a record of an urgent kind of this revision. */
@@ -157,18 +163,24 @@
   }
 
   private async step(): Promise<void> {
-    const { self, members, coordinators, ownClaims } = this.options;
+    const { self, members, coordinators, ownClaims, isGroupKnown } = this.options;
+    if (!isGroupKnown()) return;
     const wasRelay = this.topology.isRelay;
     this.topology = relayTopology(self, members());
     if (wasRelay !== this.topology.isRelay) this.changeRole();
     coordinators.accept(self.id, 'own', this.toClaims(ownClaims()));
     if (this.topology.isRelay) {
       this.relay = undefined;
-      this.options.records.followStore(true);
+      this.options.records.followStore(this.isFollower());
       this.tellNow();
     } else await this.attach();
   }
 
+  /** Whether too few of the relays that come before this one follow the store now. */
+  private isFollower(): boolean {
+    return this.followers.countFollowing(this.topology.followersBefore) < STORE_FOLLOWERS;
+  }
+
   /** Reports come another way from now on; those of the former way would count twice. */
   private changeRole(): void {
     const { loads, coordinators, log } = this.options;
@@ -242,10 +254,22 @@
   private onReport(message: StateReportMessage): StateReportAnswer {
     const { records } = this.options;
     this.take(message.from, message.isRelay ? 'relay' : 'attached', message.state);
+    if (message.isRelay) this.followers.note(message.from, !message.needsRecords);
     records.noteElsewhere(message.positions);
+    this.fetchUrgent(message);
     return { updates: message.needsRecords ? this.updatesFor(message.positions) : [] };
   }
 
+  /** A relay that does not follow the store asks at once for an urgent record that another one has told of. */
+  private fetchUrgent({ from, positions }: StateReportMessage): void {
+    if (!this.topology.isRelay || this.options.records.isFollowing) return;
+    const { urgentSources } = this.options;
+    const newest = positions.filter(({ source }) => urgentSources.includes(source));
+    if (!newest.some(({ revision }) => revision > this.newestUrgent())) return;
+    const sender = this.topology.relays.find(({ id }) => id === from);
+    if (sender !== undefined) void this.report(sender, this.reportMessage(RELAY_SCOPES));
+  }
+
   private async onAttach(message: AttachMessage): Promise<AttachAnswer> {
     if (!this.topology.isRelay) return NO_RELAY;
     this.take(message.from, 'attached', message.state);
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -89,6 +89,7 @@
     const exchange: PeerExchange = new PeerExchange({
       self,
       members,
+      isGroupKnown: () => true,
       peers: node.peers,
       loads,
       coordinators,
--- /dev/null
+++ b/packages/serving/src/member-registration.ts
@@ -0,0 +1,82 @@
+/** Enters a daemon into the register of daemons, and finds others through it until it knows some. */
+import { messageOf } from '@woodbarrow/errors';
+import type { EventLog } from '@woodbarrow/observability';
+import { sleep, type Clock } from '@woodbarrow/runtime';
+import type { MemberRegistry, RegisteredMember } from './ports.js';
+
+/** Options of {@link MemberRegistration}. */
+export interface MemberRegistrationOptions {
+  readonly self: RegisteredMember;
+  readonly registry: MemberRegistry;
+  /** Daemons present as the membership knows them, this one included. */
+  readonly presentCount: () => number;
+  readonly clock: Clock;
+  readonly log: EventLog;
+}
+
+/** Pause between two looks at the register while this daemon is alone, in milliseconds. */
+const LOOK_PAUSE_MS = 700;
+/**
+ * Time after which a daemon that has found no other believes that it is alone, in milliseconds. Daemons start within
+ * 0.3 s of each other, and the register may be told with a delay of a second or two.
+ */
+const ALONE_AFTER_MS = 2500;
+/** Time after the start in which registered daemons count that the membership has not met yet, in milliseconds. */
+const REGISTER_BELIEVED_MS = 5000;
+
+/** Registration of one daemon. */
+export class MemberRegistration {
+  private listed: readonly RegisteredMember[] = [];
+  private isRegistered = false;
+  private readonly startedAt: number;
+
+  constructor(private readonly options: MemberRegistrationOptions) {
+    this.startedAt = options.clock.monotonic();
+  }
+
+  /** Addresses of other daemons to begin with. */
+  get seeds(): readonly string[] {
+    return this.listed.map(({ address }) => address);
+  }
+
+  /** Whether it is known what group of daemons this one belongs to, be it a group of one. */
+  get isGroupKnown(): boolean {
+    return this.options.presentCount() > 1 || this.listed.length > 0 || this.ageMs > ALONE_AFTER_MS;
+  }
+
+  /** Registered daemons that may be counted as present until the membership has met them; none after a while. */
+  get provisionalMembers(): readonly RegisteredMember[] {
+    return this.ageMs < REGISTER_BELIEVED_MS ? this.listed : [];
+  }
+
+  /** Registers and looks for others until some are present, or `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, log, presentCount } = this.options;
+    while (!signal.aborted) {
+      try {
+        await this.look();
+        if (this.isRegistered && presentCount() > 1) return;
+      } catch (error) {
+        log.warned('register_failed', { cause: messageOf(error) });
+      }
+      await sleep(clock, LOOK_PAUSE_MS, signal);
+    }
+  }
+
+  /** Reads the register, which costs less than a write, and enters this daemon where it does not stand there yet. */
+  private async look(): Promise<void> {
+    const { self, registry, presentCount } = this.options;
+    if (presentCount() <= 1 || this.listed.length === 0) {
+      const members = await registry.list();
+      this.listed = members.filter(({ address }) => address !== self.address);
+      this.isRegistered ||= members.some(({ id, address }) => id === self.id && address === self.address);
+    }
+    if (this.isRegistered) return;
+    await registry.join(self);
+    this.isRegistered = true;
+  }
+
+  private get ageMs(): number {
+    return this.options.clock.monotonic() - this.startedAt;
+  }
+}
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -67,10 +67,12 @@
   readonly id: string;
   /** Peer address. */
   readonly address: string;
+  readonly zone: string;
 }
 
 /** Register of daemons, through which they find each other. Calls may throw. */
 export interface MemberRegistry {
+  /** Members that have joined; the newest may be missing for some seconds. */
   list(): Promise<RegisteredMember[]>;
   join(member: RegisteredMember): Promise<void>;
 }
@@ -86,6 +88,6 @@
   readonly leases: LeaseRecordStore;
   readonly registry: MemberRegistry;
   readonly feed: DeploymentFeed;
-  /** Calls to the store since the start, by outcome. */
+  /** Calls to the store since the start, by operation, kind of record and outcome. */
   readonly storeCalls: () => ReadonlyMap<string, number>;
 }
--- a/packages/serving/src/record-follower.ts
+++ b/packages/serving/src/record-follower.ts
@@ -25,11 +25,13 @@
   constructor(private readonly options: RecordFollowerOptions) {
     const { feed, clock, random, log } = options;
     this.sets = feed.kinds.map((kind) => this.createSet(kind));
+    // Whether to follow the store is decided once the others are known.
     this.watches = feed.kinds.flatMap(({ pauseMs }, index) => {
       const set = this.sets[index];
       const shared = { pauseMs, store: feed.store, clock, random, log };
       return set === undefined ? [] : [new RecordWatch({ ...shared, set })];
     });
+    this.followStore(false);
   }
 
   get isFollowing(): boolean {
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -1,5 +1,4 @@
 /** One serving daemon: its parts, put together, started and stopped. */
-import { messageOf } from '@woodbarrow/errors';
 import { BackendDirectory, LoadBook, RunTimes, type ServiceDefinition } from '@woodbarrow/backends';
 import {
   BackendHealth,
@@ -28,6 +27,7 @@
 import { DeploymentView } from './deployment-view.js';
 import { LoggedJournal } from './journal.js';
 import { ServingMetrics } from './serving-metrics.js';
+import { MemberRegistration } from './member-registration.js';
 import type { ServingPorts } from './ports.js';
 import { RecordFollower } from './record-follower.js';
 import type { ServingSettings } from './serving-settings.js';
@@ -53,8 +53,6 @@
   suspicionMs: 1500,
   reconnectIntervalMs: 3000,
 };
-/** Register is read again this often while this daemon is alone, in milliseconds. */
-const REGISTRY_RETRY_MS = 1000;
 /**
  * Time after the word to stop in which requests are still taken: clients are led elsewhere after two missed looks
  * at the readiness, a second apart. What is taken later may not end within the grace.
@@ -80,7 +78,7 @@
   private readonly metrics: ServingMetrics;
   private readonly view: DeploymentView;
   private readonly tasks: TaskGroup;
-  private seeds: readonly string[] = [];
+  private readonly registration: MemberRegistration;
   private ingress: NodeIngress | undefined;
   private readiness: NodeIngress | undefined;
   private metricsServer: NodeIngress | undefined;
@@ -106,6 +104,7 @@
       deployment: PEER_DEPLOYMENT,
     });
     const instance = clock.wall();
+    this.registration = this.createRegistration();
     this.membership = this.createMembership(instance);
     const coordinators = new CoordinatorDirectory(clock, settings.name);
     this.records = this.createFollower();
@@ -143,7 +142,7 @@
     await this.startMetrics();
     await this.peers.start();
     this.tasks.spawn('feed', (signal) => this.records.run(signal));
-    this.tasks.spawn('register', (signal) => this.register(signal));
+    this.tasks.spawn('register', (signal) => this.registration.run(signal));
     this.membership.start();
     this.exchange.start();
     this.residency.start();
@@ -188,6 +187,18 @@
     ]);
   }
 
+  private createRegistration(): MemberRegistration {
+    const { settings, ports, log } = this;
+    const { name: id, peerAddress: address, zone } = settings;
+    return new MemberRegistration({
+      self: { id, address, zone },
+      registry: ports.registry,
+      presentCount: () => this.membership.present().length,
+      clock: ports.clock,
+      log,
+    });
+  }
+
   private createMembership(instance: number): Membership {
     const { settings, ports, log } = this;
     const { name: id, zone, region } = settings;
@@ -196,7 +207,7 @@
       peers: this.peers,
       clock: ports.clock,
       random: ports.random.fork(),
-      seeds: () => this.seeds,
+      seeds: () => this.registration.seeds,
       timings: MEMBERSHIP_TIMINGS,
       attachment: () => this.newestUrgentRevision(),
       onTaskFailure: logTaskFailures(log),
@@ -243,7 +254,7 @@
       feed: ports.feed,
       sink: view,
       onUrgent: () => {
-        this.exchange.wakeAttached();
+        this.exchange.passOnUrgent();
       },
       clock: ports.clock,
       random: ports.random.fork(),
@@ -255,7 +266,8 @@
     const { ports, log, loads, peers, records } = this;
     return new PeerExchange({
       self: this.self(),
-      members: () => this.members(),
+      members: () => this.membersToBe(),
+      isGroupKnown: () => this.registration.isGroupKnown,
       peers,
       loads,
       coordinators,
@@ -333,6 +345,14 @@
     return this.membership.eligible().map(({ id, address, zone }) => ({ id, address, zone }));
   }
 
+  /** Members, and those that a daemon which has just started knows from the register only. */
+  private membersToBe(): Member[] {
+    const unmet = this.registration.provisionalMembers.filter(
+      ({ id }) => this.membership.get(id) === undefined,
+    );
+    return [...this.members(), ...unmet];
+  }
+
   private serviceOf(name: string): ServiceDefinition | undefined {
     return this.configuration.current?.services.get(name);
   }
@@ -346,27 +366,6 @@
     return health;
   }
 
-  /** Enters this daemon into the register and learns of the others from it. */
-  private async register(signal: AbortSignal): Promise<void> {
-    const { clock, registry } = this.ports;
-    const self = { id: this.settings.name, address: this.settings.peerAddress };
-    let joined = false;
-    while (!signal.aborted) {
-      try {
-        if (!joined) await registry.join(self);
-        joined = true;
-        if (this.membership.present().length <= 1 || this.seeds.length <= 1) {
-          const members = await registry.list();
-          this.seeds = members.map((member) => member.address).filter((address) => address !== self.address);
-        }
-        if (this.membership.present().length > 1) return;
-      } catch (error) {
-        this.log.warned('register_failed', { cause: messageOf(error) });
-      }
-      await sleep(clock, REGISTRY_RETRY_MS, signal);
-    }
-  }
-
   private async startMetrics(): Promise<void> {
     const { metrics: endpoint } = this.settings;
     if (endpoint === undefined) return;
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -53,9 +53,9 @@
     );
     registry.gauge(
       'woodbarrow_store_calls',
-      'Calls to the store since the start.',
+      'Calls to the store since the start, by operation, kind of record and outcome.',
       sources.storeCalls,
-      'outcome',
+      'call',
     );
     registry.gauge(
       'woodbarrow_log_lines_dropped',
--- /dev/null
+++ b/packages/serving/test/member-registration.test.ts
@@ -0,0 +1,102 @@
+import { expect } from 'chai';
+import { silentLog } from '@woodbarrow/observability';
+import { SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
+import { MemberRegistration, type MemberRegistry, type RegisteredMember } from '../src/index.js';
+
+const SELF: RegisteredMember = { id: 'd1', address: '10.0.0.1:1', zone: 'z' };
+const OTHER: RegisteredMember = { id: 'd2', address: '10.0.0.2:1', zone: 'z' };
+
+/** A register that counts the calls to it, and one daemon that registers there. */
+class RegistrationWorld {
+  readonly world = new SimulatedWorld();
+  readonly members: RegisteredMember[] = [];
+  readonly calls: string[] = [];
+  isReachable = true;
+  presentCount = 1;
+  readonly registration: MemberRegistration;
+  private readonly stopped = new AbortController();
+
+  constructor(...members: readonly RegisteredMember[]) {
+    this.members.push(...members);
+    const registry: MemberRegistry = {
+      list: () => this.call('list', () => [...this.members]),
+      join: (member) => this.call('join', () => void this.members.push(member)),
+    };
+    this.registration = new MemberRegistration({
+      self: SELF,
+      registry,
+      presentCount: () => this.presentCount,
+      clock: new SimulatedProcess(this.world, { name: 'd1', zone: 'z', region: 'r' }),
+      log: silentLog,
+    });
+    void this.registration.run(this.stopped.signal);
+  }
+
+  async run(ms: number): Promise<void> {
+    await this.world.run(this.world.now + ms);
+  }
+
+  stop(): void {
+    this.stopped.abort();
+  }
+
+  private call<T>(name: string, apply: () => T): Promise<T> {
+    this.calls.push(name);
+    return this.isReachable ? Promise.resolve(apply()) : Promise.reject(new Error('turned away'));
+  }
+}
+
+describe('MemberRegistration', () => {
+  let world: RegistrationWorld;
+
+  beforeEach(() => {
+    world = new RegistrationWorld();
+  });
+
+  afterEach(() => {
+    world.stop();
+  });
+
+  it('enters a daemon once, and looks again until it has met others', async () => {
+    await world.run(100);
+    expect(world.calls).to.deep.equal(['list', 'join']);
+    world.members.push(OTHER);
+    await world.run(1000);
+    expect(world.registration.seeds).to.deep.equal([OTHER.address]);
+    world.presentCount = 2;
+    await world.run(5000);
+    expect(world.calls.filter((call) => call === 'join')).to.have.lengthOf(1);
+    expect(world.calls.length).to.be.at.most(4);
+  });
+
+  it('writes nothing after a restart, where it is registered already', async () => {
+    world.stop();
+    world = new RegistrationWorld(SELF, OTHER);
+    await world.run(100);
+    expect(world.calls).to.deep.equal(['list']);
+    expect(world.registration.isGroupKnown).to.equal(true);
+    expect(world.registration.provisionalMembers).to.deep.equal([OTHER]);
+  });
+
+  it('registers once the register is reached', async () => {
+    world.stop();
+    world = new RegistrationWorld();
+    world.isReachable = false;
+    await world.run(1000);
+    expect(world.members).to.deep.equal([]);
+    world.isReachable = true;
+    await world.run(1000);
+    expect(world.members).to.deep.equal([SELF]);
+  });
+
+  it('takes itself for alone only after a while, and forgets registered daemons that it never met', async () => {
+    expect(world.registration.isGroupKnown).to.equal(false);
+    await world.run(3000);
+    expect(world.registration.isGroupKnown).to.equal(true);
+    world.members.push(OTHER);
+    await world.run(1000);
+    expect(world.registration.provisionalMembers).to.deep.equal([OTHER]);
+    await world.run(3000);
+    expect(world.registration.provisionalMembers).to.deep.equal([]);
+  });
+});
