--- /dev/null
+++ b/packages/coordination/src/holder-contact.ts
@@ -0,0 +1,59 @@
+/** What the witnesses of a lease have answered its holder. */
+import type { Clock } from '@woodbarrow/runtime';
+import { areSameWitnesses, CONTACT_LIFETIME_MS, majorityOf, type WitnessId } from './lease-witness.js';
+
+/** Contact of one holder with the witnesses of one lease. */
+export class HolderContact {
+  private witnesses: readonly WitnessId[] = [];
+  /** When each witness was last asked that has answered, monotonic. */
+  private readonly askedAt = new Map<string, number>();
+  /** Monotonic time since which the present witnesses are asked. */
+  private since = -Infinity;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Names the witnesses of the record as it stands now; only what they answered counts, also before. */
+  name(witnesses: readonly WitnessId[]): void {
+    if (areSameWitnesses(this.witnesses, witnesses)) return;
+    for (const { id, instance } of this.witnesses) {
+      if (!witnesses.some((kept) => kept.id === id && kept.instance === instance)) this.askedAt.delete(id);
+    }
+    this.witnesses = witnesses;
+    this.since = this.clock.monotonic();
+  }
+
+  /** A witness has answered that the holder may go on. @param askedAt When it was asked, monotonic. */
+  noteAnswer({ id, instance }: WitnessId, askedAt: number): void {
+    if (!this.witnesses.some((witness) => witness.id === id && witness.instance === instance)) return;
+    this.askedAt.set(id, Math.max(askedAt, this.askedAt.get(id) ?? -Infinity));
+  }
+
+  /** Whether enough witnesses have answered lately for the holder to act; always so without witnesses. */
+  get isFresh(): boolean {
+    return this.lapsesInMs() > 0;
+  }
+
+  /** Milliseconds for which no majority has answered; 0 while contact is fresh and soon after the witnesses were named. */
+  lostMs(): number {
+    const lastAt = Math.max(this.since, this.majorityAskedAt());
+    return this.witnesses.length === 0 ? 0 : this.clock.monotonic() - lastAt;
+  }
+
+  /** Witnesses that have not answered for a while. */
+  silentWitnesses(longerThanMs: number): readonly WitnessId[] {
+    const oldest = this.clock.monotonic() - longerThanMs;
+    return this.witnesses.filter(({ id }) => Math.max(this.since, this.askedAt.get(id) ?? 0) < oldest);
+  }
+
+  private lapsesInMs(): number {
+    if (this.witnesses.length === 0) return Infinity;
+    return this.majorityAskedAt() + CONTACT_LIFETIME_MS - this.clock.monotonic();
+  }
+
+  /** The latest time from which on a majority has been asked and has answered. */
+  private majorityAskedAt(): number {
+    const times = this.witnesses.map(({ id }) => this.askedAt.get(id) ?? -Infinity);
+    times.sort((left, right) => right - left);
+    return times[majorityOf(this.witnesses) - 1] ?? -Infinity;
+  }
+}
--- a/packages/coordination/test/store-lease.test.ts
+++ b/packages/coordination/test/store-lease.test.ts
@@ -2,11 +2,17 @@
 import { expect } from 'chai';
 import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
 import {
+  CONTACT_LIFETIME_MS,
+  LeaseWitness,
+  majorityOf,
   StoreLease,
   type LeaseConfirmation,
   type LeaseRecord,
   type LeaseRecordStore,
+  type RefusalAnswer,
+  type RefusedHolder,
   type StoredLease,
+  type WitnessId,
 } from '../src/index.js';
 
 const NAME = 'zone-a';
@@ -25,6 +31,8 @@
 /** A linearizable store on virtual time; calls take time both ways. */
 class SimulatedStore {
   trouble = NO_TROUBLE;
+  /** Machines that it does not answer. */
+  readonly cutOff = new Set<string>();
   private kept: StoredLease | undefined;
   private revision = 0;
 
@@ -62,7 +70,7 @@
         });
       };
       const there = this.random.between(1, 20);
-      if (fate < refused) {
+      if (fate < refused || this.cutOff.has(process.name)) {
         this.world.schedule(there, fail);
       } else if (fate < refused + answerLost) {
         this.world.schedule(there, () => void apply());
@@ -91,54 +99,184 @@
   readonly fence: number;
 }
 
+/** One run of a machine. */
+interface Run {
+  readonly instance: number;
+  readonly process: SimulatedProcess;
+  readonly witness: LeaseWitness;
+  readonly lease: StoreLease;
+}
+
+/** Time that a word between machines takes at most, in milliseconds. */
+const LONGEST_WORD_MS = 60;
+/** Time after which a machine that has not answered is not waited for, in milliseconds. */
+const ANSWER_LIMIT_MS = 200;
+
 /** Machines that stand for the lease, renew it, and act whenever they may. */
 class LeaseWorld {
   readonly world = new SimulatedWorld();
   readonly random: Random;
   readonly store: SimulatedStore;
   readonly acts: Act[] = [];
-  readonly processes = new Map<string, SimulatedProcess>();
+  readonly runsOf = new Map<string, Run>();
+  /** Machines that no word reaches or leaves; the store still answers them. */
+  readonly cutOff = new Set<string>();
   /** What each machine was last told of the holder's confirmed writes. */
   private readonly told = new Map<string, LeaseConfirmation>();
   private runs = 0;
 
-  constructor(seed: number) {
+  /** @param witnessed Whether holders name all other machines as witnesses. */
+  constructor(
+    seed: number,
+    private readonly witnessed = false,
+    private readonly lifetimeMs = LIFETIME_MS,
+  ) {
     this.random = new Random(seed);
     this.store = new SimulatedStore(this.world, this.random.fork());
   }
 
   /** Starts a machine's process, or starts it again after its end. */
   start(machine: string, handover = true): SimulatedProcess {
-    this.processes.get(machine)?.kill();
+    this.runsOf.get(machine)?.process.kill();
     const clockRate = this.random.between(0.995, 1.005);
     const process = new SimulatedProcess(this.world, { name: machine, zone: 'a', region: 'r', clockRate });
-    this.processes.set(machine, process);
     this.runs += 1;
+    const instance = this.runs;
     const lease = new StoreLease({
       name: NAME,
       holder: machine,
-      instance: this.runs,
-      lifetimeMs: LIFETIME_MS,
+      instance,
+      lifetimeMs: this.lifetimeMs,
+      chooseWitnesses: () => this.othersOf(machine),
       handoverPauseMs: handover ? PAUSE_MS : 0,
       store: this.store.client(process),
       clock: process,
     });
+    const run = { instance, process, witness: new LeaseWitness(process), lease };
+    this.runsOf.set(machine, run);
     this.stand(process, machine, lease);
     this.act(process, machine, lease);
+    if (this.witnessed) this.keepContact(machine, run);
     return process;
   }
 
+  /** Ends the process of a machine. */
+  kill(machine: string): void {
+    this.runsOf.get(machine)?.process.kill();
+  }
+
+  /** A machine gives the lease back, if it holds it. */
+  release(machine: string): void {
+    // The store may be in trouble: then others wait for the lifetime.
+    void this.runsOf
+      .get(machine)
+      ?.lease.release()
+      .catch(() => undefined);
+  }
+
+  private othersOf(machine: string): WitnessId[] {
+    if (!this.witnessed) return [];
+    const others = [...this.runsOf].filter(([name]) => name !== machine);
+    return others.map(([id, { instance }]) => ({ id, instance }));
+  }
+
+  /** Asks a witness and hands its answer over, or undefined when none comes in time. */
+  private ask<T>(
+    from: string,
+    witness: WitnessId,
+    request: (witness: LeaseWitness) => T,
+    answered: (answer: T | undefined) => void,
+  ): void {
+    const sender = this.runsOf.get(from)?.process;
+    const receiver = this.runsOf.get(witness.id);
+    let settled = false;
+    const settle = (answer: T | undefined): void => {
+      if (settled) return;
+      settled = true;
+      sender?.deliver(() => {
+        answered(answer);
+      });
+    };
+    this.world.schedule(ANSWER_LIMIT_MS, () => {
+      settle(undefined);
+    });
+    const isCut = (): boolean => this.cutOff.has(from) || this.cutOff.has(witness.id);
+    if (isCut()) return;
+    this.world.schedule(this.random.between(1, LONGEST_WORD_MS), () => {
+      receiver?.process.deliver(() => {
+        const answer = request(receiver.witness);
+        this.world.schedule(this.random.between(1, LONGEST_WORD_MS), () => {
+          if (!isCut() && receiver.instance === witness.instance) settle(answer);
+        });
+      });
+    });
+  }
+
+  private keepContact(machine: string, run: Run): void {
+    const { process, lease } = run;
+    for (const witness of lease.isHeld ? lease.witnesses : []) {
+      const askedAt = process.monotonic();
+      const message = { lease: NAME, revision: lease.revision };
+      this.ask(
+        machine,
+        witness,
+        (asked) => asked.contact(message),
+        (accepted) => {
+          if (accepted === true) lease.contact.noteAnswer(witness, askedAt);
+        },
+      );
+    }
+    process.schedule(this.random.between(200, 400), () => {
+      this.keepContact(machine, run);
+    });
+  }
+
+  /** Has the holder of a record refused by most of its witnesses. */
+  private refuse(machine: string, { record, revision }: StoredLease): Promise<RefusedHolder | undefined> {
+    const agreed: RefusalAnswer[] = [];
+    let open = record.witnesses.length;
+    return new Promise((resolve) => {
+      if (open === 0) resolve(undefined);
+      for (const witness of record.witnesses) {
+        this.ask(
+          machine,
+          witness,
+          (asked) => asked.refuse({ lease: NAME, revision }),
+          (answer) => {
+            if (answer?.agreed === true) agreed.push(answer);
+            open -= 1;
+            if (open > 0) return;
+            const isRefused = agreed.length >= majorityOf(record.witnesses);
+            const lastContactAgoMs = Math.min(...agreed.map((each) => each.lastContactAgoMs));
+            resolve(isRefused ? { revision, lastContactAgoMs } : undefined);
+          },
+        );
+      }
+    });
+  }
+
+  /** Takes the lease, also from a holder that its witnesses refuse. */
+  private async acquire(machine: string, lease: StoreLease): Promise<void> {
+    const result = await lease.tryAcquire(this.told.get(machine));
+    if (result.kind === 'held' || result.stored === undefined) return;
+    const refused = await this.refuse(machine, result.stored);
+    if (refused !== undefined) await lease.tryAcquire(undefined, refused);
+  }
+
   private stand(process: SimulatedProcess, machine: string, lease: StoreLease): void {
     const step = async (): Promise<void> => {
       try {
         if (lease.isHeld) {
           await lease.renew();
           this.tell(machine, lease);
-        } else await lease.tryAcquire(this.told.get(machine));
+        } else await this.acquire(machine, lease);
       } catch {
         // Asked again at the next step.
       }
-      process.schedule(this.random.between(50, 250), () => void step());
+      // Holders renew rarely: contact and time alone must stop them.
+      const pauseMs =
+        this.witnessed && lease.isHeld ? this.random.between(600, 1400) : this.random.between(50, 250);
+      process.schedule(pauseMs, () => void step());
     };
     process.schedule(this.random.between(0, 50), () => void step());
   }
@@ -147,7 +285,7 @@
   private tell(sender: string, lease: StoreLease): void {
     const { revision } = lease;
     const agoMs = lease.confirmedAgoMs();
-    for (const [name, process] of this.processes) {
+    for (const [name, { process }] of this.runsOf) {
       if (name === sender) continue;
       this.world.schedule(this.random.between(1, 400), () => {
         process.deliver(() => {
@@ -207,7 +345,7 @@
     await lease.world.run(500);
     lease.start('b');
     await lease.world.run(1000);
-    lease.processes.get('a')?.kill();
+    lease.kill('a');
     await lease.world.run(1000 + LIFETIME_MS * 2);
     lease.check(PAUSE_MS);
     expect(lease.acts[lease.acts.length - 1]).to.include({ machine: 'b', fence: 2 });
@@ -220,7 +358,7 @@
     await lease.world.run(1000);
     const holder = lease.acts[0]?.machine ?? '';
     lease.store.trouble = { ...NO_TROUBLE, refused: 1 };
-    lease.processes.get(holder)?.kill();
+    lease.kill(holder);
     // The other one cannot look at the record for most of the lifetime.
     await lease.world.run(1000 + LIFETIME_MS * 0.8);
     lease.store.trouble = NO_TROUBLE;
@@ -251,8 +389,8 @@
         const machine = lease.random.pick(machines) ?? 'a';
         const choice = lease.random.integer(6);
         if (choice === 0) lease.start(machine);
-        if (choice === 1) lease.processes.get(machine)?.pause(lease.random.between(100, 4000));
-        if (choice === 2) lease.processes.get(machine)?.kill();
+        if (choice === 1) lease.runsOf.get(machine)?.process.pause(lease.random.between(100, 4000));
+        if (choice === 2) lease.kill(machine);
         if (choice === 3) lease.store.trouble = { refused: 0.2, answerLost: 0.3, appliedLate: 0.3 };
         if (choice === 4) lease.store.trouble = { ...NO_TROUBLE, refused: 1 };
         if (choice === 5) lease.store.trouble = NO_TROUBLE;
@@ -261,17 +399,106 @@
     }
   });
 
+  it('waits out the pause also when its new holder is started again meanwhile', async () => {
+    for (let seed = 300; seed < 320; seed += 1) {
+      const lease = new LeaseWorld(seed);
+      for (const machine of ['a', 'b']) lease.start(machine);
+      await lease.world.run(1000);
+      const holder = lease.acts[0]?.machine ?? '';
+      const other = holder === 'a' ? 'b' : 'a';
+      lease.release(holder);
+      await lease.world.run(1045);
+      lease.kill(holder);
+      for (let step = 1; step <= 3; step += 1) {
+        await lease.world.run(1100 + step * 150);
+        lease.start(other);
+      }
+      await lease.world.run(6000);
+      lease.check(PAUSE_MS);
+      expect(lease.acts[lease.acts.length - 1]?.machine).to.equal(other);
+    }
+  });
+
+  describe('with witnesses', () => {
+    const LONG_MS = 60_000;
+
+    async function held(seed: number): Promise<{ lease: LeaseWorld; holder: string }> {
+      const lease = new LeaseWorld(seed, true, LONG_MS);
+      for (const machine of ['a', 'b', 'c', 'd']) lease.start(machine);
+      await lease.world.run(2000);
+      return { lease, holder: lease.acts[0]?.machine ?? '' };
+    }
+
+    it('passes to another soon after its holder is lost, long before its lifetime ends', async () => {
+      const { lease, holder } = await held(10);
+      lease.kill(holder);
+      await lease.world.run(2000 + CONTACT_LIFETIME_MS + 2000);
+      lease.check(PAUSE_MS);
+      expect(lease.acts[lease.acts.length - 1]?.machine).not.to.equal(holder);
+    });
+
+    it('passes on when its holder is frozen, which does not act when it goes on', async () => {
+      const { lease, holder } = await held(11);
+      lease.runsOf.get(holder)?.process.pause(5000);
+      await lease.world.run(12_000);
+      lease.check(PAUSE_MS);
+      expect(lease.acts[lease.acts.length - 1]?.machine).not.to.equal(holder);
+    });
+
+    it('passes on when its holder is cut off from the others, though the store answers it', async () => {
+      const { lease, holder } = await held(12);
+      lease.cutOff.add(holder);
+      await lease.world.run(8000);
+      lease.check(PAUSE_MS);
+      expect(lease.acts[lease.acts.length - 1]?.machine).not.to.equal(holder);
+    });
+
+    it('stays with a holder that the others reach while the store is away', async () => {
+      const { lease, holder } = await held(13);
+      lease.store.trouble = { ...NO_TROUBLE, refused: 1 };
+      await lease.world.run(12_000);
+      lease.check(PAUSE_MS);
+      expect(lease.acts[lease.acts.length - 1]?.machine).to.equal(holder);
+      expect(lease.acts[lease.acts.length - 1]?.at).to.be.above(11_500);
+    });
+
+    it('never has two holders act within the pause, whatever stops, is cut off, freezes, or is answered late', async () => {
+      for (let seed = 400; seed < 520; seed += 1) {
+        const lease = new LeaseWorld(seed, true, seed % 2 === 0 ? LONG_MS : 4000);
+        const machines = ['a', 'b', 'c', 'd'];
+        for (const machine of machines) lease.start(machine);
+        for (let step = 1; step <= 40; step += 1) {
+          await lease.world.run(step * 500);
+          const machine = lease.random.pick(machines) ?? 'a';
+          const choice = lease.random.integer(11);
+          if (choice === 0) lease.start(machine);
+          if (choice === 1) lease.runsOf.get(machine)?.process.pause(lease.random.between(100, 6000));
+          if (choice === 2) lease.kill(machine);
+          if (choice === 3) lease.store.trouble = { refused: 0.2, answerLost: 0.3, appliedLate: 0.3 };
+          if (choice === 4) lease.store.trouble = { ...NO_TROUBLE, refused: 1 };
+          if (choice === 5) lease.store.trouble = NO_TROUBLE;
+          if (choice === 6) lease.cutOff.add(machine);
+          if (choice === 7) lease.cutOff.clear();
+          if (choice === 9) lease.store.cutOff.add(machine);
+          if (choice === 10) lease.store.cutOff.clear();
+          if (choice === 8) lease.release(machine);
+        }
+        lease.check(PAUSE_MS);
+      }
+    });
+  });
+
   it('would break without the pause: the check above sees it', async () => {
     const lease = new LeaseWorld(5);
     lease.start('a', false);
     lease.start('b', false);
     await lease.world.run(1000);
     const holder = lease.acts[0]?.machine ?? '';
-    lease.processes.get(holder)?.pause(50);
+    lease.runsOf.get(holder)?.process.pause(50);
     lease.store.trouble = { ...NO_TROUBLE, refused: 1 };
     await lease.world.run(1000 + LIFETIME_MS);
     lease.store.trouble = NO_TROUBLE;
-    lease.processes.get(holder)?.kill();
+    lease.kill(holder);
     await lease.world.run(6000);
     expect(() => {
       lease.check(LIFETIME_MS * 2);
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -24,6 +24,10 @@
   load_finished: 'A load has come about. Worker, model, time until what made way was gone, time in all.',
   load_failed: 'A load did not come about. Worker, model, cause.',
   lease_gained: 'This daemon coordinates a zone. Fence, time until it may act.',
+  lease_holder_refused:
+    'Most witnesses of a lease refuse its holder, which is then replaced. Holder, time since it was last answered.',
+  lease_out_of_contact:
+    'A holder has had no answer from most of its witnesses and names others. For how long.',
   lease_unconfirmed: 'A renewal failed. Age of the last confirmation, cause.',
   lease_lost: 'This daemon no longer coordinates a zone. Fence.',
   lease_released: 'A lease was given back at a planned stop. Fence.',
--- a/packages/protocol/src/residency-messages.ts
+++ b/packages/protocol/src/residency-messages.ts
@@ -64,11 +64,54 @@
   readonly confirmedAgoMs: number;
 }
 
+/** Word of a lease's holder to a witness that it still uses the lease. */
+export interface LeaseContactMessage {
+  /** Name of the lease. */
+  readonly lease: string;
+  /** Revision of its record as the holder knows it. */
+  readonly revision: number;
+}
+
+/** Answer of a witness to a holder. */
+export interface LeaseContactAnswer {
+  readonly accepted: boolean;
+  /** The witness's run: another one than the holder named counts for nothing. */
+  readonly instance: number;
+}
+
+/** Wish of a candidate that the holder of a lease be refused. */
+export interface LeaseRefusalMessage {
+  readonly lease: string;
+  /** Revision of the record that the candidate is about to replace. */
+  readonly revision: number;
+}
+
+/** Answer of a witness to a candidate. */
+export interface LeaseRefusalAnswer {
+  readonly agreed: boolean;
+  readonly lastContactAgoMs: number;
+  readonly instance: number;
+}
+
+/** Word to a daemon that was started again: a zone's lease is still recorded as its own. */
+export interface LeaseResumeMessage {
+  readonly zone: string;
+}
+
 export type ResidencyAcknowledgement = Record<string, never>;
 
 export const residencyDemandMethod = definePeerMethod<ResidencyDemandMessage, ResidencyDemandAnswer>(
   'residency.demand',
 );
+export const leaseContactMethod = definePeerMethod<LeaseContactMessage, LeaseContactAnswer>(
+  'residency.lease_contact',
+);
+export const leaseRefusalMethod = definePeerMethod<LeaseRefusalMessage, LeaseRefusalAnswer>(
+  'residency.lease_refusal',
+);
+export const leaseResumeMethod = definePeerMethod<LeaseResumeMessage, ResidencyAcknowledgement>(
+  'residency.lease_resume',
+);
 export const residencyChangedMethod = definePeerMethod<ResidencyChangedMessage, ResidencyAcknowledgement>(
   'residency.changed',
 );
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -1,6 +1,7 @@
 /** Which model is resident on which worker. */
 export * from './copies.js';
 export * from './demand-router.js';
+export * from './lease-contacts.js';
 export * from './load-plan.js';
 export * from './load-planner.js';
 export * from './load-scheduler.js';
--- /dev/null
+++ b/packages/residency/src/lease-contacts.ts
@@ -0,0 +1,170 @@
+/**
+ * What daemons say to each other about the leases of zones: holders keep in contact with their witnesses, candidates
+ * have a holder refused that is out of contact, and a daemon that was started again is told of leases recorded as its own.
+ */
+import {
+  LeaseWitness,
+  majorityOf,
+  rankByRendezvous,
+  CONTACT_LIFETIME_MS,
+  type RefusedHolder,
+  type StoredLease,
+  type StoreLease,
+  type WitnessId,
+} from '@woodbarrow/coordination';
+import type { Member } from '@woodbarrow/exchange';
+import type { PeerNetwork } from '@woodbarrow/peering';
+import {
+  leaseContactMethod,
+  leaseRefusalMethod,
+  leaseResumeMethod,
+  type LeaseRefusalAnswer,
+} from '@woodbarrow/protocol';
+import { sleep, type Clock } from '@woodbarrow/runtime';
+
+/** A daemon with its present run. */
+export interface RunningMember extends Member {
+  readonly instance: number;
+}
+
+/** Options of {@link LeaseContacts}. */
+export interface LeaseContactsOptions {
+  readonly self: Member;
+  /** This run of the process. */
+  readonly instance: number;
+  /** Daemons present, this one included. */
+  readonly members: () => readonly RunningMember[];
+  readonly peers: PeerNetwork;
+  /** Called when another daemon says that a zone's lease is recorded as this machine's own. */
+  readonly onResume: (zone: string) => void;
+  readonly clock: Clock;
+}
+
+/** Witnesses of a lease where there are enough daemons: one may be lost. */
+const WITNESSES = 3;
+/** Milliseconds that a witness has to answer. */
+const ANSWER_LIMIT_MS = 300;
+/** Rounds in which a candidate asks for a refusal before it looks at the record again. */
+const REFUSAL_ROUNDS = 3;
+/** Least pause between two such rounds, in milliseconds. */
+const LEAST_ROUND_PAUSE_MS = 100;
+
+/** Contacts of one daemon. */
+export class LeaseContacts {
+  private readonly witness: LeaseWitness;
+
+  constructor(private readonly options: LeaseContactsOptions) {
+    this.witness = new LeaseWitness(options.clock);
+  }
+
+  /** Starts answering. */
+  start(): void {
+    const { peers, instance, onResume } = this.options;
+    peers.handle(leaseContactMethod, (message) => ({ accepted: this.witness.contact(message), instance }));
+    peers.handle(leaseRefusalMethod, (message) => ({ ...this.witness.refuse(message), instance }));
+    peers.handle(leaseResumeMethod, ({ zone }) => {
+      onResume(zone);
+      return {};
+    });
+  }
+
+  /**
+   * Witnesses for a lease held here: those named that still answer, then daemons of the zone, then others.
+   *
+   * @param zone Zone that the lease is for: its daemons share the fate of its workers' links.
+   */
+  choose(zone: string, named: readonly WitnessId[], silent: readonly WitnessId[]): readonly WitnessId[] {
+    const { self, members } = this.options;
+    const isSilent = ({ id }: RunningMember): boolean => silent.some((witness) => witness.id === id);
+    const usable = members().filter((member) => member.id !== self.id && !isSilent(member));
+    const isNamed = (member: RunningMember): boolean =>
+      named.some(({ id, instance }) => id === member.id && instance === member.instance);
+    const rank = (member: RunningMember): number =>
+      (isNamed(member) ? 2 : 0) + (member.zone === zone ? 1 : 0);
+    const ranked = rankByRendezvous(`witness ${zone}`, usable).sort(
+      (left, right) => rank(right) - rank(left),
+    );
+    const count = ranked.length >= WITNESSES ? WITNESSES : Math.min(1, ranked.length);
+    return ranked.slice(0, count).map(({ id, instance }) => ({ id, instance }));
+  }
+
+  /** Asks the witnesses of a lease held here to let it go on. */
+  async touch(name: string, lease: StoreLease): Promise<void> {
+    const { clock, peers } = this.options;
+    const { revision } = lease;
+    await Promise.all(
+      lease.witnesses.map(async (witness) => {
+        const member = this.runningMember(witness);
+        if (member === undefined) return;
+        const askedAt = clock.monotonic();
+        const message = { lease: name, revision };
+        const answer = await peers
+          .call(member.address, leaseContactMethod, message, { timeoutMs: ANSWER_LIMIT_MS })
+          // A witness that does not answer is noticed by the time since it did.
+          .catch(() => undefined);
+        if (answer?.accepted === true && answer.instance === witness.instance)
+          lease.contact.noteAnswer(witness, askedAt);
+      }),
+    );
+  }
+
+  /** Has the holder of a record refused by most of its witnesses; undefined when they do not agree in time. */
+  async refuse(
+    name: string,
+    { record, revision }: StoredLease,
+    signal: AbortSignal,
+  ): Promise<RefusedHolder | undefined> {
+    const needed = majorityOf(record.witnesses);
+    if (record.witnesses.length === 0) return undefined;
+    for (let round = 0; round < REFUSAL_ROUNDS && !signal.aborted; round += 1) {
+      const answers = await Promise.all(
+        record.witnesses.map((witness) => this.askRefusal(name, revision, witness)),
+      );
+      const known = answers.filter((answer) => answer !== undefined);
+      if (known.length < needed) return undefined;
+      const agreed = known.filter((answer) => answer.agreed);
+      const lastContactAgoMs = Math.min(...known.map((answer) => answer.lastContactAgoMs));
+      if (agreed.length >= needed) {
+        return { revision, lastContactAgoMs: Math.min(...agreed.map((answer) => answer.lastContactAgoMs)) };
+      }
+      const pauseMs = Math.max(LEAST_ROUND_PAUSE_MS, CONTACT_LIFETIME_MS - lastContactAgoMs);
+      await sleep(this.options.clock, pauseMs, signal);
+    }
+    return undefined;
+  }
+
+  /** Tells the holder of a record to take its lease back, if it has been started again since. */
+  resumeRestarted(zone: string, { record }: StoredLease): boolean {
+    const { members, peers } = this.options;
+    const holder = members().find(({ id }) => id === record.holder);
+    if (holder === undefined || holder.instance === record.instance) return false;
+    peers
+      .call(holder.address, leaseResumeMethod, { zone }, { timeoutMs: ANSWER_LIMIT_MS })
+      // It is told again with the next look at the lease.
+      .catch(() => undefined);
+    return true;
+  }
+
+  private async askRefusal(
+    name: string,
+    revision: number,
+    witness: WitnessId,
+  ): Promise<LeaseRefusalAnswer | undefined> {
+    const { peers, self, instance } = this.options;
+    const message = { lease: name, revision };
+    if (witness.id === self.id)
+      return witness.instance === instance ? { ...this.witness.refuse(message), instance } : undefined;
+    const member = this.runningMember(witness);
+    if (member === undefined) return undefined;
+    const answer = await peers
+      .call(member.address, leaseRefusalMethod, message, { timeoutMs: ANSWER_LIMIT_MS })
+      // A witness that does not answer has not agreed.
+      .catch(() => undefined);
+    return answer?.instance === witness.instance ? answer : undefined;
+  }
+
+  /** The witness in the run in which it was named. */
+  private runningMember({ id, instance }: WitnessId): RunningMember | undefined {
+    return this.options.members().find((member) => member.id === id && member.instance === instance);
+  }
+}
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -3,7 +3,13 @@
  * it holds.
  */
 import type { BackendDirectory, LoadBook, ServiceDefinition } from '@woodbarrow/backends';
-import { StoreLease, ownerByRendezvous, type LeaseRecordStore } from '@woodbarrow/coordination';
+import {
+  StoreLease,
+  ownerByRendezvous,
+  type AcquireResult,
+  type LeaseRecordStore,
+  type StoredLease,
+} from '@woodbarrow/coordination';
 import { messageOf, WoodbarrowError } from '@woodbarrow/errors';
 import type { CoordinatorDirectory, Member } from '@woodbarrow/exchange';
 import { logTaskFailures, type EventLog } from '@woodbarrow/observability';
@@ -16,6 +22,7 @@
   type ZoneClaim,
 } from '@woodbarrow/protocol';
 import { BackgroundService, sleep, type Clock, type Random } from '@woodbarrow/runtime';
+import { LeaseContacts, type RunningMember } from './lease-contacts.js';
 import type { OrderClient } from './order-client.js';
 import type { StoreWindowOptions } from './load-planner.js';
 import { ZoneResidency } from './zone-residency.js';
@@ -26,7 +33,7 @@
   /** This run of the process. */
   readonly instance: number;
   /** Daemons that may hold roles, this one included. */
-  readonly members: () => readonly Member[];
+  readonly members: () => readonly RunningMember[];
   readonly peers: PeerNetwork;
   readonly directory: BackendDirectory;
   readonly loads: LoadBook;
@@ -52,6 +59,10 @@
 /** Pause between two renewals of a lease, in milliseconds: a fifth of its lifetime. */
 const RENEW_INTERVAL_MS = 2000;
 const RENEW_RETRY_MS = 600;
+/** Pause between two words of a holder to its witnesses, in milliseconds: three fit into the life of an answer. */
+const CONTACT_PAUSE_MS = 400;
+/** Time without contact with most witnesses after which others are named, in milliseconds. */
+const CONTACT_LOST_MS = 1000;
 interface HeldZone {
   readonly lease: StoreLease;
   readonly residency: ZoneResidency;
@@ -61,18 +72,33 @@
 export class ResidencyService extends BackgroundService {
   private readonly leases = new Map<string, StoreLease>();
   private readonly held = new Map<string, HeldZone>();
+  /** Zones whose lease is being asked for. */
+  private readonly taking = new Set<string>();
   /** Monotonic time before which a zone's lease is not asked for again. */
   private readonly askAgainAt = new Map<string, number>();
   private leaving = false;
+  private readonly contacts: LeaseContacts;
 
   constructor(private readonly options: ResidencyServiceOptions) {
     super(options.clock, logTaskFailures(options.log));
+    const { self, instance, members, peers, clock } = options;
+    this.contacts = new LeaseContacts({
+      self,
+      instance,
+      members,
+      peers,
+      clock,
+      onResume: (zone) => {
+        this.resume(zone);
+      },
+    });
   }
 
   /** Starts. The peer network must be listening. */
   start(): void {
     const { peers, directory } = this.options;
     peers.handle(residencyDemandMethod, (message) => this.onDemand(message));
+    this.contacts.start();
     directory.events.on('removed', (backEnd) => {
       for (const zone of this.held.values()) zone.residency.forget(backEnd.id);
       this.options.loads.forget(backEnd.id);
@@ -132,21 +158,41 @@
     return new Set(names.filter((name) => this.options.serviceOf(name)?.engine !== undefined));
   }
 
-  /** Takes a free zone if this daemon is next in line for it. */
-  private async stand(): Promise<void> {
-    if (this.leaving) return;
+  /** Takes free zones that this daemon is next in line for. */
+  private stand(): Promise<void> {
+    if (this.leaving) return Promise.resolve();
     for (const zone of this.zones()) {
       if (this.held.has(zone) || this.options.coordinators.of(zone) !== undefined) continue;
       if (this.options.clock.monotonic() < (this.askAgainAt.get(zone) ?? 0)) continue;
-      if (this.firstInLine(zone) === this.options.self.id) await this.tryTake(zone);
+      if (this.firstInLine(zone) !== this.options.self.id || this.taking.has(zone)) continue;
+      // One zone that must be waited for does not hold up the others.
+      this.tasks.spawn(`residency.take ${zone}`, () => this.tryTake(zone));
     }
+    return Promise.resolve();
+  }
+
+  /** Another daemon says that this machine's former run holds a zone. */
+  private resume(zone: string): void {
+    if (this.leaving || this.held.has(zone)) return;
+    this.tasks.spawn(`residency.resume ${zone}`, () => this.tryTake(zone));
   }
 
   private async tryTake(zone: string): Promise<void> {
+    if (this.taking.has(zone)) return;
+    this.taking.add(zone);
+    try {
+      await this.takeOrWait(zone);
+    } finally {
+      this.taking.delete(zone);
+    }
+  }
+
+  private async takeOrWait(zone: string): Promise<void> {
     const lease = this.leaseOf(zone);
-    const result = await lease.tryAcquire(this.options.coordinators.lastConfirmation(zone));
+    let result = await lease.tryAcquire(this.options.coordinators.lastConfirmation(zone));
+    if (result.kind === 'waiting' && result.stored !== undefined)
+      result = await this.replaceLost(zone, lease, result.stored, result);
     if (result.kind === 'waiting') {
-      // One zone that must be waited for does not hold up the others.
       const pauseMs = Math.min(result.retryAfterMs, RENEW_INTERVAL_MS);
       this.askAgainAt.set(zone, this.options.clock.monotonic() + pauseMs);
       return;
@@ -158,9 +204,50 @@
     });
     this.held.set(zone, { lease, residency: this.coordinate(zone, lease) });
     this.tasks.spawn(`residency.renew ${zone}`, (signal) => this.keep(zone, lease, signal));
+    this.tasks.spawn(`residency.contact ${zone}`, (signal) => this.keepContact(zone, lease, signal));
     this.options.onClaimsChanged();
   }
 
+  /** Takes the lease of a holder that its witnesses refuse; one that was started again takes it back itself. */
+  private async replaceLost(
+    zone: string,
+    lease: StoreLease,
+    stored: StoredLease,
+    waiting: AcquireResult,
+  ): Promise<AcquireResult> {
+    if (this.contacts.resumeRestarted(zone, stored)) return waiting;
+    const refused = await this.contacts.refuse(leaseName(zone), stored, this.tasks.signal);
+    if (refused === undefined) return waiting;
+    this.options.log.changed('lease_holder_refused', {
+      zone,
+      holder: stored.record.holder,
+      lastContactAgoMs: Math.round(refused.lastContactAgoMs),
+    });
+    return lease.tryAcquire(undefined, refused);
+  }
+
+  /** Keeps in contact with the witnesses of a lease, and names others where most of them do not answer. */
+  private async keepContact(zone: string, lease: StoreLease, signal: AbortSignal): Promise<void> {
+    let namedAt = -Infinity;
+    while (!signal.aborted && this.held.get(zone)?.lease === lease) {
+      await this.contacts.touch(leaseName(zone), lease);
+      const now = this.options.clock.monotonic();
+      if (lease.contact.lostMs() > CONTACT_LOST_MS && now - namedAt > CONTACT_LOST_MS) {
+        namedAt = now;
+        this.options.log.warned('lease_out_of_contact', { zone, lostMs: Math.round(lease.contact.lostMs()) });
+        // The loop that renews finds out whether it is lost.
+        await lease.renew().catch((error: unknown) => {
+          this.options.log.warned('lease_unconfirmed', {
+            zone,
+            confirmedAgoMs: Math.round(lease.confirmedAgoMs()),
+            cause: messageOf(error),
+          });
+        });
+      }
+      await sleep(this.options.clock, CONTACT_PAUSE_MS, signal);
+    }
+  }
+
   private async keep(zone: string, lease: StoreLease, signal: AbortSignal): Promise<void> {
     let pauseMs = RENEW_INTERVAL_MS;
     while (!signal.aborted) {
@@ -242,7 +329,8 @@
     if (lease === undefined) {
       const { self, instance, leases, clock, handoverPauseMs } = this.options;
       lease = new StoreLease({
-        name: `zone-${zone}`,
+        name: leaseName(zone),
+        chooseWitnesses: (named, silent) => this.contacts.choose(zone, named, silent),
         holder: self.id,
         instance,
         store: leases,
@@ -254,3 +342,7 @@
     return lease;
   }
 }
+
+function leaseName(zone: string): string {
+  return `zone-${zone}`;
+}
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -4,8 +4,8 @@
 import { silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster } from '@woodbarrow/peering';
 import { Random } from '@woodbarrow/runtime';
-import { CoordinatorDirectory, PeerExchange, type FollowedRecords, type Member } from '@woodbarrow/exchange';
-import { ResidencyService, type OrderClient } from '../src/index.js';
+import { CoordinatorDirectory, PeerExchange, type FollowedRecords } from '@woodbarrow/exchange';
+import { ResidencyService, type OrderClient, type RunningMember } from '../src/index.js';
 
 const ZONES = ['alpha', 'beta', 'gamma'];
 
@@ -16,8 +16,16 @@
 
   constructor(private readonly now: () => number) {}
 
+  /** Whether calls are answered. */
+  isReachable = true;
+
   read(name: string): Promise<StoredLease | undefined> {
-    return Promise.resolve(this.kept.get(name));
+    return this.isReachable ? Promise.resolve(this.kept.get(name)) : Promise.reject(new Error('no answer'));
+  }
+
+  /** Writes a record whatever is there. */
+  put(name: string, record: LeaseRecord): Promise<StoredLease> {
+    return Promise.resolve(this.write(name, record, (this.kept.get(name)?.revision ?? 0) + 1));
   }
 
   create(name: string, record: LeaseRecord): Promise<StoredLease | undefined> {
@@ -25,6 +33,7 @@
   }
 
   replace(name: string, record: LeaseRecord, revision: number): Promise<StoredLease | undefined> {
+    if (!this.isReachable) return Promise.reject(new Error('no answer'));
     const isCurrent = this.kept.get(name)?.revision === revision;
     return Promise.resolve(isCurrent ? this.write(name, record, revision + 1) : undefined);
   }
@@ -53,12 +62,12 @@
 class ServiceWorld {
   readonly cluster = new SimulatedCluster({ seed: 1 });
   readonly store = new LeaseStore(() => this.cluster.world.now);
-  private readonly members = new Map<string, Member>();
+  readonly members = new Map<string, RunningMember>();
   private runs = 0;
 
   async start(name: string, zone: string): Promise<() => void> {
     const node = await this.cluster.add(name, zone);
-    const self = { id: name, address: node.peers.address, zone };
+    const self = { id: name, address: node.peers.address, zone, instance: this.runs + 1 };
     this.members.set(name, self);
     const directory = new BackendDirectory(node.process);
     for (const workerZone of ZONES) {
@@ -83,7 +92,8 @@
       models: new Map(),
     };
     // A daemon that has just started knows only itself.
-    const members = (): Member[] => (node.process.monotonic() < 1000 ? [self] : [...this.members.values()]);
+    const members = (): RunningMember[] =>
+      node.process.monotonic() < 1000 ? [self] : [...this.members.values()];
     const loads = new LoadBook(node.process);
     const coordinators = new CoordinatorDirectory(node.process, name);
     const exchange: PeerExchange = new PeerExchange({
@@ -133,8 +143,16 @@
   }
 
   holderOf(zone: string): string | undefined {
+    return this.lastWrite(zone)?.holder;
+  }
+
+  fenceOf(zone: string): number | undefined {
+    return this.lastWrite(zone)?.fence;
+  }
+
+  private lastWrite(zone: string): LeaseRecord | undefined {
     const writes = this.store.writes.filter((write) => write.name === `zone-${zone}`);
-    return writes[writes.length - 1]?.record.holder;
+    return writes[writes.length - 1]?.record;
   }
 }
 
@@ -160,6 +178,56 @@
     expect(new Set(retaken.map((write) => write.name)).size).to.equal(ZONES.length);
   });
 
+  /** Daemons of three zones of which each has taken its own, and witnesses for it. */
+  async function calmWorld(): Promise<{ world: ServiceWorld; stops: Map<string, () => void> }> {
+    const world = new ServiceWorld();
+    const stops = new Map<string, () => void>();
+    for (let index = 0; index < 6; index += 1) {
+      const name = `daemon-${String(index)}`;
+      stops.set(name, await world.start(name, ZONES[index % 3] ?? ''));
+    }
+    await world.cluster.advance(6000);
+    return { world, stops };
+  }
+
+  it('replaces a coordinator that is lost for good within some seconds, though its lease lasts longer', async () => {
+    const { world, stops } = await calmWorld();
+    const holder = world.holderOf('beta') ?? '';
+    stops.get(holder)?.();
+    world.members.delete(holder);
+    await world.cluster.advance(3500);
+    expect(world.holderOf('beta')).not.to.be.oneOf([holder, '', undefined]);
+  });
+
+  it('leaves its lease to a coordinator that only the store does not answer', async () => {
+    const { world } = await calmWorld();
+    const holder = world.holderOf('beta');
+    world.store.isReachable = false;
+    await world.cluster.advance(4000);
+    world.store.isReachable = true;
+    await world.cluster.advance(3000);
+    expect(world.holderOf('beta')).to.equal(holder);
+  });
+
+  it('has a coordinator that was started again take its lease back, also when another is next in line', async () => {
+    const { world, stops } = await calmWorld();
+    const [lastInLine = ''] = [...world.members.keys()].filter((name) => name !== world.holderOf('gamma'));
+    await world.store.put('zone-gamma', {
+      holder: lastInLine,
+      instance: 0,
+      fence: 9,
+      lifetimeMs: 60_000,
+      renewal: 0,
+      witnesses: [],
+      pauseMs: 0,
+    });
+    for (const stop of stops.values()) stop();
+    for (const [name, { zone }] of [...world.members]) await world.start(name, zone);
+    await world.cluster.advance(3000);
+    expect(world.holderOf('gamma')).to.equal(lastInLine);
+    expect(world.fenceOf('gamma')).to.equal(10);
+  });
+
   it('is not held up in one zone by the lease of a zone that another holds', async () => {
     const world = new ServiceWorld();
     await world.store.create('zone-alpha', {
@@ -168,6 +236,8 @@
       fence: 4,
       lifetimeMs: 12_000,
       renewal: 0,
+      witnesses: [],
+      pauseMs: 0,
     });
     await world.start('daemon-beta', 'beta');
     await world.cluster.advance(1000);
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -226,7 +226,7 @@
     return new ResidencyService({
       self: this.self(),
       instance,
-      members: () => this.members(),
+      members: () => this.membership.eligible(),
       peers,
       directory,
       loads,
