Relays on the strongest machines, large records packed once, half the calls between relays

At the start partial views made 148 daemons list the store. Change: members tell what their machine bears, relays and coordinators are those that bear most; large records are deflated once for all receivers; a daemon is not sent the same again within a second; relays answer a report with their own, so one of two calls; a daemon without a relay tries for a second before it follows the store; topology is worked out when members change.

--- a/packages/coordination/src/relay-topology.ts
+++ b/packages/coordination/src/relay-topology.ts
@@ -1,7 +1,7 @@
 /**
  * Who tells whom in a large group of daemons, agreed without messages by equal views. Some daemons of each zone are
- * relays: they exchange what they know with all other relays, and the other daemons of the zone attach to one of
- * them. In a small group every daemon is a relay. Views that differ for a moment cost an attempt at a daemon that
+ * relays, those with the strongest machines: they exchange what they know with all other relays, and the other daemons
+ * of the zone attach to one of them. In a small group every daemon is a relay. Views that differ for a moment cost an attempt at a daemon that
  * is no relay, and nothing else.
  */
 import { rankByRendezvous, type Candidate } from './rendezvous.js';
@@ -9,6 +9,8 @@
 /** A daemon that may be a relay. */
 export interface RelayCandidate extends Candidate {
   readonly zone: string;
+  /** What its machine bears, in any unit: relays are chosen among those that bear most. */
+  readonly capacity: number;
 }
 
 /** Groups up to this size have no daemons but relays. */
@@ -68,5 +70,13 @@
 }
 
 function relaysOf<T extends RelayCandidate>(zone: string, members: readonly T[]): T[] {
-  return rankByRendezvous(`relay ${zone}`, members).slice(0, RELAYS_PER_ZONE);
+  return rankByCapacity(`relay ${zone}`, members).slice(0, RELAYS_PER_ZONE);
+}
+
+/** Members that bear more first, and those that bear the same in an order of their own for each key. */
+export function rankByCapacity<T extends Candidate & { readonly capacity: number }>(
+  key: string,
+  members: readonly T[],
+): T[] {
+  return rankByRendezvous(key, members).sort((left, right) => right.capacity - left.capacity);
 }
--- a/packages/exchange/src/follower-watch.ts
+++ b/packages/exchange/src/follower-watch.ts
@@ -20,6 +20,12 @@
     this.words.set(relayId, { at: this.clock.monotonic(), follows });
   }
 
+  /** Whether a relay has told lately that it follows the store. */
+  isFollowing(relayId: string): boolean {
+    const word = this.words.get(relayId);
+    return word?.follows === true && this.clock.monotonic() - word.at <= WORD_LIFETIME_MS;
+  }
+
   /** How many of some relays follow the store. One that is new is given the time of a word to begin. */
   countFollowing(relays: readonly { readonly id: string }[]): number {
     const now = this.clock.monotonic();
--- a/packages/exchange/src/index.ts
+++ b/packages/exchange/src/index.ts
@@ -3,4 +3,6 @@
 export * from './change-log.js';
 export * from './coordinator-directory.js';
 export * from './peer-exchange.js';
+export * from './packed-records.js';
 export * from './record-set.js';
+export * from './sent-updates.js';
--- a/packages/exchange/src/peer-exchange.ts
+++ b/packages/exchange/src/peer-exchange.ts
@@ -14,8 +14,8 @@
   stateReportMethod,
   type AttachAnswer,
   type AttachMessage,
-  type RecordUpdate,
   type ResidencyChange,
+  type SentUpdate,
   type SourcePosition,
   type StateReport,
   type StateReportAnswer,
@@ -27,7 +27,9 @@
 import { ChangeLog } from './change-log.js';
 import type { CoordinatorDirectory } from './coordinator-directory.js';
 import { FollowerWatch } from './follower-watch.js';
+import { RecordPacker, unpack } from './packed-records.js';
 import type { RecordSet } from './record-set.js';
+import { SentUpdates } from './sent-updates.js';
 import { toLoadReport, toStateReport } from './state-entries.js';
 
 /** A daemon as seen by the others. */
@@ -36,6 +38,8 @@
   /** Peer address. */
   readonly address: string;
   readonly zone: string;
+  /** What its machine bears, in hundredths of a core. */
+  readonly capacity: number;
 }
 
 /** Records of the store as this daemon follows them. */
@@ -73,11 +77,19 @@
 export const REPORT_INTERVAL_MS = 300;
 const REPORT_TIMEOUT_MS = 1000;
 /** Time beyond the hold after which a relay that has not answered is given up. */
-const ATTACH_SLACK_MS = 500;
+const ATTACH_SLACK_MS = 900;
 /** Pause after an answer that came at once, so that many urgent changes cost few calls. */
 const ATTACH_PAUSE_MS = 30;
-/** Time for which a relay that failed is not tried again. */
+/** Time for which a relay that did not answer, or is behind, is not tried again. */
 const AVOIDANCE_MS = 3000;
+/** Time for which a daemon that was no relay is not tried again: views differ for a moment when members come and go. */
+const NO_RELAY_AVOIDANCE_MS = 500;
+/** Pause after no relay answered. */
+const UNATTACHED_PAUSE_MS = 150;
+/** Time without a relay after which a daemon follows the store itself: all of them at once would swamp it. */
+const UNATTACHED_PATIENCE_MS = 1000;
+/** A relay that has not been heard of for this long is called by the one that usually waits for its call. */
+const UNHEARD_MS = 2 * REPORT_INTERVAL_MS + 100;
 /** A newer record elsewhere is looked for after this long. */
 const BEHIND_PATIENCE_MS = 700;
 
@@ -90,6 +102,13 @@
   private readonly avoidedUntil = new Map<string, number>();
   private readonly held = new Set<() => void>();
   private readonly changes: ChangeLog;
+  private readonly packer = new RecordPacker();
+  private readonly sentUpdates: SentUpdates;
+  /** When each relay was last heard of, monotonic. */
+  private readonly heardAt = new Map<string, number>();
+  /** Monotonic time since which no relay has answered. */
+  private unattachedSince: number | undefined;
+  private topologyOf: readonly Member[] = [];
   private topology: RelayTopology<Member>;
   /** Relay that this daemon is attached to. */
   private relay: Member | undefined;
@@ -101,6 +120,7 @@
     super(options.clock, logTaskFailures(options.log));
     this.changes = new ChangeLog(options.clock);
     this.followers = new FollowerWatch(options.clock);
+    this.sentUpdates = new SentUpdates(options.clock);
     this.behind = new BehindTracker(options.clock, () => this.newestUrgent());
     this.topology = relayTopology(options.self, []);
   }
@@ -116,7 +136,7 @@
     });
     this.tasks.loop(
       'exchange',
-      () => (this.relay === undefined ? REPORT_INTERVAL_MS : ATTACH_PAUSE_MS),
+      () => this.pauseMs(),
       () => this.step(),
     );
   }
@@ -126,14 +146,31 @@
     return this.topology.isRelay;
   }
 
-  /** Tells the relays of this daemon's state now. */
+  /** Tells all relays of this daemon's state now. */
   tellNow(): void {
     const { self, coordinators, ownClaims } = this.options;
     coordinators.accept(self.id, 'own', this.toClaims(ownClaims()));
-    const scopes = this.topology.isRelay ? RELAY_SCOPES : [];
-    const message = this.reportMessage(scopes);
     const attachedTo = this.relay === undefined ? [] : [this.relay];
-    const receivers = this.topology.isRelay ? this.topology.relays : attachedTo;
+    this.reportTo(this.topology.isRelay ? this.topology.relays : attachedTo);
+  }
+
+  /**
+   * Each report is answered with one, so of two relays only the one whose name comes first calls the other; but records
+   * come only to those that ask.
+   */
+  private reportToRelays(): void {
+    const { self, clock, records } = this.options;
+    const oldest = clock.monotonic() - UNHEARD_MS;
+    const isCalled = ({ id }: Member): boolean =>
+      self.id < id ||
+      (this.heardAt.get(id) ?? -Infinity) < oldest ||
+      (!records.isFollowing && this.followers.isFollowing(id));
+    this.reportTo(this.topology.relays.filter(isCalled));
+  }
+
+  private reportTo(receivers: readonly Member[]): void {
+    if (receivers.length === 0) return;
+    const message = this.reportMessage(this.topology.isRelay ? RELAY_SCOPES : []);
     for (const relay of receivers) void this.report(relay, message);
   }
 
@@ -166,16 +203,29 @@
     const { self, members, coordinators, ownClaims, isGroupKnown } = this.options;
     if (!isGroupKnown()) return;
     const wasRelay = this.topology.isRelay;
-    this.topology = relayTopology(self, members());
+    this.updateTopology(self, members());
     if (wasRelay !== this.topology.isRelay) this.changeRole();
     coordinators.accept(self.id, 'own', this.toClaims(ownClaims()));
     if (this.topology.isRelay) {
       this.relay = undefined;
+      this.unattachedSince = undefined;
       this.options.records.followStore(this.isFollower());
-      this.tellNow();
+      this.reportToRelays();
     } else await this.attach();
   }
 
+  private pauseMs(): number {
+    if (this.topology.isRelay) return REPORT_INTERVAL_MS;
+    return this.relay === undefined ? UNATTACHED_PAUSE_MS : ATTACH_PAUSE_MS;
+  }
+
+  /** Works the relays out anew when the members have changed. */
+  private updateTopology(self: Member, members: readonly Member[]): void {
+    if (members === this.topologyOf) return;
+    this.topologyOf = members;
+    this.topology = relayTopology(self, members);
+  }
+
   /** Whether too few of the relays that come before this one follow the store now. */
   private isFollower(): boolean {
     return this.followers.countFollowing(this.topology.followersBefore) < STORE_FOLLOWERS;
@@ -195,6 +245,7 @@
     try {
       const options = { timeoutMs: REPORT_TIMEOUT_MS };
       const answer = await this.options.peers.call(relay.address, stateReportMethod, message, options);
+      if (answer.isRelay) this.hear(relay.id, answer);
       this.merge(answer.updates);
     } catch {
       // The next report follows soon; membership finds out whether the relay is gone.
@@ -212,6 +263,8 @@
       if (await this.attachTo(relay)) return;
     }
     this.relay = undefined;
+    this.unattachedSince ??= now;
+    if (clock.monotonic() - this.unattachedSince < UNATTACHED_PATIENCE_MS) return;
     if (!this.attachFailed) log.warned('exchange_unattached', { relays: this.topology.ownRelays.length });
     this.attachFailed = true;
     records.followStore(true);
@@ -237,6 +290,7 @@
       this.options.coordinators.dropReports();
     }
     this.relay = relay;
+    this.unattachedSince = undefined;
     this.attachFailed = false;
     this.take(relay.id, 'all', answer.state);
     this.merge(answer.updates);
@@ -245,19 +299,32 @@
     return true;
   }
 
-  private avoid(relay: Member, cause: string): void {
+  private avoid(relay: Member, cause: 'no answer' | 'no relay' | 'behind'): void {
     const { clock, log } = this.options;
-    this.avoidedUntil.set(relay.id, clock.monotonic() + AVOIDANCE_MS);
+    const avoidanceMs = cause === 'no relay' ? NO_RELAY_AVOIDANCE_MS : AVOIDANCE_MS;
+    this.avoidedUntil.set(relay.id, clock.monotonic() + avoidanceMs);
     log.changed('exchange_relay_avoided', { relay: relay.id, cause });
   }
 
   private onReport(message: StateReportMessage): StateReportAnswer {
     const { records } = this.options;
-    this.take(message.from, message.isRelay ? 'relay' : 'attached', message.state);
-    if (message.isRelay) this.followers.note(message.from, !message.needsRecords);
+    if (message.isRelay) this.hear(message.from, message);
+    else this.take(message.from, 'attached', message.state);
     records.noteElsewhere(message.positions);
     this.fetchUrgent(message);
-    return { updates: message.needsRecords ? this.updatesFor(message.positions) : [] };
+    return {
+      state: message.isRelay ? this.ownState(RELAY_SCOPES) : NO_STATE,
+      isRelay: this.topology.isRelay,
+      needsRecords: !records.isFollowing,
+      updates: message.needsRecords ? this.updatesFor(message.positions) : [],
+    };
+  }
+
+  /** Takes what another relay told, be it asked or asking. */
+  private hear(relayId: string, { state, needsRecords }: StateReportAnswer | StateReportMessage): void {
+    this.take(relayId, 'relay', state);
+    this.followers.note(relayId, !needsRecords);
+    this.heardAt.set(relayId, this.options.clock.monotonic());
   }
 
   /** A relay that does not follow the store asks at once for an urgent record that another one has told of. */
@@ -283,7 +350,7 @@
         message.needsDetail ? combined : summarizedReport(combined),
         coordinators.claims(['own', ...ALL_SCOPES]),
       ),
-      updates: this.updatesFor(message.positions),
+      updates: this.updatesFor(message.positions, message.from),
       changes: this.changes.read(message.from),
     };
   }
@@ -317,17 +384,20 @@
     this.options.onChanges(changes);
   }
 
-  private merge(updates: readonly RecordUpdate[]): void {
+  private merge(updates: readonly SentUpdate[]): void {
     for (const update of updates) {
-      this.options.records.sets.find((set) => set.source === update.source)?.merge(update);
+      this.options.records.sets.find((set) => set.source === update.source)?.merge(unpack(update));
     }
   }
 
-  private updatesFor(positions: readonly SourcePosition[]): RecordUpdate[] {
+  /** @param reader Daemon that asks again and again, and is not sent the same anew while it comes. */
+  private updatesFor(positions: readonly SourcePosition[], reader?: string): SentUpdate[] {
     return positions.flatMap((position) => {
       const set = this.options.records.sets.find(({ source }) => source === position.source);
       const update = set?.updateFor(position);
-      return update === undefined ? [] : [update];
+      if (update === undefined) return [];
+      if (reader !== undefined && !this.sentUpdates.maySend(reader, position)) return [];
+      return [this.packer.pack(update)];
     });
   }
 
@@ -336,16 +406,21 @@
   }
 
   private reportMessage(scopes: readonly ReportScope[]): StateReportMessage {
-    const { self, loads, coordinators, records } = this.options;
+    const { self, records } = this.options;
     return {
       from: self.id,
       isRelay: this.topology.isRelay,
-      state: toStateReport(loads.combinedReport(scopes), coordinators.claims(['own', ...scopes])),
+      state: this.ownState(scopes),
       positions: records.sets.map((set) => set.position),
       needsRecords: !records.isFollowing,
     };
   }
 
+  private ownState(scopes: readonly ReportScope[]): StateReport {
+    const { loads, coordinators } = this.options;
+    return toStateReport(loads.combinedReport(scopes), coordinators.claims(['own', ...scopes]));
+  }
+
   private toClaims(claims: readonly ZoneClaim[]): StateReport['claims'] {
     const { id, address } = this.options.self;
     return claims.map((claim) => ({ ...claim, holder: id, address }));
@@ -357,9 +432,10 @@
   }
 }
 
+const NO_STATE: StateReport = { loads: [], demand: [], claims: [] };
 const NO_RELAY: AttachAnswer = {
   isRelay: false,
-  state: { loads: [], demand: [], claims: [] },
+  state: NO_STATE,
   updates: [],
   changes: [],
 };
--- /dev/null
+++ b/packages/exchange/src/sent-updates.ts
@@ -0,0 +1,33 @@
+/** What was sent to daemons that ask again and again, so that a slow one is not sent the same anew while it comes. */
+import type { SourcePosition } from '@woodbarrow/protocol';
+import type { Clock } from '@woodbarrow/runtime';
+
+/**
+ * A daemon that asks from the same position again is sent the same only after this long, in milliseconds: the time that
+ * an answer may take on a slow link, and less than its patience with a relay.
+ */
+const SEND_AGAIN_MS = 1000;
+
+interface SentAnswer {
+  readonly position: SourcePosition;
+  readonly at: number;
+}
+
+/** Updates sent lately, by daemon and kind of record. */
+export class SentUpdates {
+  private readonly sent = new Map<string, SentAnswer>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Whether an update may be sent to a daemon at a position now; counts it as sent. */
+  maySend(reader: string, position: SourcePosition): boolean {
+    const key = `${reader} ${position.source}`;
+    const now = this.clock.monotonic();
+    const before = this.sent.get(key);
+    const isSame =
+      before?.position.revision === position.revision && before.position.names === position.names;
+    if (isSame && now - before.at < SEND_AGAIN_MS) return false;
+    this.sent.set(key, { position, at: now });
+    return true;
+  }
+}
--- a/packages/membership/src/member-table.ts
+++ b/packages/membership/src/member-table.ts
@@ -39,6 +39,7 @@
   private readonly entries = new Map<string, TableEntry>();
   private readonly bucketDigests: number[] = new Array<number>(DIGEST_BUCKETS).fill(0);
   private sortedPresent: readonly MemberRecord[] | undefined;
+  private sortedEligible: readonly MemberRecord[] | undefined;
 
   /** Number of records, absent members included. */
   get size(): number {
@@ -58,6 +59,12 @@
     return this.sortedPresent;
   }
 
+  /** Present members that are neither leaving nor suspected, ordered by id; shared in the same way. */
+  eligible(): readonly MemberRecord[] {
+    this.sortedEligible ??= this.present().filter((member) => member.status === 'alive');
+    return this.sortedEligible;
+  }
+
   /** All records. */
   all(): MemberRecord[] {
     return [...this.entries.values()].map((entry) => entry.record);
@@ -71,6 +78,7 @@
     this.toggleDigest(record);
     this.entries.set(record.id, { record, changedAt: now });
     this.sortedPresent = undefined;
+    this.sortedEligible = undefined;
     return true;
   }
 
--- a/packages/membership/src/membership-options.ts
+++ b/packages/membership/src/membership-options.ts
@@ -8,6 +8,8 @@
   readonly id: string;
   readonly zone: string;
   readonly region: string;
+  /** What its machine bears, in hundredths of a core. @default 100 */
+  readonly capacity?: number;
   /** Higher for each later run of the same daemon, for example the time of its start. */
   readonly instance: number;
 }
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -54,6 +54,8 @@
 /** Time after its start in which a member compares views at every probe. */
 const NEWCOMER_MS = 15_000;
 const LEAVE_FAN_OUT = 5;
+/** Capacity of a member that tells none: one core. */
+const DEFAULT_CAPACITY = 100;
 /** A schedule overrun by this factor means that this daemon was stopped, not the others. */
 const OVERRUN_FACTOR = 3;
 
@@ -81,12 +83,13 @@
 
   constructor(private readonly options: MembershipOptions) {
     this.timings = { ...DEFAULT_MEMBERSHIP_TIMINGS, ...options.timings };
-    const { id, zone, region, instance } = options.identity;
+    const { id, zone, region, instance, capacity = DEFAULT_CAPACITY } = options.identity;
     this.self = {
       id,
       address: options.peers.address,
       zone,
       region,
+      capacity,
       instance,
       refutation: 0,
       status: 'alive',
@@ -107,7 +110,7 @@
 
   /** Members that may be given work and roles: present, and neither leaving nor suspected. */
   eligible(): readonly MemberRecord[] {
-    return this.table.present().filter((member) => member.status === 'alive');
+    return this.table.eligible();
   }
 
   /** What is known of one member. */
--- a/packages/membership/test/membership.test.ts
+++ b/packages/membership/test/membership.test.ts
@@ -152,6 +152,7 @@
       address: 'm:1',
       zone: 'z',
       region: 'r',
+      capacity: 100,
       instance: 5,
       refutation: 2,
       status: 'alive',
--- a/packages/observability/src/bounded-log.ts
+++ b/packages/observability/src/bounded-log.ts
@@ -28,7 +28,7 @@
 /** Bytes that may wait for standard output. */
 export const MAXIMUM_WAITING_BYTES = 256 * 1024;
 /** Lines are collected for this long before they are written, in milliseconds. */
-const FLUSH_INTERVAL_MS = 100;
+const FLUSH_INTERVAL_MS = 250;
 const BUDGET_WINDOW_MS = 1000;
 const DEFAULT_LINES_PER_SECOND: Readonly<Record<LineClass, number>> = {
   routine: 150,
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -35,7 +35,7 @@
     'A configuration is in force. Version now and before, number of routes and services.',
   back_ends_listed: 'All back ends were read anew. Their number.',
   back_end_seen: 'A back end appeared. Service, zone, state, models.',
-  back_end_changed: 'The record of a back end changed. Service, zone, state, models.',
+  back_end_changed: 'A back end has begun to leave, or takes requests again. Service, zone, state, models.',
   back_end_gone: 'The record of a back end vanished.',
   store_lost: 'The store does not answer this daemon. Kind of records, cause.',
   store_regained: 'The store answers again. Kind of records, failures in between.',
--- a/packages/protocol/src/exchange-messages.ts
+++ b/packages/protocol/src/exchange-messages.ts
@@ -68,6 +68,15 @@
   readonly value: unknown;
 }
 
+/** One record as sent: its value, or the compressed JSON text of a large one. */
+export interface SentRecord {
+  readonly name: string;
+  readonly revision: number;
+  readonly value?: unknown;
+  /** Raw deflate of the JSON text of the value. */
+  readonly packed?: Uint8Array;
+}
+
 /** What a daemon lacks of the records of one kind. */
 export interface RecordUpdate {
   readonly source: string;
@@ -78,10 +87,20 @@
   readonly names?: readonly string[];
 }
 
+/** An update as sent. */
+export interface SentUpdate extends Omit<RecordUpdate, 'records'> {
+  readonly records: readonly SentRecord[];
+}
+
 /** Answer to a report. */
 export interface StateReportAnswer {
+  /** State of the part of the deployment that the answering relay speaks for. */
+  readonly state: StateReport;
+  /** Whether the answering daemon is a relay, and does not follow the store. */
+  readonly isRelay: boolean;
+  readonly needsRecords: boolean;
   /** Empty unless asked for. */
-  readonly updates: readonly RecordUpdate[];
+  readonly updates: readonly SentUpdate[];
 }
 
 /** A daemon's report to the relay of its choice, which answers after a while or when something urgent comes. */
@@ -96,7 +115,7 @@
   readonly isRelay: boolean;
   /** State of all others. */
   readonly state: StateReport;
-  readonly updates: readonly RecordUpdate[];
+  readonly updates: readonly SentUpdate[];
   readonly changes: readonly ResidencyChange[];
 }
 
--- a/packages/protocol/src/membership-messages.ts
+++ b/packages/protocol/src/membership-messages.ts
@@ -11,6 +11,8 @@
   readonly address: string;
   readonly zone: string;
   readonly region: string;
+  /** What its machine bears, in hundredths of a core: work for others goes to those that bear most. */
+  readonly capacity: number;
   /** Identifies one run of the process; a later run has a higher number. */
   readonly instance: number;
   /** Raised by the member itself to refute a suspicion. */
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -5,7 +5,7 @@
 import type { BackendDirectory, LoadBook, ServiceDefinition } from '@woodbarrow/backends';
 import {
   StoreLease,
-  ownerByRendezvous,
+  rankByCapacity,
   type AcquireResult,
   type LeaseRecordStore,
   type StoredLease,
@@ -321,7 +321,7 @@
   private firstInLine(zone: string): string | undefined {
     const members = this.options.members();
     const ofZone = members.filter((member) => member.zone === zone);
-    return ownerByRendezvous(zone, ofZone.length > 0 ? ofZone : members)?.id;
+    return rankByCapacity(zone, ofZone.length > 0 ? ofZone : members)[0]?.id;
   }
 
   private leaseOf(zone: string): StoreLease {
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -67,7 +67,7 @@
 
   async start(name: string, zone: string): Promise<() => void> {
     const node = await this.cluster.add(name, zone);
-    const self = { id: name, address: node.peers.address, zone, instance: this.runs + 1 };
+    const self = { id: name, address: node.peers.address, zone, capacity: 100, instance: this.runs + 1 };
     this.members.set(name, self);
     const directory = new BackendDirectory(node.process);
     for (const workerZone of ZONES) {
--- a/packages/serving/src/deployment-view.ts
+++ b/packages/serving/src/deployment-view.ts
@@ -5,12 +5,6 @@
 import type { IngressLimits } from '@woodbarrow/runtime';
 import type { DeploymentSink } from './ports.js';
 
-/** Whether two records of a back end differ only in adapters and copies at hand, which no line tells. */
-function isSameBelief(before: BackEnd, after: BackEnd): boolean {
-  const names = (backEnd: BackEnd): string => backEnd.models.map((model) => model.name).join(',');
-  return before.draining === after.draining && names(before) === names(after);
-}
-
 /** Sink of a daemon's feed. */
 export class DeploymentView implements DeploymentSink {
   private listed = false;
@@ -48,7 +42,8 @@
   backEndChanged(backEnd: BackEnd): void {
     const before = this.directory.get(backEnd.id);
     this.directory.put(backEnd);
-    if (before !== undefined && isSameBelief(before, backEnd)) return;
+    // What it holds changes with each load, which its coordinator logs: a line at every daemon would say it 200 times.
+    if (before?.draining === backEnd.draining) return;
     this.log.changed(before === undefined ? 'back_end_seen' : 'back_end_changed', {
       backEnd: backEnd.id,
       service: backEnd.service,
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -68,6 +68,8 @@
   /** Peer address. */
   readonly address: string;
   readonly zone: string;
+  /** What its machine bears, in hundredths of a core. */
+  readonly capacity: number;
 }
 
 /** Register of daemons, through which they find each other. Calls may throw. */
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -189,9 +189,9 @@
 
   private createRegistration(): MemberRegistration {
     const { settings, ports, log } = this;
-    const { name: id, peerAddress: address, zone } = settings;
+    const { name: id, peerAddress: address, zone, capacity } = settings;
     return new MemberRegistration({
-      self: { id, address, zone },
+      self: { id, address, zone, capacity },
       registry: ports.registry,
       presentCount: () => this.membership.present().length,
       clock: ports.clock,
@@ -201,9 +201,9 @@
 
   private createMembership(instance: number): Membership {
     const { settings, ports, log } = this;
-    const { name: id, zone, region } = settings;
+    const { name: id, zone, region, capacity } = settings;
     const membership = new Membership({
-      identity: { id, zone, region, instance },
+      identity: { id, zone, region, capacity, instance },
       peers: this.peers,
       clock: ports.clock,
       random: ports.random.fork(),
@@ -330,8 +330,8 @@
   }
 
   private self(): Member {
-    const { name: id, peerAddress: address, zone } = this.settings;
-    return { id, address, zone };
+    const { name: id, peerAddress: address, zone, capacity } = this.settings;
+    return { id, address, zone, capacity };
   }
 
   /** Newest revision of the records that others are to have at once. */
@@ -342,15 +342,15 @@
   }
 
   private members(): Member[] {
-    return this.membership.eligible().map(({ id, address, zone }) => ({ id, address, zone }));
+    return [...this.membership.eligible()];
   }
 
   /** Members, and those that a daemon which has just started knows from the register only. */
-  private membersToBe(): Member[] {
+  private membersToBe(): readonly Member[] {
     const unmet = this.registration.provisionalMembers.filter(
       ({ id }) => this.membership.get(id) === undefined,
     );
-    return [...this.members(), ...unmet];
+    return unmet.length === 0 ? this.membership.eligible() : [...this.membership.eligible(), ...unmet];
   }
 
   private serviceOf(name: string): ServiceDefinition | undefined {
--- a/packages/serving/src/serving-settings.ts
+++ b/packages/serving/src/serving-settings.ts
@@ -22,6 +22,8 @@
   readonly name: string;
   readonly zone: string;
   readonly region: string;
+  /** What the machine bears, in hundredths of a core. */
+  readonly capacity: number;
   readonly ingressAddress: string;
   readonly readinessAddress: string;
   readonly peerAddress: string;
--- a/packages/serving/test/exchange.test.ts
+++ b/packages/serving/test/exchange.test.ts
@@ -114,7 +114,7 @@
       const zone = index % 2 === 0 ? 'alpha' : 'beta';
       const id = `daemon-${String(index)}`;
       const node = await this.cluster.add(id, zone);
-      const self = { id, address: node.peers.address, zone };
+      const self = { id, address: node.peers.address, zone, capacity: 100 };
       this.members.push(self);
       this.daemons.push(new ExchangingDaemon(self, node, this.store, () => this.members));
     }
@@ -142,6 +142,7 @@
   const members = Array.from({ length: 30 }, (_, index) => ({
     id: `d${String(index)}`,
     zone: `z${String(index % 3)}`,
+    capacity: 100,
   }));
 
   it('makes every daemon of a small group a relay', () => {
@@ -165,6 +166,19 @@
   });
 });
 
+describe('relay topology of unequal machines', () => {
+  it('takes the machines that bear most', () => {
+    const members = Array.from({ length: 30 }, (_, index) => ({
+      id: `d${String(index)}`,
+      zone: `z${String(index % 3)}`,
+      capacity: index < 9 ? 135 : 14,
+    }));
+    const relays = members.filter((self) => relayTopology(self, members).isRelay);
+    expect(relays).to.have.lengthOf(6);
+    expect(relays.every(({ capacity }) => capacity === 135)).to.equal(true);
+  });
+});
+
 describe('exchange among 20 daemons', () => {
   let world: ExchangeWorld;
 
--- a/packages/serving/test/member-registration.test.ts
+++ b/packages/serving/test/member-registration.test.ts
@@ -3,8 +3,8 @@
 import { SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
 import { MemberRegistration, type MemberRegistry, type RegisteredMember } from '../src/index.js';
 
-const SELF: RegisteredMember = { id: 'd1', address: '10.0.0.1:1', zone: 'z' };
-const OTHER: RegisteredMember = { id: 'd2', address: '10.0.0.2:1', zone: 'z' };
+const SELF: RegisteredMember = { id: 'd1', address: '10.0.0.1:1', zone: 'z', capacity: 100 };
+const OTHER: RegisteredMember = { id: 'd2', address: '10.0.0.2:1', zone: 'z', capacity: 100 };
 
 /** A register that counts the calls to it, and one daemon that registers there. */
 class RegistrationWorld {
