No zone loads what another zone loads or holds

Change: coordinators tell with their claims what they load and when it is expected; a group whose model comes elsewhere within 1.2 s is not planned, one whose model another zone holds is sent there, by asking the zones anew. Tests: waits for what another zone loads, loads it when it does not come, asks anew.

--- a/packages/exchange/src/coordinator-directory.ts
+++ b/packages/exchange/src/coordinator-directory.ts
@@ -1,6 +1,6 @@
 /** Which daemon coordinates which zone, from what the coordinators claim again and again. */
 import type { ReportScope } from '@woodbarrow/backends';
-import type { RelayedClaim } from '@woodbarrow/protocol';
+import type { LoadUnderWay, RelayedClaim } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
 
 /** A daemon that claims a zone. */
@@ -10,6 +10,8 @@
   readonly fence: number;
   /** Loads from the weight store that it had under way when it last told. */
   readonly storeLoads: number;
+  /** Loads that it had under way when it last told, with the time left now. */
+  readonly loading: readonly LoadUnderWay[];
 }
 
 /** Milliseconds after which a claim that is not repeated is no longer believed. */
@@ -66,13 +68,18 @@
   /** The coordinator of a zone, when one has claimed it lately. */
   of(zone: string): Coordinator | undefined {
     let best: RelayedClaim | undefined;
-    for (const { claims } of this.freshSources()) {
+    let toldAt = 0;
+    for (const { claims, at } of this.freshSources()) {
       const claim = claims.find((candidate) => candidate.zone === zone);
-      if (claim !== undefined && claim.fence >= (best?.fence ?? -Infinity)) best = claim;
+      if (claim === undefined || claim.fence < (best?.fence ?? -Infinity)) continue;
+      best = claim;
+      toldAt = at;
     }
     if (best === undefined) return undefined;
     const { holder, address, fence, storeLoads } = best;
-    return { memberId: holder, address, fence, storeLoads };
+    const ageMs = this.clock.monotonic() - toldAt;
+    const loading = best.loading.map(({ model, readyInMs }) => ({ model, readyInMs: readyInMs - ageMs }));
+    return { memberId: holder, address, fence, storeLoads, loading };
   }
 
   /** Fresh claims told by sources of the given scopes. */
--- a/packages/protocol/src/residency-messages.ts
+++ b/packages/protocol/src/residency-messages.ts
@@ -52,12 +52,21 @@
   readonly changes: readonly ResidencyChange[];
 }
 
+/** A load under way. */
+export interface LoadUnderWay {
+  readonly model: string;
+  /** Milliseconds until the model is expected to be resident, when it was told. */
+  readonly readyInMs: number;
+}
+
 /** A zone that the sender coordinates. */
 export interface ZoneClaim {
   readonly zone: string;
   readonly fence: number;
   /** Loads from the weight store under way on the zone's workers; all zones share its link. */
   readonly storeLoads: number;
+  /** Models that the zone's workers load now: no other zone loads them as well. */
+  readonly loading: readonly LoadUnderWay[];
   /** Revision of the lease's record after the last write of the sender that the store confirmed. */
   readonly leaseRevision: number;
   /** Milliseconds since that write began, when the claim was first told. */
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -13,6 +13,7 @@
 import { leastBy, settleWithin, sleep, type Clock } from '@woodbarrow/runtime';
 import { hasCopy } from './copies.js';
 import { OCCUPANCY_WEIGHT } from './placement-choice.js';
+import type { RefusedDemandReason } from './pending-demand.js';
 import { QUOTE_REASON } from './zone-residency.js';
 
 /** Options of {@link DemandRouter}. */
@@ -24,6 +25,7 @@
   readonly log: EventLog;
 }
 
+const HELD_ELSEWHERE: RefusedDemandReason = 'held_elsewhere';
 const NO_COORDINATOR_PAUSE_MS = 100;
 const RETRY_AFTER_MS = 300;
 /** Pause between two looks at whether a coordinator still answers for its zone, in milliseconds. */
@@ -131,6 +133,7 @@
     const targetAt = clock.monotonic() + demand.targetMs;
     let refusal: ResidencyOutcome = { held: false, retryAfterMs: RETRY_AFTER_MS, reason: 'no_coordinator' };
     while (clock.monotonic() < deadline) {
+      let isElsewhere = false;
       for (const { message } of await this.bestQuotes(demand, deadline, targetAt)) {
         const leftMs = deadline - clock.monotonic();
         const final = {
@@ -143,9 +146,11 @@
         if (answer === undefined) continue;
         if (answer.held) return { held: true, backEndId: answer.backEndId };
         refusal = { held: false, retryAfterMs: answer.retryAfterMs, reason: answer.reason };
+        isElsewhere = answer.reason === HELD_ELSEWHERE;
+        if (isElsewhere) break;
         if (answer.reason !== 'not_acting') return refusal;
       }
-      await sleep(clock, NO_COORDINATOR_PAUSE_MS);
+      if (!isElsewhere) await sleep(clock, NO_COORDINATOR_PAUSE_MS);
     }
     return refusal;
   }
--- a/packages/residency/src/load-scheduler.ts
+++ b/packages/residency/src/load-scheduler.ts
@@ -4,6 +4,7 @@
  */
 import { remainingMs } from '@woodbarrow/backends';
 import type { EventLog } from '@woodbarrow/observability';
+import type { LoadUnderWay } from '@woodbarrow/protocol';
 import { victimsAhead, type PlannedLoad } from './load-plan.js';
 import { LoadPlanner, type LoadPlannerOptions } from './load-planner.js';
 import {
@@ -26,6 +27,8 @@
   readonly zone: string;
   /** Whether orders may be given now. */
   readonly mayAct: () => boolean;
+  /** Milliseconds until a model that another zone loads now is expected there; Infinity when none does. */
+  readonly comesElsewhereInMs: (model: string) => number;
   readonly log: EventLog;
   readonly signal: AbortSignal;
 }
@@ -40,6 +43,7 @@
 
 /** A load under way, with the demands that it will serve. */
 interface Loading {
+  readonly model: string;
   readonly beganAt: number;
   /** Milliseconds after which the model was expected to be resident, when it began. */
   readonly expectedMs: number;
@@ -49,6 +53,8 @@
 
 /** Pause between two plans while demands wait and nothing else causes one, in milliseconds. */
 const PLAN_INTERVAL_MS = 100;
+/** A load of another zone that takes longer still is not waited for, in milliseconds: one from a disk takes a second. */
+const LONGEST_WAIT_ELSEWHERE_MS = 1200;
 /** Time after which to come back where no worker can make room, in milliseconds. */
 const NO_PLACE_RETRY_MS = 500;
 /** Recent requests for a model that make a load worth it which is too late for the one that asks. */
@@ -128,11 +134,20 @@
     });
   }
 
+  /** Loads under way, with the time that each is expected to take still. */
+  loadsUnderWay(): LoadUnderWay[] {
+    return [...this.loading.values()].map((loading) => ({
+      model: loading.model,
+      readyInMs: Math.round(this.leftOf(loading)),
+    }));
+  }
+
   /** Something has changed: loads may begin. */
   schedule(): void {
     if (!this.options.mayAct()) return;
     this.promises.forgetPast();
     for (const { wanted, demand } of this.queue.takeExpired()) this.settleLate(wanted, demand);
+    this.settleHeldElsewhere();
     const services = new Set(this.queue.all().map((group) => group.service));
     for (const service of services) this.startLoads(service);
     for (const service of this.retiring) if (!services.has(service)) this.retire(service, []);
@@ -187,6 +202,28 @@
     this.settleRefused(wanted, demand, { kind: 'refused', reason: 'not_in_time', retryAfterMs });
   }
 
+  /** A model that has become resident in another zone meanwhile need not be loaded here as well. */
+  private settleHeldElsewhere(): void {
+    const { directory } = this.options;
+    for (const group of this.queue.all()) {
+      if (group.another) continue;
+      const holders = directory.holdersOf(group.service, { model: group.model });
+      const isServed = ({ without }: PendingDemand): boolean =>
+        holders.some(({ id }) => !without.includes(id));
+      if (!group.demands.some(isServed)) continue;
+      for (const demand of this.queue.take(group.key)) {
+        if (!isServed(demand)) this.queue.add(group, demand);
+        else
+          this.settleRefused(group, demand, { kind: 'refused', reason: 'held_elsewhere', retryAfterMs: 0 });
+      }
+    }
+  }
+
+  /** Whether another zone has a group's model before it could be loaded here. */
+  private comesElsewhere(group: DemandGroup): boolean {
+    return !group.another && this.options.comesElsewhereInMs(group.model) <= LONGEST_WAIT_ELSEWHERE_MS;
+  }
+
   private settleRefused(wanted: WantedModel, demand: PendingDemand, refusal: RefusedPlacement): void {
     if (!demand.isWaiting()) return;
     demand.settle(refusal);
@@ -222,7 +259,9 @@
     // While all workers are occupied a plan only looks ahead, which need not follow each change.
     if (!this.planner.hasFreeWorker(service) && now - this.plannedAt < PLAN_INTERVAL_MS) return;
     this.plannedAt = now;
-    const groups = this.queue.all().filter((group) => group.service === service);
+    const groups = this.queue
+      .all()
+      .filter((group) => group.service === service && !this.comesElsewhere(group));
     const plan = this.planner.plan(service, groups);
     for (const planned of plan) {
       if (planned.startsNow && this.planner.storeAllows(planned)) this.start(planned);
@@ -247,7 +286,8 @@
     this.logDecision(group, choice);
     const storeLoad = this.planner.noteStart(planned);
     const expectedMs = choice.unloadMs + choice.loadMs;
-    const loading: Loading = { beganAt: clock.monotonic(), expectedMs, backEndId: id, demands: [] };
+    const { model } = group;
+    const loading: Loading = { model, beganAt: clock.monotonic(), expectedMs, backEndId: id, demands: [] };
     this.loading.set(group.key, loading);
     for (const demand of this.queue.take(group.key)) this.attach(group, loading, demand);
     const finish = (loaded: boolean): void => {
--- a/packages/residency/src/pending-demand.ts
+++ b/packages/residency/src/pending-demand.ts
@@ -20,6 +20,8 @@
   | 'no_place'
   /** The model will be resident, but later than the demand can wait. */
   | 'loading'
+  /** Another zone has it by now: it is to be asked. */
+  | 'held_elsewhere'
   /** The demand's time has passed. */
   | 'not_in_time'
   /** More demands wait than the coordinator keeps. */
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -129,6 +129,7 @@
       zone,
       fence: lease.fence,
       storeLoads: residency.storeLoads,
+      loading: residency.loadsUnderWay,
       leaseRevision: lease.revision,
       confirmedAgoMs: Math.floor(lease.confirmedAgoMs()),
     }));
@@ -287,6 +288,7 @@
       signal: this.tasks.signal,
       zones: () => this.zones(),
       storeLoadsElsewhere: () => this.storeLoadsBeside(zone),
+      comesElsewhereInMs: (model) => this.comesBesideInMs(zone, model),
       announce,
     });
   }
@@ -302,6 +304,20 @@
     return loads;
   }
 
+  /** Milliseconds until a model that another zone loads now is expected there; Infinity when none does. */
+  private comesBesideInMs(zone: string, model: string): number {
+    let soonestMs = Infinity;
+    for (const other of this.zones()) {
+      if (other === zone) continue;
+      const loads =
+        this.held.get(other)?.residency.loadsUnderWay ?? this.options.coordinators.of(other)?.loading;
+      for (const load of loads ?? []) {
+        if (load.model === model) soonestMs = Math.min(soonestMs, load.readyInMs);
+      }
+    }
+    return soonestMs;
+  }
+
   private async onDemand(message: ResidencyDemandMessage): Promise<ResidencyDemandAnswer> {
     const held = this.held.get(message.zone);
     if (held === undefined) throw new WoodbarrowError('not_leader', 'no lease on that zone');
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -10,7 +10,12 @@
 import { rankByRendezvous, type StoreLease } from '@woodbarrow/coordination';
 import { WoodbarrowError } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
-import type { ResidencyChange, ResidencyDemandAnswer, ResidencyDemandMessage } from '@woodbarrow/protocol';
+import type {
+  LoadUnderWay,
+  ResidencyChange,
+  ResidencyDemandAnswer,
+  ResidencyDemandMessage,
+} from '@woodbarrow/protocol';
 import { leastBy, settleWithin, sleep, type Clock, type Random } from '@woodbarrow/runtime';
 import type { StoreWindowOptions } from './load-planner.js';
 import { LoadTimes } from './load-times.js';
@@ -38,6 +43,8 @@
   readonly storeWindow: StoreWindowOptions;
   /** Loads from the weight store that the coordinators of other zones have under way. */
   readonly storeLoadsElsewhere: () => number;
+  /** Milliseconds until a model that another zone loads now is expected there; Infinity when none does. */
+  readonly comesElsewhereInMs: (model: string) => number;
   /** Tells all daemons. */
   readonly announce: (change: ResidencyChange) => void;
 }
@@ -74,6 +81,11 @@
     return this.link.own;
   }
 
+  /** Loads under way, for other zones to know. */
+  get loadsUnderWay(): readonly LoadUnderWay[] {
+    return this.scheduler.loadsUnderWay();
+  }
+
   /** Answers a demand once the target is resident, or when it will not be in time; a quote at once. */
   async demand(message: ResidencyDemandMessage): Promise<ResidencyDemandAnswer> {
     const { clock } = this.options;
--- a/packages/residency/test/demand-router.test.ts
+++ b/packages/residency/test/demand-router.test.ts
@@ -64,6 +64,7 @@
         address: coordinator.peers.address,
         fence: 1,
         storeLoads: 0,
+        loading: [],
         leaseRevision: 1,
         confirmedAgoMs: 0,
       });
@@ -156,6 +157,19 @@
     expect(final?.withinMs).to.be.within(850, 925);
   });
 
+  it('asks the zones anew when the one it waited at says that another has the model by now', async () => {
+    await world.start();
+    const answer = quoting(100);
+    world.answers.set('alpha', (message) =>
+      message.quote === true
+        ? answer(message)
+        : Promise.resolve({ held: false, backEndId: '', retryAfterMs: 0, reason: 'held_elsewhere' }),
+    );
+    world.answers.set('beta', quoting(200));
+    world.cluster.world.schedule(40, () => world.answers.set('beta', quoting(0)));
+    expect(await world.ask()).to.deep.equal({ held: true, backEndId: 'worker-beta' });
+  });
+
   it('asks again until its time is up while no zone can make room', async () => {
     await world.start();
     for (const zone of ZONES) world.answers.set(zone, quoting(Infinity));
--- a/packages/residency/test/zone-residency.test.ts
+++ b/packages/residency/test/zone-residency.test.ts
@@ -47,6 +47,8 @@
   readonly orders: SimulatedOrderClient;
   readonly loads: LoadBook;
   engine = ENGINE;
+  /** Models that another zone loads, with the time until they are there. */
+  readonly comesElsewhere = new Map<string, number>();
   private readonly leases = plainLeaseStore();
   private runs = 0;
 
@@ -102,6 +104,7 @@
       zones: () => [ZONE],
       storeWindow: { windowMs: 5000, overshoot: 1 },
       storeLoadsElsewhere: () => 0,
+      comesElsewhereInMs: (model) => this.comesElsewhere.get(model) ?? Infinity,
       announce: ({ backEndId, model, adapter, resident }) => {
         this.directory.announce(backEndId, adapter === undefined ? { model } : { model, adapter }, resident);
       },
@@ -216,6 +219,37 @@
     expect(quotes[1]).to.be.above(400);
   });
 
+  it('does not load what another zone is about to have, and sends those who wait for it there', async () => {
+    const zone = new ZoneWorld(33, 1);
+    const coordinator = await zone.coordinator();
+    zone.comesElsewhere.set('m5', 800);
+    const waiting = demand(coordinator, 'm5');
+    await zone.world.run(zone.world.now + 600);
+    expect(zone.workers.get('w0')?.models.has('m5')).to.equal(false);
+    zone.directory.put({
+      id: 'far',
+      service: SERVICE,
+      address: '10.0.0.2:1',
+      zone: 'zone-b',
+      slots: 8,
+      draining: false,
+      models: [{ name: 'm5', adapters: [] }],
+      nearby: NO_NEARBY_COPIES,
+    });
+    expect(await zone.settle(waiting)).to.include({ held: false, reason: 'held_elsewhere' });
+    expect(zone.workers.get('w0')?.models.has('m5')).to.equal(false);
+  });
+
+  it('loads what another zone was about to have when it does not come there', async () => {
+    const zone = new ZoneWorld(34, 1);
+    const coordinator = await zone.coordinator();
+    zone.comesElsewhere.set('m5', 800);
+    const waiting = demand(coordinator, 'm5');
+    await zone.world.run(zone.world.now + 600);
+    zone.comesElsewhere.clear();
+    expect(await zone.settle(waiting)).to.include({ held: true, backEndId: 'w0' });
+  });
+
   it('answers with a refusal when nothing can make way in time', async () => {
     const zone = new ZoneWorld(3);
     const coordinator = await zone.coordinator();
--- a/packages/serving/test/exchange.test.ts
+++ b/packages/serving/test/exchange.test.ts
@@ -245,7 +245,9 @@
   it('tells coordinators of the loads by target and of the demand', async () => {
     const coordinator = world.daemons.find(({ exchange }) => !exchange.isRelay);
     if (coordinator === undefined) throw new Error('all are relays');
-    coordinator.claims = [{ zone: 'alpha', fence: 3, storeLoads: 0, leaseRevision: 1, confirmedAgoMs: 0 }];
+    coordinator.claims = [
+      { zone: 'alpha', fence: 3, storeLoads: 0, loading: [], leaseRevision: 1, confirmedAgoMs: 0 },
+    ];
     for (const { loads } of world.daemons) {
       loads.start('w1', { model: 'm' }, { promptTokens: 1, outputTokens: 1 });
       loads.noteDemand('m');
