--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -34,6 +34,8 @@
   readonly instance: number;
   /** Daemons that may hold roles, this one included. */
   readonly members: () => readonly RunningMember[];
+  /** Whether enough is known of them to tell who is next in line for a lease. */
+  readonly isGroupKnown: () => boolean;
   readonly peers: PeerNetwork;
   readonly directory: BackendDirectory;
   readonly loads: LoadBook;
@@ -161,7 +163,7 @@
 
   /** Takes free zones that this daemon is next in line for. */
   private stand(): Promise<void> {
-    if (this.leaving) return Promise.resolve();
+    if (this.leaving || !this.options.isGroupKnown()) return Promise.resolve();
     for (const zone of this.zones()) {
       if (this.held.has(zone) || this.options.coordinators.of(zone) !== undefined) continue;
       if (this.options.clock.monotonic() < (this.askAgainAt.get(zone) ?? 0)) continue;
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -114,6 +114,7 @@
       self,
       instance: this.runs,
       members,
+      isGroupKnown: () => true,
       peers: node.peers,
       directory,
       loads,
--- a/packages/serving/src/member-registration.ts
+++ b/packages/serving/src/member-registration.ts
@@ -8,6 +8,8 @@
 export interface MemberRegistrationOptions {
   readonly self: RegisteredMember;
   readonly registry: MemberRegistry;
+  /** The whole deployment starts for the first time: the register fills only now. */
+  readonly isFirstStart: boolean;
   /** Daemons present as the membership knows them, this one included. */
   readonly presentCount: () => number;
   readonly clock: Clock;
@@ -21,6 +23,11 @@
  * 0.3 s of each other, and the register may be told with a delay of a second or two.
  */
 const ALONE_AFTER_MS = 2500;
+/**
+ * Time after which the register names nearly all daemons of a deployment that starts for the first time, in milliseconds:
+ * they start within 0.3 s, and a listing may be a second old.
+ */
+const REGISTER_FILLED_MS = 1500;
 /** Time after the start in which registered daemons count that the membership has not met yet, in milliseconds. */
 const REGISTER_BELIEVED_MS = 5000;
 
@@ -28,6 +35,8 @@
 export class MemberRegistration {
   private listed: readonly RegisteredMember[] = [];
   private isRegistered = false;
+  /** Whether the register was filled when it was last read. */
+  private wasFilledAtLook = false;
   private readonly startedAt: number;
 
   constructor(private readonly options: MemberRegistrationOptions) {
@@ -41,7 +50,8 @@
 
   /** Whether it is known what group of daemons this one belongs to, be it a group of one. */
   get isGroupKnown(): boolean {
-    return this.options.presentCount() > 1 || this.listed.length > 0 || this.ageMs > ALONE_AFTER_MS;
+    if (this.ageMs > ALONE_AFTER_MS) return true;
+    return this.wasFilledAtLook && this.listed.length > 0;
   }
 
   /** Registered daemons that may be counted as present until the membership has met them; none after a while. */
@@ -55,7 +65,7 @@
     while (!signal.aborted) {
       try {
         await this.look();
-        if (this.isRegistered && presentCount() > 1) return;
+        if (this.isRegistered && this.wasFilledAtLook && presentCount() > 1) return;
       } catch (error) {
         log.warned('register_failed', { cause: messageOf(error) });
       }
@@ -66,7 +76,8 @@
   /** Reads the register, which costs less than a write, and enters this daemon where it does not stand there yet. */
   private async look(): Promise<void> {
     const { self, registry, presentCount } = this.options;
-    if (presentCount() <= 1 || this.listed.length === 0) {
+    if (presentCount() <= 1 || this.listed.length === 0 || !this.wasFilledAtLook) {
+      this.wasFilledAtLook = this.isRegisterFilled;
       const members = await registry.list();
       this.listed = members.filter(({ address }) => address !== self.address);
       this.isRegistered ||= members.some(({ id, address }) => id === self.id && address === self.address);
@@ -76,6 +87,10 @@
     this.isRegistered = true;
   }
 
+  private get isRegisterFilled(): boolean {
+    return !this.options.isFirstStart || this.ageMs > REGISTER_FILLED_MS;
+  }
+
   private get ageMs(): number {
     return this.options.clock.monotonic() - this.startedAt;
   }
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -1,4 +1,5 @@
 /** One serving daemon: its parts, put together, started and stopped. */
+import { setMaxListeners } from 'node:events';
 import { BackendDirectory, LoadBook, RunTimes, type ServiceDefinition } from '@woodbarrow/backends';
 import {
   BackendHealth,
@@ -91,6 +92,8 @@
     private readonly log: BoundedLog,
   ) {
     const { clock, transport } = ports;
+    // One listener for each request that waits.
+    setMaxListeners(0, this.stopWaiting.signal);
     this.tasks = new TaskGroup(clock, logTaskFailures(log));
     this.directory = new BackendDirectory(clock);
     this.loads = new LoadBook(clock);
@@ -193,6 +196,7 @@
     return new MemberRegistration({
       self: { id, address, zone, capacity },
       registry: ports.registry,
+      isFirstStart: settings.isFirstStart,
       presentCount: () => this.membership.present().length,
       clock: ports.clock,
       log,
@@ -227,6 +231,7 @@
       self: this.self(),
       instance,
       members: () => this.membership.eligible(),
+      isGroupKnown: () => this.registration.isGroupKnown,
       peers,
       directory,
       loads,
--- a/packages/serving/src/serving-settings.ts
+++ b/packages/serving/src/serving-settings.ts
@@ -29,6 +29,8 @@
   readonly peerAddress: string;
   readonly metrics?: MetricsEndpoint;
   readonly repeats: RepeatSettings;
+  /** The whole deployment starts for the first time. */
+  readonly isFirstStart: boolean;
   /** Time between the orders of two coordinators of a zone. */
   readonly handoverPauseMs: number;
   readonly storeWindow: StoreWindowOptions;
--- a/packages/serving/test/member-registration.test.ts
+++ b/packages/serving/test/member-registration.test.ts
@@ -16,7 +16,7 @@
   readonly registration: MemberRegistration;
   private readonly stopped = new AbortController();
 
-  constructor(...members: readonly RegisteredMember[]) {
+  constructor(members: readonly RegisteredMember[] = [], isFirstStart = false) {
     this.members.push(...members);
     const registry: MemberRegistry = {
       list: () => this.call('list', () => [...this.members]),
@@ -25,6 +25,7 @@
     this.registration = new MemberRegistration({
       self: SELF,
       registry,
+      isFirstStart,
       presentCount: () => this.presentCount,
       clock: new SimulatedProcess(this.world, { name: 'd1', zone: 'z', region: 'r' }),
       log: silentLog,
@@ -71,13 +72,28 @@
 
   it('writes nothing after a restart, where it is registered already', async () => {
     world.stop();
-    world = new RegistrationWorld(SELF, OTHER);
+    world = new RegistrationWorld([SELF, OTHER]);
     await world.run(100);
     expect(world.calls).to.deep.equal(['list']);
     expect(world.registration.isGroupKnown).to.equal(true);
     expect(world.registration.provisionalMembers).to.deep.equal([OTHER]);
   });
 
+  it('waits at a first start until the register has filled', async () => {
+    world.stop();
+    world = new RegistrationWorld([OTHER], true);
+    await world.run(1000);
+    expect(world.registration.isGroupKnown).to.equal(false);
+    world.members.push({ ...OTHER, id: 'd3', address: '10.0.0.3:1' });
+    world.presentCount = 2;
+    await world.run(1300);
+    expect(world.registration.isGroupKnown).to.equal(true);
+    expect(world.registration.provisionalMembers).to.have.lengthOf(2);
+    const looks = world.calls.length;
+    await world.run(3000);
+    expect(world.calls).to.have.lengthOf(looks);
+  });
+
   it('registers once the register is reached', async () => {
     world.stop();
     world = new RegistrationWorld();
