--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -29,6 +29,9 @@
 export class AnswerRelay {
   private stream: ResponseStream | undefined;
   private lastEvent: string | undefined;
+  /** Monotonic time of the last bytes of a stream. */
+  private lastAt: number | undefined;
+  private longestGap = 0;
 
   constructor(
     private readonly exchange: IncomingExchange,
@@ -46,6 +49,11 @@
     return this.lastEvent;
   }
 
+  /** Longest pause between two pieces of a stream as they came, in milliseconds; 0 before the second. */
+  get longestGapMs(): number {
+    return this.longestGap;
+  }
+
   /** Cuts the client's answer, so that it cannot be taken for complete. */
   cut(): void {
     this.stream?.abort();
@@ -87,6 +95,7 @@
       const step = await reader.next(options.silentAfterMs());
       if (step.kind === 'broken') return { kind: 'broken' };
       if (step.kind === 'end') break;
+      this.noteArrival();
       if (options.resumable) await this.passEvents(splitter, stream, step.chunk);
       else await stream.write(step.chunk);
     }
@@ -95,6 +104,12 @@
     return { kind: 'passed' };
   }
 
+  private noteArrival(): void {
+    const now = this.clock.monotonic();
+    if (this.lastAt !== undefined) this.longestGap = Math.max(this.longestGap, now - this.lastAt);
+    this.lastAt = now;
+  }
+
   private async passEvents(
     splitter: EventSplitter,
     stream: ResponseStream,
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -317,6 +317,7 @@
 
   private async passStream(answer: BackendAnswer, backEnd: BackEnd, sentAt: number): Promise<AttemptResult> {
     const tookMs = this.context.clock.monotonic() - sentAt;
+    const firstMs = this.times.elapsedMs();
     this.health().record(backEnd.id, 'good', tookMs / this.times.expectedMs());
     if (this.relay.hasBegun) {
       const afterEvent = this.relay.lastEventId;
@@ -325,7 +326,7 @@
     const result = await this.relay.passStream(answer, this.streamOptions(backEnd));
     if (result.kind === 'broken') return this.noteBrokenBody(backEnd);
     this.noteRunTime(sentAt);
-    this.ending.answered(answer.status, backEnd.id);
+    this.ending.answered(answer.status, backEnd.id, { firstMs, longestGapMs: this.relay.longestGapMs });
     return { kind: 'finished' };
   }
 
--- a/packages/forwarding/src/request-ending.ts
+++ b/packages/forwarding/src/request-ending.ts
@@ -27,6 +27,14 @@
   readonly body: Uint8Array;
 }
 
+/** Times of a stream as its pieces came from the back end, in milliseconds. */
+export interface StreamTimes {
+  /** From the arrival of the request to the head of the answer. */
+  readonly firstMs: number;
+  /** Longest pause between two pieces. */
+  readonly longestGapMs: number;
+}
+
 /** Ends one request, exactly once. */
 export class RequestEnding {
   constructor(private readonly options: EndingOptions) {}
@@ -74,13 +82,16 @@
     this.decide('request_abandoned', {});
   }
 
-  /** A back end's answer has been passed on whole. */
-  answered(status: number, backEndId: string): void {
+  /** A back end's answer has been passed on whole. @param stream Set for a series of events. */
+  answered(status: number, backEndId: string, stream?: StreamTimes): void {
     this.end(status < 500 ? 'served' : 'failure_passed_on');
     this.decide('request_answered', {
       status,
       backEnd: backEndId,
       tookMs: Math.round(this.options.elapsedMs()),
+      ...(stream === undefined
+        ? {}
+        : { firstMs: Math.round(stream.firstMs), longestGapMs: Math.round(stream.longestGapMs) }),
     });
   }
 
