Models are kept half a second, not 1.5 s, for clients told to come back

Clients come back at the time they were told, within tens of milliseconds; a model kept longer blocks a place that others wait for.

--- a/packages/residency/src/load-scheduler.ts
+++ b/packages/residency/src/load-scheduler.ts
@@ -64,7 +64,7 @@
 /** Added to the time after which to come back, in milliseconds. */
 const RETURN_MARGIN_MS = 50;
 /** Time for which a load is still wanted after those who were told to come back should have, in milliseconds. */
-const RETURN_SLACK_MS = 1500;
+const RETURN_SLACK_MS = 500;
 
 /** Scheduler of one zone's loads. */
 export class LoadScheduler {
