Failed calls between daemons are counted and told; exchange in smaller parts

Cause: the exchange, the demand router and the leases' contacts dropped what a failed call threw (six places), a released lease's failed write as well. Each failure is counted by kind on the metrics address, with a line a second and kind that names the daemon called last and the cause. RecordTransfer and HeldCalls are parts of the exchange of their own, RunForecast of a request; the directory counts its back ends.

--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -68,6 +68,13 @@
     return [...this.entries.values()].map((entry) => entry.backEnd);
   }
 
+  /** Number of back ends of each service. */
+  countByService(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const { service } of this.all()) counts.set(service, (counts.get(service) ?? 0) + 1);
+    return counts;
+  }
+
   get(id: string): BackEnd | undefined {
     return this.entries.get(id)?.backEnd;
   }
--- a/packages/exchange/src/index.ts
+++ b/packages/exchange/src/index.ts
@@ -5,4 +5,5 @@
 export * from './peer-exchange.js';
 export * from './packed-records.js';
 export * from './record-set.js';
+export * from './record-transfer.js';
 export * from './sent-updates.js';
--- a/packages/exchange/src/peer-exchange.ts
+++ b/packages/exchange/src/peer-exchange.ts
@@ -6,7 +6,7 @@
  */
 import { summarizedReport, type LoadBook, type ReportScope } from '@woodbarrow/backends';
 import { relayTopology, STORE_FOLLOWERS, type RelayTopology } from '@woodbarrow/coordination';
-import { logTaskFailures, type EventLog } from '@woodbarrow/observability';
+import { logTaskFailures, type CallFailures, type EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import {
   attachMethod,
@@ -15,21 +15,20 @@
   type AttachAnswer,
   type AttachMessage,
   type ResidencyChange,
-  type SentUpdate,
   type SourcePosition,
   type StateReport,
   type StateReportAnswer,
   type StateReportMessage,
   type ZoneClaim,
 } from '@woodbarrow/protocol';
-import { BackgroundService, sleep, type Clock } from '@woodbarrow/runtime';
+import { BackgroundService, type Clock } from '@woodbarrow/runtime';
 import { BehindTracker } from './behind.js';
 import { ChangeLog } from './change-log.js';
 import type { CoordinatorDirectory } from './coordinator-directory.js';
+import { HeldCalls } from './held-calls.js';
 import { FollowerWatch } from './follower-watch.js';
-import { RecordPacker, unpack } from './packed-records.js';
 import type { RecordSet } from './record-set.js';
-import { SentUpdates } from './sent-updates.js';
+import { RecordTransfer } from './record-transfer.js';
 import { toLoadReport, toStateReport } from './state-entries.js';
 
 /** A daemon as seen by the others. */
@@ -69,6 +68,7 @@
   /** Zones that this daemon coordinates. */
   readonly ownClaims: () => readonly ZoneClaim[];
   readonly onChanges: (changes: readonly ResidencyChange[]) => void;
+  readonly failures: CallFailures;
   readonly clock: Clock;
   readonly log: EventLog;
 }
@@ -100,10 +100,9 @@
 export class PeerExchange extends BackgroundService {
   private readonly reporting = new Set<string>();
   private readonly avoidedUntil = new Map<string, number>();
-  private readonly held = new Set<() => void>();
+  private readonly held: HeldCalls;
   private readonly changes: ChangeLog;
-  private readonly packer = new RecordPacker();
-  private readonly sentUpdates: SentUpdates;
+  private readonly transfer: RecordTransfer;
   /** When each relay was last heard of, monotonic. */
   private readonly heardAt = new Map<string, number>();
   /** Monotonic time since which no relay has answered. */
@@ -120,8 +119,10 @@
     super(options.clock, logTaskFailures(options.log));
     this.changes = new ChangeLog(options.clock);
     this.followers = new FollowerWatch(options.clock);
-    this.sentUpdates = new SentUpdates(options.clock);
-    this.behind = new BehindTracker(options.clock, () => this.newestUrgent());
+    this.held = new HeldCalls(options.clock);
+    const { clock, records, urgentSources } = options;
+    this.transfer = new RecordTransfer({ sets: records.sets, urgentSources, clock });
+    this.behind = new BehindTracker(clock, () => this.transfer.newestUrgent());
     this.topology = relayTopology(options.self, []);
   }
 
@@ -181,13 +182,16 @@
     for (const relay of this.topology.relays) {
       this.options.peers
         .call(relay.address, residencyChangedMethod, message, { timeoutMs: REPORT_TIMEOUT_MS })
-        .catch(() => undefined);
+        .catch((error: unknown) => {
+          // The workers' own records tell it some seconds later.
+          this.options.failures.note('announce residency', relay.id, error);
+        });
     }
   }
 
   /** A record of an urgent kind has been seen: calls that are held are answered, and other relays told. */
   passOnUrgent(): void {
-    for (const answer of this.held) answer();
+    this.held.releaseAll();
     if (this.topology.isRelay && this.options.records.isFollowing) this.tellNow();
   }
 
@@ -246,9 +250,10 @@
       const options = { timeoutMs: REPORT_TIMEOUT_MS };
       const answer = await this.options.peers.call(relay.address, stateReportMethod, message, options);
       if (answer.isRelay) this.hear(relay.id, answer);
-      this.merge(answer.updates);
-    } catch {
+      this.transfer.merge(answer.updates);
+    } catch (error) {
       // The next report follows soon; membership finds out whether the relay is gone.
+      this.options.failures.note('report', relay.id, error);
     } finally {
       this.reporting.delete(relay.id);
     }
@@ -276,7 +281,8 @@
     let answer: AttachAnswer;
     try {
       answer = await peers.call(relay.address, attachMethod, this.attachMessage(), options);
-    } catch {
+    } catch (error) {
+      this.options.failures.note('attach', relay.id, error);
       this.avoid(relay, 'no answer');
       return false;
     }
@@ -293,7 +299,7 @@
     this.unattachedSince = undefined;
     this.attachFailed = false;
     this.take(relay.id, 'all', answer.state);
-    this.merge(answer.updates);
+    this.transfer.merge(answer.updates);
     this.options.onChanges(answer.changes);
     records.followStore(!records.sets.every((set) => set.isListed));
     return true;
@@ -316,7 +322,7 @@
       state: message.isRelay ? this.ownState(RELAY_SCOPES) : NO_STATE,
       isRelay: this.topology.isRelay,
       needsRecords: !records.isFollowing,
-      updates: message.needsRecords ? this.updatesFor(message.positions) : [],
+      updates: message.needsRecords ? this.transfer.updatesFor(message.positions) : [],
     };
   }
 
@@ -330,9 +336,7 @@
   /** A relay that does not follow the store asks at once for an urgent record that another one has told of. */
   private fetchUrgent({ from, positions }: StateReportMessage): void {
     if (!this.topology.isRelay || this.options.records.isFollowing) return;
-    const { urgentSources } = this.options;
-    const newest = positions.filter(({ source }) => urgentSources.includes(source));
-    if (!newest.some(({ revision }) => revision > this.newestUrgent())) return;
+    if (!this.transfer.isOutdatedBy(positions)) return;
     const sender = this.topology.relays.find(({ id }) => id === from);
     if (sender !== undefined) void this.report(sender, this.reportMessage(RELAY_SCOPES));
   }
@@ -341,7 +345,8 @@
     if (!this.topology.isRelay) return NO_RELAY;
     this.take(message.from, 'attached', message.state);
     this.options.records.noteElsewhere(message.positions);
-    if (this.changes.knows(message.from) && !this.hasUrgentFor(message)) await this.hold();
+    if (this.changes.knows(message.from) && !this.transfer.hasUrgentFor(message.positions))
+      await this.held.hold(REPORT_INTERVAL_MS);
     const { loads, coordinators } = this.options;
     const combined = loads.combinedReport(ALL_SCOPES, message.from);
     return {
@@ -350,30 +355,11 @@
         message.needsDetail ? combined : summarizedReport(combined),
         coordinators.claims(['own', ...ALL_SCOPES]),
       ),
-      updates: this.updatesFor(message.positions, message.from),
+      updates: this.transfer.updatesFor(message.positions, message.from),
       changes: this.changes.read(message.from),
     };
   }
 
-  /** Waits for the time that a call is held, or for something urgent. */
-  private async hold(): Promise<void> {
-    const urgent = new AbortController();
-    const wake = (): void => {
-      urgent.abort();
-    };
-    this.held.add(wake);
-    await sleep(this.options.clock, REPORT_INTERVAL_MS, urgent.signal);
-    this.held.delete(wake);
-  }
-
-  private hasUrgentFor({ positions }: AttachMessage): boolean {
-    const behind = positions.filter(({ source, revision }) => {
-      const own = this.options.records.sets.find((set) => set.source === source)?.position.revision ?? 0;
-      return own > revision && (revision === 0 || this.options.urgentSources.includes(source));
-    });
-    return behind.length > 0;
-  }
-
   private take(source: string, scope: ReportScope, state: StateReport): void {
     this.options.loads.accept(source, scope, toLoadReport(state));
     this.options.coordinators.accept(source, scope, state.claims);
@@ -384,23 +370,6 @@
     this.options.onChanges(changes);
   }
 
-  private merge(updates: readonly SentUpdate[]): void {
-    for (const update of updates) {
-      this.options.records.sets.find((set) => set.source === update.source)?.merge(unpack(update));
-    }
-  }
-
-  /** @param reader Daemon that asks again and again, and is not sent the same anew while it comes. */
-  private updatesFor(positions: readonly SourcePosition[], reader?: string): SentUpdate[] {
-    return positions.flatMap((position) => {
-      const set = this.options.records.sets.find(({ source }) => source === position.source);
-      const update = set?.updateFor(position);
-      if (update === undefined) return [];
-      if (reader !== undefined && !this.sentUpdates.maySend(reader, position)) return [];
-      return [this.packer.pack(update)];
-    });
-  }
-
   private attachMessage(): AttachMessage {
     return { ...this.reportMessage([]), needsDetail: this.options.ownClaims().length > 0 };
   }
@@ -411,7 +380,7 @@
       from: self.id,
       isRelay: this.topology.isRelay,
       state: this.ownState(scopes),
-      positions: records.sets.map((set) => set.position),
+      positions: this.transfer.positions(),
       needsRecords: !records.isFollowing,
     };
   }
@@ -425,11 +394,6 @@
     const { id, address } = this.options.self;
     return claims.map((claim) => ({ ...claim, holder: id, address }));
   }
-
-  private newestUrgent(): number {
-    const urgent = this.options.records.sets.filter((set) => this.options.urgentSources.includes(set.source));
-    return Math.max(0, ...urgent.map((set) => set.position.revision));
-  }
 }
 
 const NO_STATE: StateReport = { loads: [], demand: [], claims: [] };
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -7,6 +7,7 @@
 import type { ForwardingContext } from './forwarding-context.js';
 import { RequestEnding, type HeldAnswer } from './request-ending.js';
 import { RequestTimes } from './request-times.js';
+import { RunForecast } from './run-forecast.js';
 import { isStream, mayRunAgain, type Route } from './route.js';
 import { sendAttempt, type SendOutcome } from './send-attempt.js';
 import type { RequestFacts } from './wire-dialect.js';
@@ -42,6 +43,7 @@
   private readonly relay: AnswerRelay;
   private readonly ending: RequestEnding;
   private readonly times: RequestTimes;
+  private readonly forecast: RunForecast;
   private held: HeldAnswer | undefined;
   private readonly isFirstTry: boolean;
 
@@ -56,6 +58,7 @@
   ) {
     const { clock, dialect, journal } = context;
     this.times = new RequestTimes(arrivedAt, facts, route, clock);
+    this.forecast = new RunForecast(context.runTimes, facts);
     this.isFirstTry = context.patience.isFirstTry(route.name, facts.waitMs);
     this.relay = new AnswerRelay(exchange, dialect, clock);
     this.ending = new RequestEnding({
@@ -187,7 +190,7 @@
     this.isSending = true;
     const ticket = loads.start(backEnd.id, this.facts.target, {
       ...this.facts,
-      expectedMs: this.expectedRunMs(),
+      expectedMs: this.forecast.expectedMs(),
     });
     const sentAt = clock.monotonic();
     journal.decided('request_sent', this.facts.id, {
@@ -325,25 +328,12 @@
     }
     const result = await this.relay.passStream(answer, this.streamOptions(backEnd));
     if (result.kind === 'broken') return this.noteBrokenBody(backEnd);
-    this.noteRunTime(sentAt);
+    // A run that took a stream up in the middle says nothing of whole ones.
+    if (this.ranOn.size === 1) this.forecast.note(this.context.clock.monotonic() - sentAt);
     this.ending.answered(answer.status, backEnd.id, { firstMs, longestGapMs: this.relay.longestGapMs });
     return { kind: 'finished' };
   }
 
-  /** Milliseconds that a run of this request is expected to take; 0 where no model runs. */
-  private expectedRunMs(): number {
-    const { target, expectedTokens } = this.facts;
-    return target === undefined ? 0 : this.context.runTimes.expectedMs(target.model, expectedTokens);
-  }
-
-  /** A run that took a stream up in the middle says nothing of whole ones. */
-  private noteRunTime(sentAt: number): void {
-    const { target, expectedTokens } = this.facts;
-    if (target === undefined || this.ranOn.size > 1) return;
-    const tookMs = this.context.clock.monotonic() - sentAt;
-    this.context.runTimes.note(target.model, expectedTokens, tookMs);
-  }
-
   private streamOptions(backEnd: BackEnd): StreamOptions {
     if (this.route.kind !== 'resumable_stream') return { resumable: false, silentAfterMs: () => undefined };
     const gapMs = this.route.targetGapMs ?? this.route.targetLatencyMs;
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -63,6 +63,8 @@
   replica_loading: 'Own interface: a load was ordered. Model, worker, source of the weights.',
   replica_unloading: 'Own interface: an unload was ordered. Model, worker, reason.',
   checkpoint_warming: 'Own interface: a checkpoint is brought near. Model, worker.',
+  call_failed:
+    'Calls to other daemons failed, which the next step makes up for: one line a second and kind. Kind, the daemon called last, cause, failures since the line before.',
   task_failed: 'A task in the background threw. Its name, cause.',
   log_lines_dropped: 'Lines were left out in the last second. Their number by class.',
 } as const;
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -3,7 +3,7 @@
 import type { ResidencyClient, ResidencyDemand, ResidencyOutcome } from '@woodbarrow/forwarding';
 import { rankByRendezvous } from '@woodbarrow/coordination';
 import type { CoordinatorDirectory } from '@woodbarrow/exchange';
-import type { EventLog } from '@woodbarrow/observability';
+import type { CallFailures, EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import {
   residencyDemandMethod,
@@ -22,6 +22,7 @@
   readonly coordinators: CoordinatorDirectory;
   readonly peers: PeerNetwork;
   readonly clock: Clock;
+  readonly failures: CallFailures;
   readonly log: EventLog;
 }
 
@@ -231,7 +232,11 @@
     const askedAt = clock.monotonic();
     const answered = peers
       .call(coordinator.address, residencyDemandMethod, message, { timeoutMs: limitMs })
-      .catch(() => undefined);
+      .catch((error: unknown) => {
+        // No answer: another zone is asked, or the same one again.
+        this.options.failures.note(message.quote === true ? 'quote' : 'demand', coordinator.memberId, error);
+        return undefined;
+      });
     for (;;) {
       const settled = await settleWithin(clock, COORDINATOR_CHECK_MS, answered);
       const isStillThere = coordinators.of(zone)?.memberId === coordinator.memberId;
--- a/packages/residency/src/lease-contacts.ts
+++ b/packages/residency/src/lease-contacts.ts
@@ -13,6 +13,7 @@
   type WitnessId,
 } from '@woodbarrow/coordination';
 import type { Member } from '@woodbarrow/exchange';
+import type { CallFailures } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import {
   leaseContactMethod,
@@ -37,6 +38,7 @@
   readonly peers: PeerNetwork;
   /** Called when another daemon says that a zone's lease is recorded as this machine's own. */
   readonly onResume: (zone: string) => void;
+  readonly failures: CallFailures;
   readonly clock: Clock;
 }
 
@@ -90,7 +92,7 @@
 
   /** Asks the witnesses of a lease held here to let it go on. */
   async touch(name: string, lease: StoreLease): Promise<void> {
-    const { clock, peers } = this.options;
+    const { clock, peers, failures } = this.options;
     const { revision } = lease;
     await Promise.all(
       lease.witnesses.map(async (witness) => {
@@ -100,8 +102,11 @@
         const message = { lease: name, revision };
         const answer = await peers
           .call(member.address, leaseContactMethod, message, { timeoutMs: ANSWER_LIMIT_MS })
-          // A witness that does not answer is noticed by the time since it did.
-          .catch(() => undefined);
+          .catch((error: unknown) => {
+            // Noticed by the time since it last answered.
+            failures.note('lease contact', witness.id, error);
+            return undefined;
+          });
         if (answer?.accepted === true && answer.instance === witness.instance)
           lease.contact.noteAnswer(witness, askedAt);
       }),
@@ -135,13 +140,15 @@
 
   /** Tells the holder of a record to take its lease back, if it has been started again since. */
   resumeRestarted(zone: string, { record }: StoredLease): boolean {
-    const { members, peers } = this.options;
+    const { members, peers, failures } = this.options;
     const holder = members().find(({ id }) => id === record.holder);
     if (holder === undefined || holder.instance === record.instance) return false;
     peers
       .call(holder.address, leaseResumeMethod, { zone }, { timeoutMs: ANSWER_LIMIT_MS })
-      // It is told again with the next look at the lease.
-      .catch(() => undefined);
+      .catch((error: unknown) => {
+        // It is told again with the next look at the lease.
+        failures.note('lease resume', holder.id, error);
+      });
     return true;
   }
 
@@ -150,7 +157,7 @@
     revision: number,
     witness: WitnessId,
   ): Promise<LeaseRefusalAnswer | undefined> {
-    const { peers, self, instance } = this.options;
+    const { peers, self, instance, failures } = this.options;
     const message = { lease: name, revision };
     if (witness.id === self.id)
       return witness.instance === instance ? { ...this.witness.refuse(message), instance } : undefined;
@@ -158,8 +165,11 @@
     if (member === undefined) return undefined;
     const answer = await peers
       .call(member.address, leaseRefusalMethod, message, { timeoutMs: ANSWER_LIMIT_MS })
-      // A witness that does not answer has not agreed.
-      .catch(() => undefined);
+      .catch((error: unknown) => {
+        // A witness that does not answer has not agreed.
+        failures.note('lease refusal', witness.id, error);
+        return undefined;
+      });
     return answer?.instance === witness.instance ? answer : undefined;
   }
 
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -12,7 +12,7 @@
 } from '@woodbarrow/coordination';
 import { messageOf, WoodbarrowError } from '@woodbarrow/errors';
 import type { CoordinatorDirectory, Member } from '@woodbarrow/exchange';
-import { logTaskFailures, type EventLog } from '@woodbarrow/observability';
+import { logTaskFailures, type CallFailures, type EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import {
   residencyDemandMethod,
@@ -50,6 +50,7 @@
   /** Milliseconds that must lie between the orders of two coordinators of a zone. */
   readonly handoverPauseMs: number;
   readonly storeWindow: StoreWindowOptions;
+  readonly failures: CallFailures;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: EventLog;
@@ -83,12 +84,13 @@
 
   constructor(private readonly options: ResidencyServiceOptions) {
     super(options.clock, logTaskFailures(options.log));
-    const { self, instance, members, peers, clock } = options;
+    const { self, instance, members, peers, failures, clock } = options;
     this.contacts = new LeaseContacts({
       self,
       instance,
       members,
       peers,
+      failures,
       clock,
       onResume: (zone) => {
         this.resume(zone);
@@ -143,12 +145,26 @@
     const held = [...this.held.entries()];
     this.held.clear();
     for (const [zone, { lease }] of held) {
-      await lease.release().catch(() => undefined);
-      this.options.log.changed('lease_released', { zone, fence: lease.fence });
+      await this.release(zone, lease);
     }
     this.options.onClaimsChanged();
   }
 
+  private async release(zone: string, lease: StoreLease): Promise<void> {
+    const { log } = this.options;
+    try {
+      await lease.release();
+      log.changed('lease_released', { zone, fence: lease.fence });
+    } catch (error) {
+      // Others take it once its lifetime has passed, or its witnesses refuse this daemon.
+      log.warned('lease_unconfirmed', {
+        zone,
+        confirmedAgoMs: Math.round(lease.confirmedAgoMs()),
+        cause: messageOf(error),
+      });
+    }
+  }
+
   private tend(): void {
     if (this.held.size === 0) return;
     for (const service of this.engineServices()) {
--- a/packages/residency/test/demand-router.test.ts
+++ b/packages/residency/test/demand-router.test.ts
@@ -2,7 +2,7 @@
 import { BackendDirectory, NO_NEARBY_COPIES } from '@woodbarrow/backends';
 import { CoordinatorDirectory } from '@woodbarrow/exchange';
 import type { ResidencyDemand, ResidencyOutcome } from '@woodbarrow/forwarding';
-import { silentLog } from '@woodbarrow/observability';
+import { CallFailures, silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster, type SimulatedNode } from '@woodbarrow/peering';
 import {
   residencyDemandMethod,
@@ -89,6 +89,7 @@
       coordinators: directoryOfCoordinators,
       peers: node.peers,
       clock: node.process,
+      failures: new CallFailures(node.process, silentLog),
       log: silentLog,
     });
   }
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { BackendDirectory, LoadBook, NO_NEARBY_COPIES } from '@woodbarrow/backends';
 import type { LeaseRecord, LeaseRecordStore, StoredLease } from '@woodbarrow/coordination';
-import { silentLog } from '@woodbarrow/observability';
+import { CallFailures, silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster } from '@woodbarrow/peering';
 import { Random } from '@woodbarrow/runtime';
 import { CoordinatorDirectory, PeerExchange, type FollowedRecords } from '@woodbarrow/exchange';
@@ -107,6 +107,7 @@
       urgentSources: [],
       ownClaims: () => service.claims(),
       onChanges: () => undefined,
+      failures: new CallFailures(node.process, silentLog),
       clock: node.process,
       log: silentLog,
     });
@@ -130,6 +131,7 @@
       serviceOf: () => ({ name: 'models', connectionLimit: 1, engine }),
       handoverPauseMs: 3000,
       storeWindow: { windowMs: 5000, overshoot: 1 },
+      failures: new CallFailures(node.process, silentLog),
       clock: node.process,
       random: new Random(1),
       log: silentLog,
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -14,7 +14,7 @@
 } from '@woodbarrow/forwarding';
 import { CoordinatorDirectory, PeerExchange, type Member } from '@woodbarrow/exchange';
 import { Membership } from '@woodbarrow/membership';
-import { logTaskFailures, type BoundedLog } from '@woodbarrow/observability';
+import { CallFailures, logTaskFailures, type BoundedLog } from '@woodbarrow/observability';
 import { PeerNetwork } from '@woodbarrow/peering';
 import { DemandRouter, ResidencyService } from '@woodbarrow/residency';
 import {
@@ -79,6 +79,7 @@
   private readonly metrics: ServingMetrics;
   private readonly view: DeploymentView;
   private readonly tasks: TaskGroup;
+  private readonly failures: CallFailures;
   private readonly registration: MemberRegistration;
   private ingress: NodeIngress | undefined;
   private readiness: NodeIngress | undefined;
@@ -95,6 +96,7 @@
     // One listener for each request that waits.
     setMaxListeners(0, this.stopWaiting.signal);
     this.tasks = new TaskGroup(clock, logTaskFailures(log));
+    this.failures = new CallFailures(clock, log);
     this.directory = new BackendDirectory(clock);
     this.loads = new LoadBook(clock);
     this.view = new DeploymentView(this.configuration, this.directory, log, (limits) =>
@@ -247,6 +249,7 @@
       },
       handoverPauseMs: settings.handoverPauseMs,
       storeWindow: settings.storeWindow,
+      failures: this.failures,
       clock: ports.clock,
       random: ports.random.fork(),
       log,
@@ -288,6 +291,7 @@
           );
         }
       },
+      failures: this.failures,
       clock: ports.clock,
       log,
     });
@@ -297,12 +301,13 @@
     const { configuration, directory, membership, residency, ports, log } = this;
     return new ServingMetrics({
       configurationVersion: () => configuration.current?.version ?? 0,
-      backEndsByService: () => countBy(directory.all().map((backEnd) => backEnd.service)),
+      backEndsByService: () => directory.countByService(),
       peersPresent: () => membership.present().length,
       requestsInProgress: () => this.ingress?.inProgress ?? 0,
       zonesHeld: () => residency.fencesHeld(),
       connectionsOpened: () => ports.client.connectionsOpened,
       storeCalls: () => ports.storeCalls(),
+      callFailures: () => this.failures.totals(),
       log,
     });
   }
@@ -310,7 +315,7 @@
   private createForwarder(coordinators: CoordinatorDirectory): Forwarder {
     const { settings, ports, log, directory, loads, peers, affinity } = this;
     const { clock, client, dialect, random } = ports;
-    const demands = new DemandRouter({ directory, coordinators, peers, clock, log });
+    const demands = new DemandRouter({ directory, coordinators, peers, clock, failures: this.failures, log });
     const connections = new ConnectionShare(loads, () => this.membership.eligible().length);
     const context = {
       clock,
@@ -346,10 +351,6 @@
     return Math.max(0, ...sets.map((set) => set.position.revision));
   }
 
-  private members(): Member[] {
-    return [...this.membership.eligible()];
-  }
-
   /** Members, and those that a daemon which has just started knows from the register only. */
   private membersToBe(): readonly Member[] {
     const unmet = this.registration.provisionalMembers.filter(
@@ -390,9 +391,3 @@
     return Promise.resolve();
   }
 }
-
-function countBy(names: readonly string[]): ReadonlyMap<string, number> {
-  const counts = new Map<string, number>();
-  for (const name of names) counts.set(name, (counts.get(name) ?? 0) + 1);
-  return counts;
-}
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -10,6 +10,7 @@
   readonly zonesHeld: () => ReadonlyMap<string, number>;
   readonly connectionsOpened: () => number;
   readonly storeCalls: () => ReadonlyMap<string, number>;
+  readonly callFailures: () => ReadonlyMap<string, number>;
   readonly log: BoundedLog;
 }
 
@@ -57,6 +58,12 @@
       sources.storeCalls,
       'call',
     );
+    registry.gauge(
+      'woodbarrow_call_failures',
+      'Calls to other daemons that failed since the start, by kind.',
+      sources.callFailures,
+      'call',
+    );
     registry.gauge(
       'woodbarrow_log_lines_dropped',
       'Log lines left out since the start.',
--- a/packages/serving/test/exchange.test.ts
+++ b/packages/serving/test/exchange.test.ts
@@ -2,7 +2,7 @@
 import { LoadBook } from '@woodbarrow/backends';
 import { relayTopology, STORE_FOLLOWERS } from '@woodbarrow/coordination';
 import { CoordinatorDirectory, PeerExchange, type Member } from '@woodbarrow/exchange';
-import { silentLog } from '@woodbarrow/observability';
+import { CallFailures, silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster, type SimulatedNode } from '@woodbarrow/peering';
 import type { ResidencyChange, ZoneClaim } from '@woodbarrow/protocol';
 import { RecordFollower, type DeploymentSink, type FeedKind } from '../src/index.js';
@@ -61,6 +61,7 @@
       urgentSources: [CONFIGURATION],
       ownClaims: () => this.claims,
       onChanges: (changes) => this.changes.push(...changes),
+      failures: new CallFailures(clock, silentLog),
       clock,
       log: silentLog,
     });
