Sight: the content of a request is logged as a digest that all its attempts share; why a back end could not be reached

Incident of crashing requests: logs could not tell that two attempts of clients carry the same content, nor whether a back end refused the connection or did not answer. No change of logic.

--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -8,6 +8,7 @@
 import { RequestEnding, type HeldAnswer } from './request-ending.js';
 import { RequestTimes } from './request-times.js';
 import { RunForecast } from './run-forecast.js';
+import { requestDigest } from './request-identity.js';
 import { isStream, mayRunAgain, type Route } from './route.js';
 import { sendAttempt, type SendOutcome } from './send-attempt.js';
 import type { RequestFacts } from './wire-dialect.js';
@@ -45,6 +46,8 @@
   private readonly times: RequestTimes;
   private readonly forecast: RunForecast;
   private held: HeldAnswer | undefined;
+  /** Digest of the content, which all attempts of one request share. */
+  private readonly digest: string;
 
   constructor(
     private readonly context: ForwardingContext,
@@ -56,6 +59,7 @@
     arrivedAt: number,
   ) {
     const { clock, dialect, journal } = context;
+    this.digest = requestDigest(exchange, body);
     this.times = new RequestTimes(arrivedAt, facts, route, clock);
     this.forecast = new RunForecast(context.runTimes, facts);
     this.relay = new AnswerRelay(exchange, dialect, clock);
@@ -95,6 +99,7 @@
     journal.decided('request_admitted', this.facts.id, {
       route: this.route.name,
       service: this.service.name,
+      content: this.digest,
       model: this.facts.target?.model,
       adapter: this.facts.target?.adapter,
       promptTokens: this.facts.promptTokens,
@@ -245,7 +250,7 @@
       case 'declined':
         return this.noteDeclined(backEnd, outcome.verdict);
       case 'unreachable':
-        this.noteFailure(backEnd, 'unreachable', 'no connection');
+        this.noteFailure(backEnd, 'unreachable', outcome.detail);
         return { kind: 'not_run', arrived: false };
       case 'silent':
         this.noteFailure(backEnd, 'timed_out', 'no answer in time');
--- a/packages/forwarding/src/send-attempt.ts
+++ b/packages/forwarding/src/send-attempt.ts
@@ -14,7 +14,7 @@
   /** It states that it did not run the request. */
   | { readonly kind: 'declined'; readonly verdict: 'not_run' | 'other_incarnation' | 'not_resident' }
   /** No connection: it did not receive the request. */
-  | { readonly kind: 'unreachable' }
+  | { readonly kind: 'unreachable'; readonly detail: string }
   /** It may have run the request; no answer of use came. */
   | { readonly kind: 'broken'; readonly detail: string }
   /** It may have run the request; nothing came in the time allowed. */
@@ -63,7 +63,7 @@
     return outcomeOf(dialect.judge(sent, answer.status, answer.headers), answer);
   } catch (error) {
     if (silent) return { kind: 'silent' };
-    if (error instanceof HttpNotSentError) return { kind: 'unreachable' };
+    if (error instanceof HttpNotSentError) return { kind: 'unreachable', detail: messageOf(error) };
     return { kind: 'broken', detail: messageOf(error) };
   } finally {
     cancelPatience?.();
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -3,7 +3,8 @@
  * lines can only be written under these names.
  */
 export const LOG_EVENTS = {
-  request_admitted: 'A request was read and has a route. Route, service, model, adapter, time left.',
+  request_admitted:
+    'A request was read and has a route. Route, service, digest of its content (all attempts of one request share it), model, adapter, time left.',
   request_sent: 'A send begins. Back end, why it was chosen, requests there, age of its record, time left.',
   request_declined:
     'A back end did not take it, or did not answer it. Verdict: `not_run`, `not_resident`, `other_incarnation`, `unreachable`, `broken` or `timed_out`.',
