--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,7 +30,8 @@
   membership: ['runtime', 'protocol', 'peering'],
   coordination: ['errors', 'runtime', 'protocol', 'peering'],
   backends: ['errors', 'runtime'],
-  forwarding: ['errors', 'runtime', 'backends', 'coordination', 'observability'],
+  quarantine: ['errors', 'runtime', 'protocol', 'backends', 'observability'],
+  forwarding: ['errors', 'runtime', 'backends', 'coordination', 'observability', 'quarantine'],
   exchange: ['errors', 'runtime', 'protocol', 'peering', 'coordination', 'backends', 'observability'],
   residency: [
     'errors',
@@ -63,6 +64,7 @@
   'placement',
   'platform',
   'protocol',
+  'quarantine',
   'residency',
   'routing',
   'runtime',
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -42,6 +42,8 @@
   stopping: { status: 503, ran: 'no', retryable: true, retryAfterSeconds: 1 },
   platform_unavailable: { status: 503, ran: 'no', retryable: true, retryAfterSeconds: 10 },
   write_outcome_unknown: { status: 504, ran: 'maybe', retryable: false },
+  /** Its content ended the processes that ran it; coming back within a client's deadline does not help. */
+  request_quarantined: { status: 503, ran: 'no', retryable: false, retryAfterSeconds: 3600 },
   no_replica: { status: 503, ran: 'no', retryable: true, retryAfterSeconds: 1 },
   backend_broken: { status: 502, ran: 'maybe', retryable: false },
   request_timeout: { status: 504, ran: 'maybe', retryable: false },
--- a/packages/exchange/src/index.ts
+++ b/packages/exchange/src/index.ts
@@ -2,6 +2,7 @@
 export * from './behind.js';
 export * from './change-log.js';
 export * from './coordinator-directory.js';
+export * from './crash-mark-transfer.js';
 export * from './peer-exchange.js';
 export * from './packed-records.js';
 export * from './record-set.js';
--- a/packages/exchange/src/peer-exchange.ts
+++ b/packages/exchange/src/peer-exchange.ts
@@ -25,6 +25,7 @@
 import { BehindTracker } from './behind.js';
 import { ChangeLog } from './change-log.js';
 import type { CoordinatorDirectory } from './coordinator-directory.js';
+import { CrashMarkTransfer, type SharedCrashMarks } from './crash-mark-transfer.js';
 import { HeldCalls } from './held-calls.js';
 import { FollowerWatch } from './follower-watch.js';
 import type { RecordSet } from './record-set.js';
@@ -68,6 +69,8 @@
   /** Zones that this daemon coordinates. */
   readonly ownClaims: () => readonly ZoneClaim[];
   readonly onChanges: (changes: readonly ResidencyChange[]) => void;
+  /** Processes that ended under requests. */
+  readonly crashMarks: SharedCrashMarks;
   readonly failures: CallFailures;
   readonly clock: Clock;
   readonly log: EventLog;
@@ -103,6 +106,7 @@
   private readonly held: HeldCalls;
   private readonly changes: ChangeLog;
   private readonly transfer: RecordTransfer;
+  private readonly crashMarks: CrashMarkTransfer;
   /** When each relay was last heard of, monotonic. */
   private readonly heardAt = new Map<string, number>();
   /** Monotonic time since which no relay has answered. */
@@ -120,6 +124,7 @@
     this.changes = new ChangeLog(options.clock);
     this.followers = new FollowerWatch(options.clock);
     this.held = new HeldCalls(options.clock);
+    this.crashMarks = new CrashMarkTransfer(options.crashMarks);
     const { clock, records, urgentSources } = options;
     this.transfer = new RecordTransfer({ sets: records.sets, urgentSources, clock });
     this.behind = new BehindTracker(clock, () => this.transfer.newestUrgent());
@@ -195,6 +200,12 @@
     if (this.topology.isRelay && this.options.records.isFollowing) this.tellNow();
   }
 
+  /** Crash marks came up that others do not know yet. */
+  passOnCrashMarks(): void {
+    this.held.releaseAll();
+    this.tellNow();
+  }
+
   /** Another daemon, met by chance, has seen a record of an urgent kind of this revision. */
   noteUrgentElsewhere(revision: number): void {
     this.behind.note(revision);
@@ -248,7 +259,10 @@
     this.reporting.add(relay.id);
     try {
       const options = { timeoutMs: REPORT_TIMEOUT_MS };
-      const answer = await this.options.peers.call(relay.address, stateReportMethod, message, options);
+      const crashMarks = this.crashMarks.reportFor(relay.id);
+      const told = { ...message, crashMarks };
+      const answer = await this.options.peers.call(relay.address, stateReportMethod, told, options);
+      this.crashMarks.take(relay.id, answer.crashMarks);
       if (answer.isRelay) this.hear(relay.id, answer);
       this.transfer.merge(answer.updates);
     } catch (error) {
@@ -280,7 +294,7 @@
     const options = { timeoutMs: REPORT_INTERVAL_MS + ATTACH_SLACK_MS };
     let answer: AttachAnswer;
     try {
-      answer = await peers.call(relay.address, attachMethod, this.attachMessage(), options);
+      answer = await peers.call(relay.address, attachMethod, this.attachMessage(relay.id), options);
     } catch (error) {
       this.options.failures.note('attach', relay.id, error);
       this.avoid(relay, 'no answer');
@@ -296,6 +310,7 @@
       this.options.coordinators.dropReports();
     }
     this.relay = relay;
+    this.crashMarks.take(relay.id, answer.crashMarks);
     this.unattachedSince = undefined;
     this.attachFailed = false;
     this.take(relay.id, 'all', answer.state);
@@ -317,12 +332,14 @@
     if (message.isRelay) this.hear(message.from, message);
     else this.take(message.from, 'attached', message.state);
     records.noteElsewhere(message.positions);
+    this.crashMarks.take(message.from, message.crashMarks);
     this.fetchUrgent(message);
     return {
       state: message.isRelay ? this.ownState(RELAY_SCOPES) : NO_STATE,
       isRelay: this.topology.isRelay,
       needsRecords: !records.isFollowing,
       updates: message.needsRecords ? this.transfer.updatesFor(message.positions) : [],
+      crashMarks: this.crashMarks.reportFor(message.from),
     };
   }
 
@@ -345,8 +362,8 @@
     if (!this.topology.isRelay) return NO_RELAY;
     this.take(message.from, 'attached', message.state);
     this.options.records.noteElsewhere(message.positions);
-    if (this.changes.knows(message.from) && !this.transfer.hasUrgentFor(message.positions))
-      await this.held.hold(REPORT_INTERVAL_MS);
+    this.crashMarks.take(message.from, message.crashMarks);
+    if (!this.hasUrgentNewsFor(message)) await this.held.hold(REPORT_INTERVAL_MS);
     const { loads, coordinators } = this.options;
     const combined = loads.combinedReport(ALL_SCOPES, message.from);
     return {
@@ -357,9 +374,15 @@
       ),
       updates: this.transfer.updatesFor(message.positions, message.from),
       changes: this.changes.read(message.from),
+      crashMarks: this.crashMarks.reportFor(message.from),
     };
   }
 
+  private hasUrgentNewsFor({ from, positions }: AttachMessage): boolean {
+    if (!this.changes.knows(from)) return true;
+    return this.transfer.hasUrgentFor(positions) || this.crashMarks.differsFrom(from);
+  }
+
   private take(source: string, scope: ReportScope, state: StateReport): void {
     this.options.loads.accept(source, scope, toLoadReport(state));
     this.options.coordinators.accept(source, scope, state.claims);
@@ -370,8 +393,12 @@
     this.options.onChanges(changes);
   }
 
-  private attachMessage(): AttachMessage {
-    return { ...this.reportMessage([]), needsDetail: this.options.ownClaims().length > 0 };
+  private attachMessage(relayId: string): AttachMessage {
+    return {
+      ...this.reportMessage([]),
+      crashMarks: this.crashMarks.reportFor(relayId),
+      needsDetail: this.options.ownClaims().length > 0,
+    };
   }
 
   private reportMessage(scopes: readonly ReportScope[]): StateReportMessage {
--- a/packages/exchange/src/record-set.ts
+++ b/packages/exchange/src/record-set.ts
@@ -14,6 +14,12 @@
   readonly onGone: (name: string) => void;
 }
 
+/**
+ * Position after a listing without records: above 0, which says that nothing is known and is answered with all there is each time,
+ * and below the revision of any record, which is 1 or more.
+ */
+const EMPTY_LISTING_REVISION = 0.5;
+
 /** Records of one kind. */
 export class RecordSet {
   private readonly records = new Map<string, RecordEntry>();
@@ -53,7 +59,9 @@
     this.listed = true;
     this.handlers.onList(records);
     this.noteComplete(revision);
-    this.advance(records.reduce((newest, record) => Math.max(newest, record.revision), 0));
+    this.advance(
+      records.reduce((newest, record) => Math.max(newest, record.revision), EMPTY_LISTING_REVISION),
+    );
   }
 
   /** Enters a record unless one as new is known. */
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -1,5 +1,6 @@
 /** The task of one request: choose a back end, send, and pass the answer on; again where the route allows it. */
 import type { BackEnd, ModelTarget, ServiceDefinition, WorkTicket } from '@woodbarrow/backends';
+import type { Turn, Verdict } from '@woodbarrow/quarantine';
 import type { BackendAnswer, IncomingExchange } from '@woodbarrow/runtime';
 import { AnswerRelay, type StreamOptions } from './answer-relay.js';
 import type { BackendChoice, RefusalReason } from './backend-choice.js';
@@ -116,26 +117,51 @@
 
   private async work(): Promise<void> {
     for (;;) {
-      const choice = await this.choose();
-      if (choice.kind === 'refuse') {
-        this.finishWithout(choice.reason, choice.retryAfterMs);
-        return;
-      }
-      // Others may have taken the last connections since the choice was made.
-      if (!this.context.connections.allows(this.service, choice.backEnd.id)) continue;
-      const result = await this.attempt(choice);
-      if (result.kind === 'finished') return;
-      if (this.expired.signal.aborted) {
-        this.finishExpired();
-        return;
-      }
-      if (!this.mayContinue(result)) {
-        this.finishUnserved();
-        return;
+      const turn = await this.context.quarantine.takeTurn(this.digest);
+      try {
+        if (await this.tryOnce(turn)) return;
+      } finally {
+        turn.release();
       }
     }
   }
 
+  /** One choice of a back end and one send. Returns whether the request has ended. */
+  private async tryOnce(turn: Turn): Promise<boolean> {
+    if (this.finishQuarantined()) return true;
+    const choice = await this.choose();
+    if (choice.kind === 'refuse') {
+      this.finishWithout(choice.reason, choice.retryAfterMs);
+      return true;
+    }
+    // The choice may have taken seconds: word may have come, and others may have taken the last connections.
+    if (this.finishQuarantined()) return true;
+    if (!this.context.connections.allows(this.service, choice.backEnd.id)) return false;
+    turn.sentTo(choice.backEnd.id);
+    const result = await this.attempt(choice);
+    if (result.kind === 'finished') return true;
+    if (this.expired.signal.aborted) {
+      this.finishExpired();
+      return true;
+    }
+    if (this.mayContinue(result)) return false;
+    this.finishUnserved();
+    return true;
+  }
+
+  /** Ends the request if its content has proved to end the processes that run it. Returns whether it did. */
+  private finishQuarantined(): boolean {
+    const verdict = this.context.quarantine.verdictOf(this.digest);
+    if (verdict === undefined) return false;
+    if (this.relay.hasBegun || this.ranOn.size > 0) this.finishUnserved();
+    else this.refuseQuarantined(verdict);
+    return true;
+  }
+
+  private refuseQuarantined({ ends, retryAfterMs }: Verdict): void {
+    this.ending.refuse('request_quarantined', `${String(ends)} processes ended under it`, retryAfterMs);
+  }
+
   /** Whether another send is allowed after one that brought no answer. */
   private mayContinue(result: AttemptResult): boolean {
     if (result.kind === 'failure') this.held = result.answer;
@@ -159,8 +185,9 @@
     const health = this.context.healthOf(this.service.name);
     const { engine } = this.service;
     const { target } = this.facts;
+    const excluded = new Set([...this.excluded, ...this.context.quarantine.processesToAvoid(this.digest)]);
     if (engine === undefined || target === undefined) {
-      return this.context.plain.select(this.service, health, this.excluded);
+      return this.context.plain.select(this.service, health, excluded);
     }
     return this.context.replicas.select(
       {
@@ -172,7 +199,7 @@
         targetLatencyMs: this.route.targetLatencyMs,
         targetBy: this.times.targetBy(),
         startBy: this.relay.hasBegun ? this.times.resumeBy() : this.times.startBy(),
-        excluded: this.excluded,
+        excluded,
         signal: this.expired.signal,
       },
       health,
@@ -258,7 +285,7 @@
         return { kind: 'maybe_run' };
       case 'broken':
         this.ranOn.add(backEnd.id);
-        if (!this.expired.signal.aborted) this.noteFailure(backEnd, 'broken', outcome.detail);
+        if (!this.expired.signal.aborted) this.noteBroken(backEnd, sentAt, outcome.detail);
         else if (!this.exchange.signal.aborted) this.health().record(backEnd.id, 'timed_out');
         return { kind: 'maybe_run' };
     }
@@ -285,6 +312,20 @@
     return modelRecorded ? target : { model: target.model };
   }
 
+  /** The answer broke off; whether the process has ended with it is found out meanwhile. */
+  private noteBroken(backEnd: BackEnd, sentAt: number, detail: string): void {
+    this.noteFailure(backEnd, 'broken', detail);
+    const known = this.context.directory.get(backEnd.id);
+    this.context.quarantine.noteBroken({
+      content: this.digest,
+      requestId: this.facts.id,
+      route: this.route.name,
+      backEnd,
+      wasLeaving: known === undefined || known.draining,
+      sentAt,
+    });
+  }
+
   private noteFailure(backEnd: BackEnd, result: SendResult, detail: string): void {
     this.health().record(backEnd.id, result);
     this.excluded.add(backEnd.id);
@@ -300,12 +341,18 @@
     this.ranOn.add(backEnd.id);
     const isSuccess = answer.status >= 200 && answer.status < 300;
     if (isStream(this.route.kind) && isSuccess) return this.passStream(answer, backEnd, sentAt);
-    return this.passWhole(answer, backEnd, tookMs);
+    return this.passWhole(answer, backEnd, sentAt, tookMs);
   }
 
-  private async passWhole(answer: BackendAnswer, backEnd: BackEnd, tookMs: number): Promise<AttemptResult> {
+  private async passWhole(
+    answer: BackendAnswer,
+    backEnd: BackEnd,
+    sentAt: number,
+    tookMs: number,
+  ): Promise<AttemptResult> {
     const result = await this.relay.passWhole(answer, this.patienceMs(this.ranOn.size));
-    if (result.kind === 'broken') return this.noteBrokenBody(backEnd);
+    if (result.kind === 'broken') return this.noteBrokenBody(backEnd, sentAt);
+    this.context.quarantine.noteServed(this.digest);
     const failed = answer.status >= 500;
     const ratio = failed ? undefined : tookMs / this.times.expectedMs();
     this.health().record(backEnd.id, failed ? 'failed_answer' : 'good', ratio);
@@ -329,7 +376,8 @@
       this.context.journal.decided('request_resumed', this.facts.id, { backEnd: backEnd.id, afterEvent });
     }
     const result = await this.relay.passStream(answer, this.streamOptions(backEnd));
-    if (result.kind === 'broken') return this.noteBrokenBody(backEnd);
+    if (result.kind === 'broken') return this.noteBrokenBody(backEnd, sentAt);
+    this.context.quarantine.noteServed(this.digest);
     // A run that took a stream up in the middle says nothing of whole ones.
     if (this.ranOn.size === 1) this.forecast.note(this.context.clock.monotonic() - sentAt);
     this.ending.answered(answer.status, backEnd.id, { firstMs, longestGapMs: this.relay.longestGapMs });
@@ -356,8 +404,8 @@
       .some(({ id }) => id !== backEnd.id && !this.excluded.has(id));
   }
 
-  private noteBrokenBody(backEnd: BackEnd): AttemptResult {
-    if (!this.expired.signal.aborted) this.noteFailure(backEnd, 'broken', 'the answer broke off');
+  private noteBrokenBody(backEnd: BackEnd, sentAt: number): AttemptResult {
+    if (!this.expired.signal.aborted) this.noteBroken(backEnd, sentAt, 'the answer broke off');
     return { kind: 'maybe_run' };
   }
 
--- a/packages/forwarding/src/forwarding-context.ts
+++ b/packages/forwarding/src/forwarding-context.ts
@@ -1,5 +1,6 @@
 /** What all requests of a daemon share. */
 import type { BackendDirectory, LoadBook, RunTimes } from '@woodbarrow/backends';
+import type { RequestQuarantine } from '@woodbarrow/quarantine';
 import type { BackendClient, Clock } from '@woodbarrow/runtime';
 import type { RequestJournal } from './request-journal.js';
 import type { BackendHealth } from './backend-health.js';
@@ -21,6 +22,7 @@
   readonly plain: PlainSelector;
   readonly replicas: ReplicaSelector;
   readonly budget: RepeatBudget;
+  readonly quarantine: RequestQuarantine;
   readonly journal: RequestJournal;
   /** Aborts when this daemon stops and requests that have not been sent anywhere must be refused. */
   readonly stopWaiting: AbortSignal;
--- a/packages/forwarding/test/forwarder.test.ts
+++ b/packages/forwarding/test/forwarder.test.ts
@@ -99,6 +99,29 @@
     expect((await world.ask({ model: 'm' })).ending).to.equal('aborted');
   });
 
+  it('refuses at once, as not run, what has ended three processes, whatever its id; other content goes on', async () => {
+    const world = new ForwardingWorld([{ kind: 'repeatable', maximumAttempts: 3 }]);
+    const ended = new Set<string>();
+    world.probe = ({ id }) => (ended.has(id) ? 'refused' : 'running');
+    const script: BackendScript = (call) => {
+      if (!call.target.endsWith('crash')) return serve(call, world);
+      ended.add(call.address);
+      return reset(call, world);
+    };
+    for (const id of ['b1', 'b2', 'b3', 'b4', 'b5']) world.add(id, script);
+    expect((await world.ask({ id: 'first' }, '/r0/crash')).status).to.equal(502);
+    expect((await world.ask({ id: 'second' }, '/r0/crash')).status).to.equal(503);
+    const before = world.calls.length;
+    const startedAt = world.world.now;
+    const refused = await world.ask({ id: 'third' }, '/r0/crash');
+    expect(refused).to.include({ status: 503, body: 'request_quarantined\n' });
+    expect(world.world.now).to.equal(startedAt);
+    expect(world.calls.length).to.equal(before);
+    expect(ended.size).to.equal(3);
+    expect(world.quarantineRecords).to.have.length(1);
+    expect((await world.ask({ id: 'other' }, '/r0/well')).status).to.equal(200);
+  });
+
   it('replaces a whole answer that broke off where the request may run again', async () => {
     const world = new ForwardingWorld([{ kind: 'repeatable' }]);
     let sends = 0;
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -22,6 +22,8 @@
   type ResponseHead,
   type ResponseStream,
 } from '@woodbarrow/runtime';
+import { RequestQuarantine, type ProcessAnswer, type QuarantineRecord } from '@woodbarrow/quarantine';
+import { silentLog } from '@woodbarrow/observability';
 import {
   BackendHealth,
   ConfigurationHolder,
@@ -122,6 +124,11 @@
   readonly forwarder: Forwarder;
   private readonly configuration = new ConfigurationHolder();
   readonly scripts = new Map<string, BackendScript>();
+  /** What a back end says when it is asked whether it runs. */
+  probe: (backEnd: BackEnd) => ProcessAnswer = () => 'running';
+  /** Records that the quarantine has written. */
+  readonly quarantineRecords: QuarantineRecord[] = [];
+  readonly quarantine: RequestQuarantine;
   private readonly health = new Map<string, BackendHealth>();
 
   constructor(routes: readonly Partial<Route>[], engine?: EngineDefinition, connectionLimit = 100) {
@@ -141,6 +148,18 @@
         idleTimeoutMs: 1000,
       },
     });
+    this.quarantine = new RequestQuarantine({
+      daemon: 'd',
+      probe: { ask: (backEnd) => Promise.resolve(this.probe(backEnd)) },
+      store: {
+        create: (record) => Promise.resolve(void this.quarantineRecords.push(record)),
+        remove: () => Promise.resolve(),
+      },
+      removesRecord: () => true,
+      clock: this.process,
+      random: new Random(2),
+      log: silentLog,
+    });
     this.forwarder = new Forwarder(this.context(), this.configuration, new Random(1));
   }
 
@@ -217,6 +236,7 @@
         this.process,
       ),
       budget: new RepeatBudget({ ratio: 0.2, extra: 40, windowMs: 10_000, sharers: () => 1 }, this.process),
+      quarantine: this.quarantine,
       journal: silentJournal,
       stopWaiting: this.stop.signal,
       healthOf: (name) => {
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -14,6 +14,14 @@
   request_refused: 'Ended as not run. Kind, cause, when to come back, sends, time waited.',
   request_failed: 'Ended without a whole answer, and may have run. Answer given, cause, sends.',
   request_abandoned: 'The client has gone. What is under way is cancelled.',
+  process_ended_under_request:
+    "A back end's process ended while it ran a request. Content, back end, time since it was sent, processes that ended under the content so far, time until that was found out.",
+  request_quarantined:
+    'A content has proved to end the processes that run it, and is refused from now on. Whether that was seen here, told by others or read in the store; processes; route and attempt.',
+  suspect_cleared: 'A content that processes ended under was run to a good end. Content.',
+  quarantine_lifted: 'The record of a quarantined content is gone: it may run again. Content.',
+  quarantine_not_written:
+    'The record of a quarantined content could not be written yet. Content, failures, cause.',
   demand_answered:
     "A zone's coordinator answered this daemon's demand for a model. Zone, coordinator, model, adapter, whether it is held, reason, time taken, time that was left.",
   load_decided:
--- a/packages/protocol/src/exchange-messages.ts
+++ b/packages/protocol/src/exchange-messages.ts
@@ -1,5 +1,6 @@
 /** Messages by which daemons tell each other their load, their claims and what they have read of the store. */
 import { definePeerMethod } from './method.js';
+import type { CrashMarkReport } from './crash-messages.js';
 import type { ResidencyChange, ZoneClaim } from './residency-messages.js';
 
 /** Work on one target of one back end; the names are short because there are many. */
@@ -59,6 +60,8 @@
   readonly positions: readonly SourcePosition[];
   /** Whether the sender cannot follow the store itself at present. */
   readonly needsRecords: boolean;
+  /** Absent from daemons that know no such marks. */
+  readonly crashMarks?: CrashMarkReport;
 }
 
 /** One record of the store. */
@@ -101,6 +104,7 @@
   readonly needsRecords: boolean;
   /** Empty unless asked for. */
   readonly updates: readonly SentUpdate[];
+  readonly crashMarks?: CrashMarkReport;
 }
 
 /** A daemon's report to the relay of its choice, which answers after a while or when something urgent comes. */
@@ -117,6 +121,7 @@
   readonly state: StateReport;
   readonly updates: readonly SentUpdate[];
   readonly changes: readonly ResidencyChange[];
+  readonly crashMarks?: CrashMarkReport;
 }
 
 export const stateReportMethod = definePeerMethod<StateReportMessage, StateReportAnswer>('exchange.report');
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,6 +1,7 @@
 /** The internal protocol: codec, method names and message shapes. */
 export * from './configuration-messages.js';
 export * from './coordination-messages.js';
+export * from './crash-messages.js';
 export * from './envelope.js';
 export * from './exchange-messages.js';
 export * from './gateway-messages.js';
--- /dev/null
+++ b/packages/quarantine/src/index.ts
@@ -0,0 +1,6 @@
+/** Requests that end the processes which run them: evidence, verdict, and how it is shared and kept. */
+export * from './crash-marks.js';
+export * from './process-fates.js';
+export * from './quarantine-record.js';
+export * from './request-quarantine.js';
+export * from './suspect-turns.js';
--- /dev/null
+++ b/packages/quarantine/src/process-fates.ts
@@ -0,0 +1,76 @@
+/**
+ * Whether the process behind a broken answer has ended. A broken connection alone says nothing: connections are reset and
+ * links cut while the process lives on. The process is asked, over a connection of its own.
+ */
+import type { BackEnd } from '@woodbarrow/backends';
+import { sleep, type Clock } from '@woodbarrow/runtime';
+
+/** What one question to a process says. */
+export type ProcessAnswer =
+  /** It answered under its own id. */
+  | 'running'
+  /** Another process answers at its address. */
+  | 'replaced'
+  /** Nobody listens at its address. */
+  | 'refused'
+  /** No answer. */
+  | 'unknown';
+
+/** Port: asks a process whether it runs. Never rejects. */
+export interface ProcessProbe {
+  ask(backEnd: BackEnd): Promise<ProcessAnswer>;
+}
+
+/** What is known in the end. */
+export type ProcessFate = 'running' | 'ended' | 'unknown';
+
+/** Pauses before each question, in milliseconds: a process that ends closes its connections before it stops listening. */
+const ASK_PAUSES_MS = [20, 100, 400, 1000];
+/** Refusals in a row after which nobody listens any more: a single one may come of a full queue of connections. */
+const REFUSALS_FOR_END = 2;
+/** Time for which it is remembered that a process has ended, in milliseconds. */
+const ENDED_MEMORY_MS = 60_000;
+
+/** Fates of processes, as one daemon finds them out; one check a process at a time. */
+export class ProcessFates {
+  private readonly checks = new Map<string, Promise<ProcessFate>>();
+  private readonly endedAt = new Map<string, number>();
+
+  constructor(
+    private readonly probe: ProcessProbe,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Finds out whether a process has ended; some 2 s at the longest. Never rejects. */
+  check(backEnd: BackEnd): Promise<ProcessFate> {
+    if (this.endedAt.has(backEnd.id)) return Promise.resolve('ended');
+    const underWay = this.checks.get(backEnd.id);
+    if (underWay !== undefined) return underWay;
+    const check = this.find(backEnd).finally(() => this.checks.delete(backEnd.id));
+    this.checks.set(backEnd.id, check);
+    return check;
+  }
+
+  /** Another daemon found that a process has ended. */
+  noteEnded(processId: string): void {
+    const now = this.clock.monotonic();
+    for (const [id, at] of this.endedAt) if (now - at > ENDED_MEMORY_MS) this.endedAt.delete(id);
+    this.endedAt.set(processId, now);
+  }
+
+  private async find(backEnd: BackEnd): Promise<ProcessFate> {
+    let refusals = 0;
+    for (const pauseMs of ASK_PAUSES_MS) {
+      await sleep(this.clock, pauseMs);
+      if (this.endedAt.has(backEnd.id)) return 'ended';
+      const answer = await this.probe.ask(backEnd);
+      if (answer === 'running') return 'running';
+      refusals = answer === 'refused' ? refusals + 1 : 0;
+      if (answer === 'replaced' || refusals >= REFUSALS_FOR_END) {
+        this.noteEnded(backEnd.id);
+        return 'ended';
+      }
+    }
+    return this.endedAt.has(backEnd.id) ? 'ended' : 'unknown';
+  }
+}
--- /dev/null
+++ b/packages/quarantine/test/crash-marks.test.ts
@@ -0,0 +1,62 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
+import { CrashMarks, MARK_LIFETIME_MS, MOST_MARKS, type CrashMark } from '../src/index.js';
+
+function mark(content: string, processId: string, endedAt: number, isCleared = false): CrashMark {
+  return { content, processId, begunAt: endedAt - 50, endedAt, isCleared };
+}
+
+describe('CrashMarks', () => {
+  function create(): { marks: CrashMarks; world: SimulatedWorld } {
+    const world = new SimulatedWorld();
+    return {
+      marks: new CrashMarks(new SimulatedProcess(world, { name: 'd', zone: 'a', region: 'r' })),
+      world,
+    };
+  }
+
+  it('agree on all copies, in whatever order and how often they are merged', () => {
+    const anyMark = fc.record({
+      content: fc.constantFrom('a', 'b', 'c'),
+      processId: fc.constantFrom('w1', 'w2', 'w3', 'w4'),
+      begunAt: fc.integer({ min: -1000, max: -1 }),
+      endedAt: fc.integer({ min: -500, max: 0 }),
+      isCleared: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(anyMark), fc.array(anyMark), (left, right) => {
+        const [one, other] = [create().marks, create().marks];
+        for (const each of left) one.add(each);
+        for (const each of right) other.add(each);
+        one.merge(other.entries());
+        other.merge(one.entries());
+        one.merge(other.entries());
+        expect(one.digest).to.equal(other.digest);
+        for (const content of ['a', 'b', 'c']) {
+          expect(one.processesOf(content)).to.have.members(other.processesOf(content));
+          expect(one.isProven(content)).to.equal(other.isProven(content));
+        }
+      }),
+      { seed: 7, numRuns: 300 },
+    );
+  });
+
+  it('go with their time, and leave no digest behind', async () => {
+    const { marks, world } = create();
+    marks.add(mark('a', 'w1', 0));
+    expect(marks.digest).to.not.equal(0);
+    await world.run(MARK_LIFETIME_MS + 1);
+    expect(marks.digest).to.equal(0);
+    expect(marks.totals).to.deep.equal({ marks: 0, suspects: 0 });
+  });
+
+  it('are bounded: the oldest go first', () => {
+    const { marks } = create();
+    for (let index = 0; index < MOST_MARKS + 10; index += 1)
+      marks.add(mark(`c${String(index)}`, 'w', index - 100_000));
+    expect(marks.totals.marks).to.equal(MOST_MARKS);
+    expect(marks.endsOf('c9')).to.equal(0);
+    expect(marks.endsOf('c10')).to.equal(1);
+  });
+});
--- /dev/null
+++ b/packages/quarantine/test/quarantine-scene.ts
@@ -0,0 +1,111 @@
+/** Quarantines of several daemons on virtual time, the processes that they ask after, and the store. */
+import { NO_NEARBY_COPIES, type BackEnd } from '@woodbarrow/backends';
+import { silentLog } from '@woodbarrow/observability';
+import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
+import { RequestQuarantine, type ProcessAnswer, type QuarantineRecord } from '../src/index.js';
+
+/** Time that word takes from one daemon to the others, in milliseconds. */
+const WORD_MS = 300;
+
+/** A deployment reduced to what the quarantine sees of it. */
+export class QuarantineScene {
+  readonly world = new SimulatedWorld();
+  readonly daemons: RequestQuarantine[] = [];
+  readonly records = new Map<string, QuarantineRecord>();
+  /** Processes that have ended; all others answer. */
+  readonly ended = new Set<string>();
+  /** Daemons that hear nothing of others, and tell nothing. */
+  readonly cutOff = new Set<RequestQuarantine>();
+  isStoreDown = false;
+  private readonly clock = new SimulatedProcess(this.world, { name: 'scene', zone: 'a', region: 'r' });
+  private started = 0;
+
+  /** Starts a daemon; it reads the store's records before it serves. */
+  addDaemon(): RequestQuarantine {
+    this.started += 1;
+    const process = new SimulatedProcess(this.world, {
+      name: `d${String(this.started)}`,
+      zone: 'a',
+      region: 'r',
+    });
+    const daemon: RequestQuarantine = new RequestQuarantine({
+      daemon: process.name,
+      probe: { ask: (backEnd) => Promise.resolve(this.answerOf(backEnd)) },
+      store: {
+        create: (record) => {
+          if (this.isStoreDown) return Promise.reject(new Error('store down'));
+          if (!this.records.has(record.content)) this.records.set(record.content, record);
+          for (const each of this.daemons) each.recordSeen(record);
+          return Promise.resolve();
+        },
+        remove: (content) => {
+          this.records.delete(content);
+          for (const each of this.daemons) each.recordGone(content);
+          return Promise.resolve();
+        },
+      },
+      removesRecord: (): boolean => daemon === this.daemons[0],
+      clock: process,
+      random: new Random(this.started),
+      log: silentLog,
+    });
+    daemon.onNews = () => {
+      this.clock.schedule(WORD_MS, () => {
+        this.tellFrom(daemon);
+      });
+    };
+    daemon.recordsListed([...this.records.values()]);
+    daemon.start();
+    this.daemons.push(daemon);
+    return daemon;
+  }
+
+  /** Sends what a daemon knows to all that it reaches. */
+  tellFrom(daemon: RequestQuarantine): void {
+    if (this.cutOff.has(daemon) || !this.daemons.includes(daemon)) return;
+    for (const other of this.daemons) {
+      if (other !== daemon && !this.cutOff.has(other)) other.merge(daemon.entries());
+    }
+  }
+
+  /** All daemons are killed: what they knew is lost, but for the store. */
+  killAll(): void {
+    for (const daemon of this.daemons.splice(0)) daemon.abort();
+  }
+
+  /** A run of a content by way of a daemon, under which the process ends. */
+  async endUnder(daemon: RequestQuarantine, content: string, processId: string, ranMs = 50): Promise<void> {
+    const sentAt = this.world.now;
+    await this.pass(ranMs);
+    this.ended.add(processId);
+    this.breakOff(daemon, content, processId, sentAt);
+    await this.pass(1000);
+  }
+
+  /** An answer breaks off. */
+  breakOff(daemon: RequestQuarantine, content: string, processId: string, sentAt: number): void {
+    const backEnd = backEndOf(processId);
+    daemon.noteBroken({ content, requestId: 'r', route: 'route', backEnd, wasLeaving: false, sentAt });
+  }
+
+  async pass(durationMs: number): Promise<void> {
+    await this.world.run(this.world.now + durationMs);
+  }
+
+  private answerOf({ id }: BackEnd): ProcessAnswer {
+    return this.ended.has(id) ? 'refused' : 'running';
+  }
+}
+
+export function backEndOf(id: string): BackEnd {
+  return {
+    id,
+    service: 'service',
+    address: id,
+    zone: 'a',
+    slots: 64,
+    draining: false,
+    models: [],
+    nearby: NO_NEARBY_COPIES,
+  };
+}
--- /dev/null
+++ b/packages/quarantine/test/request-quarantine.test.ts
@@ -0,0 +1,200 @@
+import { expect } from 'chai';
+import { QUARANTINE_MS, type RequestQuarantine } from '../src/index.js';
+import { backEndOf, QuarantineScene } from './quarantine-scene.js';
+
+const CONTENT = 'crashes';
+
+function isRefused(daemon: RequestQuarantine, content = CONTENT): boolean {
+  return daemon.verdictOf(content) !== undefined;
+}
+
+describe('RequestQuarantine', () => {
+  let scene: QuarantineScene;
+  let first: RequestQuarantine;
+  let second: RequestQuarantine;
+  let third: RequestQuarantine;
+
+  beforeEach(() => {
+    scene = new QuarantineScene();
+    first = scene.addDaemon();
+    second = scene.addDaemon();
+    third = scene.addDaemon();
+  });
+
+  it('refuses at one daemon what one client sent again until three processes had ended', async () => {
+    await scene.endUnder(first, CONTENT, 'w1');
+    await scene.endUnder(first, CONTENT, 'w2');
+    expect(isRefused(first)).to.equal(false);
+    await scene.endUnder(first, CONTENT, 'w3');
+    expect(first.verdictOf(CONTENT)).to.include({ ends: 3 });
+    expect(first.verdictOf(CONTENT)?.retryAfterMs).to.be.within(QUARANTINE_MS - 5000, QUARANTINE_MS);
+    expect(isRefused(first, 'another')).to.equal(false);
+  });
+
+  it('refuses it at every daemon within a second, whichever of them saw the ends', async () => {
+    await scene.endUnder(first, CONTENT, 'w1');
+    await scene.endUnder(second, CONTENT, 'w2');
+    await scene.endUnder(third, CONTENT, 'w3');
+    expect(scene.daemons.every((daemon) => isRefused(daemon))).to.equal(true);
+    expect(scene.records.get(CONTENT)?.processes).to.have.members(['w1', 'w2', 'w3']);
+  });
+
+  it('finds out a content that was sent by three daemons at once to three processes, at its next end', async () => {
+    await Promise.all([
+      scene.endUnder(first, CONTENT, 'w1'),
+      scene.endUnder(second, CONTENT, 'w2'),
+      scene.endUnder(third, CONTENT, 'w3'),
+    ]);
+    expect(isRefused(first)).to.equal(false);
+    await scene.endUnder(second, CONTENT, 'w4');
+    expect(scene.daemons.every((daemon) => isRefused(daemon))).to.equal(true);
+  });
+
+  it('is known to a daemon that starts after the verdict, before it serves', async () => {
+    for (const id of ['w1', 'w2', 'w3']) await scene.endUnder(first, CONTENT, id);
+    expect(isRefused(scene.addDaemon())).to.equal(true);
+  });
+
+  it('is known after all daemons were killed right after the third end was found out', async () => {
+    for (const id of ['w1', 'w2']) await scene.endUnder(first, CONTENT, id);
+    const sentAt = scene.world.now;
+    await scene.pass(50);
+    scene.ended.add('w3');
+    scene.breakOff(second, CONTENT, 'w3', sentAt);
+    await scene.pass(150);
+    scene.killAll();
+    expect(isRefused(scene.addDaemon())).to.equal(true);
+  });
+
+  it('is found out by daemons that were cut from each other, once they hear of each other again', async () => {
+    scene.cutOff.add(third);
+    await scene.endUnder(first, CONTENT, 'w1');
+    await scene.endUnder(first, CONTENT, 'w2');
+    await scene.endUnder(third, CONTENT, 'w3');
+    expect(scene.daemons.some((daemon) => isRefused(daemon))).to.equal(false);
+    scene.cutOff.clear();
+    scene.tellFrom(third);
+    scene.tellFrom(first);
+    expect(scene.daemons.every((daemon) => isRefused(daemon))).to.equal(true);
+    await scene.pass(100);
+    expect(scene.records.has(CONTENT)).to.equal(true);
+  });
+
+  it('is refused while the store is down, and kept as soon as the store is back', async () => {
+    scene.isStoreDown = true;
+    for (const id of ['w1', 'w2', 'w3']) await scene.endUnder(first, CONTENT, id);
+    expect(isRefused(third)).to.equal(true);
+    expect(scene.records.size).to.equal(0);
+    scene.isStoreDown = false;
+    await scene.pass(6000);
+    expect(scene.records.has(CONTENT)).to.equal(true);
+  });
+
+  it('holds nothing against 60 requests that were under way in a rack that failed, nor against those that came again', async () => {
+    const rack = ['w1', 'w2', 'w3', 'w4', 'w5'];
+    const contents = Array.from({ length: 60 }, (_, index) => `innocent-${String(index)}`);
+    const sentAt = scene.world.now;
+    await scene.pass(200);
+    for (const id of rack) scene.ended.add(id);
+    contents.forEach((content, index) => {
+      scene.breakOff(first, content, rack[index % rack.length] as string, sentAt);
+      // One that many send at once was on each of them.
+      scene.breakOff(second, 'popular', rack[index % rack.length] as string, sentAt);
+    });
+    await scene.pass(1000);
+    // Their clients come again, and one more process ends under all of them.
+    await Promise.all(
+      [...contents, 'popular'].slice(0, 60).map((content) => scene.endUnder(third, content, 'w6')),
+    );
+    for (const content of contents) expect(isRefused(first, content)).to.equal(false);
+  });
+
+  it('holds nothing against a content that many send at once, when a rack fails under it', async () => {
+    const sentAt = scene.world.now;
+    await scene.pass(200);
+    for (const id of ['w1', 'w2', 'w3', 'w4']) {
+      scene.ended.add(id);
+      scene.breakOff(first, 'popular', id, sentAt);
+    }
+    await scene.pass(1000);
+    expect(scene.daemons.some((daemon) => isRefused(daemon, 'popular'))).to.equal(false);
+  });
+
+  it('holds nothing against requests whose connections were reset while the processes live on', async () => {
+    for (const id of ['w1', 'w2', 'w3', 'w4']) {
+      scene.breakOff(first, CONTENT, id, scene.world.now);
+      await scene.pass(500);
+    }
+    expect(first.totals).to.deep.equal({ marks: 0, suspects: 0, quarantined: 0 });
+  });
+
+  it('holds nothing against requests of processes that ended because they were leaving', async () => {
+    for (const processId of ['w1', 'w2', 'w3']) {
+      scene.ended.add(processId);
+      first.noteBroken({
+        content: CONTENT,
+        requestId: 'r',
+        route: 'route',
+        backEnd: backEndOf(processId),
+        wasLeaving: true,
+        sentAt: scene.world.now,
+      });
+      await scene.pass(500);
+    }
+    expect(isRefused(first)).to.equal(false);
+  });
+
+  it('clears a content at a good run between two ends, at every daemon', async () => {
+    await scene.endUnder(first, CONTENT, 'w1');
+    await scene.endUnder(second, CONTENT, 'w2');
+    third.noteServed(CONTENT);
+    await scene.pass(1000);
+    await scene.endUnder(first, CONTENT, 'w3');
+    expect(scene.daemons.some((daemon) => isRefused(daemon))).to.equal(false);
+    expect(first.totals.suspects).to.equal(1);
+  });
+
+  it('lets a content run again once its record is lifted, until it has ended three more', async () => {
+    for (const id of ['w1', 'w2', 'w3']) await scene.endUnder(first, CONTENT, id);
+    scene.records.delete(CONTENT);
+    for (const daemon of scene.daemons) daemon.recordGone(CONTENT);
+    expect(scene.daemons.some((daemon) => isRefused(daemon))).to.equal(false);
+    for (const id of ['w4', 'w5', 'w6']) await scene.endUnder(second, CONTENT, id);
+    expect(scene.daemons.every((daemon) => isRefused(daemon))).to.equal(true);
+  });
+
+  it('removes a record whose time is over', async () => {
+    for (const id of ['w1', 'w2', 'w3']) await scene.endUnder(first, CONTENT, id);
+    await scene.pass(QUARANTINE_MS + 61_000);
+    expect(scene.records.size).to.equal(0);
+    expect(isRefused(second)).to.equal(false);
+  });
+
+  it('lets one attempt of a suspect run at a time, and the next one only when the fate of the last is known', async () => {
+    await scene.endUnder(first, CONTENT, 'w1');
+    const turn = await first.takeTurn(CONTENT);
+    let hasNext = false;
+    void first.takeTurn(CONTENT).then(() => (hasNext = true));
+    await scene.pass(100);
+    expect(hasNext).to.equal(false);
+    scene.ended.add('w2');
+    scene.breakOff(first, CONTENT, 'w2', scene.world.now);
+    turn.release();
+    await scene.pass(50);
+    expect(hasNext).to.equal(false);
+    await scene.pass(150);
+    expect(hasNext).to.equal(true);
+  });
+
+  it('keeps two contents that have ended several processes each off the same one', async () => {
+    for (const content of ['a', 'b']) {
+      for (const id of ['w1', 'w2']) await scene.endUnder(first, content, `${content}-${id}`);
+    }
+    const turn = await first.takeTurn('a');
+    turn.sentTo('w9');
+    expect(first.processesToAvoid('b')).to.deep.equal(['w9']);
+    expect(first.processesToAvoid('a')).to.deep.equal([]);
+    turn.release();
+    expect(first.processesToAvoid('b')).to.deep.equal([]);
+  });
+});
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -97,6 +97,7 @@
     const loads = new LoadBook(node.process);
     const coordinators = new CoordinatorDirectory(node.process, name);
     const exchange: PeerExchange = new PeerExchange({
+      crashMarks: { digest: 0, entries: () => [], merge: () => undefined },
       self,
       members,
       isGroupKnown: () => true,
--- a/packages/runtime/src/node-backend-client.ts
+++ b/packages/runtime/src/node-backend-client.ts
@@ -99,6 +99,12 @@
   );
 }
 
+/** Whether nobody listened at the address of a call. */
+export function isConnectionRefused(error: unknown): boolean {
+  if (!(error instanceof HttpNotSentError) || !(error.cause instanceof Error)) return false;
+  return (error.cause as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+}
+
 /** Sends requests over TCP. */
 export class NodeBackendClient implements BackendClient {
   private readonly agents = new Map<string, GuardedAgent>();
--- a/packages/serving/src/deployment-view.ts
+++ b/packages/serving/src/deployment-view.ts
@@ -2,23 +2,26 @@
 import type { BackEnd, BackendDirectory } from '@woodbarrow/backends';
 import type { ConfigurationHolder, ForwardingConfiguration } from '@woodbarrow/forwarding';
 import type { EventLog } from '@woodbarrow/observability';
+import type { QuarantineRecord, RequestQuarantine } from '@woodbarrow/quarantine';
 import type { IngressLimits } from '@woodbarrow/runtime';
 import type { DeploymentSink } from './ports.js';
 
 /** Sink of a daemon's feed. */
 export class DeploymentView implements DeploymentSink {
   private listed = false;
+  private isQuarantineListed = false;
 
   constructor(
     private readonly holder: ConfigurationHolder,
     private readonly directory: BackendDirectory,
+    private readonly quarantine: RequestQuarantine,
     private readonly log: EventLog,
     private readonly onLimits: (limits: IngressLimits) => void,
   ) {}
 
-  /** Whether configuration and back ends have been read. */
+  /** Whether configuration, back ends and quarantined contents have been read. */
   get isComplete(): boolean {
-    return this.listed && this.holder.current !== undefined;
+    return this.listed && this.isQuarantineListed && this.holder.current !== undefined;
   }
 
   configuration(configuration: ForwardingConfiguration): void {
@@ -57,4 +60,17 @@
     this.directory.recordVanished(id);
     this.log.changed('back_end_gone', { backEnd: id });
   }
+
+  quarantineListed(records: readonly QuarantineRecord[]): void {
+    this.isQuarantineListed = true;
+    this.quarantine.recordsListed(records);
+  }
+
+  contentQuarantined(record: QuarantineRecord): void {
+    this.quarantine.recordSeen(record);
+  }
+
+  quarantineLifted(content: string): void {
+    this.quarantine.recordGone(content);
+  }
 }
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -4,6 +4,7 @@
 import type { RecordHandlers } from '@woodbarrow/exchange';
 import type { ForwardingConfiguration, WireDialect } from '@woodbarrow/forwarding';
 import type { RecordEntry } from '@woodbarrow/protocol';
+import type { ProcessProbe, QuarantineRecord, QuarantineStore } from '@woodbarrow/quarantine';
 import type { OrderClient } from '@woodbarrow/residency';
 import type { BackendClient, Clock, Random, Transport } from '@woodbarrow/runtime';
 
@@ -16,6 +17,10 @@
   backEndsListed(backEnds: readonly BackEnd[]): void;
   backEndChanged(backEnd: BackEnd): void;
   backEndGone(id: string): void;
+  /** All contents that must not be run; others may. */
+  quarantineListed(records: readonly QuarantineRecord[]): void;
+  contentQuarantined(record: QuarantineRecord): void;
+  quarantineLifted(content: string): void;
 }
 
 /** All records of a kind. */
@@ -52,6 +57,8 @@
   readonly isUrgent: boolean;
   /** Pause after a watch brought changes, so that changes close to each other come in one answer, in milliseconds. */
   readonly pauseMs: number;
+  /** Time that a watch waits for a change, in milliseconds. @default 2500 */
+  readonly waitMs?: number;
   /** Turns records into what the deployment says. */
   readonly handlers: (sink: DeploymentSink) => RecordHandlers;
 }
@@ -87,6 +94,8 @@
   readonly client: BackendClient;
   readonly dialect: WireDialect;
   readonly orders: OrderClient;
+  readonly probe: ProcessProbe;
+  readonly quarantine: QuarantineStore;
   readonly leases: LeaseRecordStore;
   readonly registry: MemberRegistry;
   readonly feed: DeploymentFeed;
--- a/packages/serving/src/record-follower.ts
+++ b/packages/serving/src/record-follower.ts
@@ -26,9 +26,10 @@
     const { feed, clock, random, log } = options;
     this.sets = feed.kinds.map((kind) => this.createSet(kind));
     // Whether to follow the store is decided once the others are known.
-    this.watches = feed.kinds.flatMap(({ pauseMs }, index) => {
+    this.watches = feed.kinds.flatMap(({ pauseMs, waitMs }, index) => {
       const set = this.sets[index];
-      const shared = { pauseMs, store: feed.store, clock, random, log };
+      const wait = waitMs === undefined ? {} : { waitMs };
+      const shared = { pauseMs, ...wait, store: feed.store, clock, random, log };
       return set === undefined ? [] : [new RecordWatch({ ...shared, set })];
     });
     this.followStore(false);
--- a/packages/serving/src/record-watch.ts
+++ b/packages/serving/src/record-watch.ts
@@ -15,6 +15,8 @@
   readonly set: RecordSet;
   /** Pause after a watch brought changes, in milliseconds. */
   readonly pauseMs: number;
+  /** Time that a watch waits for a change, in milliseconds. @default 2500 */
+  readonly waitMs?: number;
   readonly store: RecordSource;
   readonly clock: Clock;
   readonly random: Random;
@@ -100,7 +102,7 @@
 
   /** Waits for changes. Returns the revision to go on from, or undefined to list again. */
   private async wait(revision: number, signal: AbortSignal): Promise<number | undefined> {
-    const { store, set, clock, log, pauseMs } = this.options;
+    const { store, set, clock, log, pauseMs, waitMs = WATCH_WAIT_MS } = this.options;
     const cutShort = new AbortController();
     this.cutShort = cutShort;
     const stop = (): void => {
@@ -108,7 +110,7 @@
     };
     signal.addEventListener('abort', stop);
     try {
-      const result = await store.watch(set.source, revision, WATCH_WAIT_MS, cutShort.signal);
+      const result = await store.watch(set.source, revision, waitMs, cutShort.signal);
       if (result.kind === 'history_gone') {
         log.changed('store_history_gone', { kind: set.source, revision });
         return undefined;
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -15,6 +15,8 @@
 import { Membership } from '@woodbarrow/membership';
 import { CallFailures, logTaskFailures, type BoundedLog } from '@woodbarrow/observability';
 import { PeerNetwork } from '@woodbarrow/peering';
+import { ownerByRendezvous } from '@woodbarrow/coordination';
+import { RequestQuarantine } from '@woodbarrow/quarantine';
 import { DemandRouter, ResidencyService } from '@woodbarrow/residency';
 import {
   NodeIngress,
@@ -72,6 +74,7 @@
   private readonly peers: PeerNetwork;
   private readonly membership: Membership;
   private readonly residency: ResidencyService;
+  private readonly quarantine: RequestQuarantine;
   private readonly records: RecordFollower;
   private readonly exchange: PeerExchange;
   private readonly forwarder: Forwarder;
@@ -100,7 +103,8 @@
     this.failures = new CallFailures(clock, log);
     this.directory = new BackendDirectory(clock);
     this.loads = new LoadBook(clock);
-    this.view = new DeploymentView(this.configuration, this.directory, log, (limits) =>
+    this.quarantine = this.createQuarantine();
+    this.view = new DeploymentView(this.configuration, this.directory, this.quarantine, log, (limits) =>
       this.ingress?.setLimits(limits),
     );
     this.peers = new PeerNetwork({
@@ -115,6 +119,9 @@
     const coordinators = new CoordinatorDirectory(clock, settings.name);
     this.records = this.createFollower();
     this.exchange = this.createExchange(coordinators);
+    this.quarantine.onNews = () => {
+      this.exchange.passOnCrashMarks();
+    };
     this.membership.events.on('attachment', ({ attachment }) => {
       this.exchange.noteUrgentElsewhere(attachment);
     });
@@ -151,6 +158,7 @@
     this.tasks.spawn('register', (signal) => this.registration.run(signal));
     this.membership.start();
     this.exchange.start();
+    this.quarantine.start();
     this.residency.start();
     this.log.changed('daemon_started', { zone: settings.zone, address: settings.ingressAddress });
   }
@@ -190,6 +198,7 @@
     this.stopping = true;
     this.tasks.abort();
     this.residency.abort();
+    this.quarantine.abort();
     this.exchange.abort();
     this.membership.abort();
     await Promise.all([
@@ -264,6 +273,21 @@
     });
   }
 
+  private createQuarantine(): RequestQuarantine {
+    const { settings, ports, log } = this;
+    const { probe, quarantine: store, clock } = ports;
+    return new RequestQuarantine({
+      daemon: settings.name,
+      probe,
+      store,
+      removesRecord: (content) =>
+        ownerByRendezvous(content, this.membership.eligible())?.id === settings.name,
+      clock,
+      random: ports.random.fork(),
+      log,
+    });
+  }
+
   private createFollower(): RecordFollower {
     const { ports, log, view } = this;
     return new RecordFollower({
@@ -299,6 +323,7 @@
           );
         }
       },
+      crashMarks: this.quarantine,
       failures: this.failures,
       clock: ports.clock,
       log,
@@ -317,6 +342,7 @@
       storeCalls: () => ports.storeCalls(),
       callFailures: () => this.failures.totals(),
       unserved: () => residency.unserved(),
+      quarantine: () => this.quarantine.totals,
       log,
     });
   }
@@ -340,6 +366,7 @@
         { ...settings.repeats, sharers: () => this.membership.eligible().length },
         clock,
       ),
+      quarantine: this.quarantine,
       journal: new LoggedJournal(log, this.metrics),
       stopWaiting: this.stopWaiting.signal,
       healthOf: (service: string) => this.healthOf(service),
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -1,4 +1,5 @@
 /** Metrics of a serving daemon. */
+import type { QuarantineTotals } from '@woodbarrow/quarantine';
 import type { UnservedDemands } from '@woodbarrow/residency';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
 
@@ -14,6 +15,7 @@
   readonly callFailures: () => ReadonlyMap<string, number>;
   /** What the zones coordinated here could not serve, by zone. */
   readonly unserved: () => ReadonlyMap<string, UnservedDemands>;
+  readonly quarantine: () => QuarantineTotals;
   readonly log: BoundedLog;
 }
 
@@ -68,6 +70,7 @@
       'call',
     );
     this.addUnservedGauges(sources);
+    this.addQuarantineGauge(sources);
     registry.gauge(
       'woodbarrow_log_lines_dropped',
       'Log lines left out since the start.',
@@ -104,6 +107,15 @@
     );
   }
 
+  private addQuarantineGauge({ quarantine }: MetricSources): void {
+    this.registry.gauge(
+      'woodbarrow_quarantine',
+      'Pairs of a content and a process that ended under it, contents with such processes, contents that are refused.',
+      () => new Map(Object.entries(quarantine())),
+      'of',
+    );
+  }
+
   get contentType(): string {
     return this.registry.contentType;
   }
--- a/packages/serving/test/exchange.test.ts
+++ b/packages/serving/test/exchange.test.ts
@@ -5,6 +5,7 @@
 import { CallFailures, silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster, type SimulatedNode } from '@woodbarrow/peering';
 import type { ResidencyChange, ZoneClaim } from '@woodbarrow/protocol';
+import { CrashMarks } from '@woodbarrow/quarantine';
 import { RecordFollower, type DeploymentSink, type FeedKind } from '../src/index.js';
 import { StoreInMemory } from './store-in-memory.js';
 
@@ -15,12 +16,26 @@
   backEndsListed: () => undefined,
   backEndChanged: () => undefined,
   backEndGone: () => undefined,
+  quarantineListed: () => undefined,
+  contentQuarantined: () => undefined,
+  quarantineLifted: () => undefined,
 };
 
+/** Marks that count how often they were put into a message. */
+class CountedMarks extends CrashMarks {
+  timesSent = 0;
+
+  override entries(): ReturnType<CrashMarks['entries']> {
+    this.timesSent += 1;
+    return super.entries();
+  }
+}
+
 /** One daemon's exchange, and what it has learned. */
 class ExchangingDaemon {
   readonly loads: LoadBook;
   readonly coordinators: CoordinatorDirectory;
+  readonly crashMarks: CountedMarks;
   readonly changes: ResidencyChange[] = [];
   readonly values = new Map<string, unknown>();
   claims: ZoneClaim[] = [];
@@ -37,6 +52,7 @@
     const { process: clock, peers, random } = node;
     this.loads = new LoadBook(clock);
     this.coordinators = new CoordinatorDirectory(clock, self.id);
+    this.crashMarks = new CountedMarks(clock);
     this.follower = new RecordFollower({
       feed: {
         store: store.clientOf(self.id, clock),
@@ -60,6 +76,7 @@
       records: this.follower,
       urgentSources: [CONFIGURATION],
       ownClaims: () => this.claims,
+      crashMarks: this.crashMarks,
       onChanges: (changes) => this.changes.push(...changes),
       failures: new CallFailures(clock, silentLog),
       clock,
@@ -72,6 +89,11 @@
     this.exchange.start();
   }
 
+  /** Monotonic time of this daemon. */
+  get now(): number {
+    return this.node.process.monotonic();
+  }
+
   kill(): void {
     this.stopped.abort();
     this.exchange.abort();
@@ -272,6 +294,42 @@
     expect(world.except(({ changes }) => changes.length === 1)).to.deep.equal([]);
   });
 
+  it('tells all daemons within a second of a process that ended under a request, and then nothing more of it', async () => {
+    const teller = world.daemons.find(({ exchange }) => !exchange.isRelay);
+    const endedAt = teller?.now ?? 0;
+    teller?.crashMarks.add({
+      content: 'c',
+      processId: 'w1',
+      begunAt: endedAt - 50,
+      endedAt,
+      isCleared: false,
+    });
+    teller?.exchange.passOnCrashMarks();
+    await world.cluster.advance(1000);
+    expect(world.except(({ crashMarks }) => crashMarks.endsOf('c') === 1)).to.deep.equal([]);
+    const sent = world.daemons.map(({ crashMarks }) => crashMarks.timesSent);
+    await world.cluster.advance(3000);
+    expect(world.daemons.map(({ crashMarks }) => crashMarks.timesSent)).to.deep.equal(sent);
+  });
+
+  it('brings daemons together that were told of different ends while a relay was killed', async () => {
+    const [relay] = world.relays('alpha');
+    const tellers = world.daemons.filter((daemon) => daemon !== relay).slice(0, 3);
+    relay?.kill();
+    tellers.forEach(({ crashMarks, now }, index) => {
+      crashMarks.add({
+        content: 'c',
+        processId: `w${String(index)}`,
+        begunAt: now,
+        endedAt: now,
+        isCleared: false,
+      });
+    });
+    await world.cluster.advance(3000);
+    const alive = world.daemons.filter((daemon) => daemon !== relay);
+    expect(world.except(({ crashMarks }) => crashMarks.endsOf('c') === 3, alive)).to.deep.equal([]);
+  });
+
   it('goes on when a relay is killed, without counting anything twice', async () => {
     const [relay] = world.relays('alpha');
     relay?.kill();
