What a daemon holds until it lapses is reckoned by elapsed time, suspensions of its machine included

Cause: leases, contact with witnesses and what others told were reckoned by the steady clock, which stands still while a machine is suspended: a holder woke and acted under a lease that others had taken since. Clock gets elapsed(): the steady clock plus whatever the time of day ran ahead of it. It may count too much (a step of the time of day), never too little unless the time of day is set back within the suspension. What a daemon may use itself goes by it and is asked at the act (mayAct, contact, claims, announcements, followers of the store); what it waits for others to let lapse stays with the steady clock, which errs the other way (witnesses, a holder's lifetime, pauses before the first act). Ruled out: os.uptime(). Requests' deadlines stay with the steady clock: a step of the time of day must not end what is in progress.

--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -140,7 +140,7 @@
   announce(id: string, target: ModelTarget, resident: boolean): void {
     const entry = this.entries.get(id);
     if (entry === undefined) return;
-    entry.announcements.set(targetKey(target), { resident, at: this.clock.monotonic() });
+    entry.announcements.set(targetKey(target), { resident, at: this.clock.elapsed() });
     void this.events.emit('residency', { backEndId: id, target, resident });
   }
 
@@ -160,7 +160,7 @@
   private believes(entry: Entry, key: string): boolean {
     const word = entry.announcements.get(key);
     if (word === undefined) return entry.recorded.has(key);
-    if (this.clock.monotonic() - word.at <= ANNOUNCEMENT_PRECEDENCE_MS) return word.resident;
+    if (this.clock.elapsed() - word.at <= ANNOUNCEMENT_PRECEDENCE_MS) return word.resident;
     entry.announcements.delete(key);
     return entry.recorded.has(key);
   }
--- a/packages/backends/test/backend-directory.test.ts
+++ b/packages/backends/test/backend-directory.test.ts
@@ -24,10 +24,12 @@
 describe('BackendDirectory', () => {
   let world: SimulatedWorld;
   let directory: BackendDirectory;
+  let machine: SimulatedProcess;
 
   beforeEach(() => {
     world = new SimulatedWorld();
-    directory = new BackendDirectory(new SimulatedProcess(world, { name: 'd', zone: 'a', region: 'r' }));
+    machine = new SimulatedProcess(world, { name: 'd', zone: 'a', region: 'r' });
+    directory = new BackendDirectory(machine);
   });
 
   it('uses a back end whose record vanished for a grace only', async () => {
@@ -71,6 +73,14 @@
     expect(directory.holds('one', { model: 'm1' })).to.equal(true);
   });
 
+  it('believes no announcement that lapsed while the machine was suspended', async () => {
+    directory.put(worker('one'));
+    directory.announce('one', { model: 'm' }, true);
+    machine.suspend(ANNOUNCEMENT_PRECEDENCE_MS + 1);
+    await world.run(ANNOUNCEMENT_PRECEDENCE_MS + 1);
+    expect(directory.holds('one', { model: 'm' })).to.equal(false);
+  });
+
   it('offers no back end that is draining, and no adapter without its model', () => {
     directory.put(worker('one', ['m1'], true));
     directory.put(worker('two', []));
--- a/packages/coordination/src/holder-contact.ts
+++ b/packages/coordination/src/holder-contact.ts
@@ -5,9 +5,9 @@
 /** Contact of one holder with the witnesses of one lease. */
 export class HolderContact {
   private witnesses: readonly WitnessId[] = [];
-  /** When each witness was last asked that has answered, monotonic. */
+  /** When each witness was last asked that has answered, in elapsed time. */
   private readonly askedAt = new Map<string, number>();
-  /** Monotonic time since which the present witnesses are asked. */
+  /** Elapsed time since which the present witnesses are asked. */
   private since = -Infinity;
 
   constructor(private readonly clock: Clock) {}
@@ -19,10 +19,10 @@
       if (!witnesses.some((kept) => kept.id === id && kept.instance === instance)) this.askedAt.delete(id);
     }
     this.witnesses = witnesses;
-    this.since = this.clock.monotonic();
+    this.since = this.clock.elapsed();
   }
 
-  /** A witness has answered that the holder may go on. @param askedAt When it was asked, monotonic. */
+  /** A witness has answered that the holder may go on. @param askedAt When it was asked, in elapsed time. */
   noteAnswer({ id, instance }: WitnessId, askedAt: number): void {
     if (!this.witnesses.some((witness) => witness.id === id && witness.instance === instance)) return;
     this.askedAt.set(id, Math.max(askedAt, this.askedAt.get(id) ?? -Infinity));
@@ -36,18 +36,18 @@
   /** Milliseconds for which no majority has answered; 0 while contact is fresh and soon after the witnesses were named. */
   lostMs(): number {
     const lastAt = Math.max(this.since, this.majorityAskedAt());
-    return this.witnesses.length === 0 ? 0 : this.clock.monotonic() - lastAt;
+    return this.witnesses.length === 0 ? 0 : this.clock.elapsed() - lastAt;
   }
 
   /** Witnesses that have not answered for a while. */
   silentWitnesses(longerThanMs: number): readonly WitnessId[] {
-    const oldest = this.clock.monotonic() - longerThanMs;
+    const oldest = this.clock.elapsed() - longerThanMs;
     return this.witnesses.filter(({ id }) => Math.max(this.since, this.askedAt.get(id) ?? 0) < oldest);
   }
 
   private lapsesInMs(): number {
     if (this.witnesses.length === 0) return Infinity;
-    return this.majorityAskedAt() + CONTACT_LIFETIME_MS - this.clock.monotonic();
+    return this.majorityAskedAt() + CONTACT_LIFETIME_MS - this.clock.elapsed();
   }
 
   /** The latest time from which on a majority has been asked and has answered. */
--- a/packages/coordination/src/lease-candidate.ts
+++ b/packages/coordination/src/lease-candidate.ts
@@ -123,7 +123,7 @@
       this.drop(lease);
       return 0;
     }
-    const startedAt = this.options.clock.monotonic();
+    const startedAt = this.options.clock.elapsed();
     const answers = await this.askVoters(lease.set, lease.term, true, true);
     const granted = answers.filter((answer) => answer.outcome === 'granted').length;
     if (isMajority(granted, lease.set)) lease.extend(this.validUntil(startedAt));
@@ -138,7 +138,7 @@
       this.highestTerm = 0;
     }
     const term = this.highestTerm + 1;
-    const startedAt = this.options.clock.monotonic();
+    const startedAt = this.options.clock.elapsed();
     const answers = await this.askVoters(current, term, false, false);
     for (const answer of answers) this.highestTerm = Math.max(this.highestTerm, answer.term);
     const granted = answers.filter((answer) => answer.outcome === 'granted');
--- a/packages/coordination/src/lease-locator.ts
+++ b/packages/coordination/src/lease-locator.ts
@@ -31,7 +31,7 @@
   /** The holder as a majority of voters names it; undefined when they do not agree on one. */
   async find(group: string): Promise<LeaseHolder | undefined> {
     const cached = this.cache.get(group);
-    if (cached !== undefined && cached.until > this.clock.monotonic()) return cached.holder;
+    if (cached !== undefined && cached.until > this.clock.elapsed()) return cached.holder;
     const set = this.voterSets(group)?.current;
     if (set === undefined) return undefined;
     const answers = await callVoters(
@@ -45,7 +45,7 @@
     const named = answers.find((answer) => namedByMajority(answers, answer, set.voters.length));
     if (named?.holder === undefined || named.holderAddress === undefined) return undefined;
     const holder = { id: named.holder, address: named.holderAddress };
-    this.cache.set(group, { holder, until: this.clock.monotonic() + named.remainingMs });
+    this.cache.set(group, { holder, until: this.clock.elapsed() + named.remainingMs });
     return holder;
   }
 
--- a/packages/coordination/src/lease.ts
+++ b/packages/coordination/src/lease.ts
@@ -19,7 +19,7 @@
   readonly clock: Clock;
   readonly set: VoterSet;
   readonly term: number;
-  /** Monotonic time until which the lease is certainly valid. */
+  /** Elapsed time until which the lease is certainly valid. */
   readonly validUntil: number;
   /** Newest records of a majority of voters. */
   readonly records: readonly LeaseRecord[];
@@ -55,12 +55,12 @@
 
   /** Whether the lease is certainly held now. Ask immediately before each act that needs it. */
   get isValid(): boolean {
-    return !this.ended && this.options.clock.monotonic() < this.validUntil;
+    return !this.ended && this.options.clock.elapsed() < this.validUntil;
   }
 
   /** Milliseconds for which the lease is certainly held if it is not extended. */
   get remainingMs(): number {
-    return this.ended ? 0 : Math.max(0, this.validUntil - this.options.clock.monotonic());
+    return this.ended ? 0 : Math.max(0, this.validUntil - this.options.clock.elapsed());
   }
 
   /** Whether the records contain everything ever written under this group's leases. */
--- a/packages/coordination/src/store-lease.ts
+++ b/packages/coordination/src/store-lease.ts
@@ -113,7 +113,7 @@
 /** One daemon's view of one lease. */
 export class StoreLease {
   private stored: StoredLease | undefined;
-  /** Monotonic start of the last write or read-back that confirmed this daemon as the holder. */
+  /** Start, in elapsed time, of the last write or read-back that confirmed this daemon as the holder. */
   private confirmedAt = -Infinity;
   /** Monotonic time before which a new holder must not act. */
   private actFrom = 0;
@@ -142,21 +142,22 @@
 
   /** Whether this daemon may act as the holder at this moment. */
   mayAct(): boolean {
-    const now = this.options.clock.monotonic();
-    return this.isHolder && now >= this.actFrom && now < this.actUntil() && this.isInContact();
+    const { clock } = this.options;
+    const isTooEarly = clock.monotonic() < this.actFrom;
+    return this.isHolder && !isTooEarly && clock.elapsed() < this.actUntil() && this.isInContact();
   }
 
   /** Milliseconds until this daemon may act; 0 when it may, Infinity when it is not the holder. */
   actsInMs(): number {
     if (!this.isHolder) return Infinity;
-    const now = this.options.clock.monotonic();
-    if (now >= this.actUntil()) return Infinity;
-    return Math.max(this.isInContact() ? 0 : CONTACT_LOOK_MS, this.actFrom - now);
+    const { clock } = this.options;
+    if (clock.elapsed() >= this.actUntil()) return Infinity;
+    return Math.max(this.isInContact() ? 0 : CONTACT_LOOK_MS, this.actFrom - clock.monotonic());
   }
 
   /** Milliseconds since the store last confirmed this daemon as the holder. */
   confirmedAgoMs(): number {
-    return this.options.clock.monotonic() - this.confirmedAt;
+    return this.options.clock.elapsed() - this.confirmedAt;
   }
 
   /** Witnesses that the record names, as far as known here. */
@@ -180,10 +181,12 @@
   async tryAcquire(told?: LeaseConfirmation, refused?: RefusedHolder): Promise<AcquireResult> {
     const { store, clock, name } = this.options;
     const seen = await store.read(name);
+    // What others may still use is waited for by the steady clock, what this daemon may use lapses by the elapsed time.
     const now = clock.monotonic();
+    const readAt = clock.elapsed();
     if (seen === undefined) {
       const created = await store.create(name, this.ownRecord(1, 0));
-      return created === undefined ? this.waitFor(CONFLICT_RETRY_MS) : this.becomeHolder(created, now);
+      return created === undefined ? this.waitFor(CONFLICT_RETRY_MS) : this.becomeHolder(created, readAt);
     }
     const { record, revision } = seen;
     const isOthers = record.holder !== this.options.holder && record.holder !== '';
@@ -195,7 +198,7 @@
     this.actFrom = Math.max(this.actFrom, now + pauseMs);
     const replaced = await store.replace(name, this.ownRecord(record.fence + 1, pauseMs), revision);
     if (replaced === undefined) return this.waitFor(CONFLICT_RETRY_MS);
-    return this.becomeHolder(replaced, now);
+    return this.becomeHolder(replaced, readAt);
   }
 
   /**
@@ -231,11 +234,11 @@
   private async confirmByWrite(): Promise<boolean> {
     const { store, clock, name } = this.options;
     if (!this.isHolder || this.stored === undefined) return false;
-    const startedAt = clock.monotonic();
+    const startedAt = clock.elapsed();
     const { record, revision } = this.stored;
     const witnesses = this.witnessesToName();
     this.witnessesUncertain ||= !areSameWitnesses(witnesses, record.witnesses);
-    const pauseMs = startedAt >= this.actFrom ? 0 : record.pauseMs;
+    const pauseMs = clock.monotonic() >= this.actFrom ? 0 : record.pauseMs;
     const renewal = record.renewal + 1;
     const renewed = await store.replace(name, { ...record, renewal, witnesses, pauseMs }, revision);
     if (renewed !== undefined) this.confirm(renewed, startedAt);
--- a/packages/exchange/src/coordinator-directory.ts
+++ b/packages/exchange/src/coordinator-directory.ts
@@ -22,6 +22,7 @@
 
 interface SourceClaims {
   readonly scope: ClaimScope;
+  /** When it told, in elapsed time. */
   readonly at: number;
   readonly claims: readonly RelayedClaim[];
 }
@@ -49,7 +50,7 @@
     // Others may still tell of claims of this daemon's former run.
     const believed = scope === 'own' ? claims : claims.filter((claim) => claim.holder !== this.selfId);
     const at = this.clock.monotonic();
-    this.sources.set(source, { scope, at, claims: believed });
+    this.sources.set(source, { scope, at: this.clock.elapsed(), claims: believed });
     for (const { zone, leaseRevision, confirmedAgoMs } of believed) {
       const known = this.confirmations.get(zone);
       if (known !== undefined && known.revision > leaseRevision) continue;
@@ -77,7 +78,7 @@
     }
     if (best === undefined) return undefined;
     const { holder, address, fence, storeLoads } = best;
-    const ageMs = this.clock.monotonic() - toldAt;
+    const ageMs = this.clock.elapsed() - toldAt;
     const loading = best.loading.map(({ model, readyInMs }) => ({ model, readyInMs: readyInMs - ageMs }));
     return { memberId: holder, address, fence, storeLoads, loading };
   }
@@ -99,7 +100,7 @@
   }
 
   private *freshSources(): Generator<SourceClaims> {
-    const oldest = this.clock.monotonic() - CLAIM_LIFETIME_MS;
+    const oldest = this.clock.elapsed() - CLAIM_LIFETIME_MS;
     for (const [source, told] of this.sources) {
       if (told.at >= oldest) yield told;
       else this.sources.delete(source);
--- a/packages/exchange/src/follower-watch.ts
+++ b/packages/exchange/src/follower-watch.ts
@@ -17,18 +17,18 @@
 
   /** A relay has told whether it follows the store. */
   note(relayId: string, follows: boolean): void {
-    this.words.set(relayId, { at: this.clock.monotonic(), follows });
+    this.words.set(relayId, { at: this.clock.elapsed(), follows });
   }
 
   /** Whether a relay has told lately that it follows the store. */
   isFollowing(relayId: string): boolean {
     const word = this.words.get(relayId);
-    return word?.follows === true && this.clock.monotonic() - word.at <= WORD_LIFETIME_MS;
+    return word?.follows === true && this.clock.elapsed() - word.at <= WORD_LIFETIME_MS;
   }
 
   /** How many of some relays follow the store. One that is new is given the time of a word to begin. */
   countFollowing(relays: readonly { readonly id: string }[]): number {
-    const now = this.clock.monotonic();
+    const now = this.clock.elapsed();
     let count = 0;
     for (const { id } of relays) {
       const word = this.words.get(id);
--- a/packages/exchange/src/index.ts
+++ b/packages/exchange/src/index.ts
@@ -8,3 +8,4 @@
 export * from './record-set.js';
 export * from './record-transfer.js';
 export * from './sent-updates.js';
+export * from './follower-watch.js';
--- a/packages/residency/src/lease-contacts.ts
+++ b/packages/residency/src/lease-contacts.ts
@@ -98,7 +98,7 @@
       lease.witnesses.map(async (witness) => {
         const member = this.runningMember(witness);
         if (member === undefined) return;
-        const askedAt = clock.monotonic();
+        const askedAt = clock.elapsed();
         const message = { lease: name, revision };
         const answer = await peers
           .call(member.address, leaseContactMethod, message, { timeoutMs: ANSWER_LIMIT_MS })
--- a/packages/runtime/src/clock.ts
+++ b/packages/runtime/src/clock.ts
@@ -1,12 +1,23 @@
 /** Time as the daemons see it. Nothing outside this package reads a clock or sets a timer directly. */
+import { SuspensionMeter } from './suspension-meter.js';
 
 /** Cancels a scheduled callback; calling it again does nothing. */
 export type CancelTimer = () => void;
 
 /** Source of time. All durations are in milliseconds. */
 export interface Clock {
-  /** Milliseconds since an arbitrary start; never goes back; may drift against other machines. */
+  /**
+   * Milliseconds since an arbitrary start; never goes back; may drift against other machines. Stands still while the machine is
+   * suspended, so it may count too little: right for waiting until something of another daemon has certainly lapsed,
+   * and for how long work has run here.
+   */
   monotonic(): number;
+  /**
+   * As {@link monotonic}, but with the time for which the machine was suspended; may count too much, after a step of the time of day.
+   * Right for what this daemon itself may use until it lapses: a lease, an answer, a word of another daemon.
+   * Ask at the act, not in a timer: after a suspension timers and messages come in any order.
+   */
+  elapsed(): number;
   /** Milliseconds since the Unix epoch; may jump. */
   wall(): number;
   /** Runs `callback` once after `delayMs`. */
@@ -15,10 +26,19 @@
 
 /** The machine's own clock. */
 export class SystemClock implements Clock {
+  private readonly meter = new SuspensionMeter(
+    () => this.monotonic(),
+    () => this.wall(),
+  );
+
   monotonic(): number {
     return performance.now();
   }
 
+  elapsed(): number {
+    return this.meter.elapsed();
+  }
+
   wall(): number {
     return Date.now();
   }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -16,6 +16,7 @@
 export * from './simulated-transport.js';
 export * from './sliding-window.js';
 export * from './streaming-http.js';
+export * from './suspension-meter.js';
 export * from './system-random.js';
 export * from './task-group.js';
 export * from './tcp-transport.js';
--- a/packages/runtime/src/simulated-clock.ts
+++ b/packages/runtime/src/simulated-clock.ts
@@ -1,5 +1,6 @@
 /** The virtual clock of a simulation and the processes that live on it. */
 import type { CancelTimer, Clock } from './clock.js';
+import { SuspensionMeter } from './suspension-meter.js';
 
 interface ScheduledEvent {
   readonly atMs: number;
@@ -10,6 +11,8 @@
 
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
+/** Rounding of virtual time in the clock of a process, in milliseconds. */
+const TIMER_SLACK_MS = 0.001;
 const WALL_START_MS = 1_800_000_000_000;
 const MICROSECONDS_PER_MS = 1000;
 
@@ -144,7 +147,13 @@
   alive = true;
   private readonly clockRate: number;
   private readonly startedAt: number;
+  private readonly meter: SuspensionMeter;
   private pausedUntil = 0;
+  /** Virtual time for which the machine has been suspended, and until when it is. */
+  private suspendedMs = 0;
+  private suspendedUntil = 0;
+  /** How far the time of day has been set beside virtual time. */
+  private wallOffsetMs = 0;
   private readonly killListeners = new Set<() => void>();
 
   constructor(
@@ -156,6 +165,10 @@
     this.region = options.region;
     this.clockRate = options.clockRate ?? 1;
     this.startedAt = world.now;
+    this.meter = new SuspensionMeter(
+      () => this.monotonic(),
+      () => this.wall(),
+    );
   }
 
   /** Whether the process is stopped in its tracks now. */
@@ -164,21 +177,32 @@
   }
 
   monotonic(): number {
-    return (this.world.now - this.startedAt) * this.clockRate;
+    const suspendedSoFar = this.suspendedMs - Math.max(0, this.suspendedUntil - this.world.now);
+    return (this.world.now - this.startedAt - suspendedSoFar) * this.clockRate;
+  }
+
+  elapsed(): number {
+    return this.meter.elapsed();
   }
 
   wall(): number {
-    return WALL_START_MS + this.world.now;
+    return WALL_START_MS + this.world.now + this.wallOffsetMs;
   }
 
   schedule(delayMs: number, callback: () => void): CancelTimer {
     let cancelled = false;
-    this.world.schedule(delayMs / this.clockRate, () => {
-      if (!cancelled)
-        this.deliver(() => {
-          if (!cancelled) callback();
-        });
-    });
+    const dueAt = this.monotonic() + delayMs;
+    const fire = (): void => {
+      if (cancelled) return;
+      const leftMs = (dueAt - this.monotonic()) / this.clockRate;
+      // A timer goes by the steady clock, which stood still while the machine was suspended.
+      if (leftMs > TIMER_SLACK_MS) this.world.schedule(leftMs, due);
+      else callback();
+    };
+    const due = (): void => {
+      if (!cancelled) this.deliver(fire);
+    };
+    this.world.schedule(delayMs / this.clockRate, due);
     return () => {
       cancelled = true;
     };
@@ -201,6 +225,20 @@
     this.pausedUntil = Math.max(this.pausedUntil, this.world.now + durationMs);
   }
 
+  /** Suspends the machine: as a pause, and the steady clock does not count that time. The time of day does. */
+  suspend(durationMs: number): void {
+    const from = Math.max(this.world.now, this.suspendedUntil);
+    const until = Math.max(from, this.world.now + durationMs);
+    this.suspendedMs += until - from;
+    this.suspendedUntil = until;
+    this.pause(durationMs);
+  }
+
+  /** Sets the time of day, forward or back. */
+  stepWall(byMs: number): void {
+    this.wallOffsetMs += byMs;
+  }
+
   /** Ends the process at once. */
   kill(): void {
     if (!this.alive) return;
