A version of an adapter is a copy of its own, from the wire to the choice of a worker

Until now the boundary cut versions off what workers list and kept them in what requests name: 'a3@2' was never believed resident and would have been ordered again and again, and two versions on one worker counted as one. Two versions can be under way at once, neither waits for, cancels or restarts the other; a request that names none takes any, and counts as use of the copy it may run on, so that copy does not make way. Not measured: no site in force names versions of adapters.

--- a/packages/backends/src/back-end.ts
+++ b/packages/backends/src/back-end.ts
@@ -1,9 +1,10 @@
 /** One run of a worker, as its record in the object store describes it. */
+import type { AdapterCopy } from './model-name.js';
 
 /** A model resident on a worker, with its adapters. */
 export interface HeldModel {
   readonly name: string;
-  readonly adapters: readonly string[];
+  readonly adapters: readonly AdapterCopy[];
 }
 
 /** Copies of weights that a worker can load without the weight store. */
--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -5,7 +5,7 @@
 import Emittery from 'emittery';
 import type { CancelTimer, Clock } from '@woodbarrow/runtime';
 import type { BackEnd } from './back-end.js';
-import { targetKey, type ModelTarget } from './model-name.js';
+import { hasAdapter, keysServedBy, targetKey, type AdapterTarget, type ModelTarget } from './model-name.js';
 
 /** Events of {@link BackendDirectory}. */
 export interface BackendDirectoryEvents {
@@ -140,7 +140,9 @@
   announce(id: string, target: ModelTarget, resident: boolean): void {
     const entry = this.entries.get(id);
     if (entry === undefined) return;
-    entry.announcements.set(targetKey(target), { resident, at: this.clock.elapsed() });
+    const at = this.clock.elapsed();
+    entry.announcements.set(targetKey(target), { resident, at });
+    if (target.adapterVersion !== undefined && hasAdapter(target)) this.announceAnyVersion(entry, target, at);
     void this.events.emit('residency', { backEndId: id, target, resident });
   }
 
@@ -157,6 +159,14 @@
     return this.ofService(service).filter((backEnd) => !backEnd.draining && this.holds(backEnd.id, target));
   }
 
+  /** After word of one version: whether a request that takes any is served. */
+  private announceAnyVersion(entry: Entry, { model, adapter }: AdapterTarget, at: number): void {
+    const anyVersion = targetKey({ model, adapter });
+    const known = [...entry.recorded, ...entry.announcements.keys()];
+    const resident = known.some((key) => key.startsWith(`${anyVersion}@`) && this.believes(entry, key));
+    entry.announcements.set(anyVersion, { resident, at });
+  }
+
   private believes(entry: Entry, key: string): boolean {
     const word = entry.announcements.get(key);
     if (word === undefined) return entry.recorded.has(key);
@@ -185,7 +195,7 @@
   const keys = new Set<string>();
   for (const held of backEnd.models) {
     keys.add(held.name);
-    for (const adapter of held.adapters) keys.add(targetKey({ model: held.name, adapter }));
+    for (const copy of held.adapters) for (const key of keysServedBy(held.name, copy)) keys.add(key);
   }
   return keys;
 }
--- a/packages/backends/test/backend-directory.test.ts
+++ b/packages/backends/test/backend-directory.test.ts
@@ -81,6 +81,23 @@
     expect(directory.holds('one', { model: 'm' })).to.equal(false);
   });
 
+  it('tells versions of an adapter apart, and takes any for a request that names none', () => {
+    const adapters = [{ name: 'a1', version: 1 }, { name: 'a2' }];
+    directory.put({ ...worker('one'), models: [{ name: 'm', adapters }] });
+    const holds = (adapter: string, adapterVersion?: number): boolean =>
+      directory.holds('one', {
+        model: 'm',
+        adapter,
+        ...(adapterVersion === undefined ? {} : { adapterVersion }),
+      });
+    expect([holds('a1'), holds('a1', 1), holds('a1', 2)]).to.deep.equal([true, true, false]);
+    expect([holds('a2'), holds('a2', 1)]).to.deep.equal([true, false]);
+    directory.announce('one', { model: 'm', adapter: 'a1', adapterVersion: 1 }, false);
+    expect([holds('a1'), holds('a1', 1)]).to.deep.equal([false, false]);
+    directory.announce('one', { model: 'm', adapter: 'a1', adapterVersion: 3 }, true);
+    expect([holds('a1'), holds('a1', 1), holds('a1', 3)]).to.deep.equal([true, false, true]);
+  });
+
   it('offers no back end that is draining, and no adapter without its model', () => {
     directory.put(worker('one', ['m1'], true));
     directory.put(worker('two', []));
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -103,6 +103,7 @@
       content: this.digest,
       model: this.facts.target?.model,
       adapter: this.facts.target?.adapter,
+      adapterVersion: this.facts.target?.adapterVersion,
       promptTokens: this.facts.promptTokens,
       outputTokens: this.facts.outputTokens,
       leftMs: Math.round(this.times.leftMs()),
--- a/packages/protocol/src/residency-messages.ts
+++ b/packages/protocol/src/residency-messages.ts
@@ -8,6 +8,8 @@
   readonly service: string;
   readonly model: string;
   readonly adapter?: string;
+  /** The only version of the adapter that will do; any when absent. */
+  readonly adapterVersion?: number;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Milliseconds after which it no longer helps. */
@@ -40,6 +42,7 @@
   readonly backEndId: string;
   readonly model: string;
   readonly adapter?: string;
+  readonly adapterVersion?: number;
   readonly resident: boolean;
 }
 
--- a/packages/residency/src/adapter-orders.ts
+++ b/packages/residency/src/adapter-orders.ts
@@ -1,5 +1,15 @@
 /** Adapters of one worker: loads those wanted, unloads those unused longest, never more than there are slots. */
-import { targetKey, type BackendDirectory, type LoadBook, type ModelTarget } from '@woodbarrow/backends';
+import {
+  keysServedBy,
+  servesTarget,
+  targetKey,
+  targetOfCopy,
+  type AdapterCopy,
+  type AdapterTarget,
+  type BackendDirectory,
+  type LoadBook,
+  type ModelTarget,
+} from '@woodbarrow/backends';
 import { sleep, type Clock } from '@woodbarrow/runtime';
 import type { WorkerReport } from './order-client.js';
 import { REPORT_LAG_MS, type OrderSender } from './order-sender.js';
@@ -21,10 +31,6 @@
   readonly onDoubt: () => void;
 }
 
-interface AdapterTarget extends ModelTarget {
-  readonly adapter: string;
-}
-
 /** First look after an order and the pause between looks, in milliseconds. */
 const FIRST_POLL_MS = 25;
 const POLL_MS = 40;
@@ -66,13 +72,13 @@
 
   private async carryOut(target: AdapterTarget, deadline: number): Promise<boolean> {
     const { residents, sender } = this.options;
-    if (residents.isResident(target.model, target.adapter)) return true;
-    if (!(await this.takeSlot(target, deadline))) return residents.isResident(target.model, target.adapter);
+    if (residents.isResident(target)) return true;
+    if (!(await this.takeSlot(target, deadline))) return residents.isResident(target);
     const outcome = await sender.send('load', target);
     if (outcome === 'done') return this.finish(target);
     if (outcome === 'accepted') return this.awaitLoaded(target);
     // After a refusal nothing is there; after anything else it may be, or may come: it stays counted.
-    if (outcome === 'refused') residents.models.get(target.model)?.adapters.delete(target.adapter);
+    if (outcome === 'refused') residents.dropAdapter(target);
     else this.options.onDoubt();
     return false;
   }
@@ -84,14 +90,14 @@
     return taken;
   }
 
-  private async takeSlotInTurn({ model, adapter }: AdapterTarget, deadline: number): Promise<boolean> {
+  private async takeSlotInTurn(target: AdapterTarget, deadline: number): Promise<boolean> {
     const { clock, signal, residents, slots } = this.options;
     while (!signal.aborted) {
-      const held = residents.models.get(model);
-      if (held?.state !== 'resident' || held.adapters.get(adapter) === 'resident') return false;
-      const hasRoom = residents.adapterCount < slots() && !held.adapters.has(adapter);
+      const isModelThere = residents.models.get(target.model)?.state === 'resident';
+      if (!isModelThere || residents.isResident(target)) return false;
+      const hasRoom = residents.adapterCount < slots() && residents.adapterOf(target) === undefined;
       if (hasRoom) {
-        held.adapters.set(adapter, 'loading');
+        residents.setAdapter(target, 'loading');
         return true;
       }
       if (clock.monotonic() >= deadline) return false;
@@ -109,7 +115,7 @@
       pauseMs = POLL_MS;
       const report = await sender.report();
       const held = report?.models.find((model) => model.name === target.model);
-      if (held?.adapters.includes(target.adapter) === true) return this.finish(target);
+      if (held?.adapters.some((copy) => servesTarget(copy, target)) === true) return this.finish(target);
     }
     this.options.onDoubt();
     return false;
@@ -117,9 +123,8 @@
 
   private finish(target: AdapterTarget): boolean {
     const { residents, announce } = this.options;
-    const held = residents.models.get(target.model);
-    if (held?.state !== 'resident') return false;
-    held.adapters.set(target.adapter, 'resident');
+    if (residents.models.get(target.model)?.state !== 'resident') return false;
+    residents.setAdapter(target, 'resident');
     announce(target, true);
     return true;
   }
@@ -132,12 +137,11 @@
 
   private async unload(victim: AdapterTarget): Promise<boolean> {
     const { residents, sender, announce, onDoubt } = this.options;
-    const adapters = residents.models.get(victim.model)?.adapters;
-    adapters?.set(victim.adapter, 'unloading');
+    residents.setAdapter(victim, 'unloading');
     announce(victim, false);
     const outcome = await sender.send('unload', victim);
     if (outcome === 'done') {
-      adapters?.delete(victim.adapter);
+      residents.dropAdapter(victim);
       return true;
     }
     // Taken, but a run still uses it: it holds its slot until a report shows it gone.
@@ -151,12 +155,11 @@
     const startedAt = clock.monotonic();
     while (!signal.aborted && clock.monotonic() - startedAt < UNLOAD_LIMIT_MS) {
       await sleep(clock, REPORT_LAG_MS, signal);
-      const adapters = residents.models.get(victim.model)?.adapters;
-      if (adapters?.get(victim.adapter) !== 'unloading') return;
+      if (residents.adapterOf(victim)?.state !== 'unloading') return;
       const report = await this.tryReport(sender);
       const held = report?.models.find((model) => model.name === victim.model);
-      if (report !== undefined && held?.adapters.includes(victim.adapter) !== true) {
-        adapters.delete(victim.adapter);
+      if (report !== undefined && held?.adapters.some((copy) => servesTarget(copy, victim)) !== true) {
+        residents.dropAdapter(victim);
         return;
       }
     }
@@ -173,19 +176,25 @@
   }
 
   private longestUnused(): AdapterTarget | undefined {
-    const { loads, backEndId, residents } = this.options;
+    const { residents } = this.options;
     let victim: AdapterTarget | undefined;
     let longestIdleMs = -1;
     for (const [model, held] of residents.models) {
-      for (const [adapter, state] of held.adapters) {
-        const key = targetKey({ model, adapter });
-        if (state !== 'resident' || loads.requestsFor(backEndId, key) > 0) continue;
-        const idleMs = loads.idleMs(backEndId, key);
+      for (const { copy, state } of held.adapters.values()) {
+        const idleMs = state === 'resident' ? this.idleMs(model, copy) : -1;
         if (idleMs <= longestIdleMs) continue;
-        victim = { model, adapter };
+        victim = targetOfCopy(model, copy);
         longestIdleMs = idleMs;
       }
     }
     return victim;
   }
+
+  /** Time since a copy was last used, by requests for its version or for any; below 0 while it is in use. */
+  private idleMs(model: string, copy: AdapterCopy): number {
+    const { loads, backEndId } = this.options;
+    const keys = keysServedBy(model, copy);
+    if (keys.some((key) => loads.requestsFor(backEndId, key) > 0)) return -1;
+    return Math.min(...keys.map((key) => loads.idleMs(backEndId, key)));
+  }
 }
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -278,7 +278,7 @@
 
   private logAnswer(
     coordinator: string,
-    { zone, model, adapter, withinMs }: ResidencyDemandMessage,
+    { zone, model, adapter, adapterVersion, withinMs }: ResidencyDemandMessage,
     tookMs: number,
     answer: ResidencyDemandAnswer | undefined,
   ): void {
@@ -288,6 +288,7 @@
       coordinator,
       model,
       adapter,
+      adapterVersion,
       held: answer?.held ?? false,
       reason: answer?.reason ?? 'no answer',
       backEnd: answer?.held === true ? answer.backEndId : undefined,
--- a/packages/residency/src/resident-set.ts
+++ b/packages/residency/src/resident-set.ts
@@ -1,9 +1,24 @@
 /** What a coordinator believes one worker to hold, what it has ordered, and what is committed of its memory. */
-import type { HeldModel, ModelDefinition } from '@woodbarrow/backends';
+import {
+  servesTarget,
+  targetKey,
+  targetOfCopy,
+  type AdapterCopy,
+  type AdapterTarget,
+  type HeldModel,
+  type ModelDefinition,
+  type ModelTarget,
+} from '@woodbarrow/backends';
 
 /** State of a model on a worker. Memory counts as taken in all of them. */
 export type ResidentState = 'resident' | 'loading' | 'unloading';
 
+/** A copy of an adapter on a worker; it takes a slot in all states. */
+export interface ResidentAdapter {
+  readonly copy: AdapterCopy;
+  readonly state: ResidentState;
+}
+
 /** A model on a worker. */
 export interface ResidentModel {
   readonly definition: ModelDefinition;
@@ -15,7 +30,8 @@
    * on its worker; undefined while it takes requests.
    */
   retiredAt?: number | undefined;
-  readonly adapters: Map<string, ResidentState>;
+  /** By the key of the target that just this copy serves. */
+  readonly adapters: Map<string, ResidentAdapter>;
 }
 
 /** Models of one worker. */
@@ -36,11 +52,30 @@
     return count;
   }
 
-  /** Whether a model, and an adapter of it if one is given, can take requests. */
-  isResident(model: string, adapter?: string): boolean {
-    const held = this.models.get(model);
+  /** Whether a target can take requests. */
+  isResident(target: ModelTarget): boolean {
+    const held = this.models.get(target.model);
     if (held?.state !== 'resident') return false;
-    return adapter === undefined || held.adapters.get(adapter) === 'resident';
+    return target.adapter === undefined || this.adapterOf(target)?.state === 'resident';
+  }
+
+  /** The copy that serves a target with an adapter, a resident one first. */
+  adapterOf(target: ModelTarget): ResidentAdapter | undefined {
+    const copies = [...(this.models.get(target.model)?.adapters.values() ?? [])];
+    const serving = copies.filter(({ copy }) => servesTarget(copy, target));
+    return serving.find(({ state }) => state === 'resident') ?? serving[0];
+  }
+
+  /** Notes the state of the copy that a target names, by its version where it names one. */
+  setAdapter(target: AdapterTarget, state: ResidentState): void {
+    const { model, adapter: name, adapterVersion: version } = target;
+    const copy = version === undefined ? { name } : { name, version };
+    this.models.get(model)?.adapters.set(targetKey(target), { copy, state });
+  }
+
+  /** The copy that a target names is gone. */
+  dropAdapter(target: AdapterTarget): void {
+    this.models.get(target.model)?.adapters.delete(targetKey(target));
   }
 
   /** Notes a change of a model's state. */
@@ -69,10 +104,12 @@
     }
   }
 
-  private replaceAdapters(model: string, adapters: readonly string[]): void {
+  private replaceAdapters(model: string, adapters: readonly AdapterCopy[]): void {
     const held = this.models.get(model);
     if (held === undefined) return;
     held.adapters.clear();
-    for (const adapter of adapters) held.adapters.set(adapter, 'resident');
+    for (const copy of adapters) {
+      held.adapters.set(targetKey(targetOfCopy(model, copy)), { copy, state: 'resident' });
+    }
   }
 }
--- a/packages/residency/src/worker-orders.ts
+++ b/packages/residency/src/worker-orders.ts
@@ -1,6 +1,7 @@
 /** What one worker is to hold: loads, unloads, and what is known of their outcome. */
 import {
   remainingMs,
+  type AdapterTarget,
   type BackendDirectory,
   type EngineDefinition,
   type LoadBook,
@@ -118,8 +119,8 @@
   }
 
   /** Milliseconds until an adapter of a model that it holds is expected to be resident. */
-  adapterReadyMs(model: string, adapter: string): number {
-    return this.residents.isResident(model, adapter) ? 0 : this.busyMs + this.adapters.waitMs();
+  adapterReadyMs(target: AdapterTarget): number {
+    return this.residents.isResident(target) ? 0 : this.busyMs + this.adapters.waitMs();
   }
 
   /** Loads and unloads that are decided and not done. */
@@ -190,11 +191,11 @@
    * Loads an adapter of a resident model. Resolves with whether it is resident. Waits while the worker loads or
    * unloads a model, as it takes no adapter then.
    */
-  async loadAdapter(model: string, adapter: string, withinMs: number): Promise<boolean> {
+  async loadAdapter(target: AdapterTarget, withinMs: number): Promise<boolean> {
     const { clock } = this.options;
     const deadline = clock.monotonic() + withinMs;
     if (!this.known) await this.prepare();
-    if (this.residents.isResident(model, adapter)) return true;
+    if (this.residents.isResident(target)) return true;
     this.adaptersWaiting += 1;
     try {
       while (this.queuedSwaps > 0 && clock.monotonic() < deadline) {
@@ -203,8 +204,8 @@
     } finally {
       this.adaptersWaiting -= 1;
     }
-    if (!this.known || this.queuedSwaps > 0) return this.residents.isResident(model, adapter);
-    return this.adapters.load({ model, adapter }, deadline);
+    if (!this.known || this.queuedSwaps > 0) return this.residents.isResident(target);
+    return this.adapters.load(target, deadline);
   }
 
   /** Adapters that have waited for a load go before the next one. */
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -1,5 +1,6 @@
 /** The coordinator of one zone: answers demands for models on its workers while it holds the zone's lease. */
 import {
+  hasAdapter,
   targetKey,
   type BackEnd,
   type BackendDirectory,
@@ -178,9 +179,10 @@
     message: ResidencyDemandMessage,
     withinMs: number,
   ): Promise<ResidencyDemandAnswer> {
-    if (message.adapter === undefined) return held(backEndId);
+    const target = targetOf(message);
+    if (!hasAdapter(target)) return held(backEndId);
     const worker = this.workerOf(backEndId);
-    const loaded = await this.settle(worker.loadAdapter(message.model, message.adapter, withinMs), withinMs);
+    const loaded = await this.settle(worker.loadAdapter(target, withinMs), withinMs);
     return loaded === true
       ? held(backEndId)
       : refused('adapter_not_loaded', Math.max(RETRY_AFTER_BUSY_MS, worker.busyMs));
@@ -190,7 +192,7 @@
   private holderOf(message: ResidencyDemandMessage): WorkerOrders | undefined {
     const holders = this.openWorkers(message.service)
       .filter((backEnd) => !message.without.includes(backEnd.id))
-      .filter((backEnd) => this.workerOf(backEnd.id).residents.isResident(message.model));
+      .filter((backEnd) => this.workerOf(backEnd.id).residents.isResident({ model: message.model }));
     const ranked = rankByRendezvous(targetKey(targetOf(message)), holders);
     return leastBy(
       ranked.map((backEnd) => this.workerOf(backEnd.id)),
@@ -245,13 +247,15 @@
   }
 }
 
-function targetOf({ model, adapter }: ResidencyDemandMessage): ModelTarget {
-  return adapter === undefined ? { model } : { model, adapter };
+function targetOf({ model, adapter, adapterVersion }: ResidencyDemandMessage): ModelTarget {
+  if (adapter === undefined) return { model };
+  return adapterVersion === undefined ? { model, adapter } : { model, adapter, adapterVersion };
 }
 
 /** Milliseconds until a worker that holds the model has the adapter as well, if one is wanted. */
-function readyOn(worker: WorkerOrders, { model, adapter }: ResidencyDemandMessage): number {
-  return adapter === undefined ? 0 : worker.adapterReadyMs(model, adapter);
+function readyOn(worker: WorkerOrders, message: ResidencyDemandMessage): number {
+  const target = targetOf(message);
+  return hasAdapter(target) ? worker.adapterReadyMs(target) : 0;
 }
 
 function held(backEndId: string): ResidencyDemandAnswer {
--- a/packages/residency/test/simulated-workers.ts
+++ b/packages/residency/test/simulated-workers.ts
@@ -1,5 +1,5 @@
 /** Workers on virtual time that take orders, also without answering, late, or not at all. */
-import type { BackEnd, ModelDefinition, ModelTarget } from '@woodbarrow/backends';
+import type { AdapterCopy, BackEnd, ModelDefinition, ModelTarget } from '@woodbarrow/backends';
 import type { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
 import type { OrderClient, OrderOutcome, WorkerOrder, WorkerReport } from '../src/index.js';
 
@@ -33,6 +33,16 @@
   };
 }
 
+/** How the worker names the copy of an adapter, with its version where the order named one. */
+function textOf({ adapter = '', adapterVersion }: ModelTarget): string {
+  return adapterVersion === undefined ? adapter : `${adapter}@${String(adapterVersion)}`;
+}
+
+function toCopy(text: string): AdapterCopy {
+  const [name = '', version] = text.split('@');
+  return version === undefined ? { name } : { name, version: Number(version) };
+}
+
 interface Snapshot {
   readonly at: number;
   readonly report: WorkerReport;
@@ -114,7 +124,7 @@
 
   private takeAdapter({ operation, target }: WorkerOrder): OrderOutcome {
     const adapters = this.models.get(target.model);
-    const adapter = target.adapter ?? '';
+    const adapter = textOf(target);
     if (adapters === undefined) return 'rejected';
     const isHeld = adapters.has(adapter);
     if (operation === 'load' && isHeld) return 'done';
@@ -142,7 +152,10 @@
   }
 
   private remember(): Snapshot {
-    const models = [...this.models].map(([name, adapters]) => ({ name, adapters: [...adapters] }));
+    const models = [...this.models].map(([name, adapters]) => ({
+      name,
+      adapters: [...adapters].map(toCopy),
+    }));
     const report = {
       models,
       incoming: [...this.incoming.values()],
--- a/packages/residency/test/zone-world.ts
+++ b/packages/residency/test/zone-world.ts
@@ -109,8 +109,8 @@
       storeWindow: { windowMs: 5000, overshoot: 1 },
       storeLoadsElsewhere: () => 0,
       comesElsewhereInMs: (model) => this.comesElsewhere.get(model) ?? Infinity,
-      announce: ({ backEndId, model, adapter, resident }) => {
-        this.directory.announce(backEndId, adapter === undefined ? { model } : { model, adapter }, resident);
+      announce: ({ backEndId, resident, ...target }) => {
+        this.directory.announce(backEndId, target, resident);
       },
     });
   }
@@ -131,12 +131,18 @@
 }
 
 /** A demand for a model that may wait {@link WITHIN_MS}. */
-export function demand(zone: ZoneResidency, model: string, adapter?: string): Promise<ResidencyDemandAnswer> {
+export function demand(
+  zone: ZoneResidency,
+  model: string,
+  adapter?: string,
+  adapterVersion?: number,
+): Promise<ResidencyDemandAnswer> {
   return zone.demand({
     zone: ZONE,
     service: SERVICE,
     model,
     ...(adapter === undefined ? {} : { adapter }),
+    ...(adapterVersion === undefined ? {} : { adapterVersion }),
     priority: 1,
     without: [],
     mayUseStore: true,
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -316,12 +316,8 @@
       urgentSources: ports.feed.kinds.filter((kind) => kind.isUrgent).map((kind) => kind.source),
       ownClaims: () => this.residency.claims(),
       onChanges: (changes) => {
-        for (const { backEndId, model, adapter, resident } of changes) {
-          this.directory.announce(
-            backEndId,
-            adapter === undefined ? { model } : { model, adapter },
-            resident,
-          );
+        for (const { backEndId, resident, ...target } of changes) {
+          this.directory.announce(backEndId, target, resident);
         }
       },
       crashMarks: this.quarantine,
