--- a/packages/serving/src/member-registration.ts
+++ b/packages/serving/src/member-registration.ts
@@ -60,6 +60,12 @@
     return this.wasFilledAtLook && this.listed.length > 0;
   }
 
+  /** Whether the daemons that are to vouch for what this one holds can be named: some have been met, or there are none. */
+  get hasMetOthers(): boolean {
+    if (this.ageMs > ALONE_AFTER_MS) return true;
+    return this.isGroupKnown && this.options.presentCount() > 1;
+  }
+
   /** Registered daemons that may be counted as present until the membership has met them; none after a while. */
   get provisionalMembers(): readonly RegisteredMember[] {
     return this.ageMs < REGISTER_BELIEVED_MS ? this.listed : [];
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -251,7 +251,8 @@
       self: this.self(),
       instance,
       members: () => this.membership.eligible(),
-      isGroupKnown: () => this.registration.isGroupKnown,
+      // A lease taken before others are met would name no witnesses, and a lost holder be waited for twice as long.
+      isGroupKnown: () => this.registration.hasMetOthers,
       peers,
       directory,
       loads,
--- a/packages/serving/test/member-registration.test.ts
+++ b/packages/serving/test/member-registration.test.ts
@@ -71,6 +71,18 @@
     expect(world.calls.length).to.be.at.most(8);
   });
 
+  it('has met others once one is present, or after a while in which none was', async () => {
+    world.stop();
+    world = new RegistrationWorld([SELF, OTHER]);
+    await world.run(100);
+    expect([world.registration.isGroupKnown, world.registration.hasMetOthers]).to.deep.equal([true, false]);
+    world.presentCount = 2;
+    expect(world.registration.hasMetOthers).to.equal(true);
+    world.presentCount = 1;
+    await world.run(3000);
+    expect(world.registration.hasMetOthers).to.equal(true);
+  });
+
   it('enters a daemon once, and looks again until it has met others', async () => {
     await world.run(100);
     expect(world.calls).to.deep.equal(['list', 'join']);
