--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -27,12 +27,6 @@
 /** Milliseconds during which an incarnation that is proven to have ended is not believed to be back. */
 const ENDED_MEMORY_MS = 60_000;
 
-/**
- * Milliseconds for which a back end is left out whose process was found to have ended, though its record is there: longer than three
- * heartbeats of 1.2 s, after which the store drops the record. One that is still recorded then is believed again.
- */
-export const ENDED_PROCESS_HIDDEN_MS = 4000;
-
 interface Announcement {
   readonly resident: boolean;
   readonly at: number;
@@ -56,8 +50,6 @@
   /** Back ends by service, put together when asked for after a change. */
   private readonly byService = new Map<string, BackEnd[]>();
   private readonly endedAt = new Map<string, number>();
-  /** Newest record of each back end that is left out for a while. */
-  private readonly hidden = new Map<string, BackEnd>();
 
   constructor(private readonly clock: Clock) {}
 
@@ -96,10 +88,6 @@
   /** Enters a back end or a newer record of it. */
   put(backEnd: BackEnd): void {
     if (this.endedAt.has(backEnd.id)) return;
-    if (this.hidden.has(backEnd.id)) {
-      this.hidden.set(backEnd.id, backEnd);
-      return;
-    }
     const now = this.clock.monotonic();
     const known = this.entries.get(backEnd.id);
     const recorded = recordedTargets(backEnd);
@@ -124,7 +112,6 @@
 
   /** The record of a back end has vanished: it is removed unless the record comes back within a grace. */
   recordVanished(id: string): void {
-    this.hidden.delete(id);
     const entry = this.entries.get(id);
     if (entry === undefined || entry.cancelRemoval !== undefined) return;
     entry.cancelRemoval = this.clock.schedule(ABSENCE_GRACE_MS, () => {
@@ -132,35 +119,17 @@
     });
   }
 
-  /**
-   * Nobody listens any more where a back end did: it is left out at once, until its record has had the time to go.
-   * Against waiting for the record: a crashed worker was ordered to load and sent requests for 3.6 s.
-   */
-  hideEnded(id: string): void {
-    const entry = this.entries.get(id);
-    if (entry === undefined) return;
-    this.delete(id);
-    this.hidden.set(id, entry.backEnd);
-    this.clock.schedule(ENDED_PROCESS_HIDDEN_MS, () => {
-      const record = this.hidden.get(id);
-      this.hidden.delete(id);
-      if (record !== undefined) this.put(record);
-    });
-  }
-
   /** An incarnation is proven to have ended: it is removed at once and for good. */
   remove(id: string): void {
     const now = this.clock.monotonic();
     this.forgetEnded(now);
     this.endedAt.set(id, now);
-    this.hidden.delete(id);
     this.delete(id);
   }
 
   /** Makes the directory hold just these back ends. */
   replaceAll(backEnds: readonly BackEnd[]): void {
     const ids = new Set(backEnds.map((backEnd) => backEnd.id));
-    for (const id of [...this.hidden.keys()]) if (!ids.has(id)) this.hidden.delete(id);
     for (const id of [...this.entries.keys()]) {
       if (!ids.has(id)) this.recordVanished(id);
     }
--- a/packages/backends/test/backend-directory.test.ts
+++ b/packages/backends/test/backend-directory.test.ts
@@ -4,7 +4,6 @@
   ABSENCE_GRACE_MS,
   ANNOUNCEMENT_PRECEDENCE_MS,
   BackendDirectory,
-  ENDED_PROCESS_HIDDEN_MS,
   NO_NEARBY_COPIES,
   type BackEnd,
 } from '../src/index.js';
@@ -55,24 +54,6 @@
     expect(directory.ofService('models')).to.have.length(1);
   });
 
-  it('leaves a back end out at once whose process was found to have ended, and believes a record that stays', async () => {
-    directory.put(worker('one', ['m']));
-    directory.hideEnded('one');
-    directory.put(worker('one', ['m', 'n']));
-    expect(directory.holdersOf('models', { model: 'm' })).to.deep.equal([]);
-    await world.run(world.now + ENDED_PROCESS_HIDDEN_MS + 1);
-    expect(directory.get('one')?.models).to.have.length(2);
-  });
-
-  it('forgets one that was left out when its record goes, or is listed no more', async () => {
-    for (const id of ['one', 'two']) directory.put(worker(id));
-    for (const id of ['one', 'two']) directory.hideEnded(id);
-    directory.recordVanished('one');
-    directory.replaceAll([]);
-    await world.run(world.now + ENDED_PROCESS_HIDDEN_MS + 1);
-    expect(directory.all()).to.deep.equal([]);
-  });
-
   it('never takes an incarnation back that is proven to have ended', () => {
     directory.put(worker('one'));
     directory.remove('one');
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -155,7 +155,6 @@
         create: (record) => Promise.resolve(void this.quarantineRecords.push(record)),
         remove: () => Promise.resolve(),
       },
-      onEnded: () => undefined,
       removesRecord: () => true,
       clock: this.process,
       random: new Random(2),
--- a/packages/quarantine/src/process-fates.ts
+++ b/packages/quarantine/src/process-fates.ts
@@ -36,11 +36,9 @@
   private readonly checks = new Map<string, Promise<ProcessFate>>();
   private readonly endedAt = new Map<string, number>();
 
-  /** @param onEnded Told of each process that has ended, once. */
   constructor(
     private readonly probe: ProcessProbe,
     private readonly clock: Clock,
-    private readonly onEnded: (processId: string) => void,
   ) {}
 
   /** Finds out whether a process has ended; some 2 s at the longest. Never rejects. */
@@ -57,9 +55,7 @@
   noteEnded(processId: string): void {
     const now = this.clock.monotonic();
     for (const [id, at] of this.endedAt) if (now - at > ENDED_MEMORY_MS) this.endedAt.delete(id);
-    const isNews = !this.endedAt.has(processId);
     this.endedAt.set(processId, now);
-    if (isNews) this.onEnded(processId);
   }
 
   private async find(backEnd: BackEnd): Promise<ProcessFate> {
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -19,8 +19,6 @@
   readonly daemon: string;
   readonly probe: ProcessProbe;
   readonly store: QuarantineStore;
-  /** Told of each process that was found to have ended, here or by another daemon. */
-  readonly onEnded: (processId: string) => void;
   /** Whether this daemon is the one that removes a record whose time is over. */
   readonly removesRecord: (content: string) => boolean;
   readonly clock: Clock;
@@ -86,7 +84,7 @@
   constructor(private readonly options: RequestQuarantineOptions) {
     const { clock, probe, log } = options;
     this.marks = new CrashMarks(clock);
-    this.fates = new ProcessFates(probe, clock, options.onEnded);
+    this.fates = new ProcessFates(probe, clock);
     this.tasks = new TaskGroup(clock, (task, error) => {
       log.warned('task_failed', { task, cause: messageOf(error) });
     });
--- a/packages/quarantine/test/quarantine-scene.ts
+++ b/packages/quarantine/test/quarantine-scene.ts
@@ -44,7 +44,6 @@
           return Promise.resolve();
         },
       },
-      onEnded: () => undefined,
       removesRecord: (): boolean => daemon === this.daemons[0],
       clock: process,
       random: new Random(this.started),
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -282,9 +282,6 @@
       daemon: settings.name,
       probe,
       store,
-      onEnded: (backEndId) => {
-        this.directory.hideEnded(backEndId);
-      },
       removesRecord: (content) =>
         ownerByRendezvous(content, this.membership.eligible())?.id === settings.name,
       clock,
