--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -64,6 +64,8 @@
 const RENEW_RETRY_MS = 600;
 /** Pause between two words of a holder to its witnesses, in milliseconds: three fit into the life of an answer. */
 const CONTACT_PAUSE_MS = 400;
+/** The same while the holder must not act for want of an answer, in milliseconds: each of it is lost to all demands of the zone. */
+const LOST_CONTACT_PAUSE_MS = 100;
 /** Time without contact with most witnesses after which others are named, in milliseconds. */
 const CONTACT_LOST_MS = 1000;
 interface HeldZone {
@@ -268,8 +270,13 @@
             cause: messageOf(error),
           });
         });
+        await this.contacts.touch(leaseName(zone), lease);
       }
-      await sleep(this.options.clock, CONTACT_PAUSE_MS, signal);
+      await sleep(
+        this.options.clock,
+        lease.contact.isFresh ? CONTACT_PAUSE_MS : LOST_CONTACT_PAUSE_MS,
+        signal,
+      );
     }
   }
 
