Suspects wait for their turn no longer than their time, all go on once cleared, and full sets of marks are not sent without end

Found on reading the change. A request whose content processes had ended under waited for its turn behind another attempt without regard to its own deadline; those that waited went one by one although a good run had cleared the content. A daemon with a full set of marks (4,096) took an older one for news, and two with different full sets would have sent them to each other with each report.

--- a/packages/exchange/src/crash-mark-transfer.ts
+++ b/packages/exchange/src/crash-mark-transfer.ts
@@ -2,7 +2,12 @@
  * What daemons send each other of processes that ended under requests. Digests tell whether two of them know the same, which they
  * nearly always do; all marks are sent only to one that does not.
  */
-import type { CrashMarkEntry, CrashMarkReport } from '@woodbarrow/protocol';
+import type { CrashMarkEntry, CrashMarkReport, SourcePosition } from '@woodbarrow/protocol';
+import type { Clock } from '@woodbarrow/runtime';
+import { SentUpdates } from './sent-updates.js';
+
+/** Stands for the marks among what is sent to a daemon. */
+const SOURCE = 'crash marks';
 
 /** Marks that every daemon holds a copy of. */
 export interface SharedCrashMarks {
@@ -17,17 +22,25 @@
   /** What each daemon last told of itself. */
   private readonly digests = new Map<string, number>();
 
-  constructor(private readonly marks: SharedCrashMarks) {}
+  private readonly sent: SentUpdates;
 
-  /** Whether a daemon was last heard to know other marks than this one. */
-  differsFrom(daemon: string): boolean {
-    return (this.digests.get(daemon) ?? 0) !== this.marks.digest;
+  constructor(
+    private readonly marks: SharedCrashMarks,
+    clock: Clock,
+  ) {
+    this.sent = new SentUpdates(clock);
+  }
+
+  /** Whether a daemon was last heard to know other marks than this one, and has not just been sent these. */
+  hasNewsFor(daemon: string): boolean {
+    return this.differsFrom(daemon) && this.sent.isDue(daemon, this.positionOf(daemon));
   }
 
   /** What to tell a daemon. */
   reportFor(daemon: string): CrashMarkReport {
     const { digest } = this.marks;
-    return this.differsFrom(daemon) ? { digest, marks: this.marks.entries() } : { digest };
+    const isSent = this.differsFrom(daemon) && this.sent.maySend(daemon, this.positionOf(daemon));
+    return isSent ? { digest, marks: this.marks.entries() } : { digest };
   }
 
   /** Takes what a daemon told; one that tells nothing knows of no marks. */
@@ -35,4 +48,13 @@
     this.digests.set(daemon, report?.digest ?? 0);
     if (report?.marks !== undefined) this.marks.merge(report.marks);
   }
+
+  private differsFrom(daemon: string): boolean {
+    return (this.digests.get(daemon) ?? 0) !== this.marks.digest;
+  }
+
+  /** What it knows, and what it would be sent: the same for the same is sent once in a while only. */
+  private positionOf(daemon: string): SourcePosition {
+    return { source: SOURCE, revision: this.digests.get(daemon) ?? 0, names: this.marks.digest };
+  }
 }
--- a/packages/exchange/src/peer-exchange.ts
+++ b/packages/exchange/src/peer-exchange.ts
@@ -126,7 +126,7 @@
     this.changes = new ChangeLog(options.clock);
     this.followers = new FollowerWatch(options.clock);
     this.held = new HeldCalls(options.clock);
-    this.crashMarks = new CrashMarkTransfer(options.crashMarks);
+    this.crashMarks = new CrashMarkTransfer(options.crashMarks, options.clock);
     const { clock, records, urgentSources } = options;
     this.transfer = new RecordTransfer({ sets: records.sets, urgentSources, clock });
     this.behind = new BehindTracker(clock, () => this.transfer.newestUrgent());
@@ -383,7 +383,7 @@
 
   private hasUrgentNewsFor({ from, positions }: AttachMessage): boolean {
     if (!this.changes.knows(from)) return true;
-    return this.transfer.hasUrgentFor(positions) || this.crashMarks.differsFrom(from);
+    return this.transfer.hasUrgentFor(positions) || this.crashMarks.hasNewsFor(from);
   }
 
   private take(source: string, scope: ReportScope, state: StateReport): void {
--- a/packages/exchange/src/sent-updates.ts
+++ b/packages/exchange/src/sent-updates.ts
@@ -21,13 +21,20 @@
 
   /** Whether an update may be sent to a daemon at a position now; counts it as sent. */
   maySend(reader: string, position: SourcePosition): boolean {
-    const key = `${reader} ${position.source}`;
-    const now = this.clock.monotonic();
-    const before = this.sent.get(key);
+    if (!this.isDue(reader, position)) return false;
+    this.sent.set(keyOf(reader, position), { position, at: this.clock.monotonic() });
+    return true;
+  }
+
+  /** Whether an update may be sent to a daemon at a position now. */
+  isDue(reader: string, position: SourcePosition): boolean {
+    const before = this.sent.get(keyOf(reader, position));
     const isSame =
       before?.position.revision === position.revision && before.position.names === position.names;
-    if (isSame && now - before.at < SEND_AGAIN_MS) return false;
-    this.sent.set(key, { position, at: now });
-    return true;
+    return !isSame || this.clock.monotonic() - before.at >= SEND_AGAIN_MS;
   }
 }
+
+function keyOf(reader: string, { source }: SourcePosition): string {
+  return `${reader} ${source}`;
+}
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -118,7 +118,7 @@
 
   private async work(): Promise<void> {
     for (;;) {
-      const turn = await this.context.quarantine.takeTurn(this.digest);
+      const turn = await this.context.quarantine.takeTurn(this.digest, this.expired.signal);
       try {
         if (await this.tryOnce(turn)) return;
       } finally {
--- a/packages/quarantine/src/crash-marks.ts
+++ b/packages/quarantine/src/crash-marks.ts
@@ -68,7 +68,8 @@
     }
     this.put(marks, known, merged);
     this.dropOldest();
-    return true;
+    // One that is older than all that are kept is no news, or daemons with full sets would tell each other without end.
+    return this.byContent.get(mark.content)?.get(mark.processId) === merged;
   }
 
   /** A run of a content ended well: what is known against it counts no more. Returns whether that changed anything. */
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -123,10 +123,11 @@
    * broken answer; for a suspect when no other attempt of it is under way here and it is known whether the processes
    * of the last ones have ended.
    */
-  async takeTurn(content: string): Promise<Turn> {
+  async takeTurn(content: string, signal: AbortSignal): Promise<Turn> {
     const open = this.open.get(content)?.size ?? 0;
     if (this.marks.endsOf(content) === 0 && open < 2) return FREE_TURN;
-    const turn = await this.turns.take(content);
+    const isSuspect = (): boolean => this.marks.endsOf(content) > 0 || this.open.has(content);
+    const turn = await this.turns.take(content, isSuspect, signal);
     await this.settle(content);
     return turn;
   }
@@ -159,6 +160,7 @@
   noteServed(content: string): void {
     if (!this.marks.clear(content)) return;
     this.options.log.changed('suspect_cleared', { content });
+    this.turns.wake(content);
     this.tell();
   }
 
@@ -177,7 +179,10 @@
     const news = this.marks.merge(entries);
     if (news.length === 0) return;
     for (const { processId } of news) this.fates.noteEnded(processId);
-    for (const { content } of news) this.noteVerdict(content, 'told');
+    for (const { content } of news) {
+      this.noteVerdict(content, 'told');
+      this.turns.wake(content);
+    }
     this.tell();
   }
 
--- a/packages/quarantine/src/suspect-turns.ts
+++ b/packages/quarantine/src/suspect-turns.ts
@@ -14,34 +14,62 @@
 /** The turn of a content that nothing is known against. */
 export const FREE_TURN: Turn = { sentTo: () => undefined, release: () => undefined };
 
+interface HeldTurn {
+  /** Process that the attempt was sent to, once it was. */
+  processId?: string;
+}
+
 /** Turns of one daemon. */
 export class SuspectTurns {
-  private readonly queues = new Map<string, Promise<void>>();
-  /** Process under each content that has its turn. */
-  private readonly processes = new Map<string, string>();
-
-  /** Resolves once no other attempt of the content is under way here. Never rejects. */
-  async take(content: string): Promise<Turn> {
-    const before = this.queues.get(content);
-    let end: () => void = () => undefined;
-    const ended = new Promise<void>((resolve) => {
-      end = resolve;
-    });
-    const queue = (before ?? Promise.resolve()).then(() => ended);
-    this.queues.set(content, queue);
-    await before;
+  private readonly held = new Map<string, HeldTurn>();
+  /** Wakes those that wait for a turn of a content. */
+  private readonly waiting = new Map<string, Set<() => void>>();
+
+  /**
+   * Resolves once no other attempt of the content is under way here; with a free turn when `signal` aborts, or when the content
+   * is no longer suspected. Never rejects.
+   */
+  async take(content: string, isSuspect: () => boolean, signal: AbortSignal): Promise<Turn> {
+    while (this.held.has(content)) {
+      if (signal.aborted || !isSuspect()) return FREE_TURN;
+      await this.nextChange(content, signal);
+    }
+    const turn: HeldTurn = {};
+    this.held.set(content, turn);
     return {
-      sentTo: (processId) => this.processes.set(content, processId),
+      sentTo: (processId) => {
+        turn.processId = processId;
+      },
       release: () => {
-        this.processes.delete(content);
-        if (this.queues.get(content) === queue) this.queues.delete(content);
-        end();
+        if (this.held.get(content) === turn) this.held.delete(content);
+        this.wake(content);
       },
     };
   }
 
+  /** Something has changed for a content: those that wait look again. */
+  wake(content: string): void {
+    for (const wake of this.waiting.get(content) ?? []) wake();
+  }
+
   /** Processes that run other suspects now. */
   takenByOthers(content: string): string[] {
-    return [...this.processes].filter(([other]) => other !== content).map(([, processId]) => processId);
+    const others = [...this.held].filter(([other]) => other !== content);
+    return others.flatMap(([, { processId }]) => (processId === undefined ? [] : [processId]));
+  }
+
+  private nextChange(content: string, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const waiting = this.waiting.get(content) ?? new Set();
+      this.waiting.set(content, waiting);
+      const wake = (): void => {
+        waiting.delete(wake);
+        if (waiting.size === 0 && this.waiting.get(content) === waiting) this.waiting.delete(content);
+        signal.removeEventListener('abort', wake);
+        resolve();
+      };
+      waiting.add(wake);
+      signal.addEventListener('abort', wake);
+    });
   }
 }
--- a/packages/quarantine/test/crash-marks.test.ts
+++ b/packages/quarantine/test/crash-marks.test.ts
@@ -58,5 +58,7 @@
     expect(marks.totals.marks).to.equal(MOST_MARKS);
     expect(marks.endsOf('c9')).to.equal(0);
     expect(marks.endsOf('c10')).to.equal(1);
+    const told = { c: 'older', p: 'w', b: 200_050, e: 200_000 };
+    expect(marks.merge([told])).to.deep.equal([]);
   });
 });
--- a/packages/quarantine/test/request-quarantine.test.ts
+++ b/packages/quarantine/test/request-quarantine.test.ts
@@ -3,6 +3,8 @@
 import { backEndOf, QuarantineScene } from './quarantine-scene.js';
 
 const CONTENT = 'crashes';
+/** Of a request that has time left. */
+const open = new AbortController().signal;
 
 function isRefused(daemon: RequestQuarantine, content = CONTENT): boolean {
   return daemon.verdictOf(content) !== undefined;
@@ -172,9 +174,9 @@
 
   it('lets one attempt of a suspect run at a time, and the next one only when the fate of the last is known', async () => {
     await scene.endUnder(first, CONTENT, 'w1');
-    const turn = await first.takeTurn(CONTENT);
+    const turn = await first.takeTurn(CONTENT, open);
     let hasNext = false;
-    void first.takeTurn(CONTENT).then(() => (hasNext = true));
+    void first.takeTurn(CONTENT, open).then(() => (hasNext = true));
     await scene.pass(100);
     expect(hasNext).to.equal(false);
     scene.ended.add('w2');
@@ -186,11 +188,37 @@
     expect(hasNext).to.equal(true);
   });
 
+  it('lets nobody wait for a turn beyond its time', async () => {
+    await scene.endUnder(first, CONTENT, 'w1');
+    await first.takeTurn(CONTENT, open);
+    const expired = new AbortController();
+    let hasEnded = false;
+    void first.takeTurn(CONTENT, expired.signal).then(() => (hasEnded = true));
+    await scene.pass(100);
+    expect(hasEnded).to.equal(false);
+    expired.abort();
+    await scene.pass(1);
+    expect(hasEnded).to.equal(true);
+  });
+
+  it('lets all that wait for a turn go on once the content has run well', async () => {
+    await scene.endUnder(first, CONTENT, 'w1');
+    const turn = await first.takeTurn(CONTENT, open);
+    let going = 0;
+    for (let index = 0; index < 5; index += 1) void first.takeTurn(CONTENT, open).then(() => (going += 1));
+    await scene.pass(100);
+    expect(going).to.equal(0);
+    first.noteServed(CONTENT);
+    turn.release();
+    await scene.pass(1);
+    expect(going).to.equal(5);
+  });
+
   it('keeps two contents that have ended several processes each off the same one', async () => {
     for (const content of ['a', 'b']) {
       for (const id of ['w1', 'w2']) await scene.endUnder(first, content, `${content}-${id}`);
     }
-    const turn = await first.takeTurn('a');
+    const turn = await first.takeTurn('a', open);
     turn.sentTo('w9');
     expect(first.processesToAvoid('b')).to.deep.equal(['w9']);
     expect(first.processesToAvoid('a')).to.deep.equal([]);
