--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -29,6 +29,9 @@
 export class AnswerRelay {
   private stream: ResponseStream | undefined;
   private lastEvent: string | undefined;
+  /** Id of the first event of the answer that is read now. */
+  private firstOfRun: string | undefined;
+  private torn = 0;
   /** Monotonic time of the last bytes of a stream. */
   private lastAt: number | undefined;
   private longestGap = 0;
@@ -49,6 +52,16 @@
     return this.lastEvent;
   }
 
+  /** Id of the first event that the last back end sent. */
+  get firstEventIdOfRun(): string | undefined {
+    return this.firstOfRun;
+  }
+
+  /** Bytes of an unfinished event at the end of the last answer. */
+  get tornBytes(): number {
+    return this.torn;
+  }
+
   /** Longest pause between two pieces of a stream as they came, in milliseconds; 0 before the second. */
   get longestGapMs(): number {
     return this.longestGap;
@@ -91,6 +104,7 @@
     const stream = this.stream ?? this.begin(answer);
     const reader = new BodyReader(answer, this.clock);
     const splitter = new EventSplitter();
+    this.firstOfRun = undefined;
     for (;;) {
       const step = await reader.next(options.silentAfterMs());
       if (step.kind === 'broken') return { kind: 'broken' };
@@ -99,6 +113,7 @@
       if (options.resumable) await this.passEvents(splitter, stream, step.chunk);
       else await stream.write(step.chunk);
     }
+    this.torn = splitter.partialBytes;
     if (splitter.hasPartialEvent) await stream.write(splitter.remainder());
     stream.end();
     return { kind: 'passed' };
@@ -117,6 +132,7 @@
   ): Promise<void> {
     const batch = splitter.push(chunk);
     if (batch === undefined) return;
+    this.firstOfRun ??= batch.firstId;
     this.lastEvent = batch.lastId ?? this.lastEvent;
     await stream.write(batch.bytes);
   }
--- a/packages/forwarding/src/event-splitter.ts
+++ b/packages/forwarding/src/event-splitter.ts
@@ -6,6 +6,8 @@
 /** Whole events in the order received, as bytes, and the id of the last of them. */
 export interface EventBatch {
   readonly bytes: Uint8Array;
+  /** Id of the first event in the batch that has one. */
+  readonly firstId?: string;
   /** Id of the last event in the batch that has one. */
   readonly lastId?: string;
   readonly count: number;
@@ -22,7 +24,12 @@
 
   /** Whether bytes of an unfinished event are held. */
   get hasPartialEvent(): boolean {
-    return this.rest.byteLength > 0;
+    return this.partialBytes > 0;
+  }
+
+  /** Bytes held of an unfinished event. */
+  get partialBytes(): number {
+    return this.rest.byteLength;
   }
 
   /** Adds bytes; returns the events that are complete now, or undefined. */
@@ -54,11 +61,9 @@
 }
 
 function toBatch(bytes: Buffer): EventBatch {
-  let lastId: string | undefined;
-  let count = 0;
-  for (const match of bytes.toString('latin1').matchAll(ID_LINE)) {
-    lastId = match[1];
-    count += 1;
-  }
-  return lastId === undefined ? { bytes, count } : { bytes, lastId, count };
+  const ids = [...bytes.toString('latin1').matchAll(ID_LINE)].map((match) => match[1] ?? '');
+  const [firstId] = ids;
+  const lastId = ids[ids.length - 1];
+  if (firstId === undefined || lastId === undefined) return { bytes, count: 0 };
+  return { bytes, firstId, lastId, count: ids.length };
 }
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -6,7 +6,7 @@
 import type { BackendChoice, RefusalReason } from './backend-choice.js';
 import type { BackendHealth, SendResult } from './backend-health.js';
 import type { ForwardingContext } from './forwarding-context.js';
-import { RequestEnding, type HeldAnswer } from './request-ending.js';
+import { RequestEnding, type HeldAnswer, type StreamCourse } from './request-ending.js';
 import { RequestTimes } from './request-times.js';
 import { RunForecast } from './run-forecast.js';
 import { requestDigest } from './request-identity.js';
@@ -106,6 +106,7 @@
       adapterVersion: this.facts.target?.adapterVersion,
       promptTokens: this.facts.promptTokens,
       outputTokens: this.facts.outputTokens,
+      resumeAfter: this.facts.resumeAfter,
       leftMs: Math.round(this.times.leftMs()),
     });
     try {
@@ -340,11 +341,21 @@
   private async passOn(answer: BackendAnswer, backEnd: BackEnd, sentAt: number): Promise<AttemptResult> {
     const tookMs = this.context.clock.monotonic() - sentAt;
     this.ranOn.add(backEnd.id);
+    if (this.relay.hasBegun) this.noteTakenUp(answer, backEnd);
     const isSuccess = answer.status >= 200 && answer.status < 300;
     if (isStream(this.route.kind) && isSuccess) return this.passStream(answer, backEnd, sentAt);
     return this.passWhole(answer, backEnd, sentAt, tookMs);
   }
 
+  /** A stream that has begun goes on with what this back end answers, which may be a failure. */
+  private noteTakenUp({ status }: BackendAnswer, backEnd: BackEnd): void {
+    this.context.journal.decided('request_resumed', this.facts.id, {
+      backEnd: backEnd.id,
+      afterEvent: this.relay.lastEventId,
+      status,
+    });
+  }
+
   private async passWhole(
     answer: BackendAnswer,
     backEnd: BackEnd,
@@ -372,19 +383,20 @@
     const tookMs = this.context.clock.monotonic() - sentAt;
     const firstMs = this.times.elapsedMs();
     this.health().record(backEnd.id, 'good', tookMs / this.times.expectedMs());
-    if (this.relay.hasBegun) {
-      const afterEvent = this.relay.lastEventId;
-      this.context.journal.decided('request_resumed', this.facts.id, { backEnd: backEnd.id, afterEvent });
-    }
     const result = await this.relay.passStream(answer, this.streamOptions(backEnd));
     if (result.kind === 'broken') return this.noteBrokenBody(backEnd, sentAt);
     this.context.quarantine.noteServed(this.digest);
     // A run that took a stream up in the middle says nothing of whole ones.
     if (this.ranOn.size === 1) this.forecast.note(this.context.clock.monotonic() - sentAt);
-    this.ending.answered(answer.status, backEnd.id, { firstMs, longestGapMs: this.relay.longestGapMs });
+    this.ending.answered(answer.status, backEnd.id, this.streamCourse(firstMs));
     return { kind: 'finished' };
   }
 
+  private streamCourse(firstMs: number): StreamCourse {
+    const { longestGapMs, firstEventIdOfRun, lastEventId, tornBytes } = this.relay;
+    return { firstMs, longestGapMs, firstEvent: firstEventIdOfRun, lastEvent: lastEventId, tornBytes };
+  }
+
   private streamOptions(backEnd: BackEnd): StreamOptions {
     if (this.route.kind !== 'resumable_stream') return { resumable: false, silentAfterMs: () => undefined };
     const gapMs = this.route.targetGapMs ?? this.route.targetLatencyMs;
--- a/packages/forwarding/src/request-ending.ts
+++ b/packages/forwarding/src/request-ending.ts
@@ -1,7 +1,7 @@
 /** The final answers of the product's own, and the records of how a request ended. */
 import { answerFor, type ErrorKind } from '@woodbarrow/errors';
 import { encodeText, type IncomingExchange } from '@woodbarrow/runtime';
-import type { RequestJournal } from './request-journal.js';
+import type { DecisionFacts, RequestJournal } from './request-journal.js';
 import type { WireDialect } from './wire-dialect.js';
 
 /** Time after which to come back to another daemon, in milliseconds. */
@@ -27,12 +27,16 @@
   readonly body: Uint8Array;
 }
 
-/** Times of a stream as its pieces came from the back end, in milliseconds. */
-export interface StreamTimes {
+/** Course of a stream as its pieces came from the back end; times in milliseconds. */
+export interface StreamCourse {
   /** From the arrival of the request to the head of the answer. */
   readonly firstMs: number;
   /** Longest pause between two pieces. */
   readonly longestGapMs: number;
+  /** First event of the last run, last event passed on, and bytes of an unfinished one behind it. */
+  readonly firstEvent: string | undefined;
+  readonly lastEvent: string | undefined;
+  readonly tornBytes: number;
 }
 
 /** Ends one request, exactly once. */
@@ -83,7 +87,7 @@
   }
 
   /** A back end's answer has been passed on whole. @param stream Set for a series of events. */
-  answered(status: number, backEndId: string, stream?: StreamTimes): void {
+  answered(status: number, backEndId: string, stream?: StreamCourse): void {
     this.end(status < 500 ? 'served' : 'failure_passed_on');
     this.decide('request_answered', {
       status,
@@ -91,7 +95,11 @@
       tookMs: Math.round(this.options.elapsedMs()),
       ...(stream === undefined
         ? {}
-        : { firstMs: Math.round(stream.firstMs), longestGapMs: Math.round(stream.longestGapMs) }),
+        : {
+            ...stream,
+            firstMs: Math.round(stream.firstMs),
+            longestGapMs: Math.round(stream.longestGapMs),
+          }),
     });
   }
 
@@ -104,7 +112,7 @@
 
   private decide(
     decision: 'request_refused' | 'request_failed' | 'request_abandoned' | 'request_answered',
-    facts: Readonly<Record<string, string | number>>,
+    facts: DecisionFacts,
   ): void {
     this.options.journal.decided(decision, this.options.requestId, { ...facts, sends: this.options.sends() });
   }
--- a/packages/forwarding/src/wire-dialect.ts
+++ b/packages/forwarding/src/wire-dialect.ts
@@ -25,6 +25,8 @@
   readonly expectedTokens?: number;
   /** In order; the last is the request's own or its session's. */
   readonly promptParts: readonly PromptPart[];
+  /** Last event that the client has of an earlier answer, when it takes a stream up itself. */
+  readonly resumeAfter?: string;
 }
 
 /** What the product adds to a request that it passes on. */
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -4,13 +4,14 @@
  */
 export const LOG_EVENTS = {
   request_admitted:
-    'A request was read and has a route. Route, service, digest of its content (all attempts of one request share it), model, adapter, time left.',
+    'A request was read and has a route. Route, service, digest of its content (all attempts of one request share it), model, adapter, the last event that its client already has, time left.',
   request_sent: 'A send begins. Back end, why it was chosen, requests there, age of its record, time left.',
   request_declined:
     'A back end did not take it, or did not answer it. Verdict: `not_run`, `not_resident`, `other_incarnation`, `unreachable`, `broken` or `timed_out`.',
   request_repeated: 'Another send is considered. Whether it is allowed, after what, budget left.',
-  request_resumed: 'A stream is taken up at another back end. After which event.',
-  request_answered: 'Ended with an answer of a back end. Status, back end, time taken.',
+  request_resumed: 'A back end was asked to take a stream up and has answered. After which event, status.',
+  request_answered:
+    'Ended with an answer of a back end. Status, back end, time taken; of a stream the first event of the last run, the last event passed on, bytes of an unfinished one.',
   request_refused: 'Ended as not run. Kind, cause, when to come back, sends, time waited.',
   request_failed: 'Ended without a whole answer, and may have run. Answer given, cause, sends.',
   request_abandoned: 'The client has gone. What is under way is cancelled.',
