Failing: a stream is ended with a failure's text, joined from two runs, or ended inside an event

Reproduces the incident without a deployment: the first back end breaks off after two events, the next one answers 500 or 404, begins anew, or ends plainly inside an event.

--- a/packages/forwarding/test/forwarder.test.ts
+++ b/packages/forwarding/test/forwarder.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import type { EngineDefinition } from '@woodbarrow/backends';
+import { ENGINE } from './engines.js';
 import { ForwardingWorld, answer, stalled, type BackendScript } from './simulated-exchange.js';
 
 const serve: BackendScript = () => Promise.resolve(answer(200, 'served'));
@@ -8,15 +8,6 @@
 const silent: BackendScript = () => new Promise(() => undefined);
 const CUT = new Error('cut');
 
-const ENGINE: EngineDefinition = {
-  slots: 4,
-  cacheTokens: 10_000,
-  weightsMb: 100,
-  adapterSlots: 2,
-  storeLoadsPerSecond: 1,
-  models: new Map(),
-};
-
 describe('Forwarder', () => {
   it('refuses new requests once the daemon no longer takes them', async () => {
     const world = new ForwardingWorld([{}]);
--- /dev/null
+++ b/packages/forwarding/test/stream-takeup.test.ts
@@ -0,0 +1,60 @@
+/*
+ * What users saw: a stream of events answered with 200, shorter than its worker had made it, ended as complete.
+ *
+ * Order of events: a worker begins the stream and breaks off after some events; the daemon sends the request on, naming the last
+ * event that its client has; the second worker answers 500; the daemon writes the text of that failure into the stream that
+ * the client is reading, and ends it.
+ *
+ * Cause: whether a client's answer had begun, and what might still follow in it, was decided anew by each branch that wrote to it.
+ * The branch for answers that are no success never asked.
+ *
+ * Evidence: on a deployment of 8 daemons where three in ten answers broke off and two in five requests failed, 10 of the streams ended so
+ * within 30 s; the daemon's log of each tells of two sends, the first broken, the second answered with 500, and what workers saw shows
+ * the client's short answer. The cases after the first were found by reading the code with that cause in mind.
+ */
+import { expect } from 'chai';
+import { ENGINE } from './engines.js';
+import { ForwardingWorld, answer, type BackendScript } from './simulated-exchange.js';
+
+const CUT = new Error('cut');
+const FIRST_EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
+
+/** Asks for a stream that may be taken up, of which the first run breaks off after two events. */
+async function takenUpBy(...runs: readonly BackendScript[]): Promise<{
+  readonly body: string;
+  readonly ending: string;
+  readonly sends: number;
+}> {
+  const world = new ForwardingWorld([{ kind: 'resumable_stream', maximumAttempts: 4 }], ENGINE);
+  const scripts = [() => Promise.resolve(answer(200, FIRST_EVENTS, 'id: 3\nda', CUT)), ...runs];
+  const next: BackendScript = (call) => (scripts.shift() ?? (() => Promise.reject(CUT)))(call, world);
+  for (const id of ['b1', 'b2', 'b3', 'b4']) world.add(id, next, ['m']);
+  const { body, ending } = await world.ask({ model: 'm' });
+  return { body, ending, sends: world.calls.length };
+}
+
+describe('A stream that is taken up', () => {
+  it('does not end with what a back end answers that fails', async () => {
+    const goesOn: BackendScript = () => Promise.resolve(answer(200, 'id: 3\ndata: c\n\n'));
+    for (const status of [500, 404]) {
+      const fails: BackendScript = () => Promise.resolve(answer(status, 'no such thing'));
+      const whole = `${FIRST_EVENTS}id: 3\ndata: c\n\n`;
+      expect(await takenUpBy(fails, goesOn)).to.deep.equal({ body: whole, ending: 'complete', sends: 3 });
+      const alone = await takenUpBy(fails, fails, fails);
+      expect(alone).to.include({ body: FIRST_EVENTS, ending: 'aborted' });
+    }
+  });
+
+  it('does not go on with a run that begins anew', async () => {
+    const anew: BackendScript = () => Promise.resolve(answer(200, `${FIRST_EVENTS}id: 3\ndata: c\n\n`));
+    expect(await takenUpBy(anew, anew, anew)).to.include({ body: FIRST_EVENTS, ending: 'aborted' });
+  });
+
+  it('does not end as complete inside an event', async () => {
+    const torn: BackendScript = () => Promise.resolve(answer(200, 'id: 3\ndata: c\n\nid: 4\nda'));
+    const rest: BackendScript = () => Promise.resolve(answer(200, 'id: 4\ndata: d\n\n'));
+    const { body, ending } = await takenUpBy(torn, rest);
+    expect(body).to.equal(`${FIRST_EVENTS}id: 3\ndata: c\n\nid: 4\ndata: d\n\n`);
+    expect(ending).to.equal('complete');
+  });
+});
