--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -293,6 +293,11 @@
   return { ...answer(status), body: body() };
 }
 
+/** An answer that has no length: its body ends with its connection. */
+export function unframed(status: number, ...pieces: string[]): BackendAnswer {
+  return { ...answer(status, ...pieces), endsWithConnection: true };
+}
+
 /** An answer with the given pieces; a piece that is an error breaks it off. One that begins with an event is a stream. */
 export function answer(status: number, ...pieces: (string | Error)[]): BackendAnswer {
   async function* body(): AsyncGenerator<Uint8Array> {
@@ -304,5 +309,12 @@
   }
   const isStream = typeof pieces[0] === 'string' && /^(id|data|event):/.test(pieces[0]);
   const headers = isStream ? { 'content-type': 'text/event-stream' } : {};
-  return { status, headers, rawHeaders: [], body: body(), discard: () => undefined };
+  return {
+    status,
+    headers,
+    rawHeaders: [],
+    endsWithConnection: false,
+    body: body(),
+    discard: () => undefined,
+  };
 }
--- a/packages/forwarding/test/stream-takeup.test.ts
+++ b/packages/forwarding/test/stream-takeup.test.ts
@@ -14,7 +14,7 @@
  */
 import { expect } from 'chai';
 import { ENGINE } from './engines.js';
-import { ForwardingWorld, answer, type BackendScript } from './simulated-exchange.js';
+import { ForwardingWorld, answer, unframed, type BackendScript } from './simulated-exchange.js';
 
 const CUT = new Error('cut');
 const FIRST_EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
@@ -125,3 +125,59 @@
     expect(await world.ask({ model: 'm' })).to.include({ body: FIRST_EVENTS, ending: 'complete' });
   });
 });
+
+describe('An answer that ends with its connection', () => {
+  const REST = 'id: 3\ndata: c\n\n';
+
+  /** Two back ends, of which the first answers without a length; after that answer it is as the probe says. */
+  function worldOf(
+    kind: 'repeatable' | 'resumable_stream' | 'stream',
+    fate: 'running' | 'refused',
+  ): ForwardingWorld {
+    const world = new ForwardingWorld([{ kind }], ENGINE);
+    const first = unframed(200, kind === 'repeatable' ? 'half of it' : FIRST_EVENTS);
+    const runs = [first, answer(200, kind === 'repeatable' ? 'whole' : REST)];
+    let asked: string | undefined;
+    world.probe = ({ id }) => (id === asked ? fate : 'running');
+    for (const id of ['b1', 'b2']) {
+      const script: BackendScript = (call) => {
+        asked ??= call.address;
+        return Promise.resolve(runs.shift() ?? answer(500));
+      };
+      world.add(id, script, ['m']);
+    }
+    return world;
+  }
+
+  it('is whole while its process runs', async () => {
+    const plain = await worldOf('repeatable', 'running').ask();
+    expect(plain).to.include({ body: 'half of it', ending: 'complete' });
+    for (const kind of ['resumable_stream', 'stream'] as const) {
+      const exchange = await worldOf(kind, 'running').ask({ model: 'm' });
+      expect(exchange).to.include({ body: FIRST_EVENTS, ending: 'complete' });
+    }
+  });
+
+  it('has broken off where its process has ended with it', async () => {
+    expect(await worldOf('repeatable', 'refused').ask()).to.include({ body: 'whole', ending: 'complete' });
+    const resumed = await worldOf('resumable_stream', 'refused').ask({ model: 'm' });
+    expect(resumed).to.include({ body: `${FIRST_EVENTS}${REST}`, ending: 'complete' });
+    const once = await worldOf('stream', 'refused').ask({ model: 'm' });
+    expect(once).to.include({ body: FIRST_EVENTS, ending: 'aborted' });
+  });
+
+  it('is whole where its process was leaving, and may end after its last answer', async () => {
+    const world = new ForwardingWorld([{ kind: 'stream' }], ENGINE);
+    world.probe = () => 'refused';
+    const worker = world.add(
+      'b1',
+      () => {
+        world.directory.put({ ...worker, draining: true });
+        return Promise.resolve(unframed(200, FIRST_EVENTS));
+      },
+      ['m'],
+    );
+    const exchange = await world.ask({ model: 'm' });
+    expect(exchange).to.include({ body: FIRST_EVENTS, ending: 'complete' });
+  });
+});
--- a/packages/runtime/src/node-backend-client.ts
+++ b/packages/runtime/src/node-backend-client.ts
@@ -44,6 +44,7 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string | undefined>>;
   readonly rawHeaders: readonly string[];
+  readonly endsWithConnection: boolean;
   readonly body: AsyncIterable<Uint8Array>;
   private failed = false;
   private endChecked: Promise<void> | undefined;
@@ -59,7 +60,8 @@
     request.once('error', () => {
       this.failed = true;
     });
-    if (endsWithConnection(message)) this.watchEnd(message.socket);
+    this.endsWithConnection = endsWithConnection(message);
+    if (this.endsWithConnection) this.watchEnd(message.socket);
     // An answer that came before the request was read leaves its connection in doubt.
     message.once('end', () => {
       if (!request.writableFinished) request.destroy();
--- a/packages/runtime/src/streaming-http.ts
+++ b/packages/runtime/src/streaming-http.ts
@@ -91,6 +91,8 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string | undefined>>;
   readonly rawHeaders: RawHeaders;
+  /** The body has no length of its own: it ends when the back end closes the connection, which a process that ends does as well. */
+  readonly endsWithConnection: boolean;
   readonly body: AsyncIterable<Uint8Array>;
   /** Ends the connection; the body then throws if it is not complete. */
   discard(): void;
