A body without a length is whole only while its process runs

Cause: a plain close says nothing of why a process closed: the kernel of a killed one closes in the same way. Where the process has ended, or cannot be reached, the answer counts as broken: taken up or run again where the route allows it, else cut. A process that was leaving may end after its last answer.

--- a/packages/forwarding/src/answer-passing.ts
+++ b/packages/forwarding/src/answer-passing.ts
@@ -74,7 +74,9 @@
     const { context, route, progress, times, ending } = this.scope;
     const { answer, backEnd, sentAt } = sent;
     const tookMs = context.clock.monotonic() - sentAt;
-    const result = await this.relay.passWhole(client, answer, this.failures.patienceMs(progress.ranOn.size));
+    const patienceMs = this.failures.patienceMs(progress.ranOn.size);
+    const processLives = (): Promise<boolean> => this.processLives(backEnd);
+    const result = await this.relay.passWhole(client, answer, patienceMs, processLives);
     if (result.kind === 'broken') return this.noteBroken(sent, result);
     context.quarantine.noteServed(this.scope.digest);
     const failed = answer.status >= 500;
@@ -115,16 +117,26 @@
 
   private streamOptions(backEnd: BackEnd): StreamOptions {
     const { route, facts } = this.scope;
-    if (route.kind !== 'resumable_stream') return { silentAfterMs: () => undefined };
+    const processLives = (): Promise<boolean> => this.processLives(backEnd);
+    if (route.kind !== 'resumable_stream') return { silentAfterMs: () => undefined, processLives };
     const gapMs = route.targetGapMs ?? route.targetLatencyMs;
     const clientGapMs = route.clientGapMs ?? Infinity;
     return {
+      processLives,
       ...(facts.resumeAfter === undefined ? {} : { resumedAfter: facts.resumeAfter }),
       silentAfterMs: () =>
         this.hasAlternative(backEnd) ? gapMs * SILENT_GAPS : Math.max(gapMs, clientGapMs * LONE_SHARE),
     };
   }
 
+  /** Whether a process still runs, or was leaving and may end after its last answer. */
+  private async processLives(backEnd: BackEnd): Promise<boolean> {
+    const { context } = this.scope;
+    const known = context.directory.get(backEnd.id);
+    if (known === undefined || known.draining) return true;
+    return (await context.quarantine.fateOf(backEnd)) === 'running';
+  }
+
   /** Whether another back end could take the stream up at once. */
   private hasAlternative(backEnd: BackEnd): boolean {
     const { context, facts, service, progress } = this.scope;
--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -1,6 +1,6 @@
 /** Passes answers of back ends on to one client: whole ones once they are complete, streams event by event as they come. */
 import type { BackendAnswer, Clock } from '@woodbarrow/runtime';
-import { BodyReader } from './body-reader.js';
+import { BodyReader, type ProcessCheck } from './body-reader.js';
 import type { ByteAnswer, EventAnswer, UnbegunAnswer } from './client-answer.js';
 import { EventSplitter, type StreamEvent } from './event-splitter.js';
 import type { HeldAnswer } from './request-ending.js';
@@ -43,6 +43,7 @@
   readonly resumedAfter?: string;
   /** Milliseconds without a byte after which the stream counts as broken, asked anew before each wait. */
   readonly silentAfterMs: () => number | undefined;
+  readonly processLives: ProcessCheck;
 }
 
 /** Relay of one request; a stream may go on from one answer to the next. */
@@ -76,14 +77,15 @@
   /**
    * Reads an answer to its end; a large one is passed on while it comes.
    *
-   * @param silentAfterMs Milliseconds without a byte after which it counts as broken; without end when absent.
+   * @param silentAfterMs Milliseconds without a byte after which it counts as broken; without end when undefined.
    */
   async passWhole(
     client: UnbegunAnswer,
     answer: BackendAnswer,
-    silentAfterMs?: number,
+    silentAfterMs: number | undefined,
+    processLives: ProcessCheck,
   ): Promise<WholeResult> {
-    const reader = new BodyReader(answer, this.clock);
+    const reader = new BodyReader(answer, this.clock, processLives);
     const headers = this.dialect.answerHeaders(answer.rawHeaders);
     const held: Uint8Array[] = [];
     let begun: ByteAnswer | undefined;
@@ -113,7 +115,7 @@
     answer: BackendAnswer,
     options: StreamOptions,
   ): Promise<StreamResult> {
-    const reader = new BodyReader(answer, this.clock);
+    const reader = new BodyReader(answer, this.clock, options.processLives);
     const splitter = new EventSplitter();
     this.firstOfRun = undefined;
     let target = client;
--- a/packages/forwarding/src/body-reader.ts
+++ b/packages/forwarding/src/body-reader.ts
@@ -1,4 +1,4 @@
-/** Reads the body of a back end's answer with a limit on the time between two chunks. */
+/** Reads the body of a back end's answer to its true end, with a limit on the time between two chunks. */
 import { settleWithin, type BackendAnswer, type Clock } from '@woodbarrow/runtime';
 
 /** Next piece of a body. */
@@ -8,6 +8,9 @@
   /** It broke off, or nothing came in time; it is not complete. */
   | { readonly kind: 'broken'; readonly silent: boolean };
 
+/** Tells whether the process behind an answer still runs, or was to end. */
+export type ProcessCheck = () => Promise<boolean>;
+
 /** Reader of one body. */
 export class BodyReader {
   private readonly iterator: AsyncIterator<Uint8Array>;
@@ -15,6 +18,7 @@
   constructor(
     private readonly answer: BackendAnswer,
     private readonly clock: Clock,
+    private readonly processLives: ProcessCheck,
   ) {
     this.iterator = answer.body[Symbol.asyncIterator]();
   }
@@ -27,12 +31,21 @@
         this.answer.discard();
         return { kind: 'broken', silent: true };
       }
-      return step.done === true ? { kind: 'end' } : { kind: 'chunk', chunk: step.value };
+      if (step.done !== true) return { kind: 'chunk', chunk: step.value };
+      return (await this.isWhole()) ? { kind: 'end' } : { kind: 'broken', silent: false };
     } catch {
       return { kind: 'broken', silent: false };
     }
   }
 
+  /**
+   * A body without a length ends when its connection is closed, and the kernel of a process that was killed closes connections in the
+   * same way as one that has finished: only the process itself can tell.
+   */
+  private async isWhole(): Promise<boolean> {
+    return !this.answer.endsWithConnection || this.processLives();
+  }
+
   private async step(patienceMs?: number): Promise<IteratorResult<Uint8Array> | undefined> {
     const pending = this.iterator.next();
     if (patienceMs === undefined) return pending;
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -9,7 +9,7 @@
 import type { CrashMarkEntry } from '@woodbarrow/protocol';
 import { backoffDelay, settleWithin, sleep, TaskGroup, type Clock, type Random } from '@woodbarrow/runtime';
 import { CrashMarks, type CrashMark } from './crash-marks.js';
-import { ProcessFates, type ProcessProbe } from './process-fates.js';
+import { ProcessFates, type ProcessFate, type ProcessProbe } from './process-fates.js';
 import { QUARANTINE_MS, type QuarantineRecord, type QuarantineStore } from './quarantine-record.js';
 import { FREE_TURN, SuspectTurns, type Turn } from './suspect-turns.js';
 
@@ -107,6 +107,11 @@
     return { ...this.marks.totals, quarantined: this.records.size };
   }
 
+  /** Asks whether a process runs; some 2 s at the longest where nothing answers. Never rejects. */
+  fateOf(backEnd: BackEnd): Promise<ProcessFate> {
+    return this.fates.check(backEnd);
+  }
+
   /** Why a content must not be run; undefined when it may. */
   verdictOf(content: string): Verdict | undefined {
     const record = this.records.get(content);
