An answer cut off is reset towards clients that take no chunks

The same cause elsewhere: without chunks, as for clients of HTTP/1.0, a body ends with its connection, so cutting it by a plain close ended it as complete. A daemon that is killed still closes such connections plainly: nothing of ours runs then.

--- a/packages/runtime/src/node-ingress.ts
+++ b/packages/runtime/src/node-ingress.ts
@@ -39,7 +39,9 @@
         response.off('close', finish);
         resolve();
       };
-      const timer = setTimeout(() => response.destroy(), WRITE_STALL_TIMEOUT_MS);
+      const timer = setTimeout(() => {
+        this.abort();
+      }, WRITE_STALL_TIMEOUT_MS);
       response.on('drain', finish);
       response.on('close', finish);
     });
@@ -49,8 +51,11 @@
     this.response.end();
   }
 
+  /** Without chunks, as for clients of HTTP/1.0, a plain close would end the answer as complete: only a reset tells. */
   abort(): void {
-    this.response.destroy();
+    const { response } = this;
+    if (!response.chunkedEncoding) response.socket?.resetAndDestroy();
+    response.destroy();
   }
 }
 
