A failing test: a load that ends each worker that begins it is ordered again and again, by any coordinator

Cause, by reading and by the test: nothing counts the processes that end under loads, by model. A demand whose load did not come about waits for another load (load-scheduler.ts, finish), on the next worker; the quarantine of requests knows contents of requests only.

--- /dev/null
+++ b/packages/residency/test/crashing-loads-world.ts
@@ -0,0 +1,173 @@
+/** Zones with a coordinator each, on virtual time, and loads that end each worker that begins them. */
+import { BackendDirectory, LoadBook, NO_NEARBY_COPIES, type ModelTarget } from '@woodbarrow/backends';
+import { StoreLease } from '@woodbarrow/coordination';
+import { silentLog } from '@woodbarrow/observability';
+import type { LoadUnderWay, ResidencyDemandAnswer } from '@woodbarrow/protocol';
+import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
+import { ZoneResidency } from '../src/index.js';
+import { SimulatedOrderClient, SimulatedWorker } from './simulated-workers.js';
+import { ENGINE, SERVICE, plainLeaseStore } from './zone-world.js';
+
+/** Time after which another process runs in the place of one that has ended, in milliseconds. */
+const RESTART_MS = 1500;
+/** Pause between two words of a coordinator on what it loads, in milliseconds. */
+const CLAIM_PAUSE_MS = 300;
+/** Pause between two looks of a coordinator at what it can do without being asked, in milliseconds. */
+const TEND_PAUSE_MS = 500;
+const WORKERS_PER_ZONE = 4;
+/** Time that a request for a model may wait, in milliseconds. */
+const WITHIN_MS = 8000;
+
+/** A zone with the daemon that coordinates it. */
+export interface CoordinatedZone {
+  readonly name: string;
+  readonly coordinator: ZoneResidency;
+}
+
+/** Several zones; every daemon sees the same records at once, and hears of others' loads with a delay. */
+export class CrashingLoadsWorld {
+  readonly world = new SimulatedWorld();
+  readonly zones: CoordinatedZone[] = [];
+  /** Ids of the workers that have ended, in order. */
+  readonly ended: string[] = [];
+  /** Answers to all demands that were settled. */
+  readonly answers: ResidencyDemandAnswer[] = [];
+  readonly workers = new Map<string, SimulatedWorker>();
+  readonly directory: BackendDirectory;
+  private readonly process: SimulatedProcess;
+  private readonly random: Random;
+  private readonly told = new Map<string, readonly LoadUnderWay[]>();
+  private started = 0;
+
+  /** @param endsUnder Loads that end the worker which begins them. */
+  constructor(
+    seed: number,
+    private readonly endsUnder: (target: ModelTarget) => boolean,
+  ) {
+    this.random = new Random(seed);
+    this.process = new SimulatedProcess(this.world, { name: 'scene', zone: 'a', region: 'r' });
+    this.directory = new BackendDirectory(this.process);
+  }
+
+  /** Adds zones, each with workers and a coordinator of its own. */
+  async start(zoneCount: number): Promise<void> {
+    const names = Array.from({ length: zoneCount }, (_, index) => `zone-${String(index)}`);
+    for (const name of names) {
+      for (let index = 0; index < WORKERS_PER_ZONE; index += 1) this.addWorker(name);
+    }
+    for (const name of names) this.zones.push(await this.coordinate(name, names));
+    this.repeat(CLAIM_PAUSE_MS, () => {
+      for (const { name, coordinator } of this.zones) this.told.set(name, coordinator.loadsUnderWay);
+    });
+    this.repeat(TEND_PAUSE_MS, () => {
+      for (const { coordinator } of this.zones) coordinator.tend(SERVICE);
+    });
+  }
+
+  async pass(durationMs: number): Promise<void> {
+    await this.world.run(this.world.now + durationMs);
+  }
+
+  /** A target is asked for again and again, in all zones or in some. */
+  async keepAsking(target: ModelTarget, durationMs: number, zones = this.zones): Promise<void> {
+    const until = this.world.now + durationMs;
+    while (this.world.now < until) {
+      for (const zone of zones) this.ask(zone, target);
+      await this.pass(400);
+    }
+  }
+
+  /** A target is asked for once; the answer is among {@link answers} when it has come. */
+  ask({ name, coordinator }: CoordinatedZone, target: ModelTarget): void {
+    const message = {
+      zone: name,
+      service: SERVICE,
+      ...target,
+      priority: 1,
+      without: [],
+      mayUseStore: true,
+      withinMs: WITHIN_MS,
+    };
+    void coordinator.demand(message).then((answer) => this.answers.push(answer));
+  }
+
+  private repeat(pauseMs: number, action: () => void): void {
+    this.process.schedule(pauseMs, () => {
+      action();
+      this.repeat(pauseMs, action);
+    });
+  }
+
+  private addWorker(zone: string): void {
+    this.started += 1;
+    const id = `w${String(this.started)}`;
+    const worker = new SimulatedWorker(this.world, [], {
+      under: this.endsUnder,
+      onEnd: () => {
+        this.ended.push(id);
+        this.world.schedule(RESTART_MS, () => {
+          this.replace(id, zone);
+        });
+      },
+    });
+    this.workers.set(id, worker);
+    this.directory.put({
+      id,
+      service: SERVICE,
+      address: `address-of-${id}`,
+      zone,
+      slots: 8,
+      draining: false,
+      models: [],
+      nearby: NO_NEARBY_COPIES,
+    });
+  }
+
+  private replace(id: string, zone: string): void {
+    const worker = this.workers.get(id);
+    if (worker !== undefined) worker.isReplaced = true;
+    this.directory.recordVanished(id);
+    this.addWorker(zone);
+  }
+
+  private async coordinate(name: string, zones: readonly string[]): Promise<CoordinatedZone> {
+    const process = new SimulatedProcess(this.world, { name: `daemon-${name}`, zone: name, region: 'r' });
+    const lease = new StoreLease({
+      name,
+      holder: process.name,
+      instance: 1,
+      lifetimeMs: 3_600_000,
+      handoverPauseMs: 0,
+      store: plainLeaseStore(),
+      clock: process,
+    });
+    await lease.tryAcquire();
+    const coordinator = new ZoneResidency({
+      zone: name,
+      holder: process.name,
+      lease,
+      directory: this.directory,
+      loads: new LoadBook(process),
+      orders: new SimulatedOrderClient(this.world, process, this.workers, this.random.fork()),
+      serviceOf: () => ({ name: SERVICE, connectionLimit: 100, engine: ENGINE }),
+      clock: process,
+      random: this.random.fork(),
+      log: silentLog,
+      signal: new AbortController().signal,
+      zones: () => zones,
+      storeWindow: { windowMs: 5000, overshoot: 1 },
+      storeLoadsElsewhere: () => 0,
+      comesElsewhereInMs: (model) => this.comesElsewhereInMs(name, model),
+      announce: ({ backEndId, resident, ...target }) => {
+        this.directory.announce(backEndId, target, resident);
+      },
+    });
+    return { name, coordinator };
+  }
+
+  private comesElsewhereInMs(zone: string, model: string): number {
+    const others = [...this.told].filter(([name]) => name !== zone).flatMap(([, loads]) => loads);
+    const times = others.filter((load) => load.model === model).map(({ readyInMs }) => readyInMs);
+    return Math.min(Infinity, ...times);
+  }
+}
--- a/packages/residency/test/simulated-workers.ts
+++ b/packages/residency/test/simulated-workers.ts
@@ -15,6 +15,8 @@
 export const WORKER_MB = 200;
 export const ADAPTER_SLOTS = 3;
 const LOAD_MS = 600;
+/** Time from a load that ends the process to that end; an adapter's load takes less than that of a model. */
+const CRASH_AFTER_MS = { model: 200, adapter: 5 };
 const UNLOAD_MS = 80;
 const ADAPTER_MS = 10;
 const REPORT_LAG_MS = 100;
@@ -48,6 +50,12 @@
   readonly report: WorkerReport;
 }
 
+/** Loads that end the process of a worker. */
+export interface WorkerCrashes {
+  readonly under: (target: ModelTarget) => boolean;
+  readonly onEnd: () => void;
+}
+
 /** One worker. */
 export class SimulatedWorker {
   readonly models = new Map<string, Set<string>>();
@@ -63,15 +71,32 @@
   private changing: string | undefined;
   private changingBy: 'load' | 'unload' | undefined;
   private snapshots: Snapshot[] = [];
+  private ended = false;
+  /** Whether another process answers at its address. */
+  isReplaced = false;
 
+  /** @param crashes What ends the process, and who is told of that end. */
   constructor(
     private readonly world: SimulatedWorld,
     models: readonly string[],
+    private readonly crashes: WorkerCrashes = { under: () => false, onEnd: () => undefined },
   ) {
     for (const model of models) this.models.set(model, new Set());
     this.remember();
   }
 
+  /** Whether the process has ended. */
+  get hasEnded(): boolean {
+    return this.ended;
+  }
+
+  /** Ends the process. */
+  end(): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.crashes.onEnd();
+  }
+
   /** The state as it was some time ago. */
   report(): WorkerReport {
     const until = this.world.now - REPORT_LAG_MS;
@@ -113,6 +138,7 @@
     this.sequence += 1;
     this.changing = target.model;
     this.changingBy = operation;
+    if (this.endsUnder(operation, target, CRASH_AFTER_MS.model)) return 'accepted';
     this.world.schedule(operation === 'load' ? LOAD_MS : UNLOAD_MS, () => {
       this.changing = undefined;
       if (operation === 'load') this.models.set(target.model, new Set());
@@ -143,6 +169,7 @@
       return 'done';
     }
     this.incoming.set(key, target);
+    if (this.endsUnder(operation, target, CRASH_AFTER_MS.adapter)) return 'accepted';
     this.world.schedule(ADAPTER_MS, () => {
       this.incoming.delete(key);
       this.models.get(target.model)?.add(adapter);
@@ -151,6 +178,14 @@
     return 'accepted';
   }
 
+  private endsUnder(operation: WorkerOrder['operation'], target: ModelTarget, afterMs: number): boolean {
+    if (operation !== 'load' || !this.crashes.under(target)) return false;
+    this.world.schedule(afterMs, () => {
+      this.end();
+    });
+    return true;
+  }
+
   private remember(): Snapshot {
     const models = [...this.models].map(([name, adapters]) => ({
       name,
@@ -199,6 +234,10 @@
         answer('unknown', ORDER_TIMEOUT_MS);
       } else {
         this.world.schedule(ROUND_TRIP_MS / 2, () => {
+          if (worker.hasEnded) {
+            answer(worker.isReplaced ? 'gone' : 'unknown', ROUND_TRIP_MS / 2);
+            return;
+          }
           const outcome = worker.take(order);
           if (fate < appliedLate + answerLost) answer('unknown', ORDER_TIMEOUT_MS);
           else answer(outcome, ROUND_TRIP_MS / 2);
@@ -210,7 +249,8 @@
   report(backEnd: BackEnd): Promise<WorkerReport | undefined> {
     return new Promise((resolve) => {
       this.world.schedule(ROUND_TRIP_MS, () => {
-        const report = this.workers.get(backEnd.id)?.report();
+        const worker = this.workers.get(backEnd.id);
+        const report = worker?.hasEnded === true ? undefined : worker?.report();
         this.process.deliver(() => {
           resolve(report);
         });
--- a/packages/residency/test/zone-world.ts
+++ b/packages/residency/test/zone-world.ts
@@ -32,7 +32,7 @@
 const SETTLE_LIMIT_MS = 90_000;
 
 /** A store that always answers at once. */
-function plainLeaseStore(): LeaseRecordStore {
+export function plainLeaseStore(): LeaseRecordStore {
   let kept: StoredLease | undefined;
   return {
     read: () => Promise.resolve(kept),
