--- a/eslint.config.js
+++ b/eslint.config.js
@@ -43,6 +43,7 @@
     'forwarding',
     'exchange',
     'observability',
+    'quarantine',
   ],
 };
 
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -23,7 +23,14 @@
     "A back end's process ended while it ran a request. Content, back end, time since it was sent, processes that ended under the content so far, time until that was found out.",
   request_quarantined:
     'A content has proved to end the processes that run it, and is refused from now on. Whether that was seen here, told by others or read in the store; processes; route and attempt.',
-  suspect_cleared: 'A content that processes ended under was run to a good end. Content.',
+  process_ended_under_load:
+    "A worker's process ended before a load that it had been ordered. What was loaded (service, model or `model/adapter@version`), content, worker, time since the order, processes that ended under the content so far, time until that was found out.",
+  load_quarantined:
+    'A model or adapter has proved to end the workers that begin to load it, and is not loaded from now on. Content, what it loads where that is known here, whether that was seen here, told by others or read in the store; processes.',
+  load_refused:
+    'A demand was refused at once because what it needs is not loaded any more. What, processes that ended under it, when to come back.',
+  suspect_cleared:
+    'A content that processes ended under was run, or loaded, to a good end. Content, of a load what it loads.',
   quarantine_lifted: 'The record of a quarantined content is gone: it may run again. Content.',
   quarantine_not_written:
     'The record of a quarantined content could not be written yet. Content, failures, cause.',
--- a/packages/quarantine/src/crash-marks.ts
+++ b/packages/quarantine/src/crash-marks.ts
@@ -11,7 +11,7 @@
   readonly content: string;
   /** Id of the back end; each start of it has another. */
   readonly processId: string;
-  /** When the request was sent to it. */
+  /** When the request, or the order to load, was sent to it. */
   readonly begunAt: number;
   /** When the process was seen to have ended. */
   readonly endedAt: number;
@@ -50,11 +50,21 @@
 
   /** Number of marks, and of contents that have some which count. */
   get totals(): { readonly marks: number; readonly suspects: number } {
-    this.dropExpired();
-    const suspects = [...this.byContent.keys()].filter((content) => this.endsOf(content) > 0).length;
+    const suspects = this.suspects.length;
     return { marks: this.count, suspects };
   }
 
+  /** Whether there are no marks at all. */
+  get isEmpty(): boolean {
+    return this.count === 0;
+  }
+
+  /** Contents with marks that count. */
+  get suspects(): string[] {
+    this.dropExpired();
+    return [...this.byContent.keys()].filter((content) => this.endsOf(content) > 0);
+  }
+
   /** Enters a mark. Returns whether it changed anything. */
   add(mark: CrashMark): boolean {
     if (this.clock.monotonic() - mark.endedAt > MARK_LIFETIME_MS) return false;
@@ -90,6 +100,12 @@
     return this.counting(content).length;
   }
 
+  /** When the last process was seen to end under a content, monotonic; undefined where none counts. */
+  lastEndOf(content: string): number | undefined {
+    const times = this.counting(content).map(({ endedAt }) => endedAt);
+    return times.length === 0 ? undefined : Math.max(...times);
+  }
+
   /** Whether the content is what ended these processes. */
   isProven(content: string): boolean {
     const marks = this.counting(content);
--- a/packages/quarantine/src/process-fates.ts
+++ b/packages/quarantine/src/process-fates.ts
@@ -1,5 +1,5 @@
 /**
- * Whether the process behind a broken answer has ended. A broken connection alone says nothing: connections are reset and
+ * Whether the process behind a broken answer, or under a load that is no longer answered, has ended. A broken connection alone says nothing: connections are reset and
  * links cut while the process lives on. The process is asked, over a connection of its own.
  */
 import type { BackEnd } from '@woodbarrow/backends';
@@ -39,11 +39,13 @@
   constructor(
     private readonly probe: ProcessProbe,
     private readonly clock: Clock,
+    /** Called when a process is found to have ended, here or by another daemon; again for one that is known. */
+    private readonly onEnded: (processId: string) => void = () => undefined,
   ) {}
 
   /** Finds out whether a process has ended; some 2 s at the longest. Never rejects. */
   check(backEnd: BackEnd): Promise<ProcessFate> {
-    if (this.endedAt.has(backEnd.id)) return Promise.resolve('ended');
+    if (this.hasEnded(backEnd.id)) return Promise.resolve('ended');
     const underWay = this.checks.get(backEnd.id);
     if (underWay !== undefined) return underWay;
     const check = this.find(backEnd).finally(() => this.checks.delete(backEnd.id));
@@ -51,18 +53,24 @@
     return check;
   }
 
+  /** Whether a process is known to have ended, for a while after it was found out. */
+  hasEnded(processId: string): boolean {
+    return this.endedAt.has(processId);
+  }
+
   /** Another daemon found that a process has ended. */
   noteEnded(processId: string): void {
     const now = this.clock.monotonic();
     for (const [id, at] of this.endedAt) if (now - at > ENDED_MEMORY_MS) this.endedAt.delete(id);
     this.endedAt.set(processId, now);
+    this.onEnded(processId);
   }
 
   private async find(backEnd: BackEnd): Promise<ProcessFate> {
     let refusals = 0;
     for (const pauseMs of ASK_PAUSES_MS) {
       await sleep(this.clock, pauseMs);
-      if (this.endedAt.has(backEnd.id)) return 'ended';
+      if (this.hasEnded(backEnd.id)) return 'ended';
       const answer = await this.probe.ask(backEnd);
       if (answer === 'running') return 'running';
       refusals = answer === 'refused' ? refusals + 1 : 0;
@@ -71,6 +79,6 @@
         return 'ended';
       }
     }
-    return this.endedAt.has(backEnd.id) ? 'ended' : 'unknown';
+    return this.hasEnded(backEnd.id) ? 'ended' : 'unknown';
   }
 }
--- a/packages/quarantine/src/quarantine-record.ts
+++ b/packages/quarantine/src/quarantine-record.ts
@@ -6,9 +6,11 @@
   readonly content: string;
   /** Processes that ended under it. */
   readonly processes: readonly string[];
-  /** Route and id of the attempt that was under way when it was found out. */
+  /** Route and id of the attempt that was under way when it was found out; empty for a load. */
   readonly route: string;
   readonly requestId: string;
+  /** Of a load: the service, and the model, or `model/adapter@version`, that it loads. */
+  readonly load?: string;
   /** Daemon that found it out. */
   readonly foundBy: string;
   /** Time of day, in milliseconds. */
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -1,14 +1,16 @@
 /**
  * Requests that end each process which begins to run them. A bound on the sends of one attempt does not hold them: their clients come
  * back, to any daemon, under a new id. So the content is what is remembered: processes that ended under it, over all attempts
- * and daemons. A content that has proved to end them is refused at once from then on.
+ * and daemons. A content that has proved to end them is refused at once from then on. Loads are contents of their own kind
+ * (see {@link LoadQuarantine}): marks, verdicts and records are the same.
  */
 import type { BackEnd } from '@woodbarrow/backends';
 import { messageOf } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
 import type { CrashMarkEntry } from '@woodbarrow/protocol';
 import { backoffDelay, settleWithin, sleep, TaskGroup, type Clock, type Random } from '@woodbarrow/runtime';
-import { CrashMarks, type CrashMark } from './crash-marks.js';
+import { CrashMarks } from './crash-marks.js';
+import { isLoadContent } from './load-content.js';
 import { ProcessFates, type ProcessFate, type ProcessProbe } from './process-fates.js';
 import { QUARANTINE_MS, type QuarantineRecord, type QuarantineStore } from './quarantine-record.js';
 import { FREE_TURN, SuspectTurns, type Turn } from './suspect-turns.js';
@@ -26,18 +28,25 @@
   readonly log: EventLog;
 }
 
-/** An attempt whose answer broke off. */
-export interface BrokenAttempt {
+/** One run of a content on a process. */
+export interface ContentAttempt {
   readonly content: string;
+  /** Route and id of a request; empty for a load. */
   readonly requestId: string;
   readonly route: string;
+  /** Of a load: what it loads, as in {@link QuarantineRecord.load}. */
+  readonly load?: string;
   readonly backEnd: BackEnd;
-  /** It was leaving, or its record had gone, before the answer broke off: it has ended because it was to. */
-  readonly wasLeaving: boolean;
   /** Monotonic time at which it was sent. */
   readonly sentAt: number;
 }
 
+/** An attempt whose answer broke off. */
+export interface BrokenAttempt extends ContentAttempt {
+  /** It was leaving, or its record had gone, before the answer broke off: it has ended because it was to. */
+  readonly wasLeaving: boolean;
+}
+
 /** A content that is refused. */
 export interface Verdict {
   /** Processes that ended under it. */
@@ -75,16 +84,20 @@
   /** Contents whose record this daemon writes, or has written: the store's feed tells it back. */
   private readonly writing = new Set<string>();
   /** The newest attempt of each content that a process ended under here, to be named in its record. */
-  private readonly ownAttempts = new Map<string, BrokenAttempt>();
+  private readonly ownAttempts = new Map<string, ContentAttempt>();
   private readonly tasks: TaskGroup;
   private tellScheduled = false;
   /** Called when marks are news that other daemons should hear of at once. */
   onNews: () => void = () => undefined;
+  /** Called when a process is found to have ended, whoever found it out; it may be called again for the same one. */
+  onProcessEnded: (processId: string) => void = () => undefined;
 
   constructor(private readonly options: RequestQuarantineOptions) {
     const { clock, probe, log } = options;
     this.marks = new CrashMarks(clock);
-    this.fates = new ProcessFates(probe, clock);
+    this.fates = new ProcessFates(probe, clock, (processId) => {
+      this.onProcessEnded(processId);
+    });
     this.tasks = new TaskGroup(clock, (task, error) => {
       log.warned('task_failed', { task, cause: messageOf(error) });
     });
@@ -107,6 +120,26 @@
     return { ...this.marks.totals, quarantined: this.records.size };
   }
 
+  /** Contents that processes have ended under, those that are refused included. */
+  get suspects(): readonly string[] {
+    return [...new Set([...this.marks.suspects, ...this.records.keys()])];
+  }
+
+  /** Whether nothing is known against any content. */
+  get isClean(): boolean {
+    return this.marks.isEmpty && this.records.size === 0;
+  }
+
+  /** When the last process was seen to end under a content, monotonic; undefined for one that is no suspect. */
+  lastEndOf(content: string): number | undefined {
+    return this.marks.lastEndOf(content);
+  }
+
+  /** Whether a process is known to have ended within the last minute. */
+  hasEnded(processId: string): boolean {
+    return this.fates.hasEnded(processId);
+  }
+
   /** Asks whether a process runs; some 2 s at the longest where nothing answers. Never rejects. */
   fateOf(backEnd: BackEnd): Promise<ProcessFate> {
     return this.fates.check(backEnd);
@@ -155,16 +188,27 @@
     const endedAt = this.options.clock.monotonic();
     const check = this.fates.check(backEnd).then((fate) => {
       this.closeCheck(content, check);
-      if (fate === 'ended') this.mark(attempt, endedAt);
+      if (fate === 'ended') this.noteEnded(attempt, endedAt);
     });
     const open = this.open.get(content) ?? new Set();
     this.open.set(content, open.add(check));
   }
 
-  /** A run of a content ended well: it is not what ended the processes. */
-  noteServed(content: string): void {
+  /** The process of an attempt has ended before the attempt had: that is held against the content. */
+  noteEnded(attempt: ContentAttempt, endedAt: number): void {
+    const { content, backEnd, sentAt } = attempt;
+    if (!this.marks.add({ content, processId: backEnd.id, begunAt: sentAt, endedAt, isCleared: false }))
+      return;
+    this.ownAttempts.set(content, attempt);
+    this.logEnd(attempt, endedAt);
+    this.noteVerdict(content, 'seen');
+    this.tell();
+  }
+
+  /** A run of a content ended well: it is not what ended the processes. @param load What was loaded, of a load. */
+  noteServed(content: string, load?: string): void {
     if (!this.marks.clear(content)) return;
-    this.options.log.changed('suspect_cleared', { content });
+    this.options.log.changed('suspect_cleared', { content, load });
     this.turns.wake(content);
     this.tell();
   }
@@ -204,9 +248,10 @@
   recordSeen(record: QuarantineRecord): void {
     if (this.records.has(record.content)) return;
     this.records.set(record.content, record);
-    const { content, processes, foundBy, route, requestId } = record;
-    this.options.log.warned('request_quarantined', {
+    const { content, processes, foundBy, route, requestId, load } = record;
+    this.options.log.warned(verdictEvent(content), {
       content,
+      load,
       source: 'store',
       processes,
       foundBy,
@@ -229,29 +274,24 @@
     if (open?.size === 0) this.open.delete(content);
   }
 
-  private mark(attempt: BrokenAttempt, endedAt: number): void {
-    const { content, backEnd, sentAt, requestId } = attempt;
+  private logEnd({ content, backEnd, sentAt, requestId, load }: ContentAttempt, endedAt: number): void {
     const { clock, log } = this.options;
-    const mark: CrashMark = { content, processId: backEnd.id, begunAt: sentAt, endedAt, isCleared: false };
-    if (!this.marks.add(mark)) return;
-    this.ownAttempts.set(content, attempt);
-    log.warned('process_ended_under_request', {
-      request: requestId,
+    const facts = {
       content,
       backEnd: backEnd.id,
       ranMs: Math.round(endedAt - sentAt),
       ends: this.marks.endsOf(content),
       foundAfterMs: Math.round(clock.monotonic() - endedAt),
-    });
-    this.noteVerdict(content, 'seen');
-    this.tell();
+    };
+    if (load === undefined) log.warned('process_ended_under_request', { request: requestId, ...facts });
+    else log.warned('process_ended_under_load', { load, ...facts });
   }
 
   private noteVerdict(content: string, source: 'seen' | 'told'): void {
     if (!this.marks.isProven(content) || this.records.has(content)) return;
     const processes = this.marks.processesOf(content);
-    this.options.log.warned('request_quarantined', { content, source, processes });
     const attempt = this.ownAttempts.get(content);
+    this.options.log.warned(verdictEvent(content), { content, load: attempt?.load, source, processes });
     if (attempt !== undefined) this.keep(attempt);
   }
 
@@ -265,12 +305,14 @@
   }
 
   /** Writes the record of a verdict, until the store has taken it or the content has been cleared. */
-  private keep({ content, requestId, route }: BrokenAttempt): void {
+  private keep({ content, requestId, route, load }: ContentAttempt): void {
     if (this.writing.has(content) || this.records.has(content)) return;
     this.writing.add(content);
     const { clock, random, log, store, daemon } = this.options;
     const processes = this.marks.processesOf(content);
-    const record = { content, processes, route, requestId, foundBy: daemon, at: clock.wall() };
+    const at = clock.wall();
+    const named = load === undefined ? {} : { load };
+    const record = { content, processes, route, requestId, ...named, foundBy: daemon, at };
     this.tasks.spawn('quarantine record', async (signal) => {
       for (let failures = 0; !signal.aborted && this.marks.isProven(content); failures += 1) {
         try {
@@ -295,3 +337,7 @@
     }
   }
 }
+
+function verdictEvent(content: string): 'request_quarantined' | 'load_quarantined' {
+  return isLoadContent(content) ? 'load_quarantined' : 'request_quarantined';
+}
--- /dev/null
+++ b/packages/quarantine/test/load-quarantine.test.ts
@@ -0,0 +1,111 @@
+import { expect } from 'chai';
+import { BackendDirectory } from '@woodbarrow/backends';
+import { silentLog } from '@woodbarrow/observability';
+import { SimulatedProcess } from '@woodbarrow/runtime';
+import { ENDS_FOR_VERDICT, LoadQuarantine, loadContent, type RequestQuarantine } from '../src/index.js';
+import { QuarantineScene, backEndOf } from './quarantine-scene.js';
+
+const MODEL = { model: 'm1' };
+const ADAPTER = { model: 'm1', adapter: 'a1', adapterVersion: 2 };
+/** Service of the scene's back ends. */
+const SERVICE = backEndOf('any').service;
+/** Of a demand that has time left. */
+const open = new AbortController().signal;
+/** Time in which the fate of a process is found out, in milliseconds. */
+const FOUND_OUT_MS = 300;
+
+describe('LoadQuarantine', () => {
+  let scene: QuarantineScene;
+  let contents: RequestQuarantine;
+  let directory: BackendDirectory;
+  let loads: LoadQuarantine;
+
+  beforeEach(() => {
+    scene = new QuarantineScene();
+    contents = scene.addDaemon();
+    const clock = new SimulatedProcess(scene.world, { name: 'coordinator', zone: 'a', region: 'r' });
+    directory = new BackendDirectory(clock);
+    loads = new LoadQuarantine({ contents, directory, clock, log: silentLog });
+  });
+
+  function order(id: string, target = MODEL): void {
+    const backEnd = backEndOf(id);
+    directory.put(backEnd);
+    loads.ordered(backEnd, target, scene.world.now);
+  }
+
+  async function endUnder(id: string, target = MODEL): Promise<void> {
+    order(id, target);
+    await scene.pass(50);
+    scene.ended.add(id);
+    loads.unanswered(id);
+    await scene.pass(FOUND_OUT_MS);
+  }
+
+  it('finds out a load under which three processes have ended, and names it in the record', async () => {
+    for (const id of ['w1', 'w2']) await endUnder(id);
+    expect(loads.verdictOf(SERVICE, MODEL)).to.equal(undefined);
+    await endUnder('w3');
+    expect(loads.verdictOf(SERVICE, MODEL)).to.include({ ends: ENDS_FOR_VERDICT });
+    const record = scene.records.get(loadContent(SERVICE, MODEL));
+    expect(record).to.include({ load: `${SERVICE} m1`, route: '', requestId: '' });
+    expect(record?.processes).to.deep.equal(['w1', 'w2', 'w3']);
+    expect(loads.totals).to.deep.equal({ suspects: 1, quarantined: 1, refused: 0 });
+    expect(directory.all()).to.deep.equal([]);
+  });
+
+  it('counts an adapter apart from its model and from its other versions', async () => {
+    for (const id of ['w1', 'w2', 'w3']) await endUnder(id, ADAPTER);
+    expect(loads.verdictOf(SERVICE, ADAPTER)).not.to.equal(undefined);
+    expect(loads.verdictOf(SERVICE, MODEL)).to.equal(undefined);
+    expect(loads.verdictOf(SERVICE, { ...ADAPTER, adapterVersion: 3 })).to.equal(undefined);
+  });
+
+  it('holds nothing against a load whose worker was silent, refused it or went without ending', async () => {
+    order('w1');
+    loads.unanswered('w1');
+    order('w2');
+    loads.failed(backEndOf('w2'), MODEL);
+    order('w3');
+    directory.recordVanished('w3');
+    await scene.pass(5000);
+    for (const id of ['w1', 'w2', 'w3']) scene.ended.add(id);
+    loads.failed(backEndOf('w2'), MODEL);
+    await scene.pass(FOUND_OUT_MS);
+    expect(contents.totals.marks).to.equal(0);
+    expect(loads.isUnderWay(SERVICE, MODEL)).to.equal(true);
+    loads.unanswered('w1');
+    await scene.pass(FOUND_OUT_MS);
+    expect(contents.totals.marks).to.equal(1);
+  });
+
+  it('learns from another daemon that the process of a load has ended', async () => {
+    const other = scene.addDaemon();
+    order('w1');
+    await scene.endUnder(other, 'a request', 'w1');
+    expect(loads.lastEndOf(SERVICE, MODEL)).to.be.a('number');
+    expect(loads.isUnderWay(SERVICE, MODEL)).to.equal(false);
+  });
+
+  it('lets a suspect be loaded again only when it is known what came of the last load', async () => {
+    await endUnder('w1', ADAPTER);
+    const first = await loads.takeTurn(SERVICE, ADAPTER, open);
+    order('w2', ADAPTER);
+    let isNext = false;
+    void loads.takeTurn(SERVICE, ADAPTER, open).then((turn) => {
+      isNext = true;
+      turn.release();
+    });
+    await scene.pass(1000);
+    expect(isNext).to.equal(false);
+    scene.ended.add('w2');
+    loads.failed(backEndOf('w2'), ADAPTER);
+    first.release();
+    await scene.pass(50);
+    expect(isNext).to.equal(false);
+    await scene.pass(FOUND_OUT_MS);
+    expect(isNext).to.equal(true);
+    const aside = await loads.takeTurn(SERVICE, MODEL, open);
+    aside.release();
+  });
+});
--- a/packages/residency/src/adapter-orders.ts
+++ b/packages/residency/src/adapter-orders.ts
@@ -74,6 +74,17 @@
     const { residents, sender } = this.options;
     if (residents.isResident(target)) return true;
     if (!(await this.takeSlot(target, deadline))) return residents.isResident(target);
+    let isLoaded = false;
+    try {
+      isLoaded = await this.order(target);
+    } finally {
+      sender.loadEnded(target, isLoaded);
+    }
+    return isLoaded;
+  }
+
+  private async order(target: AdapterTarget): Promise<boolean> {
+    const { residents, sender } = this.options;
     const outcome = await sender.send('load', target);
     if (outcome === 'done') return this.finish(target);
     if (outcome === 'accepted') return this.awaitLoaded(target);
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -1,10 +1,11 @@
 /** Sends demands for models to the coordinators of the zones, the most suitable zone first. */
-import { targetKey, type BackendDirectory, type ModelTarget } from '@woodbarrow/backends';
+import { hasAdapter, targetKey, type BackendDirectory, type ModelTarget } from '@woodbarrow/backends';
 import type { ResidencyClient, ResidencyDemand, ResidencyOutcome } from '@woodbarrow/forwarding';
 import { rankByRendezvous } from '@woodbarrow/coordination';
 import type { CoordinatorDirectory } from '@woodbarrow/exchange';
 import type { CallFailures, EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
+import type { LoadQuarantine, Verdict } from '@woodbarrow/quarantine';
 import {
   residencyDemandMethod,
   type ResidencyDemandAnswer,
@@ -22,12 +23,14 @@
   readonly directory: BackendDirectory;
   readonly coordinators: CoordinatorDirectory;
   readonly peers: PeerNetwork;
+  readonly quarantine: LoadQuarantine;
   readonly clock: Clock;
   readonly failures: CallFailures;
   readonly log: EventLog;
 }
 
 const HELD_ELSEWHERE: RefusedDemandReason = 'held_elsewhere';
+const LOAD_QUARANTINED: RefusedDemandReason = 'load_quarantined';
 const NO_COORDINATOR_PAUSE_MS = 100;
 const RETRY_AFTER_MS = 300;
 /** Pause between two looks at whether a coordinator still answers for its zone, in milliseconds. */
@@ -141,6 +144,8 @@
     let refusal: ResidencyOutcome = { held: false, retryAfterMs: RETRY_AFTER_MS, reason: 'no_coordinator' };
     while (clock.monotonic() < deadline) {
       let isElsewhere = false;
+      const verdict = this.verdictOn(demand);
+      if (verdict !== undefined) return this.refuseQuarantined(demand, verdict);
       const quotes = await this.bestQuotes(demand, deadline, targetAt);
       if (quotes.anyAnswered) refusal = { ...refusal, reason: 'no_place' };
       for (const { message } of quotes.usable) {
@@ -163,6 +168,20 @@
     return refusal;
   }
 
+  /** Why what a demand needs is not loaded by any coordinator; undefined where it may be. */
+  private verdictOn({ service, target, without }: ResidencyDemand): Verdict | undefined {
+    const { directory, quarantine } = this.options;
+    const { model } = target;
+    const isHeld = directory.holdersOf(service, { model }).some(({ id }) => !without.includes(id));
+    const ofModel = isHeld ? undefined : quarantine.verdictOf(service, { model });
+    return ofModel ?? (hasAdapter(target) ? quarantine.verdictOf(service, target) : undefined);
+  }
+
+  private refuseQuarantined({ service, target }: ResidencyDemand, verdict: Verdict): ResidencyOutcome {
+    this.options.quarantine.noteRefused(service, target, verdict);
+    return { held: false, retryAfterMs: verdict.retryAfterMs, reason: LOAD_QUARANTINED };
+  }
+
   /** What the zones would take. */
   private async bestQuotes(
     demand: ResidencyDemand,
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -2,6 +2,7 @@
 export * from './copies.js';
 export * from './demand-router.js';
 export * from './lease-contacts.js';
+export * from './load-admission.js';
 export * from './load-plan.js';
 export * from './load-planner.js';
 export * from './load-scheduler.js';
--- a/packages/residency/src/load-scheduler.ts
+++ b/packages/residency/src/load-scheduler.ts
@@ -5,6 +5,7 @@
 import { remainingMs } from '@woodbarrow/backends';
 import type { EventLog } from '@woodbarrow/observability';
 import type { LoadUnderWay } from '@woodbarrow/protocol';
+import type { LoadAdmission } from './load-admission.js';
 import { victimsAhead, type PlannedLoad } from './load-plan.js';
 import { LoadPlanner, type LoadPlannerOptions } from './load-planner.js';
 import {
@@ -31,6 +32,7 @@
   readonly mayAct: () => boolean;
   /** Milliseconds until a model that another zone loads now is expected there; Infinity when none does. */
   readonly comesElsewhereInMs: (model: string) => number;
+  readonly admission: LoadAdmission;
   readonly log: EventLog;
   readonly signal: AbortSignal;
 }
@@ -168,6 +170,7 @@
     this.unserved.forget((name, model) => this.options.directory.holdersOf(name, { model }).length > 0);
     for (const { wanted, demand } of this.queue.takeExpired()) this.settleLate(wanted, demand);
     this.settleHeldElsewhere();
+    this.settleQuarantined();
     const services = new Set(this.queue.all().map((group) => group.service));
     for (const service of services) this.startLoads(service);
     for (const service of this.retiring) if (!services.has(service)) this.retire(service, []);
@@ -240,6 +243,23 @@
     }
   }
 
+  /** What ends the workers that begin to load it is not loaded for those who wait for it either. */
+  private settleQuarantined(): void {
+    for (const group of this.queue.all()) {
+      const verdict = this.options.admission.verdictOf(group);
+      if (verdict === undefined) continue;
+      const { retryAfterMs } = verdict;
+      for (const demand of this.queue.take(group.key))
+        this.settleRefused(group, demand, { kind: 'refused', reason: 'load_quarantined', retryAfterMs });
+    }
+  }
+
+  /** Whether a load of a group may begin here, as far as other loads of the same model go. */
+  private mayBegin(group: DemandGroup): boolean {
+    const isLoadingHere = this.loading.has(groupKey({ ...group, another: !group.another }));
+    return !this.comesElsewhere(group) && this.options.admission.mayBegin(group, isLoadingHere);
+  }
+
   /** Whether another zone has a group's model before it could be loaded here. */
   private comesElsewhere(group: DemandGroup): boolean {
     return !group.another && this.options.comesElsewhereInMs(group.model) <= LONGEST_WAIT_ELSEWHERE_MS;
@@ -288,9 +308,7 @@
     // While all workers are occupied a plan only looks ahead, which need not follow each change.
     if (!this.planner.hasFreeWorker(service) && now - this.plannedAt < PLAN_INTERVAL_MS) return;
     this.plannedAt = now;
-    const groups = this.queue
-      .all()
-      .filter((group) => group.service === service && !this.comesElsewhere(group));
+    const groups = this.queue.all().filter((group) => group.service === service && this.mayBegin(group));
     const plan = this.planner.plan(service, groups);
     for (const planned of plan) {
       if (planned.startsNow && this.planner.storeAllows(planned)) this.start(planned);
--- a/packages/residency/src/order-client.ts
+++ b/packages/residency/src/order-client.ts
@@ -27,7 +27,9 @@
   /** Malformed. */
   | 'rejected'
   /** No answer: it may be carried out, perhaps later. */
-  | 'unknown';
+  | 'unknown'
+  /** Nobody listens at the worker's address: it was not taken. */
+  | 'unreachable';
 
 /** State of a worker, as it was some time before. */
 export interface WorkerReport {
--- a/packages/residency/src/order-sender.ts
+++ b/packages/residency/src/order-sender.ts
@@ -5,6 +5,7 @@
 import { targetKey, type BackEnd, type BackendDirectory, type ModelTarget } from '@woodbarrow/backends';
 import { WoodbarrowError } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
+import type { LoadQuarantine } from '@woodbarrow/quarantine';
 import { sleep, type Clock } from '@woodbarrow/runtime';
 import type { OrderClient, OrderOutcome, WorkerReport } from './order-client.js';
 
@@ -21,6 +22,8 @@
   readonly directory: BackendDirectory;
   readonly orders: OrderClient;
   readonly authority: OrderAuthority;
+  /** Told of loads, so that a process that ends under one is noticed. */
+  readonly quarantine: LoadQuarantine;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly signal: AbortSignal;
@@ -84,7 +87,8 @@
   async report(): Promise<WorkerReport | undefined> {
     const report = await this.options.orders.report(this.backEnd());
     this.noteAnswer(report !== undefined);
-    if (report !== undefined) this.sequence ??= report.sequence;
+    if (report === undefined) this.options.quarantine.unanswered(this.options.backEndId);
+    else this.sequence ??= report.sequence;
     return report;
   }
 
@@ -95,6 +99,16 @@
     return isQuiet && !isLate && report.sequence > this.uncertainSequence;
   }
 
+  /** Tells what came of a load that was sent. */
+  loadEnded(target: ModelTarget, isLoaded: boolean): void {
+    const { directory, backEndId, quarantine } = this.options;
+    const backEnd = directory.get(backEndId);
+    // Of one that is gone the quarantine has been told.
+    if (backEnd === undefined) return;
+    if (isLoaded) quarantine.finished(backEnd, target);
+    else quarantine.failed(backEnd, target);
+  }
+
   /** Believes a report about the number of orders taken. */
   adopt(report: WorkerReport): void {
     this.sequence = report.sequence;
@@ -204,8 +218,10 @@
   ): Promise<OrderOutcome> {
     const { authority, clock, orders, log, backEndId } = this.options;
     const fence = authority.currentFence();
-    this.lastSentAt = clock.monotonic();
-    const outcome = await orders.send(this.backEnd(), {
+    const sentAt = clock.monotonic();
+    this.lastSentAt = sentAt;
+    const backEnd = this.backEnd();
+    const outcome = await orders.send(backEnd, {
       operation,
       target,
       holder: authority.holder,
@@ -213,7 +229,11 @@
       expectedSequence,
     });
     this.lastSentAt = clock.monotonic();
-    this.noteAnswer(outcome !== 'unknown');
+    const isAnswered = outcome !== 'unknown' && outcome !== 'unreachable';
+    this.noteAnswer(isAnswered);
+    if (operation === 'load' && (outcome === 'accepted' || outcome === 'unknown'))
+      this.options.quarantine.ordered(backEnd, target, sentAt);
+    if (!isAnswered) this.options.quarantine.unanswered(backEndId);
     log.changed('order_answered', {
       backEnd: backEndId,
       operation,
@@ -222,7 +242,8 @@
       sequence: expectedSequence,
       outcome,
     });
-    return outcome;
+    // It may come back, so this is asked again like a lost answer.
+    return isAnswered ? outcome : 'unknown';
   }
 
   private noteAnswer(answered: boolean): void {
--- a/packages/residency/src/pending-demand.ts
+++ b/packages/residency/src/pending-demand.ts
@@ -23,7 +23,9 @@
   /** The demand's time has passed. */
   | 'not_in_time'
   /** More demands wait than the coordinator keeps. */
-  | 'queue_full';
+  | 'queue_full'
+  /** Its load has proved to end the workers that begin it. */
+  | 'load_quarantined';
 
 /** Why no worker of a zone can make room for a model. */
 export type NoPlaceCause =
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -14,6 +14,7 @@
 import type { CoordinatorDirectory, Member } from '@woodbarrow/exchange';
 import { logTaskFailures, type CallFailures, type EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
+import type { LoadQuarantine } from '@woodbarrow/quarantine';
 import {
   residencyDemandMethod,
   type ResidencyChange,
@@ -50,6 +51,7 @@
   /** Milliseconds that must lie between the orders of two coordinators of a zone. */
   readonly handoverPauseMs: number;
   readonly storeWindow: StoreWindowOptions;
+  readonly quarantine: LoadQuarantine;
   readonly failures: CallFailures;
   readonly clock: Clock;
   readonly random: Random;
@@ -302,8 +304,8 @@
   }
 
   private coordinate(zone: string, lease: StoreLease): ZoneResidency {
-    const { self, directory, loads, orders, serviceOf, announce, clock, random, log, storeWindow } =
-      this.options;
+    const { self, directory, loads, orders, serviceOf, announce, clock, random, log } = this.options;
+    const { storeWindow, quarantine } = this.options;
     return new ZoneResidency({
       zone,
       holder: self.id,
@@ -316,6 +318,7 @@
       random: random.fork(),
       log,
       storeWindow,
+      quarantine,
       signal: this.tasks.signal,
       zones: () => this.zones(),
       storeLoadsElsewhere: () => this.storeLoadsBeside(zone),
--- a/packages/residency/src/worker-orders.ts
+++ b/packages/residency/src/worker-orders.ts
@@ -9,6 +9,7 @@
 } from '@woodbarrow/backends';
 import { messageOf, WoodbarrowError } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
+import type { LoadQuarantine } from '@woodbarrow/quarantine';
 import { settleWithin, sleep, type Clock } from '@woodbarrow/runtime';
 import { AdapterOrders } from './adapter-orders.js';
 import type { LoadTimes, WeightSource } from './load-times.js';
@@ -26,6 +27,7 @@
   readonly engine: () => EngineDefinition | undefined;
   /** Told how long loads and unloads have taken. */
   readonly times: LoadTimes;
+  readonly quarantine: LoadQuarantine;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly signal: AbortSignal;
@@ -246,6 +248,7 @@
         await this.unload(victim, index === victims.length - 1);
       }
       const orderedAt = await this.load(order);
+      this.sender.loadEnded({ model }, true);
       const unloadMs = orderedAt - startedAt;
       const loadMs = clock.monotonic() - orderedAt;
       if (victims.length > 0) times.noteUnload(unloads.endsInMs, unloadMs);
@@ -265,6 +268,7 @@
       return true;
     } catch (error) {
       log.warned('load_failed', { backEnd: backEndId, model, cause: messageOf(error) });
+      this.sender.loadEnded({ model }, false);
       void this.learn();
       return false;
     }
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -2,6 +2,7 @@
 import {
   hasAdapter,
   targetKey,
+  type AdapterTarget,
   type BackEnd,
   type BackendDirectory,
   type LoadBook,
@@ -11,6 +12,7 @@
 import { rankByRendezvous, type StoreLease } from '@woodbarrow/coordination';
 import { WoodbarrowError } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
+import type { LoadQuarantine, Verdict } from '@woodbarrow/quarantine';
 import type {
   LoadUnderWay,
   ResidencyChange,
@@ -18,11 +20,12 @@
   ResidencyDemandMessage,
 } from '@woodbarrow/protocol';
 import { leastBy, settleWithin, sleep, type Clock, type Random } from '@woodbarrow/runtime';
+import { LoadAdmission } from './load-admission.js';
 import type { StoreWindowOptions } from './load-planner.js';
 import { LoadTimes } from './load-times.js';
 import { LoadScheduler } from './load-scheduler.js';
 import type { OrderClient } from './order-client.js';
-import type { Placement } from './pending-demand.js';
+import type { Placement, RefusedDemandReason } from './pending-demand.js';
 import { StoreLink } from './store-link.js';
 import { WorkerOrders } from './worker-orders.js';
 
@@ -46,6 +49,7 @@
   readonly storeLoadsElsewhere: () => number;
   /** Milliseconds until a model that another zone loads now is expected there; Infinity when none does. */
   readonly comesElsewhereInMs: (model: string) => number;
+  readonly quarantine: LoadQuarantine;
   /** Tells all daemons. */
   readonly announce: (change: ResidencyChange) => void;
 }
@@ -66,6 +70,8 @@
 /** Reason of an answer that only tells how long it would take. */
 export const QUOTE_REASON = 'quote';
 
+const LOAD_QUARANTINED: RefusedDemandReason = 'load_quarantined';
+
 /** One zone's coordinator. */
 export class ZoneResidency {
   private readonly workers = new Map<string, WorkerOrders>();
@@ -84,6 +90,7 @@
       ...options,
       times: this.times,
       link: this.link,
+      admission: new LoadAdmission(options),
       workersOf: (service) => this.openWorkers(service).map((backEnd) => this.workerOf(backEnd.id)),
       mayAct: () => options.lease.mayAct(),
     });
@@ -115,12 +122,28 @@
       return refused('no_engine', RETRY_AFTER_BUSY_MS);
     if (!(await this.waitUntilActing(leftMs()))) return refused('not_acting', RETRY_AFTER_BUSY_MS);
     await this.prepareWorkers(message.service);
+    const verdict = this.verdictOn(message);
+    if (verdict !== undefined) return refused(LOAD_QUARANTINED, verdict.retryAfterMs);
     if (message.quote === true) return this.quote(message);
     const placed = await this.placeModel(message, leftMs());
     if (placed.kind === 'refused') return refused(placed.reason, placed.retryAfterMs);
     return this.placeAdapter(placed.backEndId, message, leftMs());
   }
 
+  /** Why what a demand needs is not loaded; undefined where nothing has to be loaded, or it may be. */
+  private verdictOn(message: ResidencyDemandMessage): Verdict | undefined {
+    const { quarantine } = this.options;
+    const { service, model } = message;
+    const target = targetOf(message);
+    const holder = this.holderOf(message);
+    const needsModel = message.another === true || holder === undefined;
+    const needsAdapter = hasAdapter(target) && holder?.residents.isResident(target) !== true;
+    return (
+      (needsModel ? quarantine.verdictOf(service, { model }) : undefined) ??
+      (needsAdapter ? quarantine.verdictOf(service, target) : undefined)
+    );
+  }
+
   /** What is done without being asked: learns of workers, begins what time alone has made possible. */
   tend(service: string): void {
     void this.prepareWorkers(service);
@@ -182,12 +205,36 @@
     const target = targetOf(message);
     if (!hasAdapter(target)) return held(backEndId);
     const worker = this.workerOf(backEndId);
-    const loaded = await this.settle(worker.loadAdapter(target, withinMs), withinMs);
+    const loaded = await this.settle(this.loadAdapter(worker, message.service, target, withinMs), withinMs);
     return loaded === true
       ? held(backEndId)
       : refused('adapter_not_loaded', Math.max(RETRY_AFTER_BUSY_MS, worker.busyMs));
   }
 
+  /** Loads an adapter, one that is suspected to end workers on one worker at a time. Resolves with whether it is resident. */
+  private async loadAdapter(
+    worker: WorkerOrders,
+    service: string,
+    target: AdapterTarget,
+    withinMs: number,
+  ): Promise<boolean> {
+    const { clock, quarantine } = this.options;
+    const deadline = clock.monotonic() + withinMs;
+    const timeUp = new AbortController();
+    const cancelTimer = clock.schedule(withinMs, () => {
+      timeUp.abort();
+    });
+    const turn = await quarantine.takeTurn(service, target, timeUp.signal);
+    try {
+      const leftMs = deadline - clock.monotonic();
+      if (leftMs <= 0 || quarantine.verdictOf(service, target) !== undefined) return false;
+      return await worker.loadAdapter(target, leftMs);
+    } finally {
+      cancelTimer();
+      turn.release();
+    }
+  }
+
   /** The worker that has the target first among those that hold the model; always the same one where equal. */
   private holderOf(message: ResidencyDemandMessage): WorkerOrders | undefined {
     const holders = this.openWorkers(message.service)
@@ -209,7 +256,7 @@
   private workerOf(backEndId: string): WorkerOrders {
     const known = this.workers.get(backEndId);
     if (known !== undefined) return known;
-    const { directory, loads, orders, clock, log, signal, holder } = this.options;
+    const { directory, loads, orders, quarantine, clock, log, signal, holder } = this.options;
     const service = directory.get(backEndId)?.service ?? '';
     const worker = new WorkerOrders({
       backEndId,
@@ -219,6 +266,7 @@
       authority: { holder, currentFence: () => this.currentFence() },
       engine: () => this.options.serviceOf(service)?.engine,
       times: this.times,
+      quarantine,
       clock,
       log,
       signal,
--- a/packages/residency/test/crashing-loads-world.ts
+++ b/packages/residency/test/crashing-loads-world.ts
@@ -3,8 +3,10 @@
 import { StoreLease } from '@woodbarrow/coordination';
 import { silentLog } from '@woodbarrow/observability';
 import type { LoadUnderWay, ResidencyDemandAnswer } from '@woodbarrow/protocol';
-import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
+import type { QuarantineRecord, QuarantineStore } from '@woodbarrow/quarantine';
+import { Random, SimulatedProcess, SimulatedWorld, type Clock } from '@woodbarrow/runtime';
 import { ZoneResidency } from '../src/index.js';
+import { daemonQuarantine, type DaemonQuarantine } from './load-quarantines.js';
 import { SimulatedOrderClient, SimulatedWorker } from './simulated-workers.js';
 import { ENGINE, SERVICE, plainLeaseStore } from './zone-world.js';
 
@@ -14,7 +16,10 @@
 const CLAIM_PAUSE_MS = 300;
 /** Pause between two looks of a coordinator at what it can do without being asked, in milliseconds. */
 const TEND_PAUSE_MS = 500;
-const WORKERS_PER_ZONE = 4;
+/** Time that word of an end takes to all daemons, in milliseconds. */
+const WORD_MS = 300;
+/** Workers of each zone. */
+export const WORKERS_PER_ZONE = 4;
 /** Time that a request for a model may wait, in milliseconds. */
 const WITHIN_MS = 8000;
 
@@ -22,6 +27,7 @@
 export interface CoordinatedZone {
   readonly name: string;
   readonly coordinator: ZoneResidency;
+  readonly quarantine: DaemonQuarantine;
 }
 
 /** Several zones; every daemon sees the same records at once, and hears of others' loads with a delay. */
@@ -34,10 +40,25 @@
   readonly answers: ResidencyDemandAnswer[] = [];
   readonly workers = new Map<string, SimulatedWorker>();
   readonly directory: BackendDirectory;
+  /** Verdicts in the store. */
+  readonly records = new Map<string, QuarantineRecord>();
   private readonly process: SimulatedProcess;
   private readonly random: Random;
   private readonly told = new Map<string, readonly LoadUnderWay[]>();
   private started = 0;
+  /** The records' store, as operators and daemons use it. */
+  readonly store: QuarantineStore = {
+    create: (record) => {
+      if (!this.records.has(record.content)) this.records.set(record.content, record);
+      for (const { quarantine } of this.zones) quarantine.contents.recordSeen(record);
+      return Promise.resolve();
+    },
+    remove: (content) => {
+      this.records.delete(content);
+      for (const { quarantine } of this.zones) quarantine.contents.recordGone(content);
+      return Promise.resolve();
+    },
+  };
 
   /** @param endsUnder Loads that end the worker which begins them. */
   constructor(
@@ -64,6 +85,17 @@
     });
   }
 
+  /** All coordinators are killed, and others take their place: what they knew is lost, but for the store. */
+  async restartAll(): Promise<void> {
+    const names = this.zones.splice(0).map(({ name }) => name);
+    for (const name of names) this.zones.push(await this.coordinate(name, names));
+  }
+
+  /** Whether any daemon refuses to have a target loaded. */
+  isQuarantined(target: ModelTarget): boolean {
+    return this.zones.some(({ quarantine }) => quarantine.loads.verdictOf(SERVICE, target) !== undefined);
+  }
+
   async pass(durationMs: number): Promise<void> {
     await this.world.run(this.world.now + durationMs);
   }
@@ -77,14 +109,24 @@
     }
   }
 
-  /** A target is asked for once; the answer is among {@link answers} when it has come. */
-  ask({ name, coordinator }: CoordinatedZone, target: ModelTarget): void {
+  /** Ids of the workers of a zone that hold a model. */
+  holdersIn({ name }: CoordinatedZone, model: string): string[] {
+    const holders = [...this.workers].filter(([, worker]) => !worker.hasEnded && worker.models.has(model));
+    return holders.map(([id]) => id).filter((id) => this.directory.get(id)?.zone === name);
+  }
+
+  /**
+   * A target is asked for once; the answer is among {@link answers} when it has come.
+   *
+   * @param without Workers that cannot be used.
+   */
+  ask({ name, coordinator }: CoordinatedZone, target: ModelTarget, without: readonly string[] = []): void {
     const message = {
       zone: name,
       service: SERVICE,
       ...target,
       priority: 1,
-      without: [],
+      without,
       mayUseStore: true,
       withinMs: WITHIN_MS,
     };
@@ -142,6 +184,7 @@
       clock: process,
     });
     await lease.tryAcquire();
+    const quarantine = this.addQuarantine(process);
     const coordinator = new ZoneResidency({
       zone: name,
       holder: process.name,
@@ -157,12 +200,26 @@
       zones: () => zones,
       storeWindow: { windowMs: 5000, overshoot: 1 },
       storeLoadsElsewhere: () => 0,
+      quarantine: quarantine.loads,
       comesElsewhereInMs: (model) => this.comesElsewhereInMs(name, model),
       announce: ({ backEndId, resident, ...target }) => {
         this.directory.announce(backEndId, target, resident);
       },
     });
-    return { name, coordinator };
+    return { name, coordinator, quarantine };
+  }
+
+  private addQuarantine(clock: Clock): DaemonQuarantine {
+    const quarantine = daemonQuarantine(clock, this.directory, this.workers, this.store);
+    quarantine.contents.recordsListed([...this.records.values()]);
+    quarantine.contents.onNews = () => {
+      this.world.schedule(WORD_MS, () => {
+        for (const { quarantine: other } of this.zones) {
+          if (other !== quarantine) other.contents.merge(quarantine.contents.entries());
+        }
+      });
+    };
+    return quarantine;
   }
 
   private comesElsewhereInMs(zone: string, model: string): number {
--- a/packages/residency/test/demand-router.test.ts
+++ b/packages/residency/test/demand-router.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { BackendDirectory, NO_NEARBY_COPIES } from '@woodbarrow/backends';
+import { BackendDirectory, NO_NEARBY_COPIES, type ModelTarget } from '@woodbarrow/backends';
 import { CoordinatorDirectory } from '@woodbarrow/exchange';
 import type { ResidencyDemand, ResidencyOutcome } from '@woodbarrow/forwarding';
 import { CallFailures, silentLog } from '@woodbarrow/observability';
@@ -10,7 +10,9 @@
   type ResidencyDemandAnswer,
   type ResidencyDemandMessage,
 } from '@woodbarrow/protocol';
+import { QUARANTINE_MS, loadContent } from '@woodbarrow/quarantine';
 import { DemandRouter, QUOTE_REASON } from '../src/index.js';
+import { daemonQuarantine, type DaemonQuarantine } from './load-quarantines.js';
 
 const ZONES = ['alpha', 'beta'];
 
@@ -32,6 +34,8 @@
   readonly answers = new Map<string, Answer>();
   readonly coordinators = new Map<string, SimulatedNode>();
   private router: DemandRouter | undefined;
+  private quarantined: DaemonQuarantine | undefined;
+  private wall: () => number = () => 0;
 
   async start(copies: readonly string[] = []): Promise<void> {
     const node = await this.cluster.add('asking');
@@ -73,16 +77,31 @@
       node.process.schedule(300, repeat);
     };
     repeat();
+    this.wall = () => node.process.wall();
+    this.quarantined = daemonQuarantine(node.process, directory);
     this.router = new DemandRouter({
       directory,
       coordinators: directoryOfCoordinators,
       peers: node.peers,
+      quarantine: this.quarantined.loads,
       clock: node.process,
       failures: new CallFailures(node.process, silentLog),
       log: silentLog,
     });
   }
 
+  /** The asking daemon learns of a verdict on a load. */
+  quarantine(target: ModelTarget): void {
+    this.quarantined?.contents.recordSeen({
+      content: loadContent('models', target),
+      processes: ['w1', 'w2', 'w3'],
+      route: '',
+      requestId: '',
+      foundBy: 'other',
+      at: this.wall(),
+    });
+  }
+
   ask(changes: Partial<ResidencyDemand> = {}): Promise<ResidencyOutcome> {
     const demand = {
       service: 'models',
@@ -163,6 +182,29 @@
     expect(await world.ask()).to.deep.equal({ held: true, backEndId: 'worker-beta' });
   });
 
+  it('refuses at once what has proved to end the workers that load it, and asks no coordinator', async () => {
+    await world.start();
+    for (const zone of ZONES) world.answers.set(zone, quoting(100));
+    const target = { model: 'm', adapter: 'a' };
+    world.quarantine(target);
+    const refused = await world.ask({ target });
+    expect(refused).to.include({ held: false, reason: 'load_quarantined' });
+    if (!refused.held) expect(refused.retryAfterMs).to.be.greaterThan(QUARANTINE_MS / 2);
+    expect(world.asked).to.have.length(0);
+    expect(await world.ask({ target: { model: 'm' } })).to.include({ held: true });
+  });
+
+  it('refuses what waits at a coordinator once its load has proved to end the workers', async () => {
+    await world.start();
+    for (const zone of ZONES) world.answers.set(zone, quoting(Infinity));
+    world.cluster.world.schedule(700, () => {
+      world.quarantine({ model: 'm' });
+    });
+    const startedAt = world.cluster.world.now;
+    expect(await world.ask()).to.include({ held: false, reason: 'load_quarantined' });
+    expect(world.cluster.world.now - startedAt).to.be.below(1000);
+  });
+
   it('asks again until its time is up while no zone can make room', async () => {
     await world.start();
     for (const zone of ZONES) world.answers.set(zone, quoting(Infinity));
--- /dev/null
+++ b/packages/residency/test/load-quarantines.ts
@@ -0,0 +1,49 @@
+/** Quarantines of loads for tests: the processes that they ask after are simulated workers. */
+import type { BackEnd, BackendDirectory } from '@woodbarrow/backends';
+import { silentLog } from '@woodbarrow/observability';
+import {
+  LoadQuarantine,
+  RequestQuarantine,
+  type ProcessAnswer,
+  type QuarantineStore,
+} from '@woodbarrow/quarantine';
+import { Random, type Clock } from '@woodbarrow/runtime';
+import type { SimulatedWorker } from './simulated-workers.js';
+
+/** What a daemon knows against contents, loads among them. */
+export interface DaemonQuarantine {
+  readonly contents: RequestQuarantine;
+  readonly loads: LoadQuarantine;
+}
+
+/** A store that takes everything and tells nobody. */
+const FORGETFUL_STORE: QuarantineStore = {
+  create: () => Promise.resolve(),
+  remove: () => Promise.resolve(),
+};
+
+/** A daemon's quarantine. @param workers The processes that it asks after; those that are not among them do not answer. */
+export function daemonQuarantine(
+  clock: Clock,
+  directory: BackendDirectory,
+  workers: ReadonlyMap<string, SimulatedWorker> = new Map(),
+  store: QuarantineStore = FORGETFUL_STORE,
+): DaemonQuarantine {
+  const contents = new RequestQuarantine({
+    daemon: 'daemon',
+    probe: { ask: (backEnd) => Promise.resolve(answerOf(workers, backEnd)) },
+    store,
+    removesRecord: () => true,
+    clock,
+    random: new Random(7),
+    log: silentLog,
+  });
+  return { contents, loads: new LoadQuarantine({ contents, directory, clock, log: silentLog }) };
+}
+
+function answerOf(workers: ReadonlyMap<string, SimulatedWorker>, { id }: BackEnd): ProcessAnswer {
+  const worker = workers.get(id);
+  if (worker === undefined) return 'unknown';
+  if (!worker.hasEnded) return 'running';
+  return worker.isReplaced ? 'replaced' : 'refused';
+}
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -6,6 +6,7 @@
 import { Random } from '@woodbarrow/runtime';
 import { CoordinatorDirectory, PeerExchange, type FollowedRecords } from '@woodbarrow/exchange';
 import { ResidencyService, type OrderClient, type RunningMember } from '../src/index.js';
+import { daemonQuarantine } from './load-quarantines.js';
 
 const ZONES = ['alpha', 'beta', 'gamma'];
 
@@ -132,6 +133,7 @@
       serviceOf: () => ({ name: 'models', connectionLimit: 1, engine }),
       handoverPauseMs: 3000,
       storeWindow: { windowMs: 5000, overshoot: 1 },
+      quarantine: daemonQuarantine(node.process, directory).loads,
       failures: new CallFailures(node.process, silentLog),
       clock: node.process,
       random: new Random(1),
--- a/packages/residency/test/simulated-workers.ts
+++ b/packages/residency/test/simulated-workers.ts
@@ -235,7 +235,7 @@
       } else {
         this.world.schedule(ROUND_TRIP_MS / 2, () => {
           if (worker.hasEnded) {
-            answer(worker.isReplaced ? 'gone' : 'unknown', ROUND_TRIP_MS / 2);
+            answer(worker.isReplaced ? 'gone' : 'unreachable', ROUND_TRIP_MS / 2);
             return;
           }
           const outcome = worker.take(order);
--- a/packages/residency/test/worker-orders.test.ts
+++ b/packages/residency/test/worker-orders.test.ts
@@ -23,6 +23,7 @@
       authority: { holder: 'daemon', currentFence: () => 1 },
       engine: () => zone.engine,
       times: new LoadTimes(),
+      quarantine: zone.quarantine.loads,
       clock: zone.process,
       log: silentLog,
       signal: new AbortController().signal,
--- a/packages/residency/test/zone-world.ts
+++ b/packages/residency/test/zone-world.ts
@@ -5,6 +5,7 @@
 import type { ResidencyDemandAnswer } from '@woodbarrow/protocol';
 import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
 import { ZoneResidency } from '../src/index.js';
+import { daemonQuarantine, type DaemonQuarantine } from './load-quarantines.js';
 import {
   ADAPTER_SLOTS,
   SimulatedOrderClient,
@@ -50,6 +51,7 @@
   readonly process: SimulatedProcess;
   readonly orders: SimulatedOrderClient;
   readonly loads: LoadBook;
+  readonly quarantine: DaemonQuarantine;
   engine = ENGINE;
   /** Models that another zone loads, with the time until they are there. */
   readonly comesElsewhere = new Map<string, number>();
@@ -62,6 +64,7 @@
     this.directory = new BackendDirectory(this.process);
     this.loads = new LoadBook(this.process);
     this.orders = new SimulatedOrderClient(this.world, this.process, this.workers, this.random.fork());
+    this.quarantine = daemonQuarantine(this.process, this.directory, this.workers);
     for (let index = 0; index < workerCount; index += 1) this.addWorker(`w${String(index)}`);
   }
 
@@ -108,6 +111,7 @@
       zones: () => [ZONE],
       storeWindow: { windowMs: 5000, overshoot: 1 },
       storeLoadsElsewhere: () => 0,
+      quarantine: this.quarantine.loads,
       comesElsewhereInMs: (model) => this.comesElsewhere.get(model) ?? Infinity,
       announce: ({ backEndId, resident, ...target }) => {
         this.directory.announce(backEndId, target, resident);
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -16,7 +16,7 @@
 import { CallFailures, logTaskFailures, type BoundedLog } from '@woodbarrow/observability';
 import { PeerNetwork } from '@woodbarrow/peering';
 import { ownerByRendezvous } from '@woodbarrow/coordination';
-import { RequestQuarantine } from '@woodbarrow/quarantine';
+import { LoadQuarantine, RequestQuarantine } from '@woodbarrow/quarantine';
 import { DemandRouter, ResidencyService } from '@woodbarrow/residency';
 import {
   NodeIngress,
@@ -75,6 +75,7 @@
   private readonly membership: Membership;
   private readonly residency: ResidencyService;
   private readonly quarantine: RequestQuarantine;
+  private readonly loadQuarantine: LoadQuarantine;
   private readonly records: RecordFollower;
   private readonly exchange: PeerExchange;
   private readonly forwarder: Forwarder;
@@ -104,6 +105,8 @@
     this.directory = new BackendDirectory(clock);
     this.loads = new LoadBook(clock);
     this.quarantine = this.createQuarantine();
+    const { directory, quarantine: contents } = this;
+    this.loadQuarantine = new LoadQuarantine({ contents, directory, clock, log });
     this.view = new DeploymentView(this.configuration, this.directory, this.quarantine, log, (limits) =>
       this.ingress?.setLimits(limits),
     );
@@ -268,6 +271,7 @@
       },
       handoverPauseMs: settings.handoverPauseMs,
       storeWindow: settings.storeWindow,
+      quarantine: this.loadQuarantine,
       failures: this.failures,
       clock: ports.clock,
       random: ports.random.fork(),
@@ -341,14 +345,16 @@
       callFailures: () => this.failures.totals(),
       unserved: () => residency.unserved(),
       quarantine: () => this.quarantine.totals,
+      loadQuarantine: () => this.loadQuarantine.totals,
       log,
     });
   }
 
   private createForwarder(coordinators: CoordinatorDirectory): Forwarder {
-    const { settings, ports, log, directory, loads, peers, affinity } = this;
+    const { settings, ports, log, directory, loads, peers, affinity, failures } = this;
     const { clock, client, dialect, random } = ports;
-    const demands = new DemandRouter({ directory, coordinators, peers, clock, failures: this.failures, log });
+    const quarantine = this.loadQuarantine;
+    const demands = new DemandRouter({ directory, coordinators, peers, quarantine, clock, failures, log });
     const connections = new ConnectionShare(loads, () => this.membership.eligible().length);
     const context = {
       clock,
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -1,5 +1,5 @@
 /** Metrics of a serving daemon. */
-import type { QuarantineTotals } from '@woodbarrow/quarantine';
+import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
 import type { UnservedDemands } from '@woodbarrow/residency';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
 
@@ -16,6 +16,7 @@
   /** What the zones coordinated here could not serve, by zone. */
   readonly unserved: () => ReadonlyMap<string, UnservedDemands>;
   readonly quarantine: () => QuarantineTotals;
+  readonly loadQuarantine: () => LoadQuarantineTotals;
   readonly log: BoundedLog;
 }
 
@@ -75,7 +76,7 @@
       'call',
     );
     this.addUnservedGauges(sources);
-    this.addQuarantineGauge(sources);
+    this.addQuarantineGauges(sources);
     registry.gauge(
       'woodbarrow_log_lines_dropped',
       'Log lines left out since the start.',
@@ -112,13 +113,19 @@
     );
   }
 
-  private addQuarantineGauge({ quarantine }: MetricSources): void {
+  private addQuarantineGauges({ quarantine, loadQuarantine }: MetricSources): void {
     this.registry.gauge(
       'woodbarrow_quarantine',
       'Pairs of a content and a process that ended under it, contents with such processes, contents that are refused.',
       () => new Map(Object.entries(quarantine())),
       'of',
     );
+    this.registry.gauge(
+      'woodbarrow_load_quarantine',
+      'Models and adapters that workers ended under, those that are not loaded any more, demands refused for it since the start.',
+      () => new Map(Object.entries(loadQuarantine())),
+      'of',
+    );
   }
 
   get contentType(): string {
