Failing test: the store falls silent to all three daemons that follow it

Cause: a follower calls itself one until its watch has been given up, which takes its wait and the slack, 3.5 s together; the watches of all three begin anew together with each change, so none notices earlier. The bound for the word that a worker leaves is 3.0 s.

The store in memory let a silent watch wait anew from the moment of the silence; it now gives up at the end of its own time, as the store client does.

--- a/packages/serving/test/exchange.test.ts
+++ b/packages/serving/test/exchange.test.ts
@@ -11,6 +11,8 @@
 
 const CONFIGURATION = 'settings';
 const BACK_ENDS = 'workers';
+/** Time in which the word that a worker leaves is to be known everywhere, in milliseconds: the contract gives 3000 until the last request. */
+const LEAVING_WORD_MS = 2900;
 const noSink: DeploymentSink = {
   configuration: () => undefined,
   backEndsListed: () => undefined,
@@ -369,6 +371,25 @@
     expect(world.except(({ values }) => !values.has(`${BACK_ENDS}/w1`))).to.deep.equal([]);
   });
 
+  it('hears of a change in time where the store falls silent to all that follow it, at whichever moment', async () => {
+    const lateAfter: Record<number, string[]> = {};
+    for (let sinceChangeMs = 500; sinceChangeMs <= 3000; sinceChangeMs += 500) {
+      // A change that all watches bring, so that they begin anew together.
+      world.store.put(BACK_ENDS, 'w1', sinceChangeMs);
+      world.store.takeCallers();
+      await world.cluster.advance(sinceChangeMs);
+      for (const id of world.store.takeCallers()) world.store.silentFor.add(id);
+      const name = `after-${String(sinceChangeMs)}`;
+      world.store.put(BACK_ENDS, name, 'here');
+      await world.cluster.advance(LEAVING_WORD_MS);
+      const late = world.except(({ values }) => values.has(`${BACK_ENDS}/${name}`));
+      if (late.length > 0) lateAfter[sinceChangeMs] = late;
+      world.store.silentFor.clear();
+      await world.cluster.advance(6000);
+    }
+    expect(lateAfter).to.deep.equal({});
+  });
+
   it('hears of a change soon after the store has been silent to all', async () => {
     for (const { self } of world.daemons) world.store.silentFor.add(self.id);
     await world.cluster.advance(500);
--- a/packages/serving/test/store-in-memory.ts
+++ b/packages/serving/test/store-in-memory.ts
@@ -4,7 +4,7 @@
 
 const ANSWER_MS = 4;
 const LOOK_INTERVAL_MS = 20;
-/** A call that gets no answer is given up by its caller this long after what it asked to wait. */
+/** A call that gets no answer is given up by its caller this long after its begin, and what it asked to wait. */
 const CALL_PATIENCE_MS = 1000;
 
 interface Change {
@@ -70,7 +70,7 @@
   ): Promise<WatchResult> {
     const until = clock.monotonic() + waitMs;
     for (;;) {
-      await this.answer(daemon, clock, waitMs);
+      await this.answer(daemon, clock, until + CALL_PATIENCE_MS);
       const changes = this.changes.filter((change) => change.kind === kind && change.record.revision > from);
       if (changes.length > 0 || clock.monotonic() >= until) {
         return { kind: 'changes', changes, revision: this.revision };
@@ -80,11 +80,15 @@
     }
   }
 
-  private async answer(daemon: string, clock: Clock, waitMs = 0): Promise<void> {
+  private async answer(
+    daemon: string,
+    clock: Clock,
+    givenUpAt = clock.monotonic() + CALL_PATIENCE_MS,
+  ): Promise<void> {
     await sleep(clock, ANSWER_MS);
     if (this.unreachableFor.has(daemon)) throw new Error('no answer');
     if (this.silentFor.has(daemon)) {
-      await sleep(clock, waitMs + CALL_PATIENCE_MS);
+      await sleep(clock, givenUpAt - clock.monotonic());
       throw new Error('no answer in time');
     }
     this.calls.set(daemon, (this.calls.get(daemon) ?? 0) + 1);
