Failing: properties of the answer that a client gets, over arbitrary back ends

Requests of all four kinds meet back ends that break off, end regularly, are killed or fall silent at any byte, answer a take-up with a failure, with another type, with nothing, or with a run that begins anew, skips, goes back, repeats, names no ids, or whose ids do not rise. answer-judge.ts compares what the client received with what the back ends sent: one run's bytes, or whole events of runs joined where the route allows it, ids rising by one from the event that the client had; complete only when the run that the bytes end with came from a process that lives on, ended regularly and inside no event, and all its bytes are there.

The exchange of the test world now keeps a second head and bytes after the end, lets clients leave, and passes headers.

--- /dev/null
+++ b/packages/forwarding/test/arbitrary-workers.ts
@@ -0,0 +1,313 @@
+/** Back ends that answer a request in arbitrary ways, most of them faulty, and a record of what each of them sent. */
+import { Readable } from 'node:stream';
+import fc from 'fast-check';
+import { HttpNotSentError, type BackendAnswer, type BackendCall } from '@woodbarrow/runtime';
+import type { ForwardingWorld } from './simulated-exchange.js';
+
+/** How the ids of a run go: where it begins that is asked to go on after an event, or what is wrong within any run. */
+export type Course =
+  | 'next'
+  | 'anew'
+  | 'skipped'
+  | 'gone_back'
+  | 'repeated'
+  | 'nameless'
+  | 'none'
+  | 'no_ids'
+  | 'back_within'
+  | 'twice_within';
+
+/** How the events of a run look on the wire. */
+export interface EventLayout {
+  readonly lineEnd: '\n' | '\r\n';
+  readonly idLine: 'id: ' | 'id:';
+  /** The id comes after the data. */
+  readonly idLast: boolean;
+  readonly comments: 'none' | 'within' | 'between';
+}
+
+/** How the bytes of an answer come. */
+export interface Delivery {
+  /** Where it ends early, counted modulo all bytes or all events; all of it comes when absent. */
+  readonly cut: { readonly behind: 'byte' | 'event'; readonly count: number } | undefined;
+  readonly ending: 'plain' | 'killed' | 'broken' | 'stalled';
+  /** The body ends with its connection, which closes in the same way when the process is killed. */
+  readonly endsWithConnection: boolean;
+  /** Sizes of the pieces in turn, in bytes. */
+  readonly chunkSizes: readonly number[];
+  /** A pause before one of the pieces. */
+  readonly pause: { readonly beforeChunk: number; readonly ms: number } | undefined;
+  /** Until the head, in milliseconds. */
+  readonly headMs: number;
+}
+
+/** A send that brings no answer to the request. */
+type NoAnswer = 'unreachable' | 'declined' | 'reset' | 'silent';
+
+/** What a back end does with one request. */
+export type RunPlan =
+  | { readonly kind: NoAnswer }
+  | {
+      readonly kind: 'answer';
+      readonly status: number;
+      readonly contentType: string;
+      readonly course: Course;
+      readonly layout: EventLayout;
+      /** Size of an answer that is no stream, in bytes. */
+      readonly size: number;
+      readonly delivery: Delivery;
+    };
+
+type AnswerPlan = Extract<RunPlan, { readonly kind: 'answer' }>;
+
+/** A run that answered, and all that it sends if it is read to the end. */
+export interface Run {
+  readonly number: number;
+  readonly status: number;
+  readonly isEventStream: boolean;
+  /** The event after which it was asked to begin; 0 for the beginning. */
+  readonly after: number;
+  readonly bytes: string;
+  readonly ending: Delivery['ending'];
+}
+
+/** Name of the header by which a client sees which run began its answer. */
+export const STAMP_HEADER = 'Stamp';
+const EVENT_STREAM = 'text/event-stream';
+/** Sizes around the one up to which answers are held until they are whole, in bytes. */
+const LARGE_SIZES = { min: 60_000, max: 140_000 };
+
+/** The usual value three times in four. */
+function mostly<Value>(usual: Value, ...others: Value[]): fc.Arbitrary<Value> {
+  return fc.oneof(
+    { weight: 3, arbitrary: fc.constant(usual) },
+    { weight: 1, arbitrary: fc.constantFrom(...others) },
+  );
+}
+
+const layouts: fc.Arbitrary<EventLayout> = fc.record({
+  lineEnd: fc.constantFrom('\n', '\r\n'),
+  idLine: fc.constantFrom('id: ', 'id:'),
+  idLast: fc.boolean(),
+  comments: fc.constantFrom('none', 'within', 'between'),
+});
+
+const deliveries: fc.Arbitrary<Delivery> = fc.record({
+  cut: fc.option(fc.record({ behind: fc.constantFrom('event', 'byte'), count: fc.nat(LARGE_SIZES.max) }), {
+    nil: undefined,
+    freq: 2,
+  }),
+  ending: fc.constantFrom('plain', 'plain', 'broken', 'broken', 'killed', 'stalled'),
+  endsWithConnection: fc.boolean(),
+  chunkSizes: fc.array(fc.integer({ min: 1, max: 200 }), { minLength: 1, maxLength: 4 }),
+  pause: fc.option(fc.record({ beforeChunk: fc.nat(6), ms: fc.constantFrom(1, 30, 200, 400, 900, 2500) }), {
+    nil: undefined,
+    freq: 2,
+  }),
+  headMs: fc.constantFrom(0, 0, 5, 500),
+});
+
+const answers: fc.Arbitrary<RunPlan> = fc.record({
+  kind: fc.constant('answer' as const),
+  status: mostly(200, 201, 400, 404, 500),
+  contentType: mostly(EVENT_STREAM, 'Text/Event-Stream; charset=utf-8', 'text/plain'),
+  course: mostly<Course>(
+    'next',
+    'anew',
+    'skipped',
+    'gone_back',
+    'repeated',
+    'nameless',
+    'none',
+    'no_ids',
+    'back_within',
+    'twice_within',
+  ),
+  layout: layouts,
+  size: fc.oneof({ withCrossShrink: true }, fc.nat(200), fc.integer(LARGE_SIZES)),
+  delivery: deliveries,
+});
+
+/** What back ends do with the sends of one request, in the order of the sends. */
+export const runPlans: fc.Arbitrary<readonly RunPlan[]> = fc.array(
+  fc.oneof(
+    { weight: 6, arbitrary: answers },
+    {
+      weight: 1,
+      arbitrary: fc.constantFrom('unreachable', 'declined', 'reset', 'silent').map((kind) => ({ kind })),
+    },
+  ),
+  { minLength: 1, maxLength: 6 },
+);
+
+/** Sends of one request: each follows the next plan, and all beyond them are declined. */
+export class PlannedSends {
+  /** Runs that answered, in the order of the sends. */
+  readonly runs: Run[] = [];
+  /** Back ends that may have run the request. */
+  readonly ranOn: string[] = [];
+  /** Back ends whose process has ended. */
+  readonly killed = new Set<string>();
+  private sends = 0;
+
+  /** @param events Length of the whole stream. @param isStream Whether successes are streams of events. */
+  constructor(
+    private readonly plans: readonly RunPlan[],
+    private readonly events: number,
+    private readonly isStream: boolean,
+  ) {}
+
+  /** Answers the next send. */
+  async answer(call: BackendCall, world: ForwardingWorld): Promise<BackendAnswer> {
+    const plan = this.plans[this.sends] ?? { kind: 'declined' };
+    this.sends += 1;
+    if (plan.kind !== 'unreachable' && plan.kind !== 'declined') this.ranOn.push(call.address);
+    if (plan.kind !== 'answer') return withoutAnswer(plan.kind);
+    const run = this.begin(plan, Number(call.headers[call.headers.indexOf('resume') + 1]));
+    if (plan.delivery.headMs > 0) await world.wait(plan.delivery.headMs);
+    const headers = ['Content-Type', plan.contentType, STAMP_HEADER, String(run.number)];
+    const body = this.deliver(run, call, plan.delivery, world);
+    return { ...toAnswer(plan.status, headers, body), endsWithConnection: plan.delivery.endsWithConnection };
+  }
+
+  private async *deliver(
+    run: Run,
+    { signal, address }: BackendCall,
+    delivery: Delivery,
+    world: ForwardingWorld,
+  ): AsyncGenerator<Uint8Array> {
+    for await (const piece of piecesOf(run, delivery, world)) {
+      if (signal.aborted) throw new Error('given up');
+      yield piece;
+    }
+    const { ending, endsWithConnection } = delivery;
+    if (ending === 'stalled') await untilAborted(signal);
+    if (ending === 'killed') this.killed.add(address);
+    const closesRegularly = ending === 'plain' || (ending === 'killed' && endsWithConnection);
+    if (!closesRegularly) throw new Error('broken off');
+  }
+
+  private begin(plan: AnswerPlan, after: number): Run {
+    const number = this.sends;
+    const isEventStream = plan.contentType.toLowerCase().startsWith(EVENT_STREAM);
+    const isSuccess = plan.status < 300;
+    const whole =
+      this.isStream && isSuccess
+        ? eventsOf(plan, number, after, this.events)
+        : `run ${String(number)} ${String(plan.status)} `.padEnd(plan.size, '.');
+    const { cut, ending } = plan.delivery;
+    const bytes = whole.slice(0, cutPosition(whole, cut));
+    const run = { number, status: plan.status, isEventStream, after, bytes, ending };
+    this.runs.push(run);
+    return run;
+  }
+}
+
+function cutPosition(whole: string, cut: Delivery['cut']): number {
+  if (cut === undefined) return whole.length;
+  if (cut.behind === 'byte') return cut.count % (whole.length + 1);
+  const ends = [...whole.matchAll(/\r?\n\r?\n/g)].map(({ index, 0: lineEnds }) => index + lineEnds.length);
+  return [0, ...ends][cut.count % (ends.length + 1)] ?? 0;
+}
+
+function withoutAnswer(kind: NoAnswer): Promise<BackendAnswer> {
+  switch (kind) {
+    case 'unreachable':
+      return Promise.reject(new HttpNotSentError('nobody'));
+    case 'declined':
+      return Promise.resolve(toAnswer(503, [], Readable.from([])));
+    case 'reset':
+      return Promise.reject(new Error('reset'));
+    case 'silent':
+      return new Promise(() => undefined);
+  }
+}
+
+function eventsOf(plan: AnswerPlan, run: number, after: number, last: number): string {
+  const { course } = plan;
+  const isNameless = (index: number): boolean =>
+    course === 'no_ids' || (course === 'nameless' && after > 0 && index === 0);
+  return idsOf(course, after, last)
+    .map((id, index) => eventText(plan.layout, run, id, isNameless(index)))
+    .join('');
+}
+
+function idsOf(course: Course, after: number, last: number): number[] {
+  const ids: number[] = [];
+  for (let id = firstIdOf(course, after, last); id <= last; id += 1) ids.push(id);
+  const [first] = ids;
+  if (first !== undefined && course === 'back_within') ids.splice(2, 0, first);
+  if (first !== undefined && course === 'twice_within') ids.splice(1, 0, first);
+  return ids;
+}
+
+/** A run that is asked for the beginning gives it. */
+function firstIdOf(course: Course, after: number, last: number): number {
+  const next = after + 1;
+  if (after === 0) return next;
+  switch (course) {
+    case 'anew':
+      return 1;
+    case 'skipped':
+      return next + 1;
+    case 'gone_back':
+      return Math.max(1, after - 1);
+    case 'repeated':
+      return after;
+    case 'none':
+      return last + 1;
+    default:
+      return next;
+  }
+}
+
+/** Blocks of different runs differ. */
+function eventText(layout: EventLayout, run: number, id: number, isNameless: boolean): string {
+  const { lineEnd, comments } = layout;
+  const name = `run ${String(run)} piece ${String(id)}`;
+  const idLines = isNameless ? [] : [`${layout.idLine}${String(id)}`];
+  const dataLines = [`data: ${name}`, 'data: id: 1'];
+  const lines = layout.idLast ? [...dataLines, ...idLines] : [...idLines, ...dataLines];
+  const comment = `: before ${name}`;
+  if (comments === 'within') lines.unshift(comment);
+  if (comments === 'between') lines.unshift(comment, '');
+  return [...lines, '', ''].join(lineEnd);
+}
+
+async function* piecesOf(
+  run: Run,
+  { chunkSizes, pause }: Delivery,
+  world: ForwardingWorld,
+): AsyncGenerator<Uint8Array> {
+  const bytes = Buffer.from(run.bytes);
+  // Large answers come in few pieces.
+  const scale = Math.max(1, Math.floor(bytes.byteLength / 2000));
+  let position = 0;
+  for (let count = 0; position < bytes.byteLength; count += 1) {
+    if (pause?.beforeChunk === count) await world.wait(pause.ms);
+    const end = position + (chunkSizes[count % chunkSizes.length] ?? 1) * scale;
+    yield bytes.subarray(position, end);
+    position = end;
+  }
+}
+
+function untilAborted(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) resolve();
+    signal.addEventListener('abort', () => {
+      resolve();
+    });
+  });
+}
+
+function toAnswer(
+  status: number,
+  rawHeaders: readonly string[],
+  body: AsyncIterable<Uint8Array>,
+): BackendAnswer {
+  const headers: Record<string, string> = {};
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    headers[(rawHeaders[index] ?? '').toLowerCase()] = rawHeaders[index + 1] ?? '';
+  }
+  return { status, headers, rawHeaders, body, endsWithConnection: false, discard: () => undefined };
+}
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -42,24 +42,42 @@
   type WireDialect,
 } from '../src/index.js';
 
+/** Virtual time after which a request that has not ended never will, in milliseconds. */
+const LONGEST_REQUEST_MS = 60_000;
+
 /** What a back end does with a request. */
 export type BackendScript = (call: BackendCall, world: ForwardingWorld) => Promise<BackendAnswer>;
 
+/** How a client behaves while it is answered. */
+export interface ClientBehaviour {
+  /** It leaves after so many milliseconds; it stays when absent. */
+  readonly leavesAfterMs?: number | undefined;
+  /** Resolves once the client has taken a piece of a stream. */
+  readonly take?: () => Promise<void>;
+}
+
 /** An exchange that keeps what it was answered with. */
 export class SimulatedExchange implements IncomingExchange {
   readonly method = 'POST';
-  readonly rawHeaders: string[] = [];
+  readonly rawHeaders: string[];
   readonly controller = new AbortController();
   status = 0;
   answerHeaders: readonly string[] = [];
   body = '';
   /** How it ended. */
   ending: 'open' | 'complete' | 'aborted' = 'open';
+  /** What was written beside the one answer, while the client was there: a second head, or bytes after the end. */
+  readonly surplus: string[] = [];
 
   constructor(
     readonly target: string,
     readonly headers: Record<string, string | undefined>,
-  ) {}
+    private readonly take: () => Promise<void> = () => Promise.resolve(),
+  ) {
+    this.rawHeaders = Object.entries(headers).flatMap(([name, value]) =>
+      value === undefined ? [] : [name, value],
+    );
+  }
 
   get signal(): AbortSignal {
     return this.controller.signal;
@@ -70,27 +88,50 @@
   }
 
   respond(head: ResponseHead, body: Uint8Array): void {
-    this.status = head.status;
-    this.answerHeaders = head.headers;
+    if (!this.begin(head)) return;
     this.body = Buffer.from(body).toString();
     this.ending = 'complete';
   }
 
   beginStream(head: ResponseHead): ResponseStream {
-    this.status = head.status;
+    this.begin(head);
     return {
-      write: (chunk) => {
-        this.body += Buffer.from(chunk).toString();
-        return Promise.resolve();
+      write: async (chunk) => {
+        if (this.isOpenFor('bytes')) this.body += Buffer.from(chunk).toString();
+        await this.take();
+      },
+      end: () => {
+        if (this.isOpenFor('an end')) this.ending = 'complete';
+      },
+      abort: () => {
+        this.abort();
       },
-      end: () => (this.ending = 'complete'),
-      abort: () => (this.ending = 'aborted'),
     };
   }
 
   abort(): void {
     if (this.ending === 'open') this.ending = 'aborted';
   }
+
+  /** The client goes; what is written from now on does not reach it. */
+  leave(): void {
+    this.abort();
+    this.controller.abort();
+  }
+
+  private begin(head: ResponseHead): boolean {
+    if (!this.isOpenFor('a head')) return false;
+    if (this.status !== 0) this.surplus.push(`a second head of status ${String(head.status)}`);
+    this.status = head.status;
+    this.answerHeaders = head.headers;
+    return true;
+  }
+
+  private isOpenFor(what: string): boolean {
+    if (this.ending === 'open') return true;
+    if (!this.signal.aborted) this.surplus.push(`${what} after the end`);
+    return false;
+  }
 }
 
 const dialect: WireDialect = {
@@ -98,13 +139,19 @@
     id: headers['id'] ?? '',
     ...(headers['wait'] === undefined ? {} : { waitMs: Number(headers['wait']) }),
     ...(headers['model'] === undefined ? {} : { target: toTarget(headers['model']) }),
+    ...(headers['resume'] === undefined ? {} : { resumeAfter: headers['resume'] }),
     promptTokens: 100,
     outputTokens: 10,
     promptParts: [],
     ...(headers['resume'] === undefined ? {} : { resumeAfter: headers['resume'] }),
   }),
-  requestHeaders: (_received, send) => ['left', String(send.remainingMs), 'resume', send.resumeAfter ?? ''],
-  answerHeaders: () => [],
+  requestHeaders: (received, send) => [
+    'left',
+    String(send.remainingMs),
+    'resume',
+    send.resumeAfter ?? valueOf(received, 'resume'),
+  ],
+  answerHeaders: (received) => [...received],
   ownHeaders: (_id, retryAfterSeconds) =>
     retryAfterSeconds === undefined ? [] : ['retry', String(retryAfterSeconds)],
   judge: (_sent, status) => (status === 503 ? 'not_run' : 'genuine'),
@@ -183,12 +230,23 @@
     return backEnd;
   }
 
-  /** Sends a request and resolves once it has been answered or ended. */
-  async ask(headers: Record<string, string> = {}, target = '/r0/'): Promise<SimulatedExchange> {
-    const exchange = new SimulatedExchange(target, { host: 'host', id: 'x', ...headers });
+  /** Sends a request and resolves once it has been answered or ended. @throws Error when that never happens. */
+  async ask(
+    headers: Record<string, string> = {},
+    target = '/r0/',
+    client: ClientBehaviour = {},
+  ): Promise<SimulatedExchange> {
+    const exchange = new SimulatedExchange(target, { host: 'host', id: 'x', ...headers }, client.take);
     let settled = false;
     const handled = this.forwarder.handle(exchange).finally(() => (settled = true));
-    await this.world.run(this.world.now + 60_000, () => settled);
+    const { leavesAfterMs } = client;
+    if (leavesAfterMs !== undefined) {
+      this.process.schedule(leavesAfterMs, () => {
+        exchange.leave();
+      });
+    }
+    await this.world.run(this.world.now + LONGEST_REQUEST_MS, () => settled);
+    if (!settled) throw new Error('the request never ended');
     await handled;
     return exchange;
   }
@@ -256,6 +314,11 @@
   }
 }
 
+function valueOf(headers: readonly string[], name: string): string {
+  const index = headers.indexOf(name);
+  return index < 0 ? '' : (headers[index + 1] ?? '');
+}
+
 function toTarget(text: string): ModelTarget {
   const [model = '', adapter] = text.split('/');
   return adapter === undefined ? { model } : { model, adapter };
--- /dev/null
+++ b/packages/forwarding/test/stream-order.property.test.ts
@@ -0,0 +1,68 @@
+import fc from 'fast-check';
+import { isStream, type RequestKind } from '../src/index.js';
+import { faultOf, type PlayedRequest } from './answer-judge.js';
+import { PlannedSends, runPlans, type RunPlan } from './arbitrary-workers.js';
+import { ENGINE } from './engines.js';
+import { PROPERTY_TIMEOUT_MS, propertyParameters } from './property-parameters.js';
+import { ForwardingWorld } from './simulated-exchange.js';
+
+/** One request, the back ends it meets, and its client. */
+interface Situation {
+  readonly kind: RequestKind;
+  readonly events: number;
+  /** The event that the client already has, modulo the number of events; 0 when none. */
+  readonly resumeAfter: number;
+  readonly backEnds: number;
+  readonly maximumAttempts: number;
+  readonly timeoutMs: number;
+  readonly plans: readonly RunPlan[];
+  readonly leavesAfterMs: number | undefined;
+  /** Time that the client takes for each piece, in milliseconds. */
+  readonly takeMs: number;
+}
+
+const situations: fc.Arbitrary<Situation> = fc.record({
+  kind: fc.constantFrom('resumable_stream', 'resumable_stream', 'stream', 'repeatable', 'once'),
+  events: fc.integer({ min: 1, max: 40 }),
+  resumeAfter: fc.oneof(fc.constant(0), fc.nat(40)),
+  backEnds: fc.integer({ min: 2, max: 4 }),
+  maximumAttempts: fc.constantFrom(2, 3, 4, 1),
+  timeoutMs: fc.constantFrom(15_000, 15_000, 15_000, 600),
+  plans: runPlans,
+  leavesAfterMs: fc.oneof(
+    { weight: 5, arbitrary: fc.constant(undefined) },
+    { weight: 1, arbitrary: fc.nat(700) },
+  ),
+  takeMs: fc.constantFrom(0, 0, 0, 20),
+});
+
+async function play(situation: Situation): Promise<PlayedRequest> {
+  const { kind, events, maximumAttempts, timeoutMs, takeMs } = situation;
+  const resumeAfter = situation.resumeAfter % (events + 1);
+  const route = { kind, maximumAttempts, timeoutMs, targetGapMs: 150, clientGapMs: 2000 };
+  const world = new ForwardingWorld([route], ENGINE);
+  const sends = new PlannedSends(situation.plans, events, isStream(kind));
+  world.probe = ({ address }) => (sends.killed.has(address) ? 'refused' : 'running');
+  for (let index = 0; index < situation.backEnds; index += 1) {
+    world.add(`b${String(index)}`, (call) => sends.answer(call, world), ['m']);
+  }
+  const headers = { model: 'm', ...(resumeAfter === 0 ? {} : { resume: String(resumeAfter) }) };
+  const exchange = await world.ask(headers, '/r0/', {
+    leavesAfterMs: situation.leavesAfterMs,
+    take: () => (takeMs === 0 ? Promise.resolve() : world.wait(takeMs)),
+  });
+  const { runs, ranOn } = sends;
+  return { kind, events, resumeAfter, maximumAttempts, exchange, runs, ranOn };
+}
+
+describe('order of streams', () => {
+  it('gives the client whole events in order, each once, and a complete answer only when it is whole', async () => {
+    const property = fc.asyncProperty(situations, async (situation) => {
+      const played = await play(situation);
+      const fault = faultOf(played);
+      if (fault !== undefined)
+        throw new Error(`${fault}; the client has ${JSON.stringify(played.exchange.body)}`);
+    });
+    await fc.assert(property, propertyParameters());
+  }).timeout(PROPERTY_TIMEOUT_MS);
+});
