Failing: a stream of completions that breaks off runs into its own error, or passes for whole

The same class as the forwarded streams, at the product's own interface; found by reading with that cause in mind, not yet seen on a deployment. What has been passed on of a stream is known to no one: the branch for the end searches its last 32 bytes for the mark of the end, the one for breaks adds an error whatever came before, and the store of answers searches all bytes.

- A break inside an event: the error is written into the unfinished line, and callers cannot read it.
- Tokens whose text reads like the mark: a stream cut behind them ends without an error, and with a key it is kept and replayed as the whole answer.
- A break behind the mark: an error follows a whole answer.

Four tests fail: three of the stream forwarder, one of completions with a key.

--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -1,9 +1,19 @@
 import { expect } from 'chai';
 import { Catalog, ConfigurationStore, type CatalogTenant } from '@woodbarrow/configuration';
+import type { ClaimsClient } from '@woodbarrow/coordination';
 import { ERROR_KINDS, WoodbarrowError, answerFor } from '@woodbarrow/errors';
-import { encodeText, readText, type HttpRequest } from '@woodbarrow/runtime';
+import type { SettleClaimRequest } from '@woodbarrow/protocol';
+import { Admission, forwardStream, type Router } from '@woodbarrow/routing';
+import {
+  SimulatedProcess,
+  SimulatedWorld,
+  encodeText,
+  readText,
+  type HttpRequest,
+} from '@woodbarrow/runtime';
 import {
   Authenticator,
+  CompletionService,
   depthOf,
   errorResponse,
   hashToken,
@@ -11,7 +21,11 @@
   readCompletionRequest,
 } from '../src/index.js';
 
-function tenantOf(parameters: object = {}): { tenant: CatalogTenant; authenticator: Authenticator } {
+function tenantOf(parameters: object = {}): {
+  tenant: CatalogTenant;
+  catalog: Catalog;
+  authenticator: Authenticator;
+} {
   const store = new ConfigurationStore();
   const models = [{ name: 'one', memoryGib: 10, adapters: [{ name: 'tuned' }] }];
   const priorityClasses = [{ name: 'rush', priority: 1, defaultWaitSeconds: 5, maximumWaitSeconds: 10 }];
@@ -32,7 +46,7 @@
   const catalog = new Catalog(store);
   const tenant = catalog.tenant('t');
   if (tenant === undefined) throw new Error('no tenant');
-  return { tenant, authenticator: new Authenticator(store, catalog, hashToken('root')) };
+  return { tenant, catalog, authenticator: new Authenticator(store, catalog, hashToken('root')) };
 }
 
 function requestWith(body: unknown, headers: Record<string, string> = {}): HttpRequest {
@@ -106,6 +120,49 @@
   });
 });
 
+describe('completions with a key', () => {
+  const { tenant, catalog } = tenantOf();
+  const request = requestWith({ ...VALID, stream: true }, { 'idempotency-key': 'k' });
+
+  /** Streams an engine's answer, which is cut off unless it is whole; returns it with what is kept of it. */
+  async function streamOf(text: string, isWhole: boolean): Promise<[string, SettleClaimRequest[]]> {
+    async function* engine(): AsyncGenerator<Uint8Array> {
+      yield await Promise.resolve(encodeText(text));
+      if (!isWhole) throw new Error('cut');
+    }
+    const settled: SettleClaimRequest[] = [];
+    const service = new CompletionService({
+      catalog,
+      router: {
+        route: () => forwardStream({ status: 200, headers: {}, body: engine() }, true, () => undefined),
+      } as unknown as Router,
+      admission: new Admission(),
+      claims: {
+        claim: () => Promise.resolve({ outcome: 'granted' }),
+        settle: (settlement: SettleClaimRequest) => Promise.resolve(void settled.push(settlement)),
+      } as unknown as ClaimsClient,
+      clock: new SimulatedProcess(new SimulatedWorld(), { name: 'd', zone: 'a', region: 'r' }),
+    });
+    const response = await service.complete(request, request.path, tenant, 'id');
+    return [await readText(response.body), settled];
+  }
+
+  it('keep a whole stream for repeats', async () => {
+    const whole = 'data: 1\n\ndata: [DONE]\n\n';
+    const [text, settled] = await streamOf(whole, true);
+    expect(text).to.equal(whole);
+    expect(settled.map(({ result, answer }) => [result, Buffer.from(answer ?? []).toString()])).to.deep.equal(
+      [['finished', whole]],
+    );
+  });
+
+  it('keep nothing of a stream that was cut off, also when its text speaks of an end', async () => {
+    const [text, settled] = await streamOf('data: {"text":"data: [DONE]"}\n\ndata: 2\n\n', false);
+    expect(text).to.contain('stream_interrupted');
+    expect(settled.map(({ result, answer }) => [result, answer])).to.deep.equal([['finished', undefined]]);
+  });
+});
+
 describe('authentication', () => {
   it('knows tokens by their digest only', () => {
     const { authenticator } = tenantOf();
--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -249,6 +249,32 @@
     }
   });
 
+  it('leaves out the unfinished event of a stream that was cut off, so that the error can be read', async () => {
+    for (const end of [['cut'], []]) {
+      const [text, result] = await forward(true, 'data: 1\n\ndata: {"a', ...end);
+      expect(result).to.equal('failed');
+      expect(text).to.match(/^data: 1\n\ndata: {"error":.*stream_interrupted.*\n\n$/);
+    }
+  });
+
+  it('takes text that reads like the end for no end', async () => {
+    for (const event of ['data: {"text":"data: [DONE]"}\n\n', 'data: [DONE] is not the end\n\n']) {
+      for (const end of [['cut'], []]) {
+        const [text, result] = await forward(true, event, ...end);
+        expect(result).to.equal('failed');
+        expect(text.startsWith(event)).to.equal(true);
+        expect(text).to.contain('stream_interrupted');
+      }
+    }
+  });
+
+  it('adds nothing to a stream behind its end, whatever becomes of the connection', async () => {
+    const whole = 'data: 1\r\n\r\ndata: [DONE]\r\n\r\n';
+    for (const end of [['cut'], [], ['data: 2\r\n\r\n'], ['data: 2', 'cut']]) {
+      expect(await forward(true, whole, ...end)).to.deep.equal([whole, 'completed']);
+    }
+  });
+
   it('makes an error of a whole answer that was cut off', async () => {
     const outcome = await forward(false, '{"a":', 'cut').catch(
       (error: unknown) => (error as { kind: string }).kind,
