Streams of completions pass whole events on and know their own end

How far a stream has come is now kept in one place, CompletionStream: whole events only, up to the mark of the end as a line of its own, and nothing behind it. The error of a broken stream follows a whole event, so callers can read it; no error follows a whole stream; text that reads like the mark is text. Stored answers are judged by the same line.

--- a/packages/gateway/src/completions.ts
+++ b/packages/gateway/src/completions.ts
@@ -3,7 +3,7 @@
 import type { ClaimsClient } from '@woodbarrow/coordination';
 import { WoodbarrowError, toWoodbarrowError } from '@woodbarrow/errors';
 import { hashText, type Clock, type HttpRequest, type HttpResponse } from '@woodbarrow/runtime';
-import { STREAM_END, type Admission, type Router } from '@woodbarrow/routing';
+import { hasEndMark, type Admission, type Router } from '@woodbarrow/routing';
 import { readCompletionRequest, type CompletionRequest } from './completion-request.js';
 
 /** Options of {@link CompletionService}. */
@@ -173,7 +173,7 @@
       }
     } finally {
       const answer = Buffer.concat(chunks);
-      const whole = size <= STORED_ANSWER_BYTES && answer.includes(STREAM_END);
+      const whole = size <= STORED_ANSWER_BYTES && hasEndMark(answer);
       this.settle(claim, 'finished', whole ? storable(status, answer) : undefined);
     }
   }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,7 @@
 /** Routing: admission, queues, dispatch. */
 export * from './admission.js';
 export * from './circuit-breaker.js';
+export * from './completion-stream.js';
 export * from './model-queue.js';
 export * from './queue-owner.js';
 export * from './replica-directory.js';
--- a/packages/routing/src/stream-forwarder.ts
+++ b/packages/routing/src/stream-forwarder.ts
@@ -1,11 +1,8 @@
 /** Passes an engine's answer on without reparsing it, and makes sure that a cut-off answer never looks whole. */
 import { encodeText, readBody, type HttpResponse } from '@woodbarrow/runtime';
 import { WoodbarrowError } from '@woodbarrow/errors';
+import { CompletionStream } from './completion-stream.js';
 
-/** Last event of a whole stream. */
-export const STREAM_END = 'data: [DONE]';
-/** Bytes of the stream's end that are kept to find that event. */
-const TAIL_BYTES = 32;
 const STREAM_HEADERS = { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' };
 
 /** Called once, when the engine is done with the request. */
@@ -34,30 +31,18 @@
   body: HttpResponse['body'],
   finish: FinishCallback,
 ): AsyncGenerator<Uint8Array> {
-  let tail: Uint8Array = new Uint8Array(0);
-  let result: 'completed' | 'failed' = 'failed';
+  const stream = new CompletionStream();
   try {
-    if (body instanceof Uint8Array) {
-      tail = body;
-      yield body;
-    } else {
-      for await (const chunk of body) {
-        tail = lastBytes(tail, chunk);
-        yield chunk;
-      }
+    for await (const chunk of body instanceof Uint8Array ? [body] : body) {
+      const events = stream.push(chunk);
+      if (events !== undefined) yield events;
     }
-    if (Buffer.from(tail).includes(STREAM_END)) result = 'completed';
   } catch {
-    // Reported to the caller below.
+    // The caller is told below, unless it has the whole stream already.
   } finally {
-    finish(result);
+    finish(stream.isWhole ? 'completed' : 'failed');
   }
-  if (result === 'failed') yield interruptionEvent();
-}
-
-function lastBytes(tail: Uint8Array, chunk: Uint8Array): Uint8Array {
-  if (chunk.byteLength >= TAIL_BYTES) return chunk.subarray(chunk.byteLength - TAIL_BYTES);
-  return Buffer.concat([tail, chunk]).subarray(-TAIL_BYTES);
+  if (!stream.isWhole) yield interruptionEvent();
 }
 
 /** The explicit end of a stream that was cut off; no `[DONE]` follows it. */
