Records that are gone stay gone, and a listing in pages claims no more than its revision

A sequence that goes on over several connections: the records of a kind, by the store's revisions. Found by reading, not seen on a deployment.

- A daemon took a record up again that it knew to be gone, from one that was behind: merge() now leaves out what is not newer than all that is known here and is not held.
- A removal took a newer record of the same name away: remove() now goes by the revision of the removal.
- A listing of several pages may hold records newer than its revision while it lacks others; the set claimed to know all up to the newest, and daemons that fetched from it lost records which no update brought back.
The set's position and what it passes on now end at the revision of the listing, until the watch has brought the rest.

--- a/packages/exchange/src/record-set.ts
+++ b/packages/exchange/src/record-set.ts
@@ -50,7 +50,10 @@
     return { source: this.source, revision: this.newest, names: this.namesDigest };
   }
 
-  /** Makes the set hold just the records of a revision; a listing older than what is known changes nothing. */
+  /**
+   * Makes the set hold just the records of a listing; one older than what is known changes nothing. A listing of
+   * several pages may hold records newer than its revision, and lack others as new: the watch from there brings them.
+   */
   replaceAll(records: readonly RecordEntry[], revision: number): void {
     if (revision < this.newest) return;
     this.records.clear();
@@ -60,22 +63,28 @@
     this.handlers.onList(records);
     this.noteComplete(revision);
     this.advance(
-      records.reduce((newest, record) => Math.max(newest, record.revision), EMPTY_LISTING_REVISION),
+      records.reduce(
+        (newest, record) => Math.max(newest, Math.min(record.revision, revision)),
+        EMPTY_LISTING_REVISION,
+      ),
     );
   }
 
   /** Enters a record unless one as new is known. */
   put(record: RecordEntry): void {
     const known = this.records.get(record.name);
-    if (known !== undefined && known.revision >= record.revision) return;
-    this.store(record);
-    this.handlers.onChange(record);
+    if (known === undefined || known.revision < record.revision) {
+      this.store(record);
+      this.handlers.onChange(record);
+    }
     this.advance(record.revision);
   }
 
-  /** A record is gone. */
-  remove(name: string): void {
-    if (!this.records.delete(name)) return;
+  /** A record is gone. @param revision That of its removal: a newer record of the name stays. */
+  remove(name: string, revision = Infinity): void {
+    const known = this.records.get(name);
+    if (known === undefined || known.revision > revision) return;
+    this.records.delete(name);
     this.namesDigest ^= digestOf(name);
     this.handlers.onGone(name);
   }
@@ -88,11 +97,12 @@
   /** What a daemon at a position lacks; undefined when it lacks nothing that is known here. */
   updateFor(position: SourcePosition): RecordUpdate | undefined {
     if (!this.listed || position.revision > this.completeTo) return undefined;
-    const records = [...this.records.values()].filter((record) => record.revision > position.revision);
+    const complete = [...this.records.values()].filter((record) => record.revision <= this.completeTo);
+    const records = complete.filter((record) => record.revision > position.revision);
     const sameNames = position.revision > 0 && position.names === this.namesDigest;
     if (records.length === 0 && sameNames) return undefined;
     const update = { source: this.source, revision: this.completeTo, records };
-    return sameNames ? update : { ...update, names: [...this.records.keys()] };
+    return sameNames ? update : { ...update, names: complete.map(({ name }) => name) };
   }
 
   /** Takes what another daemon knows beyond this one. */
@@ -102,7 +112,11 @@
       if (names?.length === records.length) this.replaceAll(records, revision);
       return;
     }
-    for (const record of records) this.put(record);
+    const knownTo = this.completeTo;
+    for (const record of records) {
+      // What was there up to then and is not held here has gone since.
+      if (record.revision > knownTo || this.records.has(record.name)) this.put(record);
+    }
     this.noteComplete(revision);
     if (names === undefined) return;
     const kept = new Set(names);
--- a/packages/exchange/test/record-set.test.ts
+++ b/packages/exchange/test/record-set.test.ts
@@ -6,15 +6,27 @@
 class FollowedSet {
   readonly told = new Map<string, unknown>();
   listings = 0;
+  /** Names of which it was told an older value after a newer one; values rise with revisions. */
+  readonly wentBack: string[] = [];
+  private readonly newestTold = new Map<string, number>();
   readonly set = new RecordSet('things', {
     onList: (records) => {
       this.listings += 1;
       this.told.clear();
-      for (const record of records) this.told.set(record.name, record.value);
+      for (const record of records) this.tell(record.name, record.value);
+    },
+    onChange: (record) => {
+      this.tell(record.name, record.value);
     },
-    onChange: (record) => this.told.set(record.name, record.value),
     onGone: (name) => this.told.delete(name),
   });
+
+  private tell(name: string, value: unknown): void {
+    const newest = this.newestTold.get(name) ?? 0;
+    if (Number(value) < newest) this.wentBack.push(name);
+    this.newestTold.set(name, Math.max(newest, Number(value)));
+    this.told.set(name, value);
+  }
 }
 
 /** Takes what `to` lacks from `from`. */
@@ -52,7 +64,7 @@
           const { set } = sets[index] ?? sets[0];
           if (!set.isListed) return;
           for (const change of log.filter((each) => each.revision > (watchedTo[index] ?? 0))) {
-            if (change.gone) set.remove(change.name);
+            if (change.gone) set.remove(change.name, change.revision);
             else set.put({ name: change.name, revision: change.revision, value: change.value });
           }
           set.noteComplete(revision);
@@ -76,6 +88,7 @@
           sets.forEach(({ set }, index) => {
             expect(set.position.revision).to.be.at.least(before[index] ?? 0);
           });
+          expect(sets.flatMap(({ wentBack }) => wentBack)).to.deep.equal([]);
         }
         list(0);
         fetch(sets[1], sets[0]);
@@ -106,4 +119,39 @@
     ahead.set.replaceAll([{ name: 'a', revision: 7, value: 1 }], 7);
     expect(behind.set.updateFor(ahead.set.position)).to.equal(undefined);
   });
+
+  it('does not take a record up again that it knows to be gone', () => {
+    const [behind, ahead] = [new FollowedSet(), new FollowedSet()];
+    const record = (name: string, revision: number) => ({ name, revision, value: revision });
+    behind.set.replaceAll([record('a', 1), record('b', 2)], 2);
+    // In the meantime b was removed, at revision 3.
+    ahead.set.replaceAll([record('a', 1)], 3);
+    fetch(ahead, behind);
+    expect([...ahead.told.keys()]).to.deep.equal(['a']);
+  });
+
+  it('does not remove a record for an older removal of its name', () => {
+    const follower = new FollowedSet();
+    follower.set.replaceAll([{ name: 'a', revision: 4, value: 'new' }], 4);
+    follower.set.remove('a', 3);
+    expect([...follower.told.keys()]).to.deep.equal(['a']);
+    follower.set.remove('a', 5);
+    expect([...follower.told.keys()]).to.deep.equal([]);
+  });
+
+  it('knows no more than its listing says, whose later pages may be newer', () => {
+    const [listing, follower] = [new FollowedSet(), new FollowedSet()];
+    // Between two pages of the listing, b was created at revision 8 and c at revision 9.
+    const created = { name: 'b', revision: 8, value: 8 };
+    listing.set.replaceAll([{ name: 'c', revision: 9, value: 9 }], 7);
+    follower.set.replaceAll([created], 8);
+    fetch(follower, listing);
+    expect([...follower.told.keys()]).to.deep.equal(['b']);
+    listing.set.put(created);
+    listing.set.put({ name: 'c', revision: 9, value: 9 });
+    listing.set.noteComplete(9);
+    expect(listing.set.position.revision).to.equal(9);
+    fetch(follower, listing);
+    expect([...follower.told.keys()].sort()).to.deep.equal(['b', 'c']);
+  });
 });
--- a/packages/serving/src/record-watch.ts
+++ b/packages/serving/src/record-watch.ts
@@ -139,7 +139,7 @@
   }
 
   private apply({ record, gone }: RecordChange): void {
-    if (gone) this.options.set.remove(record.name);
+    if (gone) this.options.set.remove(record.name, record.revision);
     else this.options.set.put(record);
   }
 }
