The simulator judges streams as they come, and its engines break off inside events

Until now a stream that ended in an error, or with its connection, was not looked at, and an event that could not be read counted as a lost connection. TokenStream judges each stream as far as it comes: tokens in order, each once, complete only when all have come, nothing behind the end, every event readable. The checker stream-order reports it; engines of the simulator send the first bytes of each event ahead, so that a break falls inside one.

The checker is silent on this code and finds its planted defect (events passed on unfinished).

--- a/packages/lab/src/checkers/answer-checkers.ts
+++ b/packages/lab/src/checkers/answer-checkers.ts
@@ -62,6 +62,13 @@
   },
 });
 
+/** A stream is in order as far as it comes, each token once, and complete only when all have come. */
+export const streamOrder: CheckerFactory = ({ report }) => ({
+  onAttemptEnd: ({ request, streamFault }) => {
+    if (streamFault !== undefined) report('stream-order', `${request.marker}: ${streamFault}`);
+  },
+});
+
 /** When a refusal says that a request was not run, no engine ever ran it. */
 export const notRunMeansNotRun: CheckerFactory = ({ report }) => {
   const runs = new Set<string>();
--- a/packages/lab/src/checkers/checker.ts
+++ b/packages/lab/src/checkers/checker.ts
@@ -10,6 +10,7 @@
   'memory-commit',
   'answered-in-wait',
   'whole-answer',
+  'stream-order',
   'not-run-means-not-run',
   'at-most-once',
   'leaving-drained',
--- a/packages/lab/src/checkers/index.ts
+++ b/packages/lab/src/checkers/index.ts
@@ -4,6 +4,7 @@
   atMostOnce,
   notRunMeansNotRun,
   plannedStop,
+  streamOrder,
   wholeAnswer,
 } from './answer-checkers.js';
 import type { CheckerContext } from './checker.js';
@@ -27,6 +28,7 @@
     leavingDrained,
     answeredInWait,
     wholeAnswer,
+    streamOrder,
     notRunMeansNotRun,
     atMostOnce,
     plannedStop,
--- a/packages/lab/src/simulation/simulated-deployment.ts
+++ b/packages/lab/src/simulation/simulated-deployment.ts
@@ -335,6 +335,7 @@
       hostCache: plan.hostCache,
       diskCache: plan.diskCache,
       tokensPerChunk: this.options.scenario.tokensPerChunk,
+      splitsEvents: true,
     });
   }
 
--- a/packages/lab/src/traffic/caller.ts
+++ b/packages/lab/src/traffic/caller.ts
@@ -2,6 +2,7 @@
 import { decodeText, encodeText, readText, type HttpClient, type HttpResponse } from '@woodbarrow/runtime';
 import { REQUEST_ID_HEADER } from '@woodbarrow/gateway';
 import { tokenText } from '@woodbarrow/standins';
+import { TokenStream, type AnswerError } from './token-stream.js';
 
 /** What a caller wants. */
 export interface CallerRequest {
@@ -47,10 +48,12 @@
   endedAtMs: number | undefined;
   /** Whether the answer was stored from an earlier run. */
   replayed: boolean;
+  /** What is wrong with the stream as far as it came, however it ended. */
+  streamFault: string | undefined;
 }
 
 interface ErrorAnswer {
-  readonly error?: { readonly code?: string; readonly ran?: 'no' | 'maybe' | 'yes' };
+  readonly error?: AnswerError;
 }
 
 /** Sends attempts over any HTTP client. */
@@ -79,6 +82,7 @@
       answeredAtMs: undefined,
       endedAtMs: undefined,
       replayed: false,
+      streamFault: undefined,
     };
     onStart?.(attempt);
     try {
@@ -112,22 +116,21 @@
   }
 
   private async takeStream(attempt: Attempt, response: HttpResponse): Promise<void> {
-    let text = '';
+    const { marker, tokens } = attempt.request;
+    const stream = new TokenStream(marker, tokens);
     const body = response.body instanceof Uint8Array ? [response.body] : response.body;
     for await (const chunk of body) {
       attempt.answeredAtMs ??= this.now();
-      text += decodeText(chunk);
+      stream.add(decodeText(chunk));
+      attempt.streamFault = stream.fault;
     }
     attempt.answeredAtMs ??= this.now();
-    const { content, error, done } = parseStream(text);
-    if (error !== undefined) {
-      attempt.code = error.code;
-      attempt.ran = error.ran;
-      // A stream that carries both an error and the mark of a whole answer contradicts itself.
-      attempt.outcome = done ? 'corrupt' : 'interrupted';
-    } else {
-      attempt.outcome = done && content === expectedContent(attempt.request) ? 'served' : 'corrupt';
-    }
+    stream.end();
+    attempt.streamFault = stream.fault;
+    attempt.code = stream.error?.code;
+    attempt.ran = stream.error?.ran;
+    if (stream.fault !== undefined) attempt.outcome = 'corrupt';
+    else attempt.outcome = stream.error === undefined ? 'served' : 'interrupted';
   }
 
   private async takeWhole(attempt: Attempt, response: HttpResponse): Promise<void> {
@@ -177,27 +180,3 @@
     }),
   );
 }
-
-interface ParsedStream {
-  readonly content: string;
-  readonly error: ErrorAnswer['error'];
-  readonly done: boolean;
-}
-
-function parseStream(text: string): ParsedStream {
-  let content = '';
-  let error: ErrorAnswer['error'];
-  let done = false;
-  for (const line of text.split('\n')) {
-    if (!line.startsWith('data: ')) continue;
-    const data = line.slice('data: '.length);
-    if (data === '[DONE]') {
-      done = true;
-      continue;
-    }
-    const event = JSON.parse(data) as { choices?: { delta?: { content?: string } }[] } & ErrorAnswer;
-    error = event.error ?? error;
-    content += event.choices?.[0]?.delta?.content ?? '';
-  }
-  return { content, error, done };
-}
--- a/packages/lab/test/checkers.test.ts
+++ b/packages/lab/test/checkers.test.ts
@@ -27,6 +27,8 @@
 const FAULTS: Partial<Record<CheckerName, string>> = {
   'answered-in-wait':
     '[{ type: cut-zone, at: 2, durationSeconds: 40, target: alpha }, { type: kill-worker, at: 1, durationSeconds: 50, target: alpha-w1 }, { type: kill-worker, at: 1, durationSeconds: 50, target: alpha-w2 }, { type: kill-worker, at: 1, durationSeconds: 50, target: alpha-w3 }]',
+  'stream-order':
+    '[{ type: kill-worker, at: 15, durationSeconds: 5, target: alpha-w1 }, { type: kill-worker, at: 25, durationSeconds: 5, target: alpha-w2 }, { type: kill-worker, at: 35, durationSeconds: 5, target: alpha-w3 }]',
   'leaving-drained':
     '[{ type: reclaim-worker, at: 5, durationSeconds: 50, target: alpha-w1 }, { type: reclaim-worker, at: 5, durationSeconds: 50, target: alpha-w2 }]',
   'planned-stop': '[{ type: drain-daemon, at: 20 }, { type: drain-daemon, at: 30 }]',
@@ -37,9 +39,9 @@
 function scenarioFor(checker: CheckerName): Scenario {
   const faults = FAULTS[checker];
   const memory = checker === 'memory-commit' ? BASE.replace('memoryGib: 80', 'memoryGib: 40') : BASE;
-  // Long answers are in progress when a daemon stops.
-  const text =
-    checker === 'planned-stop' ? memory.replace('keyedShare: 0.5', 'tokens: [2000, 3000]') : memory;
+  // Long answers are in progress when a daemon stops, or a worker is killed.
+  const isLong = checker === 'planned-stop' || checker === 'stream-order';
+  const text = isLong ? memory.replace('keyedShare: 0.5', 'tokens: [2000, 3000]') : memory;
   return parseScenario(faults === undefined ? text : `${text}faults: ${faults}\n`);
 }
 
--- a/packages/lab/test/planted-defects.ts
+++ b/packages/lab/test/planted-defects.ts
@@ -3,7 +3,7 @@
 import { Daemon } from '@woodbarrow/daemon';
 import { EngineClient, type CompletionCall, type CompletionStart } from '@woodbarrow/engine';
 import { WorkerView } from '@woodbarrow/placement';
-import { Router } from '@woodbarrow/routing';
+import { CompletionStream, Router } from '@woodbarrow/routing';
 import type { CheckerName } from '../src/index.js';
 
 /** Takes a defect out again. */
@@ -51,6 +51,17 @@
           return { ...start, response: { ...start.response, body: withoutFirstChunk(start.response.body) } };
         },
     ),
+  // Streams are passed on as their bytes come, unfinished events too.
+  'stream-order': () => {
+    const original = Object.getOwnPropertyDescriptor(CompletionStream.prototype, 'push')
+      ?.value as CompletionStream['push'];
+    return replaceMember(CompletionStream.prototype, 'push', {
+      value: function push(this: CompletionStream, chunk: Uint8Array): Uint8Array {
+        original.call(this, chunk);
+        return chunk;
+      },
+    });
+  },
   // A started request is taken for one that was not run.
   'not-run-means-not-run': () =>
     replaceComplete(
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -38,6 +38,8 @@
   readonly hostCacheSize?: number;
   /** Tokens sent in one chunk. @default 1 */
   readonly tokensPerChunk?: number;
+  /** Sends the first bytes of each event of a stream ahead, so that one that breaks off ends inside an event. @default false */
+  readonly splitsEvents?: boolean;
   /** Factor on all token times; 0 makes tokens free. @default 1 */
   readonly tokenTimeFactor?: number;
 }
@@ -114,6 +116,8 @@
 const STEP_MS_PER_RUNNING = 0.5;
 const DEFAULT_TOKENS = 16;
 const MARKER = /#([A-Za-z0-9_.-]+)/;
+/** Bytes of an event that are sent ahead, inside its data. */
+const SPLIT_AT = 12;
 const NOT_STARTED = { 'x-not-started': 'true' };
 
 /** One worker's engine. */
@@ -386,12 +390,13 @@
     try {
       for (let index = 0; index < tokens; index += this.tokensPerChunk) {
         const count = Math.min(this.tokensPerChunk, tokens - index);
-        if (index > 0) await this.spend(this.stepMs(entry) * count, signal);
         let content = '';
         for (let offset = 0; offset < count; offset += 1) content += tokenText(marker, index + offset);
-        yield encodeText(
-          `data: {"choices":[{"index":0,"delta":{"content":${JSON.stringify(content)}}}]}\n\n`,
-        );
+        const event = `data: {"choices":[{"index":0,"delta":{"content":${JSON.stringify(content)}}}]}\n\n`;
+        const ahead = this.options.splitsEvents === true && index > 0 ? SPLIT_AT : 0;
+        if (ahead > 0) yield encodeText(event.slice(0, ahead));
+        if (index > 0) await this.spend(this.stepMs(entry) * count, signal);
+        yield encodeText(event.slice(ahead));
       }
       yield encodeText('data: [DONE]\n\n');
     } finally {
