--- a/packages/forwarding/src/answer-passing.ts
+++ b/packages/forwarding/src/answer-passing.ts
@@ -1,6 +1,7 @@
 /** Passes the answer of one back end on to the client, and notes what it tells of the back end. */
 import type { BackEnd } from '@woodbarrow/backends';
 import type { BackendAnswer } from '@woodbarrow/runtime';
+import { ABORTED, orAborted } from './abortable.js';
 import { AnswerRelay, type BrokenResult, type StreamOptions, type StreamResult } from './answer-relay.js';
 import type { EventAnswer, UnbegunAnswer } from './client-answer.js';
 import type { StreamCourse } from './request-ending.js';
@@ -39,7 +40,7 @@
     private readonly failures: SendFailures,
   ) {
     const { context, route, facts } = scope;
-    this.relay = new AnswerRelay(context.dialect, context.clock);
+    this.relay = new AnswerRelay(context.dialect, context.clock, scope.expired);
     this.position = route.kind === 'resumable_stream' ? new StreamPosition(facts.resumeAfter) : undefined;
   }
 
@@ -50,9 +51,9 @@
     const client = answer.state;
     switch (client.kind) {
       case 'not_begun':
-        return isStream(route.kind) && isEventStream(sent.answer)
-          ? this.passStream(client, sent)
-          : this.passWhole(client, sent);
+        if (isStream(route.kind) && isEventStream(sent.answer)) return this.passStream(client, sent);
+        if (this.position?.hasBegun === true && isSuccess(sent.answer)) return this.refuseWhole(sent);
+        return this.passWhole(client, sent);
       case 'events':
         return this.takeUp(client, sent);
       case 'bytes':
@@ -70,9 +71,13 @@
     const { backEnd, answer } = sent;
     const afterEvent = client.lastEventId;
     this.decide('request_resumed', { backEnd: backEnd.id, afterEvent, status: answer.status });
-    if (isEventStream(answer)) return this.passStream(client, sent);
-    answer.discard();
-    return Promise.resolve(this.noteRefused(sent, isSuccess(answer) ? 'not_a_stream' : 'failure'));
+    return isEventStream(answer) ? this.passStream(client, sent) : Promise.resolve(this.refuseWhole(sent));
+  }
+
+  /** What is no stream cannot go on with one, neither here nor at a client that takes it up itself. */
+  private refuseWhole(sent: SentAnswer): AttemptResult {
+    sent.answer.discard();
+    return this.noteRefused(sent, isSuccess(sent.answer) ? 'not_a_stream' : 'failure');
   }
 
   private async passWhole(client: UnbegunAnswer, sent: SentAnswer): Promise<AttemptResult> {
@@ -139,12 +144,16 @@
     return this.hasAlternative(backEnd) ? gapMs * SILENT_GAPS : Math.max(gapMs, clientGapMs * LONE_SHARE);
   }
 
-  /** False where a process has ended though it was not leaving, or time is up before that is known. */
+  /**
+   * False where a process has ended, or time is up before that is known. One that was leaving may have ended after its last answer, which
+   * counts where another run cannot show whether there is more.
+   */
   private async processLives(backEnd: BackEnd): Promise<boolean> {
-    const { context, expired } = this.scope;
-    if (context.directory.get(backEnd.id)?.draining === true) return true;
+    const { context, expired, route } = this.scope;
+    const isLeaving = context.directory.get(backEnd.id)?.draining === true;
+    if (isLeaving && !mayRunAgain(route.kind)) return true;
     const fate = await orAborted(context.quarantine.fateOf(backEnd), expired);
-    return fate !== undefined && fate !== 'ended';
+    return fate !== ABORTED && fate !== 'ended';
   }
 
   /** Whether another back end could take the stream up at once. */
@@ -199,14 +208,3 @@
   const type = answer.headers['content-type']?.split(';')[0]?.trim().toLowerCase();
   return isSuccess(answer) && type === EVENT_STREAM;
 }
-
-/** The value, or undefined where the signal aborts first. */
-function orAborted<T>(promise: Promise<T>, signal: AbortSignal): Promise<T | undefined> {
-  if (signal.aborted) return Promise.resolve(undefined);
-  const aborted = new Promise<undefined>((resolve) => {
-    signal.addEventListener('abort', () => {
-      resolve(undefined);
-    });
-  });
-  return Promise.race([promise, aborted]);
-}
--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -1,5 +1,6 @@
 /** Passes answers of back ends on to one client: whole ones once they are complete, streams event by event as they come. */
 import type { BackendAnswer, Clock } from '@woodbarrow/runtime';
+import { ABORTED, orAborted } from './abortable.js';
 import { BodyReader, type ProcessCheck } from './body-reader.js';
 import type { ByteAnswer, EventAnswer, UnbegunAnswer } from './client-answer.js';
 import { EventSplitter } from './event-splitter.js';
@@ -60,6 +61,8 @@
   constructor(
     private readonly dialect: WireDialect,
     private readonly clock: Clock,
+    /** Aborts when time is up: a client that does not read must not hold the request longer. */
+    private readonly expired: AbortSignal,
   ) {}
 
   /** Longest pause between two pieces of a stream as they came, in milliseconds; 0 before the second. */
@@ -96,7 +99,8 @@
       size += step.chunk.byteLength;
       if (size <= HELD_ANSWER_BYTES) continue;
       begun ??= client.beginBytes({ status: answer.status, headers });
-      for (const chunk of held.splice(0)) await begun.pass(chunk);
+      const written = begun.pass(Buffer.concat(held.splice(0)));
+      if ((await orAborted(written, this.expired)) === ABORTED) return { kind: 'broken', tornBytes: 0 };
     }
     if (begun === undefined)
       return { kind: 'held', answer: { status: answer.status, headers, body: Buffer.concat(held) } };
@@ -132,7 +136,8 @@
         if (continuation !== 'follows') return this.giveUp(answer, continuation);
         target = this.begin(target, answer, options);
       }
-      const continuation = await target.pass(events);
+      const continuation = await orAborted(target.pass(events), this.expired);
+      if (continuation === ABORTED) return { kind: 'broken', tornBytes: 0 };
       if (continuation !== 'follows') return this.giveUp(answer, continuation);
       if (!follows) options.onFollows();
       follows = true;
--- a/packages/forwarding/src/stream-position.ts
+++ b/packages/forwarding/src/stream-position.ts
@@ -38,6 +38,11 @@
     this.isOpaque = after !== undefined && this.last === undefined;
   }
 
+  /** Whether the client has an event. */
+  get hasBegun(): boolean {
+    return this.lastText !== undefined;
+  }
+
   /** Last event that the client has. */
   get lastId(): string | undefined {
     return this.lastText;
--- a/packages/forwarding/test/stream-takeup.test.ts
+++ b/packages/forwarding/test/stream-takeup.test.ts
@@ -113,6 +113,30 @@
     expect(exchange).to.include({ body: 'id: 2\ndata: b\n\n', ending: 'complete' });
     expect(world.calls).to.have.length(2);
   });
+
+  it('by its client is not answered with a success that is no stream', async () => {
+    const world = new ForwardingWorld([{ kind: 'resumable_stream' }], ENGINE);
+    const runs = [answer(200), answer(200, 'id: 2\ndata: b\n\n')];
+    for (const id of ['b1', 'b2']) world.add(id, () => Promise.resolve(runs.shift() ?? answer(500)), ['m']);
+    const exchange = await world.ask({ model: 'm', resume: '1' });
+    expect(exchange).to.include({ body: 'id: 2\ndata: b\n\n', ending: 'complete' });
+  });
+
+  it('is asked for more where a process that was leaving ended with a body without a length', async () => {
+    const world = new ForwardingWorld([{ kind: 'resumable_stream' }], ENGINE);
+    const ended = new Set<string>();
+    world.probe = ({ id }) => (ended.has(id) ? 'refused' : 'running');
+    const script: BackendScript = (call) => {
+      if (ended.size > 0) return Promise.resolve(answer(200, 'id: 3\ndata: c\n\n'));
+      ended.add(call.address);
+      const backEnd = world.directory.get(call.address);
+      if (backEnd !== undefined) world.directory.put({ ...backEnd, draining: true });
+      return Promise.resolve(unframed(200, FIRST_EVENTS));
+    };
+    for (const id of ['b1', 'b2']) world.add(id, script, ['m']);
+    const exchange = await world.ask({ model: 'm' });
+    expect(exchange).to.include({ body: `${FIRST_EVENTS}id: 3\ndata: c\n\n`, ending: 'complete' });
+  });
 });
 
 describe('An answer that has begun', () => {
@@ -141,6 +165,19 @@
     expect(await world.ask({ model: 'm' })).to.include({ body: `${text}: end\n`, ending: 'complete' });
   });
 
+  it('ends at the time-out of its route though its client does not read', async () => {
+    const world = new ForwardingWorld([{ kind: 'stream', timeoutMs: 400 }], ENGINE);
+    world.add('b1', () => Promise.resolve(answer(200, FIRST_EVENTS)), ['m']);
+    const exchange = new SimulatedExchange('/r0/', { host: 'host', id: 'x', model: 'm' });
+    const begin = exchange.beginStream.bind(exchange);
+    exchange.beginStream = (head) => ({ ...begin(head), write: () => new Promise(() => undefined) });
+    const handled = world.forwarder.handle(exchange);
+    await world.world.run(world.world.now + 1000, () => exchange.ending !== 'open');
+    await handled;
+    expect(exchange.ending).to.equal('aborted');
+    expect(world.world.now).to.be.within(399, 420);
+  });
+
   it('does not stay open where giving it fails', async () => {
     const world = new ForwardingWorld([{}]);
     world.add('b1', () => Promise.resolve(answer(200, 'served')));
