--- a/packages/quarantine/test/request-quarantine.test.ts
+++ b/packages/quarantine/test/request-quarantine.test.ts
@@ -68,6 +68,24 @@
     expect(isRefused(scene.addDaemon())).to.equal(true);
   });
 
+  /*
+   * What users saw: a request under which ten and twelve workers ended, sent six times more than allowed, while all daemons were
+   * killed every six seconds. Two ends were known each time, and forgotten with all daemons: marks lived in memory until the verdict.
+   */
+  it('is found out though all daemons are killed again and again before the third end', async () => {
+    await scene.endUnder(first, CONTENT, 'w1');
+    await scene.endUnder(first, CONTENT, 'w2');
+    await scene.pass(100);
+    scene.killAll();
+    const next = scene.addDaemon();
+    expect(isRefused(next)).to.equal(false);
+    await scene.endUnder(next, CONTENT, 'w3');
+    expect(isRefused(next)).to.equal(true);
+    await scene.pass(100);
+    scene.killAll();
+    expect(isRefused(scene.addDaemon())).to.equal(true);
+  });
+
   it('is found out by daemons that were cut from each other, once they hear of each other again', async () => {
     scene.cutOff.add(third);
     await scene.endUnder(first, CONTENT, 'w1');
