Evidence against a content outlasts the daemons that know of it: kept in the store from the second of two ends in a row on

From the second end in a row on, a record of evidence stands beside the verdicts: daemons that start read it, those that are cut from the others hear of it. Ruled out: a record from the first end on, which each crash of a worker would write for every request that it ran.

Changed tests, each as strict: daemons cut from each other are cut from the store as well now, and a new test says what the store brings; those that count records count verdicts, and a new test counts evidence. Cost in calls to the store: not yet measured.

--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -22,7 +22,12 @@
   type ResponseHead,
   type ResponseStream,
 } from '@woodbarrow/runtime';
-import { RequestQuarantine, type ProcessAnswer, type QuarantineRecord } from '@woodbarrow/quarantine';
+import {
+  RequestQuarantine,
+  isEvidence,
+  type ProcessAnswer,
+  type QuarantineRecord,
+} from '@woodbarrow/quarantine';
 import { silentLog } from '@woodbarrow/observability';
 import {
   BackendHealth,
@@ -202,7 +207,10 @@
       daemon: 'd',
       probe: { ask: (backEnd) => Promise.resolve(this.probe(backEnd)) },
       store: {
-        create: (record) => Promise.resolve(void this.quarantineRecords.push(record)),
+        create: (record) => {
+          if (!isEvidence(record)) this.quarantineRecords.push(record);
+          return Promise.resolve();
+        },
         remove: () => Promise.resolve(),
       },
       removesRecord: () => true,
--- a/packages/quarantine/src/crash-marks.ts
+++ b/packages/quarantine/src/crash-marks.ts
@@ -112,6 +112,17 @@
     return marks.length >= ENDS_FOR_VERDICT && consecutiveEnds(marks) >= CONSECUTIVE_ENDS_FOR_VERDICT;
   }
 
+  /** Whether a content ended processes in a row that are too few for a verdict. */
+  isHalfProven(content: string): boolean {
+    const marks = this.counting(content);
+    return consecutiveEnds(marks) >= CONSECUTIVE_ENDS_FOR_VERDICT && !this.isProven(content);
+  }
+
+  /** Marks against a content, as far as they count. */
+  marksOf(content: string): readonly CrashMark[] {
+    return this.counting(content);
+  }
+
   /** Ids of the processes that ended under a content, as far as they count. */
   processesOf(content: string): string[] {
     return this.counting(content).map(({ processId }) => processId);
--- a/packages/quarantine/src/quarantine-record.ts
+++ b/packages/quarantine/src/quarantine-record.ts
@@ -1,4 +1,4 @@
-/** What lasts of a verdict: one record a content, in the store of the deployment. */
+/** What lasts of a verdict and of the evidence before it: records in the store of the deployment. */
 
 /** A content that is not run for a while. */
 export interface QuarantineRecord {
@@ -17,11 +17,45 @@
   readonly at: number;
 }
 
+/** A process that ended under a content; times of day, in milliseconds. */
+export interface KeptMark {
+  readonly processId: string;
+  readonly begunAt: number;
+  readonly endedAt: number;
+}
+
+/**
+ * Evidence against a content that has no verdict yet. Kept from the second of two ends in a row on, so that it outlasts the daemons that
+ * know of it: a first end alone is common, as one worker that crashes leaves one for each request that it ran.
+ */
+export interface SuspectRecord {
+  /** Name of the record, see {@link suspectName}. */
+  readonly content: string;
+  readonly suspect: string;
+  readonly marks: readonly KeptMark[];
+  readonly foundBy: string;
+  /** Time of day, in milliseconds. */
+  readonly at: number;
+}
+
+/** What the store holds. */
+export type QuarantineEntry = QuarantineRecord | SuspectRecord;
+
+/** Whether an entry is evidence, and no verdict. */
+export function isEvidence(entry: QuarantineEntry): entry is SuspectRecord {
+  return 'suspect' in entry;
+}
+
+/** Name of the record of evidence against a content. */
+export function suspectName(content: string): string {
+  return `suspect-${content}`;
+}
+
 /** Port: the records in the store. Calls may throw, and may then have been carried out. */
 export interface QuarantineStore {
   /** Enters a record; one that is there already stays. */
-  create(record: QuarantineRecord): Promise<void>;
-  /** Removes a record: the content may run again. */
+  create(record: QuarantineEntry): Promise<void>;
+  /** Removes a record; of a verdict, the content may run again. */
   remove(content: string): Promise<void>;
 }
 
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -12,7 +12,14 @@
 import { CrashMarks } from './crash-marks.js';
 import { isLoadContent } from './load-content.js';
 import { ProcessFates, type ProcessFate, type ProcessProbe } from './process-fates.js';
-import { QUARANTINE_MS, type QuarantineRecord, type QuarantineStore } from './quarantine-record.js';
+import {
+  QUARANTINE_MS,
+  isEvidence,
+  type QuarantineEntry,
+  type QuarantineRecord,
+  type QuarantineStore,
+} from './quarantine-record.js';
+import { SuspectRecords } from './suspect-records.js';
 import { FREE_TURN, SuspectTurns, type Turn } from './suspect-turns.js';
 
 /** Options of {@link RequestQuarantine}. */
@@ -86,6 +93,8 @@
   /** The newest attempt of each content that a process ended under here, to be named in its record. */
   private readonly ownAttempts = new Map<string, ContentAttempt>();
   private readonly tasks: TaskGroup;
+  /** Evidence that the store keeps. */
+  private readonly evidence: SuspectRecords;
   private tellScheduled = false;
   /** Called when marks are news that other daemons should hear of at once. */
   onNews: () => void = () => undefined;
@@ -101,6 +110,7 @@
     this.tasks = new TaskGroup(clock, (task, error) => {
       log.warned('task_failed', { task, cause: messageOf(error) });
     });
+    this.evidence = new SuspectRecords({ ...options, marks: this.marks, tasks: this.tasks });
   }
 
   /** Starts to look for records whose time is over. */
@@ -202,13 +212,20 @@
     this.ownAttempts.set(content, attempt);
     this.logEnd(attempt, endedAt);
     this.noteVerdict(content, 'seen');
+    this.keepEvidence(content);
     this.tell();
   }
 
+  /** Only one that has seen an end itself writes: the others have been told. */
+  private keepEvidence(content: string): void {
+    if (this.ownAttempts.has(content) && this.marks.isHalfProven(content)) this.evidence.keep(content);
+  }
+
   /** A run of a content ended well: it is not what ended the processes. @param load What was loaded, of a load. */
   noteServed(content: string, load?: string): void {
     if (!this.marks.clear(content)) return;
     this.options.log.changed('suspect_cleared', { content, load });
+    this.evidence.drop(content);
     this.turns.wake(content);
     this.tell();
   }
@@ -230,22 +247,29 @@
     for (const { processId } of news) this.fates.noteEnded(processId);
     for (const { content } of news) {
       this.noteVerdict(content, 'told');
+      this.keepEvidence(content);
       this.turns.wake(content);
     }
     this.tell();
   }
 
   /** All records there are. */
-  recordsListed(records: readonly QuarantineRecord[]): void {
-    const listed = new Set(records.map(({ content }) => content));
-    for (const content of [...this.records.keys()]) if (!listed.has(content)) this.recordGone(content);
-    records.forEach((record) => {
-      this.recordSeen(record);
+  recordsListed(entries: readonly QuarantineEntry[]): void {
+    const listed = new Set(entries.map(({ content }) => content));
+    for (const name of [...this.records.keys(), ...this.evidence.names])
+      if (!listed.has(name)) this.recordGone(name);
+    entries.forEach((entry) => {
+      this.recordSeen(entry);
     });
   }
 
   /** A record appeared. */
-  recordSeen(record: QuarantineRecord): void {
+  recordSeen(entry: QuarantineEntry): void {
+    if (isEvidence(entry)) this.merge(this.evidence.seen(entry));
+    else this.verdictSeen(entry);
+  }
+
+  private verdictSeen(record: QuarantineRecord): void {
     if (this.records.has(record.content)) return;
     this.records.set(record.content, record);
     const { content, processes, foundBy, route, requestId, load } = record;
@@ -260,9 +284,14 @@
     });
   }
 
-  /** A record is gone: an operator lifted it, or its time is over. What was held against the content counts no more. */
+  /**
+   * A record is gone. Of a verdict: an operator lifted it, or its time is over, and what was held against the content counts no more.
+   *
+   * @param content Name of the record.
+   */
   recordGone(content: string): void {
-    if (!this.records.delete(content)) return;
+    if (this.evidence.gone(content) || !this.records.delete(content)) return;
+    if (this.options.removesRecord(content)) this.evidence.drop(content);
     this.writing.delete(content);
     this.options.log.changed('quarantine_lifted', { content });
     if (this.marks.clear(content)) this.tell();
@@ -335,6 +364,7 @@
     for (const { content, at } of [...this.records.values()]) {
       if (at < oldest && removesRecord(content)) await store.remove(content);
     }
+    await this.evidence.removeExpired(removesRecord);
   }
 }
 
--- a/packages/quarantine/test/quarantine-scene.ts
+++ b/packages/quarantine/test/quarantine-scene.ts
@@ -2,7 +2,13 @@
 import { NO_NEARBY_COPIES, type BackEnd } from '@woodbarrow/backends';
 import { silentLog } from '@woodbarrow/observability';
 import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
-import { RequestQuarantine, type ProcessAnswer, type QuarantineRecord } from '../src/index.js';
+import {
+  RequestQuarantine,
+  isEvidence,
+  type ProcessAnswer,
+  type QuarantineEntry,
+  type QuarantineRecord,
+} from '../src/index.js';
 
 /** Time that word takes from one daemon to the others, in milliseconds. */
 const WORD_MS = 300;
@@ -11,7 +17,8 @@
 export class QuarantineScene {
   readonly world = new SimulatedWorld();
   readonly daemons: RequestQuarantine[] = [];
-  readonly records = new Map<string, QuarantineRecord>();
+  /** All that the store holds, evidence included. */
+  readonly entries = new Map<string, QuarantineEntry>();
   /** Processes that have ended; all others answer. */
   readonly ended = new Set<string>();
   /** Daemons that hear nothing of others, and tell nothing. */
@@ -20,6 +27,14 @@
   private readonly clock = new SimulatedProcess(this.world, { name: 'scene', zone: 'a', region: 'r' });
   private started = 0;
 
+  /** Verdicts that the store holds. */
+  get records(): ReadonlyMap<string, QuarantineRecord> {
+    const verdicts = [...this.entries.values()].filter(
+      (entry): entry is QuarantineRecord => !isEvidence(entry),
+    );
+    return new Map(verdicts.map((record) => [record.content, record]));
+  }
+
   /** Starts a daemon; it reads the store's records before it serves. */
   addDaemon(): RequestQuarantine {
     this.started += 1;
@@ -34,12 +49,12 @@
       store: {
         create: (record) => {
           if (this.isStoreDown) return Promise.reject(new Error('store down'));
-          if (!this.records.has(record.content)) this.records.set(record.content, record);
+          if (!this.entries.has(record.content)) this.entries.set(record.content, record);
           for (const each of this.daemons) each.recordSeen(record);
           return Promise.resolve();
         },
         remove: (content) => {
-          this.records.delete(content);
+          this.entries.delete(content);
           for (const each of this.daemons) each.recordGone(content);
           return Promise.resolve();
         },
@@ -54,7 +69,7 @@
         this.tellFrom(daemon);
       });
     };
-    daemon.recordsListed([...this.records.values()]);
+    daemon.recordsListed([...this.entries.values()]);
     daemon.start();
     this.daemons.push(daemon);
     return daemon;
--- a/packages/quarantine/test/request-quarantine.test.ts
+++ b/packages/quarantine/test/request-quarantine.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { QUARANTINE_MS, type RequestQuarantine } from '../src/index.js';
+import { MARK_LIFETIME_MS, QUARANTINE_MS, type RequestQuarantine } from '../src/index.js';
 import { backEndOf, QuarantineScene } from './quarantine-scene.js';
 
 const CONTENT = 'crashes';
@@ -88,6 +88,7 @@
 
   it('is found out by daemons that were cut from each other, once they hear of each other again', async () => {
     scene.cutOff.add(third);
+    scene.isStoreDown = true;
     await scene.endUnder(first, CONTENT, 'w1');
     await scene.endUnder(first, CONTENT, 'w2');
     await scene.endUnder(third, CONTENT, 'w3');
@@ -96,10 +97,41 @@
     scene.tellFrom(third);
     scene.tellFrom(first);
     expect(scene.daemons.every((daemon) => isRefused(daemon))).to.equal(true);
-    await scene.pass(100);
+    scene.isStoreDown = false;
+    await scene.pass(6000);
     expect(scene.records.has(CONTENT)).to.equal(true);
   });
 
+  it('is found out by a daemon that is cut from the others, by what the store keeps', async () => {
+    scene.cutOff.add(third);
+    await scene.endUnder(first, CONTENT, 'w1');
+    await scene.endUnder(first, CONTENT, 'w2');
+    await scene.endUnder(third, CONTENT, 'w3');
+    expect(isRefused(third)).to.equal(true);
+  });
+
+  it('keeps evidence from the second of two ends in a row on, until the content has run well', async () => {
+    await scene.endUnder(first, CONTENT, 'w1');
+    expect(scene.entries.size).to.equal(0);
+    await scene.endUnder(second, CONTENT, 'w2');
+    await scene.pass(100);
+    expect([...scene.entries.keys()]).to.deep.equal([`suspect-${CONTENT}`]);
+    third.noteServed(CONTENT);
+    await scene.pass(200);
+    expect(scene.entries.size).to.equal(0);
+    await scene.endUnder(first, CONTENT, 'w3');
+    expect(scene.daemons.some((daemon) => isRefused(daemon))).to.equal(false);
+  });
+
+  it('removes evidence once its marks have run out', async () => {
+    await scene.endUnder(first, CONTENT, 'w1');
+    await scene.endUnder(first, CONTENT, 'w2');
+    await scene.pass(100);
+    expect(scene.entries.size).to.equal(1);
+    await scene.pass(MARK_LIFETIME_MS + 120_000);
+    expect(scene.entries.size).to.equal(0);
+  });
+
   it('is refused while the store is down, and kept as soon as the store is back', async () => {
     scene.isStoreDown = true;
     for (const id of ['w1', 'w2', 'w3']) await scene.endUnder(first, CONTENT, id);
@@ -176,7 +208,7 @@
 
   it('lets a content run again once its record is lifted, until it has ended three more', async () => {
     for (const id of ['w1', 'w2', 'w3']) await scene.endUnder(first, CONTENT, id);
-    scene.records.delete(CONTENT);
+    scene.entries.delete(CONTENT);
     for (const daemon of scene.daemons) daemon.recordGone(CONTENT);
     expect(scene.daemons.some((daemon) => isRefused(daemon))).to.equal(false);
     for (const id of ['w4', 'w5', 'w6']) await scene.endUnder(second, CONTENT, id);
--- a/packages/residency/test/crashing-loads-world.ts
+++ b/packages/residency/test/crashing-loads-world.ts
@@ -3,7 +3,12 @@
 import { StoreLease } from '@woodbarrow/coordination';
 import { silentLog } from '@woodbarrow/observability';
 import type { LoadUnderWay, ResidencyDemandAnswer } from '@woodbarrow/protocol';
-import type { QuarantineRecord, QuarantineStore } from '@woodbarrow/quarantine';
+import {
+  isEvidence,
+  type QuarantineEntry,
+  type QuarantineRecord,
+  type QuarantineStore,
+} from '@woodbarrow/quarantine';
 import { Random, SimulatedProcess, SimulatedWorld, type Clock } from '@woodbarrow/runtime';
 import { ZoneResidency } from '../src/index.js';
 import { daemonQuarantine, type DaemonQuarantine } from './load-quarantines.js';
@@ -41,7 +46,7 @@
   readonly workers = new Map<string, SimulatedWorker>();
   readonly directory: BackendDirectory;
   /** Verdicts in the store. */
-  readonly records = new Map<string, QuarantineRecord>();
+  private readonly entries = new Map<string, QuarantineEntry>();
   private readonly process: SimulatedProcess;
   private readonly random: Random;
   private readonly told = new Map<string, readonly LoadUnderWay[]>();
@@ -49,17 +54,25 @@
   /** The records' store, as operators and daemons use it. */
   readonly store: QuarantineStore = {
     create: (record) => {
-      if (!this.records.has(record.content)) this.records.set(record.content, record);
+      if (!this.entries.has(record.content)) this.entries.set(record.content, record);
       for (const { quarantine } of this.zones) quarantine.contents.recordSeen(record);
       return Promise.resolve();
     },
     remove: (content) => {
-      this.records.delete(content);
+      this.entries.delete(content);
       for (const { quarantine } of this.zones) quarantine.contents.recordGone(content);
       return Promise.resolve();
     },
   };
 
+  /** Verdicts that the store holds. */
+  get records(): ReadonlyMap<string, QuarantineRecord> {
+    const verdicts = [...this.entries.values()].filter(
+      (entry): entry is QuarantineRecord => !isEvidence(entry),
+    );
+    return new Map(verdicts.map((record) => [record.content, record]));
+  }
+
   /** @param endsUnder Loads that end the worker which begins them. */
   constructor(
     seed: number,
@@ -211,7 +224,7 @@
 
   private addQuarantine(clock: Clock): DaemonQuarantine {
     const quarantine = daemonQuarantine(clock, this.directory, this.workers, this.store);
-    quarantine.contents.recordsListed([...this.records.values()]);
+    quarantine.contents.recordsListed([...this.entries.values()]);
     quarantine.contents.onNews = () => {
       this.world.schedule(WORD_MS, () => {
         for (const { quarantine: other } of this.zones) {
--- a/packages/serving/src/deployment-view.ts
+++ b/packages/serving/src/deployment-view.ts
@@ -2,7 +2,7 @@
 import type { BackEnd, BackendDirectory } from '@woodbarrow/backends';
 import type { ConfigurationHolder, ForwardingConfiguration } from '@woodbarrow/forwarding';
 import type { EventLog } from '@woodbarrow/observability';
-import type { QuarantineRecord, RequestQuarantine } from '@woodbarrow/quarantine';
+import type { QuarantineEntry, RequestQuarantine } from '@woodbarrow/quarantine';
 import type { IngressLimits } from '@woodbarrow/runtime';
 import type { DeploymentSink } from './ports.js';
 
@@ -61,12 +61,12 @@
     this.log.changed('back_end_gone', { backEnd: id });
   }
 
-  quarantineListed(records: readonly QuarantineRecord[]): void {
+  quarantineListed(records: readonly QuarantineEntry[]): void {
     this.isQuarantineListed = true;
     this.quarantine.recordsListed(records);
   }
 
-  contentQuarantined(record: QuarantineRecord): void {
+  contentQuarantined(record: QuarantineEntry): void {
     this.quarantine.recordSeen(record);
   }
 
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -4,7 +4,7 @@
 import type { RecordHandlers } from '@woodbarrow/exchange';
 import type { ForwardingConfiguration, WireDialect } from '@woodbarrow/forwarding';
 import type { RecordEntry } from '@woodbarrow/protocol';
-import type { ProcessProbe, QuarantineRecord, QuarantineStore } from '@woodbarrow/quarantine';
+import type { ProcessProbe, QuarantineEntry, QuarantineStore } from '@woodbarrow/quarantine';
 import type { OrderClient } from '@woodbarrow/residency';
 import type { BackendClient, Clock, Random, Transport } from '@woodbarrow/runtime';
 
@@ -18,8 +18,8 @@
   backEndChanged(backEnd: BackEnd): void;
   backEndGone(id: string): void;
   /** All contents that must not be run; others may. */
-  quarantineListed(records: readonly QuarantineRecord[]): void;
-  contentQuarantined(record: QuarantineRecord): void;
+  quarantineListed(records: readonly QuarantineEntry[]): void;
+  contentQuarantined(record: QuarantineEntry): void;
   quarantineLifted(content: string): void;
 }
 
