--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -148,7 +148,8 @@
     if (!follows) options.onFollows();
     if (target.kind === 'not_begun') target = this.begin(target, answer, options);
     // Comments behind the last event belong to the back end's whole body.
-    await target.pass([{ bytes: splitter.remainder, isEvent: false }]);
+    const { remainder: bytes } = splitter;
+    if (bytes.byteLength > 0) await orAborted(target.pass([{ bytes, isEvent: false }]), this.expired);
     const lastEvent = target.lastEventId;
     target.complete();
     return { kind: 'passed', lastEvent };
