A break inside an event is told apart from a plain end there; failing: evidence of a single end is lost with all daemons

The log tells both apart again.

To try: one record for each process that has ended, with all contents that it ran.

--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -22,7 +22,7 @@
 /** It broke off, or stopped. */
 export interface BrokenResult {
   readonly kind: 'broken';
-  /** Bytes of an event that was not finished. */
+  /** Bytes of an unfinished event at a plain end; 0 where the connection broke. */
   readonly tornBytes: number;
 }
 
@@ -144,7 +144,8 @@
       this.knowsOfMore = false;
     }
     // An event without its blank line is not whole: clients drop it, so a stream that ends there must not look complete.
-    if (splitter.partialBytes > 0 || this.knowsOfMore) return this.broken(splitter);
+    if (splitter.partialBytes > 0 || this.knowsOfMore)
+      return { ...this.broken(splitter), tornBytes: splitter.partialBytes };
     if (!follows) options.onFollows();
     if (target.kind === 'not_begun') target = this.begin(target, answer, options);
     // Comments behind the last event belong to the back end's whole body.
@@ -167,7 +168,7 @@
 
   private broken({ partialBytes }: EventSplitter): BrokenResult {
     this.knowsOfMore ||= partialBytes > 0;
-    return { kind: 'broken', tornBytes: partialBytes };
+    return { kind: 'broken', tornBytes: 0 };
   }
 
   private noteArrival(): void {
--- a/packages/quarantine/test/request-quarantine.test.ts
+++ b/packages/quarantine/test/request-quarantine.test.ts
@@ -86,6 +86,17 @@
     expect(isRefused(scene.addDaemon())).to.equal(true);
   });
 
+  it('is found out though all daemons are killed after each single end', async () => {
+    let daemon = first;
+    for (const id of ['w1', 'w2', 'w3']) {
+      await scene.endUnder(daemon, CONTENT, id);
+      await scene.pass(100);
+      scene.killAll();
+      daemon = scene.addDaemon();
+    }
+    expect(isRefused(daemon)).to.equal(true);
+  });
+
   it('is found out by daemons that were cut from each other, once they hear of each other again', async () => {
     scene.cutOff.add(third);
     scene.isStoreDown = true;
