Requests run in the name of the tenant that holds their key; headers of the system come from the system alone

Cause: the adapter decoded neither tenants nor public routes, passed the caller's key and its claim of a tenant on, and dropped three names of the headers that only the system may set. Now tenants, keys (as digests), ranks and limits are decoded once; a table says what runs (no key, a key held by a tenant, one held by nobody; public and other routes), with 401 before anything is chosen; the tenant's rank goes before the route's; one named table lists what a client may not hand to a worker. The identity of a content takes the caller's key by its digest (the header read before is not the platform's).

--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -12,6 +12,7 @@
 import { RunForecast } from './run-forecast.js';
 import { requestDigest } from './request-identity.js';
 import { mayRunAgain, type Route } from './route.js';
+import type { Tenant } from './tenant.js';
 import type { RequestFacts } from './wire-dialect.js';
 
 /** Sends at most, whatever came of them. */
@@ -25,6 +26,8 @@
   readonly answer: ClientAnswer;
   readonly facts: RequestFacts;
   readonly route: Route;
+  /** In whose name it runs; absent where it has none. */
+  readonly tenant?: Tenant;
   readonly service: ServiceDefinition;
   readonly body: Uint8Array;
   /** Monotonic. */
@@ -54,8 +57,10 @@
       journal,
       sends: () => progress.sends,
     });
-    const digest = requestDigest(exchange, taken.body);
-    this.scope = { ...taken, context, digest, times, progress, ending, expired: this.expired.signal };
+    const digest = requestDigest(exchange, facts.keyDigest ?? '', taken.body);
+    const priority = taken.tenant?.priority ?? route.priority;
+    const expired = this.expired.signal;
+    this.scope = { ...taken, context, digest, priority, times, progress, ending, expired };
     this.send = new RequestSend(this.scope, new RunForecast(context.runTimes, facts));
   }
 
@@ -92,9 +97,10 @@
   }
 
   private noteAdmitted(): void {
-    const { facts, route, service, digest, times } = this.scope;
+    const { facts, route, tenant, service, digest, times } = this.scope;
     this.context.journal.decided('request_admitted', facts.id, {
       route: route.name,
+      tenant: tenant?.name,
       service: service.name,
       content: digest,
       model: facts.target?.model,
@@ -176,7 +182,7 @@
   }
 
   private async choose(): Promise<BackendChoice> {
-    const { service, facts, route, times, answer, progress, digest } = this.scope;
+    const { service, facts, route, priority, times, answer, progress, digest } = this.scope;
     const health = this.context.healthOf(service.name);
     const { engine } = service;
     const { target } = facts;
@@ -190,7 +196,7 @@
         engine,
         target,
         facts,
-        priority: route.priority,
+        priority,
         targetLatencyMs: route.targetLatencyMs,
         targetBy: times.targetBy(),
         startBy: answer.hasBegun ? times.resumeBy() : times.startBy(),
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -1,6 +1,7 @@
 /** Takes requests of clients in: finds the route, bounds the body, and starts the task of each. */
 import { messageOf } from '@woodbarrow/errors';
 import { BodyTooLargeError, type IncomingExchange, type Random } from '@woodbarrow/runtime';
+import { accessOf } from './caller-access.js';
 import { ClientAnswer } from './client-answer.js';
 import { ForwardedRequest, type TakenRequest } from './forwarded-request.js';
 import type { ConfigurationHolder, ForwardingConfiguration } from './forwarding-configuration.js';
@@ -57,7 +58,7 @@
   }
 
   private async forward(arrival: Arrival): Promise<void> {
-    const { exchange } = arrival;
+    const { exchange, facts } = arrival;
     const ending = this.endingOf(arrival);
     if (this.context.stopWaiting.aborted) {
       ending.refuseStopping();
@@ -73,6 +74,12 @@
       ending.refuse('not_found', 'not_found', 0);
       return;
     }
+    const access = accessOf(route, current.tenants, facts.keyDigest);
+    if (access.kind === 'denied') {
+      ending.refuse('unauthenticated', facts.keyDigest === undefined ? 'no_key' : 'unknown_key', 0);
+      return;
+    }
+    const { tenant } = access;
     this.dropOldSplits(current);
     const service = current.services.get(this.splitter.choose(route));
     if (service === undefined) {
@@ -80,7 +87,8 @@
       return;
     }
     const body = await exchange.readBody(current.limits.maximumBodyBytes);
-    await new ForwardedRequest(this.context, { ...arrival, route, service, body }).run();
+    const taken = { ...arrival, route, service, body, ...(tenant === undefined ? {} : { tenant }) };
+    await new ForwardedRequest(this.context, taken).run();
   }
 
   private dropOldSplits(current: ForwardingConfiguration): void {
--- a/packages/forwarding/src/forwarding-configuration.ts
+++ b/packages/forwarding/src/forwarding-configuration.ts
@@ -2,6 +2,7 @@
 import type { ServiceDefinition } from '@woodbarrow/backends';
 import { RouteTable } from './route-table.js';
 import type { Route } from './route.js';
+import type { TenantTable } from './tenant.js';
 
 /** Bounds on what clients may send. */
 export interface RequestLimits {
@@ -18,6 +19,8 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, ServiceDefinition>;
   readonly limits: RequestLimits;
+  /** Absent where requests need no key. */
+  readonly tenants?: TenantTable;
 }
 
 /** Holds the newest configuration; an older one never replaces it. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,6 +1,7 @@
 /** Requests passed through to back ends. */
 export * from './backend-choice.js';
 export * from './backend-health.js';
+export * from './caller-access.js';
 export * from './connection-share.js';
 export * from './event-splitter.js';
 export * from './forwarder.js';
@@ -15,5 +16,6 @@
 export * from './route-table.js';
 export * from './route.js';
 export * from './stream-position.js';
+export * from './tenant.js';
 export * from './traffic-splitter.js';
 export * from './wire-dialect.js';
--- a/packages/forwarding/src/request-scope.ts
+++ b/packages/forwarding/src/request-scope.ts
@@ -6,6 +6,7 @@
 import type { HeldAnswer, RequestEnding } from './request-ending.js';
 import type { RequestTimes } from './request-times.js';
 import type { Route } from './route.js';
+import type { Tenant } from './tenant.js';
 import type { RequestFacts } from './wire-dialect.js';
 
 /** One request, what its client has received, and what has been tried for it. */
@@ -14,6 +15,10 @@
   readonly exchange: IncomingExchange;
   readonly facts: RequestFacts;
   readonly route: Route;
+  /** In whose name it runs; absent where it has none. */
+  readonly tenant?: Tenant;
+  /** That of the tenant where it has one, else of the route; 0 is the most urgent. */
+  readonly priority: number;
   readonly service: ServiceDefinition;
   readonly body: Uint8Array;
   /** Digest of the content, which all attempts of one request share. */
--- a/packages/forwarding/src/request-send.ts
+++ b/packages/forwarding/src/request-send.ts
@@ -79,12 +79,13 @@
   }
 
   private requestHeaders(backEnd: BackEnd): string[] {
-    const { context, exchange, times, route, answer } = this.scope;
+    const { context, exchange, times, priority, tenant, answer } = this.scope;
     const resumeAfter = answer.lastEventId;
     return context.dialect.requestHeaders(exchange.rawHeaders, {
       remainingMs: Math.max(1, Math.floor(times.leftMs())),
       backEndId: backEnd.id,
-      priority: route.priority,
+      priority,
+      ...(tenant === undefined ? {} : { tenant: tenant.name }),
       ...(resumeAfter === undefined ? {} : { resumeAfter }),
     });
   }
--- a/packages/forwarding/src/route.ts
+++ b/packages/forwarding/src/route.ts
@@ -35,6 +35,8 @@
   readonly maximumAttempts: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Needs no key. */
+  readonly isPublic: boolean;
   /** At least one. */
   readonly targets: readonly RouteTarget[];
 }
--- a/packages/forwarding/src/wire-dialect.ts
+++ b/packages/forwarding/src/wire-dialect.ts
@@ -27,6 +27,8 @@
   readonly promptParts: readonly PromptPart[];
   /** Last event that the client has of an earlier answer, when it takes a stream up itself. */
   readonly resumeAfter?: string;
+  /** Digest of the key that the caller shows; the key itself goes no further. Absent when it shows none. */
+  readonly keyDigest?: string;
 }
 
 /** What the product adds to a request that it passes on. */
@@ -37,6 +39,8 @@
   readonly backEndId: string;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Tenant in whose name it runs; absent where it has none. */
+  readonly tenant?: string;
   /** Last event that the client has, when a stream is taken up again. */
   readonly resumeAfter?: string;
 }
@@ -63,7 +67,10 @@
 /** Names and meanings on the wire. */
 export interface WireDialect {
   readFacts(headers: Readonly<Record<string, string | undefined>>): RequestFacts;
-  /** Headers to send to a back end: those of the client but for the connection's, and the product's own. */
+  /**
+   * Headers to send to a back end: those of the client but for the connection's and for those that only the product may set, and the
+   * product's own.
+   */
   requestHeaders(received: RawHeaders, send: SendFacts): string[];
   /** Headers to answer the client with: those of the back end but for the connection's. */
   answerHeaders(received: RawHeaders): string[];
--- a/packages/forwarding/test/parts.test.ts
+++ b/packages/forwarding/test/parts.test.ts
@@ -21,6 +21,7 @@
     targetLatencyMs: 100,
     maximumAttempts: 1,
     priority: 0,
+    isPublic: false,
     targets: weights.map((weight, index) => ({ service: `s${String(index)}`, weight })),
   };
 }
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -342,6 +342,7 @@
     targetLatencyMs: 200,
     maximumAttempts: 2,
     priority: 1,
+    isPublic: false,
     targets: [{ service: 'service', weight: 1 }],
   };
 }
