Holders of a target are found by an index

Each request, each quote and each group of a plan asks. Now an index by target names those whose record or word says so, and only these are looked at; the answer is the same (a test compares both over 4,000 random steps).

--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -6,6 +6,7 @@
 import type { CancelTimer, Clock } from '@woodbarrow/runtime';
 import type { BackEnd } from './back-end.js';
 import { hasAdapter, keysServedBy, targetKey, type AdapterTarget, type ModelTarget } from './model-name.js';
+import { TargetIndex } from './target-index.js';
 
 /** Events of {@link BackendDirectory}. */
 export interface BackendDirectoryEvents {
@@ -49,6 +50,8 @@
   private readonly entries = new Map<string, Entry>();
   /** Back ends by service, put together when asked for after a change. */
   private readonly byService = new Map<string, BackEnd[]>();
+  /** Back ends that are said to hold a target, in their record or by word that may have run out. */
+  private readonly saidToHold = new TargetIndex();
   private readonly endedAt = new Map<string, number>();
 
   constructor(private readonly clock: Clock) {}
@@ -106,6 +109,7 @@
       known.recorded = recorded;
       known.changedAt = now;
     }
+    for (const key of recorded) this.saidToHold.add(key, backEnd.id);
     this.byService.delete(backEnd.service);
     void this.events.emit('changed', backEnd);
   }
@@ -141,7 +145,9 @@
     const entry = this.entries.get(id);
     if (entry === undefined) return;
     const at = this.clock.elapsed();
-    entry.announcements.set(targetKey(target), { resident, at });
+    const key = targetKey(target);
+    entry.announcements.set(key, { resident, at });
+    if (resident) this.saidToHold.add(key, id);
     if (target.adapterVersion !== undefined && hasAdapter(target)) this.announceAnyVersion(entry, target, at);
     void this.events.emit('residency', { backEndId: id, target, resident });
   }
@@ -156,7 +162,15 @@
 
   /** Back ends of a service that take requests and hold a target. */
   holdersOf(service: string, target: ModelTarget): BackEnd[] {
-    return this.ofService(service).filter((backEnd) => !backEnd.draining && this.holds(backEnd.id, target));
+    const holders: BackEnd[] = [];
+    const key = targetKey(target);
+    for (const id of this.saidToHold.of(key)) {
+      const entry = this.entries.get(id);
+      if (entry === undefined || !isSaidToHold(entry, key)) this.saidToHold.remove(key, id);
+      else if (entry.backEnd.service === service && !entry.backEnd.draining && this.holds(id, target))
+        holders.push(entry.backEnd);
+    }
+    return holders;
   }
 
   /** After word of one version: whether a request that takes any is served. */
@@ -165,6 +179,7 @@
     const known = [...entry.recorded, ...entry.announcements.keys()];
     const resident = known.some((key) => key.startsWith(`${anyVersion}@`) && this.believes(entry, key));
     entry.announcements.set(anyVersion, { resident, at });
+    if (resident) this.saidToHold.add(anyVersion, entry.backEnd.id);
   }
 
   private believes(entry: Entry, key: string): boolean {
@@ -191,6 +206,11 @@
   }
 }
 
+/** Whether a target stands in the record of a back end, or there is word of it. */
+function isSaidToHold({ recorded, announcements }: Entry, key: string): boolean {
+  return recorded.has(key) || announcements.has(key);
+}
+
 function recordedTargets(backEnd: BackEnd): ReadonlySet<string> {
   const keys = new Set<string>();
   for (const held of backEnd.models) {
--- a/packages/backends/test/backend-directory.test.ts
+++ b/packages/backends/test/backend-directory.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
+import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
 import {
   ABSENCE_GRACE_MS,
   ANNOUNCEMENT_PRECEDENCE_MS,
@@ -21,6 +21,9 @@
   };
 }
 
+/** Steps of the comparison of the index with a look at every back end. */
+const INDEX_STEPS = 4000;
+
 describe('BackendDirectory', () => {
   let world: SimulatedWorld;
   let directory: BackendDirectory;
@@ -105,4 +108,24 @@
     expect(directory.holdersOf('models', { model: 'm1' })).to.have.length(0);
     expect(directory.holds('two', { model: 'm1', adapter: 'a1' })).to.equal(false);
   });
+
+  it('names the holders that a look at every back end finds, through records, word, and time', async () => {
+    const random = new Random(5);
+    const ids = ['w1', 'w2', 'w3', 'w4'];
+    const models = ['a', 'b', 'c'];
+    const some = (names: readonly string[]): string[] => names.filter(() => random.next() < 0.5);
+    const one = (names: readonly string[]): string => names[Math.floor(random.next() * names.length)] ?? '';
+    for (let step = 0; step < INDEX_STEPS; step += 1) {
+      const action = random.next();
+      if (action < 0.3) directory.put(worker(one(ids), some(models), random.next() < 0.2));
+      else if (action < 0.6) directory.announce(one(ids), { model: one(models) }, random.next() < 0.5);
+      else if (action < 0.65) directory.recordVanished(one(ids));
+      else await world.run(world.now + random.next() * ANNOUNCEMENT_PRECEDENCE_MS);
+      const model = one(models);
+      const found = directory
+        .ofService('models')
+        .filter((backEnd) => !backEnd.draining && directory.holds(backEnd.id, { model }));
+      expect(directory.holdersOf('models', { model })).to.have.members(found);
+    }
+  });
 });
