--- a/packages/backends/src/back-end.ts
+++ b/packages/backends/src/back-end.ts
@@ -17,6 +17,10 @@
 export interface BackEnd {
   /** Unique for each incarnation. */
   readonly id: string;
+  /** Name under which it answers; a worker that starts again may keep it. */
+  readonly name: string;
+  /** Time of day at which this incarnation started, in milliseconds; absent where it does not tell. */
+  readonly startedAt?: number;
   readonly service: string;
   /** `ip:port`; given to other workers once this one is gone. */
   readonly address: string;
--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -53,6 +53,8 @@
   /** Back ends that are said to hold a target, in their record or by word that may have run out. */
   private readonly saidToHold = new TargetIndex();
   private readonly endedAt = new Map<string, number>();
+  /** Id of the incarnation that is known under each name. */
+  private readonly idByName = new Map<string, string>();
 
   constructor(private readonly clock: Clock) {}
 
@@ -88,9 +90,22 @@
     return entry === undefined ? Infinity : this.clock.monotonic() - entry.changedAt;
   }
 
-  /** Enters a back end or a newer record of it. */
+  /** The incarnation that is known under a name. */
+  named(name: string): BackEnd | undefined {
+    const id = this.idByName.get(name);
+    return id === undefined ? undefined : this.get(id);
+  }
+
+  /** Enters a back end or a newer record of it. Another incarnation under its name has ended. */
   put(backEnd: BackEnd): void {
     if (this.endedAt.has(backEnd.id)) return;
+    const other = this.named(backEnd.name);
+    if (other !== undefined && other.id !== backEnd.id) {
+      // What an incarnation wrote before its end may arrive after the first word of the next.
+      if ((backEnd.startedAt ?? -Infinity) < (other.startedAt ?? -Infinity)) return;
+      this.remove(other.id);
+    }
+    this.idByName.set(backEnd.name, backEnd.id);
     const now = this.clock.monotonic();
     const known = this.entries.get(backEnd.id);
     const recorded = recordedTargets(backEnd);
@@ -114,10 +129,11 @@
     void this.events.emit('changed', backEnd);
   }
 
-  /** The record of a back end has vanished: it is removed unless the record comes back within a grace. */
-  recordVanished(id: string): void {
-    const entry = this.entries.get(id);
-    if (entry === undefined || entry.cancelRemoval !== undefined) return;
+  /** The record of a name has vanished: its back end is removed unless the record comes back within a grace. */
+  recordVanished(name: string): void {
+    const id = this.idByName.get(name);
+    const entry = id === undefined ? undefined : this.entries.get(id);
+    if (id === undefined || entry === undefined || entry.cancelRemoval !== undefined) return;
     entry.cancelRemoval = this.clock.schedule(ABSENCE_GRACE_MS, () => {
       this.delete(id);
     });
@@ -133,9 +149,9 @@
 
   /** Makes the directory hold just these back ends. */
   replaceAll(backEnds: readonly BackEnd[]): void {
-    const ids = new Set(backEnds.map((backEnd) => backEnd.id));
-    for (const id of [...this.entries.keys()]) {
-      if (!ids.has(id)) this.recordVanished(id);
+    const names = new Set(backEnds.map(({ name }) => name));
+    for (const name of [...this.idByName.keys()]) {
+      if (!names.has(name)) this.recordVanished(name);
     }
     for (const backEnd of backEnds) this.put(backEnd);
   }
@@ -195,6 +211,7 @@
     if (entry === undefined) return;
     entry.cancelRemoval?.();
     this.entries.delete(id);
+    if (this.idByName.get(entry.backEnd.name) === id) this.idByName.delete(entry.backEnd.name);
     this.byService.delete(entry.backEnd.service);
     void this.events.emit('removed', entry.backEnd);
   }
--- a/packages/backends/test/backend-directory.test.ts
+++ b/packages/backends/test/backend-directory.test.ts
@@ -11,6 +11,7 @@
 function worker(id: string, models: readonly string[] = [], draining = false): BackEnd {
   return {
     id,
+    name: id,
     service: 'models',
     address: '10.0.0.1:80',
     zone: 'a',
--- a/packages/forwarding/src/request-send.ts
+++ b/packages/forwarding/src/request-send.ts
@@ -83,7 +83,7 @@
     const resumeAfter = answer.lastEventId;
     return context.dialect.requestHeaders(exchange.rawHeaders, {
       remainingMs: Math.max(1, Math.floor(times.leftMs())),
-      backEndId: backEnd.id,
+      backEndName: backEnd.name,
       priority,
       ...(tenant === undefined ? {} : { tenant: tenant.name }),
       ...(resumeAfter === undefined ? {} : { resumeAfter }),
--- a/packages/forwarding/src/send-attempt.ts
+++ b/packages/forwarding/src/send-attempt.ts
@@ -59,7 +59,7 @@
       signal: plan.controller.signal,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     });
-    const sent = { requestId: plan.requestId, backEndId: plan.backEnd.id };
+    const sent = { requestId: plan.requestId, backEndName: plan.backEnd.name };
     return outcomeOf(dialect.judge(sent, answer.status, answer.headers), answer);
   } catch (error) {
     if (silent) return { kind: 'silent' };
--- a/packages/forwarding/src/wire-dialect.ts
+++ b/packages/forwarding/src/wire-dialect.ts
@@ -35,8 +35,8 @@
 export interface SendFacts {
   /** Milliseconds left. */
   readonly remainingMs: number;
-  /** The only incarnation that may run it. */
-  readonly backEndId: string;
+  /** Name of the only back end that may run it. */
+  readonly backEndName: string;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Tenant in whose name it runs; absent where it has none. */
@@ -61,7 +61,7 @@
 /** What an answer is compared with. */
 export interface SentRequest {
   readonly requestId: string;
-  readonly backEndId: string;
+  readonly backEndName: string;
 }
 
 /** Names and meanings on the wire. */
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -225,6 +225,7 @@
   add(id: string, script: BackendScript, models: readonly string[] = []): BackEnd {
     const backEnd: BackEnd = {
       id,
+      name: id,
       service: 'service',
       address: id,
       zone: 'a',
--- a/packages/quarantine/test/quarantine-scene.ts
+++ b/packages/quarantine/test/quarantine-scene.ts
@@ -115,6 +115,7 @@
 export function backEndOf(id: string): BackEnd {
   return {
     id,
+    name: id,
     service: 'service',
     address: id,
     zone: 'a',
--- a/packages/residency/src/order-client.ts
+++ b/packages/residency/src/order-client.ts
@@ -47,6 +47,6 @@
 export interface OrderClient {
   /** Never rejects. */
   send(backEnd: BackEnd, order: WorkerOrder): Promise<OrderOutcome>;
-  /** Undefined when no report came. */
-  report(backEnd: BackEnd): Promise<WorkerReport | undefined>;
+  /** Undefined when no report came; `ended` when another incarnation answers. */
+  report(backEnd: BackEnd): Promise<WorkerReport | 'ended' | undefined>;
 }
--- a/packages/residency/src/order-sender.ts
+++ b/packages/residency/src/order-sender.ts
@@ -86,6 +86,10 @@
   /** A report, or undefined when none came. */
   async report(): Promise<WorkerReport | undefined> {
     const report = await this.options.orders.report(this.backEnd());
+    if (report === 'ended') {
+      this.options.directory.remove(this.options.backEndId);
+      return undefined;
+    }
     this.noteAnswer(report !== undefined);
     if (report === undefined) this.options.quarantine.unanswered(this.options.backEndId);
     else this.sequence ??= report.sequence;
--- a/packages/residency/test/crashing-loads-world.ts
+++ b/packages/residency/test/crashing-loads-world.ts
@@ -168,6 +168,7 @@
     this.workers.set(id, worker);
     this.directory.put({
       id,
+      name: id,
       service: SERVICE,
       address: `address-of-${id}`,
       zone,
--- a/packages/residency/test/demand-router.test.ts
+++ b/packages/residency/test/demand-router.test.ts
@@ -63,6 +63,7 @@
       });
       directory.put({
         id: `worker-${zone}`,
+        name: `worker-${zone}`,
         service: 'models',
         address: '10.0.0.1:1',
         zone,
--- a/packages/residency/test/load-plan.test.ts
+++ b/packages/residency/test/load-plan.test.ts
@@ -33,6 +33,7 @@
 function candidate(id: string, busyMs: number): PlacementCandidate {
   const backEnd = {
     id,
+    name: id,
     service: 's',
     address: '10.0.0.1:1',
     zone: 'z',
--- a/packages/residency/test/placement-choice.test.ts
+++ b/packages/residency/test/placement-choice.test.ts
@@ -49,6 +49,7 @@
     residents.replace(held, MODELS, -Infinity);
     const backEnd = {
       id,
+      name: id,
       service: 's',
       address: '10.0.0.1:1',
       zone: 'z',
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -74,6 +74,7 @@
     for (const workerZone of ZONES) {
       directory.put({
         id: `worker-${workerZone}`,
+        name: `worker-${workerZone}`,
         service: 'models',
         address: '10.0.0.1:1',
         zone: workerZone,
--- a/packages/residency/test/zone-residency.test.ts
+++ b/packages/residency/test/zone-residency.test.ts
@@ -93,6 +93,7 @@
     expect(zone.workers.get('w0')?.models.has('m5')).to.equal(false);
     zone.directory.put({
       id: 'far',
+      name: 'far',
       service: SERVICE,
       address: '10.0.0.2:1',
       zone: 'zone-b',
--- a/packages/residency/test/zone-world.ts
+++ b/packages/residency/test/zone-world.ts
@@ -73,6 +73,7 @@
     this.workers.set(id, new SimulatedWorker(this.world, models));
     this.directory.put({
       id,
+      name: id,
       service: SERVICE,
       address: '10.0.0.1:1',
       zone: ZONE,
--- a/packages/serving/src/deployment-view.ts
+++ b/packages/serving/src/deployment-view.ts
@@ -56,9 +56,11 @@
     });
   }
 
-  backEndGone(id: string): void {
-    this.directory.recordVanished(id);
-    this.log.changed('back_end_gone', { backEnd: id });
+  backEndGone(name: string): void {
+    const known = this.directory.named(name);
+    if (known === undefined) return;
+    this.directory.recordVanished(name);
+    this.log.changed('back_end_gone', { backEnd: known.id });
   }
 
   quarantineListed(records: readonly QuarantineEntry[]): void {
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -16,7 +16,8 @@
   /** All back ends there are; others are gone. */
   backEndsListed(backEnds: readonly BackEnd[]): void;
   backEndChanged(backEnd: BackEnd): void;
-  backEndGone(id: string): void;
+  /** @param name Name of its record, whichever run of the worker it was of. */
+  backEndGone(name: string): void;
   /** All contents that must not be run; others may. */
   quarantineListed(records: readonly QuarantineEntry[]): void;
   contentQuarantined(record: QuarantineEntry): void;
@@ -101,4 +102,6 @@
   readonly feed: DeploymentFeed;
   /** Calls to the store since the start, by operation, kind of record and outcome. */
   readonly storeCalls: () => ReadonlyMap<string, number>;
+  /** Records read since the start that could not be decoded, by kind. */
+  readonly invalidRecords: () => ReadonlyMap<string, number>;
 }
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -345,6 +345,7 @@
       zonesHeld: () => residency.fencesHeld(),
       connectionsOpened: () => ports.client.connectionsOpened,
       storeCalls: () => ports.storeCalls(),
+      invalidRecords: () => ports.invalidRecords(),
       callFailures: () => this.failures.totals(),
       unserved: () => residency.unserved(),
       quarantine: () => this.quarantine.totals,
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -13,6 +13,7 @@
   readonly connectionsOpened: () => number;
   readonly storeCalls: () => ReadonlyMap<string, number>;
   readonly callFailures: () => ReadonlyMap<string, number>;
+  readonly invalidRecords: () => ReadonlyMap<string, number>;
   /** What the zones coordinated here could not serve, by zone. */
   readonly unserved: () => ReadonlyMap<string, UnservedDemands>;
   readonly quarantine: () => QuarantineTotals;
@@ -69,6 +70,12 @@
       sources.storeCalls,
       'call',
     );
+    registry.gauge(
+      'woodbarrow_invalid_records',
+      'Records of the store that could not be decoded, as often as they were read, by kind.',
+      sources.invalidRecords,
+      'kind',
+    );
     registry.gauge(
       'woodbarrow_call_failures',
       'Calls to other daemons that failed since the start, by kind.',
