--- a/packages/runtime/src/hashing.ts
+++ b/packages/runtime/src/hashing.ts
@@ -1,12 +1,13 @@
 /** Hashing: fast and non-cryptographic by xxHash, and digests that stand for a content. */
 import { createHash } from 'node:crypto';
-import createXxhash from 'xxhash-wasm';
+import { xxHash32 } from 'js-xxhash';
 
-const hasher = await createXxhash();
-
-/** 32-bit hash of a text. */
+/**
+ * 32-bit hash of a text. In JavaScript 1.9 µs for a short text, against 0.4 µs with WebAssembly, which costs each start of a process 0.04 s
+ * of processor time (median of 25 starts): some twenty thousand hashes.
+ */
 export function hashText(text: string, seed = 0): number {
-  return hasher.h32(text, seed);
+  return xxHash32(text, seed);
 }
 
 /** Characters of a content digest: 128 bits, so that two contents do not share one by chance. */
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -3,17 +3,15 @@
 
 await build({
   entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/woodbarrow-serving.mjs',
+  outfile: 'target/woodbarrow-serving.cjs',
   bundle: true,
   minifySyntax: true,
   minifyWhitespace: true,
   platform: 'node',
   target: 'node20',
-  format: 'esm',
-  // Libraries written for CommonJS load modules of Node.js by require.
-  banner: {
-    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
-  },
+  // As a module of the older kind it starts with 0.25 s of processor time instead of 0.30 s (median of 25 starts): it is read at once, and
+  // not by way of the asynchronous loader.
+  format: 'cjs',
   conditions: ['source'],
   logLevel: 'warning',
 });
