--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -99,8 +99,8 @@
       size += step.chunk.byteLength;
       if (size <= HELD_ANSWER_BYTES) continue;
       begun ??= client.beginBytes({ status: answer.status, headers });
-      const written = begun.pass(Buffer.concat(held.splice(0)));
-      if ((await orAborted(written, this.expired)) === ABORTED) return { kind: 'broken', tornBytes: 0 };
+      const taken = begun.pass(Buffer.concat(held.splice(0)));
+      if (await this.isTimeUp(taken)) return { kind: 'broken', tornBytes: 0 };
     }
     if (begun === undefined)
       return { kind: 'held', answer: { status: answer.status, headers, body: Buffer.concat(held) } };
@@ -136,8 +136,8 @@
         if (continuation !== 'follows') return this.giveUp(answer, continuation);
         target = this.begin(target, answer, options);
       }
-      const continuation = await orAborted(target.pass(events), this.expired);
-      if (continuation === ABORTED) return { kind: 'broken', tornBytes: 0 };
+      const { continuation, taken } = target.pass(events);
+      if (await this.isTimeUp(taken)) return { kind: 'broken', tornBytes: 0 };
       if (continuation !== 'follows') return this.giveUp(answer, continuation);
       if (!follows) options.onFollows();
       follows = true;
@@ -150,12 +150,21 @@
     if (target.kind === 'not_begun') target = this.begin(target, answer, options);
     // Comments behind the last event belong to the back end's whole body.
     const { remainder: bytes } = splitter;
-    if (bytes.byteLength > 0) await orAborted(target.pass([{ bytes, isEvent: false }]), this.expired);
+    if (bytes.byteLength > 0) {
+      const { taken } = target.pass([{ bytes, isEvent: false }]);
+      await this.isTimeUp(taken);
+    }
     const lastEvent = target.lastEventId;
     target.complete();
     return { kind: 'passed', lastEvent };
   }
 
+  /** Waits until the client has taken what was written, and says whether time is up by then. */
+  private async isTimeUp(taken: Promise<void> | undefined): Promise<boolean> {
+    if (taken === undefined) return this.expired.aborted;
+    return (await orAborted(taken, this.expired)) === ABORTED;
+  }
+
   private begin(client: UnbegunAnswer, answer: BackendAnswer, { position }: StreamOptions): EventAnswer {
     const headers = this.dialect.answerHeaders(answer.rawHeaders);
     return client.beginEvents({ status: answer.status, headers }, position);
--- a/packages/forwarding/src/client-answer.ts
+++ b/packages/forwarding/src/client-answer.ts
@@ -32,16 +32,24 @@
   readonly canBeTakenUp: boolean;
   /** The next events come from another run. */
   startRun(): void;
-  /** Passes events on up to the first that does not follow; resolves with what was wrong with that one. */
-  pass(events: readonly StreamEvent[]): Promise<Continuation>;
+  /** Passes events on up to the first that does not follow, and says what was wrong with that one. */
+  pass(events: readonly StreamEvent[]): PassedEvents;
   /** Ends it as complete. */
   complete(): void;
 }
 
+/** What became of events that were passed on. */
+export interface PassedEvents {
+  /** Whether all of them followed. */
+  readonly continuation: Continuation;
+  /** Resolves when the client's side can take more; absent where it can at once, as it nearly always can. */
+  readonly taken: Promise<void> | undefined;
+}
+
 /** Part of a body has been passed on. */
 export interface ByteAnswer {
   readonly kind: 'bytes';
-  pass(chunk: Uint8Array): Promise<void>;
+  pass(chunk: Uint8Array): Promise<void> | undefined;
   /** Ends it as complete. */
   complete(): void;
 }
@@ -163,11 +171,11 @@
   }
 }
 
-async function passEvents(
+function passEvents(
   stream: ResponseStream,
   position: StreamPosition | undefined,
   events: readonly StreamEvent[],
-): Promise<Continuation> {
+): PassedEvents {
   const fitting: Uint8Array[] = [];
   let continuation: Continuation = 'follows';
   for (const event of events) {
@@ -176,6 +184,6 @@
     fitting.push(event.bytes);
   }
   const [first] = fitting;
-  if (first !== undefined) await stream.write(fitting.length === 1 ? first : Buffer.concat(fitting));
-  return continuation;
+  if (first === undefined) return { continuation, taken: undefined };
+  return { continuation, taken: stream.write(fitting.length === 1 ? first : Buffer.concat(fitting)) };
 }
--- a/packages/runtime/src/node-backend-client.ts
+++ b/packages/runtime/src/node-backend-client.ts
@@ -2,6 +2,7 @@
 import { Agent, request as startRequest, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { HttpNotSentError } from './http.js';
+import { MessageBody } from './message-body.js';
 import type { BackendAnswer, BackendCall, BackendClient } from './streaming-http.js';
 import { parseAddress } from './transport.js';
 
@@ -42,6 +43,28 @@
   this.destroy();
 }
 
+/** Reads a body to its true end: one without a length ends with its connection, and is not complete where that was reset. */
+class AnswerBody implements AsyncIterable<Uint8Array>, AsyncIterator<Uint8Array> {
+  constructor(
+    private readonly body: MessageBody,
+    private readonly checkEnd: () => Promise<void>,
+  ) {}
+
+  [Symbol.asyncIterator](): this {
+    return this;
+  }
+
+  async next(): Promise<IteratorResult<Uint8Array>> {
+    const step = await this.body.next();
+    if (step.done === true) await this.checkEnd();
+    return step;
+  }
+
+  return(): Promise<IteratorResult<Uint8Array>> {
+    return this.body.return();
+  }
+}
+
 class NodeBackendAnswer implements BackendAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | undefined>>;
@@ -58,7 +81,7 @@
     this.status = message.statusCode ?? 0;
     this.headers = message.headers as Readonly<Record<string, string | undefined>>;
     this.rawHeaders = message.rawHeaders;
-    this.body = this.readToEnd(message);
+    this.body = new AnswerBody(new MessageBody(message), () => this.checkEnd());
     request.once('error', () => {
       this.failed = true;
     });
@@ -74,9 +97,7 @@
     this.request.destroy();
   }
 
-  /** An answer without a length ends with its connection; when that was reset, it is not complete. */
-  private async *readToEnd(message: IncomingMessage): AsyncGenerator<Uint8Array> {
-    for await (const chunk of message) yield chunk as Uint8Array;
+  private async checkEnd(): Promise<void> {
     await this.endChecked;
     if (this.failed) throw new Error('the connection failed before the end of the answer');
   }
--- a/packages/runtime/src/node-ingress.ts
+++ b/packages/runtime/src/node-ingress.ts
@@ -29,10 +29,10 @@
 class NodeResponseStream implements ResponseStream {
   constructor(private readonly response: ServerResponse) {}
 
-  async write(chunk: Uint8Array): Promise<void> {
+  write(chunk: Uint8Array): Promise<void> | undefined {
     const { response } = this;
-    if (response.destroyed || response.write(chunk)) return;
-    await new Promise<void>((resolve) => {
+    if (response.destroyed || response.write(chunk)) return undefined;
+    return new Promise<void>((resolve) => {
       const finish = (): void => {
         clearTimeout(timer);
         response.off('drain', finish);
--- a/packages/runtime/src/streaming-http.ts
+++ b/packages/runtime/src/streaming-http.ts
@@ -34,8 +34,8 @@
 
 /** Body of an answer in progress. */
 export interface ResponseStream {
-  /** Resolves when the client's side can take more. */
-  write(chunk: Uint8Array): Promise<void>;
+  /** Resolves when the client's side can take more; nothing is to be waited for where it can at once. */
+  write(chunk: Uint8Array): Promise<void> | undefined;
   /** Ends the answer as complete. */
   end(): void;
   /** Ends the connection so that the answer cannot be taken for complete. */
