Ends of processes under requests and loads are kept from the first one on

Cause: evidence went to the store from the second of two ends in a row on, so a single end lived in memory alone and each life of the daemons began at nought.

Ways weighed, in calls to the store for a worker that ends with sixty requests seen by twelve daemons (virtual time): a record for each content 60; a record for each daemon that saw an end 12; one record of all that is known and not kept yet, written after a pause that differs from daemon to daemon, 1 to 8 (the test holds 8). The last was kept; it serves loads as well. Records of single contents stay as they were from the second end on: they are removed exactly when a content runs well.

Found beside it: a verdict reached by a daemon that was only told of the ends was written by nobody; the daemon that owns the record writes it after 2 s.

Two assertions said that nothing is kept after a first end, which was the fault itself: they now ask for exactly the record of that end.

--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -24,7 +24,7 @@
 } from '@woodbarrow/runtime';
 import {
   RequestQuarantine,
-  isEvidence,
+  isVerdict,
   type ProcessAnswer,
   type QuarantineRecord,
 } from '@woodbarrow/quarantine';
@@ -213,7 +213,7 @@
       probe: { ask: (backEnd) => Promise.resolve(this.probe(backEnd)) },
       store: {
         create: (record) => {
-          if (!isEvidence(record)) this.quarantineRecords.push(record);
+          if (isVerdict(record)) this.quarantineRecords.push(record);
           return Promise.resolve();
         },
         remove: () => Promise.resolve(),
--- a/packages/quarantine/src/crash-marks.ts
+++ b/packages/quarantine/src/crash-marks.ts
@@ -123,6 +123,16 @@
     return this.counting(content);
   }
 
+  /** All marks that count. */
+  allCounting(): readonly CrashMark[] {
+    return [...this.byContent.keys()].flatMap((content) => this.counting(content));
+  }
+
+  /** Whether a mark counts. */
+  counts(content: string, processId: string): boolean {
+    return this.counting(content).some((mark) => mark.processId === processId);
+  }
+
   /** Ids of the processes that ended under a content, as far as they count. */
   processesOf(content: string): string[] {
     return this.counting(content).map(({ processId }) => processId);
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -1,5 +1,6 @@
 /** Requests and loads that end the processes which run them: evidence, verdict, and how it is shared and kept. */
 export * from './crash-marks.js';
+export * from './ends-records.js';
 export * from './load-content.js';
 export * from './load-quarantine.js';
 export * from './process-fates.js';
--- /dev/null
+++ b/packages/quarantine/src/kept-marks.ts
@@ -0,0 +1,22 @@
+/** Marks as records keep them: monotonic times of one daemon become times of day, and those ages for another. */
+import type { CrashMarkEntry } from '@woodbarrow/protocol';
+import type { Clock } from '@woodbarrow/runtime';
+import type { CrashMark } from './crash-marks.js';
+import type { KeptEnd } from './quarantine-record.js';
+
+/** A mark for a record. */
+export function toKeptEnd({ content, processId, begunAt, endedAt }: CrashMark, clock: Clock): KeptEnd {
+  const lead = clock.wall() - clock.monotonic();
+  return {
+    suspect: content,
+    processId,
+    begunAt: Math.round(lead + begunAt),
+    endedAt: Math.round(lead + endedAt),
+  };
+}
+
+/** A mark of a record, as other daemons tell them. Clocks of daemons differ: what lies ahead of this one has just been. */
+export function toMarkEntry({ suspect, processId, begunAt, endedAt }: KeptEnd, clock: Clock): CrashMarkEntry {
+  const now = clock.wall();
+  return { c: suspect, p: processId, b: Math.max(0, now - begunAt), e: Math.max(0, now - endedAt) };
+}
--- a/packages/quarantine/src/quarantine-record.ts
+++ b/packages/quarantine/src/quarantine-record.ts
@@ -25,8 +25,8 @@
 }
 
 /**
- * Evidence against a content that has no verdict yet. Kept from the second of two ends in a row on, so that it outlasts the daemons that
- * know of it: a first end alone is common, as one worker that crashes leaves one for each request that it ran.
+ * Evidence against a content that has no verdict yet, kept from the second of two ends in a row on, so that it outlasts the daemons that
+ * know of it. First ends are kept apart, see {@link EndsRecord}.
  */
 export interface SuspectRecord {
   /** Name of the record, see {@link suspectName}. */
@@ -38,12 +38,30 @@
   readonly at: number;
 }
 
+/** A process that ended under a content, and which content that was. */
+export interface KeptEnd extends KeptMark {
+  readonly suspect: string;
+}
+
+/**
+ * Ends that no other record keeps yet, of all contents that one daemon knows of at the time: one worker that crashes leaves one for each request
+ * that it ran, which is common, so that they share a record.
+ */
+export interface EndsRecord {
+  /** Name of the record; no content has it. */
+  readonly content: string;
+  readonly ends: readonly KeptEnd[];
+  readonly foundBy: string;
+  /** Time of day, in milliseconds. */
+  readonly at: number;
+}
+
 /** What the store holds. */
-export type QuarantineEntry = QuarantineRecord | SuspectRecord;
+export type QuarantineEntry = QuarantineRecord | SuspectRecord | EndsRecord;
 
-/** Whether an entry is evidence, and no verdict. */
-export function isEvidence(entry: QuarantineEntry): entry is SuspectRecord {
-  return 'suspect' in entry;
+/** Whether an entry is a verdict, and no evidence. */
+export function isVerdict(entry: QuarantineEntry): entry is QuarantineRecord {
+  return 'processes' in entry;
 }
 
 /** Name of the record of evidence against a content. */
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -8,17 +8,19 @@
 import { messageOf } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
 import type { CrashMarkEntry } from '@woodbarrow/protocol';
-import { backoffDelay, settleWithin, sleep, TaskGroup, type Clock, type Random } from '@woodbarrow/runtime';
+import { settleWithin, TaskGroup, type Clock, type Random } from '@woodbarrow/runtime';
 import { CrashMarks } from './crash-marks.js';
+import { EndsRecords } from './ends-records.js';
 import { isLoadContent } from './load-content.js';
 import { ProcessFates, type ProcessFate, type ProcessProbe } from './process-fates.js';
 import {
   QUARANTINE_MS,
-  isEvidence,
+  isVerdict,
   type QuarantineEntry,
   type QuarantineRecord,
   type QuarantineStore,
 } from './quarantine-record.js';
+import { RecordWriter } from './record-writer.js';
 import { SuspectRecords } from './suspect-records.js';
 import { FREE_TURN, SuspectTurns, type Turn } from './suspect-turns.js';
 
@@ -48,6 +50,9 @@
   readonly sentAt: number;
 }
 
+/** What the record of a verdict says of where it comes from. */
+type VerdictSource = Pick<ContentAttempt, 'content' | 'requestId' | 'route' | 'load'>;
+
 /** An attempt whose answer broke off. */
 export interface BrokenAttempt extends ContentAttempt {
   /** It was leaving, or its record had gone, before the answer broke off: it has ended because it was to. */
@@ -78,7 +83,11 @@
 const TELL_PAUSE_MS = 10;
 /** Pause between two looks for records whose time is over, in milliseconds. */
 const EXPIRY_INTERVAL_MS = 60_000;
-const WRITE_RETRY = { initialMs: 200, maximumMs: 5000 };
+/**
+ * Time for which the daemon that saw an end may write the record of a verdict before another one does, in milliseconds. Where all that saw
+ * one were killed, the verdict would be gone with the marks otherwise, after ten minutes instead of an hour.
+ */
+const RECORD_PATIENCE_MS = 2000;
 
 /** The quarantine as one daemon knows it. */
 export class RequestQuarantine {
@@ -93,8 +102,10 @@
   /** The newest attempt of each content that a process ended under here, to be named in its record. */
   private readonly ownAttempts = new Map<string, ContentAttempt>();
   private readonly tasks: TaskGroup;
-  /** Evidence that the store keeps. */
+  private readonly writer: RecordWriter;
+  /** Evidence that the store keeps: of contents under which processes ended in a row, and of all others. */
   private readonly evidence: SuspectRecords;
+  private readonly ends: EndsRecords;
   private tellScheduled = false;
   /** Called when marks are news that other daemons should hear of at once. */
   onNews: () => void = () => undefined;
@@ -110,7 +121,11 @@
     this.tasks = new TaskGroup(clock, (task, error) => {
       log.warned('task_failed', { task, cause: messageOf(error) });
     });
-    this.evidence = new SuspectRecords({ ...options, marks: this.marks, tasks: this.tasks });
+    this.writer = new RecordWriter({ ...options, tasks: this.tasks });
+    this.evidence = new SuspectRecords(this.marks, this.writer);
+    this.ends = new EndsRecords(this.marks, this.writer, (content, processId) =>
+      this.isKept(content, processId),
+    );
   }
 
   /** Starts to look for records whose time is over. */
@@ -213,9 +228,16 @@
     this.logEnd(attempt, endedAt);
     this.noteVerdict(content, 'seen');
     this.keepEvidence(content);
+    this.ends.keepSoon();
     this.tell();
   }
 
+  /** Whether an end under a content stands in a record of that content, in the store or on its way there. */
+  private isKept(content: string, processId: string): boolean {
+    if (this.records.has(content) || this.writing.has(content)) return true;
+    return this.evidence.keeps(content, processId);
+  }
+
   /** Only one that has seen an end itself writes: the others have been told. */
   private keepEvidence(content: string): void {
     if (this.ownAttempts.has(content) && this.marks.isHalfProven(content)) this.evidence.keep(content);
@@ -226,6 +248,7 @@
     if (!this.marks.clear(content)) return;
     this.options.log.changed('suspect_cleared', { content, load });
     this.evidence.drop(content);
+    this.ends.dropSettled();
     this.turns.wake(content);
     this.tell();
   }
@@ -256,7 +279,7 @@
   /** All records there are. */
   recordsListed(entries: readonly QuarantineEntry[]): void {
     const listed = new Set(entries.map(({ content }) => content));
-    for (const name of [...this.records.keys(), ...this.evidence.names])
+    for (const name of [...this.records.keys(), ...this.evidence.names, ...this.ends.names])
       if (!listed.has(name)) this.recordGone(name);
     entries.forEach((entry) => {
       this.recordSeen(entry);
@@ -265,8 +288,8 @@
 
   /** A record appeared. */
   recordSeen(entry: QuarantineEntry): void {
-    if (isEvidence(entry)) this.merge(this.evidence.seen(entry));
-    else this.verdictSeen(entry);
+    if (isVerdict(entry)) this.verdictSeen(entry);
+    else this.merge('suspect' in entry ? this.evidence.seen(entry) : this.ends.seen(entry));
   }
 
   private verdictSeen(record: QuarantineRecord): void {
@@ -290,11 +313,13 @@
    * @param content Name of the record.
    */
   recordGone(content: string): void {
-    if (this.evidence.gone(content) || !this.records.delete(content)) return;
-    if (this.options.removesRecord(content)) this.evidence.drop(content);
+    if (this.evidence.gone(content) || this.ends.gone(content) || !this.records.delete(content)) return;
     this.writing.delete(content);
     this.options.log.changed('quarantine_lifted', { content });
     if (this.marks.clear(content)) this.tell();
+    if (!this.options.removesRecord(content)) return;
+    this.evidence.drop(content);
+    this.ends.dropSettled();
   }
 
   private closeCheck(content: string, check: Promise<void>): void {
@@ -322,6 +347,15 @@
     const attempt = this.ownAttempts.get(content);
     this.options.log.warned(verdictEvent(content), { content, load: attempt?.load, source, processes });
     if (attempt !== undefined) this.keep(attempt);
+    else this.keepLater(content);
+  }
+
+  /** Writes the record of a verdict that no daemon which saw an end has written. */
+  private keepLater(content: string): void {
+    if (!this.options.removesRecord(content)) return;
+    this.options.clock.schedule(RECORD_PATIENCE_MS, () => {
+      this.keep({ content, requestId: '', route: '' });
+    });
   }
 
   private tell(): void {
@@ -334,25 +368,15 @@
   }
 
   /** Writes the record of a verdict, until the store has taken it or the content has been cleared. */
-  private keep({ content, requestId, route, load }: ContentAttempt): void {
-    if (this.writing.has(content) || this.records.has(content)) return;
+  private keep({ content, requestId, route, load }: VerdictSource): void {
+    if (this.writing.has(content) || this.records.has(content) || !this.marks.isProven(content)) return;
     this.writing.add(content);
-    const { clock, random, log, store, daemon } = this.options;
+    const { clock, daemon } = this.options;
     const processes = this.marks.processesOf(content);
     const at = clock.wall();
     const named = load === undefined ? {} : { load };
     const record = { content, processes, route, requestId, ...named, foundBy: daemon, at };
-    this.tasks.spawn('quarantine record', async (signal) => {
-      for (let failures = 0; !signal.aborted && this.marks.isProven(content); failures += 1) {
-        try {
-          await store.create(record);
-          break;
-        } catch (error) {
-          log.warned('quarantine_not_written', { content, failures, cause: messageOf(error) });
-          await sleep(clock, backoffDelay(WRITE_RETRY, failures, random), signal);
-        }
-      }
-    });
+    this.writer.write(record, () => this.marks.isProven(content));
   }
 
   private async removeExpired(): Promise<void> {
@@ -365,6 +389,7 @@
       if (at < oldest && removesRecord(content)) await store.remove(content);
     }
     await this.evidence.removeExpired(removesRecord);
+    await this.ends.removeExpired(removesRecord);
   }
 }
 
--- a/packages/quarantine/src/suspect-records.ts
+++ b/packages/quarantine/src/suspect-records.ts
@@ -2,50 +2,39 @@
  * Evidence kept in the store, so that it outlasts the daemons that know of it: where all of them were killed every six seconds, a
  * request ended twelve workers and was sent six times more than allowed, since two ends were forgotten each time.
  */
-import { messageOf } from '@woodbarrow/errors';
-import type { EventLog } from '@woodbarrow/observability';
 import type { CrashMarkEntry } from '@woodbarrow/protocol';
-import { backoffDelay, sleep, type Clock, type Random, type TaskGroup } from '@woodbarrow/runtime';
-import { MARK_LIFETIME_MS, type CrashMark, type CrashMarks } from './crash-marks.js';
-import { suspectName, type QuarantineStore, type SuspectRecord } from './quarantine-record.js';
-
-const WRITE_RETRY = { initialMs: 200, maximumMs: 5000 };
-
-/** Options of {@link SuspectRecords}. */
-export interface SuspectRecordsOptions {
-  readonly daemon: string;
-  readonly marks: CrashMarks;
-  readonly store: QuarantineStore;
-  readonly tasks: TaskGroup;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly log: EventLog;
-}
+import { MARK_LIFETIME_MS, type CrashMarks } from './crash-marks.js';
+import { toKeptEnd, toMarkEntry } from './kept-marks.js';
+import { suspectName, type SuspectRecord } from './quarantine-record.js';
+import type { RecordWriter } from './record-writer.js';
 
 /** Records of evidence, as one daemon knows them. */
 export class SuspectRecords {
   private readonly records = new Map<string, SuspectRecord>();
-  /** Contents whose record this daemon writes, or has written. */
-  private readonly writing = new Set<string>();
+  /** Processes in the records that this daemon writes, or has written, by content. */
+  private readonly writing = new Map<string, readonly string[]>();
 
-  constructor(private readonly options: SuspectRecordsOptions) {}
+  constructor(
+    private readonly marks: CrashMarks,
+    private readonly writer: RecordWriter,
+  ) {}
 
   /** Names of all records. */
   get names(): readonly string[] {
     return [...this.records.keys()];
   }
 
+  /** Whether the record of a content, in the store or on its way there, says that a process ended under it. */
+  keeps(content: string, processId: string): boolean {
+    const processes = this.records.get(suspectName(content))?.marks.map((mark) => mark.processId);
+    return (processes ?? this.writing.get(content) ?? []).includes(processId);
+  }
+
   /** Enters a record that the store holds. Returns its marks. */
   seen(record: SuspectRecord): readonly CrashMarkEntry[] {
+    const { suspect } = record;
     this.records.set(record.content, record);
-    const now = this.options.clock.wall();
-    return record.marks.map(({ processId, begunAt, endedAt }) => ({
-      c: record.suspect,
-      p: processId,
-      // Clocks of daemons differ: what lies ahead of this one has just been.
-      b: Math.max(0, now - begunAt),
-      e: Math.max(0, now - endedAt),
-    }));
+    return record.marks.map((mark) => toMarkEntry({ ...mark, suspect }, this.writer.options.clock));
   }
 
   /** A record is gone. Returns whether there was one of that name. */
@@ -57,55 +46,39 @@
 
   /** Writes what is known against a content, until the store has taken it or it is no longer needed. */
   keep(content: string): void {
-    const { marks, tasks, clock, daemon } = this.options;
     if (this.writing.has(content) || this.records.has(suspectName(content))) return;
-    this.writing.add(content);
-    const lead = clock.wall() - clock.monotonic();
-    const kept = marks.marksOf(content).map(({ processId, begunAt, endedAt }: CrashMark) => ({
-      processId,
-      begunAt: Math.round(lead + begunAt),
-      endedAt: Math.round(lead + endedAt),
-    }));
-    const at = clock.wall();
-    const record = { content: suspectName(content), suspect: content, marks: kept, foundBy: daemon, at };
-    tasks.spawn('suspect record', (signal) => this.write(record, signal));
-  }
-
-  private async write(record: SuspectRecord, signal: AbortSignal): Promise<void> {
-    const { marks, store, clock, random, log } = this.options;
-    const { suspect } = record;
-    for (let failures = 0; !signal.aborted && marks.isHalfProven(suspect); failures += 1) {
-      try {
-        await store.create(record);
-        return;
-      } catch (error) {
-        log.warned('quarantine_not_written', { content: suspect, failures, cause: messageOf(error) });
-        await sleep(clock, backoffDelay(WRITE_RETRY, failures, random), signal);
-      }
-    }
+    const { clock, daemon } = this.writer.options;
+    const marks = this.marks.marksOf(content).map((mark) => {
+      const { processId, begunAt, endedAt } = toKeptEnd(mark, clock);
+      return { processId, begunAt, endedAt };
+    });
+    this.writing.set(
+      content,
+      marks.map(({ processId }) => processId),
+    );
+    const record = {
+      content: suspectName(content),
+      suspect: content,
+      marks,
+      foundBy: daemon,
+      at: clock.wall(),
+    };
+    this.writer.write(record, () => this.marks.isHalfProven(content));
   }
 
   /** The content has run well, or was lifted: the record would bring the marks back. */
   drop(content: string): void {
     const name = suspectName(content);
     this.writing.delete(content);
-    if (!this.records.has(name)) return;
-    const { tasks, store, log } = this.options;
-    tasks.spawn('suspect record', async () => {
-      try {
-        await store.remove(name);
-      } catch (error) {
-        // Its marks run out by themselves, and one more good run clears them.
-        log.warned('quarantine_not_written', { content, failures: 1, cause: messageOf(error) });
-      }
-    });
+    if (this.records.has(name)) this.writer.remove(name);
   }
 
   /** Removes records whose marks have run out. @param mayRemove Whether this daemon is to remove a record of a name. */
   async removeExpired(mayRemove: (name: string) => boolean): Promise<void> {
-    const oldest = this.options.clock.wall() - MARK_LIFETIME_MS;
+    const { clock, store } = this.writer.options;
+    const oldest = clock.wall() - MARK_LIFETIME_MS;
     for (const { content: name, at } of [...this.records.values()]) {
-      if (at < oldest && mayRemove(name)) await this.options.store.remove(name);
+      if (at < oldest && mayRemove(name)) await store.remove(name);
     }
   }
 }
--- a/packages/quarantine/test/quarantine-scene.ts
+++ b/packages/quarantine/test/quarantine-scene.ts
@@ -4,7 +4,7 @@
 import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
 import {
   RequestQuarantine,
-  isEvidence,
+  isVerdict,
   type ProcessAnswer,
   type QuarantineEntry,
   type QuarantineRecord,
@@ -29,9 +29,7 @@
 
   /** Verdicts that the store holds. */
   get records(): ReadonlyMap<string, QuarantineRecord> {
-    const verdicts = [...this.entries.values()].filter(
-      (entry): entry is QuarantineRecord => !isEvidence(entry),
-    );
+    const verdicts = [...this.entries.values()].filter(isVerdict);
     return new Map(verdicts.map((record) => [record.content, record]));
   }
 
--- a/packages/quarantine/test/request-quarantine.test.ts
+++ b/packages/quarantine/test/request-quarantine.test.ts
@@ -16,6 +16,12 @@
   let second: RequestQuarantine;
   let third: RequestQuarantine;
 
+  /** Content and process of each end that stands in a record of ends. */
+  function keptEnds(): string[] {
+    const records = [...scene.entries.values()].flatMap((entry) => ('ends' in entry ? entry.ends : []));
+    return records.map(({ suspect, processId }) => `${suspect} ${processId}`);
+  }
+
   beforeEach(() => {
     scene = new QuarantineScene();
     first = scene.addDaemon();
@@ -121,12 +127,14 @@
     expect(isRefused(third)).to.equal(true);
   });
 
-  it('keeps evidence from the second of two ends in a row on, until the content has run well', async () => {
+  it('keeps evidence from the first end on, until the content has run well', async () => {
     await scene.endUnder(first, CONTENT, 'w1');
-    expect(scene.entries.size).to.equal(0);
+    expect(keptEnds()).to.deep.equal([`${CONTENT} w1`]);
+    expect(scene.entries.size).to.equal(1);
     await scene.endUnder(second, CONTENT, 'w2');
     await scene.pass(100);
-    expect([...scene.entries.keys()]).to.deep.equal([`suspect-${CONTENT}`]);
+    expect(keptEnds()).to.deep.equal([`${CONTENT} w1`]);
+    expect([...scene.entries.keys()].slice(1)).to.deep.equal([`suspect-${CONTENT}`]);
     third.noteServed(CONTENT);
     await scene.pass(200);
     expect(scene.entries.size).to.equal(0);
@@ -138,7 +146,7 @@
     await scene.endUnder(first, CONTENT, 'w1');
     await scene.endUnder(first, CONTENT, 'w2');
     await scene.pass(100);
-    expect(scene.entries.size).to.equal(1);
+    expect(scene.entries.size).to.equal(2);
     await scene.pass(MARK_LIFETIME_MS + 120_000);
     expect(scene.entries.size).to.equal(0);
   });
--- a/packages/residency/test/crashing-loads-world.ts
+++ b/packages/residency/test/crashing-loads-world.ts
@@ -4,7 +4,7 @@
 import { silentLog } from '@woodbarrow/observability';
 import type { LoadUnderWay, ResidencyDemandAnswer } from '@woodbarrow/protocol';
 import {
-  isEvidence,
+  isVerdict,
   type QuarantineEntry,
   type QuarantineRecord,
   type QuarantineStore,
@@ -67,9 +67,7 @@
 
   /** Verdicts that the store holds. */
   get records(): ReadonlyMap<string, QuarantineRecord> {
-    const verdicts = [...this.entries.values()].filter(
-      (entry): entry is QuarantineRecord => !isEvidence(entry),
-    );
+    const verdicts = [...this.entries.values()].filter(isVerdict);
     return new Map(verdicts.map((record) => [record.content, record]));
   }
 
