Requests that ran beside one that ends workers are told from it, by trials where nothing else tells

Cause: three ends, two of them in a row, were taken for a proof, which everything that came back beside the culprit has as well.

A content is proven by ends that no unproven neighbour explains; what a proven one explains is held against nobody; what cannot be told apart runs in a trial, alone among its like and once at a time over all daemons.

The test of marks asks the new class for the verdict, over a range of times that holds settled ends as well.

RequestQuarantine is split: verdicts, the writer of records and the moment of judgement are classes of their own.

--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -138,6 +138,21 @@
     }
     // The choice may have taken seconds: word may have come, and others may have taken the last connections.
     if (this.finishQuarantined()) return true;
+    const admission = await this.context.quarantine.admit(this.scope.digest, choice.backEnd.id);
+    if (admission.kind === 'occupied') return false;
+    if (admission.kind === 'refused') {
+      this.finishUntried(admission.retryAfterMs);
+      return true;
+    }
+    try {
+      return await this.sendTo(choice, turn);
+    } finally {
+      admission.end();
+    }
+  }
+
+  /** One send. Returns whether the request has ended. */
+  private async sendTo(choice: Extract<BackendChoice, { kind: 'send' }>, turn: Turn): Promise<boolean> {
     if (!this.allowance.isValid && (await this.finishUnallowed())) return true;
     if (!this.context.connections.allows(this.scope.service, choice.backEnd.id)) return false;
     turn.sentTo(choice.backEnd.id);
@@ -162,6 +177,13 @@
     return true;
   }
 
+  /** Others are tried, or nobody can be asked whether this one may be: it has not run, and its caller may come back soon. */
+  private finishUntried(retryAfterMs: number): void {
+    const { answer, progress, ending } = this.scope;
+    if (answer.hasBegun || progress.ranOn.size > 0) this.finishUnserved();
+    else ending.refuse('request_quarantined', 'waits for its trial', retryAfterMs);
+  }
+
   /** Ends the request if its tenant may not run it now. Returns whether it did. */
   private async finishUnallowed(): Promise<boolean> {
     const { times, answer, progress } = this.scope;
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -216,6 +216,7 @@
           if (isVerdict(record)) this.quarantineRecords.push(record);
           return Promise.resolve();
         },
+        claim: () => Promise.resolve(true),
         remove: () => Promise.resolve(),
       },
       removesRecord: () => true,
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -29,6 +29,8 @@
     'A model or adapter has proved to end the workers that begin to load it, and is not loaded from now on. Content, what it loads where that is known here, whether that was seen here, told by others or read in the store; processes.',
   load_refused:
     'A demand was refused at once because what it needs is not loaded any more. What, processes that ended under it, when to come back.',
+  suspect_tried:
+    'A content that processes ended under, and that its neighbours explain as well, runs apart from all others of its like. Content, back end.',
   suspect_cleared:
     'A content that processes ended under was run, or loaded, to a good end. Content, of a load what it loads.',
   quarantine_lifted: 'The record of a quarantined content is gone: it may run again. Content.',
--- a/packages/protocol/src/crash-messages.ts
+++ b/packages/protocol/src/crash-messages.ts
@@ -12,6 +12,8 @@
   readonly e: number;
   /** Set once a later run of the same content ended well: the mark then counts no more. */
   readonly x?: true;
+  /** Set where the process ended while it ran the content apart from all others that had ended several. */
+  readonly t?: true;
 }
 
 /** The marks that a daemon knows. */
--- a/packages/quarantine/src/crash-marks.ts
+++ b/packages/quarantine/src/crash-marks.ts
@@ -17,18 +17,15 @@
   readonly endedAt: number;
   /** A later run of the content ended well. */
   readonly isCleared: boolean;
+  /** It ran the content in a trial: apart from all others that had ended as many processes as a verdict needs. */
+  readonly isTrial?: boolean;
 }
 
 /**
- * Processes that must have ended under a content before it counts as what ended them. Neighbours of such a request end
- * with it as well; most have come back once and been answered by then.
+ * Processes that must have ended under a content before it can count as what ended them. Neighbours of such a request end
+ * with it as well; most have come back once and been answered by then. For the others see {@link CulpritSearch}.
  */
 export const ENDS_FOR_VERDICT = 3;
-/**
- * Of these processes, so many must have ended one after the other: a run that begins after another's process had ended. A
- * rack that fails takes all at once whatever they ran, and proves nothing of a content that was on several of them.
- */
-export const CONSECUTIVE_ENDS_FOR_VERDICT = 2;
 /** Time for which a mark is kept, in milliseconds: clients send the same request again within a few deadlines of 15 s. */
 export const MARK_LIFETIME_MS = 600_000;
 /** Marks kept at most, the newest: some 200 KB. A rack of 13 processes with 64 requests each leaves 832. */
@@ -37,6 +34,8 @@
 /** Marks of one daemon, those of others included. */
 export class CrashMarks {
   private readonly byContent = new Map<string, Map<string, CrashMark>>();
+  /** Contents with a mark at each process. */
+  private readonly byProcess = new Map<string, Set<string>>();
   private count = 0;
   private combined = 0;
 
@@ -100,29 +99,17 @@
     return this.counting(content).length;
   }
 
-  /** When the last process was seen to end under a content, monotonic; undefined where none counts. */
-  lastEndOf(content: string): number | undefined {
-    const times = this.counting(content).map(({ endedAt }) => endedAt);
-    return times.length === 0 ? undefined : Math.max(...times);
-  }
-
-  /** Whether the content is what ended these processes. */
-  isProven(content: string): boolean {
-    const marks = this.counting(content);
-    return marks.length >= ENDS_FOR_VERDICT && consecutiveEnds(marks) >= CONSECUTIVE_ENDS_FOR_VERDICT;
-  }
-
-  /** Whether a content ended processes in a row that are too few for a verdict. */
-  isHalfProven(content: string): boolean {
-    const marks = this.counting(content);
-    return consecutiveEnds(marks) >= CONSECUTIVE_ENDS_FOR_VERDICT && !this.isProven(content);
-  }
-
   /** Marks against a content, as far as they count. */
   marksOf(content: string): readonly CrashMark[] {
     return this.counting(content);
   }
 
+  /** Contents under which a process ended, as far as these marks count. */
+  contentsOf(processId: string): readonly string[] {
+    const contents = [...(this.byProcess.get(processId) ?? [])];
+    return contents.filter((content) => this.counts(content, processId));
+  }
+
   /** All marks that count. */
   allCounting(): readonly CrashMark[] {
     return [...this.byContent.keys()].flatMap((content) => this.counting(content));
@@ -130,7 +117,8 @@
 
   /** Whether a mark counts. */
   counts(content: string, processId: string): boolean {
-    return this.counting(content).some((mark) => mark.processId === processId);
+    const mark = this.byContent.get(content)?.get(processId);
+    return mark !== undefined && this.isCounting(mark);
   }
 
   /** Ids of the processes that ended under a content, as far as they count. */
@@ -142,24 +130,26 @@
   entries(): CrashMarkEntry[] {
     this.dropExpired();
     const now = this.clock.monotonic();
-    return this.all().map(({ content, processId, begunAt, endedAt, isCleared }) => ({
+    return this.all().map(({ content, processId, begunAt, endedAt, isCleared, isTrial }) => ({
       c: content,
       p: processId,
       b: Math.round(now - begunAt),
       e: Math.round(now - endedAt),
       ...(isCleared ? { x: true as const } : {}),
+      ...(isTrial === true ? { t: true as const } : {}),
     }));
   }
 
   /** Takes what another daemon knows. Returns the marks that were news here. */
   merge(entries: readonly CrashMarkEntry[]): CrashMark[] {
     const now = this.clock.monotonic();
-    const marks = entries.map(({ c, p, b, e, x }) => ({
+    const marks = entries.map(({ c, p, b, e, x, t }) => ({
       content: c,
       processId: p,
       begunAt: now - b,
       endedAt: now - e,
       isCleared: x === true,
+      isTrial: t === true,
     }));
     return marks.filter((mark) => this.add(mark));
   }
@@ -169,9 +159,12 @@
   }
 
   private counting(content: string): CrashMark[] {
-    const oldest = this.clock.monotonic() - MARK_LIFETIME_MS;
     const marks = [...(this.byContent.get(content)?.values() ?? [])];
-    return marks.filter((mark) => !mark.isCleared && mark.endedAt >= oldest);
+    return marks.filter((mark) => this.isCounting(mark));
+  }
+
+  private isCounting({ isCleared, endedAt }: CrashMark): boolean {
+    return !isCleared && endedAt >= this.clock.monotonic() - MARK_LIFETIME_MS;
   }
 
   private put(marks: Map<string, CrashMark>, known: CrashMark | undefined, mark: CrashMark): void {
@@ -179,6 +172,8 @@
     else this.combined ^= digestOf(known);
     this.combined ^= digestOf(mark);
     marks.set(mark.processId, mark);
+    const contents = this.byProcess.get(mark.processId) ?? new Set();
+    this.byProcess.set(mark.processId, contents.add(mark.content));
   }
 
   private drop({ content, processId }: CrashMark): void {
@@ -187,6 +182,9 @@
     if (marks === undefined || known === undefined) return;
     marks.delete(processId);
     if (marks.size === 0) this.byContent.delete(content);
+    const contents = this.byProcess.get(processId);
+    contents?.delete(content);
+    if (contents?.size === 0) this.byProcess.delete(processId);
     this.count -= 1;
     this.combined ^= digestOf(known);
   }
@@ -204,18 +202,6 @@
   }
 }
 
-/** Most runs of which each began after the process of the one before had ended. */
-function consecutiveEnds(marks: readonly CrashMark[]): number {
-  let count = 0;
-  let lastEndedAt = -Infinity;
-  for (const mark of [...marks].sort((left, right) => left.endedAt - right.endedAt)) {
-    if (mark.begunAt < lastEndedAt) continue;
-    count += 1;
-    lastEndedAt = mark.endedAt;
-  }
-  return count;
-}
-
 /** Two daemons may have seen the same end, each under an attempt of its own. */
 function mergedOf(known: CrashMark, other: CrashMark): CrashMark {
   return {
@@ -223,6 +209,7 @@
     begunAt: Math.min(known.begunAt, other.begunAt),
     endedAt: Math.min(known.endedAt, other.endedAt),
     isCleared: known.isCleared || other.isCleared,
+    isTrial: known.isTrial === true || other.isTrial === true,
   };
 }
 
--- a/packages/quarantine/src/kept-marks.ts
+++ b/packages/quarantine/src/kept-marks.ts
@@ -5,18 +5,26 @@
 import type { KeptEnd } from './quarantine-record.js';
 
 /** A mark for a record. */
-export function toKeptEnd({ content, processId, begunAt, endedAt }: CrashMark, clock: Clock): KeptEnd {
+export function toKeptEnd(
+  { content, processId, begunAt, endedAt, isTrial }: CrashMark,
+  clock: Clock,
+): KeptEnd {
   const lead = clock.wall() - clock.monotonic();
   return {
     suspect: content,
     processId,
     begunAt: Math.round(lead + begunAt),
     endedAt: Math.round(lead + endedAt),
+    ...(isTrial === true ? { isTrial } : {}),
   };
 }
 
 /** A mark of a record, as other daemons tell them. Clocks of daemons differ: what lies ahead of this one has just been. */
-export function toMarkEntry({ suspect, processId, begunAt, endedAt }: KeptEnd, clock: Clock): CrashMarkEntry {
+export function toMarkEntry(
+  { suspect, processId, begunAt, endedAt, isTrial }: KeptEnd,
+  clock: Clock,
+): CrashMarkEntry {
   const now = clock.wall();
-  return { c: suspect, p: processId, b: Math.max(0, now - begunAt), e: Math.max(0, now - endedAt) };
+  const ages = { b: Math.max(0, now - begunAt), e: Math.max(0, now - endedAt) };
+  return { c: suspect, p: processId, ...ages, ...(isTrial === true ? { t: isTrial } : {}) };
 }
--- a/packages/quarantine/src/quarantine-record.ts
+++ b/packages/quarantine/src/quarantine-record.ts
@@ -22,6 +22,8 @@
   readonly processId: string;
   readonly begunAt: number;
   readonly endedAt: number;
+  /** Set where the process ran the content in a trial. */
+  readonly isTrial?: true;
 }
 
 /**
@@ -56,8 +58,20 @@
   readonly at: number;
 }
 
+/** The right to run a content apart from its like: whoever created the record has it, until the record is gone. */
+export interface TrialRecord {
+  /** Name of the record, see {@link trialName}. */
+  readonly content: string;
+  /** Content that is tried, and the process that runs it. */
+  readonly trial: string;
+  readonly processId: string;
+  readonly foundBy: string;
+  /** Time of day, in milliseconds. */
+  readonly at: number;
+}
+
 /** What the store holds. */
-export type QuarantineEntry = QuarantineRecord | SuspectRecord | EndsRecord;
+export type QuarantineEntry = QuarantineRecord | SuspectRecord | EndsRecord | TrialRecord;
 
 /** Whether an entry is a verdict, and no evidence. */
 export function isVerdict(entry: QuarantineEntry): entry is QuarantineRecord {
@@ -69,10 +83,17 @@
   return `suspect-${content}`;
 }
 
+/** Name of the record of a trial of a content. */
+export function trialName(content: string): string {
+  return `trial-${content}`;
+}
+
 /** Port: the records in the store. Calls may throw, and may then have been carried out. */
 export interface QuarantineStore {
   /** Enters a record; one that is there already stays. */
   create(record: QuarantineEntry): Promise<void>;
+  /** Enters the record of a trial. Resolves with whether there was none of that name, so that it is this caller's. */
+  claim(record: TrialRecord): Promise<boolean>;
   /** Removes a record; of a verdict, the content may run again. */
   remove(content: string): Promise<void>;
 }
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -10,8 +10,8 @@
 import type { CrashMarkEntry } from '@woodbarrow/protocol';
 import { settleWithin, TaskGroup, type Clock, type Random } from '@woodbarrow/runtime';
 import { CrashMarks } from './crash-marks.js';
+import { CulpritSearch, EVIDENCE_SETTLE_MS } from './culprit-search.js';
 import { EndsRecords } from './ends-records.js';
-import { isLoadContent } from './load-content.js';
 import { ProcessFates, type ProcessFate, type ProcessProbe } from './process-fates.js';
 import {
   QUARANTINE_MS,
@@ -21,8 +21,16 @@
   type QuarantineStore,
 } from './quarantine-record.js';
 import { RecordWriter } from './record-writer.js';
+import { SettledJudgement } from './settled-judgement.js';
 import { SuspectRecords } from './suspect-records.js';
+import {
+  FREE_ADMISSION,
+  RETRY_AFTER_OTHERS_MS,
+  SuspectTrials,
+  type TrialAdmission,
+} from './suspect-trials.js';
 import { FREE_TURN, SuspectTurns, type Turn } from './suspect-turns.js';
+import { VerdictRecords } from './verdict-records.js';
 
 /** Options of {@link RequestQuarantine}. */
 export interface RequestQuarantineOptions {
@@ -50,9 +58,6 @@
   readonly sentAt: number;
 }
 
-/** What the record of a verdict says of where it comes from. */
-type VerdictSource = Pick<ContentAttempt, 'content' | 'requestId' | 'route' | 'load'>;
-
 /** An attempt whose answer broke off. */
 export interface BrokenAttempt extends ContentAttempt {
   /** It was leaving, or its record had gone, before the answer broke off: it has ended because it was to. */
@@ -79,26 +84,20 @@
 
 /** Time for which a further send of a suspect waits to hear whether the process before it has ended, in milliseconds. */
 const SETTLE_LIMIT_MS = 600;
+/** Time for which an accused content waits to be judged, in milliseconds: others may end processes without a pause. */
+const JUDGEMENT_LIMIT_MS = 2 * EVIDENCE_SETTLE_MS;
 /** Marks made within this time are told together, in milliseconds: all requests of a process break off at once. */
 const TELL_PAUSE_MS = 10;
 /** Pause between two looks for records whose time is over, in milliseconds. */
 const EXPIRY_INTERVAL_MS = 60_000;
-/**
- * Time for which the daemon that saw an end may write the record of a verdict before another one does, in milliseconds. Where all that saw
- * one were killed, the verdict would be gone with the marks otherwise, after ten minutes instead of an hour.
- */
-const RECORD_PATIENCE_MS = 2000;
-
 /** The quarantine as one daemon knows it. */
 export class RequestQuarantine {
   private readonly marks: CrashMarks;
+  private readonly search: CulpritSearch;
   private readonly fates: ProcessFates;
   private readonly turns = new SuspectTurns();
-  private readonly records = new Map<string, QuarantineRecord>();
   /** Broken attempts whose process is being asked after, by content. */
   private readonly open = new Map<string, Set<Promise<void>>>();
-  /** Contents whose record this daemon writes, or has written: the store's feed tells it back. */
-  private readonly writing = new Set<string>();
   /** The newest attempt of each content that a process ended under here, to be named in its record. */
   private readonly ownAttempts = new Map<string, ContentAttempt>();
   private readonly tasks: TaskGroup;
@@ -106,6 +105,9 @@
   /** Evidence that the store keeps: of contents under which processes ended in a row, and of all others. */
   private readonly evidence: SuspectRecords;
   private readonly ends: EndsRecords;
+  private readonly trials: SuspectTrials;
+  private readonly verdicts: VerdictRecords;
+  private readonly judgement: SettledJudgement;
   private tellScheduled = false;
   /** Called when marks are news that other daemons should hear of at once. */
   onNews: () => void = () => undefined;
@@ -115,17 +117,33 @@
   constructor(private readonly options: RequestQuarantineOptions) {
     const { clock, probe, log } = options;
     this.marks = new CrashMarks(clock);
+    this.search = new CulpritSearch(this.marks, clock);
     this.fates = new ProcessFates(probe, clock, (processId) => {
       this.onProcessEnded(processId);
     });
+    this.judgement = new SettledJudgement(clock, () => {
+      this.judgeAll();
+    });
     this.tasks = new TaskGroup(clock, (task, error) => {
       log.warned('task_failed', { task, cause: messageOf(error) });
     });
     this.writer = new RecordWriter({ ...options, tasks: this.tasks });
-    this.evidence = new SuspectRecords(this.marks, this.writer);
+    this.evidence = new SuspectRecords(this.marks, this.search, this.writer);
     this.ends = new EndsRecords(this.marks, this.writer, (content, processId) =>
       this.isKept(content, processId),
     );
+    this.verdicts = new VerdictRecords({
+      marks: this.marks,
+      search: this.search,
+      writer: this.writer,
+      removesRecord: options.removesRecord,
+      log,
+    });
+    this.trials = new SuspectTrials({
+      writer: this.writer,
+      removesRecord: options.removesRecord,
+      settled: (content) => this.settleTrial(content),
+    });
   }
 
   /** Starts to look for records whose time is over. */
@@ -142,22 +160,23 @@
   }
 
   get totals(): QuarantineTotals {
-    return { ...this.marks.totals, quarantined: this.records.size };
+    return { ...this.marks.totals, quarantined: this.verdicts.size };
   }
 
   /** Contents that processes have ended under, those that are refused included. */
   get suspects(): readonly string[] {
-    return [...new Set([...this.marks.suspects, ...this.records.keys()])];
+    return [...new Set([...this.marks.suspects, ...this.verdicts.names])];
   }
 
   /** Whether nothing is known against any content. */
   get isClean(): boolean {
-    return this.marks.isEmpty && this.records.size === 0;
+    return this.marks.isEmpty && this.verdicts.size === 0;
   }
 
   /** When the last process was seen to end under a content, monotonic; undefined for one that is no suspect. */
   lastEndOf(content: string): number | undefined {
-    return this.marks.lastEndOf(content);
+    const times = this.search.unexplainedEnds(content).map(({ endedAt }) => endedAt);
+    return times.length === 0 ? undefined : Math.max(...times);
   }
 
   /** Whether a process is known to have ended within the last minute. */
@@ -172,8 +191,8 @@
 
   /** Why a content must not be run; undefined when it may. */
   verdictOf(content: string): Verdict | undefined {
-    const record = this.records.get(content);
-    if (record === undefined && !this.marks.isProven(content)) return undefined;
+    const record = this.verdicts.get(content);
+    if (record === undefined && !this.search.isProven(content)) return undefined;
     const ageMs = record === undefined ? 0 : this.options.clock.wall() - record.at;
     return {
       ends: Math.max(this.marks.endsOf(content), record?.processes.length ?? 0),
@@ -188,10 +207,13 @@
    */
   async takeTurn(content: string, signal: AbortSignal): Promise<Turn> {
     const open = this.open.get(content)?.size ?? 0;
-    if (this.marks.endsOf(content) === 0 && open < 2) return FREE_TURN;
-    const isSuspect = (): boolean => this.marks.endsOf(content) > 0 || this.open.has(content);
+    if (this.endsUnder(content) === 0 && open < 2) return FREE_TURN;
+    const isSuspect = (): boolean => this.endsUnder(content) > 0 || this.open.has(content);
     const turn = await this.turns.take(content, isSuspect, signal);
     await this.settle(content);
+    // What can be told apart once all have told of the last end needs no trial.
+    if (this.search.isAccused(content))
+      await settleWithin(this.options.clock, JUDGEMENT_LIMIT_MS, this.judgement.settled());
     return turn;
   }
 
@@ -203,7 +225,31 @@
 
   /** Processes that must not get a content now, as they run another one that has ended several. */
   processesToAvoid(content: string): readonly string[] {
-    return this.marks.endsOf(content) > 1 ? this.turns.takenByOthers(content) : [];
+    if (this.endsUnder(content) < 2) return [];
+    return [...this.turns.takenByOthers(content), ...this.trials.processesOfOthers(content)];
+  }
+
+  /**
+   * Whether a content may be sent to a process now, and if not, when its caller is to come back. One that cannot be told from its neighbours
+   * by the processes that ended under it runs in a trial only. Whoever is admitted ends the admission.
+   */
+  async admit(content: string, processId: string): Promise<TrialAdmission> {
+    if (this.marks.isEmpty || !this.search.isAccused(content)) return FREE_ADMISSION;
+    if (this.search.waitsForOthers(content)) return { kind: 'refused', retryAfterMs: RETRY_AFTER_OTHERS_MS };
+    return this.trials.begin(content, processId);
+  }
+
+  /** Processes that ended under a content, other than those that a proven one explains. */
+  private endsUnder(content: string): number {
+    return this.marks.isEmpty ? 0 : this.search.unexplainedEnds(content).length;
+  }
+
+  /** Waits until it is known what came of a trial, and until an end has been judged. */
+  private async settleTrial(content: string): Promise<void> {
+    const ends = this.marks.endsOf(content);
+    await Promise.all([...(this.open.get(content) ?? [])]);
+    if (this.marks.endsOf(content) > ends)
+      await settleWithin(this.options.clock, JUDGEMENT_LIMIT_MS, this.judgement.settled());
   }
 
   /** An answer broke off: if its process has ended, that is held against the content. */
@@ -211,36 +257,38 @@
     const { content, backEnd, wasLeaving } = attempt;
     if (wasLeaving) return;
     const endedAt = this.options.clock.monotonic();
+    const isTrial = this.trials.isTrying(content, backEnd.id);
     const check = this.fates.check(backEnd).then((fate) => {
       this.closeCheck(content, check);
-      if (fate === 'ended') this.noteEnded(attempt, endedAt);
+      if (fate === 'ended') this.noteEnded(attempt, endedAt, isTrial);
     });
     const open = this.open.get(content) ?? new Set();
     this.open.set(content, open.add(check));
   }
 
   /** The process of an attempt has ended before the attempt had: that is held against the content. */
-  noteEnded(attempt: ContentAttempt, endedAt: number): void {
+  noteEnded(attempt: ContentAttempt, endedAt: number, isTrial = false): void {
     const { content, backEnd, sentAt } = attempt;
-    if (!this.marks.add({ content, processId: backEnd.id, begunAt: sentAt, endedAt, isCleared: false }))
-      return;
+    const mark = { content, processId: backEnd.id, begunAt: sentAt, endedAt, isCleared: false, isTrial };
+    if (!this.marks.add(mark)) return;
     this.ownAttempts.set(content, attempt);
     this.logEnd(attempt, endedAt);
     this.noteVerdict(content, 'seen');
     this.keepEvidence(content);
     this.ends.keepSoon();
+    this.judgement.noteChange();
     this.tell();
   }
 
   /** Whether an end under a content stands in a record of that content, in the store or on its way there. */
   private isKept(content: string, processId: string): boolean {
-    if (this.records.has(content) || this.writing.has(content)) return true;
+    if (this.verdicts.keeps(content)) return true;
     return this.evidence.keeps(content, processId);
   }
 
   /** Only one that has seen an end itself writes: the others have been told. */
   private keepEvidence(content: string): void {
-    if (this.ownAttempts.has(content) && this.marks.isHalfProven(content)) this.evidence.keep(content);
+    if (this.ownAttempts.has(content) && this.search.isHalfProven(content)) this.evidence.keep(content);
   }
 
   /** A run of a content ended well: it is not what ended the processes. @param load What was loaded, of a load. */
@@ -248,8 +296,10 @@
     if (!this.marks.clear(content)) return;
     this.options.log.changed('suspect_cleared', { content, load });
     this.evidence.drop(content);
+    this.verdicts.forget(content);
     this.ends.dropSettled();
     this.turns.wake(content);
+    this.judgement.noteChange();
     this.tell();
   }
 
@@ -273,38 +323,36 @@
       this.keepEvidence(content);
       this.turns.wake(content);
     }
+    this.judgement.noteChange();
     this.tell();
   }
 
   /** All records there are. */
   recordsListed(entries: readonly QuarantineEntry[]): void {
     const listed = new Set(entries.map(({ content }) => content));
-    for (const name of [...this.records.keys(), ...this.evidence.names, ...this.ends.names])
+    for (const name of [...this.verdicts.names, ...this.otherNames])
       if (!listed.has(name)) this.recordGone(name);
     entries.forEach((entry) => {
       this.recordSeen(entry);
     });
   }
 
+  /** Names of all records but those of verdicts. */
+  private get otherNames(): readonly string[] {
+    return [...this.evidence.names, ...this.ends.names, ...this.trials.names];
+  }
+
   /** A record appeared. */
   recordSeen(entry: QuarantineEntry): void {
     if (isVerdict(entry)) this.verdictSeen(entry);
+    else if ('trial' in entry) this.trials.seen(entry);
     else this.merge('suspect' in entry ? this.evidence.seen(entry) : this.ends.seen(entry));
   }
 
   private verdictSeen(record: QuarantineRecord): void {
-    if (this.records.has(record.content)) return;
-    this.records.set(record.content, record);
-    const { content, processes, foundBy, route, requestId, load } = record;
-    this.options.log.warned(verdictEvent(content), {
-      content,
-      load,
-      source: 'store',
-      processes,
-      foundBy,
-      route,
-      requestId,
-    });
+    if (!this.verdicts.seen(record)) return;
+    // What it explains is held against no other content any more.
+    for (const suspect of this.marks.suspects) this.turns.wake(suspect);
   }
 
   /**
@@ -313,9 +361,8 @@
    * @param content Name of the record.
    */
   recordGone(content: string): void {
-    if (this.evidence.gone(content) || this.ends.gone(content) || !this.records.delete(content)) return;
-    this.writing.delete(content);
-    this.options.log.changed('quarantine_lifted', { content });
+    if (this.evidence.gone(content) || this.ends.gone(content) || this.trials.gone(content)) return;
+    if (!this.verdicts.gone(content)) return;
     if (this.marks.clear(content)) this.tell();
     if (!this.options.removesRecord(content)) return;
     this.evidence.drop(content);
@@ -341,21 +388,13 @@
     else log.warned('process_ended_under_load', { load, ...facts });
   }
 
-  private noteVerdict(content: string, source: 'seen' | 'told'): void {
-    if (!this.marks.isProven(content) || this.records.has(content)) return;
-    const processes = this.marks.processesOf(content);
-    const attempt = this.ownAttempts.get(content);
-    this.options.log.warned(verdictEvent(content), { content, load: attempt?.load, source, processes });
-    if (attempt !== undefined) this.keep(attempt);
-    else this.keepLater(content);
+  private noteVerdict(content: string, origin: 'seen' | 'told'): void {
+    if (this.search.isProven(content))
+      this.verdicts.noteProven(content, origin, this.ownAttempts.get(content));
   }
 
-  /** Writes the record of a verdict that no daemon which saw an end has written. */
-  private keepLater(content: string): void {
-    if (!this.options.removesRecord(content)) return;
-    this.options.clock.schedule(RECORD_PATIENCE_MS, () => {
-      this.keep({ content, requestId: '', route: '' });
-    });
+  private judgeAll(): void {
+    for (const content of this.marks.suspects) this.noteVerdict(content, 'told');
   }
 
   private tell(): void {
@@ -367,32 +406,13 @@
     });
   }
 
-  /** Writes the record of a verdict, until the store has taken it or the content has been cleared. */
-  private keep({ content, requestId, route, load }: VerdictSource): void {
-    if (this.writing.has(content) || this.records.has(content) || !this.marks.isProven(content)) return;
-    this.writing.add(content);
-    const { clock, daemon } = this.options;
-    const processes = this.marks.processesOf(content);
-    const at = clock.wall();
-    const named = load === undefined ? {} : { load };
-    const record = { content, processes, route, requestId, ...named, foundBy: daemon, at };
-    this.writer.write(record, () => this.marks.isProven(content));
-  }
-
   private async removeExpired(): Promise<void> {
     for (const content of [...this.ownAttempts.keys()]) {
       if (this.marks.endsOf(content) === 0) this.ownAttempts.delete(content);
     }
-    const { clock, removesRecord, store } = this.options;
-    const oldest = clock.wall() - QUARANTINE_MS;
-    for (const { content, at } of [...this.records.values()]) {
-      if (at < oldest && removesRecord(content)) await store.remove(content);
-    }
+    const { removesRecord } = this.options;
+    await this.verdicts.removeExpired();
     await this.evidence.removeExpired(removesRecord);
     await this.ends.removeExpired(removesRecord);
   }
 }
-
-function verdictEvent(content: string): 'request_quarantined' | 'load_quarantined' {
-  return isLoadContent(content) ? 'load_quarantined' : 'request_quarantined';
-}
--- a/packages/quarantine/src/suspect-records.ts
+++ b/packages/quarantine/src/suspect-records.ts
@@ -4,8 +4,9 @@
  */
 import type { CrashMarkEntry } from '@woodbarrow/protocol';
 import { MARK_LIFETIME_MS, type CrashMarks } from './crash-marks.js';
+import type { CulpritSearch } from './culprit-search.js';
 import { toKeptEnd, toMarkEntry } from './kept-marks.js';
-import { suspectName, type SuspectRecord } from './quarantine-record.js';
+import { suspectName, type KeptMark, type SuspectRecord } from './quarantine-record.js';
 import type { RecordWriter } from './record-writer.js';
 
 /** Records of evidence, as one daemon knows them. */
@@ -16,6 +17,7 @@
 
   constructor(
     private readonly marks: CrashMarks,
+    private readonly search: CulpritSearch,
     private readonly writer: RecordWriter,
   ) {}
 
@@ -48,9 +50,9 @@
   keep(content: string): void {
     if (this.writing.has(content) || this.records.has(suspectName(content))) return;
     const { clock, daemon } = this.writer.options;
-    const marks = this.marks.marksOf(content).map((mark) => {
-      const { processId, begunAt, endedAt } = toKeptEnd(mark, clock);
-      return { processId, begunAt, endedAt };
+    const marks = this.marks.marksOf(content).map((mark): KeptMark => {
+      const { processId, begunAt, endedAt, isTrial } = toKeptEnd(mark, clock);
+      return { processId, begunAt, endedAt, ...(isTrial === true ? { isTrial } : {}) };
     });
     this.writing.set(
       content,
@@ -63,7 +65,7 @@
       foundBy: daemon,
       at: clock.wall(),
     };
-    this.writer.write(record, () => this.marks.isHalfProven(content));
+    this.writer.write(record, () => this.search.isHalfProven(content));
   }
 
   /** The content has run well, or was lifted: the record would bring the marks back. */
--- a/packages/quarantine/test/crash-marks.test.ts
+++ b/packages/quarantine/test/crash-marks.test.ts
@@ -1,32 +1,32 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
-import { CrashMarks, MARK_LIFETIME_MS, MOST_MARKS, type CrashMark } from '../src/index.js';
+import { CrashMarks, CulpritSearch, MARK_LIFETIME_MS, MOST_MARKS, type CrashMark } from '../src/index.js';
 
 function mark(content: string, processId: string, endedAt: number, isCleared = false): CrashMark {
   return { content, processId, begunAt: endedAt - 50, endedAt, isCleared };
 }
 
 describe('CrashMarks', () => {
-  function create(): { marks: CrashMarks; world: SimulatedWorld } {
+  function create(): { marks: CrashMarks; search: CulpritSearch; world: SimulatedWorld } {
     const world = new SimulatedWorld();
-    return {
-      marks: new CrashMarks(new SimulatedProcess(world, { name: 'd', zone: 'a', region: 'r' })),
-      world,
-    };
+    const clock = new SimulatedProcess(world, { name: 'd', zone: 'a', region: 'r' });
+    const marks = new CrashMarks(clock);
+    return { marks, search: new CulpritSearch(marks, clock), world };
   }
 
   it('agree on all copies, in whatever order and how often they are merged', () => {
     const anyMark = fc.record({
       content: fc.constantFrom('a', 'b', 'c'),
       processId: fc.constantFrom('w1', 'w2', 'w3', 'w4'),
-      begunAt: fc.integer({ min: -1000, max: -1 }),
-      endedAt: fc.integer({ min: -500, max: 0 }),
+      begunAt: fc.integer({ min: -2000, max: -1 }),
+      endedAt: fc.integer({ min: -1500, max: 0 }),
       isCleared: fc.boolean(),
     });
     fc.assert(
       fc.property(fc.array(anyMark), fc.array(anyMark), (left, right) => {
-        const [one, other] = [create().marks, create().marks];
+        const [first, second] = [create(), create()];
+        const [one, other] = [first.marks, second.marks];
         for (const each of left) one.add(each);
         for (const each of right) other.add(each);
         one.merge(other.entries());
@@ -35,7 +35,7 @@
         expect(one.digest).to.equal(other.digest);
         for (const content of ['a', 'b', 'c']) {
           expect(one.processesOf(content)).to.have.members(other.processesOf(content));
-          expect(one.isProven(content)).to.equal(other.isProven(content));
+          expect(first.search.isProven(content)).to.equal(second.search.isProven(content));
         }
       }),
       { seed: 7, numRuns: 300 },
--- /dev/null
+++ b/packages/quarantine/test/neighbours-simulation.ts
@@ -0,0 +1,203 @@
+/**
+ * Requests that end workers among others that do no harm, on virtual time: several daemons, few workers with many requests each, callers that come
+ * back at once. Who ran beside a culprit comes back beside it.
+ */
+import { Random, SimulatedProcess, sleep } from '@woodbarrow/runtime';
+import type { RequestQuarantine } from '../src/index.js';
+import { QuarantineScene } from './quarantine-scene.js';
+
+const DAEMONS = 8;
+/** Time after which another process runs in the place of one that has ended, in milliseconds. */
+const RESTART_MS = 3000;
+/** Time after which a culprit ends its process, in milliseconds. */
+const CRASH_AFTER_MS = 50;
+/** A caller comes back so often at most, and never later than so many milliseconds after it was told. */
+const MOST_RETURNS = 6;
+const LONGEST_WAIT_MS = 10_000;
+/** Time for which new requests come, and until all have ended, in milliseconds. */
+const TRAFFIC_MS = 24_000;
+const END_MS = 60_000;
+/** Time from the third end until all daemons in touch know, in milliseconds. */
+export const CONTACT_MS = 3000;
+
+/** What is varied. */
+export interface NeighboursOptions {
+  readonly seed: number;
+  readonly workers: number;
+  readonly culprits: number;
+  readonly innocents: number;
+}
+
+/** What callers and workers saw. */
+export interface NeighboursResult {
+  /** Innocent contents that are refused for an hour, that were run to a good end, and the longest time to it in milliseconds. */
+  readonly innocentsRefused: number;
+  readonly innocentsServed: number;
+  readonly longestMs: number;
+  readonly workersEnded: number;
+  /** Most sends of one culprit later than {@link CONTACT_MS} after its third end. */
+  readonly lateSends: number;
+  /** Culprits that are refused in the end, and those of them that are for an hour. */
+  readonly culpritsRefused: number;
+  readonly culpritsProven: number;
+}
+
+interface Run {
+  readonly breakOff: () => void;
+}
+
+interface CulpritHistory {
+  readonly sends: number[];
+  readonly ends: number[];
+  /** Whether its last attempt was refused. */
+  isRefused: boolean;
+}
+
+/** One play. */
+export class NeighboursSimulation {
+  private readonly scene = new QuarantineScene();
+  private readonly clock = new SimulatedProcess(this.scene.world, {
+    name: 'callers',
+    zone: 'a',
+    region: 'r',
+  });
+  private readonly random: Random;
+  private readonly runs = new Map<string, Set<Run>>();
+  private readonly culprits = new Map<string, CulpritHistory>();
+  private readonly servedAfterMs = new Map<string, number>();
+  private started = 0;
+
+  constructor(private readonly options: NeighboursOptions) {
+    this.random = new Random(options.seed);
+  }
+
+  async play(): Promise<NeighboursResult> {
+    const { workers, culprits, innocents } = this.options;
+    for (let index = 0; index < DAEMONS; index += 1) this.scene.addDaemon();
+    for (let index = 0; index < workers; index += 1) this.startWorker();
+    const calls = [
+      ...Array.from({ length: culprits }, (_, index) => this.callCulprit(`culprit-${String(index)}`)),
+      ...Array.from({ length: innocents }, (_, index) => this.callInnocent(`innocent-${String(index)}`)),
+    ];
+    await this.scene.pass(END_MS);
+    await Promise.all(calls);
+    return this.result();
+  }
+
+  private startWorker(): void {
+    this.started += 1;
+    this.runs.set(`w${String(this.started)}`, new Set());
+  }
+
+  /** Its callers come again and again, at any daemon. */
+  private async callCulprit(content: string): Promise<void> {
+    const history: CulpritHistory = { sends: [], ends: [], isRefused: false };
+    this.culprits.set(content, history);
+    await this.pause(this.random.between(500, 3000));
+    while (this.clock.monotonic() < TRAFFIC_MS) {
+      const outcome = await this.attempt(content);
+      history.isRefused = outcome.kind === 'refused';
+      await this.pause(this.random.between(200, 1500));
+    }
+  }
+
+  /** Its caller comes back as it is told, and at once after an answer that broke off. */
+  private async callInnocent(content: string): Promise<void> {
+    await this.pause(this.random.between(0, TRAFFIC_MS));
+    const startedAt = this.clock.monotonic();
+    for (let returns = 0; returns <= MOST_RETURNS; returns += 1) {
+      const outcome = await this.attempt(content);
+      if (outcome.kind === 'served') {
+        this.servedAfterMs.set(content, this.clock.monotonic() - startedAt);
+        return;
+      }
+      if (outcome.kind === 'refused' && outcome.retryAfterMs > LONGEST_WAIT_MS) return;
+      await this.pause(outcome.kind === 'refused' ? outcome.retryAfterMs : this.random.between(20, 300));
+    }
+  }
+
+  private async attempt(content: string): Promise<Outcome> {
+    const daemon = this.random.pick(this.scene.daemons) as RequestQuarantine;
+    const turn = await daemon.takeTurn(content, new AbortController().signal);
+    try {
+      const verdict = daemon.verdictOf(content);
+      if (verdict !== undefined) return { kind: 'refused', retryAfterMs: verdict.retryAfterMs };
+      const avoided = daemon.processesToAvoid(content);
+      const worker = this.random.pick([...this.runs.keys()].filter((id) => !avoided.includes(id)));
+      if (worker === undefined) return { kind: 'refused', retryAfterMs: 500 };
+      const admission = await daemon.admit(content, worker);
+      if (admission.kind === 'occupied') return { kind: 'refused', retryAfterMs: 100 };
+      if (admission.kind === 'refused') return admission;
+      try {
+        turn.sentTo(worker);
+        return await this.run(daemon, content, worker);
+      } finally {
+        admission.end();
+      }
+    } finally {
+      turn.release();
+    }
+  }
+
+  private async run(daemon: RequestQuarantine, content: string, worker: string): Promise<Outcome> {
+    const sentAt = this.clock.monotonic();
+    const runs = this.runs.get(worker);
+    if (runs === undefined) return { kind: 'broken' };
+    const culprit = this.culprits.get(content);
+    culprit?.sends.push(sentAt);
+    const isBroken = await new Promise<boolean>((resolve) => {
+      const run = {
+        breakOff: (): void => {
+          resolve(true);
+        },
+      };
+      runs.add(run);
+      const durationMs = this.random.between(300, 1500);
+      this.clock.schedule(durationMs, () => {
+        runs.delete(run);
+        resolve(false);
+      });
+      if (culprit !== undefined) this.clock.schedule(CRASH_AFTER_MS, () => this.endWorker(worker, culprit));
+    });
+    if (isBroken) this.scene.breakOff(daemon, content, worker, sentAt);
+    else daemon.noteServed(content);
+    return { kind: isBroken ? 'broken' : 'served' };
+  }
+
+  private endWorker(worker: string, culprit: CulpritHistory): void {
+    const runs = this.runs.get(worker);
+    if (runs === undefined) return;
+    culprit.ends.push(this.clock.monotonic());
+    this.runs.delete(worker);
+    this.scene.ended.add(worker);
+    for (const run of runs) run.breakOff();
+    this.clock.schedule(RESTART_MS, () => this.startWorker());
+  }
+
+  private result(): NeighboursResult {
+    const refused = [...this.scene.records.keys()];
+    const histories = [...this.culprits.values()];
+    return {
+      innocentsRefused: refused.filter((content) => !this.culprits.has(content)).length,
+      innocentsServed: this.servedAfterMs.size,
+      longestMs: Math.max(...this.servedAfterMs.values()),
+      workersEnded: this.scene.ended.size,
+      lateSends: Math.max(...histories.map(lateSendsOf)),
+      culpritsRefused: histories.filter(({ isRefused }) => isRefused).length,
+      culpritsProven: refused.filter((content) => this.culprits.has(content)).length,
+    };
+  }
+
+  private pause(durationMs: number): Promise<void> {
+    return sleep(this.clock, durationMs);
+  }
+}
+
+/** What a caller saw. */
+type Outcome =
+  { readonly kind: 'served' | 'broken' } | { readonly kind: 'refused'; readonly retryAfterMs: number };
+
+function lateSendsOf({ sends, ends }: CulpritHistory): number {
+  const third = ends[2];
+  return third === undefined ? 0 : sends.filter((at) => at > third + CONTACT_MS).length;
+}
--- a/packages/quarantine/test/quarantine-scene.ts
+++ b/packages/quarantine/test/quarantine-scene.ts
@@ -51,6 +51,13 @@
           for (const each of this.daemons) each.recordSeen(record);
           return Promise.resolve();
         },
+        claim: (record) => {
+          if (this.isStoreDown) return Promise.reject(new Error('store down'));
+          if (this.entries.has(record.content)) return Promise.resolve(false);
+          this.entries.set(record.content, record);
+          for (const each of this.daemons) each.recordSeen(record);
+          return Promise.resolve(true);
+        },
         remove: (content) => {
           this.entries.delete(content);
           for (const each of this.daemons) each.recordGone(content);
--- a/packages/residency/test/crashing-loads-world.ts
+++ b/packages/residency/test/crashing-loads-world.ts
@@ -58,6 +58,7 @@
       for (const { quarantine } of this.zones) quarantine.contents.recordSeen(record);
       return Promise.resolve();
     },
+    claim: () => Promise.resolve(true),
     remove: (content) => {
       this.entries.delete(content);
       for (const { quarantine } of this.zones) quarantine.contents.recordGone(content);
--- a/packages/residency/test/load-quarantines.ts
+++ b/packages/residency/test/load-quarantines.ts
@@ -19,6 +19,7 @@
 /** A store that takes everything and tells nobody. */
 const FORGETFUL_STORE: QuarantineStore = {
   create: () => Promise.resolve(),
+  claim: () => Promise.resolve(true),
   remove: () => Promise.resolve(),
 };
 
