A stream to a client of HTTP/1.0 is sent with its length once it is whole

Failing first: 'lets no answer look complete to a client that takes no chunks when the process is gone'. Ruled out: keeping the stream and marking its end, which HTTP/1.0 has no way to do. Cost: such a client waits for the last event.

One assertion asked that a cut answer had begun with 'half'; nothing of it comes any more, and the test asks for exactly that, and the reset.

--- a/packages/runtime/src/node-ingress.ts
+++ b/packages/runtime/src/node-ingress.ts
@@ -10,6 +10,7 @@
   type ResponseHead,
   type ResponseStream,
 } from './streaming-http.js';
+import { CollectedResponseStream } from './collected-response-stream.js';
 import { parseAddress, type Address } from './transport.js';
 
 /** Answers one request; must answer or abort the exchange in the end. */
@@ -51,7 +52,7 @@
     this.response.end();
   }
 
-  /** Without chunks, as for clients of HTTP/1.0, a plain close would end the answer as complete: only a reset tells. */
+  /** Without chunks a plain close would end the answer as complete: only a reset tells. */
   abort(): void {
     const { response } = this;
     if (!response.chunkedEncoding) response.socket?.resetAndDestroy();
@@ -113,6 +114,7 @@
   }
 
   beginStream(head: ResponseHead): ResponseStream {
+    if (!this.takesChunks && !hasLength(head)) return this.collect(head);
     this.writeHead(head.status, [...head.headers], false);
     this.response.flushHeaders();
     return new NodeResponseStream(this.response);
@@ -123,6 +125,23 @@
     this.request.destroy();
   }
 
+  /** A client of HTTP/1.0 takes no chunks: without a length, its answer ends as whole with the connection, whatever ended that. */
+  private get takesChunks(): boolean {
+    return this.request.httpVersionMajor > 1 || this.request.httpVersionMinor > 0;
+  }
+
+  private collect(head: ResponseHead): ResponseStream {
+    return new CollectedResponseStream(
+      (body) => {
+        this.respond(head, body);
+      },
+      () => {
+        this.response.socket?.resetAndDestroy();
+        this.response.destroy();
+      },
+    );
+  }
+
   private writeHead(status: number, headers: string[], closing: boolean): void {
     if (closing || this.isDraining()) headers.push('Connection', 'close');
     this.response.writeHead(status, headers);
@@ -235,6 +254,10 @@
   }
 }
 
+function hasLength({ headers }: ResponseHead): boolean {
+  return headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
+}
+
 /** Size of a request's head as it came. */
 function headBytes(request: IncomingMessage): number {
   const line = (request.method?.length ?? 0) + (request.url?.length ?? 0) + REQUEST_LINE_BYTES;
--- a/packages/runtime/test/cut-answers.test.ts
+++ b/packages/runtime/test/cut-answers.test.ts
@@ -1,6 +1,6 @@
 import { connect, type Socket } from 'node:net';
 import { expect } from 'chai';
-import { NodeIngress } from '../src/index.js';
+import { MOST_COLLECTED_BYTES, NodeIngress } from '../src/index.js';
 
 const LIMITS = {
   maximumHeaderBytes: 8192,
@@ -24,6 +24,13 @@
   });
 }
 
+/** Whether a client without chunks takes it for a whole answer: as long as its head says, or up to the close where it says nothing. */
+function isWhole(text: string): boolean {
+  const [head = '', ...rest] = text.split('\r\n\r\n');
+  const length = /^content-length: (\d+)$/im.exec(head)?.[1];
+  return head !== '' && (length === undefined || rest.join('\r\n\r\n').length >= Number(length));
+}
+
 describe('NodeIngress', () => {
   it('lets no answer that is cut look complete, also to a client that takes no chunks', async () => {
     const ingress = await NodeIngress.listen('127.0.0.1:0', LIMITS, async (exchange) => {
@@ -38,9 +45,56 @@
       const chunked = await ask(ingress.port, '1.1');
       expect(chunked.text).to.match(/half/);
       expect(chunked.text).to.not.match(/\r\n0\r\n/);
-      const plain = await ask(ingress.port, '1.0');
-      expect(plain.text).to.match(/half$/);
-      expect(plain.end).to.equal('reset');
+      // Nothing came that could be taken for an answer, and no plain close either.
+      expect(await ask(ingress.port, '1.0')).to.deep.equal({ text: '', end: 'reset' });
+    } finally {
+      await ingress.close();
+    }
+  });
+
+  /*
+   * Seen by reading: a client of HTTP/1.0 takes no chunks, so that its answer ends with the connection. A daemon that is killed cannot reset it, and
+   * the kernel closes it plainly: half a stream passed for a whole one. Such an answer is given a length now, and so only when it is whole.
+   */
+  it('lets no answer look complete to a client that takes no chunks when the process is gone', async () => {
+    let begun: () => void = () => undefined;
+    const hasBegun = new Promise<void>((resolve) => (begun = resolve));
+    const ingress = await NodeIngress.listen('127.0.0.1:0', LIMITS, async (exchange) => {
+      const stream = exchange.beginStream({ status: 200, headers: ['Content-Type', 'text/event-stream'] });
+      await stream.write(Buffer.from('id: 0\ndata: half\n\n'));
+      begun();
+    });
+    const asked = ask(ingress.port, '1.0');
+    await hasBegun;
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    // What the kernel does with the connections of a process that is killed.
+    await ingress.close();
+    expect(isWhole((await asked).text)).to.equal(false);
+  });
+
+  it('gives a client that takes no chunks the whole of a stream, with its length', async () => {
+    const ingress = await NodeIngress.listen('127.0.0.1:0', LIMITS, async (exchange) => {
+      const stream = exchange.beginStream({ status: 200, headers: ['Content-Type', 'text/event-stream'] });
+      for (const event of ['id: 0\n\n', 'id: 1\n\n']) await stream.write(Buffer.from(event));
+      stream.end();
+    });
+    try {
+      const { text } = await ask(ingress.port, '1.0');
+      expect(text).to.match(/Content-Length: 14\r\n/);
+      expect(isWhole(text)).to.equal(true);
+    } finally {
+      await ingress.close();
+    }
+  });
+
+  it('cuts off a client that takes no chunks where its answer is larger than is kept for it', async () => {
+    const ingress = await NodeIngress.listen('127.0.0.1:0', LIMITS, async (exchange) => {
+      const stream = exchange.beginStream({ status: 200, headers: [] });
+      for (let index = 0; index < 5; index += 1) await stream.write(Buffer.alloc(MOST_COLLECTED_BYTES / 4));
+      stream.end();
+    });
+    try {
+      expect(await ask(ingress.port, '1.0')).to.deep.equal({ text: '', end: 'reset' });
     } finally {
       await ingress.close();
     }
