What waits for its trial is refused at once, and says when to come back

Now they are told 2 s while another attempt is tried, and 10 s while others come first. A process on which another content is being tried is left out for the request, so that its choice cannot come back to it without end.

--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -119,6 +119,11 @@
 
   private async work(): Promise<void> {
     for (;;) {
+      const delayMs = this.context.quarantine.trialDelayMs(this.scope.digest);
+      if (delayMs !== undefined) {
+        this.finishUntried(delayMs);
+        return;
+      }
       const turn = await this.context.quarantine.takeTurn(this.scope.digest, this.expired.signal);
       try {
         if (await this.tryOnce(turn)) return;
@@ -139,7 +144,10 @@
     // The choice may have taken seconds: word may have come, and others may have taken the last connections.
     if (this.finishQuarantined()) return true;
     const admission = await this.context.quarantine.admit(this.scope.digest, choice.backEnd.id);
-    if (admission.kind === 'occupied') return false;
+    if (admission.kind === 'occupied') {
+      this.scope.progress.excluded.add(choice.backEnd.id);
+      return false;
+    }
     if (admission.kind === 'refused') {
       this.finishUntried(admission.retryAfterMs);
       return true;
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -26,6 +26,7 @@
 import {
   FREE_ADMISSION,
   RETRY_AFTER_OTHERS_MS,
+  RETRY_AFTER_TRIAL_MS,
   SuspectTrials,
   type TrialAdmission,
 } from './suspect-trials.js';
@@ -217,6 +218,16 @@
     return turn;
   }
 
+  /**
+   * When the caller of a content is to come back that may run in a trial only, and cannot now: another attempt of it is being tried, or others
+   * come first. Undefined where it may ask for its turn. Without it, callers waited behind the trial until their time was up.
+   */
+  trialDelayMs(content: string): number | undefined {
+    if (this.marks.isEmpty || !this.search.isAccused(content)) return undefined;
+    if (this.turns.isTaken(content) || this.trials.isUnderWay(content)) return RETRY_AFTER_TRIAL_MS;
+    return this.search.waitsForOthers(content) ? RETRY_AFTER_OTHERS_MS : undefined;
+  }
+
   /** Waits until it is known whether the processes of broken attempts have ended, for a while at most. */
   private async settle(content: string): Promise<void> {
     const open = [...(this.open.get(content) ?? [])];
--- a/packages/quarantine/src/suspect-trials.ts
+++ b/packages/quarantine/src/suspect-trials.ts
@@ -13,7 +13,7 @@
  */
 export const TRIAL_LIFETIME_MS = 30_000;
 /** When a caller is to come back whose content is being tried, in milliseconds: most requests have run by then. */
-const RETRY_AFTER_TRIAL_MS = 2000;
+export const RETRY_AFTER_TRIAL_MS = 2000;
 /** When a caller is to come back whose content waits for those that ran beside it, in milliseconds: most have come back twice by then. */
 export const RETRY_AFTER_OTHERS_MS = 10_000;
 /** When a caller is to come back where the store gave no answer, in milliseconds: some 5 s pass until it is asked again. */
@@ -77,7 +77,7 @@
 
   /** Asks for the right to run a content on a process now. */
   async begin(content: string, processId: string): Promise<TrialAdmission> {
-    if (this.own.has(content) || this.isUnderWay(content)) return refused(RETRY_AFTER_TRIAL_MS);
+    if (this.isUnderWay(content)) return refused(RETRY_AFTER_TRIAL_MS);
     if (this.processesOfOthers(content).includes(processId)) return { kind: 'occupied' };
     const { clock, daemon, store, log } = this.options.writer.options;
     this.own.set(content, processId);
@@ -117,7 +117,9 @@
     return this.known.delete(name);
   }
 
-  private isUnderWay(content: string): boolean {
+  /** Whether a content is being tried, here or elsewhere. */
+  isUnderWay(content: string): boolean {
+    if (this.own.has(content)) return true;
     const trial = this.known.get(trialName(content));
     const now = this.options.writer.options.clock.monotonic();
     return trial !== undefined && now - trial.seenAt < TRIAL_LIFETIME_MS;
--- a/packages/quarantine/src/suspect-turns.ts
+++ b/packages/quarantine/src/suspect-turns.ts
@@ -47,6 +47,11 @@
     };
   }
 
+  /** Whether an attempt of a content is under way. */
+  isTaken(content: string): boolean {
+    return this.held.has(content);
+  }
+
   /** Something has changed for a content: those that wait look again. */
   wake(content: string): void {
     for (const wake of this.waiting.get(content) ?? []) wake();
--- a/scripts/reporter.cjs
+++ b/scripts/reporter.cjs
@@ -7,7 +7,9 @@
 class TotalsReporter extends reporters.Spec {
   constructor(runner, options) {
     super(runner, options);
-    this.knownRed = new Map(readKnownRed().map((entry) => [entry.title, entry]));
+    const known = readKnownRed();
+    this.knownRuns = known.filter(({ isRun }) => isRun);
+    this.knownRed = new Map(known.filter(({ isRun }) => !isRun).map((entry) => [entry.title, entry]));
     this.stillRed = [];
     this.passed = [];
     runner.on('fail', (test) => {
@@ -30,6 +32,9 @@
     for (const { title, cause, issue } of this.stillRed) {
       console.log(`known red: ${title} (${cause}; issue ${issue})`);
     }
+    for (const { title, cause, issue } of this.knownRuns) {
+      console.log(`known open, not part of the tests: ${title} (${cause}; issue ${issue})`);
+    }
     for (const title of this.passed) {
       console.log(`listed in KNOWN-RED.txt, but it does not fail: ${title}`);
     }
