One pass of a plan begins one load on a worker

Cause: a load that waits for the weight store leaves its worker to the next load of the plan, and both name the same victim; where the store's share, drawn anew each 300 ms, gets room between the plan and the start, both begin. Ruled out by the log: a late order, a second holder, an unload that was not done.

--- a/packages/residency/src/load-scheduler.ts
+++ b/packages/residency/src/load-scheduler.ts
@@ -332,8 +332,14 @@
     // While all workers are occupied a plan only looks ahead, which need not follow each change.
     if (!this.planner.hasFreeWorker(service) && this.plans.ageOf(service) < PLAN_INTERVAL_MS) return;
     const loads = this.plans.renew(service)?.plan.loads ?? [];
+    // A load that waits for the weight store leaves its worker to the next one, so that a plan may name the same memory for both. Where the store
+    // gets room before they begin, both would: workers were ordered beyond their memory by it (one soak of two; 1 seed of 20 at every second question).
+    const taken = new Set<string>();
     for (const planned of loads) {
-      if (planned.startsNow && this.planner.storeAllows(planned)) this.start(planned);
+      const { id } = planned.choice.candidate.backEnd;
+      if (!planned.startsNow || taken.has(id) || !this.planner.storeAllows(planned)) continue;
+      this.start(planned);
+      taken.add(id);
     }
     this.retire(service, loads);
   }
