--- a/packages/quarantine/src/verdict-records.ts
+++ b/packages/quarantine/src/verdict-records.ts
@@ -92,9 +92,12 @@
     else this.keepLater(content);
   }
 
-  /** Removes records whose time is over. */
+  /** Removes records whose time is over, and forgets verdicts that have neither a record nor marks. */
   async removeExpired(): Promise<void> {
-    const { writer, removesRecord } = this.options;
+    const { marks, writer, removesRecord } = this.options;
+    for (const content of [...this.found]) {
+      if (!this.records.has(content) && marks.endsOf(content) === 0) this.forget(content);
+    }
     const oldest = writer.options.clock.wall() - QUARANTINE_MS;
     for (const { content, at } of [...this.records.values()]) {
       if (at < oldest && removesRecord(content)) await writer.options.store.remove(content);
--- a/packages/quarantine/test/request-quarantine.test.ts
+++ b/packages/quarantine/test/request-quarantine.test.ts
@@ -234,6 +234,15 @@
     expect(scene.daemons.every((daemon) => isRefused(daemon))).to.equal(true);
   });
 
+  it('forgets a verdict that no store has taken once its marks have run out', async () => {
+    scene.isStoreDown = true;
+    for (const id of ['w1', 'w2', 'w3']) await scene.endUnder(first, CONTENT, id);
+    expect(isRefused(first)).to.equal(true);
+    await scene.pass(MARK_LIFETIME_MS + 120_000);
+    await scene.endUnder(first, CONTENT, 'w4');
+    expect(scene.daemons.some((daemon) => isRefused(daemon))).to.equal(false);
+  });
+
   it('removes a record whose time is over', async () => {
     for (const id of ['w1', 'w2', 'w3']) await scene.endUnder(first, CONTENT, id);
     await scene.pass(QUARANTINE_MS + 61_000);
