A content that cannot be told from its neighbours is tried once and no more

Cause: two trials of one content come on top of attempts that reached a process together before anything was known. Four ends in a row now prove a content, whatever ran beside it.

--- a/packages/quarantine/src/culprit-search.ts
+++ b/packages/quarantine/src/culprit-search.ts
@@ -4,9 +4,9 @@
  * workers, 23 had done no harm. So a content is proven only by ends that no other one explains as well, and those that cannot be told apart are tried
  * one by one: a trial that ends well clears, one that ends its process proves.
  *
- * Among callers that come back at once, on virtual time (`neighbours-simulation.ts`, means of 24 to 40 seeds): two culprits with four workers had 3.1
- * harmless contents refused for an hour where three ends were the only proof, and ended 5.8 workers; this 0.08 and 7.7. With three workers 1.7
- * and 5.7, this 0.13 and 6.8; with nine 0.33 and 6.0, this 0 and 6.0. A trial costs a worker where it strikes the culprit.
+ * Among callers that come back at once, on virtual time (`neighbours-simulation.ts`, means of 8 to 40 seeds): two culprits with four workers had 3.1
+ * harmless contents refused for an hour where three ends were the only proof, and ended 5.8 workers; this 0.13 and 6.9. With three workers 1.7
+ * and 5.7, this 0.13 and 6.9; with nine 0.33 and 6.0, this 0 and 5.9. A trial costs a worker where it strikes the culprit.
  */
 import { CrashMarks, ENDS_FOR_VERDICT, type CrashMark } from './crash-marks.js';
 import { isLoadContent } from './load-content.js';
@@ -34,10 +34,11 @@
 const LIKELIEST_WAITS_MS = 120_000;
 
 /**
- * Ends in a row that prove a content whatever ran beside it: users allow three sends later than 3 s after the third end, and two daemons may have
- * sent it at once before they heard of each other. What does no harm has run well in its trial by then, or ended a process in none.
+ * Ends in a row that prove a content whatever ran beside it: those of a verdict, and that of one trial. Users allow three sends later than 3 s after the
+ * third end, and several daemons may have sent it at once before they heard of each other: with two trials a content was sent four times
+ * more. What does no harm has run well in its trial by then.
  */
-const MOST_ENDS_WITHOUT_VERDICT = ENDS_FOR_VERDICT + 2;
+const MOST_ENDS_WITHOUT_VERDICT = ENDS_FOR_VERDICT + 1;
 
 /** Verdicts over the marks of one daemon. */
 export class CulpritSearch {
