Sight of rate limits: what a worker's answer says of itself is decoded, logged and counted

For the incident of worker rate limits: no line said that an answer named a limit, so that 'nobody reads it' and 'each daemon keeps it for itself' could not be told apart. Nothing acts on it yet. A word counts only from the head of the answer to the request, from the incarnation that it was sent to; an answer to a request sent before the last word takes nothing back. What clients send under the name goes no further.

--- a/packages/forwarding/src/forwarding-context.ts
+++ b/packages/forwarding/src/forwarding-context.ts
@@ -4,6 +4,7 @@
 import type { BackendClient, Clock } from '@woodbarrow/runtime';
 import type { RequestJournal } from './request-journal.js';
 import type { BackendHealth } from './backend-health.js';
+import type { BackendNotices } from './backend-notices.js';
 import type { ConnectionShare } from './connection-share.js';
 import type { PlainSelector } from './plain-selector.js';
 import type { RepeatBudget } from './repeat-budget.js';
@@ -20,6 +21,7 @@
   readonly loads: LoadBook;
   readonly runTimes: RunTimes;
   readonly connections: ConnectionShare;
+  readonly notices: BackendNotices;
   readonly plain: PlainSelector;
   readonly replicas: ReplicaSelector;
   readonly budget: RepeatBudget;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,6 +1,8 @@
 /** Requests passed through to back ends. */
 export * from './backend-choice.js';
 export * from './backend-health.js';
+export * from './backend-notice.js';
+export * from './backend-notices.js';
 export * from './caller-access.js';
 export * from './connection-share.js';
 export * from './event-splitter.js';
--- a/packages/forwarding/src/request-send.ts
+++ b/packages/forwarding/src/request-send.ts
@@ -2,6 +2,7 @@
 import type { BackEnd, ModelTarget, WorkTicket } from '@woodbarrow/backends';
 import { AnswerPassing } from './answer-passing.js';
 import type { BackendChoice } from './backend-choice.js';
+import type { BackendNotice } from './backend-notice.js';
 import type { AttemptResult, RequestScope } from './request-scope.js';
 import type { RunForecast } from './run-forecast.js';
 import { sendAttempt, type SendOutcome } from './send-attempt.js';
@@ -37,7 +38,7 @@
     const sentAt = context.clock.monotonic();
     this.noteSent(choice);
     try {
-      const outcome = await this.send(backEnd, controller);
+      const outcome = await this.send(backEnd, controller, sentAt);
       return await this.conclude(outcome, backEnd, ticket, sentAt);
     } catch (error) {
       // The client could not be written to: the back end must not go on for nobody.
@@ -62,7 +63,7 @@
     });
   }
 
-  private send(backEnd: BackEnd, controller: AbortController): Promise<SendOutcome> {
+  private send(backEnd: BackEnd, controller: AbortController, sentAt: number): Promise<SendOutcome> {
     const { exchange, context, facts, progress, body } = this.scope;
     const patienceMs = this.failures.patienceMs(progress.ranOn.size + 1);
     const plan = {
@@ -73,6 +74,9 @@
       headers: this.requestHeaders(backEnd),
       body,
       controller,
+      onNotice: (notice: BackendNotice) => {
+        context.notices.hear(backEnd.id, notice, sentAt);
+      },
       ...(patienceMs === undefined ? {} : { patienceMs }),
     };
     return sendAttempt(plan, context.client, context.dialect, context.clock);
--- a/packages/forwarding/src/send-attempt.ts
+++ b/packages/forwarding/src/send-attempt.ts
@@ -2,6 +2,7 @@
 import { messageOf } from '@woodbarrow/errors';
 import type { BackEnd } from '@woodbarrow/backends';
 import { HttpNotSentError, type BackendAnswer, type BackendClient, type Clock } from '@woodbarrow/runtime';
+import type { BackendNotice } from './backend-notice.js';
 import type { AnswerVerdict, WireDialect } from './wire-dialect.js';
 
 /** Milliseconds that a new connection to a back end may take. */
@@ -30,6 +31,8 @@
   readonly body: Uint8Array;
   /** Ended when the client has gone or time is up. */
   readonly controller: AbortController;
+  /** Called with what the head of an answer says of its back end. */
+  readonly onNotice: (notice: BackendNotice) => void;
   /** Milliseconds to wait for the head of the answer; as long as the controller lets it when absent. */
   readonly patienceMs?: number;
 }
@@ -60,7 +63,10 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     });
     const sent = { requestId: plan.requestId, backEndName: plan.backEnd.name };
-    return outcomeOf(dialect.judge(sent, answer.status, answer.headers), answer);
+    const verdict = dialect.judge(sent, answer.status, answer.headers);
+    const notice = verdict === 'foreign' ? undefined : dialect.readNotice(sent, answer.headers);
+    if (notice !== undefined) plan.onNotice(notice);
+    return outcomeOf(verdict, answer);
   } catch (error) {
     if (silent) return { kind: 'silent' };
     if (error instanceof HttpNotSentError) return { kind: 'unreachable', detail: messageOf(error) };
--- a/packages/forwarding/src/wire-dialect.ts
+++ b/packages/forwarding/src/wire-dialect.ts
@@ -4,6 +4,7 @@
  */
 import type { RawHeaders } from '@woodbarrow/runtime';
 import type { ModelTarget } from '@woodbarrow/backends';
+import type { BackendNotice } from './backend-notice.js';
 
 /** One part of a prompt that may be shared with other prompts. */
 export interface PromptPart {
@@ -84,4 +85,9 @@
     status: number,
     headers: Readonly<Record<string, string | undefined>>,
   ): AnswerVerdict;
+  /** What the head of an answer says of its back end; undefined where it answers something else, or is another's. */
+  readNotice(
+    sent: SentRequest,
+    headers: Readonly<Record<string, string | undefined>>,
+  ): BackendNotice | undefined;
 }
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -31,6 +31,7 @@
 import { silentLog } from '@woodbarrow/observability';
 import {
   BackendHealth,
+  BackendNotices,
   ConfigurationHolder,
   ConnectionShare,
   Forwarder,
@@ -162,6 +163,12 @@
   ownHeaders: (_id, retryAfterSeconds) =>
     retryAfterSeconds === undefined ? [] : ['retry', String(retryAfterSeconds)],
   judge: (_sent, status) => (status === 503 ? 'not_run' : 'genuine'),
+  readNotice: (_sent, headers) => ({
+    rateLimit:
+      headers['limit'] === undefined
+        ? { kind: 'none' }
+        : { kind: 'named', requestsPerSecond: Number(headers['limit']) },
+  }),
 };
 
 /** A forwarder on virtual time. */
@@ -301,6 +308,7 @@
       loads: this.loads,
       runTimes: new RunTimes(),
       connections,
+      notices: new BackendNotices(this.process, silentLog),
       plain: new PlainSelector(this.directory, this.loads, connections, 'a'),
       replicas: new ReplicaSelector(
         this.directory,
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -19,6 +19,11 @@
   request_refused: 'Ended as not run. Kind, cause, when to come back, sends, time waited.',
   request_failed: 'Ended without a whole answer, and may have run. Answer given, cause, sends.',
   request_abandoned: 'The client has gone. What is under way is cancelled.',
+  back_end_limited:
+    'An answer named how many requests a second its back end takes from all daemons together. Back end, the limit, the one before.',
+  back_end_unlimited: 'An answer named no such limit any more. Back end, the limit before.',
+  notice_malformed:
+    'An answer says something of its back end that means nothing, and changes nothing; told once for each back end. Back end, what it is about, value.',
   process_ended_under_request:
     "A back end's process ended while it ran a request. Content, back end, time since it was sent, processes that ended under the content so far, time until that was found out.",
   request_quarantined:
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -3,6 +3,7 @@
 import { BackendDirectory, LoadBook, RunTimes, type ServiceDefinition } from '@woodbarrow/backends';
 import {
   BackendHealth,
+  BackendNotices,
   ConfigurationHolder,
   ConnectionShare,
   Forwarder,
@@ -72,6 +73,7 @@
   private readonly loads: LoadBook;
   private readonly affinity = new PromptAffinity();
   private readonly health = new Map<string, BackendHealth>();
+  private readonly notices: BackendNotices;
   private readonly peers: PeerNetwork;
   private readonly membership: Membership;
   private readonly residency: ResidencyService;
@@ -107,6 +109,7 @@
     this.failures = new CallFailures(clock, log);
     this.directory = new BackendDirectory(clock);
     this.loads = new LoadBook(clock);
+    this.notices = new BackendNotices(clock, log);
     this.quarantine = this.createQuarantine();
     const { directory, quarantine: contents } = this;
     this.loadQuarantine = new LoadQuarantine({ contents, directory, clock, log });
@@ -139,6 +142,7 @@
     this.directory.events.on('removed', (backEnd) => {
       this.affinity.forget(backEnd.id);
       this.health.get(backEnd.service)?.forget(backEnd.id);
+      this.notices.forget(backEnd.id);
       ports.client.forget(backEnd.address);
     });
     this.directory.events.on('residency', ({ backEndId, target, resident }) => {
@@ -384,6 +388,7 @@
       unserved: () => residency.unserved(),
       quarantine: () => this.quarantine.totals,
       loadQuarantine: () => this.loadQuarantine.totals,
+      notices: () => this.notices.totals,
       quotaUse: () => this.quotaGate.use(),
       quotaGranted: () => this.quotaService.use(),
       log,
@@ -404,6 +409,7 @@
       loads,
       runTimes: new RunTimes(),
       connections,
+      notices: this.notices,
       plain: new PlainSelector(directory, loads, connections, settings.zone),
       replicas: new ReplicaSelector(directory, loads, affinity, demands, connections, settings.zone, clock),
       budget: new RepeatBudget(
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of a serving daemon. */
 import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
+import type { NoticeTotals } from '@woodbarrow/forwarding';
 import type { GateUse, GranterUse } from '@woodbarrow/quota';
 import type { UnservedDemands } from '@woodbarrow/residency';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
@@ -22,6 +23,7 @@
   readonly unserved: () => ReadonlyMap<string, UnservedDemands>;
   readonly quarantine: () => QuarantineTotals;
   readonly loadQuarantine: () => LoadQuarantineTotals;
+  readonly notices: () => NoticeTotals;
   /** Units of limited tenants used and refused by this daemon, by tenant. */
   readonly quotaUse: () => ReadonlyMap<string, GateUse>;
   /** Units handed out by the granters held here, by tenant. */
@@ -92,6 +94,7 @@
     );
     this.addUnservedGauges(sources);
     this.addQuarantineGauges(sources);
+    this.addNoticeGauges(sources);
     this.addQuotaGauges(sources);
     registry.gauge(
       'woodbarrow_log_lines_dropped',
@@ -129,6 +132,15 @@
     );
   }
 
+  private addNoticeGauges({ notices }: MetricSources): void {
+    this.registry.gauge(
+      'woodbarrow_back_end_notices',
+      'Back ends that name a rate limit now, answers that named one, answers whose words mean nothing.',
+      () => new Map(Object.entries(notices())),
+      'of',
+    );
+  }
+
   private addQuotaGauges({ quotaUse, quotaGranted }: MetricSources): void {
     const { registry } = this;
     registry.gauge(
