Quotas: gate, granter and zone granters no longer know that a limit is a tenant's

A back end's rate limit over all daemons is the same thing as a tenant's limit with another window: units from a granter that exists once, by the lease of a zone.

--- a/packages/protocol/src/quota-messages.ts
+++ b/packages/protocol/src/grant-messages.ts
@@ -1,11 +1,8 @@
-/** Messages by which daemons ask the granters of zones for units of a tenant's limit. */
+/** Messages by which daemons ask the granters of zones for units of a limit that holds over all daemons. */
 import { definePeerMethod } from './method.js';
 
-/** A wish for units. */
-export interface QuotaGrantMessage {
-  /** Zone whose granter is asked. */
-  readonly zone: string;
-  readonly tenant: string;
+/** What a granter is asked for. */
+export interface GrantWish {
   /** Units that the first waiting request lacks. */
   readonly needed: number;
   /** Units that all waiting requests lack. */
@@ -19,7 +16,7 @@
 }
 
 /** Units handed out. */
-export interface QuotaGrantAnswer {
+export interface GrantAnswer {
   readonly granted: number;
   /** Milliseconds for which they may be used, from when they were asked for. */
   readonly lifetimeMs: number;
@@ -29,4 +26,11 @@
   readonly retryAfterMs: number;
 }
 
-export const quotaGrantMethod = definePeerMethod<QuotaGrantMessage, QuotaGrantAnswer>('quota.grant');
+/** A wish for units of a tenant's limit. */
+export interface QuotaGrantMessage extends GrantWish {
+  /** Zone whose granter is asked. */
+  readonly zone: string;
+  readonly tenant: string;
+}
+
+export const quotaGrantMethod = definePeerMethod<QuotaGrantMessage, GrantAnswer>('quota.grant');
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -9,5 +9,5 @@
 export * from './method.js';
 export * from './placement-messages.js';
 export * from './routing-messages.js';
-export * from './quota-messages.js';
+export * from './grant-messages.js';
 export * from './residency-messages.js';
--- /dev/null
+++ b/packages/quota/src/ask-granter.ts
@@ -0,0 +1,33 @@
+/** One question to the granter of a zone. */
+import type { CoordinatorDirectory } from '@woodbarrow/exchange';
+import type { CallFailures } from '@woodbarrow/observability';
+import type { PeerNetwork } from '@woodbarrow/peering';
+import type { PeerMethod } from '@woodbarrow/protocol';
+
+/** What a question needs. */
+export interface GranterAccess {
+  readonly coordinators: CoordinatorDirectory;
+  readonly peers: Pick<PeerNetwork, 'call'>;
+  readonly failures: CallFailures;
+}
+
+/** Time that a granter has to answer, in milliseconds; one that is slower is as good as gone. */
+const GRANT_LIMIT_MS = 300;
+
+/** Undefined where the zone has no granter, or it does not answer. Never rejects. */
+export async function askGranter<Message, Answer>(
+  { coordinators, peers, failures }: GranterAccess,
+  zone: string,
+  method: PeerMethod<Message, Answer>,
+  message: Message,
+): Promise<Answer | undefined> {
+  const granter = coordinators.of(zone);
+  if (granter === undefined) return undefined;
+  try {
+    return await peers.call(granter.address, method, message, { timeoutMs: GRANT_LIMIT_MS });
+  } catch (error) {
+    // Units that were handed out in an answer that is lost lapse unused.
+    failures.note(method.name, granter.memberId, error);
+    return undefined;
+  }
+}
--- a/packages/quota/src/index.ts
+++ b/packages/quota/src/index.ts
@@ -1,8 +1,10 @@
-/** Limits of tenants over all daemons. */
+/** Limits over all daemons, in units that the coordinators of zones hand out. */
 export * from './quota-gate.js';
-export * from './quota-granter.js';
-export * from './quota-purse.js';
 export * from './quota-service.js';
-export * from './quota-share.js';
 export * from './unit-bucket.js';
+export * from './unit-gate.js';
+export * from './unit-granter.js';
+export * from './unit-purse.js';
+export * from './unit-share.js';
 export * from './use-rate.js';
+export * from './zone-granters.js';
--- a/packages/quota/src/unit-bucket.ts
+++ b/packages/quota/src/unit-bucket.ts
@@ -1,8 +1,8 @@
 /** A bucket of units that fills at a rate up to its depth. */
 import type { Clock } from '@woodbarrow/runtime';
-import type { QuotaShare } from './quota-share.js';
+import type { UnitShare } from './unit-share.js';
 
-/** One tenant's bucket at one granter. */
+/** One subject's bucket at one granter. */
 export class UnitBucket {
   private level = 0;
   private filledAt: number;
@@ -15,7 +15,7 @@
    * @param startsAt Monotonic time from which it fills; by the clock that counts no time for which the machine was suspended.
    */
   constructor(
-    private share: QuotaShare,
+    private share: UnitShare,
     private readonly clock: Clock,
     startsAt: number,
   ) {
@@ -23,7 +23,7 @@
   }
 
   /** Takes another share into use. */
-  reshape(share: QuotaShare): void {
+  reshape(share: UnitShare): void {
     this.fill();
     this.share = share;
     this.level = Math.min(this.level, share.depth);
--- a/packages/quota/src/quota-purse.ts
+++ b/packages/quota/src/unit-purse.ts
@@ -1,4 +1,4 @@
-/** Units of one tenant that a daemon holds. They lapse by the time of its own machine, suspensions included. */
+/** Units of one limit that a daemon holds. They lapse by the time of its own machine, suspensions included. */
 import type { Clock } from '@woodbarrow/runtime';
 
 interface HeldUnits {
@@ -14,8 +14,8 @@
   readonly until: number;
 }
 
-/** Units that one daemon holds for one tenant. */
-export class QuotaPurse {
+/** Units that one daemon holds for one subject. */
+export class UnitPurse {
   /** Those that lapse first come first. */
   private held: HeldUnits[] = [];
 
--- a/packages/quota/src/quota-share.ts
+++ b/packages/quota/src/unit-share.ts
@@ -1,5 +1,5 @@
 /**
- * How a tenant's limit is dealt out, so that all daemons together stay within what the deployment allows, whatever is cut off, frozen or
+ * How a limit over all daemons is dealt out, so that all daemons together stay within what the deployment allows, whatever is cut off, frozen or
  * killed. The limit is split evenly among the granters, one a zone. Each fills a bucket at its part of the rate and hands units out of it,
  * which lapse a while later where they have not been used.
  *
@@ -8,10 +8,17 @@
  * the bound holds over both together. Summed over the granters this must not exceed `(rate x W + burst) x (1 + overshoot) + slack`.
  * What that leaves beside `rate x W`, the headroom, is dealt between the depth of the buckets and the lifetime of what was handed out.
  */
-import type { TenantQuota } from '@woodbarrow/forwarding';
 
-/** What the deployment allows beyond the limit of a tenant, in each window. */
-export interface QuotaAllowance {
+/** A limit: of a tenant, or of a back end. */
+export interface UnitLimit {
+  /** Units a second. */
+  readonly ratePerSecond: number;
+  /** Units beyond the rate that may be used at once. */
+  readonly burst: number;
+}
+
+/** What the deployment allows beyond a limit, in each window. */
+export interface UnitAllowance {
   /** Length of the windows in which use is judged. */
   readonly windowMs: number;
   /** Part of the limit, for example 0.1. */
@@ -20,8 +27,8 @@
   readonly slack: number;
 }
 
-/** One granter's part of a tenant's limit. */
-export interface QuotaShare {
+/** One granter's part of a limit. */
+export interface UnitShare {
   /** Units that fill the bucket in a millisecond. */
   readonly ratePerMs: number;
   /** The same over all granters. */
@@ -32,7 +39,7 @@
   readonly lifetimeMs: number;
 }
 
-/** Part of the headroom that is spent on the depth of the buckets: bursts, and tenants whose callers are in few zones. */
+/** Part of the headroom that is spent on the depth of the buckets: bursts, and subjects that are asked for in few zones. */
 const DEPTH_PART = 0.45;
 /** Part spent on the lifetime. What is left covers requests that are on their way to a worker for a while. */
 const LIFETIME_PART = 0.4;
@@ -41,8 +48,8 @@
 const MS_PER_SECOND = 1000;
 
 /** One granter's part. @param granters Number of zones, the same for all daemons. */
-export function shareOf(quota: TenantQuota, allowance: QuotaAllowance, granters: number): QuotaShare {
-  const { ratePerSecond, burst } = quota;
+export function shareOf(limit: UnitLimit, allowance: UnitAllowance, granters: number): UnitShare {
+  const { ratePerSecond, burst } = limit;
   const { windowMs, overshoot, slack } = allowance;
   const ratePerMs = ratePerSecond / MS_PER_SECOND;
   const headroom = burst + overshoot * (ratePerMs * windowMs + burst) + slack;
--- a/packages/quota/src/use-rate.ts
+++ b/packages/quota/src/use-rate.ts
@@ -1,4 +1,4 @@
-/** How many units a tenant uses at one daemon, as a running average. */
+/** How many units of one limit a daemon uses, as a running average. */
 import type { Clock } from '@woodbarrow/runtime';
 
 /** Time in which a use counts for half, in milliseconds: about as long as units may be held ahead of need. */
@@ -6,7 +6,7 @@
 /** A sum that halves in {@link HALF_LIFE_MS} holds the uses of this many milliseconds. */
 const MEAN_AGE_MS = HALF_LIFE_MS / Math.LN2;
 
-/** Rate of one tenant. */
+/** Rate of one subject. */
 export class UseRate {
   private sum = 0;
   private at: number;
--- a/packages/quota/test/quota-world.ts
+++ b/packages/quota/test/quota-world.ts
@@ -5,10 +5,10 @@
 import { SimulatedCluster, type PeerNetwork, type SimulatedNode } from '@woodbarrow/peering';
 import type { RelayedClaim } from '@woodbarrow/protocol';
 import { Random, type Clock } from '@woodbarrow/runtime';
-import { QuotaGate, QuotaService, type QuotaAllowance, type ZoneAuthority } from '../src/index.js';
+import { QuotaGate, QuotaService, type UnitAllowance, type ZoneAuthority } from '../src/index.js';
 
 export const ZONES = ['alpha', 'beta', 'gamma', 'delta'];
-export const ALLOWANCE: QuotaAllowance = { windowMs: 8000, overshoot: 0.1, slack: 110_000 };
+export const ALLOWANCE: UnitAllowance = { windowMs: 8000, overshoot: 0.1, slack: 110_000 };
 /** Time from the start of the daemons to the first requests, in milliseconds. */
 const LEAD_MS = 12_000;
 /** Pause between two words of claims, in milliseconds. */
--- a/packages/serving/src/serving-settings.ts
+++ b/packages/serving/src/serving-settings.ts
@@ -1,5 +1,5 @@
 /** Settings of a serving daemon. */
-import type { QuotaAllowance } from '@woodbarrow/quota';
+import type { UnitAllowance } from '@woodbarrow/quota';
 import type { StoreWindowOptions } from '@woodbarrow/residency';
 
 /** Where metrics are served. */
@@ -32,7 +32,7 @@
   readonly peerAddress: string;
   readonly metrics?: MetricsEndpoint;
   readonly repeats: RepeatSettings;
-  readonly quotaAllowance: QuotaAllowance;
+  readonly quotaAllowance: UnitAllowance;
   /** The whole deployment starts for the first time. */
   readonly isFirstStart: boolean;
   /** Time between the orders of two coordinators of a zone. */
