--- a/packages/forwarding/src/backend-notice.ts
+++ b/packages/forwarding/src/backend-notice.ts
@@ -1,15 +1,26 @@
 /** What a back end says of itself in the head of an answer. */
 
-/** What the head of one answer says of a rate limit. */
-export type RateLimitNotice =
-  /** Names none: the back end takes what comes. */
+/** One thing that it may say. */
+export type NoticeWord<Value> =
+  /** It says nothing of it. */
   | { readonly kind: 'none' }
-  | { readonly kind: 'named'; readonly requestsPerSecond: number }
-  /** The value means nothing, and changes nothing. */
-  | { readonly kind: 'malformed'; readonly value: string };
+  | { readonly kind: 'said'; readonly value: Value }
+  /** The text means nothing, and changes nothing. */
+  | { readonly kind: 'malformed'; readonly text: string };
 
 /** What the head of one answer says. */
 export interface BackendNotice {
   /** Requests a second that the back end takes from all daemons together. */
-  readonly rateLimit: RateLimitNotice;
+  readonly requestsPerSecond: NoticeWord<number>;
+  /** The back end will end soon, and takes no new requests. */
+  readonly leaving: NoticeWord<true>;
+  /** Milliseconds for which the back end wants no requests from this daemon. */
+  readonly pauseMs: NoticeWord<number>;
 }
+
+/** A notice that says nothing. */
+export const EMPTY_NOTICE: BackendNotice = {
+  requestsPerSecond: { kind: 'none' },
+  leaving: { kind: 'none' },
+  pauseMs: { kind: 'none' },
+};
--- a/packages/forwarding/src/backend-notices.ts
+++ b/packages/forwarding/src/backend-notices.ts
@@ -1,7 +1,7 @@
 /** What each back end last said of itself, by incarnation, as far as this daemon knows. */
 import type { EventLog } from '@woodbarrow/observability';
 import type { Clock } from '@woodbarrow/runtime';
-import type { BackendNotice } from './backend-notice.js';
+import type { BackendNotice, NoticeWord } from './backend-notice.js';
 
 /** What a back end last said of a rate limit. */
 export interface HeardRateLimit {
@@ -26,6 +26,10 @@
   readonly limited: number;
   /** Answers that named a rate limit. */
   readonly limitsHeard: number;
+  /** Answers that said that their back end leaves. */
+  readonly leavingHeard: number;
+  /** Answers that asked for a pause. */
+  readonly pausesHeard: number;
   /** Answers whose words mean nothing. */
   readonly malformed: number;
 }
@@ -38,11 +42,13 @@
   /** Called when an answer changed what is known: other daemons are to know it too. */
   onNews: (backEndId: string, heard: HeardRateLimit) => void = () => undefined;
   private readonly rateLimits = new Map<string, HeardRateLimit>();
-  /** Back ends whose malformed words have been logged. */
-  private readonly toldMalformed = new Set<string>();
+  /** Words that mean nothing and have been logged, by back end. */
+  private readonly toldMalformed = new Map<string, Set<keyof BackendNotice>>();
   /** Monotonic time of the last news of each back end. */
   private readonly newsAt = new Map<string, number>();
   private limitsHeard = 0;
+  private leavingHeard = 0;
+  private pausesHeard = 0;
   private malformed = 0;
 
   constructor(
@@ -56,17 +62,11 @@
    * @param sentAt Monotonic time at which the request was sent. Answers overtake each other: one to a request from before the
    *   last word cannot take that back.
    */
-  hear(backEndId: string, { rateLimit }: BackendNotice, sentAt: number): void {
-    switch (rateLimit.kind) {
-      case 'named':
-        this.setRateLimit(backEndId, rateLimit.requestsPerSecond);
-        return;
-      case 'none':
-        this.endRateLimit(backEndId, sentAt);
-        return;
-      case 'malformed':
-        this.noteMalformed(backEndId, rateLimit.value);
-    }
+  hear(backEndId: string, notice: BackendNotice, sentAt: number): void {
+    this.noteMalformed(backEndId, notice);
+    this.hearRateLimit(backEndId, notice.requestsPerSecond, sentAt);
+    if (notice.leaving.kind === 'said') this.hearLeaving(backEndId);
+    if (notice.pauseMs.kind === 'said') this.hearPause(backEndId, notice.pauseMs.value);
   }
 
   /**
@@ -99,9 +99,9 @@
   }
 
   get totals(): NoticeTotals {
-    const { limitsHeard, malformed } = this;
+    const { limitsHeard, leavingHeard, pausesHeard, malformed } = this;
     const limited = [...this.rateLimits.values()].filter((heard) => heard.requestsPerSecond !== undefined);
-    return { limited: limited.length, limitsHeard, malformed };
+    return { limited: limited.length, limitsHeard, leavingHeard, pausesHeard, malformed };
   }
 
   private setRateLimit(backEndId: string, requestsPerSecond: number): void {
@@ -134,11 +134,31 @@
     this.onNews(backEndId, heard);
   }
 
-  private noteMalformed(backEndId: string, value: string): void {
-    this.malformed += 1;
-    if (this.toldMalformed.has(backEndId)) return;
-    this.toldMalformed.add(backEndId);
-    this.log.warned('notice_malformed', { backEnd: backEndId, notice: 'rate_limit', value });
+  private hearRateLimit(backEndId: string, word: NoticeWord<number>, sentAt: number): void {
+    if (word.kind === 'said') this.setRateLimit(backEndId, word.value);
+    else if (word.kind === 'none') this.endRateLimit(backEndId, sentAt);
+  }
+
+  private hearLeaving(backEndId: string): void {
+    this.leavingHeard += 1;
+    this.log.changed('back_end_leaving', { backEnd: backEndId, source: 'answer' });
+  }
+
+  private hearPause(backEndId: string, forMs: number): void {
+    this.pausesHeard += 1;
+    this.log.changed('back_end_paused', { backEnd: backEndId, forMs });
+  }
+
+  private noteMalformed(backEndId: string, notice: BackendNotice): void {
+    for (const [name, word] of Object.entries(notice) as [keyof BackendNotice, NoticeWord<unknown>][]) {
+      if (word.kind !== 'malformed') continue;
+      this.malformed += 1;
+      const told = this.toldMalformed.get(backEndId) ?? new Set();
+      this.toldMalformed.set(backEndId, told);
+      if (told.has(name)) continue;
+      told.add(name);
+      this.log.warned('notice_malformed', { backEnd: backEndId, notice: name, text: word.text });
+    }
   }
 }
 
--- a/packages/forwarding/src/send-attempt.ts
+++ b/packages/forwarding/src/send-attempt.ts
@@ -64,7 +64,7 @@
     });
     const sent = { requestId: plan.requestId, backEndName: plan.backEnd.name };
     const verdict = dialect.judge(sent, answer.status, answer.headers);
-    const notice = verdict === 'foreign' ? undefined : dialect.readNotice(sent, answer.headers);
+    const notice = dialect.readNotice(sent, answer.status, answer.headers);
     if (notice !== undefined) plan.onNotice(notice);
     return outcomeOf(verdict, answer);
   } catch (error) {
--- a/packages/forwarding/src/wire-dialect.ts
+++ b/packages/forwarding/src/wire-dialect.ts
@@ -88,6 +88,7 @@
   /** What the head of an answer says of its back end; undefined where it answers something else, or is another's. */
   readNotice(
     sent: SentRequest,
+    status: number,
     headers: Readonly<Record<string, string | undefined>>,
   ): BackendNotice | undefined;
 }
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -22,8 +22,12 @@
   back_end_limited:
     'An answer named how many requests a second its back end takes from all daemons together. Back end, who said it (`answer`: the back end itself; `peer`: another daemon that had heard it), the limit, the one before.',
   back_end_unlimited: 'An answer named no such limit any more. Back end, who said it, the limit before.',
+  back_end_leaving:
+    'An answer said that its back end will end soon. Back end, who said it (`answer` or `peer`).',
+  back_end_paused:
+    'A back end declined a request and wants none from this daemon for a while. Back end, for how long.',
   notice_malformed:
-    'An answer says something of its back end that means nothing, and changes nothing; told once for each back end. Back end, what it is about, value.',
+    'An answer says something of its back end that means nothing, and changes nothing; told once for each back end and word. Back end, what it is about, text.',
   process_ended_under_request:
     "A back end's process ended while it ran a request. Content, back end, time since it was sent, processes that ended under the content so far, time until that was found out.",
   request_quarantined:
