A worker that leaves is left alone from its first word on, and one that asks for rest gets it

What users saw: requests 3.0 and 3.5 s after a worker's answer had said that it leaves (2 s allowed); four and three requests from a daemon within 3 s of rest (two allowed). Cause: nothing read the two words; a worker was known to leave by its record alone, 12 s late with the store silent, and one that declined was left out for that one request. Ruled out: repeats, choices from before the word (all sends were first ones chosen within a millisecond), relays behind (the word came in the daemon's own answers). Mend: the word of leaving makes the worker draining in the directory and is told to all daemons; a pause is kept by each daemon, and ends with one request that goes first; every send looks at its choice again as its last step. That also closes the way by which a choice from before a wait of seconds could reach a worker that leaves.

--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -25,6 +25,13 @@
  * is in trouble, and come back with the next heartbeat. Well below the time a leaving back end goes on to serve.
  */
 export const ABSENCE_GRACE_MS = 700;
+/**
+ * Milliseconds for which another daemon's word that a back end leaves goes before its record: it ends within seconds, or this daemon
+ * hears it itself. What it told this daemon holds for as long as it lives.
+ */
+export const TOLD_LEAVING_MS = 20_000;
+/** Milliseconds for which it is remembered that a back end leaves whose record has vanished: it may come back. */
+const LEAVING_MEMORY_MS = 600_000;
 /** Milliseconds during which an incarnation that is proven to have ended is not believed to be back. */
 const ENDED_MEMORY_MS = 60_000;
 
@@ -34,7 +41,10 @@
 }
 
 interface Entry {
+  /** As its record says, but draining where word came that it leaves. */
   backEnd: BackEnd;
+  /** As its record says. */
+  record: BackEnd;
   readonly announcements: Map<string, Announcement>;
   /** Targets in the record. */
   recorded: ReadonlySet<string>;
@@ -53,6 +63,8 @@
   /** Back ends that are said to hold a target, in their record or by word that may have run out. */
   private readonly saidToHold = new TargetIndex();
   private readonly endedAt = new Map<string, number>();
+  /** Back ends of which there is word that they leave: monotonic time until which it holds. */
+  private readonly leavingUntil = new Map<string, number>();
   /** Id of the incarnation that is known under each name. */
   private readonly idByName = new Map<string, string>();
 
@@ -111,7 +123,8 @@
     const recorded = recordedTargets(backEnd);
     if (known === undefined) {
       this.entries.set(backEnd.id, {
-        backEnd,
+        backEnd: this.withWord(backEnd),
+        record: backEnd,
         announcements: new Map(),
         recorded,
         changedAt: now,
@@ -120,13 +133,30 @@
     } else {
       known.cancelRemoval?.();
       known.cancelRemoval = undefined;
-      known.backEnd = backEnd;
+      known.backEnd = this.withWord(backEnd);
+      known.record = backEnd;
       known.recorded = recorded;
       known.changedAt = now;
     }
     for (const key of recorded) this.saidToHold.add(key, backEnd.id);
     this.byService.delete(backEnd.service);
-    void this.events.emit('changed', backEnd);
+    void this.events.emit('changed', this.withWord(backEnd));
+  }
+
+  /**
+   * There is word that a back end leaves, whatever its record says. Returns whether that is new here.
+   *
+   * @param source Whether it told this daemon, or another one.
+   */
+  noteLeaving(id: string, source: 'answer' | 'peer'): boolean {
+    const now = this.clock.monotonic();
+    this.forgetLeaving(now);
+    const isKnown = this.isLeaving(id);
+    const until = source === 'answer' ? now + LEAVING_MEMORY_MS : now + TOLD_LEAVING_MS;
+    this.leavingUntil.set(id, Math.max(until, this.leavingUntil.get(id) ?? 0));
+    if (source === 'peer') this.clock.schedule(TOLD_LEAVING_MS + 1, () => this.refresh(id));
+    this.refresh(id);
+    return !isKnown;
   }
 
   /** The record of a name has vanished: its back end is removed unless the record comes back within a grace. */
@@ -206,6 +236,29 @@
     return entry.recorded.has(key);
   }
 
+  private isLeaving(id: string): boolean {
+    return (this.leavingUntil.get(id) ?? -Infinity) > this.clock.monotonic();
+  }
+
+  private withWord(backEnd: BackEnd): BackEnd {
+    return backEnd.draining || !this.isLeaving(backEnd.id) ? backEnd : { ...backEnd, draining: true };
+  }
+
+  /** Takes word that has come, or has lapsed, into account. */
+  private refresh(id: string): void {
+    const entry = this.entries.get(id);
+    if (entry === undefined) return;
+    const before = entry.backEnd.draining;
+    entry.backEnd = this.withWord(entry.record);
+    if (entry.backEnd.draining === before) return;
+    this.byService.delete(entry.record.service);
+    void this.events.emit('changed', entry.backEnd);
+  }
+
+  private forgetLeaving(now: number): void {
+    for (const [id, until] of this.leavingUntil) if (until <= now) this.leavingUntil.delete(id);
+  }
+
   private delete(id: string): void {
     const entry = this.entries.get(id);
     if (entry === undefined) return;
--- a/packages/backends/test/backend-directory.test.ts
+++ b/packages/backends/test/backend-directory.test.ts
@@ -5,6 +5,7 @@
   ANNOUNCEMENT_PRECEDENCE_MS,
   BackendDirectory,
   NO_NEARBY_COPIES,
+  TOLD_LEAVING_MS,
   type BackEnd,
 } from '../src/index.js';
 
@@ -45,6 +46,37 @@
     expect(directory.get('one')).to.equal(undefined);
   });
 
+  it('takes a back end for draining that says that it leaves, whatever its record says, also once that was gone for a while', async () => {
+    const seen: boolean[] = [];
+    directory.put(worker('one', ['m']));
+    directory.events.on('changed', ({ draining }) => void seen.push(draining));
+    expect(directory.noteLeaving('one', 'answer')).to.equal(true);
+    expect(directory.noteLeaving('one', 'answer')).to.equal(false);
+    expect(directory.holdersOf('models', { model: 'm' })).to.deep.equal([]);
+    expect(directory.ofService('models').map(({ draining }) => draining)).to.deep.equal([true]);
+    directory.put(worker('one', ['m']));
+    expect(directory.get('one')?.draining).to.equal(true);
+    directory.recordVanished('one');
+    await world.run(world.now + 2 * ABSENCE_GRACE_MS);
+    directory.put(worker('one', ['m']));
+    expect(directory.get('one')?.draining).to.equal(true);
+    expect(seen).to.deep.equal([true, true, true]);
+  });
+
+  it('believes for a while only what another daemon says of a back end that leaves', async () => {
+    directory.put(worker('one'));
+    directory.noteLeaving('one', 'peer');
+    directory.put(worker('one'));
+    await world.run(world.now + TOLD_LEAVING_MS - 1);
+    expect(directory.get('one')?.draining).to.equal(true);
+    await world.run(world.now + 10);
+    expect(directory.get('one')?.draining).to.equal(false);
+    directory.noteLeaving('one', 'peer');
+    directory.noteLeaving('one', 'answer');
+    await world.run(world.now + 2 * TOLD_LEAVING_MS);
+    expect(directory.get('one')?.draining).to.equal(true);
+  });
+
   it('takes a record back that vanished while the store was in trouble', async () => {
     directory.put(worker('one'));
     directory.recordVanished('one');
--- a/packages/exchange/src/change-transfer.ts
+++ b/packages/exchange/src/change-transfer.ts
@@ -108,6 +108,8 @@
   }
 }
 
-function aged({ backEndId, rateLimit }: BackendNews, ageMs: number): BackendNews {
-  return { backEndId, rateLimit: { ...rateLimit, heardAgoMs: rateLimit.heardAgoMs + ageMs } };
+function aged(news: BackendNews, ageMs: number): BackendNews {
+  if (news.kind === 'leaving') return news;
+  const { rateLimit } = news;
+  return { ...news, rateLimit: { ...rateLimit, heardAgoMs: rateLimit.heardAgoMs + ageMs } };
 }
--- a/packages/forwarding/src/backend-choice.ts
+++ b/packages/forwarding/src/backend-choice.ts
@@ -13,7 +13,8 @@
   | 'model_unavailable'
   | 'model_too_late'
   | 'client_gone'
-  | 'rate_limited'
+  /** Those that could run it are at their rate limits, or have asked for a pause. */
+  | 'not_accepting'
   | 'connections_exhausted';
 
 /** A refusal, and when to come back, in milliseconds. */
--- a/packages/forwarding/src/backend-notices.ts
+++ b/packages/forwarding/src/backend-notices.ts
@@ -2,6 +2,7 @@
 import type { EventLog } from '@woodbarrow/observability';
 import type { Clock } from '@woodbarrow/runtime';
 import type { BackendNotice, NoticeWord } from './backend-notice.js';
+import { BackendPauses } from './backend-pauses.js';
 
 /** What a back end last said of a rate limit. */
 export interface HeardRateLimit {
@@ -24,6 +25,8 @@
 export interface NoticeTotals {
   /** Back ends that name a rate limit now. */
   readonly limited: number;
+  /** Back ends that asked for a pause and are left alone now. */
+  readonly paused: number;
   /** Answers that named a rate limit. */
   readonly limitsHeard: number;
   /** Answers that said that their back end leaves. */
@@ -41,6 +44,10 @@
 export class BackendNotices {
   /** Called when an answer changed what is known: other daemons are to know it too. */
   onNews: (backEndId: string, heard: HeardRateLimit) => void = () => undefined;
+  /** Called with each answer that says that its back end leaves. */
+  onLeaving: (backEndId: string) => void = () => undefined;
+  /** Pauses that back ends asked this daemon for. */
+  readonly pauses: BackendPauses;
   private readonly rateLimits = new Map<string, HeardRateLimit>();
   /** Words that mean nothing and have been logged, by back end. */
   private readonly toldMalformed = new Map<string, Set<keyof BackendNotice>>();
@@ -54,7 +61,9 @@
   constructor(
     private readonly clock: Clock,
     private readonly log: EventLog,
-  ) {}
+  ) {
+    this.pauses = new BackendPauses(clock);
+  }
 
   /**
    * Takes what the head of an answer says.
@@ -66,7 +75,7 @@
     this.noteMalformed(backEndId, notice);
     this.hearRateLimit(backEndId, notice.requestsPerSecond, sentAt);
     if (notice.leaving.kind === 'said') this.hearLeaving(backEndId);
-    if (notice.pauseMs.kind === 'said') this.hearPause(backEndId, notice.pauseMs.value);
+    this.hearPause(backEndId, notice.pauseMs, sentAt);
   }
 
   /**
@@ -93,6 +102,7 @@
 
   /** Forgets an incarnation that has ended. */
   forget(backEndId: string): void {
+    this.pauses.forget(backEndId);
     this.rateLimits.delete(backEndId);
     this.toldMalformed.delete(backEndId);
     this.newsAt.delete(backEndId);
@@ -101,7 +111,14 @@
   get totals(): NoticeTotals {
     const { limitsHeard, leavingHeard, pausesHeard, malformed } = this;
     const limited = [...this.rateLimits.values()].filter((heard) => heard.requestsPerSecond !== undefined);
-    return { limited: limited.length, limitsHeard, leavingHeard, pausesHeard, malformed };
+    return {
+      limited: limited.length,
+      paused: this.pauses.count,
+      limitsHeard,
+      leavingHeard,
+      pausesHeard,
+      malformed,
+    };
   }
 
   private setRateLimit(backEndId: string, requestsPerSecond: number): void {
@@ -141,12 +158,14 @@
 
   private hearLeaving(backEndId: string): void {
     this.leavingHeard += 1;
-    this.log.changed('back_end_leaving', { backEnd: backEndId, source: 'answer' });
+    this.onLeaving(backEndId);
   }
 
-  private hearPause(backEndId: string, forMs: number): void {
+  private hearPause(backEndId: string, word: NoticeWord<number>, sentAt: number): void {
+    this.pauses.hear(backEndId, word, sentAt);
+    if (word.kind !== 'said') return;
     this.pausesHeard += 1;
-    this.log.changed('back_end_paused', { backEnd: backEndId, forMs });
+    this.log.changed('back_end_paused', { backEnd: backEndId, forMs: word.value });
   }
 
   private noteMalformed(backEndId: string, notice: BackendNotice): void {
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -165,7 +165,7 @@
   private async sendTo(choice: Extract<BackendChoice, { kind: 'send' }>, turn: Turn): Promise<boolean> {
     if (!this.allowance.isValid && (await this.finishUnallowed())) return true;
     const { backEnd } = choice;
-    if (!this.context.connections.allows(this.scope.service, backEnd.id)) return false;
+    if (!this.takesRequests(backEnd)) return false;
     const wish = this.context.permits.acquire(backEnd, this.expired.signal);
     const permit = await orAborted(wish, this.expired.signal);
     if (permit === ABORTED) {
@@ -183,8 +183,15 @@
   }
 
   /** Waiting for a permit takes time, in which others may have taken the last connections, and rights lapse. */
-  private mayStillSend({ id }: BackEnd): boolean {
-    return this.allowance.isValid && this.context.connections.allows(this.scope.service, id);
+  private mayStillSend(backEnd: BackEnd): boolean {
+    return this.allowance.isValid && this.takesRequests(backEnd);
+  }
+
+  /** A choice may be seconds old where a load was waited for: the back end may have begun to leave, or be gone, by now. */
+  private takesRequests({ id }: BackEnd): boolean {
+    const { directory, connections } = this.context;
+    if (directory.get(id)?.draining !== false) return false;
+    return connections.allows(this.scope.service, id);
   }
 
   private async sendWith(
@@ -193,7 +200,9 @@
     turn: Turn,
   ): Promise<boolean> {
     turn.sentTo(choice.backEnd.id);
-    const result = await this.send.attempt(choice);
+    const result = await this.send.attempt(choice).finally(() => {
+      permit.end();
+    });
     if (result.kind === 'not_run' && !result.arrived) permit.giveBack();
     if (result.kind !== 'not_run') this.allowance.spend();
     if (result.kind === 'finished') return true;
--- /dev/null
+++ b/packages/forwarding/src/notice-gate.ts
@@ -0,0 +1,41 @@
+/** Permits under all that back ends ask for: pauses first, which are known here, then rate limits, which another daemon is asked for. */
+import type { BackEnd } from '@woodbarrow/backends';
+import type { BackendPauses } from './backend-pauses.js';
+import type { SendPermit, SendPermits } from './send-permits.js';
+
+/** Permits of one daemon. */
+export class NoticeGate implements SendPermits {
+  constructor(
+    private readonly pauses: BackendPauses,
+    private readonly rateLimits: SendPermits,
+  ) {}
+
+  waitMs(backEndId: string): number {
+    return Math.max(this.pauses.waitMs(backEndId), this.rateLimits.waitMs(backEndId));
+  }
+
+  async acquire(backEnd: BackEnd, signal: AbortSignal): Promise<SendPermit | undefined> {
+    const pause = this.pauses.acquire(backEnd.id);
+    if (pause === undefined) return undefined;
+    const rateLimit = await this.rateLimits.acquire(backEnd, signal);
+    if (rateLimit === undefined) {
+      pause.giveBack();
+      return undefined;
+    }
+    return both(pause, rateLimit);
+  }
+}
+
+function both(first: SendPermit, second: SendPermit): SendPermit {
+  return {
+    isValid: () => first.isValid() && second.isValid(),
+    giveBack: () => {
+      first.giveBack();
+      second.giveBack();
+    },
+    end: () => {
+      first.end();
+      second.end();
+    },
+  };
+}
--- a/packages/forwarding/src/plain-selector.ts
+++ b/packages/forwarding/src/plain-selector.ts
@@ -4,7 +4,7 @@
 import { refusal, type BackendChoice } from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
 import type { ConnectionShare } from './connection-share.js';
-import { shortestWaitMs, type SendPermits } from './send-permits.js';
+import type { SendPermits } from './send-permits.js';
 
 /** Time after which to come back when no back end takes requests, in milliseconds. */
 const NO_BACKEND_RETRY_MS = 100;
@@ -33,18 +33,20 @@
     const usable = willing.filter(({ id }) => mayTake(id) && this.permits.waitMs(id) === 0);
     const ids = open.map((backEnd) => backEnd.id);
     const best = leastBy(usable, (backEnd) => this.costOf(backEnd, health, ids));
-    if (best === undefined) {
-      return open.length === 0 ? refusal('no_backend', NO_BACKEND_RETRY_MS) : this.refuse(willing);
-    }
+    if (best === undefined) return this.refuse(open, willing);
     return { kind: 'send', backEnd: best, reason: 'least_loaded' };
   }
 
-  /** @param willing Back ends that have not refused or failed the request, of which none can be sent to now. */
-  private refuse(willing: readonly BackEnd[]): BackendChoice {
-    if (willing.length === 0) return refusal('all_excluded', NO_BACKEND_RETRY_MS);
-    const limitedMs = shortestWaitMs(this.permits, willing);
-    if (limitedMs !== undefined) return refusal('rate_limited', limitedMs);
-    return refusal('connections_exhausted', NO_BACKEND_RETRY_MS);
+  /**
+   * @param open Back ends that are not draining, of which none can be sent to now.
+   * @param willing Those of them that have not refused or failed the request.
+   */
+  private refuse(open: readonly BackEnd[], willing: readonly BackEnd[]): BackendChoice {
+    if (open.length === 0) return refusal('no_backend', NO_BACKEND_RETRY_MS);
+    const asked = willing.length === 0 ? open : willing;
+    const waits = asked.map(({ id }) => this.permits.waitMs(id));
+    if (waits.every((waitMs) => waitMs > 0)) return refusal('not_accepting', Math.min(...waits));
+    return refusal(willing.length === 0 ? 'all_excluded' : 'connections_exhausted', NO_BACKEND_RETRY_MS);
   }
 
   private costOf(backEnd: BackEnd, health: BackendHealth, ids: readonly string[]): number {
--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -98,12 +98,12 @@
     return refusal(this.whyNotUsable(outcome.backEndId, request), RETRY_AFTER_UNAVAILABLE_MS);
   }
 
-  /** Nobody will hold the target in time. Those that hold it now may be at their rate limits, which ends sooner. */
+  /** Nobody will hold the target in time. Those that hold it now may accept requests again sooner. */
   private refuse(request: ReplicaRequest, unavailableMs: number): BackendChoice {
     const holders = this.directory.holdersOf(request.service.name, request.target);
-    const limitedMs = shortestWaitMs(this.permits, holders);
-    if (limitedMs === undefined) return refusal('model_unavailable', unavailableMs);
-    return refusal('rate_limited', Math.min(limitedMs, unavailableMs));
+    const notAcceptingMs = shortestWaitMs(this.permits, holders);
+    if (notAcceptingMs === undefined) return refusal('model_unavailable', unavailableMs);
+    return refusal('not_accepting', Math.min(notAcceptingMs, unavailableMs));
   }
 
   /** Why a worker that holds the target cannot be sent to: it declined or is leaving, or this daemon's connections to it are used up. */
@@ -113,7 +113,7 @@
     return isOpen ? 'connections_exhausted' : 'all_excluded';
   }
 
-  /** Workers that declined or failed this request, those that cannot be reached now, and those that are at their rate limits. */
+  /** Workers that declined or failed this request, those that cannot be reached now, and those that accept nothing now. */
   private unusable(request: ReplicaRequest, health: BackendHealth): string[] {
     const avoided = this.directory
       .ofService(request.service.name)
--- a/packages/forwarding/test/send-permits.test.ts
+++ b/packages/forwarding/test/send-permits.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import type { SendPermits } from '../src/index.js';
+import { FREE_PERMIT, type SendPermits } from '../src/index.js';
 import { ENGINE } from './engines.js';
 import { ForwardingWorld, answer, type BackendScript } from './simulated-exchange.js';
 
@@ -27,7 +27,11 @@
       return Promise.resolve(undefined);
     }
     this.left.set(id, left - 1);
-    return Promise.resolve({ isValid: () => true, giveBack: () => void this.givenBack.push(id) });
+    return Promise.resolve({
+      isValid: () => true,
+      giveBack: () => void this.givenBack.push(id),
+      end: () => undefined,
+    });
   }
 }
 
@@ -67,7 +71,7 @@
     expect(exchange.status).to.equal(503);
     expect(exchange.answerHeaders).to.deep.equal(['retry', String(WAIT_MS / 1000)]);
     expect(world.world.now - startedAt).to.be.below(5);
-    expect(world.refusals).to.deep.equal(['rate_limited']);
+    expect(world.refusals).to.deep.equal(['not_accepting']);
     expect(world.calls).to.have.length(0);
   });
 
@@ -137,4 +141,26 @@
     expect(world.calls).to.have.length(0);
     expect(permits.givenBack).to.deep.equal(['b1']);
   });
+
+  /**
+   * A request chose the only holder of its model, waited seconds for another replica, and went to its first choice, which had begun to leave
+   * meanwhile: its choice was never looked at again.
+   */
+  it('are not used for a back end that has begun to leave, or is gone, since it was chosen', async () => {
+    for (const isGone of [false, true]) {
+      const { world } = worldWith({}, [{ kind: 'stream' }], ENGINE);
+      const holder = world.add('b1', serve, ['m']);
+      world.permits = {
+        waitMs: () => 0,
+        acquire: async () => {
+          await world.wait(200);
+          if (isGone) world.directory.remove('b1');
+          else world.directory.put({ ...holder, draining: true });
+          return FREE_PERMIT;
+        },
+      };
+      expect((await world.ask({ model: 'm' })).status).to.equal(503);
+      expect(world.calls).to.have.length(0);
+    }
+  });
 });
--- a/packages/protocol/src/backend-messages.ts
+++ b/packages/protocol/src/backend-messages.ts
@@ -10,11 +10,21 @@
 }
 
 /** A change in what a back end says of its rate limit. */
-export interface BackendNews {
+export interface RateLimitNews {
+  readonly kind: 'rate_limit';
   readonly backEndId: string;
   readonly rateLimit: RateLimitWord;
 }
 
+/** A back end has said that it leaves. */
+export interface LeavingNews {
+  readonly kind: 'leaving';
+  readonly backEndId: string;
+}
+
+/** What a back end said to one daemon. */
+export type BackendNews = RateLimitNews | LeavingNews;
+
 /** News from a daemon that heard it to all others. */
 export interface BackendNewsMessage {
   readonly from: string;
--- a/packages/quota/src/rate-limit-gate.ts
+++ b/packages/quota/src/rate-limit-gate.ts
@@ -81,7 +81,7 @@
     switch (outcome.kind) {
       case 'granted':
         this.granted += 1;
-        return outcome.ticket;
+        return { ...outcome.ticket, end: () => undefined };
       case 'over_limit':
         this.turnedDown += 1;
         this.close(id, Math.min(MOST_PAUSE_MS, Math.max(LEAST_PAUSE_MS, outcome.retryAfterMs)));
--- a/packages/quota/test/rate-limit-world.ts
+++ b/packages/quota/test/rate-limit-world.ts
@@ -1,7 +1,13 @@
 /** Daemons, the granter of a zone, and one back end that limits its rate, on virtual time; judges what reaches the back end. */
 import { NO_NEARBY_COPIES, type BackEnd } from '@woodbarrow/backends';
 import { CoordinatorDirectory } from '@woodbarrow/exchange';
-import { BackendNotices, EMPTY_NOTICE, type NoticeWord, type SendPermits } from '@woodbarrow/forwarding';
+import {
+  BackendNotices,
+  EMPTY_NOTICE,
+  FREE_PERMIT,
+  type NoticeWord,
+  type SendPermits,
+} from '@woodbarrow/forwarding';
 import { CallFailures, silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster, type SimulatedNode } from '@woodbarrow/peering';
 import type { RateLimitWord } from '@woodbarrow/protocol';
@@ -254,7 +260,7 @@
         if (waitMs() > 0) return Promise.resolve(undefined);
         const limit = notices.requestsPerSecond(BACK_END.id);
         if (limit !== undefined) nextAt = node.process.monotonic() + (1000 * daemons) / limit;
-        return Promise.resolve({ isValid: () => true, giveBack: () => undefined });
+        return Promise.resolve(FREE_PERMIT);
       },
     };
   };
--- a/packages/serving/src/backend-words.ts
+++ b/packages/serving/src/backend-words.ts
@@ -1,7 +1,7 @@
 /** What back ends say of themselves in their answers, on one daemon: kept, shared with the other daemons, and obeyed. */
 import type { BackendDirectory } from '@woodbarrow/backends';
 import type { CoordinatorDirectory } from '@woodbarrow/exchange';
-import { BackendNotices } from '@woodbarrow/forwarding';
+import { BackendNotices, NoticeGate, type SendPermits } from '@woodbarrow/forwarding';
 import type { CallFailures, EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import type { BackendNews } from '@woodbarrow/protocol';
@@ -10,6 +10,7 @@
   RateLimitService,
   fromWord,
   toWord,
+  type PermitTotals,
   type UnitAllowance,
   type ZoneAuthority,
 } from '@woodbarrow/quota';
@@ -31,20 +32,31 @@
   readonly log: EventLog;
 }
 
+/** Time for which the words of a back end are kept whose record has vanished, in milliseconds: records lapse while the store is in trouble. */
+const GONE_MEMORY_MS = 60_000;
+
 /** Words known to one daemon. */
 export class BackendWords {
   readonly notices: BackendNotices;
-  readonly permits: RateLimitGate;
+  /** Permits for sends, under all that back ends ask for. */
+  readonly permits: SendPermits;
+  private readonly rateLimits: RateLimitGate;
   private readonly granters: RateLimitService;
+  /** Back ends that are gone, the first of them first. */
+  private readonly gone: { readonly backEndId: string; readonly at: number }[] = [];
 
   constructor(private readonly options: BackendWordsOptions) {
     const { directory, announce, clock, log } = options;
     this.notices = new BackendNotices(clock, log);
     this.notices.onNews = (backEndId, heard) => {
-      announce({ backEndId, rateLimit: toWord(heard, clock) });
+      announce({ kind: 'rate_limit', backEndId, rateLimit: toWord(heard, clock) });
+    };
+    this.notices.onLeaving = (backEndId) => {
+      this.noteLeaving(backEndId, 'answer');
     };
     const zoneOf = (backEndId: string): string | undefined => directory.get(backEndId)?.zone;
-    this.permits = new RateLimitGate({ ...options, notices: this.notices, zoneOf });
+    this.rateLimits = new RateLimitGate({ ...options, notices: this.notices, zoneOf });
+    this.permits = new NoticeGate(this.notices.pauses, this.rateLimits);
     this.granters = new RateLimitService({ ...options, notices: this.notices });
   }
 
@@ -55,18 +67,41 @@
 
   /** Takes what other daemons heard. */
   take(news: readonly BackendNews[]): void {
-    const { directory, clock } = this.options;
-    for (const { backEndId, rateLimit } of news) {
+    for (const item of news) {
       // Of a back end that is not known yet, its first answer tells.
-      if (directory.get(backEndId) === undefined) continue;
-      this.notices.hearFromPeer(backEndId, fromWord(rateLimit, clock));
+      if (this.options.directory.get(item.backEndId) === undefined) continue;
+      if (item.kind === 'leaving') this.noteLeaving(item.backEndId, 'peer');
+      else this.notices.hearFromPeer(item.backEndId, fromWord(item.rateLimit, this.options.clock));
+    }
+  }
+
+  /** Permits asked for under rate limits, by what came of it. */
+  get permitTotals(): PermitTotals {
+    return this.rateLimits.totals;
+  }
+
+  private noteLeaving(backEndId: string, source: 'answer' | 'peer'): void {
+    const { directory, announce, log } = this.options;
+    const wasDraining = directory.get(backEndId)?.draining === true;
+    if (!directory.noteLeaving(backEndId, source) || wasDraining) return;
+    log.changed('back_end_leaving', { backEnd: backEndId, source });
+    if (source === 'answer') announce({ kind: 'leaving', backEndId });
+  }
+
+  /** A back end is gone from the directory. Its record may come back, and what it asked for still holds then. */
+  noteGone(backEndId: string): void {
+    const now = this.options.clock.monotonic();
+    this.gone.push({ backEndId, at: now });
+    while (this.gone[0] !== undefined && now - this.gone[0].at > GONE_MEMORY_MS) {
+      const { backEndId: oldest } = this.gone[0];
+      this.gone.shift();
+      if (this.options.directory.get(oldest) === undefined) this.forget(oldest);
     }
   }
 
-  /** Forgets an incarnation that has ended. */
-  forget(backEndId: string): void {
+  private forget(backEndId: string): void {
     this.notices.forget(backEndId);
-    this.permits.forget(backEndId);
+    this.rateLimits.forget(backEndId);
     this.granters.forget(backEndId);
   }
 }
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -142,7 +142,7 @@
     this.directory.events.on('removed', (backEnd) => {
       this.affinity.forget(backEnd.id);
       this.health.get(backEnd.service)?.forget(backEnd.id);
-      this.words.forget(backEnd.id);
+      this.words.noteGone(backEnd.id);
       ports.client.forget(backEnd.address);
     });
     this.directory.events.on('residency', ({ backEndId, target, resident }) => {
@@ -410,7 +410,7 @@
       quarantine: () => this.quarantine.totals,
       loadQuarantine: () => this.loadQuarantine.totals,
       notices: () => this.words.notices.totals,
-      permits: () => this.words.permits.totals,
+      permits: () => this.words.permitTotals,
       quotaUse: () => this.quotaGate.use(),
       quotaGranted: () => this.quotaService.use(),
       log,
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -142,7 +142,7 @@
     );
     this.registry.gauge(
       'woodbarrow_back_end_notices',
-      'Back ends that name a rate limit now; answers that named one, that said that their back end leaves, that asked for a pause, and words that mean nothing.',
+      'Back ends that name a rate limit now, and that are left alone as they asked for a pause; answers that named one, that said that their back end leaves, that asked for a pause, and words that mean nothing.',
       () => new Map(Object.entries(notices())),
       'of',
     );
--- a/packages/serving/test/exchange.test.ts
+++ b/packages/serving/test/exchange.test.ts
@@ -303,11 +303,16 @@
 
   it('announces what a back end said to one daemon to all others, each once and with its age', async () => {
     const teller = world.daemons[5];
-    teller?.exchange.announceNews({ backEndId: 'w1', rateLimit: { requestsPerSecond: 2, heardAgoMs: 100 } });
+    teller?.exchange.announceNews({
+      kind: 'rate_limit',
+      backEndId: 'w1',
+      rateLimit: { requestsPerSecond: 2, heardAgoMs: 100 },
+    });
     await world.cluster.advance(600);
     expect(world.except((daemon) => daemon === teller || daemon.news.length === 1)).to.deep.equal([]);
     for (const { news } of world.daemons) {
-      for (const { rateLimit } of news) expect(rateLimit.heardAgoMs).to.be.within(100, 600);
+      for (const item of news)
+        if (item.kind === 'rate_limit') expect(item.rateLimit.heardAgoMs).to.be.within(100, 600);
     }
   });
 
