--- a/packages/backends/test/backend-directory.test.ts
+++ b/packages/backends/test/backend-directory.test.ts
@@ -60,6 +60,7 @@
     await world.run(world.now + 2 * ABSENCE_GRACE_MS);
     directory.put(worker('one', ['m']));
     expect(directory.get('one')?.draining).to.equal(true);
+    await world.run(world.now + 1);
     expect(seen).to.deep.equal([true, true, true]);
   });
 
