--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -41,7 +41,7 @@
 }
 
 interface Entry {
-  /** As its record says, but draining where word came that it leaves. */
+  /** As its record says, but draining where the back end has said that it leaves. */
   backEnd: BackEnd;
   /** As its record says. */
   record: BackEnd;
@@ -63,7 +63,7 @@
   /** Back ends that are said to hold a target, in their record or by word that may have run out. */
   private readonly saidToHold = new TargetIndex();
   private readonly endedAt = new Map<string, number>();
-  /** Back ends of which there is word that they leave: monotonic time until which it holds. */
+  /** Back ends that have said that they leave: monotonic time until which that is believed. */
   private readonly leavingUntil = new Map<string, number>();
   /** Id of the incarnation that is known under each name. */
   private readonly idByName = new Map<string, string>();
@@ -123,7 +123,7 @@
     const recorded = recordedTargets(backEnd);
     if (known === undefined) {
       this.entries.set(backEnd.id, {
-        backEnd: this.withWord(backEnd),
+        backEnd: this.withLeaving(backEnd),
         record: backEnd,
         announcements: new Map(),
         recorded,
@@ -133,18 +133,18 @@
     } else {
       known.cancelRemoval?.();
       known.cancelRemoval = undefined;
-      known.backEnd = this.withWord(backEnd);
+      known.backEnd = this.withLeaving(backEnd);
       known.record = backEnd;
       known.recorded = recorded;
       known.changedAt = now;
     }
     for (const key of recorded) this.saidToHold.add(key, backEnd.id);
     this.byService.delete(backEnd.service);
-    void this.events.emit('changed', this.withWord(backEnd));
+    void this.events.emit('changed', this.withLeaving(backEnd));
   }
 
   /**
-   * There is word that a back end leaves, whatever its record says. Returns whether that is new here.
+   * A back end has said that it leaves, whatever its record says. Returns whether that is new here.
    *
    * @param source Whether it told this daemon, or another one.
    */
@@ -240,16 +240,16 @@
     return (this.leavingUntil.get(id) ?? -Infinity) > this.clock.monotonic();
   }
 
-  private withWord(backEnd: BackEnd): BackEnd {
+  private withLeaving(backEnd: BackEnd): BackEnd {
     return backEnd.draining || !this.isLeaving(backEnd.id) ? backEnd : { ...backEnd, draining: true };
   }
 
-  /** Takes word that has come, or has lapsed, into account. */
+  /** Works out anew whether a back end counts as draining. */
   private refresh(id: string): void {
     const entry = this.entries.get(id);
     if (entry === undefined) return;
     const before = entry.backEnd.draining;
-    entry.backEnd = this.withWord(entry.record);
+    entry.backEnd = this.withLeaving(entry.record);
     if (entry.backEnd.draining === before) return;
     this.byService.delete(entry.record.service);
     void this.events.emit('changed', entry.backEnd);
--- a/packages/forwarding/src/backend-notices.ts
+++ b/packages/forwarding/src/backend-notices.ts
@@ -1,7 +1,7 @@
 /** What each back end last said of itself, by incarnation, as far as this daemon knows. */
 import type { EventLog } from '@woodbarrow/observability';
 import type { Clock } from '@woodbarrow/runtime';
-import type { BackendNotice, NoticeWord } from './backend-notice.js';
+import type { BackendNotice, NoticeField } from './backend-notice.js';
 import { BackendPauses } from './backend-pauses.js';
 
 /** What a back end last said of a rate limit. */
@@ -33,7 +33,7 @@
   readonly leavingHeard: number;
   /** Answers that asked for a pause. */
   readonly pausesHeard: number;
-  /** Answers whose words mean nothing. */
+  /** Fields of answers that could not be read. */
   readonly malformed: number;
 }
 
@@ -49,7 +49,7 @@
   /** Pauses that back ends asked this daemon for. */
   readonly pauses: BackendPauses;
   private readonly rateLimits = new Map<string, HeardRateLimit>();
-  /** Words that mean nothing and have been logged, by back end. */
+  /** Fields that could not be read and have been logged, by back end. */
   private readonly toldMalformed = new Map<string, Set<keyof BackendNotice>>();
   /** Monotonic time of the last news of each back end. */
   private readonly newsAt = new Map<string, number>();
@@ -69,7 +69,7 @@
    * Takes what the head of an answer says.
    *
    * @param sentAt Monotonic time at which the request was sent. Answers overtake each other: one to a request from before the
-   *   last word cannot take that back.
+   *   last notice cannot take that back.
    */
   hear(backEndId: string, notice: BackendNotice, sentAt: number): void {
     this.noteMalformed(backEndId, notice);
@@ -79,13 +79,13 @@
   }
 
   /**
-   * Takes what another daemon heard. It counts where it is the newer word; the same word is not made newer, since times told by
+   * Takes what another daemon heard. It counts where it is newer; the same limit is not made newer by it, since times told by
    * others come out later than they were.
    */
   hearFromPeer(backEndId: string, told: HeardRateLimit): void {
     const known = this.rateLimits.get(backEndId);
     if (known === undefined && told.requestsPerSecond === undefined) return;
-    if (known !== undefined && !isNewerWord(told, known)) return;
+    if (known !== undefined && !isNewer(told, known)) return;
     this.enter(backEndId, told, 'peer');
   }
 
@@ -151,9 +151,9 @@
     this.onNews(backEndId, heard);
   }
 
-  private hearRateLimit(backEndId: string, word: NoticeWord<number>, sentAt: number): void {
-    if (word.kind === 'said') this.setRateLimit(backEndId, word.value);
-    else if (word.kind === 'none') this.endRateLimit(backEndId, sentAt);
+  private hearRateLimit(backEndId: string, field: NoticeField<number>, sentAt: number): void {
+    if (field.kind === 'said') this.setRateLimit(backEndId, field.value);
+    else if (field.kind === 'none') this.endRateLimit(backEndId, sentAt);
   }
 
   private hearLeaving(backEndId: string): void {
@@ -161,26 +161,26 @@
     this.onLeaving(backEndId);
   }
 
-  private hearPause(backEndId: string, word: NoticeWord<number>, sentAt: number): void {
-    this.pauses.hear(backEndId, word, sentAt);
-    if (word.kind !== 'said') return;
+  private hearPause(backEndId: string, field: NoticeField<number>, sentAt: number): void {
+    this.pauses.hear(backEndId, field, sentAt);
+    if (field.kind !== 'said') return;
     this.pausesHeard += 1;
-    this.log.changed('back_end_paused', { backEnd: backEndId, forMs: word.value });
+    this.log.changed('back_end_paused', { backEnd: backEndId, forMs: field.value });
   }
 
   private noteMalformed(backEndId: string, notice: BackendNotice): void {
-    for (const [name, word] of Object.entries(notice) as [keyof BackendNotice, NoticeWord<unknown>][]) {
-      if (word.kind !== 'malformed') continue;
+    for (const [name, field] of Object.entries(notice) as [keyof BackendNotice, NoticeField<unknown>][]) {
+      if (field.kind !== 'malformed') continue;
       this.malformed += 1;
       const told = this.toldMalformed.get(backEndId) ?? new Set();
       this.toldMalformed.set(backEndId, told);
       if (told.has(name)) continue;
       told.add(name);
-      this.log.warned('notice_malformed', { backEnd: backEndId, notice: name, text: word.text });
+      this.log.warned('notice_malformed', { backEnd: backEndId, notice: name, text: field.text });
     }
   }
 }
 
-function isNewerWord(told: HeardRateLimit, known: HeardRateLimit): boolean {
+function isNewer(told: HeardRateLimit, known: HeardRateLimit): boolean {
   return told.requestsPerSecond !== known.requestsPerSecond && told.heardAt > known.heardAt;
 }
--- a/packages/forwarding/src/backend-pauses.ts
+++ b/packages/forwarding/src/backend-pauses.ts
@@ -3,7 +3,7 @@
  * others once that has been answered well: a queue that comes back all at once would overload the back end again.
  */
 import type { Clock } from '@woodbarrow/runtime';
-import type { NoticeWord } from './backend-notice.js';
+import type { NoticeField } from './backend-notice.js';
 import { FREE_PERMIT, type SendPermit } from './send-permits.js';
 
 /** Longest pause that is kept, in milliseconds: one that asks for more is tried again after it. */
@@ -29,10 +29,10 @@
    *
    * @param sentAt Monotonic time at which the request was sent: what was under way when a pause began cannot end it.
    */
-  hear(backEndId: string, word: NoticeWord<number>, sentAt: number): void {
+  hear(backEndId: string, field: NoticeField<number>, sentAt: number): void {
     const known = this.pauses.get(backEndId);
-    if (word.kind === 'said') {
-      const until = this.clock.monotonic() + Math.min(LONGEST_PAUSE_MS, word.value);
+    if (field.kind === 'said') {
+      const until = this.clock.monotonic() + Math.min(LONGEST_PAUSE_MS, field.value);
       this.pauses.set(backEndId, { until: Math.max(known?.until ?? 0, until), firstUnderWay: false });
     } else if (known !== undefined && sentAt >= known.until) this.pauses.delete(backEndId);
   }
--- a/packages/forwarding/test/backend-notices.test.ts
+++ b/packages/forwarding/test/backend-notices.test.ts
@@ -1,12 +1,12 @@
 import { expect } from 'chai';
 import { silentLog, type LogEventName } from '@woodbarrow/observability';
 import { SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
-import { BackendNotices, EMPTY_NOTICE, type NoticeWord } from '../src/index.js';
+import { BackendNotices, EMPTY_NOTICE, type NoticeField } from '../src/index.js';
 
-const NONE: NoticeWord<number> = { kind: 'none' };
-const malformed: NoticeWord<number> = { kind: 'malformed', text: 'many' };
+const NONE: NoticeField<number> = { kind: 'none' };
+const malformed: NoticeField<number> = { kind: 'malformed', text: 'many' };
 
-function named(value: number): NoticeWord<number> {
+function named(value: number): NoticeField<number> {
   return { kind: 'said', value };
 }
 
@@ -24,7 +24,7 @@
     notices = new BackendNotices(clock, { ...silentLog, changed: tell, warned: tell });
   });
 
-  const hear = (requestsPerSecond: NoticeWord<number>, sentAt = clock.monotonic()): void => {
+  const hear = (requestsPerSecond: NoticeField<number>, sentAt = clock.monotonic()): void => {
     notices.hear('b1', { ...EMPTY_NOTICE, requestsPerSecond }, sentAt);
   };
   const limit = (): number | undefined => notices.requestsPerSecond('b1');
--- a/packages/forwarding/test/backend-pauses.test.ts
+++ b/packages/forwarding/test/backend-pauses.test.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai';
 import { SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
-import { BackendPauses, type NoticeWord } from '../src/index.js';
+import { BackendPauses, type NoticeField } from '../src/index.js';
 
-const NONE: NoticeWord<number> = { kind: 'none' };
-const asked = (value: number): NoticeWord<number> => ({ kind: 'said', value });
+const NONE: NoticeField<number> = { kind: 'none' };
+const asked = (value: number): NoticeField<number> => ({ kind: 'said', value });
 
 describe('pauses that back ends ask for', () => {
   let world: SimulatedWorld;
@@ -16,7 +16,7 @@
     pauses = new BackendPauses(clock);
   });
 
-  const hear = (word: NoticeWord<number>, sentAt = clock.monotonic()): void => {
+  const hear = (word: NoticeField<number>, sentAt = clock.monotonic()): void => {
     pauses.hear('b1', word, sentAt);
   };
 
--- a/packages/protocol/src/backend-messages.ts
+++ b/packages/protocol/src/backend-messages.ts
@@ -2,7 +2,7 @@
 import { definePeerMethod } from './method.js';
 
 /** What is known of a back end's rate limit, and how old that is. */
-export interface RateLimitWord {
+export interface RateLimitReport {
   /** Over all daemons together; absent where the back end names none any more. */
   readonly requestsPerSecond?: number;
   /** Milliseconds since the answer that said so. */
@@ -13,7 +13,7 @@
 export interface RateLimitNews {
   readonly kind: 'rate_limit';
   readonly backEndId: string;
-  readonly rateLimit: RateLimitWord;
+  readonly rateLimit: RateLimitReport;
 }
 
 /** A back end has said that it leaves. */
--- a/packages/protocol/src/grant-messages.ts
+++ b/packages/protocol/src/grant-messages.ts
@@ -1,5 +1,5 @@
 /** Messages by which daemons ask the granters of zones for units of a limit that holds over all daemons. */
-import type { RateLimitWord } from './backend-messages.js';
+import type { RateLimitReport } from './backend-messages.js';
 import { definePeerMethod } from './method.js';
 
 /** What a granter is asked for. */
@@ -12,7 +12,7 @@
   readonly ahead: number;
   /** Whether less than the first request needs is of use: the rest comes from other granters. */
   readonly mayBePart: boolean;
-  /** No other granter is asked after this one: its word says when to come back. */
+  /** No other granter is asked after this one: its answer says when to come back. */
   readonly isLast: boolean;
 }
 
@@ -41,13 +41,13 @@
   /** Zone of the back end, whose granter is asked. */
   readonly zone: string;
   readonly backEndId: string;
-  /** What the asker knows. */
-  readonly word: RateLimitWord;
+  /** What the asker knows of the limit. */
+  readonly report: RateLimitReport;
 }
 
-/** Requests that may be sent, and what the granter knows. */
+/** Requests that may be sent, and what the granter knows of the limit. */
 export interface RateLimitGrantAnswer extends GrantAnswer {
-  readonly word: RateLimitWord;
+  readonly report: RateLimitReport;
 }
 
 export const rateLimitGrantMethod = definePeerMethod<RateLimitGrantMessage, RateLimitGrantAnswer>(
--- a/packages/quota/src/index.ts
+++ b/packages/quota/src/index.ts
@@ -3,7 +3,7 @@
 export * from './quota-service.js';
 export * from './rate-limit-gate.js';
 export * from './rate-limit-service.js';
-export * from './rate-limit-word.js';
+export * from './rate-limit-report.js';
 export * from './unit-bucket.js';
 export * from './unit-gate.js';
 export * from './unit-granter.js';
--- a/packages/quota/src/rate-limit-gate.ts
+++ b/packages/quota/src/rate-limit-gate.ts
@@ -7,7 +7,7 @@
 import { rateLimitGrantMethod, type GrantAnswer, type GrantWish } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
 import { askGranter, type GranterAccess } from './ask-granter.js';
-import { fromWord, toWord } from './rate-limit-word.js';
+import { fromReport, toReport } from './rate-limit-report.js';
 import { UnitGate } from './unit-gate.js';
 import type { UnitAllowance } from './unit-share.js';
 
@@ -112,9 +112,9 @@
     const { notices, clock } = this.options;
     const heard = notices.lastHeard(backEndId);
     if (heard === undefined) return undefined;
-    const message = { zone, backEndId, word: toWord(heard, clock), ...wish };
+    const message = { zone, backEndId, report: toReport(heard, clock), ...wish };
     const answer = await askGranter(this.options, zone, rateLimitGrantMethod, message);
-    if (answer !== undefined) notices.hearFromPeer(backEndId, fromWord(answer.word, clock));
+    if (answer !== undefined) notices.hearFromPeer(backEndId, fromReport(answer.report, clock));
     return answer;
   }
 }
--- a/packages/quota/src/rate-limit-service.ts
+++ b/packages/quota/src/rate-limit-service.ts
@@ -9,7 +9,7 @@
   type RateLimitGrantMessage,
 } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
-import { fromWord, toWord } from './rate-limit-word.js';
+import { fromReport, toReport } from './rate-limit-report.js';
 import { UnitGranter } from './unit-granter.js';
 import type { UnitAllowance, UnitLimit } from './unit-share.js';
 import { ZoneGranters, type ZoneAuthority } from './zone-granters.js';
@@ -52,14 +52,14 @@
     for (const granter of this.granters.all()) granter.forget(backEndId);
   }
 
-  private grant({ zone, backEndId, word, ...wish }: RateLimitGrantMessage): RateLimitGrantAnswer {
+  private grant({ zone, backEndId, report, ...wish }: RateLimitGrantMessage): RateLimitGrantAnswer {
     const { notices, clock } = this.options;
     const granter = this.granters.acting(zone);
     if (granter === undefined) throw new WoodbarrowError('not_leader', `no granter for ${zone} here`);
-    notices.hearFromPeer(backEndId, fromWord(word, clock));
+    notices.hearFromPeer(backEndId, fromReport(report, clock));
     const answer = granter.grant(backEndId, wish);
     const heard = notices.lastHeard(backEndId);
-    return { ...answer, word: heard === undefined ? word : toWord(heard, clock) };
+    return { ...answer, report: heard === undefined ? report : toReport(heard, clock) };
   }
 
   private limitOf(backEndId: string): UnitLimit | undefined {
--- a/packages/quota/test/rate-limit-world.ts
+++ b/packages/quota/test/rate-limit-world.ts
@@ -5,14 +5,14 @@
   BackendNotices,
   EMPTY_NOTICE,
   FREE_PERMIT,
-  type NoticeWord,
+  type NoticeField,
   type SendPermits,
 } from '@woodbarrow/forwarding';
 import { CallFailures, silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster, type SimulatedNode } from '@woodbarrow/peering';
-import type { RateLimitWord } from '@woodbarrow/protocol';
+import type { RateLimitReport } from '@woodbarrow/protocol';
 import { Random } from '@woodbarrow/runtime';
-import { RateLimitGate, RateLimitService, fromWord, toWord, type UnitAllowance } from '../src/index.js';
+import { RateLimitGate, RateLimitService, fromReport, toReport, type UnitAllowance } from '../src/index.js';
 import { GrantingZones } from './granting-zones.js';
 
 const ZONES = ['alpha', 'beta', 'gamma'];
@@ -147,7 +147,7 @@
     const coordinators = new CoordinatorDirectory(clock, name);
     const notices = new BackendNotices(clock, silentLog);
     notices.onNews = (backEndId, heard) => {
-      this.shareNews(index, backEndId, toWord(heard, clock));
+      this.shareNews(index, backEndId, toReport(heard, clock));
     };
     const daemon = { index, name, zone, node, coordinators, notices, toldAt: undefined } as RateLimitDaemon &
       Pick<Partial<RateLimitDaemon>, 'permits'>;
@@ -165,12 +165,12 @@
     return daemon;
   }
 
-  private shareNews(from: number, backEndId: string, word: RateLimitWord): void {
+  private shareNews(from: number, backEndId: string, report: RateLimitReport): void {
     for (const { index, node, notices } of this.daemons) {
       if (index === from || this.random.next() < LOST_NEWS_PART) continue;
       this.cluster.world.schedule(this.random.between(0, LONGEST_NEWS_MS), () => {
         node.process.deliver(() => {
-          notices.hearFromPeer(backEndId, fromWord(word, node.process));
+          notices.hearFromPeer(backEndId, fromReport(report, node.process));
         });
       });
     }
@@ -225,7 +225,7 @@
 
   private hear(daemon: RateLimitDaemon, named: number | undefined, sentAt: number): void {
     if (named !== undefined) daemon.toldAt ??= this.now;
-    const requestsPerSecond: NoticeWord<number> =
+    const requestsPerSecond: NoticeField<number> =
       named === undefined ? { kind: 'none' } : { kind: 'said', value: named };
     daemon.notices.hear(BACK_END.id, { ...EMPTY_NOTICE, requestsPerSecond }, sentAt);
   }
--- a/packages/serving/src/backend-words.ts
+++ b/packages/serving/src/backend-notice-service.ts
@@ -1,4 +1,4 @@
-/** What back ends say of themselves in their answers, on one daemon: kept, shared with the other daemons, and obeyed. */
+/** Notices of back ends on one daemon: kept, shared with the other daemons, and turned into permits to send. */
 import type { BackendDirectory } from '@woodbarrow/backends';
 import type { CoordinatorDirectory } from '@woodbarrow/exchange';
 import { BackendNotices, NoticeGate, type SendPermits } from '@woodbarrow/forwarding';
@@ -8,16 +8,16 @@
 import {
   RateLimitGate,
   RateLimitService,
-  fromWord,
-  toWord,
+  fromReport,
+  toReport,
   type PermitTotals,
   type UnitAllowance,
   type ZoneAuthority,
 } from '@woodbarrow/quota';
 import type { Clock } from '@woodbarrow/runtime';
 
-/** Options of {@link BackendWords}. */
-export interface BackendWordsOptions {
+/** Options of {@link BackendNoticeService}. */
+export interface BackendNoticeServiceOptions {
   /** What is allowed beyond the rate limit that a back end names. */
   readonly allowance: UnitAllowance;
   readonly directory: BackendDirectory;
@@ -32,11 +32,11 @@
   readonly log: EventLog;
 }
 
-/** Time for which the words of a back end are kept whose record has vanished, in milliseconds: records lapse while the store is in trouble. */
+/** Time for which the notices of a back end are kept whose record has vanished, in milliseconds: records lapse while the store is in trouble. */
 const GONE_MEMORY_MS = 60_000;
 
-/** Words known to one daemon. */
-export class BackendWords {
+/** Notices of one daemon. */
+export class BackendNoticeService {
   readonly notices: BackendNotices;
   /** Permits for sends, under all that back ends ask for. */
   readonly permits: SendPermits;
@@ -45,11 +45,11 @@
   /** Back ends that are gone, the first of them first. */
   private readonly gone: { readonly backEndId: string; readonly at: number }[] = [];
 
-  constructor(private readonly options: BackendWordsOptions) {
+  constructor(private readonly options: BackendNoticeServiceOptions) {
     const { directory, announce, clock, log } = options;
     this.notices = new BackendNotices(clock, log);
     this.notices.onNews = (backEndId, heard) => {
-      announce({ kind: 'rate_limit', backEndId, rateLimit: toWord(heard, clock) });
+      announce({ kind: 'rate_limit', backEndId, rateLimit: toReport(heard, clock) });
     };
     this.notices.onLeaving = (backEndId) => {
       this.noteLeaving(backEndId, 'answer');
@@ -71,7 +71,7 @@
       // Of a back end that is not known yet, its first answer tells.
       if (this.options.directory.get(item.backEndId) === undefined) continue;
       if (item.kind === 'leaving') this.noteLeaving(item.backEndId, 'peer');
-      else this.notices.hearFromPeer(item.backEndId, fromWord(item.rateLimit, this.options.clock));
+      else this.notices.hearFromPeer(item.backEndId, fromReport(item.rateLimit, this.options.clock));
     }
   }
 
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -27,7 +27,7 @@
   type IncomingExchange,
   type IngressLimits,
 } from '@woodbarrow/runtime';
-import { BackendWords } from './backend-words.js';
+import { BackendNoticeService } from './backend-notice-service.js';
 import { DeploymentView } from './deployment-view.js';
 import { LoggedJournal } from './journal.js';
 import { ServingMetrics } from './serving-metrics.js';
@@ -78,7 +78,7 @@
   private readonly residency: ResidencyService;
   private readonly quotaService: QuotaService;
   private readonly quotaGate: QuotaGate;
-  private readonly words: BackendWords;
+  private readonly noticeService: BackendNoticeService;
   private readonly quarantine: RequestQuarantine;
   private readonly loadQuarantine: LoadQuarantine;
   private readonly records: RecordFollower;
@@ -136,13 +136,13 @@
     this.residency = this.createResidency(instance, coordinators);
     this.quotaService = this.createQuotaService();
     this.quotaGate = this.createQuotaGate(coordinators);
-    this.words = this.createWords(coordinators);
+    this.noticeService = this.createNoticeService(coordinators);
     this.metrics = this.createMetrics();
     this.forwarder = this.createForwarder(coordinators);
     this.directory.events.on('removed', (backEnd) => {
       this.affinity.forget(backEnd.id);
       this.health.get(backEnd.service)?.forget(backEnd.id);
-      this.words.noteGone(backEnd.id);
+      this.noticeService.noteGone(backEnd.id);
       ports.client.forget(backEnd.address);
     });
     this.directory.events.on('residency', ({ backEndId, target, resident }) => {
@@ -172,7 +172,7 @@
     this.exchange.start();
     this.quarantine.start();
     this.quotaService.start();
-    this.words.start();
+    this.noticeService.start();
     this.residency.start();
     this.log.changed('daemon_started', { zone: settings.zone, address: settings.ingressAddress });
   }
@@ -318,9 +318,9 @@
     });
   }
 
-  private createWords(coordinators: CoordinatorDirectory): BackendWords {
+  private createNoticeService(coordinators: CoordinatorDirectory): BackendNoticeService {
     const { settings, ports, log, directory, peers, failures, residency } = this;
-    return new BackendWords({
+    return new BackendNoticeService({
       allowance: settings.rateLimitAllowance,
       directory,
       coordinators,
@@ -385,7 +385,7 @@
         }
       },
       onBackendNews: (news) => {
-        this.words.take(news);
+        this.noticeService.take(news);
       },
       crashMarks: this.quarantine,
       failures: this.failures,
@@ -409,8 +409,8 @@
       unserved: () => residency.unserved(),
       quarantine: () => this.quarantine.totals,
       loadQuarantine: () => this.loadQuarantine.totals,
-      notices: () => this.words.notices.totals,
-      permits: () => this.words.permitTotals,
+      notices: () => this.noticeService.notices.totals,
+      permits: () => this.noticeService.permitTotals,
       quotaUse: () => this.quotaGate.use(),
       quotaGranted: () => this.quotaService.use(),
       log,
@@ -421,7 +421,7 @@
     const { settings, ports, log, directory, loads, peers, affinity, failures } = this;
     const { clock, client, dialect, random } = ports;
     const quarantine = this.loadQuarantine;
-    const { notices, permits } = this.words;
+    const { notices, permits } = this.noticeService;
     const demands = new DemandRouter({ directory, coordinators, peers, quarantine, clock, failures, log });
     const connections = new ConnectionShare(loads, () => this.membership.eligible().length);
     const context = {
