A daemon that was turned down under a rate limit asks again soon, whatever others were promised

What a worker would see: under a limit of 1 a second, 40 daemons in a crowd and then one with six requests a second, 0 to 8 of the 10 requests it would take in 10 s. Cause: a daemon waits until what it was promised is there, behind all promised before it; those do not come. Ruled out: the sum, which is kept by the bucket alone.

--- a/packages/quota/src/rate-limit-gate.ts
+++ b/packages/quota/src/rate-limit-gate.ts
@@ -31,9 +31,9 @@
 /** One permit. */
 const ONE_UNIT = 1;
 /** Shortest time for which a back end is left alone once a request was turned down, in milliseconds. */
-const LEAST_PAUSE_MS = 20;
-/** Longest such time: less than what fills a granter's bucket, so that nothing is lost while all daemons pause. */
-const MOST_PAUSE_MS = 800;
+const LEAST_TURN_DOWN_MS = 20;
+/** Longest such time: less than what fills a granter's bucket, so that nothing is lost while all daemons wait. */
+const LONGEST_TURN_DOWN_MS = 800;
 /** Time for which no permit is asked for where no granter answered, in milliseconds. */
 const NO_GRANTER_PAUSE_MS = 200;
 
@@ -56,6 +56,7 @@
         return zone === undefined ? [] : [zone];
       },
       ask: (zone, backEndId, wish) => this.ask(zone, backEndId, wish),
+      longestTurnDownMs: LONGEST_TURN_DOWN_MS,
       clock,
     });
   }
@@ -84,7 +85,7 @@
         return { ...outcome.ticket, end: () => undefined };
       case 'over_limit':
         this.turnedDown += 1;
-        this.close(id, Math.min(MOST_PAUSE_MS, Math.max(LEAST_PAUSE_MS, outcome.retryAfterMs)));
+        this.close(id, Math.max(LEAST_TURN_DOWN_MS, outcome.retryAfterMs));
         return undefined;
       case 'unavailable':
         this.withoutGranter += 1;
--- a/packages/quota/src/unit-gate.ts
+++ b/packages/quota/src/unit-gate.ts
@@ -18,6 +18,12 @@
   readonly zonesFor: (subject: string) => readonly string[];
   /** Asks one granter; undefined where there is none, or it does not answer. Never rejects. */
   readonly ask: (zone: string, subject: string, wish: GrantWish) => Promise<GrantAnswer | undefined>;
+  /**
+   * Longest time for which no units are asked for once some were turned down, in milliseconds: what others were promised before may not be
+   * used by them.
+   * @default unbounded
+   */
+  readonly longestTurnDownMs?: number;
   readonly clock: Clock;
 }
 
@@ -208,7 +214,9 @@
     const [first] = state.waiting;
     if (first === undefined) return;
     // The last granter in the order did not answer: what the request lacks takes at least so long to come in.
-    const retryAfterMs = toldMs > 0 ? toldMs : (first.units * MS_PER_SECOND) / limit.ratePerSecond;
+    const { longestTurnDownMs = Infinity } = this.options;
+    const dueMs = toldMs > 0 ? toldMs : (first.units * MS_PER_SECOND) / limit.ratePerSecond;
+    const retryAfterMs = Math.min(longestTurnDownMs, dueMs);
     if (retryAfterMs <= SHORT_WAIT_MS && !first.hasWaited) {
       first.hasWaited = true;
       await sleep(this.options.clock, retryAfterMs);
--- a/packages/quota/test/rate-limit-world.ts
+++ b/packages/quota/test/rate-limit-world.ts
@@ -28,6 +28,8 @@
 const LONGEST_NEWS_MS = 400;
 /** Part of the daemons that news do not come to. */
 const LOST_NEWS_PART = 0.2;
+/** Longest time for which the next request of a daemon is drawn ahead, in milliseconds. */
+const LONGEST_DRAW_MS = 500;
 /** Longest way of a request to the back end, with a new connection, in milliseconds. */
 const LONGEST_WAY_MS = 400;
 /** Part of the requests that need a new connection. */
@@ -185,10 +187,11 @@
 
   private sendNext(index: number): void {
     const perSecond = this.demand(index);
-    const pauseMs = perSecond <= 0 ? 100 : this.random.exponential(1000 / perSecond);
-    this.cluster.world.schedule(pauseMs, () => {
+    const dueInMs = perSecond <= 0 ? Infinity : this.random.exponential(1000 / perSecond);
+    // Drawn anew after a while, so that a change of the demand shows soon.
+    this.cluster.world.schedule(Math.min(dueInMs, LONGEST_DRAW_MS), () => {
       const daemon = this.daemons[index];
-      if (perSecond > 0 && daemon?.node.process.alive === true) {
+      if (dueInMs <= LONGEST_DRAW_MS && daemon?.node.process.alive === true) {
         daemon.node.process.deliver(() => void this.send(daemon));
       }
       this.sendNext(index);
--- a/packages/quota/test/rate-limit.test.ts
+++ b/packages/quota/test/rate-limit.test.ts
@@ -104,6 +104,18 @@
     expect((world.arrived - before) / (world.requests - asked)).to.be.above(0.9);
   });
 
+  it('are used nearly whole by one daemon as soon as the others have no more requests', async () => {
+    const world = await limitedWorld({ limit: 1, seed: 4, daemons: 40 });
+    world.demand = () => 1.5;
+    await world.cluster.advance(10_000);
+    world.demand = (index) => (index === 0 ? CROWD : 0);
+    await world.cluster.advance(1000);
+    const before = world.arrived;
+    await world.cluster.advance(10_000);
+    expect(world.arrived - before).to.be.at.least(8);
+    expect(world.fullest(1)).to.be.at.most(1);
+  });
+
   it('are kept by many daemons of which each seldom has a request', async () => {
     const world = await limitedWorld({ limit: 1, seed: 2, daemons: 120 });
     await world.cluster.advance(PLAYED_MS);
