--- a/packages/quota/test/quota.test.ts
+++ b/packages/quota/test/quota.test.ts
@@ -92,16 +92,20 @@
     }
   });
 
-  it('are kept in every window while daemons and granters are killed, frozen and cut off', async () => {
-    for (let seed = 1; seed <= 20; seed += 1) {
-      const world = await play(granted, seed, troubled);
-      for (const { name } of TENANTS) {
-        const { fullest, ran } = world.resultOf(name);
-        expect(fullest, `${name} with seed ${String(seed)}`).to.be.below(1);
-        expect(ran).to.be.above(0);
+  for (const firstSeed of [1, 6, 11, 16]) {
+    const lastSeed = firstSeed + 4;
+    const seeds = `seeds ${String(firstSeed)} to ${String(lastSeed)}`;
+    it(`are kept in every window while daemons and granters are killed, frozen and cut off, ${seeds}`, async () => {
+      for (let seed = firstSeed; seed <= lastSeed; seed += 1) {
+        const world = await play(granted, seed, troubled);
+        for (const { name } of TENANTS) {
+          const { fullest, ran } = world.resultOf(name);
+          expect(fullest, `${name} with seed ${String(seed)}`).to.be.below(1);
+          expect(ran).to.be.above(0);
+        }
       }
-    }
-  });
+    });
+  }
 
   it('follow a limit that is lowered far below what is asked for', async () => {
     const world = await play(granted, 7, async (each) => {
