--- a/packages/backends/src/run-times.ts
+++ b/packages/backends/src/run-times.ts
@@ -1,6 +1,6 @@
 /** How long runs of models take: learnt from runs that have ended, against the tokens that clients expected of them. */
 
-/** Milliseconds a token until something is measured: median on the users' bench, where engines step in 4 to 5 ms. */
+/** Milliseconds a token until something is measured, for engines that step in 4 to 5 ms. */
 const FIRST_MS_PER_TOKEN = 6;
 /** Tokens of a run whose client expects no number, until something is measured. */
 const FIRST_TOKENS = 200;
--- a/packages/residency/src/load-times.ts
+++ b/packages/residency/src/load-times.ts
@@ -8,7 +8,7 @@
 const SMOOTHING = 0.25;
 /** Loads take no less than this part of the configured time: rounding of the figures, and clocks that drift. */
 const SHORTEST_SHARE = 0.98;
-/** Time to unload a model without runs, in milliseconds, until measured: median of plays on the users' bench. */
+/** Time to unload a model without runs, in milliseconds, until it is measured. */
 const FIRST_UNLOAD_MS = 70;
 /** Measured over foretold time until runs end is believed within these bounds: single runs say little. */
 const LEAST_END_RATIO = 0.5;
