--- a/packages/exchange/src/change-transfer.ts
+++ b/packages/exchange/src/change-transfer.ts
@@ -109,7 +109,7 @@
 }
 
 function aged(news: BackendNews, ageMs: number): BackendNews {
-  if (news.kind === 'leaving') return news;
+  if (news.kind !== 'rate_limit') return news;
   const { rateLimit } = news;
   return { ...news, rateLimit: { ...rateLimit, heardAgoMs: rateLimit.heardAgoMs + ageMs } };
 }
--- a/packages/serving/src/backend-notice-service.ts
+++ b/packages/serving/src/backend-notice-service.ts
@@ -70,8 +70,18 @@
     for (const item of news) {
       // Of a back end that is not known yet, its first answer tells.
       if (this.options.directory.get(item.backEndId) === undefined) continue;
-      if (item.kind === 'leaving') this.noteLeaving(item.backEndId, 'peer');
-      else this.notices.hearFromPeer(item.backEndId, fromReport(item.rateLimit, this.options.clock));
+      this.takeOne(item);
+    }
+  }
+
+  /** A daemon of a newer build may tell what this one does not know: that changes nothing here. */
+  private takeOne(news: BackendNews): void {
+    switch (news.kind) {
+      case 'leaving':
+        this.noteLeaving(news.backEndId, 'peer');
+        return;
+      case 'rate_limit':
+        this.notices.hearFromPeer(news.backEndId, fromReport(news.rateLimit, this.options.clock));
     }
   }
 
