--- a/packages/exchange/src/record-set.ts
+++ b/packages/exchange/src/record-set.ts
@@ -53,9 +53,11 @@
   /**
    * Makes the set hold just the records of a listing; one older than what is known changes nothing. A listing of
    * several pages may hold records newer than its revision, and lack others as new: the watch from there brings them.
+   *
+   * @returns whether it was taken.
    */
-  replaceAll(records: readonly RecordEntry[], revision: number): void {
-    if (revision < this.newest) return;
+  replaceAll(records: readonly RecordEntry[], revision: number): boolean {
+    if (revision < this.newest) return false;
     this.records.clear();
     this.namesDigest = 0;
     for (const record of records) this.store(record);
@@ -68,6 +70,12 @@
         EMPTY_LISTING_REVISION,
       ),
     );
+    return true;
+  }
+
+  /** Revision of a record as it is known here; undefined where there is none of that name. */
+  revisionOf(name: string): number | undefined {
+    return this.records.get(name)?.revision;
   }
 
   /** Enters a record unless one as new is known. */
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -79,6 +79,13 @@
   back_end_gone: 'The record of a back end vanished.',
   store_lost: 'The store does not answer this daemon. Kind of records, cause.',
   store_regained: 'The store answers again. Kind of records, failures in between.',
+  store_restored:
+    'An answer of the store tells of a higher era than those before: the store was restored from a copy. Era, the one before.',
+  store_era_fallen: 'An answer of the store tells of a lower era than those before. Era, the one before.',
+  records_listed:
+    'All records of a kind were read from the store. Kind, era and revision of the listing, newest revision known before, their number, whether the listing was taken.',
+  record_passed_over:
+    'A watch brought a change of a record that is known in a newer revision, and nothing was changed. Kind, name, revision, the one known.',
   store_history_gone: 'The store has forgotten changes; records are listed again. Kind, revision.',
   store_watch_behind: 'A watch was silent while others had newer records; records are listed again.',
   exchange_role: 'This daemon became a relay, or is none any more. Number of other relays.',
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -12,3 +12,4 @@
 export * from './routing-messages.js';
 export * from './grant-messages.js';
 export * from './residency-messages.js';
+export * from './store-position.js';
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -3,12 +3,12 @@
 import type { LeaseRecordStore } from '@woodbarrow/coordination';
 import type { RecordHandlers } from '@woodbarrow/exchange';
 import type { ForwardingConfiguration, WireDialect } from '@woodbarrow/forwarding';
-import type { RecordEntry } from '@woodbarrow/protocol';
+import type { RecordEntry, StorePosition } from '@woodbarrow/protocol';
 import type { ProcessProbe, QuarantineEntry, QuarantineStore } from '@woodbarrow/quarantine';
 import type { OrderClient } from '@woodbarrow/residency';
 import type { BackendClient, Clock, Random, Transport } from '@woodbarrow/runtime';
 
-export type { RecordEntry };
+export type { RecordEntry, StorePosition };
 
 /** Receives what the deployment says; called in the order of the changes. */
 export interface DeploymentSink {
@@ -27,8 +27,8 @@
 /** All records of a kind. */
 export interface RecordListing {
   readonly records: readonly RecordEntry[];
-  /** Revision of the store from which changes are to be watched. */
-  readonly revision: number;
+  /** Position of the store from which changes are to be watched. */
+  readonly at: StorePosition;
 }
 
 /** One change of a record. */
@@ -39,7 +39,7 @@
 
 /** What a watch brought. */
 export type WatchResult =
-  | { readonly kind: 'changes'; readonly changes: readonly RecordChange[]; readonly revision: number }
+  | { readonly kind: 'changes'; readonly changes: readonly RecordChange[]; readonly at: StorePosition }
   /** The history since the revision is gone: list again. */
   | { readonly kind: 'history_gone' };
 
@@ -102,6 +102,8 @@
   readonly feed: DeploymentFeed;
   /** Calls to the store since the start, by operation, kind of record and outcome. */
   readonly storeCalls: () => ReadonlyMap<string, number>;
+  /** Era of the store as its answers last told. */
+  readonly storeEra: () => number;
   /** Records read since the start that could not be decoded, by kind. */
   readonly invalidRecords: () => ReadonlyMap<string, number>;
 }
--- a/packages/serving/src/record-watch.ts
+++ b/packages/serving/src/record-watch.ts
@@ -104,10 +104,12 @@
   }
 
   private async list(): Promise<number> {
-    const { store, set } = this.options;
-    const { records, revision } = await store.listAll(set.source);
-    set.replaceAll(records, revision);
-    return revision;
+    const { store, set, log } = this.options;
+    const { records, at } = await store.listAll(set.source);
+    const known = set.position.revision;
+    const taken = set.replaceAll(records, at.revision);
+    log.changed('records_listed', { kind: set.source, ...at, known, count: records.length, taken });
+    return at.revision;
   }
 
   /** Waits for changes. Returns the revision to go on from, or undefined to list again. */
@@ -126,9 +128,9 @@
         return undefined;
       }
       for (const change of result.changes) this.apply(change);
-      set.noteComplete(result.revision);
+      set.noteComplete(result.at.revision);
       if (result.changes.length > 0) await sleep(clock, pauseMs, cutShort.signal);
-      return cutShort.signal.aborted ? undefined : result.revision;
+      return cutShort.signal.aborted ? undefined : result.at.revision;
     } catch (error) {
       if (!cutShort.signal.aborted || signal.aborted) throw error;
       log.changed('store_watch_behind', { kind: set.source, revision, newest: set.position.revision });
@@ -139,7 +141,16 @@
   }
 
   private apply({ record, gone }: RecordChange): void {
-    if (gone) this.options.set.remove(record.name, record.revision);
-    else this.options.set.put(record);
+    const { set, log } = this.options;
+    const known = set.revisionOf(record.name);
+    if (known !== undefined && known > record.revision)
+      log.warned('record_passed_over', {
+        kind: set.source,
+        name: record.name,
+        revision: record.revision,
+        known,
+      });
+    if (gone) set.remove(record.name, record.revision);
+    else set.put(record);
   }
 }
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -404,6 +404,7 @@
       zonesHeld: () => residency.fencesHeld(),
       connectionsOpened: () => ports.client.connectionsOpened,
       storeCalls: () => ports.storeCalls(),
+      storeEra: () => ports.storeEra(),
       invalidRecords: () => ports.invalidRecords(),
       callFailures: () => this.failures.totals(),
       unserved: () => residency.unserved(),
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -17,6 +17,8 @@
   readonly zonesHeld: () => ReadonlyMap<string, number>;
   readonly connectionsOpened: () => number;
   readonly storeCalls: () => ReadonlyMap<string, number>;
+  /** Era of the store as its answers last told. */
+  readonly storeEra: () => number;
   readonly callFailures: () => ReadonlyMap<string, number>;
   readonly invalidRecords: () => ReadonlyMap<string, number>;
   /** What the zones coordinated here could not serve, by zone. */
@@ -75,6 +77,11 @@
       'Connections opened to back ends since the start.',
       sources.connectionsOpened,
     );
+    registry.gauge(
+      'woodbarrow_store_era',
+      'Era of the store as its answers last told: it rises when the store is restored from a copy.',
+      sources.storeEra,
+    );
     registry.gauge(
       'woodbarrow_store_calls',
       'Calls to the store since the start, by operation, kind of record and outcome.',
--- a/packages/serving/test/store-in-memory.ts
+++ b/packages/serving/test/store-in-memory.ts
@@ -57,7 +57,7 @@
 
   private async list(daemon: string, kind: string, clock: Clock): Promise<RecordListing> {
     await this.answer(daemon, clock);
-    return { records: [...this.ofKind(kind).values()], revision: this.revision };
+    return { records: [...this.ofKind(kind).values()], at: { era: 0, revision: this.revision } };
   }
 
   private async watch(
@@ -73,7 +73,7 @@
       await this.answer(daemon, clock, until + CALL_PATIENCE_MS);
       const changes = this.changes.filter((change) => change.kind === kind && change.record.revision > from);
       if (changes.length > 0 || clock.monotonic() >= until) {
-        return { kind: 'changes', changes, revision: this.revision };
+        return { kind: 'changes', changes, at: { era: 0, revision: this.revision } };
       }
       await sleep(clock, LOOK_INTERVAL_MS, signal);
       if (signal.aborted) throw new Error('cut short');
