Quarantine: what a restored store lacks is written again, and what was lifted stays lifted

A listing without a verdict was taken for its lifting: after the store had been restored from a copy, a content that ends the processes which run it ran again, and one that an operator had lifted was refused again. Records are kept here as they were last seen; the daemon that removes a record in its time also writes it again, until the store has taken it.

--- a/packages/quarantine/src/ends-records.ts
+++ b/packages/quarantine/src/ends-records.ts
@@ -36,11 +36,6 @@
     private readonly isKeptElsewhere: (content: string, processId: string) => boolean,
   ) {}
 
-  /** Names of all records. */
-  get names(): readonly string[] {
-    return [...this.records.keys()];
-  }
-
   /** An end was found out here: it is kept soon, with all that is known by then and not kept either. */
   keepSoon(): void {
     if (this.isScheduled) return;
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -12,6 +12,7 @@
 import { CrashMarks } from './crash-marks.js';
 import { CulpritSearch, EVIDENCE_SETTLE_MS } from './culprit-search.js';
 import { EndsRecords } from './ends-records.js';
+import { KeptEntries } from './kept-entries.js';
 import { ProcessFates, type ProcessFate, type ProcessProbe } from './process-fates.js';
 import {
   QUARANTINE_MS,
@@ -108,6 +109,7 @@
   private readonly ends: EndsRecords;
   private readonly trials: SuspectTrials;
   private readonly verdicts: VerdictRecords;
+  private readonly kept: KeptEntries;
   private readonly judgement: SettledJudgement;
   private tellScheduled = false;
   /** Called when marks are news that other daemons should hear of at once. */
@@ -118,6 +120,7 @@
   constructor(private readonly options: RequestQuarantineOptions) {
     const { clock, probe, log } = options;
     this.marks = new CrashMarks(clock);
+    this.kept = new KeptEntries(clock);
     this.search = new CulpritSearch(this.marks, clock);
     this.fates = new ProcessFates(probe, clock, (processId) => {
       this.onProcessEnded(processId);
@@ -340,21 +343,28 @@
 
   /** All records there are. */
   recordsListed(entries: readonly QuarantineEntry[]): void {
-    const listed = new Set(entries.map(({ content }) => content));
-    for (const name of [...this.verdicts.names, ...this.otherNames])
-      if (!listed.has(name)) this.recordGone(name);
+    for (const name of this.kept.missingIn(entries)) this.recordGone(name);
     entries.forEach((entry) => {
       this.recordSeen(entry);
     });
   }
 
-  /** Names of all records but those of verdicts. */
-  private get otherNames(): readonly string[] {
-    return [...this.evidence.names, ...this.ends.names, ...this.trials.names];
+  /** All records that a copy holds from which the store was restored: what it lacks is written again, what it brings back removed again. */
+  recordsRestored(copy: readonly QuarantineEntry[]): void {
+    const { lost, removed, valid } = this.kept.compareWithCopy(copy);
+    for (const entry of lost) {
+      if (this.options.removesRecord(entry.content))
+        this.writer.write(entry, () => this.kept.has(entry.content));
+    }
+    for (const { content } of removed) if (this.options.removesRecord(content)) this.writer.remove(content);
+    valid.forEach((entry) => {
+      this.recordSeen(entry);
+    });
   }
 
   /** A record appeared. */
   recordSeen(entry: QuarantineEntry): void {
+    this.kept.seen(entry);
     if (isVerdict(entry)) this.verdictSeen(entry);
     else if ('trial' in entry) this.trials.seen(entry);
     else this.merge('suspect' in entry ? this.evidence.seen(entry) : this.ends.seen(entry));
@@ -372,6 +382,7 @@
    * @param content Name of the record.
    */
   recordGone(content: string): void {
+    this.kept.gone(content);
     if (this.evidence.gone(content) || this.ends.gone(content) || this.trials.gone(content)) return;
     if (!this.verdicts.gone(content)) return;
     if (this.marks.clear(content)) this.tell();
@@ -422,6 +433,7 @@
       if (this.marks.endsOf(content) === 0) this.ownAttempts.delete(content);
     }
     const { removesRecord } = this.options;
+    this.kept.forgetRemoved();
     await this.verdicts.removeExpired();
     await this.evidence.removeExpired(removesRecord);
     await this.ends.removeExpired(removesRecord);
--- a/packages/quarantine/src/suspect-records.ts
+++ b/packages/quarantine/src/suspect-records.ts
@@ -21,11 +21,6 @@
     private readonly writer: RecordWriter,
   ) {}
 
-  /** Names of all records. */
-  get names(): readonly string[] {
-    return [...this.records.keys()];
-  }
-
   /** Whether the record of a content, in the store or on its way there, says that a process ended under it. */
   keeps(content: string, processId: string): boolean {
     const processes = this.records.get(suspectName(content))?.marks.map((mark) => mark.processId);
--- a/packages/quarantine/src/suspect-trials.ts
+++ b/packages/quarantine/src/suspect-trials.ts
@@ -58,11 +58,6 @@
 
   constructor(private readonly options: SuspectTrialsOptions) {}
 
-  /** Names of all records. */
-  get names(): readonly string[] {
-    return [...this.known.keys()];
-  }
-
   /** Whether this daemon tries a content on a process. */
   isTrying(content: string, processId: string): boolean {
     return this.own.get(content) === processId;
--- a/packages/quarantine/test/quarantine-scene.ts
+++ b/packages/quarantine/test/quarantine-scene.ts
@@ -88,6 +88,19 @@
     }
   }
 
+  /** The store becomes what it was, and all daemons list its records. */
+  restore(copy: ReadonlyMap<string, QuarantineEntry>): void {
+    this.entries.clear();
+    for (const [name, entry] of copy) this.entries.set(name, entry);
+    for (const daemon of this.daemons) daemon.recordsRestored([...copy.values()]);
+  }
+
+  /** An operator lifts a verdict. */
+  lift(content: string): void {
+    this.entries.delete(content);
+    for (const daemon of this.daemons) daemon.recordGone(content);
+  }
+
   /** All daemons are killed: what they knew is lost, but for the store. */
   killAll(): void {
     for (const daemon of this.daemons.splice(0)) daemon.abort();
