Directory: a copy of the store takes back neither a worker's word that it leaves nor its end

Seen: 5 requests to a worker whose record had gone, once the store had been restored from a copy that shows it. What an incarnation has said of its leaving is never taken back. One whose record had vanished counts as leaving for 6 s after a restoration: the store removes a record that nobody writes in less. One that the copy lacks is used for 2 s more, in which whoever lives records itself again.

--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -25,6 +25,17 @@
  * is in trouble, and come back with the next heartbeat. Well below the time a leaving back end goes on to serve.
  */
 export const ABSENCE_GRACE_MS = 700;
+/**
+ * The same for a back end that a copy lacks from which the store was restored: whoever lives records itself again within this time.
+ */
+export const RESTORED_ABSENCE_GRACE_MS = 2000;
+/**
+ * Milliseconds after a restoration within which a back end whose record had vanished before counts as leaving when it is shown again: longer than
+ * the store keeps a record that nobody writes.
+ */
+export const RESTORED_DISTRUST_MS = 6000;
+/** Milliseconds for which it is remembered that a record has vanished: copies are some seconds old. */
+const VANISHED_MEMORY_MS = 60_000;
 /**
  * Milliseconds for which another daemon's word that a back end leaves goes before its record: it ends within seconds, or this daemon
  * hears it itself. What it told this daemon holds for as long as it lives.
@@ -65,6 +76,10 @@
   private readonly endedAt = new Map<string, number>();
   /** Back ends that have said that they leave: monotonic time until which that is believed. */
   private readonly leavingUntil = new Map<string, number>();
+  /** Back ends removed as their record had vanished, and when, monotonic. */
+  private readonly vanishedAt = new Map<string, number>();
+  /** Monotonic time at which the records were last listed from a copy. */
+  private restoredAt = -Infinity;
   /** Id of the incarnation that is known under each name. */
   private readonly idByName = new Map<string, string>();
 
@@ -119,6 +134,7 @@
     }
     this.idByName.set(backEnd.name, backEnd.id);
     const now = this.clock.monotonic();
+    this.rememberLeaving(backEnd, now);
     const known = this.entries.get(backEnd.id);
     const recorded = recordedTargets(backEnd);
     if (known === undefined) {
@@ -153,18 +169,19 @@
     this.forgetLeaving(now);
     const isKnown = this.isLeaving(id);
     const until = source === 'answer' ? now + LEAVING_MEMORY_MS : now + TOLD_LEAVING_MS;
-    this.leavingUntil.set(id, Math.max(until, this.leavingUntil.get(id) ?? 0));
+    this.believeLeaving(id, until);
     if (source === 'peer') this.clock.schedule(TOLD_LEAVING_MS + 1, () => this.refresh(id));
     this.refresh(id);
     return !isKnown;
   }
 
   /** The record of a name has vanished: its back end is removed unless the record comes back within a grace. */
-  recordVanished(name: string): void {
+  recordVanished(name: string, graceMs = ABSENCE_GRACE_MS): void {
     const id = this.idByName.get(name);
     const entry = id === undefined ? undefined : this.entries.get(id);
     if (id === undefined || entry === undefined || entry.cancelRemoval !== undefined) return;
-    entry.cancelRemoval = this.clock.schedule(ABSENCE_GRACE_MS, () => {
+    entry.cancelRemoval = this.clock.schedule(graceMs, () => {
+      this.vanishedAt.set(id, this.clock.monotonic());
       this.delete(id);
     });
   }
@@ -179,9 +196,19 @@
 
   /** Makes the directory hold just these back ends. */
   replaceAll(backEnds: readonly BackEnd[]): void {
+    this.enterAll(backEnds, ABSENCE_GRACE_MS);
+  }
+
+  /** The same as a copy shows them from which the store was restored: newer ones are missing there, and some that had gone are back. */
+  restoreAll(backEnds: readonly BackEnd[]): void {
+    this.restoredAt = this.clock.monotonic();
+    this.enterAll(backEnds, RESTORED_ABSENCE_GRACE_MS);
+  }
+
+  private enterAll(backEnds: readonly BackEnd[], graceMs: number): void {
     const names = new Set(backEnds.map(({ name }) => name));
     for (const name of [...this.idByName.keys()]) {
-      if (!names.has(name)) this.recordVanished(name);
+      if (!names.has(name)) this.recordVanished(name, graceMs);
     }
     for (const backEnd of backEnds) this.put(backEnd);
   }
@@ -236,6 +263,26 @@
     return entry.recorded.has(key);
   }
 
+  /**
+   * What an incarnation has said of its leaving, or the store of its end, is never taken back; a copy from which the store was restored shows
+   * what was before.
+   */
+  private rememberLeaving({ id, draining }: BackEnd, now: number): void {
+    if (draining) {
+      this.believeLeaving(id, now + LEAVING_MEMORY_MS);
+      return;
+    }
+    for (const [vanished, at] of this.vanishedAt)
+      if (now - at > VANISHED_MEMORY_MS) this.vanishedAt.delete(vanished);
+    if (!this.vanishedAt.has(id) || now - this.restoredAt > RESTORED_DISTRUST_MS) return;
+    this.believeLeaving(id, this.restoredAt + RESTORED_DISTRUST_MS);
+    this.clock.schedule(this.restoredAt + RESTORED_DISTRUST_MS - now + 1, () => this.refresh(id));
+  }
+
+  private believeLeaving(id: string, until: number): void {
+    this.leavingUntil.set(id, Math.max(until, this.leavingUntil.get(id) ?? 0));
+  }
+
   private isLeaving(id: string): boolean {
     return (this.leavingUntil.get(id) ?? -Infinity) > this.clock.monotonic();
   }
--- a/packages/backends/test/backend-directory.test.ts
+++ b/packages/backends/test/backend-directory.test.ts
@@ -5,6 +5,8 @@
   ANNOUNCEMENT_PRECEDENCE_MS,
   BackendDirectory,
   NO_NEARBY_COPIES,
+  RESTORED_ABSENCE_GRACE_MS,
+  RESTORED_DISTRUST_MS,
   TOLD_LEAVING_MS,
   type BackEnd,
 } from '../src/index.js';
@@ -46,6 +48,43 @@
     expect(directory.get('one')).to.equal(undefined);
   });
 
+  describe('listed from a copy from which the store was restored', () => {
+    it('goes on using a back end that the copy lacks, until it is known not to come back', async () => {
+      directory.put(worker('one'));
+      directory.restoreAll([]);
+      await world.run(world.now + RESTORED_ABSENCE_GRACE_MS - 1);
+      expect(directory.get('one')).to.exist;
+      await world.run(world.now + 1);
+      expect(directory.get('one')).to.equal(undefined);
+    });
+
+    it('keeps to the word of a back end that it leaves, where the copy shows it as ready', () => {
+      directory.put(worker('one'));
+      directory.put(worker('one', [], true));
+      directory.restoreAll([worker('one')]);
+      expect(directory.get('one')?.draining).to.equal(true);
+    });
+
+    it('leaves a back end alone that had gone, until it has been shown for longer than nobody writes it', async () => {
+      directory.put(worker('one'));
+      directory.recordVanished('one');
+      await world.run(world.now + ABSENCE_GRACE_MS);
+      directory.restoreAll([worker('one'), worker('two')]);
+      expect(directory.get('one')?.draining).to.equal(true);
+      expect(directory.get('two')?.draining).to.equal(false);
+      await world.run(world.now + RESTORED_DISTRUST_MS + 1);
+      expect(directory.get('one')?.draining).to.equal(false);
+    });
+
+    it('uses a back end at once whose record had lapsed, where the store was not restored', async () => {
+      directory.put(worker('one'));
+      directory.recordVanished('one');
+      await world.run(world.now + ABSENCE_GRACE_MS);
+      directory.replaceAll([worker('one')]);
+      expect(directory.get('one')?.draining).to.equal(false);
+    });
+  });
+
   it('takes a back end for draining that says that it leaves, whatever its record says, also once that was gone for a while', async () => {
     const seen: boolean[] = [];
     directory.put(worker('one', ['m']));
