Records of the store are ordered within its era, and the configuration by its version

Callers saw a version that was acknowledged and in force nowhere (three in a row, until a later revision passed the highest known), and requests that reached a worker 2.3 s after its word that it leaves. Cause: a store that is restored from a copy gives revisions out again; listings below the highest known revision were dropped, changes below it were not passed on from the three daemons that follow the store.

A position is era and revision, with one comparison, and goes along with positions and updates between daemons; one without an era comes from a daemon that knows none, and counts as of the same. A higher era begins with a whole listing; a watch that is answered from another era lists again; a listing across two eras is thrown away. Records that carry a version never go back: a daemon that has read the copy is told of the newer one by those that knew it.

--- a/packages/exchange/src/index.ts
+++ b/packages/exchange/src/index.ts
@@ -5,6 +5,7 @@
 export * from './crash-mark-transfer.js';
 export * from './peer-exchange.js';
 export * from './packed-records.js';
+export * from './record-position.js';
 export * from './record-set.js';
 export * from './record-transfer.js';
 export * from './sent-updates.js';
--- a/packages/exchange/src/peer-exchange.ts
+++ b/packages/exchange/src/peer-exchange.ts
@@ -14,11 +14,13 @@
   type AttachAnswer,
   type AttachMessage,
   type BackendNews,
+  type RecordPosition,
   type ResidencyChange,
   type SourcePosition,
   type StateReport,
   type StateReportAnswer,
   type StateReportMessage,
+  type StorePosition,
   type ZoneClaim,
 } from '@woodbarrow/protocol';
 import { BackgroundService, type Clock } from '@woodbarrow/runtime';
@@ -163,6 +165,11 @@
     return this.topology.isRelay;
   }
 
+  /** How far this daemon has come with the records that others are to have at once. */
+  get newestUrgent(): StorePosition {
+    return this.transfer.newestUrgent();
+  }
+
   /** Tells all relays of this daemon's state now. */
   tellNow(): void {
     const { self, coordinators, ownClaims } = this.options;
@@ -218,9 +225,9 @@
     this.tellNow();
   }
 
-  /** Another daemon, met by chance, has seen a record of an urgent kind of this revision. */
-  noteUrgentElsewhere(revision: number): void {
-    this.behind.note(revision);
+  /** Another daemon, met by chance, has come this far with records of urgent kinds. */
+  noteUrgentElsewhere(position: RecordPosition): void {
+    this.behind.note(position);
     if (this.relay === undefined || this.behind.behindMs < BEHIND_PATIENCE_MS) return;
     this.behind.restart();
     this.avoid(this.relay, 'behind');
--- a/packages/exchange/src/record-transfer.ts
+++ b/packages/exchange/src/record-transfer.ts
@@ -1,7 +1,13 @@
 /** What daemons send each other of the records that they follow: positions asked from, and updates in answer. */
-import type { SentUpdate, SourcePosition } from '@woodbarrow/protocol';
+import {
+  compareStorePositions,
+  type SentUpdate,
+  type SourcePosition,
+  type StorePosition,
+} from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
 import { RecordPacker, unpack } from './packed-records.js';
+import { isAhead } from './record-position.js';
 import type { RecordSet } from './record-set.js';
 import { SentUpdates } from './sent-updates.js';
 
@@ -13,6 +19,8 @@
   readonly clock: Clock;
 }
 
+const NOTHING_SEEN: StorePosition = { era: 0, revision: 0 };
+
 /** Transfer of one daemon's records. */
 export class RecordTransfer {
   private readonly packer = new RecordPacker();
@@ -27,22 +35,31 @@
     return this.options.sets.map((set) => set.position);
   }
 
-  /** Newest revision of the urgent kinds seen here; 0 before the first. */
-  newestUrgent(): number {
+  /** How far this daemon has come with the urgent kinds: the furthest of them. */
+  newestUrgent(): StorePosition {
     const urgent = this.options.sets.filter((set) => this.isUrgent(set.source));
-    return Math.max(0, ...urgent.map((set) => set.position.revision));
+    return urgent
+      .map((set) => set.position)
+      .reduce<StorePosition>(
+        (newest, position) => (compareStorePositions(position, newest) > 0 ? position : newest),
+        NOTHING_SEEN,
+      );
   }
 
-  /** Whether a daemon at other positions has an urgent record that is newer than all here. */
+  /** Whether a daemon at other positions has an urgent record that is newer than the ones here. */
   isOutdatedBy(positions: readonly SourcePosition[]): boolean {
-    return positions.some(({ source, revision }) => this.isUrgent(source) && revision > this.newestUrgent());
+    return positions.some((position) => {
+      const own = this.setOf(position.source)?.position;
+      return own !== undefined && this.isUrgent(position.source) && isAhead(position, own);
+    });
   }
 
   /** Whether a daemon at other positions lacks an urgent record, or has none at all. */
   hasUrgentFor(positions: readonly SourcePosition[]): boolean {
-    return positions.some(({ source, revision }) => {
-      const own = this.setOf(source)?.position.revision ?? 0;
-      return own > revision && (revision === 0 || this.isUrgent(source));
+    return positions.some((position) => {
+      const own = this.setOf(position.source)?.position;
+      if (own === undefined || (position.revision > 0 && !this.isUrgent(position.source))) return false;
+      return isAhead(own, { ...position, era: position.era ?? own.era });
     });
   }
 
--- a/packages/exchange/src/sent-updates.ts
+++ b/packages/exchange/src/sent-updates.ts
@@ -29,12 +29,20 @@
   /** Whether an update may be sent to a daemon at a position now. */
   isDue(reader: string, position: SourcePosition): boolean {
     const before = this.sent.get(keyOf(reader, position));
-    const isSame =
-      before?.position.revision === position.revision && before.position.names === position.names;
-    return !isSame || this.clock.monotonic() - before.at >= SEND_AGAIN_MS;
+    if (before === undefined || !isSamePosition(before.position, position)) return true;
+    return this.clock.monotonic() - before.at >= SEND_AGAIN_MS;
   }
 }
 
+function isSamePosition(left: SourcePosition, right: SourcePosition): boolean {
+  return (
+    left.era === right.era &&
+    left.revision === right.revision &&
+    left.version === right.version &&
+    left.names === right.names
+  );
+}
+
 function keyOf(reader: string, { source }: SourcePosition): string {
   return `${reader} ${source}`;
 }
--- a/packages/exchange/test/record-set.test.ts
+++ b/packages/exchange/test/record-set.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
+import type { RecordEntry, StorePosition } from '@woodbarrow/protocol';
 import { RecordSet } from '../src/index.js';
 
 /** A set and what its receiver was told. */
@@ -9,17 +10,22 @@
   /** Names of which it was told an older value after a newer one; values rise with revisions. */
   readonly wentBack: string[] = [];
   private readonly newestTold = new Map<string, number>();
-  readonly set = new RecordSet('things', {
-    onList: (records) => {
-      this.listings += 1;
-      this.told.clear();
-      for (const record of records) this.tell(record.name, record.value);
-    },
-    onChange: (record) => {
-      this.tell(record.name, record.value);
-    },
-    onGone: (name) => this.told.delete(name),
-  });
+  readonly set: RecordSet;
+
+  constructor(versionOf: (record: RecordEntry) => number | undefined = () => undefined) {
+    const handlers = {
+      onList: (records: readonly RecordEntry[]) => {
+        this.listings += 1;
+        this.told.clear();
+        for (const record of records) this.tell(record.name, record.value);
+      },
+      onChange: (record: RecordEntry) => {
+        this.tell(record.name, record.value);
+      },
+      onGone: (name: string) => this.told.delete(name),
+    };
+    this.set = new RecordSet('things', handlers, { versionOf });
+  }
 
   private tell(name: string, value: unknown): void {
     const newest = this.newestTold.get(name) ?? 0;
@@ -29,6 +35,87 @@
   }
 }
 
+interface StoreState {
+  readonly revision: number;
+  readonly records: ReadonlyMap<string, RecordEntry>;
+  readonly changes: readonly RecordEntry[];
+}
+
+/** A store whose values are versions, and which can be restored from a copy. */
+class RestorableStore {
+  era = 1;
+  private state: StoreState = { revision: 0, records: new Map(), changes: [] };
+  private copy = this.state;
+  private version = 0;
+  readonly newestValues = new Map<string, number>();
+
+  get writtenNames(): string[] {
+    return [...this.newestValues.keys()];
+  }
+
+  get at(): StorePosition {
+    return { era: this.era, revision: this.state.revision };
+  }
+
+  get records(): RecordEntry[] {
+    return [...this.state.records.values()];
+  }
+
+  /** Changes after a position; undefined where it is not of this era, or lies ahead. */
+  changesAfter({ era, revision }: StorePosition): readonly RecordEntry[] | undefined {
+    if (era !== this.era || revision > this.state.revision) return undefined;
+    return this.state.changes.filter((change) => change.revision > revision);
+  }
+
+  put(name: string): void {
+    this.version += 1;
+    this.newestValues.set(name, this.version);
+    this.putNewest(name);
+  }
+
+  /** Writes what was last written under a name. */
+  putNewest(name: string): void {
+    const revision = this.state.revision + 1;
+    const record = { name, revision, value: this.newestValues.get(name) };
+    const records = new Map(this.state.records).set(name, record);
+    this.state = { revision, records, changes: [...this.state.changes, record] };
+  }
+
+  takeCopy(): void {
+    this.copy = this.state;
+  }
+
+  restore(): void {
+    this.state = this.copy;
+    this.era += 1;
+  }
+}
+
+/** Lists and watches a store for one set. */
+class Watcher {
+  private from: StorePosition | undefined;
+
+  constructor(
+    private readonly followed: FollowedSet,
+    private readonly store: RestorableStore,
+  ) {}
+
+  list(): void {
+    this.followed.set.replaceAll(this.store.records, this.store.at);
+    this.from = this.store.at;
+  }
+
+  watch(): void {
+    const { set } = this.followed;
+    if (this.from === undefined || set.position.era !== this.from.era) return;
+    const changes = this.store.changesAfter(this.from);
+    if (changes === undefined) return;
+    for (const change of changes) set.put(change);
+    set.noteComplete(this.store.at.revision);
+    this.from = this.store.at;
+  }
+}
+
 /** Takes what `to` lacks from `from`. */
 function fetch(to: FollowedSet, from: FollowedSet): void {
   const update = from.set.updateFor(to.set.position);
@@ -47,6 +134,18 @@
   { maxLength: 40 },
 );
 
+const operationsWithRestorations = fc.array(
+  fc.oneof(
+    fc.record({ kind: fc.constant('put' as const), name: names }),
+    fc.record({ kind: fc.constant('watch' as const), follower: fc.nat(1) }),
+    fc.record({ kind: fc.constant('list' as const), follower: fc.nat(1) }),
+    fc.record({ kind: fc.constant('fetch' as const), follower: fc.nat(2) }),
+    fc.record({ kind: fc.constant('copy' as const) }),
+    fc.record({ kind: fc.constant('restore' as const) }),
+  ),
+  { maxLength: 40 },
+);
+
 describe('RecordSet', () => {
   it('ends like the store for all, whoever listed, watched or fetched from whom, and never goes back', () => {
     fc.assert(
@@ -57,7 +156,7 @@
         const sets = [new FollowedSet(), new FollowedSet(), new FollowedSet()] as const;
         const watchedTo = [0, 0];
         const list = (index: number): void => {
-          sets[index]?.set.replaceAll([...store.values()], revision);
+          sets[index]?.set.replaceAll([...store.values()], { era: 0, revision: revision });
           watchedTo[index] = revision;
         };
         const watch = (index: number): void => {
@@ -100,10 +199,88 @@
     );
   });
 
+  it('ends alike for all over restorations of the store, and never takes a version back', () => {
+    fc.assert(
+      fc.property(operationsWithRestorations, (steps) => {
+        const store = new RestorableStore();
+        const sets = [0, 1, 2].map(() => new FollowedSet((record) => Number(record.value)));
+        const [first, second, third] = sets as [FollowedSet, FollowedSet, FollowedSet];
+        const watchers = [new Watcher(first, store), new Watcher(second, store)];
+        for (const step of steps) {
+          if (step.kind === 'put') store.put(step.name);
+          else if (step.kind === 'list') watchers[step.follower]?.list();
+          else if (step.kind === 'watch') watchers[step.follower]?.watch();
+          else if (step.kind === 'fetch')
+            fetch(sets[step.follower] ?? third, sets[(step.follower + 1) % 2] ?? first);
+          else if (step.kind === 'copy') store.takeCopy();
+          else store.restore();
+          expect(sets.flatMap(({ wentBack }) => wentBack)).to.deep.equal([]);
+        }
+        // Whoever wrote what the copy lacks writes it again.
+        for (const name of store.writtenNames) store.putNewest(name);
+        for (const watcher of watchers) watcher.list();
+        fetch(third, first);
+        for (const { told } of sets) expect([...told].sort()).to.deep.equal([...store.newestValues].sort());
+      }),
+      { seed: 12, numRuns: 2000 },
+    );
+  });
+
+  it('begins anew with the listing of a restored store, also where its revisions are lower', () => {
+    const [follower, other] = [new FollowedSet(), new FollowedSet()];
+    follower.set.replaceAll([{ name: 'a', revision: 161, value: 'before' }], { era: 1, revision: 161 });
+    fetch(other, follower);
+    follower.set.replaceAll([{ name: 'b', revision: 90, value: 'copy' }], { era: 2, revision: 109 });
+    follower.set.put({ name: 'c', revision: 110, value: 'after' });
+    expect([...follower.told.keys()]).to.deep.equal(['b', 'c']);
+    fetch(other, follower);
+    expect([...other.told.keys()]).to.deep.equal(['b', 'c']);
+    expect(other.set.position).to.deep.include({ era: 2, revision: 110 });
+  });
+
+  it('takes nothing from before the restoration, be it a listing or the word of another daemon', () => {
+    const [follower, late] = [new FollowedSet(), new FollowedSet()];
+    late.set.replaceAll([{ name: 'a', revision: 161, value: 'before' }], { era: 1, revision: 161 });
+    follower.set.replaceAll([{ name: 'a', revision: 90, value: 'copy' }], { era: 2, revision: 109 });
+    expect(
+      follower.set.replaceAll([{ name: 'a', revision: 170, value: 'late' }], { era: 1, revision: 170 }),
+    ).to.equal(false);
+    expect(late.set.updateFor(follower.set.position)).to.equal(undefined);
+    const update = late.set.updateFor({ source: 'things', era: 1, revision: 0, names: 0 });
+    if (update !== undefined) follower.set.merge(update);
+    expect([...follower.told]).to.deep.equal([['a', 'copy']]);
+  });
+
+  it('tells a daemon that has read an older version from a copy of the newer one, which goes before it', () => {
+    const versionOf = (record: RecordEntry): number => Number(record.value);
+    const [knows, late] = [new FollowedSet(versionOf), new FollowedSet(versionOf)];
+    knows.set.replaceAll([{ name: 'a', revision: 161, value: 20 }], { era: 1, revision: 161 });
+    const copy = [{ name: 'a', revision: 90, value: 8 }];
+    knows.set.replaceAll(copy, { era: 2, revision: 109 });
+    late.set.replaceAll(copy, { era: 2, revision: 115 });
+    expect([...knows.told]).to.deep.equal([['a', 20]]);
+    fetch(late, knows);
+    expect([...late.told]).to.deep.equal([['a', 20]]);
+    late.set.put({ name: 'a', revision: 116, value: 15 });
+    expect([...late.told]).to.deep.equal([['a', 20]]);
+  });
+
+  it('counts a daemon that knows no eras as in the same one', () => {
+    const follower = new FollowedSet();
+    follower.set.replaceAll([{ name: 'a', revision: 4, value: 'here' }], { era: 3, revision: 4 });
+    expect(follower.set.updateFor({ source: 'things', revision: 2, names: 0 })?.records).to.have.length(1);
+    follower.set.merge({
+      source: 'things',
+      revision: 6,
+      records: [{ name: 'b', revision: 6, value: 'told' }],
+    });
+    expect([...follower.told.keys()]).to.deep.equal(['a', 'b']);
+  });
+
   it('sends nothing to a set that has it all, and only the names when one is gone', () => {
     const [from, to] = [new FollowedSet(), new FollowedSet()];
     const record = (name: string, revision: number) => ({ name, revision, value: revision });
-    from.set.replaceAll([record('a', 1), record('b', 2)], 2);
+    from.set.replaceAll([record('a', 1), record('b', 2)], { era: 0, revision: 2 });
     fetch(to, from);
     expect(from.set.updateFor(to.set.position)).to.equal(undefined);
     from.set.remove('a');
@@ -115,24 +292,24 @@
 
   it('does not take the word of a set that is behind', () => {
     const [behind, ahead] = [new FollowedSet(), new FollowedSet()];
-    behind.set.replaceAll([], 5);
-    ahead.set.replaceAll([{ name: 'a', revision: 7, value: 1 }], 7);
+    behind.set.replaceAll([], { era: 0, revision: 5 });
+    ahead.set.replaceAll([{ name: 'a', revision: 7, value: 1 }], { era: 0, revision: 7 });
     expect(behind.set.updateFor(ahead.set.position)).to.equal(undefined);
   });
 
   it('does not take a record up again that it knows to be gone', () => {
     const [behind, ahead] = [new FollowedSet(), new FollowedSet()];
     const record = (name: string, revision: number) => ({ name, revision, value: revision });
-    behind.set.replaceAll([record('a', 1), record('b', 2)], 2);
+    behind.set.replaceAll([record('a', 1), record('b', 2)], { era: 0, revision: 2 });
     // In the meantime b was removed, at revision 3.
-    ahead.set.replaceAll([record('a', 1)], 3);
+    ahead.set.replaceAll([record('a', 1)], { era: 0, revision: 3 });
     fetch(ahead, behind);
     expect([...ahead.told.keys()]).to.deep.equal(['a']);
   });
 
   it('does not remove a record for an older removal of its name', () => {
     const follower = new FollowedSet();
-    follower.set.replaceAll([{ name: 'a', revision: 4, value: 'new' }], 4);
+    follower.set.replaceAll([{ name: 'a', revision: 4, value: 'new' }], { era: 0, revision: 4 });
     follower.set.remove('a', 3);
     expect([...follower.told.keys()]).to.deep.equal(['a']);
     follower.set.remove('a', 5);
@@ -143,8 +320,8 @@
     const [listing, follower] = [new FollowedSet(), new FollowedSet()];
     // Between two pages of the listing, b was created at revision 8 and c at revision 9.
     const created = { name: 'b', revision: 8, value: 8 };
-    listing.set.replaceAll([{ name: 'c', revision: 9, value: 9 }], 7);
-    follower.set.replaceAll([created], 8);
+    listing.set.replaceAll([{ name: 'c', revision: 9, value: 9 }], { era: 0, revision: 7 });
+    follower.set.replaceAll([created], { era: 0, revision: 8 });
     fetch(follower, listing);
     expect([...follower.told.keys()]).to.deep.equal(['b']);
     listing.set.put(created);
--- a/packages/membership/src/membership-options.ts
+++ b/packages/membership/src/membership-options.ts
@@ -41,6 +41,8 @@
   readonly timings?: Partial<MembershipTimings>;
   /** A number sent with each probe. @default 0 */
   readonly attachment?: () => number;
+  /** Era in which the attachment counts, sent with it. @default none is sent */
+  readonly attachmentEra?: () => number;
   /** Called with what a background task threw. */
   readonly onTaskFailure?: (name: string, error: unknown) => void;
 }
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -33,7 +33,12 @@
   /** A member's record changed in any way. */
   changed: MemberRecord;
   /** A probe or its answer carried a member's attachment. */
-  attachment: { readonly memberId: string; readonly address: string; readonly attachment: number };
+  attachment: {
+    readonly memberId: string;
+    readonly address: string;
+    readonly attachment: number;
+    readonly attachmentEra: number | undefined;
+  };
 }
 
 /** Counters of {@link Membership}. */
@@ -245,11 +250,13 @@
   }
 
   private probeMessage(): ProbeMessage {
+    const attachmentEra = this.options.attachmentEra?.();
     return {
       from: this.self.id,
       updates: this.gossip.take(UPDATES_PER_MESSAGE, this.table.present().length),
       digest: this.table.digest(),
       attachment: this.options.attachment?.() ?? 0,
+      ...(attachmentEra === undefined ? {} : { attachmentEra }),
     };
   }
 
@@ -261,7 +268,8 @@
   }
 
   private noticeAttachment(message: ProbeMessage, address: string): void {
-    void this.events.emit('attachment', { memberId: message.from, address, attachment: message.attachment });
+    const { from: memberId, attachment, attachmentEra } = message;
+    void this.events.emit('attachment', { memberId, address, attachment, attachmentEra });
   }
 
   private suspect(target: MemberRecord): void {
--- a/packages/protocol/src/exchange-messages.ts
+++ b/packages/protocol/src/exchange-messages.ts
@@ -35,12 +35,20 @@
   readonly address: string;
 }
 
+/** How far a daemon has come with records of the store. */
+export interface RecordPosition {
+  /** Era of the store in which the revision counts; absent from daemons that know no eras. */
+  readonly era?: number;
+  /** Revision of the newest record seen; 0 before the first listing. */
+  readonly revision: number;
+  /** Highest version that the records carry themselves; absent where they carry none. */
+  readonly version?: number;
+}
+
 /** How far the sender has followed the records of one kind. */
-export interface SourcePosition {
+export interface SourcePosition extends RecordPosition {
   /** Kind of the records. */
   readonly source: string;
-  /** Revision of the newest record seen; 0 before the first listing. */
-  readonly revision: number;
   /** Digest of the names of all records. */
   readonly names: number;
 }
@@ -84,6 +92,8 @@
 /** What a daemon lacks of the records of one kind. */
 export interface RecordUpdate {
   readonly source: string;
+  /** Era of the store in which all revisions of the update count; absent from daemons that know no eras. */
+  readonly era?: number;
   /** Revision up to which the sender knows every change. */
   readonly revision: number;
   readonly records: readonly RecordEntry[];
--- a/packages/protocol/src/membership-messages.ts
+++ b/packages/protocol/src/membership-messages.ts
@@ -28,6 +28,8 @@
   readonly digest: number;
   /** A number of the embedding program, for example the configuration revision in force. */
   readonly attachment: number;
+  /** Attachments are compared within one era only; absent where the embedding program tells of none. */
+  readonly attachmentEra?: number;
 }
 
 /** Asks a third member to probe. */
--- a/packages/serving/src/deployment-view.ts
+++ b/packages/serving/src/deployment-view.ts
@@ -1,5 +1,6 @@
 /** Puts what the deployment says in force, and says whether enough is known to serve. */
 import type { BackEnd, BackendDirectory } from '@woodbarrow/backends';
+import type { ListingOrigin } from '@woodbarrow/exchange';
 import type { ConfigurationHolder, ForwardingConfiguration } from '@woodbarrow/forwarding';
 import type { EventLog } from '@woodbarrow/observability';
 import type { QuarantineEntry, RequestQuarantine } from '@woodbarrow/quarantine';
@@ -36,10 +37,11 @@
     });
   }
 
-  backEndsListed(backEnds: readonly BackEnd[]): void {
+  backEndsListed(backEnds: readonly BackEnd[], origin: ListingOrigin): void {
     this.listed = true;
-    this.directory.replaceAll(backEnds);
-    this.log.changed('back_ends_listed', { count: backEnds.length });
+    if (origin === 'restored_store') this.directory.restoreAll(backEnds);
+    else this.directory.replaceAll(backEnds);
+    this.log.changed('back_ends_listed', { count: backEnds.length, origin });
   }
 
   backEndChanged(backEnd: BackEnd): void {
@@ -63,9 +65,10 @@
     this.log.changed('back_end_gone', { backEnd: known.id });
   }
 
-  quarantineListed(records: readonly QuarantineEntry[]): void {
+  quarantineListed(records: readonly QuarantineEntry[], origin: ListingOrigin): void {
     this.isQuarantineListed = true;
-    this.quarantine.recordsListed(records);
+    if (origin === 'restored_store') this.quarantine.recordsRestored(records);
+    else this.quarantine.recordsListed(records);
   }
 
   contentQuarantined(record: QuarantineEntry): void {
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -1,7 +1,7 @@
 /** Ports of a serving daemon: what the deployment around it provides. */
 import type { BackEnd } from '@woodbarrow/backends';
 import type { LeaseRecordStore } from '@woodbarrow/coordination';
-import type { RecordHandlers } from '@woodbarrow/exchange';
+import type { ListingOrigin, RecordHandlers } from '@woodbarrow/exchange';
 import type { ForwardingConfiguration, WireDialect } from '@woodbarrow/forwarding';
 import type { RecordEntry, StorePosition } from '@woodbarrow/protocol';
 import type { ProcessProbe, QuarantineEntry, QuarantineStore } from '@woodbarrow/quarantine';
@@ -14,12 +14,12 @@
 export interface DeploymentSink {
   configuration(configuration: ForwardingConfiguration): void;
   /** All back ends there are; others are gone. */
-  backEndsListed(backEnds: readonly BackEnd[]): void;
+  backEndsListed(backEnds: readonly BackEnd[], origin: ListingOrigin): void;
   backEndChanged(backEnd: BackEnd): void;
   /** @param name Name of its record, whichever run of the worker it was of. */
   backEndGone(name: string): void;
   /** All contents that must not be run; others may. */
-  quarantineListed(records: readonly QuarantineEntry[]): void;
+  quarantineListed(records: readonly QuarantineEntry[], origin: ListingOrigin): void;
   contentQuarantined(record: QuarantineEntry): void;
   quarantineLifted(content: string): void;
 }
@@ -60,6 +60,8 @@
   readonly pauseMs: number;
   /** Time that a watch waits for a change, in milliseconds. @default 2500 */
   readonly waitMs?: number;
+  /** Version that a record carries itself and that only rises; undefined where it carries none. @default no record carries one */
+  readonly versionOf?: (record: RecordEntry) => number | undefined;
   /** Turns records into what the deployment says. */
   readonly handlers: (sink: DeploymentSink) => RecordHandlers;
 }
--- a/packages/serving/src/record-follower.ts
+++ b/packages/serving/src/record-follower.ts
@@ -46,9 +46,9 @@
   }
 
   noteElsewhere(positions: readonly SourcePosition[]): void {
-    for (const { source, revision } of positions) {
-      const index = this.sets.findIndex((set) => set.source === source);
-      this.watches[index]?.noteElsewhere(revision);
+    for (const position of positions) {
+      const index = this.sets.findIndex((set) => set.source === position.source);
+      this.watches[index]?.noteElsewhere(position);
     }
   }
 
@@ -57,8 +57,11 @@
     await Promise.all(this.watches.map((watch) => watch.run(signal)));
   }
 
-  private createSet({ source, isUrgent, handlers }: FeedKind): RecordSet {
+  private createSet({ source, isUrgent, handlers, versionOf }: FeedKind): RecordSet {
     const { sink, onUrgent } = this.options;
-    return new RecordSet(source, handlers(sink), isUrgent ? onUrgent : undefined);
+    return new RecordSet(source, handlers(sink), {
+      ...(isUrgent ? { onNewer: onUrgent } : {}),
+      ...(versionOf === undefined ? {} : { versionOf }),
+    });
   }
 }
--- a/packages/serving/src/record-watch.ts
+++ b/packages/serving/src/record-watch.ts
@@ -1,12 +1,13 @@
 /**
  * Follows the records of one kind in the store, while that is wanted: lists them, then watches for changes. After any failure it lists again, for a
  * watch begun anew may hear nothing of what happened in between. It also lists again when another daemon has seen
- * a newer record for a while: a watch may stay silent without an error.
+ * a newer record for a while, as a watch may stay silent without an error, and when the store has been restored from a copy.
  */
-import { messageOf } from '@woodbarrow/errors';
+import { messageOf, WoodbarrowError } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
 import { backoffDelay, sleep, Wakeup, type Clock, type Random } from '@woodbarrow/runtime';
 import { BehindTracker, type RecordSet } from '@woodbarrow/exchange';
+import type { RecordPosition, StorePosition } from '@woodbarrow/protocol';
 import type { RecordChange, RecordSource } from './ports.js';
 
 /** Options of {@link RecordWatch}. */
@@ -48,7 +49,7 @@
   private readonly behind: BehindTracker;
 
   constructor(private readonly options: RecordWatchOptions) {
-    this.behind = new BehindTracker(options.clock, () => options.set.position.revision);
+    this.behind = new BehindTracker(options.clock, () => options.set.position);
   }
 
   /** Whether the store answers, and no other daemon is ahead. */
@@ -62,9 +63,9 @@
     if (wanted) this.wakeup.wake();
   }
 
-  /** Another daemon has seen a record of this revision. */
-  noteElsewhere(revision: number): void {
-    this.behind.note(revision);
+  /** Another daemon has come this far. */
+  noteElsewhere(position: RecordPosition): void {
+    this.behind.note(position);
     if (this.behind.behindMs < BEHIND_PATIENCE_MS) return;
     this.behind.restart();
     this.cutShort?.abort();
@@ -73,22 +74,22 @@
   /** Follows until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, random, log, set } = this.options;
-    let revision: number | undefined;
+    let position: StorePosition | undefined;
     let failures = 0;
     while (!signal.aborted) {
       if (!this.wanted) {
-        revision = undefined;
+        position = undefined;
         this.following = false;
         await this.wakeup.wait(clock, IDLE_WAIT_MS, signal);
         continue;
       }
       try {
-        revision = revision === undefined ? await this.list() : await this.wait(revision, signal);
+        position = position === undefined ? await this.list() : await this.wait(position, signal);
         if (failures > 0) log.changed('store_regained', { kind: set.source, failures });
         failures = 0;
         this.following = true;
       } catch (error) {
-        revision = undefined;
+        position = undefined;
         this.following = false;
         if (failures === 0) this.noteLost(error);
         await sleep(clock, backoffDelay(RETRY, failures, random), signal);
@@ -103,17 +104,19 @@
     onLost();
   }
 
-  private async list(): Promise<number> {
+  private async list(): Promise<StorePosition> {
     const { store, set, log } = this.options;
     const { records, at } = await store.listAll(set.source);
-    const known = set.position.revision;
-    const taken = set.replaceAll(records, at.revision);
+    const { era: knownEra, revision: known } = set.position;
+    const taken = set.replaceAll(records, at);
     log.changed('records_listed', { kind: set.source, ...at, known, count: records.length, taken });
-    return at.revision;
+    if (at.era < knownEra)
+      throw new WoodbarrowError('platform_unavailable', 'the listing is from before the store was restored');
+    return at;
   }
 
-  /** Waits for changes. Returns the revision to go on from, or undefined to list again. */
-  private async wait(revision: number, signal: AbortSignal): Promise<number | undefined> {
+  /** Waits for changes. Returns the position to go on from, or undefined to list again. */
+  private async wait(from: StorePosition, signal: AbortSignal): Promise<StorePosition | undefined> {
     const { store, set, clock, log, pauseMs, waitMs = WATCH_WAIT_MS } = this.options;
     const cutShort = new AbortController();
     this.cutShort = cutShort;
@@ -122,18 +125,20 @@
     };
     signal.addEventListener('abort', stop);
     try {
-      const result = await store.watch(set.source, revision, waitMs, cutShort.signal);
+      const result = await store.watch(set.source, from.revision, waitMs, cutShort.signal);
       if (result.kind === 'history_gone') {
-        log.changed('store_history_gone', { kind: set.source, revision });
+        log.changed('store_history_gone', { kind: set.source, ...from });
         return undefined;
       }
+      // The revision watched from may have been given out again: what came before it in the new era is not known here.
+      if (result.at.era !== from.era || set.position.era !== from.era) return undefined;
       for (const change of result.changes) this.apply(change);
       set.noteComplete(result.at.revision);
       if (result.changes.length > 0) await sleep(clock, pauseMs, cutShort.signal);
-      return cutShort.signal.aborted ? undefined : result.at.revision;
+      return cutShort.signal.aborted ? undefined : result.at;
     } catch (error) {
       if (!cutShort.signal.aborted || signal.aborted) throw error;
-      log.changed('store_watch_behind', { kind: set.source, revision, newest: set.position.revision });
+      log.changed('store_watch_behind', { kind: set.source, ...from, newest: set.position.revision });
       return undefined;
     } finally {
       signal.removeEventListener('abort', stop);
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -130,8 +130,8 @@
     this.quarantine.onNews = () => {
       this.exchange.passOnCrashMarks();
     };
-    this.membership.events.on('attachment', ({ attachment }) => {
-      this.exchange.noteUrgentElsewhere(attachment);
+    this.membership.events.on('attachment', ({ attachment: revision, attachmentEra: era }) => {
+      this.exchange.noteUrgentElsewhere(era === undefined ? { revision } : { era, revision });
     });
     this.residency = this.createResidency(instance, coordinators);
     this.quotaService = this.createQuotaService();
@@ -247,7 +247,8 @@
       random: ports.random.fork(),
       seeds: () => this.registration.seeds,
       timings: MEMBERSHIP_TIMINGS,
-      attachment: () => this.newestUrgentRevision(),
+      attachment: () => this.exchange.newestUrgent.revision,
+      attachmentEra: () => this.exchange.newestUrgent.era,
       onTaskFailure: logTaskFailures(log),
     });
     membership.events.on('up', (member) => {
@@ -464,13 +465,6 @@
     return { id, address, zone, capacity };
   }
 
-  /** Newest revision of the records that others are to have at once. */
-  private newestUrgentRevision(): number {
-    const urgent = this.ports.feed.kinds.filter((kind) => kind.isUrgent).map((kind) => kind.source);
-    const sets = this.records.sets.filter((set) => urgent.includes(set.source));
-    return Math.max(0, ...sets.map((set) => set.position.revision));
-  }
-
   /** Members, and those that a daemon which has just started knows from the register only. */
   private membersToBe(): readonly Member[] {
     const unmet = this.registration.provisionalMembers.filter(
--- a/packages/serving/test/exchange.test.ts
+++ b/packages/serving/test/exchange.test.ts
@@ -464,7 +464,7 @@
     const { revision } = world.store.put(CONFIGURATION, 'main', 2);
     for (let step = 0; step < 16; step += 1) {
       await world.cluster.advance(100);
-      for (const { exchange } of world.daemons) exchange.noteUrgentElsewhere(revision);
+      for (const { exchange } of world.daemons) exchange.noteUrgentElsewhere({ revision });
     }
     await world.cluster.advance(900);
     const others = world.daemons.filter((daemon) => daemon !== relay);
