Leases: a restored store neither hides a holder nor lowers a fence

Two holders acted under one fence once the store had been restored from a copy that lacks the lease, or shows an earlier holder: the one before went on until its next renewal, the next one began at once with a first record. A conditional write could also meet a revision that had been given out again, for another holder's record.

A record says for which era it was written. One of an earlier era is a leftover. Whoever may still act (most witnesses answer, the lifetime runs) cannot have been replaced in the era before, and writes its record anew under its fence; everybody else waits a lifetime in the new era, without the shortcuts of refusal, release or own name, which a stray write could bring back. A write that was carried out in another era than it was meant for confirms nothing. Fences of an era lie above all of those before. Refusals by witnesses and what holders tell of their last renewal go by position; a daemon that knows no eras is taken at its revision.

Weighed: refusal by all daemons instead of waiting (a candidate cannot know all that may be witnesses, so it could not tell silence from absence); the highest fence heard by any daemon (nobody may have heard it).

--- a/packages/coordination/src/lease-witness.ts
+++ b/packages/coordination/src/lease-witness.ts
@@ -4,6 +4,7 @@
  * two majorities of the same witnesses share one, so a holder that was refused cannot act, be it lost, frozen or cut off.
  * Witnesses keep this in memory only; one that was started again is another witness and counts for nobody.
  */
+import { compareStorePositions, type StorePosition } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
 
 /** One run of a daemon as a witness. */
@@ -17,24 +18,23 @@
 /** Allowance for clocks that run at different speeds, as a share of that time. */
 const DRIFT_SHARE = 0.02;
 
-/** A holder's word that it still uses a lease. */
-export interface ContactRequest {
+/** Position of a lease's record; the era is absent from daemons that know none. */
+interface LeasePosition {
   /** Name of the lease. */
   readonly lease: string;
-  /** Revision of its record as the holder knows it. */
+  readonly era?: number;
   readonly revision: number;
 }
 
-/** A candidate's wish that the holder be refused. */
-export interface RefusalRequest {
-  readonly lease: string;
-  /** Revision of the record that the candidate is about to replace. */
-  readonly revision: number;
-}
+/** A holder's word that it still uses a lease, with the position of its record as the holder knows it. */
+export type ContactRequest = LeasePosition;
+
+/** A candidate's wish that the holder be refused, with the position of the record that it is about to replace. */
+export type RefusalRequest = LeasePosition;
 
 /** Answer to a {@link RefusalRequest}. */
 export interface RefusalAnswer {
-  /** Whether the holder is refused from now on, until the record has a higher revision. */
+  /** Whether the holder is refused from now on, until the record has a later position. */
   readonly agreed: boolean;
   /** Milliseconds since the holder was last answered here; since this witness started when it never was. */
   readonly lastContactAgoMs: number;
@@ -56,7 +56,8 @@
 /** One daemon as a witness of any leases. */
 export class LeaseWitness {
   private readonly contactAt = new Map<string, number>();
-  private readonly refused = new Map<string, number>();
+  /** Latest position of each lease's record under which its holder was refused. */
+  private readonly refused = new Map<string, StorePosition>();
   private readonly startedAt: number;
 
   constructor(private readonly clock: Clock) {
@@ -64,18 +65,28 @@
   }
 
   /** A holder asks to go on. Returns whether it may. */
-  contact({ lease, revision }: ContactRequest): boolean {
-    if ((this.refused.get(lease) ?? 0) >= revision) return false;
+  contact(request: ContactRequest): boolean {
+    const { lease } = request;
+    const refused = this.refused.get(lease);
+    if (refused !== undefined && compareStorePositions(refused, this.positionOf(request)) >= 0) return false;
     this.contactAt.set(lease, this.clock.monotonic());
     return true;
   }
 
   /** A candidate asks for the holder to be refused: granted when what the holder was answered here has lapsed. */
-  refuse({ lease, revision }: RefusalRequest): RefusalAnswer {
+  refuse(request: RefusalRequest): RefusalAnswer {
+    const { lease } = request;
     const lastContactAgoMs = this.clock.monotonic() - (this.contactAt.get(lease) ?? this.startedAt);
     if (lastContactAgoMs < CONTACT_LIFETIME_MS * (1 + DRIFT_SHARE))
       return { agreed: false, lastContactAgoMs };
-    this.refused.set(lease, Math.max(this.refused.get(lease) ?? 0, revision));
+    const position = this.positionOf(request);
+    const refused = this.refused.get(lease);
+    if (refused === undefined || compareStorePositions(position, refused) > 0)
+      this.refused.set(lease, position);
     return { agreed: true, lastContactAgoMs };
   }
+
+  private positionOf({ lease, era, revision }: LeasePosition): StorePosition {
+    return { era: era ?? this.refused.get(lease)?.era ?? 0, revision };
+  }
 }
--- a/packages/coordination/src/store-lease.ts
+++ b/packages/coordination/src/store-lease.ts
@@ -4,7 +4,13 @@
  * unchanged for its whole lifetime first. A holder stops using it a pause earlier, so that two holders never
  * act within that pause of each other. Where the record names witnesses, the holder acts only in contact with most of
  * them, and may be replaced sooner once most of them have refused it (`lease-witness.ts`).
+ *
+ * A store that is restored from a copy may show an earlier holder, or none, and gives revisions out again. So a record says in which era of the store it
+ * was written. One of an earlier era is a leftover: it tells nothing of who held the lease last. Its holder goes on only if it may still
+ * act, since nobody can have replaced it then, and writes its record anew; anybody else waits a whole lifetime in the new era. A write that was meant for one era
+ * and carried out in another confirms nothing. Fences of an era are higher than all of those before.
  */
+import { compareStorePositions, type StorePosition } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
 import { HolderContact } from './holder-contact.js';
 import { areSameWitnesses, CONTACT_LIFETIME_MS, type WitnessId } from './lease-witness.js';
@@ -25,16 +31,25 @@
   readonly witnesses: readonly WitnessId[];
   /** Milliseconds after this write began before which the holder must not act; a restart of it waits them again. */
   readonly pauseMs: number;
+  /** Era of the store for which this was written; absent in records of daemons that know no eras. */
+  readonly era?: number;
 }
 
-/** A record with the revision of its last change. */
-export interface StoredLease {
+/** A record with the position of its last change, in the era in which the store answered. */
+export interface StoredLease extends StorePosition {
   readonly record: LeaseRecord;
-  readonly revision: number;
+}
+
+/** Era of the store as its answers told last. */
+export interface KnownEra {
+  readonly era: number;
+  /** Milliseconds since this process first heard of it; Infinity where nothing can have been leased before it. */
+  readonly knownForMs: number;
 }
 
 /** Port: the store. Every call may throw, and may then have been carried out, or may be later. */
 export interface LeaseRecordStore {
+  currentEra(): KnownEra;
   /** The record, or undefined when there is none. */
   read(name: string): Promise<StoredLease | undefined>;
   /** Writes the first record; undefined when there is one already. */
@@ -43,10 +58,8 @@
   replace(name: string, record: LeaseRecord, revision: number): Promise<StoredLease | undefined>;
 }
 
-/** Word from a holder, passed on by daemons: its last write that the store confirmed. */
-export interface LeaseConfirmation {
-  /** Revision of the record after that write. */
-  readonly revision: number;
+/** Word from a holder, passed on by daemons: its last write that the store confirmed; the position is that of the record after it. */
+export interface LeaseConfirmation extends StorePosition {
   /** Monotonic time of this daemon at which the write had begun at the latest. */
   readonly at: number;
 }
@@ -75,10 +88,8 @@
   readonly clock: Clock;
 }
 
-/** A holder that most of its witnesses have refused. */
-export interface RefusedHolder {
-  /** Revision of the record under which it was refused. */
-  readonly revision: number;
+/** A holder that most of its witnesses have refused; the position is that of the record under which it was refused. */
+export interface RefusedHolder extends StorePosition {
   /** Least time since any witness that refused it had answered it, in milliseconds. */
   readonly lastContactAgoMs: number;
 }
@@ -101,6 +112,8 @@
 const DEFAULT_LIFETIME_MS = 10_000;
 /** Allowance for clocks that run at different speeds, as a share of the lifetime. */
 const DRIFT_SHARE = 0.02;
+/** Fences that can be given in one era of the store, more than a change of holder a minute for a year: those of a later era are higher, whatever the copy has lost. */
+const FENCES_PER_ERA = 2 ** 20;
 /** Pause before a record that changed under us is looked at again, in milliseconds. */
 const CONFLICT_RETRY_MS = 300;
 /** Time for which an act of a holder may be on its way when it is refused, in milliseconds: the limit of an order. */
@@ -118,7 +131,8 @@
   /** Monotonic time before which a new holder must not act. */
   private actFrom = 0;
   private isHolder = false;
-  private observed: { readonly revision: number; readonly at: number } | undefined;
+  /** The record that stands in the way, and since when it has been seen unchanged, in monotonic time. */
+  private observed: LeaseConfirmation | undefined;
   /** A write that names other witnesses has been sent and not confirmed: either set may stand in the record. */
   private witnessesUncertain = false;
   private readonly lifetimeMs: number;
@@ -165,9 +179,10 @@
     return this.stored?.record.witnesses ?? [];
   }
 
-  /** Revision of the record that this daemon last wrote or read back as the holder; 0 before the first. */
-  get revision(): number {
-    return this.stored?.revision ?? 0;
+  /** Position of the record that this daemon last wrote or read back as the holder. */
+  get position(): StorePosition {
+    const { era = 0, revision = 0 } = this.stored ?? {};
+    return { era, revision };
   }
 
   /**
@@ -184,21 +199,37 @@
     // What others may still use is waited for by the steady clock, what this daemon may use lapses by the elapsed time.
     const now = clock.monotonic();
     const readAt = clock.elapsed();
-    if (seen === undefined) {
-      const created = await store.create(name, this.ownRecord(1, 0));
-      return created === undefined ? this.waitFor(CONFLICT_RETRY_MS) : this.becomeHolder(created, readAt);
-    }
+    if (seen === undefined) return this.takeFirst(readAt);
+    if (isLeftover(seen)) return this.takeLeftover(seen, now, readAt);
     const { record, revision } = seen;
     const isOthers = record.holder !== this.options.holder && record.holder !== '';
-    const leftMs = isOthers ? this.unchangedLeftMs(revision, record.lifetimeMs, now, told) : 0;
-    const isRefused = refused?.revision === revision;
+    const leftMs = isOthers ? this.unchangedLeftMs(seen, now, told) : 0;
+    const isRefused = refused !== undefined && isSamePosition(refused, seen);
     if (leftMs > 0 && !isRefused) return this.waitFor(leftMs, seen);
     // Kept also when the write is not answered: it may be carried out all the same.
     const pauseMs = leftMs > 0 && isRefused ? this.pauseAfterRefusalMs(refused) : this.pauseAfter(record);
     this.actFrom = Math.max(this.actFrom, now + pauseMs);
-    const replaced = await store.replace(name, this.ownRecord(record.fence + 1, pauseMs), revision);
-    if (replaced === undefined) return this.waitFor(CONFLICT_RETRY_MS);
-    return this.becomeHolder(replaced, readAt);
+    const own = this.ownRecord(nextFence(seen), pauseMs, seen.era);
+    return this.becomeHolder(own, await store.replace(name, own, revision), readAt);
+  }
+
+  /** Takes a lease without a record. A store that was restored may have lost it while its holder may still act. */
+  private async takeFirst(readAt: number): Promise<AcquireResult> {
+    const { store, name } = this.options;
+    const { era, knownForMs } = store.currentEra();
+    const leftMs = this.lifetimeMs * (1 + DRIFT_SHARE) - knownForMs;
+    if (leftMs > 0) return this.waitFor(leftMs);
+    const own = this.ownRecord(firstFenceOf(era), 0, era);
+    return this.becomeHolder(own, await store.create(name, own), readAt);
+  }
+
+  /** Takes a lease whose record is from before the store was restored: whoever held it last has stopped after a lifetime in this era. */
+  private async takeLeftover(seen: StoredLease, now: number, readAt: number): Promise<AcquireResult> {
+    const { store, name } = this.options;
+    const leftMs = this.unchangedLeftMs(seen, now, undefined);
+    if (leftMs > 0) return this.waitFor(leftMs);
+    const own = this.ownRecord(nextFence(seen), 0, seen.era);
+    return this.becomeHolder(own, await store.replace(name, own, seen.revision), readAt);
   }
 
   /**
@@ -212,8 +243,9 @@
     if (await this.confirmByWrite()) return true;
     if (!this.isHolder) return false;
     const seen = await this.options.store.read(this.options.name);
+    if (seen === undefined || isLeftover(seen)) return this.goOnAfterRestoration(seen);
     const isStillOurs =
-      seen?.record.holder === this.options.holder && seen.record.instance === this.options.instance;
+      seen.record.holder === this.options.holder && seen.record.instance === this.options.instance;
     if (!isStillOurs) {
       this.isHolder = false;
       return false;
@@ -223,6 +255,27 @@
     return true;
   }
 
+  /**
+   * Writes the record anew in a store that was restored. While most witnesses answer and the lifetime runs, nobody else can have taken the lease in the
+   * era before, and in this one others wait for a lifetime.
+   */
+  private async goOnAfterRestoration(seen: StoredLease | undefined): Promise<boolean> {
+    const { store, name, clock } = this.options;
+    const startedAt = clock.elapsed();
+    if (this.stored === undefined || startedAt >= this.actUntil()) {
+      this.isHolder = false;
+      return false;
+    }
+    if (!this.isInContact()) return true;
+    const era = seen?.era ?? store.currentEra().era;
+    const { record } = this.stored;
+    const own = { ...record, era, renewal: record.renewal + 1, pauseMs: this.pauseLeft(record) };
+    const written =
+      seen === undefined ? await store.create(name, own) : await store.replace(name, own, seen.revision);
+    if (written?.era === era) this.confirm(written, startedAt);
+    return true;
+  }
+
   /** Gives the lease back, so that others need not wait for its lifetime. @throws what the store throws. */
   async release(): Promise<void> {
     if (!this.isHolder || this.stored === undefined) return;
@@ -235,14 +288,21 @@
     const { store, clock, name } = this.options;
     if (!this.isHolder || this.stored === undefined) return false;
     const startedAt = clock.elapsed();
-    const { record, revision } = this.stored;
+    const { record, revision, era } = this.stored;
+    // The revision may have been given out again for the record of another holder.
+    if (era !== store.currentEra().era) return false;
     const witnesses = this.witnessesToName();
     this.witnessesUncertain ||= !areSameWitnesses(witnesses, record.witnesses);
-    const pauseMs = clock.monotonic() >= this.actFrom ? 0 : record.pauseMs;
-    const renewal = record.renewal + 1;
-    const renewed = await store.replace(name, { ...record, renewal, witnesses, pauseMs }, revision);
-    if (renewed !== undefined) this.confirm(renewed, startedAt);
-    return renewed !== undefined;
+    const own = { ...record, era, renewal: record.renewal + 1, witnesses, pauseMs: this.pauseLeft(record) };
+    const renewed = await store.replace(name, own, revision);
+    if (renewed?.era !== era) return false;
+    this.confirm(renewed, startedAt);
+    return true;
+  }
+
+  /** Pause that a restart of this process would have to wait again. */
+  private pauseLeft({ pauseMs }: LeaseRecord): number {
+    return this.options.clock.monotonic() >= this.actFrom ? 0 : pauseMs;
   }
 
   private confirm(stored: StoredLease, at: number): void {
@@ -277,7 +337,13 @@
     return Math.max(0, this.options.handoverPauseMs + ACT_UNDER_WAY_MS - lapsedAgoMs);
   }
 
-  private becomeHolder(stored: StoredLease, confirmedAt: number): AcquireResult {
+  /** @param own What was to be written. @param stored What was, if anything: in another era than it was meant for it confirms nothing. */
+  private becomeHolder(
+    own: LeaseRecord,
+    stored: StoredLease | undefined,
+    confirmedAt: number,
+  ): AcquireResult {
+    if (stored === undefined || stored.era !== own.era) return this.waitFor(CONFLICT_RETRY_MS);
     this.confirm(stored, confirmedAt);
     this.isHolder = true;
     this.observed = undefined;
@@ -289,21 +355,23 @@
   }
 
   private unchangedLeftMs(
-    revision: number,
-    lifetimeMs: number,
+    { record, era, revision }: StoredLease,
     now: number,
     told: LeaseConfirmation | undefined,
   ): number {
-    if (this.observed?.revision !== revision) this.observed = { revision, at: now };
-    if (told?.revision === revision) this.observed = { revision, at: Math.min(this.observed.at, told.at) };
-    return this.observed.at + lifetimeMs * (1 + DRIFT_SHARE) - now;
+    const position = { era, revision };
+    let since = now;
+    if (this.observed !== undefined && isSamePosition(this.observed, position)) since = this.observed.at;
+    if (told !== undefined && isSamePosition(told, position)) since = Math.min(since, told.at);
+    this.observed = { ...position, at: since };
+    return since + Math.max(record.lifetimeMs, this.lifetimeMs) * (1 + DRIFT_SHARE) - now;
   }
 
   private actUntil(): number {
     return this.confirmedAt + this.lifetimeMs - this.options.handoverPauseMs;
   }
 
-  private ownRecord(fence: number, pauseMs: number): LeaseRecord {
+  private ownRecord(fence: number, pauseMs: number, era: number): LeaseRecord {
     const { holder, instance } = this.options;
     return {
       holder,
@@ -313,6 +381,25 @@
       renewal: 0,
       witnesses: this.witnessesToName(),
       pauseMs: Math.ceil(pauseMs),
+      era,
     };
   }
 }
+
+/** Whether a record is from before the store was restored. */
+function isLeftover({ record, era }: StoredLease): boolean {
+  return record.era !== undefined && record.era < era;
+}
+
+function isSamePosition(left: StorePosition, right: StorePosition): boolean {
+  return compareStorePositions(left, right) === 0;
+}
+
+/** Lowest fence that may be given in an era. */
+export function firstFenceOf(era: number): number {
+  return era * FENCES_PER_ERA + 1;
+}
+
+function nextFence({ record, era }: StoredLease): number {
+  return Math.max(record.fence + 1, firstFenceOf(era));
+}
--- a/packages/coordination/test/lease-world.ts
+++ b/packages/coordination/test/lease-world.ts
@@ -28,13 +28,23 @@
 
 export const NO_TROUBLE: Trouble = { refused: 0, answerLost: 0, appliedLate: 0 };
 
+/** The record as the store keeps it. */
+interface KeptLease {
+  readonly record: LeaseRecord;
+  readonly revision: number;
+}
+
+/** Era of a store that has not been restored. */
+const FIRST_ERA = 0;
+
 /** A linearizable store on virtual time; calls take time both ways. */
 class SimulatedStore {
   trouble = NO_TROUBLE;
   /** Machines that it does not answer. */
   readonly cutOff = new Set<string>();
-  private kept: StoredLease | undefined;
+  private kept: KeptLease | undefined;
   private revision = 0;
+  private era = FIRST_ERA;
 
   constructor(
     private readonly world: SimulatedWorld,
@@ -42,29 +52,41 @@
   ) {}
 
   /** The record as it is, to be restored; undefined before the first. */
-  takeCopy(): StoredLease | undefined {
+  takeCopy(): KeptLease | undefined {
     return this.kept;
   }
 
-  /** Becomes what it was: writes since are gone, and their revisions are given out again. */
-  restore(copy: StoredLease | undefined): void {
+  /** Becomes what it was: writes since are gone, their revisions are given out again, and the era rises. */
+  restore(copy: KeptLease | undefined): void {
     this.kept = copy;
     this.revision = copy?.revision ?? 0;
+    this.era += 1;
   }
 
   /** The store as seen by one process. */
   client(process: SimulatedProcess): LeaseRecordStore {
+    const known = { era: FIRST_ERA, since: -Infinity };
+    const noteEra = (era: number): void => {
+      if (era <= known.era) return;
+      known.since = process.monotonic();
+      known.era = era;
+    };
+    const call = async (apply: () => KeptLease | undefined): Promise<StoredLease | undefined> => {
+      const { era, kept } = await this.call(process, () => ({ era: this.era, kept: apply() }));
+      noteEra(era);
+      return kept === undefined ? undefined : { ...kept, era };
+    };
     return {
-      read: () => this.call(process, () => this.kept),
-      create: (_name, record) =>
-        this.call(process, () => (this.kept === undefined ? this.write(record) : undefined)),
+      currentEra: () => ({ era: known.era, knownForMs: process.monotonic() - known.since }),
+      read: () => call(() => this.kept),
+      create: (_name, record) => call(() => (this.kept === undefined ? this.write(record) : undefined)),
       replace: (_name, record, revision) =>
-        this.call(process, () => (this.kept?.revision === revision ? this.write(record) : undefined)),
+        call(() => (this.kept?.revision === revision ? this.write(record) : undefined)),
     };
   }
 
   /** A write that changes nothing leaves the revision as it is. */
-  private write(record: LeaseRecord): StoredLease {
+  private write(record: LeaseRecord): KeptLease {
     if (this.kept !== undefined && isDeepStrictEqual(this.kept.record, record)) return this.kept;
     this.revision += 1;
     this.kept = { record, revision: this.revision };
@@ -227,7 +249,7 @@
     const { process, lease } = run;
     for (const witness of lease.isHeld ? lease.witnesses : []) {
       const askedAt = process.monotonic();
-      const message = { lease: NAME, revision: lease.revision };
+      const message = { lease: NAME, ...lease.position };
       this.ask(
         machine,
         witness,
@@ -243,7 +265,10 @@
   }
 
   /** Has the holder of a record refused by most of its witnesses. */
-  private refuse(machine: string, { record, revision }: StoredLease): Promise<RefusedHolder | undefined> {
+  private refuse(
+    machine: string,
+    { record, era, revision }: StoredLease,
+  ): Promise<RefusedHolder | undefined> {
     const agreed: RefusalAnswer[] = [];
     let open = record.witnesses.length;
     return new Promise((resolve) => {
@@ -252,14 +277,14 @@
         this.ask(
           machine,
           witness,
-          (asked) => asked.refuse({ lease: NAME, revision }),
+          (asked) => asked.refuse({ lease: NAME, era, revision }),
           (answer) => {
             if (answer?.agreed === true) agreed.push(answer);
             open -= 1;
             if (open > 0) return;
             const isRefused = agreed.length >= majorityOf(record.witnesses);
             const lastContactAgoMs = Math.min(...agreed.map((each) => each.lastContactAgoMs));
-            resolve(isRefused ? { revision, lastContactAgoMs } : undefined);
+            resolve(isRefused ? { era, revision, lastContactAgoMs } : undefined);
           },
         );
       }
@@ -294,13 +319,13 @@
 
   /** The holder tells all others of its last confirmed write; the word takes a while. */
   private tell(sender: string, lease: StoreLease): void {
-    const { revision } = lease;
+    const { position } = lease;
     const agoMs = lease.confirmedAgoMs();
     for (const [name, { process }] of this.runsOf) {
       if (name === sender) continue;
       this.world.schedule(this.random.between(1, 400), () => {
         process.deliver(() => {
-          this.told.set(name, { revision, at: process.monotonic() - agoMs });
+          this.told.set(name, { ...position, at: process.monotonic() - agoMs });
         });
       });
     }
--- a/packages/coordination/test/store-lease.test.ts
+++ b/packages/coordination/test/store-lease.test.ts
@@ -148,6 +148,64 @@
         lease.check(PAUSE_MS);
       }
     });
+
+    it('goes on under its holder where that lives, without a gap and under its fence', async () => {
+      for (const isWitnessed of [false, true]) {
+        const lease = new LeaseWorld(630, isWitnessed, isWitnessed ? 4000 : LIFETIME_MS);
+        const copy = lease.store.takeCopy();
+        for (const machine of ['a', 'b', 'c', 'd']) lease.start(machine);
+        await lease.world.run(2000);
+        lease.store.restore(copy);
+        await lease.world.run(8000);
+        lease.check(PAUSE_MS);
+        expect(new Set(lease.acts.map(({ machine, fence }) => `${machine} ${String(fence)}`)).size).to.equal(
+          1,
+        );
+        const later = lease.acts.filter(({ at }) => at > 2000);
+        const gaps = later.map(({ at }, index) => at - (later[index - 1]?.at ?? 2000));
+        expect(Math.max(...gaps)).to.be.below(100);
+      }
+    });
+
+    it('is taken within two lifetimes where its holder is lost with the record', async () => {
+      const lease = new LeaseWorld(640, true);
+      for (const machine of ['a', 'b', 'c', 'd']) lease.start(machine);
+      const copy = lease.store.takeCopy();
+      await lease.world.run(2000);
+      lease.kill(lease.acts[0]?.machine ?? '');
+      lease.store.restore(copy);
+      await lease.world.run(2000 + 2 * LIFETIME_MS);
+      lease.check(PAUSE_MS);
+      expect(lease.acts[lease.acts.length - 1]?.at).to.be.above(2000 + 2 * LIFETIME_MS - 200);
+    });
+
+    it('never has two holders act within the pause with witnesses either, which refuse and are cut off meanwhile', async () => {
+      for (let seed = 700; seed < 860; seed += 1) {
+        const lease = new LeaseWorld(seed, true, seed % 2 === 0 ? 60_000 : 4000);
+        const machines = ['a', 'b', 'c', 'd'];
+        for (const machine of machines) lease.start(machine);
+        let copy = lease.store.takeCopy();
+        for (let step = 1; step <= 60; step += 1) {
+          await lease.world.run(step * 400);
+          const machine = lease.random.pick(machines) ?? 'a';
+          const choice = lease.random.integer(13);
+          if (choice === 0) lease.start(machine);
+          if (choice === 1) lease.runsOf.get(machine)?.process.pause(lease.random.between(100, 6000));
+          if (choice === 2) lease.kill(machine);
+          if (choice === 3) lease.store.trouble = { refused: 0.2, answerLost: 0.3, appliedLate: 0.3 };
+          if (choice === 4) lease.store.trouble = { ...NO_TROUBLE, refused: 1 };
+          if (choice === 5) lease.store.trouble = NO_TROUBLE;
+          if (choice === 6) lease.cutOff.add(machine);
+          if (choice === 7) lease.cutOff.clear();
+          if (choice === 8) lease.release(machine);
+          if (choice === 9) lease.store.cutOff.add(machine);
+          if (choice === 10) lease.store.cutOff.clear();
+          if (choice === 11) copy = lease.store.takeCopy();
+          if (choice === 12) lease.store.restore(copy);
+        }
+        lease.check(PAUSE_MS);
+      }
+    });
   });
 
   describe('with witnesses', () => {
--- a/packages/exchange/src/coordinator-directory.ts
+++ b/packages/exchange/src/coordinator-directory.ts
@@ -1,6 +1,11 @@
 /** Which daemon coordinates which zone, from what the coordinators claim again and again. */
 import type { ReportScope } from '@woodbarrow/backends';
-import type { LoadUnderWay, RelayedClaim } from '@woodbarrow/protocol';
+import {
+  compareStorePositions,
+  type LoadUnderWay,
+  type RelayedClaim,
+  type StorePosition,
+} from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
 
 /** A daemon that claims a zone. */
@@ -27,9 +32,8 @@
   readonly claims: readonly RelayedClaim[];
 }
 
-/** A confirmation of a zone's lease that its holder told. */
-export interface ToldConfirmation {
-  readonly revision: number;
+/** A confirmation of a zone's lease that its holder told, with the position of the lease's record. */
+export interface ToldConfirmation extends StorePosition {
   /** Monotonic time at which the confirming write had begun at the latest. */
   readonly at: number;
 }
@@ -51,14 +55,21 @@
     const believed = scope === 'own' ? claims : claims.filter((claim) => claim.holder !== this.selfId);
     const at = this.clock.monotonic();
     this.sources.set(source, { scope, at: this.clock.elapsed(), claims: believed });
-    for (const { zone, leaseRevision, confirmedAgoMs } of believed) {
-      const known = this.confirmations.get(zone);
-      if (known !== undefined && known.revision > leaseRevision) continue;
-      // Claims are passed on, so the write began no later than this, and perhaps earlier.
-      const beganAt = at - confirmedAgoMs;
-      const earliest = known?.revision === leaseRevision ? Math.min(known.at, beganAt) : beganAt;
-      this.confirmations.set(zone, { revision: leaseRevision, at: earliest });
-    }
+    for (const claim of believed) this.noteConfirmation(claim, at);
+  }
+
+  private noteConfirmation(
+    { zone, leaseEra, leaseRevision, confirmedAgoMs }: RelayedClaim,
+    at: number,
+  ): void {
+    const position = { era: leaseEra ?? 0, revision: leaseRevision };
+    const known = this.confirmations.get(zone);
+    const order = known === undefined ? 1 : compareStorePositions(position, known);
+    if (order < 0) return;
+    // Claims are passed on, so the write began no later than this, and perhaps earlier.
+    const beganAt = at - confirmedAgoMs;
+    const earliest = known !== undefined && order === 0 ? Math.min(known.at, beganAt) : beganAt;
+    this.confirmations.set(zone, { ...position, at: earliest });
   }
 
   /** The last confirmation of a zone's lease that its holder told, also when its claim has lapsed. */
--- a/packages/protocol/src/residency-messages.ts
+++ b/packages/protocol/src/residency-messages.ts
@@ -70,6 +70,8 @@
   readonly loading: readonly LoadUnderWay[];
   /** Revision of the lease's record after the last write of the sender that the store confirmed. */
   readonly leaseRevision: number;
+  /** Era of the store in which that revision counts; absent from daemons that know no eras. */
+  readonly leaseEra?: number;
   /** Milliseconds since that write began, when the claim was first told. */
   readonly confirmedAgoMs: number;
 }
@@ -78,7 +80,8 @@
 export interface LeaseContactMessage {
   /** Name of the lease. */
   readonly lease: string;
-  /** Revision of its record as the holder knows it. */
+  /** Era and revision of its record as the holder knows it; the era is absent from daemons that know none. */
+  readonly era?: number;
   readonly revision: number;
 }
 
@@ -92,7 +95,8 @@
 /** Wish of a candidate that the holder of a lease be refused. */
 export interface LeaseRefusalMessage {
   readonly lease: string;
-  /** Revision of the record that the candidate is about to replace. */
+  /** Era and revision of the record that the candidate is about to replace; the era is absent from daemons that know none. */
+  readonly era?: number;
   readonly revision: number;
 }
 
--- a/packages/residency/src/lease-contacts.ts
+++ b/packages/residency/src/lease-contacts.ts
@@ -20,6 +20,7 @@
   leaseRefusalMethod,
   leaseResumeMethod,
   type LeaseRefusalAnswer,
+  type StorePosition,
 } from '@woodbarrow/protocol';
 import { sleep, type Clock } from '@woodbarrow/runtime';
 
@@ -103,13 +104,13 @@
   /** Asks the witnesses of a lease held here to let it go on. */
   async touch(name: string, lease: StoreLease): Promise<void> {
     const { clock, peers, failures } = this.options;
-    const { revision } = lease;
+    const { era, revision } = lease.position;
     await Promise.all(
       lease.witnesses.map(async (witness) => {
         const member = this.runningMember(witness);
         if (member === undefined) return;
         const askedAt = clock.elapsed();
-        const message = { lease: name, revision };
+        const message = { lease: name, era, revision };
         const answer = await peers
           .call(member.address, leaseContactMethod, message, { timeoutMs: ANSWER_LIMIT_MS })
           .catch((error: unknown) => {
@@ -126,21 +127,25 @@
   /** Has the holder of a record refused by most of its witnesses; undefined when they do not agree in time. */
   async refuse(
     name: string,
-    { record, revision }: StoredLease,
+    { record, era, revision }: StoredLease,
     signal: AbortSignal,
   ): Promise<RefusedHolder | undefined> {
+    const position = { era, revision };
     const needed = majorityOf(record.witnesses);
     if (record.witnesses.length === 0) return undefined;
     for (let round = 0; round < REFUSAL_ROUNDS && !signal.aborted; round += 1) {
       const answers = await Promise.all(
-        record.witnesses.map((witness) => this.askRefusal(name, revision, witness)),
+        record.witnesses.map((witness) => this.askRefusal(name, position, witness)),
       );
       const known = answers.filter((answer) => answer !== undefined);
       if (known.length < needed) return undefined;
       const agreed = known.filter((answer) => answer.agreed);
       const lastContactAgoMs = Math.min(...known.map((answer) => answer.lastContactAgoMs));
       if (agreed.length >= needed) {
-        return { revision, lastContactAgoMs: Math.min(...agreed.map((answer) => answer.lastContactAgoMs)) };
+        return {
+          ...position,
+          lastContactAgoMs: Math.min(...agreed.map((answer) => answer.lastContactAgoMs)),
+        };
       }
       const pauseMs = Math.max(LEAST_ROUND_PAUSE_MS, CONTACT_LIFETIME_MS - lastContactAgoMs);
       await sleep(this.options.clock, pauseMs, signal);
@@ -164,11 +169,11 @@
 
   private async askRefusal(
     name: string,
-    revision: number,
+    position: StorePosition,
     witness: WitnessId,
   ): Promise<LeaseRefusalAnswer | undefined> {
     const { peers, self, instance, failures } = this.options;
-    const message = { lease: name, revision };
+    const message = { lease: name, ...position };
     if (witness.id === self.id)
       return witness.instance === instance ? { ...this.witness.refuse(message), instance } : undefined;
     const member = this.runningMember(witness);
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -143,7 +143,8 @@
       fence: lease.fence,
       storeLoads: residency.storeLoads,
       loading: residency.loadsUnderWay,
-      leaseRevision: lease.revision,
+      leaseRevision: lease.position.revision,
+      leaseEra: lease.position.era,
       confirmedAgoMs: Math.floor(lease.confirmedAgoMs()),
     }));
   }
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { BackendDirectory, LoadBook, NO_NEARBY_COPIES } from '@woodbarrow/backends';
-import type { LeaseRecord, LeaseRecordStore, StoredLease } from '@woodbarrow/coordination';
+import type { KnownEra, LeaseRecord, LeaseRecordStore, StoredLease } from '@woodbarrow/coordination';
 import { CallFailures, silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster } from '@woodbarrow/peering';
 import { Random } from '@woodbarrow/runtime';
@@ -17,6 +17,10 @@
 
   constructor(private readonly now: () => number) {}
 
+  currentEra(): KnownEra {
+    return { era: 0, knownForMs: Infinity };
+  }
+
   /** Whether calls are answered. */
   isReachable = true;
 
@@ -40,7 +44,7 @@
   }
 
   private write(name: string, record: LeaseRecord, revision: number): StoredLease {
-    const stored = { record, revision };
+    const stored = { record, revision, era: 0 };
     this.kept.set(name, stored);
     this.writes.push({ name, record, at: this.now() });
     return stored;
--- a/packages/residency/test/zone-world.ts
+++ b/packages/residency/test/zone-world.ts
@@ -36,9 +36,11 @@
 export function plainLeaseStore(): LeaseRecordStore {
   let kept: StoredLease | undefined;
   return {
+    currentEra: () => ({ era: 0, knownForMs: Infinity }),
     read: () => Promise.resolve(kept),
-    create: (_name, record) => Promise.resolve((kept = { record, revision: 1 })),
-    replace: (_name, record, revision) => Promise.resolve((kept = { record, revision: revision + 1 })),
+    create: (_name, record) => Promise.resolve((kept = { record, revision: 1, era: 0 })),
+    replace: (_name, record, revision) =>
+      Promise.resolve((kept = { record, revision: revision + 1, era: 0 })),
   };
 }
 
