Register: daemons enter themselves again after the store was restored

By reading, from the same cause as the incident of the restored store: a daemon writes itself into the register once, at its start. A copy from before lacks it, and daemons that start later never hear of it; where the copy is from before the first of them, a daemon that starts alone takes itself for the only one after 2.5 s. Each enters itself again, spread over 5 s (195 daemons: some 40 calls a second of 3,200). Nothing did so before.

--- a/packages/serving/src/member-registration.ts
+++ b/packages/serving/src/member-registration.ts
@@ -1,7 +1,7 @@
 /** Enters a daemon into the register of daemons, and finds others through it until it knows some. */
 import { messageOf } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
-import { backoffDelay, sleep, type Clock, type Random } from '@woodbarrow/runtime';
+import { backoffDelay, sleep, Wakeup, type Clock, type Random } from '@woodbarrow/runtime';
 import type { MemberRegistry, RegisteredMember } from './ports.js';
 
 /** Options of {@link MemberRegistration}. */
@@ -34,6 +34,13 @@
  * they start within 0.3 s, and a listing may be a second old.
  */
 const REGISTER_FILLED_MS = 1500;
+/**
+ * Time over which daemons enter themselves again after the store was restored, in milliseconds: all of them at once would take the writes that
+ * the store allows from leases.
+ */
+const REJOIN_SPREAD_MS = 5000;
+/** While nothing happens, it is looked again so often whether the store was restored, in milliseconds. */
+const IDLE_WAIT_MS = 60_000;
 /** Time after the start in which registered daemons count that the membership has not met yet, in milliseconds. */
 const REGISTER_BELIEVED_MS = 5000;
 
@@ -44,6 +51,7 @@
   /** Whether the register was filled when it was last read. */
   private wasFilledAtLook = false;
   private readonly startedAt: number;
+  private readonly restored = new Wakeup();
 
   constructor(private readonly options: MemberRegistrationOptions) {
     this.startedAt = options.clock.monotonic();
@@ -71,8 +79,25 @@
     return this.ageMs < REGISTER_BELIEVED_MS ? this.listed : [];
   }
 
-  /** Registers and looks for others until some are present, or `signal` aborts. */
+  /** The store was restored from a copy, which may lack this daemon: those that start later would never hear of it. */
+  noteRestored(): void {
+    this.isRegistered = false;
+    this.restored.wake();
+  }
+
+  /** Registers and looks for others until some are present, and registers anew whenever the store was restored, until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.options;
+    await this.lookUntilMet(signal);
+    while (!signal.aborted) {
+      if (this.isRegistered) await this.restored.wait(clock, IDLE_WAIT_MS, signal);
+      if (this.isRegistered) continue;
+      await sleep(clock, random.between(0, REJOIN_SPREAD_MS), signal);
+      await this.lookUntilMet(signal);
+    }
+  }
+
+  private async lookUntilMet(signal: AbortSignal): Promise<void> {
     const { clock, presentCount } = this.options;
     let failures = 0;
     while (!signal.aborted) {
--- a/packages/serving/src/record-follower.ts
+++ b/packages/serving/src/record-follower.ts
@@ -1,5 +1,5 @@
 /** The records that say what the deployment is, followed in the store while this daemon is to do so itself. */
-import { RecordSet, type FollowedRecords } from '@woodbarrow/exchange';
+import { RecordSet, type FollowedRecords, type RecordHandlers } from '@woodbarrow/exchange';
 import type { EventLog } from '@woodbarrow/observability';
 import type { SourcePosition } from '@woodbarrow/protocol';
 import type { Clock, Random } from '@woodbarrow/runtime';
@@ -12,6 +12,8 @@
   readonly sink: DeploymentSink;
   /** Called whenever a newer record of an urgent kind has been seen. */
   readonly onUrgent: () => void;
+  /** Called with the first listing of each kind after the store was restored from a copy, be it read or told by another daemon. */
+  readonly onRestored: () => void;
   /** Called when the store has stopped to answer this daemon. */
   readonly onStoreLost: () => void;
   readonly clock: Clock;
@@ -58,10 +60,19 @@
   }
 
   private createSet({ source, isUrgent, handlers, versionOf }: FeedKind): RecordSet {
-    const { sink, onUrgent } = this.options;
-    return new RecordSet(source, handlers(sink), {
-      ...(isUrgent ? { onNewer: onUrgent } : {}),
-      ...(versionOf === undefined ? {} : { versionOf }),
-    });
+    const { sink, onUrgent, onRestored } = this.options;
+    const product = handlers(sink);
+    const onList: RecordHandlers['onList'] = (records, origin) => {
+      product.onList(records, origin);
+      if (origin === 'restored_store') onRestored();
+    };
+    return new RecordSet(
+      source,
+      { ...product, onList },
+      {
+        ...(isUrgent ? { onNewer: onUrgent } : {}),
+        ...(versionOf === undefined ? {} : { versionOf }),
+      },
+    );
   }
 }
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -359,6 +359,9 @@
       onUrgent: () => {
         this.exchange.passOnUrgent();
       },
+      onRestored: () => {
+        this.registration.noteRestored();
+      },
       onStoreLost: () => {
         this.exchange.passOnStoreLost();
       },
--- a/packages/serving/test/exchange.test.ts
+++ b/packages/serving/test/exchange.test.ts
@@ -65,6 +65,7 @@
       onUrgent: () => {
         this.exchange.passOnUrgent();
       },
+      onRestored: () => undefined,
       onStoreLost: () => {
         this.exchange.passOnStoreLost();
       },
--- a/packages/serving/test/member-registration.test.ts
+++ b/packages/serving/test/member-registration.test.ts
@@ -60,6 +60,22 @@
     world.stop();
   });
 
+  it('enters itself again after the store was restored, once, and not at the same moment as all others', async () => {
+    world.stop();
+    world = new RegistrationWorld([SELF, OTHER]);
+    world.presentCount = 2;
+    await world.run(2000);
+    expect(world.calls).not.to.include('join');
+    world.members.splice(0);
+    for (let kind = 0; kind < 3; kind += 1) world.registration.noteRestored();
+    await world.run(100);
+    expect(world.calls).not.to.include('join');
+    await world.run(6000);
+    expect(world.members).to.deep.equal([SELF]);
+    await world.run(120_000);
+    expect(world.calls.filter((call) => call === 'join')).to.have.length(1);
+  });
+
   it('knows its group soon after a register that was away is back', async () => {
     world.stop();
     world = new RegistrationWorld([SELF, OTHER], false, false);
