--- a/packages/lab/src/commands/check-model.ts
+++ b/packages/lab/src/commands/check-model.ts
@@ -2,7 +2,14 @@
 import { SystemClock } from '@woodbarrow/runtime';
 import { CLAIMS_DEFECTS, claimsModel } from '../model/claims-model.js';
 import { explore, type Exploration } from '../model/explore.js';
-import { LEASE_BOUNDS, LEASE_DEFECTS, leaseModel } from '../model/lease-model.js';
+import {
+  LEASE_BOUNDS,
+  LEASE_DEFECTS,
+  leaseModel,
+  RESTORED_LEASE_BOUNDS,
+  RESTORED_LEASE_DEFECT_BOUNDS,
+  RESTORED_LEASE_DEFECTS,
+} from '../model/lease-model.js';
 import { ORDER_DEFECTS, orderModel } from '../model/order-model.js';
 import { PLACEMENT_BOUNDS } from '../model/placement-model-state.js';
 import { PLACEMENT_DEFECTS, placementModel } from '../model/placement-model.js';
@@ -28,11 +35,19 @@
       defect,
       run: () => exploreUnder(PLACEMENT_BOUNDS, (bounds) => placementModel(new Set([defect]), bounds)),
     })),
-    ...LEASE_BOUNDS.map((bounds) => ({ defect: undefined, run: () => explore(leaseModel(bounds)) })),
+    ...[...LEASE_BOUNDS, ...RESTORED_LEASE_BOUNDS].map((bounds) => ({
+      defect: undefined,
+      run: () => explore(leaseModel(bounds)),
+    })),
     ...LEASE_DEFECTS.map((defect) => ({
       defect,
       run: () => exploreUnder(LEASE_BOUNDS, (bounds) => leaseModel(bounds, new Set([defect]))),
     })),
+    ...RESTORED_LEASE_DEFECTS.map((defect) => ({
+      defect,
+      run: () =>
+        exploreUnder(RESTORED_LEASE_DEFECT_BOUNDS, (bounds) => leaseModel(bounds, new Set([defect]))),
+    })),
     { defect: undefined, run: () => explore(orderModel()) },
     ...ORDER_DEFECTS.map((defect) => ({ defect, run: () => explore(orderModel(new Set([defect]))) })),
     { defect: undefined, run: () => explore(claimsModel()) },
--- a/packages/lab/src/model/lease-model.ts
+++ b/packages/lab/src/model/lease-model.ts
@@ -1,7 +1,7 @@
 /**
  * Specification of a lease kept as one record of a linearizable store (`coordination/src/store-lease.ts`): writes
- * may be carried out late or not be answered, processes may be started again, time passes in ticks. Two machines
- * never act within the pause of each other, and fences only rise.
+ * may be carried out late or not be answered, processes may be started again, the store may be restored from any earlier state, time passes
+ * in ticks. Two machines never act within the pause of each other, and fences only rise.
  */
 import type { Step, TransitionSystem } from './transition-system.js';
 
@@ -16,19 +16,41 @@
   'unchanged-renewal',
 ] as const;
 
-export type LeaseDefect = (typeof LEASE_DEFECTS)[number];
+/** Those that matter only where the store is restored. */
+export const RESTORED_LEASE_DEFECTS = [
+  'leftover-as-current',
+  'fence-from-copy',
+  'confirm-in-another-era',
+  'go-on-after-lifetime',
+] as const;
+
+export type LeaseDefect = (typeof LEASE_DEFECTS | typeof RESTORED_LEASE_DEFECTS)[number];
 
 /** Bounds of one exploration; times in ticks. */
 export interface LeaseBounds {
   readonly maximumFence: number;
   readonly revisions: number;
   readonly restarts: number;
+  /** Times that the store is restored from an earlier state. */
+  readonly restorations: number;
 }
 
 /** Bounds that the checks use. */
 export const LEASE_BOUNDS: readonly LeaseBounds[] = [
-  { maximumFence: 2, revisions: 4, restarts: 0 },
-  { maximumFence: 2, revisions: 3, restarts: 1 },
+  { maximumFence: 2, revisions: 4, restarts: 0, restorations: 0 },
+  { maximumFence: 2, revisions: 3, restarts: 1, restorations: 0 },
+];
+
+/** Bounds of the checks with a store that is restored. */
+export const RESTORED_LEASE_BOUNDS: readonly LeaseBounds[] = [
+  { maximumFence: 2, revisions: 2, restarts: 0, restorations: 1 },
+  { maximumFence: 1, revisions: 2, restarts: 1, restorations: 1 },
+];
+
+/** Bounds under which the defects of such a store show; the last one needs a third revision, and is not explored whole. */
+export const RESTORED_LEASE_DEFECT_BOUNDS: readonly LeaseBounds[] = [
+  { maximumFence: 1, revisions: 2, restarts: 0, restorations: 1 },
+  { maximumFence: 2, revisions: 3, restarts: 0, restorations: 1 },
 ];
 
 const LIFETIME = 3;
@@ -36,6 +58,8 @@
 const WRITES_UNDER_WAY = 1;
 const MACHINES = [0, 1] as const;
 const NOBODY = -1;
+/** Fences of one era; higher than any bound on them. */
+const FENCES_PER_ERA = 10;
 /** Ages are counted up to this: nothing depends on longer ones. */
 const OLD = LIFETIME + 1;
 
@@ -43,19 +67,24 @@
   readonly holder: number;
   readonly fence: number;
   readonly revision: number;
+  /** Era for which it was written. */
+  readonly era: number;
 }
 
 interface MachineState {
   /** Believes to be the holder. */
   readonly holds: boolean;
   readonly fence: number;
+  /** Revision of its record, and the era in which it learnt that. */
   readonly revision: number;
+  readonly era: number;
   /** Ticks since the start of the write that last confirmed it. */
   readonly confirmedAge: number;
   /** Ticks to wait before it may act. */
   readonly actsIn: number;
-  /** Revision seen last while waiting for another's lease, and for how long it has been unchanged. */
+  /** Revision and era seen last while waiting for another's lease, and for how long that has been unchanged. */
   readonly seenRevision: number;
+  readonly seenEra: number;
   readonly seenAge: number;
 }
 
@@ -69,6 +98,9 @@
   readonly age: number;
   /** Revision that it made; 0 while it has not been carried out. */
   readonly made: number;
+  /** Era for which it was meant, and in which it was carried out. */
+  readonly era: number;
+  readonly madeInEra: number;
   /** Waiting time for the writer before it may act, once it is the holder. */
   readonly actsIn: number;
 }
@@ -76,6 +108,10 @@
 /** A state of the specification. */
 export interface LeaseState {
   readonly record: LeaseRecordState;
+  /** Earlier records of the store, the oldest first: it may be restored to any of them. */
+  readonly past: readonly LeaseRecordState[];
+  readonly era: number;
+  readonly restorationsLeft: number;
   readonly machines: readonly MachineState[];
   readonly writes: readonly WriteState[];
   readonly lastActor: number;
@@ -90,9 +126,11 @@
   holds: false,
   fence: 0,
   revision: 0,
+  era: 0,
   confirmedAge: OLD,
   actsIn: 0,
   seenRevision: 0,
+  seenEra: 0,
   seenAge: 0,
 };
 
@@ -111,7 +149,10 @@
       machines: MACHINES.length,
     },
     initial: {
-      record: { holder: NOBODY, fence: 0, revision: 1 },
+      record: { holder: NOBODY, fence: 0, revision: 1, era: 0 },
+      past: [],
+      era: 0,
+      restorationsLeft: bounds.restorations,
       machines: [IDLE, IDLE],
       writes: [],
       lastActor: NOBODY,
@@ -124,6 +165,7 @@
       if (state.broken !== '' || state.record.revision > bounds.revisions) return [];
       return [
         tick(state),
+        ...restorations(state),
         ...MACHINES.flatMap((machine) => machineSteps(state, machine, bounds, defects)),
         ...state.writes.flatMap((_, index) => writeSteps(state, index, defects)),
       ];
@@ -138,8 +180,33 @@
 
 /** What the future of a machine depends on. */
 function relevant(machine: MachineState): MachineState {
-  if (machine.holds) return { ...machine, seenRevision: 0, seenAge: 0 };
-  return { ...IDLE, seenRevision: machine.seenRevision, seenAge: machine.seenAge };
+  if (machine.holds) return { ...machine, seenRevision: 0, seenEra: 0, seenAge: 0 };
+  const { seenRevision, seenEra, seenAge } = machine;
+  return { ...IDLE, seenRevision, seenEra, seenAge };
+}
+
+/** The store becomes what it was; writes under way may be carried out on that, where its revision is theirs. */
+function restorations(state: LeaseState): Step<LeaseState>[] {
+  if (state.restorationsLeft === 0) return [];
+  return [...state.past, state.record].map((record, index) => ({
+    label: `the store is restored to revision ${String(record.revision)}`,
+    next: {
+      ...state,
+      record,
+      past: state.restorationsLeft > 1 ? state.past.slice(0, index) : [],
+      era: state.era + 1,
+      restorationsLeft: state.restorationsLeft - 1,
+    },
+  }));
+}
+
+function isLeftover({ record, era }: LeaseState, defects: ReadonlySet<LeaseDefect>): boolean {
+  return record.era < era && !defects.has('leftover-as-current');
+}
+
+function nextFence({ record, era }: LeaseState, defects: ReadonlySet<LeaseDefect>): number {
+  if (defects.has('fence-from-copy')) return record.fence + 1;
+  return Math.max(record.fence, era * FENCES_PER_ERA) + 1;
 }
 
 function tick(state: LeaseState): Step<LeaseState> {
@@ -188,23 +255,23 @@
   defects: ReadonlySet<LeaseDefect>,
 ): Step<LeaseState>[] {
   const machine = state.machines[index] as MachineState;
-  const { record } = state;
-  const isFree = record.holder === NOBODY || record.holder === index;
-  const unchanged = machine.seenRevision === record.revision;
+  const { record, era } = state;
+  const isFree = !isLeftover(state, defects) && (record.holder === NOBODY || record.holder === index);
+  const unchanged = machine.seenRevision === record.revision && machine.seenEra === era;
   const waited = unchanged && machine.seenAge >= LIFETIME;
   if (isFree || waited || defects.has('no-wait-for-lifetime')) {
-    const isReleased = record.holder === NOBODY && record.fence > 0;
+    const isReleased = record.holder === NOBODY && record.fence > 0 && !isLeftover(state, defects);
     const pause = isReleased && !defects.has('no-pause-after-release') ? PAUSE + 1 : 0;
     return send(
       state,
       index,
       bounds,
-      { holder: index, fence: record.fence + 1, actsIn: pause },
+      { holder: index, fence: nextFence(state, defects), actsIn: pause },
       'asks for the lease',
     );
   }
   if (unchanged) return [];
-  const seen = { ...machine, seenRevision: record.revision, seenAge: 0 };
+  const seen = { ...machine, seenRevision: record.revision, seenEra: era, seenAge: 0 };
   return [{ label: `${String(index)} sees another's lease`, next: withMachine(state, index, seen) }];
 }
 
@@ -217,7 +284,8 @@
 ): Step<LeaseState>[] {
   const machine = state.machines[index] as MachineState;
   const { record } = state;
-  const known = { ...machine, revision: record.revision };
+  if (isLeftover(state, defects)) return afterRestoration(state, index, bounds, defects);
+  const known = { ...machine, revision: record.revision, era: state.era };
   const isOurs = record.holder === index && record.fence === machine.fence;
   const afterReading = !isOurs
     ? { ...machine, holds: false }
@@ -238,6 +306,31 @@
   ];
 }
 
+/** A holder reads a record from before the store was restored; a renewal that it sent before may still be on its way. */
+function afterRestoration(
+  state: LeaseState,
+  index: number,
+  bounds: LeaseBounds,
+  defects: ReadonlySet<LeaseDefect>,
+): Step<LeaseState>[] {
+  const machine = state.machines[index] as MachineState;
+  const renewal = { holder: index, fence: machine.fence, actsIn: machine.actsIn };
+  const unaware = send(state, index, bounds, renewal, 'renews as in the era before');
+  if (machine.confirmedAge >= LIFETIME - PAUSE && !defects.has('go-on-after-lifetime'))
+    return [
+      ...unaware,
+      {
+        label: `${String(index)} has run out in the era before`,
+        next: withMachine(state, index, { ...machine, holds: false }),
+      },
+    ];
+  const knowing = { ...machine, revision: state.record.revision, era: state.era };
+  return [
+    ...unaware,
+    ...send(withMachine(state, index, knowing), index, bounds, renewal, 'writes its lease anew'),
+  ];
+}
+
 function send(
   state: LeaseState,
   machine: number,
@@ -246,10 +339,12 @@
   label: string,
 ): Step<LeaseState>[] {
   const isBusy = state.writes.filter((other) => other.machine === machine).length >= WRITES_UNDER_WAY;
-  if (isBusy || write.fence > bounds.maximumFence) return [];
+  if (isBusy || write.fence % FENCES_PER_ERA > bounds.maximumFence) return [];
   const known = state.machines[machine] as MachineState;
-  const expected = known.holds ? known.revision : state.record.revision;
-  const sent: WriteState = { ...write, machine, expected, age: 0, made: 0 };
+  const { revision: expected, era } = known.holds
+    ? known
+    : { revision: state.record.revision, era: state.era };
+  const sent: WriteState = { ...write, machine, expected, era, madeInEra: 0, age: 0, made: 0 };
   return [{ label: `${String(machine)} ${label}`, next: { ...state, writes: [...state.writes, sent] } }];
 }
 
@@ -260,7 +355,8 @@
   const gone = { ...state, writes: state.writes.filter((_, other) => other !== index) };
   if (write.made > 0) {
     const lost = { label: `the answer to ${name} is lost`, next: gone };
-    return write.holder === NOBODY ? [lost] : [lost, answer(gone, write, defects)];
+    const confirms = write.madeInEra === write.era || defects.has('confirm-in-another-era');
+    return write.holder === NOBODY || !confirms ? [lost] : [lost, answer(gone, write, defects)];
   }
   const applies = write.expected === state.record.revision || defects.has('no-compare');
   if (!applies) return [{ label: `${name} meets another revision`, next: gone }];
@@ -268,9 +364,11 @@
   const isRenewal = write.holder === state.record.holder && write.fence === state.record.fence;
   const isUnchanged = isRenewal && defects.has('unchanged-renewal');
   const made = state.record.revision + (isUnchanged ? 0 : 1);
-  const record = { holder: write.holder, fence: write.fence, revision: made };
-  const writes = state.writes.map((other, at) => (at === index ? { ...other, made } : other));
-  return [{ label: `${name} is carried out`, next: { ...state, record, writes } }];
+  const record = { holder: write.holder, fence: write.fence, revision: made, era: write.era };
+  const carriedOut = { ...write, made, madeInEra: state.era };
+  const writes = state.writes.map((other, at) => (at === index ? carriedOut : other));
+  const past = state.restorationsLeft > 0 ? [...state.past, state.record] : [];
+  return [{ label: `${name} is carried out`, next: { ...state, record, past, writes } }];
 }
 
 function answer(state: LeaseState, write: WriteState, defects: ReadonlySet<LeaseDefect>): Step<LeaseState> {
@@ -279,6 +377,7 @@
     holds: true,
     fence: write.fence,
     revision: write.made,
+    era: write.madeInEra,
     confirmedAge: defects.has('confirm-at-answer') ? 0 : write.age,
     actsIn: Math.max(0, write.actsIn - write.age),
   };
