Leases: a lost holder whose record the restored store does not show is replaced once every daemon refuses it

After a restoration the next holder waited a lifetime (10.2 s) where the one before was lost with its record. Most witnesses cannot be asked, as the record that names them is gone; so every daemon that is known is, and all must agree: none that is lost, as it may only be out of reach, none that may still act. The era must have been known for 2 s, longer than a call to the store takes.

--- a/packages/coordination/src/store-lease.ts
+++ b/packages/coordination/src/store-lease.ts
@@ -7,7 +7,8 @@
  *
  * A store that is restored from a copy may show an earlier holder, or none, and gives revisions out again. So a record says in which era of the store it
  * was written. One of an earlier era is a leftover: it tells nothing of who held the lease last. Its holder goes on only if it may still
- * act, since nobody can have replaced it then, and writes its record anew; anybody else waits a whole lifetime in the new era. A write that was meant for one era
+ * act, since nobody can have replaced it then, and writes its record anew; anybody else waits a whole lifetime in the new era, or until
+ * every daemon has refused whoever it was. A write that was meant for one era
  * and carried out in another confirms nothing. Fences of an era are higher than all of those before.
  */
 import { compareStorePositions, type StorePosition } from '@woodbarrow/protocol';
@@ -88,8 +89,10 @@
   readonly clock: Clock;
 }
 
-/** A holder that most of its witnesses have refused; the position is that of the record under which it was refused. */
+/** A holder that has been refused; the position is that of the record under which it was, with revision 0 where there was none. */
 export interface RefusedHolder extends StorePosition {
+  /** Most of the witnesses that its record names, or every daemon, whoever it may have named. */
+  readonly by: 'witnesses' | 'everybody';
   /** Least time since any witness that refused it had answered it, in milliseconds. */
   readonly lastContactAgoMs: number;
 }
@@ -103,6 +106,8 @@
       readonly retryAfterMs: number;
       /** The record that stands in the way, when there is one. */
       readonly stored?: StoredLease;
+      /** Set where the store was restored and does not tell who held the lease last: it may be taken sooner when everybody refuses that one under this position. */
+      readonly unknownHolderAt?: StorePosition;
     };
 
 /**
@@ -114,6 +119,11 @@
 const DRIFT_SHARE = 0.02;
 /** Fences that can be given in one era of the store, more than a change of holder a minute for a year: those of a later era are higher, whatever the copy has lost. */
 const FENCES_PER_ERA = 2 ** 20;
+/**
+ * Time for which an era must have been known before everybody is asked to refuse whoever held a lease before it, in milliseconds: longer than a call to the
+ * store may take, so that no daemon still waits for the answer that makes it a holder, and enough for a daemon that has just started to hear of all others.
+ */
+const SETTLED_ERA_MS = 2000;
 /** Pause before a record that changed under us is looked at again, in milliseconds. */
 const CONFLICT_RETRY_MS = 300;
 /** Time for which an act of a holder may be on its way when it is refused, in milliseconds: the limit of an order. */
@@ -169,6 +179,11 @@
     return Math.max(this.isInContact() ? 0 : CONTACT_LOOK_MS, this.actFrom - clock.monotonic());
   }
 
+  /** Whether this daemon holds the lease, and its lifetime has not run out. */
+  get mayStillAct(): boolean {
+    return this.isHolder && this.options.clock.elapsed() < this.actUntil();
+  }
+
   /** Milliseconds since the store last confirmed this daemon as the holder. */
   confirmedAgoMs(): number {
     return this.options.clock.elapsed() - this.confirmedAt;
@@ -199,12 +214,12 @@
     // What others may still use is waited for by the steady clock, what this daemon may use lapses by the elapsed time.
     const now = clock.monotonic();
     const readAt = clock.elapsed();
-    if (seen === undefined) return this.takeFirst(readAt);
-    if (isLeftover(seen)) return this.takeLeftover(seen, now, readAt);
+    if (seen === undefined) return this.takeFirst(readAt, refused);
+    if (isLeftover(seen)) return this.takeLeftover(seen, readAt, refused);
     const { record, revision } = seen;
     const isOthers = record.holder !== this.options.holder && record.holder !== '';
     const leftMs = isOthers ? this.unchangedLeftMs(seen, now, told) : 0;
-    const isRefused = refused !== undefined && isSamePosition(refused, seen);
+    const isRefused = refused?.by === 'witnesses' && isSamePosition(refused, seen);
     if (leftMs > 0 && !isRefused) return this.waitFor(leftMs, seen);
     // Kept also when the write is not answered: it may be carried out all the same.
     const pauseMs = leftMs > 0 && isRefused ? this.pauseAfterRefusalMs(refused) : this.pauseAfter(record);
@@ -214,24 +229,50 @@
   }
 
   /** Takes a lease without a record. A store that was restored may have lost it while its holder may still act. */
-  private async takeFirst(readAt: number): Promise<AcquireResult> {
+  private async takeFirst(readAt: number, refused: RefusedHolder | undefined): Promise<AcquireResult> {
     const { store, name } = this.options;
     const { era, knownForMs } = store.currentEra();
+    const position = { era, revision: 0 };
     const leftMs = this.lifetimeMs * (1 + DRIFT_SHARE) - knownForMs;
-    if (leftMs > 0) return this.waitFor(leftMs);
-    const own = this.ownRecord(firstFenceOf(era), 0, era);
+    const pauseMs = leftMs > 0 ? this.pauseAfterUnknownMs(position, refused) : 0;
+    if (pauseMs === undefined) return this.waitForUnknown(position, leftMs);
+    this.actFrom = Math.max(this.actFrom, this.options.clock.monotonic() + pauseMs);
+    const own = this.ownRecord(firstFenceOf(era), pauseMs, era);
     return this.becomeHolder(own, await store.create(name, own), readAt);
   }
 
   /** Takes a lease whose record is from before the store was restored: whoever held it last has stopped after a lifetime in this era. */
-  private async takeLeftover(seen: StoredLease, now: number, readAt: number): Promise<AcquireResult> {
-    const { store, name } = this.options;
+  private async takeLeftover(
+    seen: StoredLease,
+    readAt: number,
+    refused: RefusedHolder | undefined,
+  ): Promise<AcquireResult> {
+    const { store, name, clock } = this.options;
+    const now = clock.monotonic();
+    const position = { era: seen.era, revision: seen.revision };
     const leftMs = this.unchangedLeftMs(seen, now, undefined);
-    if (leftMs > 0) return this.waitFor(leftMs);
-    const own = this.ownRecord(nextFence(seen), 0, seen.era);
+    const pauseMs = leftMs > 0 ? this.pauseAfterUnknownMs(position, refused) : 0;
+    if (pauseMs === undefined) return this.waitForUnknown(position, leftMs);
+    this.actFrom = Math.max(this.actFrom, now + pauseMs);
+    const own = this.ownRecord(nextFence(seen), pauseMs, seen.era);
     return this.becomeHolder(own, await store.replace(name, own, seen.revision), readAt);
   }
 
+  /** Time before the first act after everybody has refused whoever held the lease; undefined where they have not. */
+  private pauseAfterUnknownMs(
+    position: StorePosition,
+    refused: RefusedHolder | undefined,
+  ): number | undefined {
+    if (refused?.by !== 'everybody' || !isSamePosition(refused, position)) return undefined;
+    return this.pauseAfterRefusalMs(refused);
+  }
+
+  private waitForUnknown(position: StorePosition, leftMs: number): AcquireResult {
+    const settlesInMs = SETTLED_ERA_MS - this.options.store.currentEra().knownForMs;
+    if (settlesInMs > 0) return this.waitFor(Math.min(leftMs, settlesInMs));
+    return { kind: 'waiting', retryAfterMs: leftMs, unknownHolderAt: position };
+  }
+
   /**
    * Confirms the lease in the store, by a write: others watch for changes of the record, so reading that it is
    * unchanged proves nothing. A write without an answer is found by reading the record and followed by another.
--- a/packages/coordination/test/lease-world.ts
+++ b/packages/coordination/test/lease-world.ts
@@ -1,6 +1,7 @@
 /** Machines that stand for one lease of a simulated store, renew it, and act whenever they may. */
 import { isDeepStrictEqual } from 'node:util';
 import { expect } from 'chai';
+import type { StorePosition } from '@woodbarrow/protocol';
 import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
 import {
   LeaseWitness,
@@ -284,7 +285,7 @@
             if (open > 0) return;
             const isRefused = agreed.length >= majorityOf(record.witnesses);
             const lastContactAgoMs = Math.min(...agreed.map((each) => each.lastContactAgoMs));
-            resolve(isRefused ? { era, revision, lastContactAgoMs } : undefined);
+            resolve(isRefused ? { era, revision, by: 'witnesses', lastContactAgoMs } : undefined);
           },
         );
       }
@@ -294,11 +295,41 @@
   /** Takes the lease, also from a holder that its witnesses refuse. */
   private async acquire(machine: string, lease: StoreLease): Promise<void> {
     const result = await lease.tryAcquire(this.told.get(machine));
-    if (result.kind === 'held' || result.stored === undefined) return;
-    const refused = await this.refuse(machine, result.stored);
+    if (result.kind === 'held') return;
+    const { stored, unknownHolderAt } = result;
+    let refused: RefusedHolder | undefined;
+    if (stored !== undefined) refused = await this.refuse(machine, stored);
+    else if (unknownHolderAt !== undefined && this.witnessed)
+      refused = await this.refuseEverywhere(machine, unknownHolderAt);
     if (refused !== undefined) await lease.tryAcquire(undefined, refused);
   }
 
+  /** Has whoever holds the lease refused by every machine that was ever started, be it killed since. */
+  private async refuseEverywhere(
+    machine: string,
+    position: StorePosition,
+  ): Promise<RefusedHolder | undefined> {
+    const everybody = [...this.runsOf].map(([id, { instance }]) => ({ id, instance }));
+    const answers = await Promise.all(everybody.map((asked) => this.askToRefuse(machine, asked, position)));
+    if (!answers.every((answer) => answer?.agreed === true)) return undefined;
+    const lastContactAgoMs = Math.min(...answers.map((answer) => answer?.lastContactAgoMs ?? 0));
+    return { ...position, by: 'everybody', lastContactAgoMs };
+  }
+
+  private askToRefuse(
+    machine: string,
+    asked: WitnessId,
+    position: StorePosition,
+  ): Promise<RefusalAnswer | undefined> {
+    const refuse = (witness: LeaseWitness): RefusalAnswer =>
+      this.runsOf.get(asked.id)?.lease.mayStillAct === true
+        ? { agreed: false, lastContactAgoMs: 0 }
+        : witness.refuse({ lease: NAME, ...position });
+    return new Promise((resolve) => {
+      this.ask(machine, asked, refuse, resolve);
+    });
+  }
+
   private stand(process: SimulatedProcess, machine: string, lease: StoreLease): void {
     const step = async (): Promise<void> => {
       try {
--- a/packages/coordination/test/store-lease.test.ts
+++ b/packages/coordination/test/store-lease.test.ts
@@ -179,6 +179,33 @@
       expect(lease.acts[lease.acts.length - 1]?.at).to.be.above(2000 + 2 * LIFETIME_MS - 200);
     });
 
+    it('passes on soon, long before its lifetime ends, once every machine refuses whoever held it', async () => {
+      const lease = new LeaseWorld(650, true, 60_000);
+      for (const machine of ['a', 'b', 'c', 'd']) lease.start(machine);
+      const copy = lease.store.takeCopy();
+      await lease.world.run(2000);
+      const holder = lease.acts[0]?.machine ?? '';
+      lease.kill(holder);
+      lease.store.restore(copy);
+      await lease.world.run(3000);
+      lease.start(holder);
+      await lease.world.run(8000);
+      lease.check(PAUSE_MS);
+      expect(lease.acts.filter(({ at }) => at > 3000 && at < 6500)).not.to.have.length(0);
+    });
+
+    it('is not passed on before its lifetime ends while a machine is lost that may be out of reach only', async () => {
+      const lease = new LeaseWorld(660, true, 60_000);
+      for (const machine of ['a', 'b', 'c', 'd']) lease.start(machine);
+      const copy = lease.store.takeCopy();
+      await lease.world.run(2000);
+      lease.kill(lease.acts[0]?.machine ?? '');
+      lease.store.restore(copy);
+      await lease.world.run(20_000);
+      lease.check(PAUSE_MS);
+      expect(lease.acts.filter(({ at }) => at > 2100)).to.have.length(0);
+    });
+
     it('never has two holders act within the pause with witnesses either, which refuse and are cut off meanwhile', async () => {
       for (let seed = 700; seed < 860; seed += 1) {
         const lease = new LeaseWorld(seed, true, seed % 2 === 0 ? 60_000 : 4000);
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -118,6 +118,11 @@
     return this.table.eligible();
   }
 
+  /** Members that have not said that they leave for good, be they present or lost. */
+  known(): readonly MemberRecord[] {
+    return this.table.all().filter(({ status }) => status !== 'left');
+  }
+
   /** What is known of one member. */
   get(id: string): MemberRecord | undefined {
     return this.table.get(id);
--- a/packages/residency/src/lease-contacts.ts
+++ b/packages/residency/src/lease-contacts.ts
@@ -20,6 +20,7 @@
   leaseRefusalMethod,
   leaseResumeMethod,
   type LeaseRefusalAnswer,
+  type LeaseRefusalMessage,
   type StorePosition,
 } from '@woodbarrow/protocol';
 import { sleep, type Clock } from '@woodbarrow/runtime';
@@ -29,6 +30,11 @@
   readonly instance: number;
 }
 
+/** A daemon that is known, be it present or lost. */
+export interface KnownMember extends RunningMember {
+  readonly isPresent: boolean;
+}
+
 /** Options of {@link LeaseContacts}. */
 export interface LeaseContactsOptions {
   readonly self: Member;
@@ -36,6 +42,10 @@
   readonly instance: number;
   /** Daemons present, this one included. */
   readonly members: () => readonly RunningMember[];
+  /** All daemons that have not left for good, this one included. */
+  readonly knownMembers: () => readonly KnownMember[];
+  /** Whether this daemon holds a lease and may still act under it. */
+  readonly mayStillAct: (lease: string) => boolean;
   readonly peers: PeerNetwork;
   /** Called when another daemon says that a zone's lease is recorded as this machine's own. */
   readonly onResume: (zone: string) => void;
@@ -64,7 +74,7 @@
   start(): void {
     const { peers, instance, onResume } = this.options;
     peers.handle(leaseContactMethod, (message) => ({ accepted: this.witness.contact(message), instance }));
-    peers.handle(leaseRefusalMethod, (message) => ({ ...this.witness.refuse(message), instance }));
+    peers.handle(leaseRefusalMethod, (message) => this.refuseHere(message));
     peers.handle(leaseResumeMethod, ({ zone }) => {
       onResume(zone);
       return {};
@@ -144,6 +154,7 @@
       if (agreed.length >= needed) {
         return {
           ...position,
+          by: 'witnesses',
           lastContactAgoMs: Math.min(...agreed.map((answer) => answer.lastContactAgoMs)),
         };
       }
@@ -153,6 +164,24 @@
     return undefined;
   }
 
+  /**
+   * Has whoever holds a lease refused by every daemon that is known, as the store was restored and does not tell which are its witnesses; undefined
+   * unless all agree.
+   */
+  async refuseEverywhere(name: string, position: StorePosition): Promise<RefusedHolder | undefined> {
+    const known = this.options.knownMembers();
+    // One that is lost may only be out of reach, and be a witness, or the holder.
+    if (!known.every(({ isPresent }) => isPresent)) return undefined;
+    const answers = await Promise.all(known.map((member) => this.askMember(name, position, member)));
+    const agreed = answers.filter((answer) => answer?.agreed === true);
+    if (agreed.length < known.length) return undefined;
+    return {
+      ...position,
+      by: 'everybody',
+      lastContactAgoMs: Math.min(...agreed.map((answer) => answer?.lastContactAgoMs ?? 0)),
+    };
+  }
+
   /** Tells the holder of a record to take its lease back, if it has been started again since. */
   resumeRestarted(zone: string, { record }: StoredLease): boolean {
     const { members, peers, failures } = this.options;
@@ -172,20 +201,35 @@
     position: StorePosition,
     witness: WitnessId,
   ): Promise<LeaseRefusalAnswer | undefined> {
-    const { peers, self, instance, failures } = this.options;
-    const message = { lease: name, ...position };
-    if (witness.id === self.id)
-      return witness.instance === instance ? { ...this.witness.refuse(message), instance } : undefined;
+    const { self, instance } = this.options;
+    if (witness.id === self.id && witness.instance !== instance) return undefined;
     const member = this.runningMember(witness);
-    if (member === undefined) return undefined;
+    return member === undefined ? undefined : this.askMember(name, position, member);
+  }
+
+  private async askMember(
+    name: string,
+    position: StorePosition,
+    { id, address, instance }: RunningMember,
+  ): Promise<LeaseRefusalAnswer | undefined> {
+    const { peers, self, failures } = this.options;
+    const message = { lease: name, ...position };
+    if (id === self.id) return this.refuseHere(message);
     const answer = await peers
-      .call(member.address, leaseRefusalMethod, message, { timeoutMs: ANSWER_LIMIT_MS })
+      .call(address, leaseRefusalMethod, message, { timeoutMs: ANSWER_LIMIT_MS })
       .catch((error: unknown) => {
-        // A witness that does not answer has not agreed.
-        failures.note('lease refusal', witness.id, error);
+        // A daemon that does not answer has not agreed.
+        failures.note('lease refusal', id, error);
         return undefined;
       });
-    return answer?.instance === witness.instance ? answer : undefined;
+    return answer?.instance === instance ? answer : undefined;
+  }
+
+  /** A holder that may still act agrees to no refusal, its own included. */
+  private refuseHere(message: LeaseRefusalMessage): LeaseRefusalAnswer {
+    const { instance, mayStillAct } = this.options;
+    if (mayStillAct(message.lease)) return { agreed: false, lastContactAgoMs: 0, instance };
+    return { ...this.witness.refuse(message), instance };
   }
 
   /** The witness in the run in which it was named. */
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -20,10 +20,11 @@
   type ResidencyChange,
   type ResidencyDemandAnswer,
   type ResidencyDemandMessage,
+  type StorePosition,
   type ZoneClaim,
 } from '@woodbarrow/protocol';
 import { BackgroundService, sleep, type Clock, type Random } from '@woodbarrow/runtime';
-import { LeaseContacts, type RunningMember } from './lease-contacts.js';
+import { LeaseContacts, type KnownMember, type RunningMember } from './lease-contacts.js';
 import type { OrderClient } from './order-client.js';
 import type { StoreWindowOptions } from './load-planner.js';
 import { ZoneResidency, type UnservedDemands } from './zone-residency.js';
@@ -35,6 +36,8 @@
   readonly instance: number;
   /** Daemons that may hold roles, this one included. */
   readonly members: () => readonly RunningMember[];
+  /** All daemons that have not left for good, this one included. */
+  readonly knownMembers: () => readonly KnownMember[];
   /** Whether enough is known of them to tell who is next in line for a lease. */
   readonly isGroupKnown: () => boolean;
   readonly peers: PeerNetwork;
@@ -88,11 +91,14 @@
 
   constructor(private readonly options: ResidencyServiceOptions) {
     super(options.clock, logTaskFailures(options.log));
-    const { self, instance, members, peers, failures, clock } = options;
+    const { self, instance, members, knownMembers, peers, failures, clock } = options;
     this.contacts = new LeaseContacts({
       self,
       instance,
       members,
+      knownMembers,
+      mayStillAct: (name) =>
+        [...this.leases].some(([zone, lease]) => leaseName(zone) === name && lease.mayStillAct),
       peers,
       failures,
       clock,
@@ -226,6 +232,8 @@
     let result = await lease.tryAcquire(this.options.coordinators.lastConfirmation(zone));
     if (result.kind === 'waiting' && result.stored !== undefined)
       result = await this.replaceLost(zone, lease, result.stored, result);
+    else if (result.kind === 'waiting' && result.unknownHolderAt !== undefined)
+      result = await this.replaceUnknown(zone, lease, result.unknownHolderAt, result);
     if (result.kind === 'waiting') {
       const pauseMs = Math.min(result.retryAfterMs, RENEW_INTERVAL_MS);
       this.askAgainAt.set(zone, this.options.clock.monotonic() + pauseMs);
@@ -260,6 +268,20 @@
     return lease.tryAcquire(undefined, refused);
   }
 
+  /** Takes a lease of which a restored store does not tell who held it last, once every daemon refuses whoever it was. */
+  private async replaceUnknown(
+    zone: string,
+    lease: StoreLease,
+    position: StorePosition,
+    waiting: AcquireResult,
+  ): Promise<AcquireResult> {
+    const refused = await this.contacts.refuseEverywhere(leaseName(zone), position);
+    if (refused === undefined) return waiting;
+    const lastContactAgoMs = Math.round(refused.lastContactAgoMs);
+    this.options.log.changed('lease_holder_refused', { zone, lastContactAgoMs });
+    return lease.tryAcquire(undefined, refused);
+  }
+
   /** Keeps in contact with the witnesses of a lease, and names others where most of them do not answer. */
   private async keepContact(zone: string, lease: StoreLease, signal: AbortSignal): Promise<void> {
     let namedAt = -Infinity;
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -123,6 +123,7 @@
       self,
       instance: this.runs,
       members,
+      knownMembers: () => members().map((member) => ({ ...member, isPresent: true })),
       isGroupKnown: () => true,
       peers: node.peers,
       directory,
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -12,7 +12,7 @@
   ReplicaSelector,
 } from '@woodbarrow/forwarding';
 import { CoordinatorDirectory, PeerExchange, type Member } from '@woodbarrow/exchange';
-import { Membership } from '@woodbarrow/membership';
+import { isPresent, Membership } from '@woodbarrow/membership';
 import { CallFailures, logTaskFailures, type BoundedLog } from '@woodbarrow/observability';
 import { PeerNetwork } from '@woodbarrow/peering';
 import { ownerByRendezvous } from '@woodbarrow/coordination';
@@ -266,6 +266,8 @@
       self: this.self(),
       instance,
       members: () => this.membership.eligible(),
+      knownMembers: () =>
+        this.membership.known().map((member) => ({ ...member, isPresent: isPresent(member) })),
       // A lease taken before others are met would name no witnesses, and a lost holder be waited for twice as long.
       isGroupKnown: () => this.registration.hasMetOthers,
       peers,
