--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -8,6 +8,7 @@
 export * from './rendezvous.js';
 export * from './voters.js';
 export * from './store-lease.js';
+export * from './lease-record.js';
 export * from './lease-witness.js';
 export * from './holder-contact.js';
 export * from './relay-topology.js';
--- a/packages/coordination/src/store-lease.ts
+++ b/packages/coordination/src/store-lease.ts
@@ -8,57 +8,22 @@
  * A store that is restored from a copy may show an earlier holder, or none, and gives revisions out again. So a record says in which era of the store it
  * was written. One of an earlier era is a leftover: it tells nothing of who held the lease last. Its holder goes on only if it may still
  * act, since nobody can have replaced it then, and writes its record anew; anybody else waits a whole lifetime in the new era, or until
- * every daemon has refused whoever it was. A write that was meant for one era
- * and carried out in another confirms nothing. Fences of an era are higher than all of those before.
+ * every daemon has refused whoever it was. A write that was meant for one era and carried out in another confirms nothing.
  */
-import { compareStorePositions, type StorePosition } from '@woodbarrow/protocol';
+import type { StorePosition } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
 import { HolderContact } from './holder-contact.js';
+import {
+  firstFenceOf,
+  isLeftover,
+  isSamePosition,
+  nextFence,
+  type LeaseRecord,
+  type LeaseRecordStore,
+  type StoredLease,
+} from './lease-record.js';
 import { areSameWitnesses, CONTACT_LIFETIME_MS, type WitnessId } from './lease-witness.js';
 
-/** What the store keeps of a lease. */
-export interface LeaseRecord {
-  /** Name of the machine that holds it; kept over restarts of its process. Empty when given back. */
-  readonly holder: string;
-  /** The holder's run. */
-  readonly instance: number;
-  /** Rises with every change of the holder or of its run. */
-  readonly fence: number;
-  /** Milliseconds that the record must be seen unchanged before another may take the lease. */
-  readonly lifetimeMs: number;
-  /** Counts renewals: the store takes a write that changes nothing for no change, and others would see none. */
-  readonly renewal: number;
-  /** Daemons that the holder must be in contact with; none where there are too few. */
-  readonly witnesses: readonly WitnessId[];
-  /** Milliseconds after this write began before which the holder must not act; a restart of it waits them again. */
-  readonly pauseMs: number;
-  /** Era of the store for which this was written; absent in records of daemons that know no eras. */
-  readonly era?: number;
-}
-
-/** A record with the position of its last change, in the era in which the store answered. */
-export interface StoredLease extends StorePosition {
-  readonly record: LeaseRecord;
-}
-
-/** Era of the store as its answers told last. */
-export interface KnownEra {
-  readonly era: number;
-  /** Milliseconds since this process first heard of it; Infinity where nothing can have been leased before it. */
-  readonly knownForMs: number;
-}
-
-/** Port: the store. Every call may throw, and may then have been carried out, or may be later. */
-export interface LeaseRecordStore {
-  currentEra(): KnownEra;
-  /** The record, or undefined when there is none. */
-  read(name: string): Promise<StoredLease | undefined>;
-  /** Writes the first record; undefined when there is one already. */
-  create(name: string, record: LeaseRecord): Promise<StoredLease | undefined>;
-  /** Replaces the record of the given revision; undefined when it has another one by now. */
-  replace(name: string, record: LeaseRecord, revision: number): Promise<StoredLease | undefined>;
-}
-
 /** Word from a holder, passed on by daemons: its last write that the store confirmed; the position is that of the record after it. */
 export interface LeaseConfirmation extends StorePosition {
   /** Monotonic time of this daemon at which the write had begun at the latest. */
@@ -106,7 +71,10 @@
       readonly retryAfterMs: number;
       /** The record that stands in the way, when there is one. */
       readonly stored?: StoredLease;
-      /** Set where the store was restored and does not tell who held the lease last: it may be taken sooner when everybody refuses that one under this position. */
+      /**
+       * Set where the store was restored and does not tell who held the lease last: it may be taken sooner once everybody has refused that one
+       * under this position.
+       */
       readonly unknownHolderAt?: StorePosition;
     };
 
@@ -117,8 +85,6 @@
 const DEFAULT_LIFETIME_MS = 10_000;
 /** Allowance for clocks that run at different speeds, as a share of the lifetime. */
 const DRIFT_SHARE = 0.02;
-/** Fences that can be given in one era of the store, more than a change of holder a minute for a year: those of a later era are higher, whatever the copy has lost. */
-const FENCES_PER_ERA = 2 ** 20;
 /**
  * Time for which an era must have been known before everybody is asked to refuse whoever held a lease before it, in milliseconds: longer than a call to the
  * store may take, so that no daemon still waits for the answer that makes it a holder, and enough for a daemon that has just started to hear of all others.
@@ -426,21 +392,3 @@
     };
   }
 }
-
-/** Whether a record is from before the store was restored. */
-function isLeftover({ record, era }: StoredLease): boolean {
-  return record.era !== undefined && record.era < era;
-}
-
-function isSamePosition(left: StorePosition, right: StorePosition): boolean {
-  return compareStorePositions(left, right) === 0;
-}
-
-/** Lowest fence that may be given in an era. */
-export function firstFenceOf(era: number): number {
-  return era * FENCES_PER_ERA + 1;
-}
-
-function nextFence({ record, era }: StoredLease): number {
-  return Math.max(record.fence + 1, firstFenceOf(era));
-}
