--- a/packages/coordination/test/lease-suspension.test.ts
+++ b/packages/coordination/test/lease-suspension.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { LeaseWorld, NO_TROUBLE, PAUSE_MS } from './lease-world.js';
+import { heldByOne, LeaseWorld, NO_TROUBLE, PAUSE_MS } from './lease-world.js';
 
 describe('a lease while machines are suspended', () => {
   it('never has two holders act within the pause, whatever is suspended, stops or is answered late', async () => {
@@ -35,18 +35,9 @@
   });
 
   describe('with witnesses', () => {
-    const LONG_MS = 60_000;
-
-    async function held(seed: number): Promise<{ lease: LeaseWorld; holder: string }> {
-      const lease = new LeaseWorld(seed, true, LONG_MS);
-      for (const machine of ['a', 'b', 'c', 'd']) lease.start(machine);
-      await lease.world.run(2000);
-      return { lease, holder: lease.acts[0]?.machine ?? '' };
-    }
-
     it('passes on when its holder is suspended, which does not act when it wakes', async () => {
       for (let seed = 500; seed < 530; seed += 1) {
-        const { lease, holder } = await held(seed);
+        const { lease, holder } = await heldByOne(seed);
         lease.runsOf.get(holder)?.process.suspend(3000 + seed);
         await lease.world.run(12_000);
         lease.check(PAUSE_MS);
@@ -56,7 +47,7 @@
 
     it('stays safe when witnesses and candidates are suspended, and when their time of day is set forward', async () => {
       for (let seed = 600; seed < 640; seed += 1) {
-        const { lease } = await held(seed);
+        const { lease } = await heldByOne(seed);
         for (let step = 1; step <= 20; step += 1) {
           await lease.world.run(2000 + step * 400);
           const machine = lease.random.pick(['a', 'b', 'c', 'd']) ?? 'a';
--- a/packages/coordination/test/lease-world.ts
+++ b/packages/coordination/test/lease-world.ts
@@ -381,3 +381,14 @@
     }
   }
 }
+
+/** Lifetime of a lease that witnesses must end, in milliseconds. */
+export const LONG_LIFETIME_MS = 60_000;
+
+/** Four machines after two seconds, one of which holds the lease for long. */
+export async function heldByOne(seed: number): Promise<{ lease: LeaseWorld; holder: string }> {
+  const lease = new LeaseWorld(seed, true, LONG_LIFETIME_MS);
+  for (const machine of ['a', 'b', 'c', 'd']) lease.start(machine);
+  await lease.world.run(2000);
+  return { lease, holder: lease.acts[0]?.machine ?? '' };
+}
--- a/packages/coordination/test/store-lease.test.ts
+++ b/packages/coordination/test/store-lease.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { CONTACT_LIFETIME_MS } from '../src/index.js';
-import { LeaseWorld, LIFETIME_MS, NO_TROUBLE, PAUSE_MS } from './lease-world.js';
+import { heldByOne, LeaseWorld, LIFETIME_MS, LONG_LIFETIME_MS, NO_TROUBLE, PAUSE_MS } from './lease-world.js';
 
 describe('StoreLease', () => {
   it('is taken at once when free, and by one of several', async () => {
@@ -236,17 +236,8 @@
   });
 
   describe('with witnesses', () => {
-    const LONG_MS = 60_000;
-
-    async function held(seed: number): Promise<{ lease: LeaseWorld; holder: string }> {
-      const lease = new LeaseWorld(seed, true, LONG_MS);
-      for (const machine of ['a', 'b', 'c', 'd']) lease.start(machine);
-      await lease.world.run(2000);
-      return { lease, holder: lease.acts[0]?.machine ?? '' };
-    }
-
     it('passes to another soon after its holder is lost, long before its lifetime ends', async () => {
-      const { lease, holder } = await held(10);
+      const { lease, holder } = await heldByOne(10);
       lease.kill(holder);
       await lease.world.run(2000 + CONTACT_LIFETIME_MS + 2000);
       lease.check(PAUSE_MS);
@@ -254,7 +245,7 @@
     });
 
     it('passes on when its holder is frozen, which does not act when it goes on', async () => {
-      const { lease, holder } = await held(11);
+      const { lease, holder } = await heldByOne(11);
       lease.runsOf.get(holder)?.process.pause(5000);
       await lease.world.run(12_000);
       lease.check(PAUSE_MS);
@@ -262,7 +253,7 @@
     });
 
     it('passes on when its holder is cut off from the others, though the store answers it', async () => {
-      const { lease, holder } = await held(12);
+      const { lease, holder } = await heldByOne(12);
       lease.cutOff.add(holder);
       await lease.world.run(8000);
       lease.check(PAUSE_MS);
@@ -270,7 +261,7 @@
     });
 
     it('stays with a holder that the others reach while the store is away', async () => {
-      const { lease, holder } = await held(13);
+      const { lease, holder } = await heldByOne(13);
       lease.store.trouble = { ...NO_TROUBLE, refused: 1 };
       await lease.world.run(12_000);
       lease.check(PAUSE_MS);
@@ -280,7 +271,7 @@
 
     it('never has two holders act within the pause, whatever stops, is cut off, freezes, or is answered late', async () => {
       for (let seed = 400; seed < 520; seed += 1) {
-        const lease = new LeaseWorld(seed, true, seed % 2 === 0 ? LONG_MS : 4000);
+        const lease = new LeaseWorld(seed, true, seed % 2 === 0 ? LONG_LIFETIME_MS : 4000);
         const machines = ['a', 'b', 'c', 'd'];
         for (const machine of machines) lease.start(machine);
         for (let step = 1; step <= 40; step += 1) {
