--- a/packages/quarantine/src/ends-records.ts
+++ b/packages/quarantine/src/ends-records.ts
@@ -70,11 +70,7 @@
 
   /** Removes records whose marks have run out. @param mayRemove Whether this daemon is to remove a record of a name. */
   async removeExpired(mayRemove: (name: string) => boolean): Promise<void> {
-    const { clock, store } = this.writer.options;
-    const oldest = clock.wall() - MARK_LIFETIME_MS;
-    for (const { content: name, at } of [...this.records.values()]) {
-      if (at < oldest && mayRemove(name)) await store.remove(name);
-    }
+    await this.writer.removeExpired(this.records.values(), MARK_LIFETIME_MS, mayRemove);
   }
 
   private keepAll(): void {
--- a/packages/quarantine/src/record-writer.ts
+++ b/packages/quarantine/src/record-writer.ts
@@ -39,6 +39,19 @@
     });
   }
 
+  /** Removes records whose time is over. @param mayRemove Whether this daemon is to remove a record of a name. */
+  async removeExpired(
+    records: Iterable<QuarantineEntry>,
+    lifetimeMs: number,
+    mayRemove: (name: string) => boolean,
+  ): Promise<void> {
+    const { clock, store } = this.options;
+    const oldest = clock.wall() - lifetimeMs;
+    for (const { content: name, at } of [...records]) {
+      if (at < oldest && mayRemove(name)) await store.remove(name);
+    }
+  }
+
   private async writeUntilTaken(
     record: QuarantineEntry,
     isNeeded: () => boolean,
--- a/packages/quarantine/src/verdict-records.ts
+++ b/packages/quarantine/src/verdict-records.ts
@@ -98,10 +98,7 @@
     for (const content of [...this.found]) {
       if (!this.records.has(content) && marks.endsOf(content) === 0) this.forget(content);
     }
-    const oldest = writer.options.clock.wall() - QUARANTINE_MS;
-    for (const { content, at } of [...this.records.values()]) {
-      if (at < oldest && removesRecord(content)) await writer.options.store.remove(content);
-    }
+    await writer.removeExpired(this.records.values(), QUARANTINE_MS, removesRecord);
   }
 
   /** Writes the record of a verdict that no daemon which saw an end has written. */
