--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -176,12 +176,20 @@
   }
 
   /** The record of a name has vanished: its back end is removed unless the record comes back within a grace. */
-  recordVanished(name: string, graceMs = ABSENCE_GRACE_MS): void {
+  recordVanished(name: string): void {
+    this.removeLater(name, ABSENCE_GRACE_MS, (id) => this.vanishedAt.set(id, this.clock.monotonic()));
+  }
+
+  private removeLater(
+    name: string,
+    graceMs: number,
+    onRemoved: (id: string) => void = () => undefined,
+  ): void {
     const id = this.idByName.get(name);
     const entry = id === undefined ? undefined : this.entries.get(id);
     if (id === undefined || entry === undefined || entry.cancelRemoval !== undefined) return;
     entry.cancelRemoval = this.clock.schedule(graceMs, () => {
-      this.vanishedAt.set(id, this.clock.monotonic());
+      onRemoved(id);
       this.delete(id);
     });
   }
@@ -196,21 +204,20 @@
 
   /** Makes the directory hold just these back ends. */
   replaceAll(backEnds: readonly BackEnd[]): void {
-    this.enterAll(backEnds, ABSENCE_GRACE_MS);
+    for (const name of this.namesMissingIn(backEnds)) this.recordVanished(name);
+    for (const backEnd of backEnds) this.put(backEnd);
   }
 
   /** The same as a copy shows them from which the store was restored: newer ones are missing there, and some that had gone are back. */
   restoreAll(backEnds: readonly BackEnd[]): void {
     this.restoredAt = this.clock.monotonic();
-    this.enterAll(backEnds, RESTORED_ABSENCE_GRACE_MS);
+    for (const name of this.namesMissingIn(backEnds)) this.removeLater(name, RESTORED_ABSENCE_GRACE_MS);
+    for (const backEnd of backEnds) this.put(backEnd);
   }
 
-  private enterAll(backEnds: readonly BackEnd[], graceMs: number): void {
+  private namesMissingIn(backEnds: readonly BackEnd[]): string[] {
     const names = new Set(backEnds.map(({ name }) => name));
-    for (const name of [...this.idByName.keys()]) {
-      if (!names.has(name)) this.recordVanished(name, graceMs);
-    }
-    for (const backEnd of backEnds) this.put(backEnd);
+    return [...this.idByName.keys()].filter((name) => !names.has(name));
   }
 
   /** Notes that a target is, or is no longer, resident on a back end. */
--- a/packages/backends/test/backend-directory.test.ts
+++ b/packages/backends/test/backend-directory.test.ts
@@ -58,6 +58,14 @@
       expect(directory.get('one')).to.equal(undefined);
     });
 
+    it('uses a back end at once that the copy lacks and that is recorded again after the grace', async () => {
+      directory.put(worker('one'));
+      directory.restoreAll([]);
+      await world.run(world.now + RESTORED_ABSENCE_GRACE_MS + 100);
+      directory.put(worker('one'));
+      expect(directory.get('one')?.draining).to.equal(false);
+    });
+
     it('keeps to the word of a back end that it leaves, where the copy shows it as ready', () => {
       directory.put(worker('one'));
       directory.put(worker('one', [], true));
