--- a/packages/serving/test/exchange.test.ts
+++ b/packages/serving/test/exchange.test.ts
@@ -236,6 +236,50 @@
     expect(callers).to.have.lengthOf(STORE_FOLLOWERS);
   });
 
+  it('has all daemons begin anew when the store is restored, and take what is written then', async () => {
+    const restore = world.store.takeCopy();
+    for (let change = 0; change < 40; change += 1) world.store.put(BACK_ENDS, 'other', change);
+    await world.cluster.advance(1500);
+    restore();
+    await world.cluster.advance(2000);
+    expect(world.except(({ values }) => !values.has(`${BACK_ENDS}/other`))).to.deep.equal([]);
+    world.store.put(CONFIGURATION, 'main', 2);
+    world.store.put(BACK_ENDS, 'w1', 'leaves');
+    await world.cluster.advance(1500);
+    expect(world.except(hasConfiguration(2))).to.deep.equal([]);
+    expect(world.except(({ values }) => values.get(`${BACK_ENDS}/w1`) === 'leaves')).to.deep.equal([]);
+  });
+
+  it('has daemons begin anew that the store does not answer, by the word of the others', async () => {
+    const restore = world.store.takeCopy();
+    for (let change = 0; change < 40; change += 1) world.store.put(BACK_ENDS, 'other', change);
+    await world.cluster.advance(1500);
+    const cutOff = world.relays('alpha');
+    for (const { self } of cutOff) world.store.unreachableFor.add(self.id);
+    restore();
+    await world.cluster.advance(2000);
+    world.store.put(BACK_ENDS, 'w1', 'leaves');
+    await world.cluster.advance(1500);
+    expect(world.except(({ values }) => values.get(`${BACK_ENDS}/w1`) === 'leaves')).to.deep.equal([]);
+  });
+
+  it('goes on where the revision that is watched from is given out again at once', async () => {
+    const restore = world.store.takeCopy();
+    world.store.put(BACK_ENDS, 'lost', 'here');
+    await world.cluster.advance(1500);
+    restore();
+    // The watches under way go on from a revision that stands for another change now.
+    world.store.put(BACK_ENDS, 'w2', 'here');
+    world.store.put(BACK_ENDS, 'w3', 'here');
+    await world.cluster.advance(3000);
+    for (const name of ['w2', 'w3'])
+      expect(
+        world.except(({ values }) => values.has(`${BACK_ENDS}/${name}`)),
+        name,
+      ).to.deep.equal([]);
+    expect(world.except(({ values }) => !values.has(`${BACK_ENDS}/lost`))).to.deep.equal([]);
+  });
+
   it('has other relays follow the store where it turns those away that did', async () => {
     world.store.takeCallers();
     await world.cluster.advance(3000);
--- a/packages/serving/test/store-in-memory.ts
+++ b/packages/serving/test/store-in-memory.ts
@@ -1,6 +1,6 @@
 /** A store of records on virtual time, for several daemons. */
 import { sleep, type Clock } from '@woodbarrow/runtime';
-import type { RecordEntry, RecordListing, RecordSource, WatchResult } from '../src/index.js';
+import type { RecordEntry, RecordListing, RecordSource, StorePosition, WatchResult } from '../src/index.js';
 
 const ANSWER_MS = 4;
 const LOOK_INTERVAL_MS = 20;
@@ -19,10 +19,11 @@
   readonly unreachableFor = new Set<string>();
   /** Daemons whose calls are taken and never answered, watches under way included. */
   readonly silentFor = new Set<string>();
-  private readonly changes: Change[] = [];
-  private readonly kinds = new Map<string, Map<string, RecordEntry>>();
+  private changes: Change[] = [];
+  private kinds = new Map<string, Map<string, RecordEntry>>();
   private readonly calls = new Map<string, number>();
   private revision = 0;
+  private era = 0;
 
   put(kind: string, name: string, value: unknown): RecordEntry {
     this.revision += 1;
@@ -40,6 +41,18 @@
     this.changes.push({ kind, record: { ...record, revision: this.revision }, gone: true });
   }
 
+  /** Returns what makes the store what it is now; its revisions are given out again then, and the era rises. */
+  takeCopy(): () => void {
+    const { revision } = this;
+    const kinds = [...this.kinds].map(([kind, records]) => [kind, new Map(records)] as const);
+    return () => {
+      this.revision = revision;
+      this.kinds = new Map(kinds.map(([kind, records]) => [kind, new Map(records)]));
+      this.changes = this.changes.filter(({ record }) => record.revision <= revision);
+      this.era += 1;
+    };
+  }
+
   /** Daemons that have called since the last time this was asked. */
   takeCallers(): string[] {
     const callers = [...this.calls.keys()];
@@ -57,7 +70,11 @@
 
   private async list(daemon: string, kind: string, clock: Clock): Promise<RecordListing> {
     await this.answer(daemon, clock);
-    return { records: [...this.ofKind(kind).values()], at: { era: 0, revision: this.revision } };
+    return { records: [...this.ofKind(kind).values()], at: this.at };
+  }
+
+  private get at(): StorePosition {
+    return { era: this.era, revision: this.revision };
   }
 
   private async watch(
@@ -71,9 +88,10 @@
     const until = clock.monotonic() + waitMs;
     for (;;) {
       await this.answer(daemon, clock, until + CALL_PATIENCE_MS);
+      if (from > this.revision) return { kind: 'history_gone' };
       const changes = this.changes.filter((change) => change.kind === kind && change.record.revision > from);
       if (changes.length > 0 || clock.monotonic() >= until) {
-        return { kind: 'changes', changes, at: { era: 0, revision: this.revision } };
+        return { kind: 'changes', changes, at: this.at };
       }
       await sleep(clock, LOOK_INTERVAL_MS, signal);
       if (signal.aborted) throw new Error('cut short');
