Claims of a daemon that has ended no longer block their key

Callers saw: a request with an idempotency key whose daemon was killed blocked the key for its whole lifetime. Every repeat was answered 409 already_running though nobody ran it, also where the first request had only waited for a model.

Cause: the ledger granted a claim before the request waited, and only its claimant could end it. It knew neither the daemon of the claimant nor whether the work had begun, and a settlement was given up after 5 s.

Fix: a claim names the run of its daemon, and is started at a majority just before the first dispatch. Once membership holds that run to have ended, a claim that was not started passes on, and one that was started is lost, with an unknown outcome. The first settlement is final and reported only once a majority has it; it is repeated for the lifetime of the key.

Why it holds: the ledger refuses to start a claim that has passed on, so a daemon that was only suspended cannot run.

WitnessId was a second type for the run of a daemon and is now Incarnation.

--- a/packages/coordination/src/claim-ledger.ts
+++ b/packages/coordination/src/claim-ledger.ts
@@ -2,23 +2,37 @@
 import { WoodbarrowError } from '@woodbarrow/errors';
 import {
   claimMethod,
+  describeClaimMethod,
   settleClaimMethod,
+  startClaimMethod,
   type ClaimRequest,
   type ClaimResponse,
+  type DescribeClaimRequest,
+  type DescribeClaimResponse,
+  type Incarnation,
   type SettleClaimRequest,
+  type SettleClaimResponse,
+  type StartClaimRequest,
+  type StartClaimResponse,
 } from '@woodbarrow/protocol';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import { BackgroundService, sleep, type Clock } from '@woodbarrow/runtime';
 import type { Lease } from './lease.js';
 import type { LeaseCandidate } from './lease-candidate.js';
+import { StoredAnswers } from './stored-answers.js';
 
-/** State of a claimed key. */
+/**
+ * State of a claimed key. The work of a `waiting` claim has not begun; that of a `started` one may have run. The other
+ * states are final.
+ */
 interface Claim {
   readonly claimant: string;
+  /** Daemon that the claimant runs on, if it stated one. */
+  readonly daemon?: Incarnation;
   readonly fingerprint: string;
   /** Wall time after which the claim may be deleted, in milliseconds since the epoch. */
   readonly expiresAt: number;
-  readonly finished: boolean;
+  readonly state: 'waiting' | 'started' | 'finished' | 'abandoned';
 }
 
 export interface ClaimLedgerOptions {
@@ -29,6 +43,12 @@
    * Longest lifetime of a claim in milliseconds. A ledger that has existed for less may lack earlier claims.
    */
   readonly maximumLifetimeMs: number;
+  /**
+   * Whether a run of a daemon has ended. A wrong `true` never causes a second run: it ends a claim that was started with
+   * an unknown outcome, and gives one that was not started to another claimant.
+   * @default never
+   */
+  readonly hasEnded?: (daemon: Incarnation) => boolean;
   /**
    * Maximum number of claims. Once it is reached, new claims are refused; existing ones are not evicted.
    * @default 200000
@@ -61,11 +81,13 @@
   private readonly claims = new Map<string, Claim>();
   /** Claims whose replication is pending; another claimant of the same key waits for the outcome. */
   private readonly pendingWrites = new Map<string, Promise<void>>();
-  private readonly answers = new Map<string, Uint8Array>();
-  private answerBytes = 0;
+  /** Keys whose last write failed: only a minority of voters may have it. */
+  private readonly unconfirmed = new Set<string>();
+  private readonly answers: StoredAnswers;
 
   constructor(private readonly options: ClaimLedgerOptions) {
     super(options.clock, options.onTaskFailure);
+    this.answers = new StoredAnswers(options.maximumAnswerBytes ?? DEFAULT_MAXIMUM_ANSWER_BYTES);
   }
 
   /** Number of claims in the ledger. */
@@ -81,10 +103,9 @@
       this.reset();
     });
     peers.handle(claimMethod, (request) => this.claim(request));
-    peers.handle(settleClaimMethod, async (request) => {
-      await this.settle(request);
-      return {};
-    });
+    peers.handle(startClaimMethod, (request) => this.startClaim(request));
+    peers.handle(settleClaimMethod, (request) => this.settle(request));
+    peers.handle(describeClaimMethod, (request) => this.describe(request));
     this.tasks.loop(
       'claims.expire',
       () => EXPIRY_INTERVAL_MS,
@@ -121,30 +142,38 @@
     this.lease = undefined;
     this.claims.clear();
     this.pendingWrites.clear();
+    this.unconfirmed.clear();
     this.answers.clear();
-    this.answerBytes = 0;
   }
 
   private async claim(request: ClaimRequest): Promise<ClaimResponse> {
-    const lease = this.currentLease();
-    await this.pendingWrites.get(request.key)?.catch(() => undefined);
-    if (lease !== this.lease)
-      throw new WoodbarrowError('not_leader', 'the ledger has moved to another daemon');
+    const lease = await this.leaseForAccessTo(request.key);
     const existing = this.claims.get(request.key);
     if (existing !== undefined) return this.respondToExisting(lease, request, existing);
-    if (!this.isCertainlyUnclaimed(request)) return { outcome: 'unknown' };
+    if (!this.isCertainlyUnclaimed(request.ageMs)) return { outcome: 'unknown' };
     if (this.claims.size >= (this.options.maximumKeys ?? DEFAULT_MAXIMUM_KEYS)) {
       throw new WoodbarrowError('queue_full', 'the ledger of claims has reached its maximum number of keys');
     }
-    const lifetimeMs = Math.min(request.lifetimeMs, this.options.maximumLifetimeMs);
-    const claim: Claim = {
-      claimant: request.claimant,
-      fingerprint: request.fingerprint,
-      expiresAt: this.options.clock.wall() + lifetimeMs,
-      finished: false,
+    return this.grant(lease, request);
+  }
+
+  private async grant(lease: Lease, request: ClaimRequest): Promise<ClaimResponse> {
+    await this.record(lease, request.key, this.newClaim(request, 'waiting'));
+    return { outcome: 'granted', claimant: request.claimant };
+  }
+
+  private newClaim(
+    { claimant, daemon, fingerprint, lifetimeMs }: Omit<ClaimRequest, 'key'>,
+    state: Claim['state'],
+  ): Claim {
+    const lifetime = Math.min(lifetimeMs, this.options.maximumLifetimeMs);
+    return {
+      claimant,
+      ...(daemon === undefined ? {} : { daemon }),
+      fingerprint,
+      expiresAt: this.options.clock.wall() + lifetime,
+      state,
     };
-    await this.record(lease, request.key, claim);
-    return { outcome: 'granted' };
   }
 
   private async respondToExisting(
@@ -152,36 +181,100 @@
     request: ClaimRequest,
     existing: Claim,
   ): Promise<ClaimResponse> {
+    const { claimant } = existing;
     if (existing.fingerprint !== request.fingerprint) return { outcome: 'mismatch' };
-    if (existing.claimant === request.claimant && !existing.finished) {
+    if (claimant === request.claimant && isOpen(existing)) {
       // The earlier write may have reached only a minority, which the next leader may not read.
       await this.record(lease, request.key, existing);
-      return { outcome: 'granted' };
+      return { outcome: 'granted', claimant };
     }
-    if (!existing.finished) return { outcome: 'running' };
-    const answer = this.answers.get(request.key);
-    return answer === undefined ? { outcome: 'finished' } : { outcome: 'finished', answer };
+    const isLost = this.isLost(existing);
+    // Work that was not started cannot have run, and the lost claimant can no longer start it.
+    if (existing.state === 'waiting' && isLost) return this.grant(lease, request);
+    await this.confirm(lease, request.key, existing);
+    switch (existing.state) {
+      case 'waiting':
+        return { outcome: 'running', claimant };
+      case 'started':
+        return { outcome: isLost ? 'lost' : 'running', claimant };
+      case 'abandoned':
+        return { outcome: 'abandoned', claimant };
+      case 'finished': {
+        const answer = this.answers.get(request.key);
+        return { outcome: 'finished', claimant, ...(answer === undefined ? {} : { answer }) };
+      }
+    }
+  }
+
+  private async startClaim({ key, claimant }: StartClaimRequest): Promise<StartClaimResponse> {
+    const lease = await this.leaseForAccessTo(key);
+    const existing = this.claims.get(key);
+    if (existing?.claimant !== claimant || !isOpen(existing)) return { started: false };
+    await this.record(lease, key, { ...existing, state: 'started' });
+    return { started: true };
+  }
+
+  private async settle(request: SettleClaimRequest): Promise<SettleClaimResponse> {
+    const { key, claimant, result, claim } = request;
+    const lease = await this.leaseForAccessTo(key);
+    const existing = this.claims.get(key);
+    if (existing === undefined) {
+      if (result === 'released' || claim === undefined) return { state: 'released' };
+      return this.recordEnd(lease, request, this.newClaim({ claimant, ...claim }, result));
+    }
+    if (existing.state === 'finished' || existing.state === 'abandoned') {
+      await this.confirm(lease, key, existing);
+      return { state: existing.state, claimant: existing.claimant };
+    }
+    const isAllowed = result === 'abandoned' ? this.isLost(existing) : true;
+    if (existing.claimant !== claimant || !isAllowed)
+      return { state: 'running', claimant: existing.claimant };
+    if (result !== 'released') return this.recordEnd(lease, request, { ...existing, state: result });
+    await this.deleteClaims(lease, [key]);
+    return { state: result };
+  }
+
+  private async recordEnd(
+    lease: Lease,
+    { key, claimant, answer }: SettleClaimRequest,
+    claim: Claim,
+  ): Promise<SettleClaimResponse> {
+    if (answer !== undefined) this.answers.set(key, answer);
+    await this.record(lease, key, claim);
+    return { state: claim.state === 'finished' ? 'finished' : 'abandoned', claimant };
+  }
+
+  private async describe({ key, ageMs }: DescribeClaimRequest): Promise<DescribeClaimResponse> {
+    const lease = await this.leaseForAccessTo(key);
+    const existing = this.claims.get(key);
+    if (existing === undefined) return { state: this.isCertainlyUnclaimed(ageMs) ? 'none' : 'unknown' };
+    await this.confirm(lease, key, existing);
+    return { state: existing.state, claimant: existing.claimant };
   }
 
   /**
    * Whether a key without a claim is certainly unclaimed: it is newer than the time since which the ledger is
    * complete.
    */
-  private isCertainlyUnclaimed(request: ClaimRequest): boolean {
-    const age = request.ageMs ?? this.options.maximumLifetimeMs;
+  private isCertainlyUnclaimed(ageMs: number | undefined): boolean {
+    const age = ageMs ?? this.options.maximumLifetimeMs;
     return this.options.clock.wall() - age >= this.knownSince;
   }
 
-  private async settle(request: SettleClaimRequest): Promise<void> {
+  private isLost({ daemon }: Claim): boolean {
+    return daemon !== undefined && this.options.hasEnded?.(daemon) === true;
+  }
+
+  /** Waits until no write of the key is pending, so that no response reports a state that is not replicated. */
+  private async leaseForAccessTo(key: string): Promise<Lease> {
     const lease = this.currentLease();
-    const existing = this.claims.get(request.key);
-    if (existing === undefined || existing.claimant !== request.claimant) return;
-    if (request.result === 'released') {
-      await this.deleteClaims(lease, [request.key]);
-      return;
+    for (let pending = this.pendingWrites.get(key); pending !== undefined;) {
+      await pending.catch(() => undefined);
+      pending = this.pendingWrites.get(key);
     }
-    if (request.answer !== undefined) this.cacheAnswer(request.key, request.answer);
-    await this.record(lease, request.key, { ...existing, finished: true });
+    if (lease !== this.lease)
+      throw new WoodbarrowError('not_leader', 'the ledger has moved to another daemon');
+    return lease;
   }
 
   private currentLease(): Lease {
@@ -196,38 +289,30 @@
     this.claims.set(key, claim);
     const write = lease.write(new Map([[key, claim]]));
     this.pendingWrites.set(key, write);
+    this.unconfirmed.add(key);
     try {
       await write;
+      this.unconfirmed.delete(key);
     } finally {
       if (this.pendingWrites.get(key) === write) this.pendingWrites.delete(key);
     }
     lease.assertValid();
   }
 
+  /** Replicates a claim again if its last write failed, since the next leader may not read it. */
+  private async confirm(lease: Lease, key: string, claim: Claim): Promise<void> {
+    if (this.unconfirmed.has(key)) await this.record(lease, key, claim);
+  }
+
   private async deleteClaims(lease: Lease, keys: readonly string[]): Promise<void> {
     await lease.write(new Map(keys.map((key) => [key, null])));
     for (const key of keys) {
       this.claims.delete(key);
-      this.dropAnswer(key);
-    }
-  }
-
-  private cacheAnswer(key: string, answer: Uint8Array): void {
-    const limit = this.options.maximumAnswerBytes ?? DEFAULT_MAXIMUM_ANSWER_BYTES;
-    if (answer.byteLength > limit) return;
-    this.answers.set(key, answer);
-    this.answerBytes += answer.byteLength;
-    for (const oldest of this.answers.keys()) {
-      if (this.answerBytes <= limit) break;
-      this.dropAnswer(oldest);
+      this.unconfirmed.delete(key);
+      this.answers.delete(key);
     }
   }
 
-  private dropAnswer(key: string): void {
-    this.answerBytes -= this.answers.get(key)?.byteLength ?? 0;
-    this.answers.delete(key);
-  }
-
   private async expire(): Promise<void> {
     const lease = this.lease;
     if (lease === undefined || !lease.isValid) return;
@@ -241,6 +326,11 @@
   }
 }
 
+/** Whether a claim has not been settled yet. */
+function isOpen({ state }: Claim): boolean {
+  return state === 'waiting' || state === 'started';
+}
+
 /** Wall time since which every claim is in the ledger; 0 in the first epoch, which has no earlier claims. */
 function completeSince(lease: Lease, origin: LedgerOrigin | undefined, wall: number): number {
   if (lease.isComplete && origin !== undefined) return origin.knownSince;
--- a/packages/coordination/src/lease-witness.ts
+++ b/packages/coordination/src/lease-witness.ts
@@ -4,14 +4,11 @@
  * refused the holder: any two majorities overlap, so a refused holder that is lost, frozen or partitioned
  * cannot act. Witness state is in memory only; a restarted daemon is a different witness.
  */
-import { compareStorePositions, type StorePosition } from '@woodbarrow/protocol';
+import { compareStorePositions, type Incarnation, type StorePosition } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
 
 /** Identifies one run of a daemon as a witness. */
-export interface WitnessId {
-  readonly id: string;
-  readonly instance: number;
-}
+export type WitnessId = Incarnation;
 
 /** Milliseconds for which a holder may act after it sent a request that a witness accepted. */
 export const CONTACT_LIFETIME_MS = 1500;
--- a/packages/coordination/test/claims.test.ts
+++ b/packages/coordination/test/claims.test.ts
@@ -1,6 +1,12 @@
 import { expect } from 'chai';
 import { SimulatedCluster, type SimulatedNode } from '@woodbarrow/peering';
-import type { ClaimRequest, ClaimResponse } from '@woodbarrow/protocol';
+import type { WoodbarrowError } from '@woodbarrow/errors';
+import type {
+  ClaimRequest,
+  ClaimResponse,
+  SettleClaimRequest,
+  SettleClaimResponse,
+} from '@woodbarrow/protocol';
 import {
   ClaimLedger,
   ClaimsClient,
@@ -19,6 +25,8 @@
   private readonly candidates = new Map<string, LeaseCandidate>();
   sets: VoterSets | undefined;
   leader = 'a';
+  /** Daemons that the ledger takes for ended. */
+  readonly ended = new Set<string>();
 
   async start(): Promise<void> {
     for (const name of ['a', 'b', 'c']) await this.add(name);
@@ -40,7 +48,12 @@
       isWilling: () => this.leader === name,
     });
     this.candidates.set(name, candidate);
-    new ClaimLedger({ ...common, candidate, maximumLifetimeMs: LIFETIME_MS }).start();
+    new ClaimLedger({
+      ...common,
+      candidate,
+      maximumLifetimeMs: LIFETIME_MS,
+      hasEnded: ({ id }) => this.ended.has(id),
+    }).start();
     candidate.start();
   }
 
@@ -70,6 +83,30 @@
     return this.cluster.settle(this.client(at).claim(request, 5000));
   }
 
+  /** Claims the key for a claimant on a daemon. */
+  claimOn(daemon: string, claimant: string): Promise<ClaimResponse> {
+    return this.claim('b', claimant, { daemon: { id: daemon, instance: 1 } });
+  }
+
+  /** Starts the claim of a claimant; resolves with the error kind if that is refused. */
+  startClaim(claimant: string): Promise<string> {
+    const starting = this.client('c').start({ key: 'key', claimant }, 5000);
+    return this.cluster.settle(
+      starting.then(
+        () => 'started',
+        (error: unknown) => (error as WoodbarrowError).kind,
+      ),
+    );
+  }
+
+  settle(
+    claimant: string,
+    result: SettleClaimRequest['result'],
+    more: Partial<SettleClaimRequest> = {},
+  ): Promise<SettleClaimResponse> {
+    return this.cluster.settle(this.client('c').settle({ key: 'key', claimant, result, ...more }));
+  }
+
   async moveTo(name: string): Promise<void> {
     this.leader = name;
     await this.cluster.advance(8000);
@@ -176,3 +213,66 @@
     expect((outcome as { kind?: string }).kind).to.equal('outcome_unknown');
   });
 });
+
+// Guards against keys that stay blocked, or work that runs twice, after the daemon of a claimant has ended.
+describe('claims of a daemon that has ended', () => {
+  it('are granted to another claimant if they were not started, and can then no longer be started', async () => {
+    const test = new LedgerCluster();
+    await test.start();
+    await test.claimOn('one', 'router-1');
+    expect((await test.claimOn('two', 'router-2')).outcome).to.equal('running');
+    test.ended.add('one');
+    expect((await test.claimOn('two', 'router-2')).outcome).to.equal('granted');
+    expect(await test.startClaim('router-1')).to.equal('already_running');
+    expect(await test.startClaim('router-2')).to.equal('started');
+    expect(await test.settle('router-1', 'released')).to.deep.equal({
+      state: 'running',
+      claimant: 'router-2',
+    });
+  });
+
+  it('are lost if they were started, and have the outcome of the first settlement', async () => {
+    const test = new LedgerCluster();
+    await test.start();
+    await test.claimOn('one', 'router-1');
+    await test.startClaim('router-1');
+    expect((await test.settle('router-1', 'abandoned')).state).to.equal('running');
+    test.ended.add('one');
+    const lost = { outcome: 'lost', claimant: 'router-1' };
+    expect(await test.claimOn('two', 'router-2')).to.deep.equal(lost);
+    const abandoned = { state: 'abandoned', claimant: 'router-1' };
+    expect(await test.settle('router-1', 'abandoned')).to.deep.equal(abandoned);
+    expect(await test.settle('router-1', 'finished')).to.deep.equal(abandoned);
+    expect(await test.startClaim('router-1')).to.equal('already_running');
+    await test.moveTo('b');
+    expect((await test.claimOn('two', 'router-2')).outcome).to.equal('abandoned');
+  });
+
+  it('stay finished if they were settled before', async () => {
+    const test = new LedgerCluster();
+    await test.start();
+    await test.claimOn('one', 'router-1');
+    await test.startClaim('router-1');
+    await test.settle('router-1', 'finished');
+    test.ended.add('one');
+    expect((await test.settle('router-1', 'abandoned')).state).to.equal('finished');
+    expect((await test.claimOn('two', 'router-2')).outcome).to.equal('finished');
+  });
+
+  it('are never taken over if the claimant named no daemon', async () => {
+    const test = new LedgerCluster();
+    await test.start();
+    await test.claim('b', 'router-1');
+    test.ended.add('one');
+    expect((await test.claim('c', 'router-2')).outcome).to.equal('running');
+  });
+
+  it('have the outcome that is settled in a ledger that has lost them', async () => {
+    const test = new LedgerCluster();
+    await test.start();
+    const claim = { fingerprint: 'f', lifetimeMs: LIFETIME_MS };
+    expect((await test.settle('router-1', 'finished', { claim })).state).to.equal('finished');
+    expect((await test.settle('router-2', 'abandoned', { claim })).claimant).to.equal('router-1');
+    expect((await test.claim('c', 'router-2')).outcome).to.equal('finished');
+  });
+});
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -71,6 +71,7 @@
   private readonly relayLease: LeaseCandidate;
   private readonly ledgerLease: LeaseCandidate;
   private readonly voterSetKeepers: readonly VoterSetKeeper[];
+  private readonly claims: ClaimsClient;
   private readonly jobs: JobService;
   private readonly locator: LeaseLocator;
   private readonly seeds: SeedSource;
@@ -158,8 +159,10 @@
       peers,
       candidate: this.ledgerLease,
       maximumLifetimeMs: MAXIMUM_KEY_LIFETIME_MS,
+      hasEnded: (daemon) => membership.hasEnded(daemon),
       onTaskFailure,
     });
+    this.claims = new ClaimsClient(LEDGER_GROUP, peers, clock, this.locator);
     const engines = new EngineClient(http);
     this.coordinator = new ZoneCoordinator({
       zone,
@@ -188,8 +191,10 @@
       catalog: this.catalog,
       router: this.router,
       admission: new Admission({ maximumRequests: settings.limits.maximumRequests }),
-      claims: new ClaimsClient(LEDGER_GROUP, peers, clock, this.locator),
+      claims: this.claims,
       clock,
+      local: { id, instance },
+      onTaskFailure,
       onResponse: (result, waitedMs) => {
         this.metrics.recordResponse(result, waitedMs);
       },
@@ -300,8 +305,7 @@
     await sleep(clock, HANDOVER_MIN_WAIT_MS);
     while (clock.monotonic() < handoverDeadline && !this.isHandoverComplete())
       await sleep(clock, DRAIN_POLL_MS);
-    while (clock.monotonic() < graceDeadline && this.requestsInProgress() > 0)
-      await sleep(clock, DRAIN_POLL_MS);
+    while (clock.monotonic() < graceDeadline && this.hasUnfinishedWork()) await sleep(clock, DRAIN_POLL_MS);
     log.changed('daemon_stopping', { unfinished: this.requestsInProgress() });
     await this.membership.leave();
     for (const server of this.servers) await server.close();
@@ -318,6 +322,11 @@
     return Math.max(this.completions.active, callers?.activeRequests() ?? 0) + this.jobs.active;
   }
 
+  /** Whether requests are in progress, or the ledger still lacks outcomes that only this daemon knows. */
+  private hasUnfinishedWork(): boolean {
+    return this.requestsInProgress() > 0 || this.claims.pendingSettlements > 0;
+  }
+
   /** Whether no request waits in a queue here and no voter set includes this daemon. */
   private isHandoverComplete(): boolean {
     const groups = [coordinatorGroup(this.settings.zone), LEDGER_GROUP];
--- a/packages/gateway/src/completions.ts
+++ b/packages/gateway/src/completions.ts
@@ -2,6 +2,7 @@
 import type { Catalog, CatalogTenant } from '@woodbarrow/configuration';
 import type { ClaimsClient } from '@woodbarrow/coordination';
 import { WoodbarrowError, toWoodbarrowError } from '@woodbarrow/errors';
+import type { Incarnation, SettleClaimRequest } from '@woodbarrow/protocol';
 import { hashText, type Clock, type HttpRequest, type HttpResponse } from '@woodbarrow/runtime';
 import { hasDoneEvent, type Admission, type Router } from '@woodbarrow/routing';
 import { readCompletionRequest, type CompletionRequest } from './completion-request.js';
@@ -13,6 +14,10 @@
   readonly admission: Admission;
   readonly claims: ClaimsClient;
   readonly clock: Clock;
+  /** This run of the daemon, so that its claims can be taken over once it has ended. @default never taken over */
+  readonly local?: Incarnation;
+  /** Called when a claim could not be settled. */
+  readonly onTaskFailure?: (name: string, error: unknown) => void;
   /**
    * Called when the response of a request starts or the request fails, for metrics. `kind` is `served` or an error kind.
    */
@@ -20,10 +25,7 @@
 }
 
 /** An idempotency key that this request has claimed in the claim ledger. */
-interface HeldClaim {
-  readonly key: string;
-  readonly claimant: string;
-}
+type HeldClaim = Required<Pick<SettleClaimRequest, 'key' | 'claimant' | 'claim'>>;
 
 /** Maximum size of a response that is stored for repeated requests with its idempotency key, in bytes. */
 const MAX_STORED_RESPONSE_BYTES = 65_536;
@@ -82,6 +84,7 @@
   ): Promise<HttpResponse> {
     const claim = await this.claim(requestId, request, tenant, completion);
     if (claim !== undefined && 'answer' in claim) return claim.answer;
+    const deadline = startedAt + completion.waitMs * (1 - MAX_CLOCK_RATE_ERROR);
     try {
       const response = await this.options.router.route({
         requestId,
@@ -93,9 +96,10 @@
         priority: completion.priorityClass.priority,
         deferrable: completion.priorityClass.deferrable,
         receivedAt: startedAt,
-        deadline: startedAt + completion.waitMs * (1 - MAX_CLOCK_RATE_ERROR),
+        deadline,
         runLimitMs: tenant.parameters.limits.runSeconds * 1000,
         repeatable: completion.repeatable && claim === undefined,
+        ...(claim === undefined ? {} : { beforeDispatch: () => this.startClaim(claim, deadline) }),
         affinity: completion.affinity,
         queueLimit: tenant.parameters.limits.queuedRequests,
         signal: request.signal,
@@ -108,6 +112,11 @@
     }
   }
 
+  /** States in the ledger that the request is about to run, so that its claim is only given to another while it has not. */
+  private async startClaim({ key, claimant }: HeldClaim, deadline: number): Promise<void> {
+    await this.options.claims.start({ key, claimant }, deadline - this.options.clock.monotonic());
+  }
+
   /**
    * Claims the request's idempotency key, if it has one. Returns the claim to settle, or the stored response of an
    * earlier run.
@@ -120,19 +129,23 @@
   ): Promise<HeldClaim | { readonly answer: HttpResponse } | undefined> {
     if (completion.idempotencyKey === undefined) return undefined;
     const key = `${tenant.name}/${completion.idempotencyKey}`;
+    const claim = {
+      fingerprint: String(hashText(Buffer.from(request.body).toString('latin1'))),
+      lifetimeMs: tenant.parameters.keyLifetimeSeconds * 1000,
+    };
     const result = await this.options.claims.claim(
       {
         key,
         claimant,
-        fingerprint: String(hashText(Buffer.from(request.body).toString('latin1'))),
-        lifetimeMs: tenant.parameters.keyLifetimeSeconds * 1000,
+        ...(this.options.local === undefined ? {} : { daemon: this.options.local }),
+        ...claim,
         ...(completion.idempotencyKeyAgeMs === undefined ? {} : { ageMs: completion.idempotencyKeyAgeMs }),
       },
       completion.waitMs * CLAIM_WAIT_FRACTION,
     );
     switch (result.outcome) {
       case 'granted':
-        return { key, claimant };
+        return { key, claimant, claim };
       case 'running':
         throw new WoodbarrowError('already_running', 'a request with this idempotency key is in progress');
       case 'mismatch':
@@ -142,6 +155,12 @@
           'outcome_unknown',
           'cannot determine whether this idempotency key was used before',
         );
+      case 'lost':
+      case 'abandoned':
+        throw new WoodbarrowError(
+          'outcome_unknown',
+          'the daemon that ran the request with this idempotency key was lost; the request may have run',
+        );
       case 'finished':
         if (result.answer === undefined) {
           throw new WoodbarrowError(
@@ -154,7 +173,12 @@
   }
 
   private settle(claim: HeldClaim, result: 'finished' | 'released', answer?: Uint8Array): void {
-    void this.options.claims.settle({ ...claim, result, ...(answer === undefined ? {} : { answer }) });
+    const settling = this.options.claims.settle({
+      ...claim,
+      result,
+      ...(answer === undefined ? {} : { answer }),
+    });
+    settling.catch((error: unknown) => this.options.onTaskFailure?.('gateway.settle', error));
   }
 
   /** Settles the claim when the response is complete, and stores the response for repeated requests. */
--- a/packages/lab/src/commands/check-model.ts
+++ b/packages/lab/src/commands/check-model.ts
@@ -1,6 +1,6 @@
 /** `woodbarrow-lab check-model`: explores every specification, complete and with each guard removed. */
 import { SystemClock } from '@woodbarrow/runtime';
-import { CLAIMS_DEFECTS, claimsModel } from '../model/claims-model.js';
+import { CLAIMS_DEFECTS, TAKEOVER_BOUNDS, TAKEOVER_DEFECTS, claimsModel } from '../model/claims-model.js';
 import { explore, type Exploration } from '../model/explore.js';
 import {
   LEASE_BOUNDS,
@@ -52,6 +52,11 @@
     ...ORDER_DEFECTS.map((defect) => ({ defect, run: () => explore(orderModel(new Set([defect]))) })),
     { defect: undefined, run: () => explore(claimsModel()) },
     ...CLAIMS_DEFECTS.map((defect) => ({ defect, run: () => explore(claimsModel(new Set([defect]))) })),
+    { defect: undefined, run: () => explore(claimsModel(new Set(), TAKEOVER_BOUNDS)) },
+    ...TAKEOVER_DEFECTS.map((defect) => ({
+      defect,
+      run: () => explore(claimsModel(new Set([defect]), TAKEOVER_BOUNDS)),
+    })),
     { defect: undefined, run: () => explore(platformWriteModel()) },
     ...PLATFORM_WRITE_DEFECTS.map((defect) => ({
       defect,
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -8,6 +8,7 @@
   probeMethod,
   syncMethod,
   updateMethod,
+  type Incarnation,
   type MemberRecord,
   type ProbeMessage,
   type SyncRequest,
@@ -126,6 +127,16 @@
     return this.table.get(id);
   }
 
+  /**
+   * Whether a run of a daemon has ended in this member's view. A run that is suspended or partitioned looks like an ended
+   * one. A run without a record counts as ended once this member has had time to learn of all members.
+   */
+  hasEnded({ id, instance }: Incarnation): boolean {
+    const record = this.table.get(id);
+    if (record === undefined) return !this.isRecentlyStarted();
+    return record.instance > instance || (record.instance === instance && !isPresent(record));
+  }
+
   /** Digest of the present members; equal views have equal digests. */
   viewDigest(): number {
     return this.table.digest();
--- a/packages/protocol/src/coordination-messages.ts
+++ b/packages/protocol/src/coordination-messages.ts
@@ -1,5 +1,5 @@
 /** Messages of the coordination package: leases with replicated records, and claims. */
-import type { Acknowledgement } from './membership-messages.js';
+import type { Acknowledgement, Incarnation } from './membership-messages.js';
 import { definePeerMethod } from './method.js';
 
 /** One voter: a single run of a daemon process. */
@@ -107,6 +107,8 @@
   readonly key: string;
   /** Identifies the attempt; the same claimant may repeat its request. */
   readonly claimant: string;
+  /** Daemon that the claimant runs on. A claim without one is never taken over. */
+  readonly daemon?: Incarnation;
   /** Digest of the work, to detect a key reused for different work. */
   readonly fingerprint: string;
   /** Retention time of the key, in milliseconds. */
@@ -115,22 +117,78 @@
   readonly ageMs?: number;
 }
 
-/** Result of a claim. `unknown` means that the ledger cannot determine whether the key was used before. */
-export type ClaimOutcome = 'granted' | 'running' | 'finished' | 'unknown' | 'mismatch';
+/**
+ * Result of a claim:
+ *
+ * - `granted`: the claimant holds the key, and must start the claim before it begins the work.
+ * - `running`: another claimant holds the key.
+ * - `lost`: the work was started, and the daemon of its claimant has ended without settling the claim.
+ * - `finished`: the work has ended.
+ * - `abandoned`: the claim was given up after its claimant was lost; the work may have run.
+ * - `unknown`: the ledger cannot determine whether the key was used before.
+ * - `mismatch`: the key was used for different work.
+ */
+export type ClaimOutcome = 'granted' | 'running' | 'lost' | 'finished' | 'abandoned' | 'unknown' | 'mismatch';
 
 export interface ClaimResponse {
   readonly outcome: ClaimOutcome;
+  /** Claimant that holds or held the key; absent with `unknown` and `mismatch`. */
+  readonly claimant?: string;
   /** With `finished`, the stored response while it is retained. */
   readonly answer?: Uint8Array;
 }
 
-/** Ends a claim: `finished` with a response, or `released` if the work is certain not to have run. */
+/** States that the work of a claim is about to begin; from then on no other claimant is granted the key. */
+export interface StartClaimRequest {
+  readonly key: string;
+  readonly claimant: string;
+}
+
+export interface StartClaimResponse {
+  /** False when the claimant no longer holds the key, and must not begin the work. */
+  readonly started: boolean;
+}
+
+/**
+ * Ends a claim: `finished` by its claimant or on its behalf, `released` if the work is certain not to have run, or
+ * `abandoned` once the claimant is lost. The first settlement is final, except for a release.
+ */
 export interface SettleClaimRequest {
   readonly key: string;
   readonly claimant: string;
-  readonly result: 'finished' | 'released';
+  readonly result: 'finished' | 'released' | 'abandoned';
+  /** What the claim carried; a ledger that has lost the claim needs it to record its end. */
+  readonly claim?: Pick<ClaimRequest, 'fingerprint' | 'lifetimeMs'>;
   readonly answer?: Uint8Array;
 }
 
+/**
+ * State of a claim after a settlement. It differs from the requested result when the claim was settled before, or when
+ * it belongs to another claimant. `running` means that it has not been settled, `released` that the key is not claimed.
+ */
+export interface SettleClaimResponse {
+  readonly state: 'running' | 'finished' | 'released' | 'abandoned';
+  /** Claimant whose work the state refers to; absent with `released`. */
+  readonly claimant?: string;
+}
+
+/** Asks for the state of a claim without claiming its key. */
+export interface DescribeClaimRequest {
+  readonly key: string;
+  /** Age of the key in milliseconds. */
+  readonly ageMs: number;
+}
+
+export interface DescribeClaimResponse {
+  /** `none` means that the key was certainly not claimed. */
+  readonly state: 'none' | 'unknown' | 'waiting' | 'started' | 'finished' | 'abandoned';
+  /** Claimant that holds or held the key; absent with `none` and `unknown`. */
+  readonly claimant?: string;
+}
+
 export const claimMethod = definePeerMethod<ClaimRequest, ClaimResponse>('claims.claim');
-export const settleClaimMethod = definePeerMethod<SettleClaimRequest, Acknowledgement>('claims.settle');
+export const startClaimMethod = definePeerMethod<StartClaimRequest, StartClaimResponse>('claims.start');
+export const settleClaimMethod = definePeerMethod<SettleClaimRequest, SettleClaimResponse>('claims.settle');
+export const describeClaimMethod = definePeerMethod<DescribeClaimRequest, DescribeClaimResponse>(
+  'claims.describe',
+);
--- a/packages/protocol/src/membership-messages.ts
+++ b/packages/protocol/src/membership-messages.ts
@@ -4,17 +4,21 @@
 /** Observed state of a member. For the same incarnation, a state later in this list replaces an earlier one. */
 export type MemberStatus = 'alive' | 'leaving' | 'suspect' | 'dead' | 'left';
 
-/** One member, as spread by gossip. */
-export interface MemberRecord {
+/** One run of a daemon process. */
+export interface Incarnation {
   readonly id: string;
+  /** Distinguishes the runs of the daemon; a later run has a higher number. */
+  readonly instance: number;
+}
+
+/** One member, as spread by gossip. */
+export interface MemberRecord extends Incarnation {
   /** Peer address, `ip:port`. */
   readonly address: string;
   readonly zone: string;
   readonly region: string;
   /** Capacity of the machine, in hundredths of a core. Members with the highest capacity are preferred for work on behalf of others. */
   readonly capacity: number;
-  /** Identifies one run of the process; a later run has a higher number. */
-  readonly instance: number;
   /** Counter that the member itself increments to refute a suspicion. */
   readonly refutation: number;
   readonly status: MemberStatus;
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -59,6 +59,8 @@
   readonly repeatable: boolean;
   readonly affinity: number;
   readonly queueLimit: number;
+  /** Awaited before the request is first sent to an engine. If it rejects, the request is not sent. */
+  readonly beforeDispatch?: () => Promise<void>;
   /** Aborts when the caller disconnects. */
   readonly signal: AbortSignal;
 }
@@ -95,6 +97,8 @@
   readonly request: RoutedRequest;
   readonly avoidedWorkers: Set<string>;
   attemptCount: number;
+  /** Whether `beforeDispatch` of the request has resolved. */
+  isAnnounced: boolean;
   /** Set once an attempt had an unknown outcome: no later error may state that the request was not run. */
   mayHaveRun: boolean;
 }
@@ -129,7 +133,13 @@
    */
   async route(request: RoutedRequest): Promise<HttpResponse> {
     this.retryBudget.recordAttempt();
-    const state: RequestState = { request, avoidedWorkers: new Set(), attemptCount: 0, mayHaveRun: false };
+    const state: RequestState = {
+      request,
+      avoidedWorkers: new Set(),
+      attemptCount: 0,
+      isAnnounced: false,
+      mayHaveRun: false,
+    };
     try {
       return await this.routeWithRetries(state);
     } catch (error) {
@@ -141,6 +151,7 @@
   private async routeWithRetries(state: RequestState): Promise<HttpResponse> {
     for (;;) {
       const dispatch = await this.findReplica(state);
+      await this.announceDispatch(state, dispatch);
       const response = await this.tryReplica(state, dispatch);
       if (response !== undefined) return response;
       state.attemptCount += 1;
@@ -156,6 +167,20 @@
     this.latestWaitDeadline = latestDeadline;
   }
 
+  /** Calls `beforeDispatch` before the first attempt; gives the granted replica back if the request must not be sent. */
+  private async announceDispatch(state: RequestState, dispatch: Dispatch): Promise<void> {
+    const { request } = state;
+    if (state.isAnnounced || request.beforeDispatch === undefined) return;
+    try {
+      await request.beforeDispatch();
+      this.assertCanContinue(request);
+    } catch (error) {
+      this.endGrant(request, dispatch, 'completed');
+      throw error;
+    }
+    state.isAnnounced = true;
+  }
+
   /** Makes one attempt. Returns the response, or undefined when the request may be tried again. */
   private async tryReplica(state: RequestState, dispatch: Dispatch): Promise<HttpResponse | undefined> {
     const { request } = state;
