Jobs have one true end, the same at each daemon, after the loss of their runner

Cause: the end of a job was no shared decision. Each daemon with a copy kept its own, which was sent once and before the claim was settled; the first one present by id was to run the job, also when it had come back without it; the claim of a killed runner was never settled, and its refusal was stored as the end. Claims expired before jobs did, long keys were cut to their last 200 characters, copies stayed with the first three daemons, and a refused job could run from an unacknowledged copy.

Fix: a job runs under a claim of its own, and its first settlement in the ledger is its end. The runner copies its result to the other keepers before it settles; a keeper that finds the runner's run of the daemon ended takes over: it runs the job if it was not started, else settles it with a copied result, else as outcome_unknown. Copies are repaired until acknowledged and handed over at a planned stop. A claim on the caller's own key names the job, so a repeat has its result whatever its size.

--- a/packages/coordination/src/claim-ledger.ts
+++ b/packages/coordination/src/claim-ledger.ts
@@ -33,6 +33,8 @@
   /** Wall time after which the claim may be deleted, in milliseconds since the epoch. */
   readonly expiresAt: number;
   readonly state: 'waiting' | 'started' | 'finished' | 'abandoned';
+  /** Job that stores the response of the work, if it belongs to one. */
+  readonly jobId?: string;
 }
 
 export interface ClaimLedgerOptions {
@@ -163,7 +165,7 @@
   }
 
   private newClaim(
-    { claimant, daemon, fingerprint, lifetimeMs }: Omit<ClaimRequest, 'key'>,
+    { claimant, daemon, fingerprint, lifetimeMs, jobId }: Omit<ClaimRequest, 'key'>,
     state: Claim['state'],
   ): Claim {
     const lifetime = Math.min(lifetimeMs, this.options.maximumLifetimeMs);
@@ -173,6 +175,7 @@
       fingerprint,
       expiresAt: this.options.clock.wall() + lifetime,
       state,
+      ...(jobId === undefined ? {} : { jobId }),
     };
   }
 
@@ -201,7 +204,13 @@
         return { outcome: 'abandoned', claimant };
       case 'finished': {
         const answer = this.answers.get(request.key);
-        return { outcome: 'finished', claimant, ...(answer === undefined ? {} : { answer }) };
+        const { jobId } = existing;
+        return {
+          outcome: 'finished',
+          claimant,
+          ...(answer === undefined ? {} : { answer }),
+          ...(jobId === undefined ? {} : { jobId }),
+        };
       }
     }
   }
--- a/packages/daemon/src/daemon-metrics.ts
+++ b/packages/daemon/src/daemon-metrics.ts
@@ -20,7 +20,11 @@
   metrics.addSource('platform', () => ({ ...platform.counters }));
   metrics.addSource('claims', () => ({ keys: ledger.size }));
   metrics.addSource('queues', () => ({ waiting: queues.waiting }));
-  metrics.addSource('requests', () => ({ active: completions.active, jobs: jobs.active }));
+  metrics.addSource('requests', () => ({
+    active: completions.active,
+    jobs: jobs.active,
+    storedJobs: jobs.stored,
+  }));
   metrics.addSource('peers', () => trafficTotals(peers.traffic));
 }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -194,6 +194,7 @@
       claims: this.claims,
       clock,
       local: { id, instance },
+      jobResult: async (jobId, tenant) => (await this.jobs.fetch(jobId, tenant)).end,
       onTaskFailure,
       onResponse: (result, waitedMs) => {
         this.metrics.recordResponse(result, waitedMs);
@@ -202,10 +203,15 @@
     this.jobs = new JobService({
       ...common,
       completions: this.completions,
+      claims: this.claims,
       catalog: this.catalog,
       membership,
       peers,
       newRequestId: () => this.newRequestId(),
+      canRun: () => this.isReady,
+      onTakeover: (job, outcome) => {
+        environment.log.changed('job_taken_over', { job, outcome });
+      },
     });
     this.status = new StatusService({
       membership,
@@ -322,9 +328,11 @@
     return Math.max(this.completions.active, callers?.activeRequests() ?? 0) + this.jobs.active;
   }
 
-  /** Whether requests are in progress, or the ledger still lacks outcomes that only this daemon knows. */
+  /** Whether requests are in progress, or other daemons still lack outcomes that only this one knows. */
   private hasUnfinishedWork(): boolean {
-    return this.requestsInProgress() > 0 || this.claims.pendingSettlements > 0;
+    return (
+      this.requestsInProgress() > 0 || this.claims.pendingSettlements > 0 || this.jobs.pendingHandovers > 0
+    );
   }
 
   /** Whether no request waits in a queue here and no voter set includes this daemon. */
--- a/packages/gateway/src/caller-api.ts
+++ b/packages/gateway/src/caller-api.ts
@@ -2,7 +2,7 @@
 import type { Catalog, CatalogTenant } from '@woodbarrow/configuration';
 import { WoodbarrowError } from '@woodbarrow/errors';
 import { jsonResponse, type HttpHandler, type HttpRequest, type HttpResponse } from '@woodbarrow/runtime';
-import type { JobRecord } from '@woodbarrow/protocol';
+import type { JobEnd, JobRecord } from '@woodbarrow/protocol';
 import type { Authenticator } from './authentication.js';
 import { readCompletionRequest } from './completion-request.js';
 import type { CompletionService } from './completions.js';
@@ -108,18 +108,24 @@
 
 function showJob(job: JobRecord, wantsResult: boolean): HttpResponse {
   if (!wantsResult) return jsonResponse(200, describeJob(job));
-  if (job.result === undefined) {
+  if (job.end === undefined) {
     return jsonResponse(202, describeJob(job), { 'retry-after': '1' });
   }
-  return { status: job.status ?? 200, headers: { 'content-type': 'application/json' }, body: job.result };
+  const { status, body } = job.end;
+  return { status, headers: { 'content-type': 'application/json' }, body };
 }
 
-function describeJob(job: JobRecord): Record<string, unknown> {
+function describeJob({ id, submittedAt, end }: JobRecord): Record<string, unknown> {
   return {
-    id: job.id,
+    id,
     object: 'job',
-    status: job.state,
-    created: Math.floor(job.submittedAt / 1000),
-    ...(job.status === undefined ? {} : { result_status: job.status }),
+    status: stateOf(end),
+    created: Math.floor(submittedAt / 1000),
+    ...(end === undefined ? {} : { result_status: end.status }),
   };
 }
+
+function stateOf(end: JobEnd | undefined): 'queued' | 'finished' | 'failed' {
+  if (end === undefined) return 'queued';
+  return end.status === 200 ? 'finished' : 'failed';
+}
--- a/packages/gateway/src/completions.ts
+++ b/packages/gateway/src/completions.ts
@@ -1,8 +1,8 @@
 /** Serves completion requests: admission, claim of the idempotency key, routing, and settlement of the claim. */
 import type { Catalog, CatalogTenant } from '@woodbarrow/configuration';
 import type { ClaimsClient } from '@woodbarrow/coordination';
-import { WoodbarrowError, toWoodbarrowError } from '@woodbarrow/errors';
-import type { Incarnation, SettleClaimRequest } from '@woodbarrow/protocol';
+import { WoodbarrowError, isKind, toWoodbarrowError } from '@woodbarrow/errors';
+import type { ClaimResponse, Incarnation, JobEnd, SettleClaimRequest } from '@woodbarrow/protocol';
 import { hashText, type Clock, type HttpRequest, type HttpResponse } from '@woodbarrow/runtime';
 import { hasDoneEvent, type Admission, type Router } from '@woodbarrow/routing';
 import { readCompletionRequest, type CompletionRequest } from './completion-request.js';
@@ -16,6 +16,8 @@
   readonly clock: Clock;
   /** This run of the daemon, so that its claims can be taken over once it has ended. @default never taken over */
   readonly local?: Incarnation;
+  /** Returns the result of a job of a tenant; undefined while it has none. @throws WoodbarrowError when it is lost. */
+  readonly jobResult?: (jobId: string, tenant: string) => Promise<JobEnd | undefined>;
   /** Called when a claim could not be settled. */
   readonly onTaskFailure?: (name: string, error: unknown) => void;
   /**
@@ -25,7 +27,17 @@
 }
 
 /** An idempotency key that this request has claimed in the claim ledger. */
-type HeldClaim = Required<Pick<SettleClaimRequest, 'key' | 'claimant' | 'claim'>>;
+interface HeldClaim extends Required<Pick<SettleClaimRequest, 'key' | 'claimant' | 'claim'>> {
+  /** Job that stores the response; undefined when the ledger stores it. */
+  readonly jobId: string | undefined;
+}
+
+/** Makes the request of a job run at most once, under the claim of the job. */
+export interface RunGuard {
+  readonly jobId: string;
+  /** Awaited before the request is first sent to an engine. If it rejects, the request is not sent. */
+  readonly beforeDispatch: () => Promise<void>;
+}
 
 /** Maximum size of a response that is stored for repeated requests with its idempotency key, in bytes. */
 const MAX_STORED_RESPONSE_BYTES = 65_536;
@@ -53,6 +65,7 @@
     path: string,
     tenant: CatalogTenant,
     requestId: string,
+    guard?: RunGuard,
   ): Promise<HttpResponse> {
     const startedAt = this.options.clock.monotonic();
     const completion = readCompletionRequest(request, tenant);
@@ -63,7 +76,7 @@
       this.options.catalog.partnerCount(),
     );
     try {
-      const response = await this.run(request, requestId, path, tenant, completion, startedAt);
+      const response = await this.run(request, requestId, path, tenant, completion, startedAt, guard);
       this.options.onResponse?.('served', this.options.clock.monotonic() - startedAt);
       return releaseAfterResponse(response, release);
     } catch (thrown) {
@@ -81,8 +94,9 @@
     tenant: CatalogTenant,
     completion: CompletionRequest,
     startedAt: number,
+    guard: RunGuard | undefined,
   ): Promise<HttpResponse> {
-    const claim = await this.claim(requestId, request, tenant, completion);
+    const claim = await this.claim(requestId, request, tenant, completion, guard?.jobId);
     if (claim !== undefined && 'answer' in claim) return claim.answer;
     const deadline = startedAt + completion.waitMs * (1 - MAX_CLOCK_RATE_ERROR);
     try {
@@ -98,8 +112,10 @@
         receivedAt: startedAt,
         deadline,
         runLimitMs: tenant.parameters.limits.runSeconds * 1000,
-        repeatable: completion.repeatable && claim === undefined,
-        ...(claim === undefined ? {} : { beforeDispatch: () => this.startClaim(claim, deadline) }),
+        repeatable: completion.repeatable && claim === undefined && guard === undefined,
+        ...(claim === undefined && guard === undefined
+          ? {}
+          : { beforeDispatch: () => this.startClaims(claim, guard, deadline) }),
         affinity: completion.affinity,
         queueLimit: tenant.parameters.limits.queuedRequests,
         signal: request.signal,
@@ -112,8 +128,15 @@
     }
   }
 
-  /** States in the ledger that the request is about to run, so that its claim is only given to another while it has not. */
-  private async startClaim({ key, claimant }: HeldClaim, deadline: number): Promise<void> {
+  /** States in the ledger that the request is about to run, so that a claim is only given to another while it has not. */
+  private async startClaims(
+    claim: HeldClaim | undefined,
+    guard: RunGuard | undefined,
+    deadline: number,
+  ): Promise<void> {
+    await guard?.beforeDispatch();
+    if (claim === undefined) return;
+    const { key, claimant } = claim;
     await this.options.claims.start({ key, claimant }, deadline - this.options.clock.monotonic());
   }
 
@@ -126,6 +149,7 @@
     request: HttpRequest,
     tenant: CatalogTenant,
     completion: CompletionRequest,
+    jobId: string | undefined,
   ): Promise<HeldClaim | { readonly answer: HttpResponse } | undefined> {
     if (completion.idempotencyKey === undefined) return undefined;
     const key = `${tenant.name}/${completion.idempotencyKey}`;
@@ -139,13 +163,14 @@
         claimant,
         ...(this.options.local === undefined ? {} : { daemon: this.options.local }),
         ...claim,
+        ...(jobId === undefined ? {} : { jobId }),
         ...(completion.idempotencyKeyAgeMs === undefined ? {} : { ageMs: completion.idempotencyKeyAgeMs }),
       },
       completion.waitMs * CLAIM_WAIT_FRACTION,
     );
     switch (result.outcome) {
       case 'granted':
-        return { key, claimant, claim };
+        return { key, claimant, claim, jobId };
       case 'running':
         throw new WoodbarrowError('already_running', 'a request with this idempotency key is in progress');
       case 'mismatch':
@@ -162,21 +187,42 @@
           'the daemon that ran the request with this idempotency key was lost; the request may have run',
         );
       case 'finished':
-        if (result.answer === undefined) {
-          throw new WoodbarrowError(
-            'outcome_unknown',
-            'this request has already run, and its response was not stored',
-          );
-        }
-        return { answer: replayResponse(result.answer, completion.streaming) };
+        return { answer: await this.replay(result, tenant, completion.streaming) };
+    }
+  }
+
+  /** Returns the response of the earlier run, as the ledger or the job that ran it has stored it. */
+  private async replay(
+    { answer, jobId }: ClaimResponse,
+    tenant: CatalogTenant,
+    streaming: boolean,
+  ): Promise<HttpResponse> {
+    if (answer !== undefined) return replayResponse(answer, streaming);
+    const end = jobId === undefined ? undefined : await this.jobResult(jobId, tenant.name);
+    if (end !== undefined) return { ...replayResponse(end.body, streaming), status: end.status };
+    throw new WoodbarrowError(
+      'outcome_unknown',
+      'this request has already run, and its response is not stored',
+    );
+  }
+
+  /** Returns the result of a job; undefined when the job is no longer stored. Throws `already_running` while it has none. */
+  private async jobResult(jobId: string, tenant: string): Promise<JobEnd | undefined> {
+    try {
+      const end = await this.options.jobResult?.(jobId, tenant);
+      if (end !== undefined) return end;
+    } catch (error) {
+      if (isKind(error, 'not_found')) return undefined;
+      throw error;
     }
+    throw new WoodbarrowError('already_running', 'the job with this idempotency key is in progress');
   }
 
-  private settle(claim: HeldClaim, result: 'finished' | 'released', answer?: Uint8Array): void {
+  private settle({ jobId, ...claim }: HeldClaim, result: 'finished' | 'released', answer?: Uint8Array): void {
     const settling = this.options.claims.settle({
       ...claim,
       result,
-      ...(answer === undefined ? {} : { answer }),
+      ...(answer === undefined || jobId !== undefined ? {} : { answer }),
     });
     settling.catch((error: unknown) => this.options.onTaskFailure?.('gateway.settle', error));
   }
--- a/packages/gateway/src/jobs.ts
+++ b/packages/gateway/src/jobs.ts
@@ -1,29 +1,28 @@
-/**
- * Jobs are submitted once and can be polled at any daemon. A job's id lists the daemons that store a copy of it.
- * The first of them that is present runs the job, under a claim on the job's key, which guards against a second execution.
- */
+/** Jobs: requests that are accepted at once, run in the background, and can be polled at any daemon. */
 import type { Catalog } from '@woodbarrow/configuration';
-import { rankByRendezvous } from '@woodbarrow/coordination';
-import { WoodbarrowError, isKind } from '@woodbarrow/errors';
+import { rankByRendezvous, type ClaimsClient } from '@woodbarrow/coordination';
+import { WoodbarrowError } from '@woodbarrow/errors';
 import type { Membership } from '@woodbarrow/membership';
 import type { PeerNetwork } from '@woodbarrow/peering';
-import { fetchJobMethod, storeJobMethod, type JobRecord } from '@woodbarrow/protocol';
+import type { JobRecord } from '@woodbarrow/protocol';
 import {
   BackgroundService,
-  readBody,
   type Clock,
   type HttpHeaders,
   type HttpRequest,
-  type HttpResponse,
   type Random,
 } from '@woodbarrow/runtime';
 import { CALLER_HEADERS } from './completion-request.js';
 import type { CompletionService } from './completions.js';
-import { errorResponse } from './error-response.js';
+import { JobCopies } from './job-copies.js';
+import { createJobSuffix, formatJobId, parseJobId } from './job-id.js';
+import { COPIES_PER_JOB, JobReplication, type CollectedJob } from './job-replication.js';
+import { JOB_RETENTION_MS, JobRunner, lostJobError } from './job-runner.js';
 
 /** Options of {@link JobService}. */
 export interface JobServiceOptions {
   readonly completions: CompletionService;
+  readonly claims: ClaimsClient;
   /** Returns a new request id, unique across all daemons. */
   readonly newRequestId: () => string;
   readonly catalog: Catalog;
@@ -31,201 +30,177 @@
   readonly peers: PeerNetwork;
   readonly clock: Clock;
   readonly random: Random;
+  /** Whether this daemon may start to run jobs: it has a current configuration. */
+  readonly canRun: () => boolean;
+  /** Called when a job that another daemon had begun got its outcome here. */
+  readonly onTakeover?: (jobId: string, outcome: 'finished' | 'lost') => void;
   readonly onTaskFailure?: (name: string, error: unknown) => void;
 }
 
-const DAEMON_ID_SEPARATOR = '~';
-const ID_PREFIX = 'job_';
-/** Number of daemons that store a job, including the one that runs it. */
-const COPIES_PER_JOB = 3;
-const JOB_RETENTION_MS = 3_600_000;
 const MAX_STORED_JOBS = 10_000;
-const SWEEP_INTERVAL_MS = 2000;
-const PEER_CALL_TIMEOUT_MS = 1500;
+const SWEEP_INTERVAL_MS = 1000;
+const CANCEL_LIMIT_MS = 2000;
 const FORWARDED_HEADERS: readonly string[] = ['content-type', ...Object.values(CALLER_HEADERS)];
 
 /** Accepts, stores, replicates and runs jobs. */
 export class JobService extends BackgroundService {
-  private readonly jobs = new Map<string, JobRecord>();
-  private readonly running = new Set<string>();
+  private readonly copies = new JobCopies();
+  private readonly replication: JobReplication;
+  private readonly runner: JobRunner;
 
   constructor(private readonly options: JobServiceOptions) {
     super(options.clock, options.onTaskFailure);
+    const { copies } = this;
+    const { membership } = options;
+    this.replication = new JobReplication({
+      copies,
+      membership,
+      peers: options.peers,
+      isExecuting: (jobId) => this.runner.isExecuting(jobId),
+    });
+    this.runner = new JobRunner({
+      ...options,
+      copies,
+      replication: this.replication,
+      local: { id: membership.local.id, instance: membership.local.instance },
+    });
   }
 
-  /** Number of jobs that this daemon is running. */
+  /** Number of jobs that this daemon sees to. */
   get active(): number {
-    return this.running.size;
+    return this.runner.active;
+  }
+
+  /** Number of stored jobs. */
+  get stored(): number {
+    return this.copies.size;
+  }
+
+  /** Number of jobs that a planned stop must still hand over: the daemons responsible for them may lack a copy. */
+  get pendingHandovers(): number {
+    return this.replication.unconfirmedCopies;
   }
 
   /** Registers the handlers for requests of other daemons and starts the periodic sweep. */
   start(): void {
-    const { peers } = this.options;
-    peers.handle(storeJobMethod, (request) => {
-      this.storeLocally(request.job);
-      return {};
-    });
-    peers.handle(fetchJobMethod, (request) => {
-      const job = this.jobs.get(request.jobId);
-      return job === undefined ? {} : { job };
-    });
+    this.replication.start();
     this.tasks.loop(
       'gateway.jobs',
       () => SWEEP_INTERVAL_MS,
-      () => {
-        this.sweep();
-        return Promise.resolve();
-      },
+      () => this.sweep(),
     );
   }
 
   /**
    * Accepts a job. If there are other daemons, at least one of them has stored the job before this resolves.
    *
-   * @throws WoodbarrowError `queue_full` at the limit of stored jobs, `not_ready` when no other daemon stored the job.
+   * @throws WoodbarrowError `queue_full` at the limit of stored jobs, `not_ready` when no other daemon stored the job,
+   * `outcome_unknown` when one may have stored it and may run it.
    */
   async submit(request: HttpRequest, path: string, tenant: string): Promise<JobRecord> {
-    if (this.jobs.size >= MAX_STORED_JOBS)
-      throw new WoodbarrowError('queue_full', 'this daemon has reached its limit of stored jobs');
-    const { membership, random, clock } = this.options;
-    const suffix = random.id();
-    const others = membership.eligible().filter((member) => member.id !== membership.local.id);
-    const backups = rankByRendezvous(suffix, others).slice(0, COPIES_PER_JOB - 1);
-    const daemonIds = [membership.local.id, ...backups.map((member) => member.id)];
-    const job: JobRecord = {
-      id: `${ID_PREFIX}${[...daemonIds, suffix].join(DAEMON_ID_SEPARATOR)}`,
-      tenant,
-      state: 'queued',
-      path,
-      headers: pickHeaders(request.headers),
-      body: request.body,
-      submittedAt: clock.wall(),
-    };
-    const copies = await this.replicate(job);
-    if (others.length > 0 && copies === 0)
-      throw new WoodbarrowError('not_ready', 'no other daemon could store a copy of the job');
-    this.storeLocally(job);
-    this.run(job);
+    if (this.copies.size >= MAX_STORED_JOBS)
+      throw new WoodbarrowError(
+        'queue_full',
+        `this daemon has reached its limit of ${String(MAX_STORED_JOBS)} stored jobs`,
+      );
+    const job = this.newJob(request, path, tenant);
+    this.copies.merge(job);
+    const copyCount = await this.replication.replicate(job.id);
+    if (copyCount === 0 && parseJobId(job.id)?.daemonIds.length !== 1) await this.refuse(job);
+    this.run(job.id);
     return job;
   }
 
   /**
    * Returns a job from this daemon or from another one that stores it.
    *
-   * @throws WoodbarrowError `not_found`
+   * @throws WoodbarrowError `not_found`, `not_ready` while daemons that may store the job cannot be reached,
+   * `outcome_unknown` when all copies of the job are lost.
    */
   async fetch(jobId: string, tenant: string): Promise<JobRecord> {
-    const local = this.jobs.get(jobId);
-    let latest = local;
-    if (local === undefined || local.state === 'queued') latest = (await this.fetchFromPeers(jobId)) ?? local;
-    if (latest === undefined || latest.tenant !== tenant)
-      throw new WoodbarrowError('not_found', 'no such job');
-    return latest;
-  }
-
-  private async fetchFromPeers(jobId: string): Promise<JobRecord | undefined> {
-    let found: JobRecord | undefined;
-    for (const daemonId of daemonIdsOf(jobId)) {
-      const member = this.options.membership.get(daemonId);
-      if (member === undefined || daemonId === this.options.membership.local.id) continue;
-      const response = await this.options.peers
-        .call(member.address, fetchJobMethod, { jobId }, { timeoutMs: PEER_CALL_TIMEOUT_MS })
-        .catch(() => undefined);
-      found = response?.job ?? found;
-      if (found !== undefined && found.state !== 'queued') return found;
-    }
-    return found;
+    const local = this.copies.get(jobId);
+    if (local?.end !== undefined) return ofTenant(local, tenant);
+    const collected = await this.replication.collect(jobId);
+    if (collected.record !== undefined) return ofTenant(collected.record, tenant);
+    throw await this.describeMissing(jobId, tenant, collected);
   }
 
-  private storeLocally(job: JobRecord): void {
-    const stored = this.jobs.get(job.id);
-    // A late copy in state `queued` must not overwrite a finished job.
-    if (stored !== undefined && stored.state !== 'queued') return;
-    this.jobs.set(job.id, job);
+  private newJob(request: HttpRequest, path: string, tenant: string): JobRecord {
+    const { membership, random, clock } = this.options;
+    const { id, instance } = membership.local;
+    const submittedAt = Math.floor(clock.wall());
+    const suffix = createJobSuffix(submittedAt, random);
+    const others = membership.eligible().filter((member) => member.id !== id);
+    const backups = rankByRendezvous(suffix, others).slice(0, COPIES_PER_JOB - 1);
+    return {
+      id: formatJobId([id, ...backups.map((member) => member.id)], suffix),
+      tenant,
+      acceptedBy: { id, instance },
+      path,
+      headers: pickHeaders(request.headers),
+      body: request.body,
+      submittedAt,
+      proposals: [],
+    };
   }
 
-  /** Sends a job to the other daemons listed in its id. Returns the number of daemons that stored it. */
-  private async replicate(job: JobRecord): Promise<number> {
-    const { membership, peers } = this.options;
-    const acknowledgements = await Promise.all(
-      daemonIdsOf(job.id).map(async (daemonId) => {
-        const member = membership.get(daemonId);
-        if (member === undefined || daemonId === membership.local.id) return 0;
-        return peers
-          .call(member.address, storeJobMethod, { job }, { timeoutMs: PEER_CALL_TIMEOUT_MS })
-          .then(() => 1)
-          .catch(() => 0);
-      }),
-    );
-    return acknowledgements.reduce<number>((total, count) => total + count, 0);
+  /** Refuses a job that no other daemon is known to have stored. */
+  private async refuse(job: JobRecord): Promise<never> {
+    const error = new WoodbarrowError('not_ready', 'no other daemon could store a copy of the job');
+    // Another daemon may have stored the job although its response was lost.
+    await this.runner.cancel(job, error, CANCEL_LIMIT_MS);
+    throw error;
   }
 
-  private run(job: JobRecord): void {
-    if (this.running.has(job.id)) return;
-    this.running.add(job.id);
-    this.tasks.spawn(`gateway.job.${job.id}`, async (signal) => {
-      try {
-        const response = await this.execute(job, signal);
-        // The job stays queued, so that the next daemon in its id runs it after this daemon has stopped.
-        if (signal.aborted || response === undefined) return;
-        const result = await readBody(response.body);
-        const finished: JobRecord = {
-          ...job,
-          state: response.status === 200 ? 'finished' : 'failed',
-          status: response.status,
-          result,
-        };
-        this.storeLocally(finished);
-        await this.replicate(finished);
-      } finally {
-        this.running.delete(job.id);
-      }
-    });
+  private run(jobId: string): void {
+    this.tasks.spawn(`gateway.job.${jobId}`, (signal) => this.runner.run(jobId, signal));
   }
 
-  /** Runs the job. Returns its response, or undefined when this daemon is stopping and did not run it. */
-  private async execute(job: JobRecord, signal: AbortSignal): Promise<HttpResponse | undefined> {
-    const tenant = this.options.catalog.tenant(job.tenant);
-    const key = job.headers[CALLER_HEADERS.idempotencyKey] ?? job.id;
-    const age = Math.max(0, this.options.clock.wall() - job.submittedAt);
-    const headers = {
-      ...job.headers,
-      [CALLER_HEADERS.idempotencyKey]: key.slice(-MAX_JOB_KEY_LENGTH),
-      [CALLER_HEADERS.idempotencyKeyAge]: String(Math.round(age)),
-    };
-    try {
-      if (tenant === undefined)
-        throw new WoodbarrowError('not_found', 'the tenant of this job does not exist');
-      const request = { method: 'POST', path: job.path, headers, body: job.body, signal };
-      return await this.options.completions.complete(request, job.path, tenant, this.options.newRequestId());
-    } catch (error) {
-      if (isKind(error, 'stopping')) return undefined;
-      return errorResponse(error);
+  /** Deletes expired jobs, copies jobs to daemons that lack them, and runs the jobs this daemon is responsible for. */
+  private async sweep(): Promise<void> {
+    const now = this.options.clock.wall();
+    for (const { record } of this.copies.all()) {
+      const isExpired = now - record.submittedAt > JOB_RETENTION_MS;
+      if (record.end !== undefined && isExpired) this.copies.delete(record.id);
+      else if (record.end === undefined && this.options.canRun()) this.runIfResponsible(record);
     }
+    await this.replication.repair();
   }
 
-  /** Deletes expired jobs, and runs queued jobs when all daemons before this one in the job's id are absent. */
-  private sweep(): void {
-    const now = this.options.clock.wall();
-    for (const [id, job] of this.jobs) {
-      if (now - job.submittedAt > JOB_RETENTION_MS && !this.running.has(id)) this.jobs.delete(id);
-      else if (job.state === 'queued' && this.isFirstPresentDaemon(id)) this.run(job);
-    }
+  private runIfResponsible(job: JobRecord): void {
+    if (this.replication.isResponsible(job)) this.run(job.id);
   }
 
-  private isFirstPresentDaemon(jobId: string): boolean {
-    const { membership } = this.options;
-    const present = new Set(membership.present().map((member) => member.id));
-    const first = daemonIdsOf(jobId).find((daemonId) => present.has(daemonId));
-    return first === membership.local.id;
+  /** Returns the error for a job of which no daemon in reach has a copy. */
+  private async describeMissing(
+    jobId: string,
+    tenant: string,
+    { isIncomplete, mayReturn, hasAbsentKeeper }: CollectedJob,
+  ): Promise<WoodbarrowError> {
+    const noSuchJob = new WoodbarrowError('not_found', 'no such job');
+    const submittedAt = parseJobId(jobId)?.submittedAt;
+    if (submittedAt === undefined || this.options.clock.wall() - submittedAt > JOB_RETENTION_MS)
+      return noSuchJob;
+    const unreachable = new WoodbarrowError(
+      'not_ready',
+      'the daemons that may store this job cannot be reached',
+    );
+    if (isIncomplete) return unreachable;
+    try {
+      const state = await this.runner.describeMissing({ id: jobId, tenant, submittedAt }, mayReturn);
+      if (state === 'lost') return lostJobError();
+      if (state === 'unreachable') return unreachable;
+      return hasAbsentKeeper ? unreachable : noSuchJob;
+    } catch {
+      // The ledger did not answer, so nothing is known about the job.
+      return unreachable;
+    }
   }
 }
 
-/** Maximum length of the idempotency key under which a job runs; the end of a longer key is used. */
-const MAX_JOB_KEY_LENGTH = 200;
-
-function daemonIdsOf(jobId: string): string[] {
-  return jobId.slice(ID_PREFIX.length).split(DAEMON_ID_SEPARATOR).slice(0, -1);
+function ofTenant(job: JobRecord, tenant: string): JobRecord {
+  if (job.tenant !== tenant) throw new WoodbarrowError('not_found', 'no such job');
+  return job;
 }
 
 function pickHeaders(headers: HttpHeaders): Record<string, string> {
--- a/packages/membership/src/member-table.ts
+++ b/packages/membership/src/member-table.ts
@@ -51,6 +51,11 @@
     return this.entries.get(id)?.record;
   }
 
+  /** Returns the monotonic time of the last change of a member's record; undefined when there is none. */
+  changedAt(id: string): number | undefined {
+    return this.entries.get(id)?.changedAt;
+  }
+
   /** Present members ordered by id. The array is shared and must not be modified. */
   present(): readonly MemberRecord[] {
     this.sortedPresent ??= this.all()
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -137,6 +137,17 @@
     return record.instance > instance || (record.instance === instance && !isPresent(record));
   }
 
+  /**
+   * Whether a daemon that is not present may only be cut off for a while: it did not leave, and has been absent for less than
+   * `limitMs`. A member that has run for less than that may not have learned of every absent daemon.
+   */
+  mayReturn(id: string, limitMs: number): boolean {
+    const record = this.table.get(id);
+    if (record !== undefined && record.status !== 'dead') return false;
+    const absentSince = this.table.changedAt(id) ?? this.startedAt;
+    return this.options.clock.monotonic() - absentSince < limitMs;
+  }
+
   /** Digest of the present members; equal views have equal digests. */
   viewDigest(): number {
     return this.table.digest();
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -118,6 +118,8 @@
   replica_loading: 'Own interface: a load was ordered. Model, worker, source of the weights.',
   replica_unloading: 'Own interface: an unload was ordered. Model, worker, reason.',
   checkpoint_warming: 'Own interface: a checkpoint is prefetched to a worker. Model, worker.',
+  job_taken_over:
+    'Own interface: a job that another daemon had claimed got its final outcome here. Job, outcome (`finished`: the result that the other daemon had copied; `lost`: it reported none).',
   call_failed:
     'Calls to other daemons failed and are recovered from by the next attempt; at most one line per second and kind. Kind, the daemon called last, cause, failures since the previous line.',
   task_failed: 'A background task failed. Its name, cause.',
--- a/packages/protocol/src/coordination-messages.ts
+++ b/packages/protocol/src/coordination-messages.ts
@@ -115,6 +115,8 @@
   readonly lifetimeMs: number;
   /** Age of the key in milliseconds, if the caller stated it. */
   readonly ageMs?: number;
+  /** Id of the job that the work belongs to; the job stores the response. */
+  readonly jobId?: string;
 }
 
 /**
@@ -136,6 +138,8 @@
   readonly claimant?: string;
   /** With `finished`, the stored response while it is retained. */
   readonly answer?: Uint8Array;
+  /** With `finished`, id of the job that stores the response. */
+  readonly jobId?: string;
 }
 
 /** States that the work of a claim is about to begin; from then on no other claimant is granted the key. */
