Attempts of one content that overlapped in crashes run one at a time

Cause, by all logs: four attempts of one content wait at three daemons for the same load and are sent to one worker within 2 ms, twice, 4.8 s apart. The quarantine counts processes, two by then; slots of suspects are kept by each daemon for itself, and nothing was shared about attempts.

Fix: marks name the attempts that a process ran. A content whose attempts overlapped when they ended processes runs one attempt at a time over all daemons, by the record that trials use, until it has run well. The others wait up to 2 s for their turn.

--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -147,7 +147,7 @@
     if (this.finishIfQuarantined()) return true;
     const admission = await this.context.quarantine.admit(this.scope.digest, choice.backEnd.id);
     if (admission.kind === 'occupied') {
-      this.scope.progress.excluded.add(choice.backEnd.id);
+      if (admission.isPostponed !== true) this.scope.progress.excluded.add(choice.backEnd.id);
       return false;
     }
     if (admission.kind === 'refused') {
--- a/packages/quarantine/src/crash-marks.ts
+++ b/packages/quarantine/src/crash-marks.ts
@@ -22,6 +22,8 @@
    * for a verdict.
    */
   readonly isTrial?: boolean;
+  /** Hashes of the ids of the requests that ran the content there, at most {@link MAX_ATTEMPTS}, in rising order. */
+  readonly attempts?: readonly number[];
 }
 
 /**
@@ -38,6 +40,9 @@
  */
 export const MAX_MARKS = 4096;
 
+/** Number of attempts that a mark names, which is enough to tell one from several. */
+const MAX_ATTEMPTS = 2;
+
 /** Marks of one daemon, including those received from other daemons. */
 export class CrashMarks {
   private readonly byContent = new Map<string, Map<string, CrashMark>>();
@@ -71,14 +76,14 @@
     return [...this.byContent.keys()].filter((content) => this.crashCountOf(content) > 0);
   }
 
-  /** Adds a mark. Returns whether this changed the set of marks or cleared one. */
+  /** Adds a mark. Returns whether this added or cleared one, or added an attempt to one. */
   add(mark: CrashMark): boolean {
     if (this.clock.monotonic() - mark.endedAt > MARK_LIFETIME_MS) return false;
     const marks = this.byContent.get(mark.content) ?? new Map<string, CrashMark>();
     this.byContent.set(mark.content, marks);
     const existing = marks.get(mark.processId);
     const merged = existing === undefined ? mark : mergeMarks(existing, mark);
-    if (existing !== undefined && merged.isCleared === existing.isCleared) {
+    if (existing !== undefined && digestOfMark(merged) === digestOfMark(existing)) {
       marks.set(mark.processId, merged);
       return false;
     }
@@ -136,26 +141,28 @@
   entries(): CrashMarkEntry[] {
     this.dropExpired();
     const now = this.clock.monotonic();
-    return this.allMarks().map(({ content, processId, begunAt, endedAt, isCleared, isTrial }) => ({
+    return this.allMarks().map(({ content, processId, begunAt, endedAt, isCleared, isTrial, attempts }) => ({
       c: content,
       p: processId,
       b: Math.round(now - begunAt),
       e: Math.round(now - endedAt),
       ...(isCleared ? { x: true as const } : {}),
       ...(isTrial === true ? { t: true as const } : {}),
+      ...(attempts === undefined ? {} : { a: attempts }),
     }));
   }
 
   /** Merges the marks of another daemon. Returns those that changed the set. */
   merge(entries: readonly CrashMarkEntry[]): CrashMark[] {
     const now = this.clock.monotonic();
-    const marks = entries.map(({ c, p, b, e, x, t }) => ({
+    const marks = entries.map(({ c, p, b, e, x, t, a }) => ({
       content: c,
       processId: p,
       begunAt: now - b,
       endedAt: now - e,
       isCleared: x === true,
       isTrial: t === true,
+      ...(a === undefined ? {} : { attempts: a }),
     }));
     return marks.filter((mark) => this.add(mark));
   }
@@ -216,9 +223,16 @@
     endedAt: Math.min(existing.endedAt, other.endedAt),
     isCleared: existing.isCleared || other.isCleared,
     isTrial: existing.isTrial === true || other.isTrial === true,
+    attempts: mergeAttempts(existing.attempts, other.attempts),
   };
 }
 
-function digestOfMark({ content, processId, isCleared }: CrashMark): number {
-  return hashText(`${content} ${processId}${isCleared ? ' cleared' : ''}`) | 0;
+/** Keeps the lowest hashes, so that the result does not depend on the order of the merges. */
+function mergeAttempts(existing: readonly number[] = [], other: readonly number[] = []): readonly number[] {
+  return [...new Set([...existing, ...other])].sort((left, right) => left - right).slice(0, MAX_ATTEMPTS);
+}
+
+function digestOfMark({ content, processId, isCleared, attempts = [] }: CrashMark): number {
+  const state = `${isCleared ? ' cleared' : ''}${attempts.map((attempt) => ` ${String(attempt)}`).join('')}`;
+  return hashText(`${content} ${processId}${state}`) | 0;
 }
--- a/packages/quarantine/src/culprit-search.ts
+++ b/packages/quarantine/src/culprit-search.ts
@@ -98,6 +98,17 @@
     return meetsVerdictThreshold(this.marks.activeMarksOf(content)) && !this.isProven(content);
   }
 
+  /**
+   * Returns whether attempts of a content must not overlap on any daemons: earlier ones did when they crashed processes, so
+   * that its callers send several at once.
+   */
+  requiresSerialRuns(content: string): boolean {
+    if (isLoadContent(content)) return false;
+    const marks = this.unexplainedCrashes(content);
+    const attemptCount = marks.reduce((total, { attempts = [] }) => total + Math.max(1, attempts.length), 0);
+    return attemptCount > countConsecutiveCrashes(marks) && !this.isProven(content);
+  }
+
   /**
    * Returns whether a content must wait before its trial because it has more crashes than each rival.
    * If its rivals succeed meanwhile, it is proven without another crash.
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -8,7 +8,7 @@
 import { errorMessage } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
 import type { CrashMarkEntry } from '@woodbarrow/protocol';
-import { settleWithin, TaskGroup, type Clock, type Random } from '@woodbarrow/runtime';
+import { hashText, settleWithin, sleep, TaskGroup, type Clock, type Random } from '@woodbarrow/runtime';
 import { CrashMarks } from './crash-marks.js';
 import { CulpritSearch, EVIDENCE_SETTLE_MS } from './culprit-search.js';
 import { CrashBatchRecords } from './crash-batch-records.js';
@@ -102,6 +102,12 @@
  * break off at once.
  */
 const PUBLISH_DELAY_MS = 10;
+/**
+ * Maximum time for which an attempt waits for another one of its content on any daemon, and the
+ * interval at which it looks, in milliseconds.
+ */
+const MAX_TURN_WAIT_MS = 2000;
+const TURN_POLL_MS = 100;
 /** Interval between removals of expired records, in milliseconds. */
 const EXPIRY_INTERVAL_MS = 60_000;
 /** Quarantine of one daemon. */
@@ -265,14 +271,35 @@
 
   /**
    * Decides whether a content may be sent to a process now, and if not, after which delay the caller
-   * may retry. Contents that cannot be distinguished by their crashes run only in trials. The caller
-   * must end an admission.
+   * may retry. Contents that cannot be distinguished by their crashes run only in trials, and those
+   * whose attempts overlapped when they crashed processes run one attempt at a time on all daemons. The
+   * caller must end an admission.
    */
   async admit(content: string, processId: string): Promise<TrialAdmission> {
-    if (this.marks.isEmpty || !this.search.requiresTrial(content)) return UNRESTRICTED_ADMISSION;
-    if (this.search.mustWaitForRivals(content))
-      return { kind: 'refused', retryAfterMs: RETRY_AFTER_RIVALS_MS };
-    return this.trials.begin(content, processId);
+    if (this.marks.isEmpty) return UNRESTRICTED_ADMISSION;
+    if (this.search.requiresTrial(content)) {
+      if (this.search.mustWaitForRivals(content))
+        return { kind: 'refused', retryAfterMs: RETRY_AFTER_RIVALS_MS };
+      return this.trials.begin(content, processId);
+    }
+    if (!this.search.requiresSerialRuns(content)) return UNRESTRICTED_ADMISSION;
+    return this.admitSerialRun(content, processId);
+  }
+
+  /** Admits an attempt while no other one of the content is in progress on any daemon; else waits for that one. */
+  private async admitSerialRun(content: string, processId: string): Promise<TrialAdmission> {
+    if (!this.trials.isInProgress(content)) {
+      const admission = await this.trials.begin(content, processId, 'serial');
+      // A refusal for another reason than an attempt in progress has a longer delay.
+      if (admission.kind !== 'refused' || admission.retryAfterMs !== RETRY_AFTER_TRIAL_MS) return admission;
+    }
+    const { clock } = this.options;
+    const giveUpAt = clock.monotonic() + MAX_TURN_WAIT_MS;
+    do await sleep(clock, TURN_POLL_MS);
+    while (this.trials.isInProgress(content) && clock.monotonic() < giveUpAt);
+    return this.trials.isInProgress(content)
+      ? { kind: 'refused', retryAfterMs: RETRY_AFTER_TRIAL_MS }
+      : { kind: 'occupied', isPostponed: true };
   }
 
   /** Returns the number of crashes of a content that no proven culprit explains. */
@@ -305,7 +332,15 @@
   /** Records that a process ended while it ran an attempt. */
   noteEnded(attempt: ContentAttempt, endedAt: number, isTrial = false): void {
     const { content, backEnd, sentAt } = attempt;
-    const mark = { content, processId: backEnd.id, begunAt: sentAt, endedAt, isCleared: false, isTrial };
+    const mark = {
+      content,
+      processId: backEnd.id,
+      begunAt: sentAt,
+      endedAt,
+      isCleared: false,
+      isTrial,
+      ...(attempt.requestId === '' ? {} : { attempts: [hashText(attempt.requestId)] }),
+    };
     if (!this.marks.add(mark)) return;
     this.ownAttempts.set(content, attempt);
     this.logEnd(attempt, endedAt);
--- a/packages/quarantine/src/stored-marks.ts
+++ b/packages/quarantine/src/stored-marks.ts
@@ -2,29 +2,40 @@
 import type { CrashMarkEntry } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
 import type { CrashMark } from './crash-marks.js';
-import type { StoredCrash } from './quarantine-record.js';
+import type { StoredCrash, StoredMark } from './quarantine-record.js';
 
-/** Converts a mark for storage. */
-export function toStoredCrash(
-  { content, processId, begunAt, endedAt, isTrial }: CrashMark,
+/** Converts a mark for storage under its content. */
+export function toStoredMark(
+  { processId, begunAt, endedAt, isTrial, attempts }: CrashMark,
   clock: Clock,
-): StoredCrash {
+): StoredMark {
   const wallOffsetMs = clock.wall() - clock.monotonic();
   return {
-    suspect: content,
     processId,
     begunAt: Math.round(wallOffsetMs + begunAt),
     endedAt: Math.round(wallOffsetMs + endedAt),
     ...(isTrial === true ? { isTrial } : {}),
+    ...(attempts === undefined ? {} : { attempts }),
   };
 }
 
+/** Converts a mark for storage together with its content. */
+export function toStoredCrash(mark: CrashMark, clock: Clock): StoredCrash {
+  return { suspect: mark.content, ...toStoredMark(mark, clock) };
+}
+
 /** Converts a stored mark to a message entry. A time ahead of this daemon's clock gets the age 0. */
 export function toMarkEntry(
-  { suspect, processId, begunAt, endedAt, isTrial }: StoredCrash,
+  { suspect, processId, begunAt, endedAt, isTrial, attempts }: StoredCrash,
   clock: Clock,
 ): CrashMarkEntry {
   const now = clock.wall();
   const ages = { b: Math.max(0, now - begunAt), e: Math.max(0, now - endedAt) };
-  return { c: suspect, p: processId, ...ages, ...(isTrial === true ? { t: isTrial } : {}) };
+  return {
+    c: suspect,
+    p: processId,
+    ...ages,
+    ...(isTrial === true ? { t: isTrial } : {}),
+    ...(attempts === undefined ? {} : { a: attempts }),
+  };
 }
--- a/packages/quarantine/src/suspect-records.ts
+++ b/packages/quarantine/src/suspect-records.ts
@@ -5,7 +5,7 @@
 import type { CrashMarkEntry } from '@woodbarrow/protocol';
 import { MARK_LIFETIME_MS, type CrashMarks } from './crash-marks.js';
 import type { CulpritSearch } from './culprit-search.js';
-import { toStoredCrash, toMarkEntry } from './stored-marks.js';
+import { toMarkEntry, toStoredMark } from './stored-marks.js';
 import { suspectName, type StoredMark, type SuspectRecord } from './quarantine-record.js';
 import type { RecordWriter } from './record-writer.js';
 
@@ -45,10 +45,9 @@
   write(content: string): void {
     if (this.writtenProcesses.has(content) || this.records.has(suspectName(content))) return;
     const { clock, daemon } = this.writer.options;
-    const marks = this.marks.activeMarksOf(content).map((mark): StoredMark => {
-      const { processId, begunAt, endedAt, isTrial } = toStoredCrash(mark, clock);
-      return { processId, begunAt, endedAt, ...(isTrial === true ? { isTrial } : {}) };
-    });
+    const marks: readonly StoredMark[] = this.marks
+      .activeMarksOf(content)
+      .map((mark) => toStoredMark(mark, clock));
     this.writtenProcesses.set(
       content,
       marks.map(({ processId }) => processId),
--- a/packages/quarantine/src/suspect-trials.ts
+++ b/packages/quarantine/src/suspect-trials.ts
@@ -2,7 +2,8 @@
  * Runs trials of contents that cannot be distinguished by their crashes. A trial runs a content apart
  * from other suspects, and at most once at a time in the deployment. The right to a trial is a record
  * that only one daemon can create; it names the process, so that others avoid it. A daemon that cannot
- * reach the store runs no trials.
+ * reach the store runs no trials. Serial runs, of contents whose attempts overlapped when they crashed
+ * processes, use the same records.
  */
 import { errorMessage } from '@woodbarrow/errors';
 import { trialName, type TrialRecord } from './quarantine-record.js';
@@ -30,8 +31,12 @@
       /** Ends the run, also one that was not started. Further calls have no effect. */
       end(): void;
     }
-  /** Another content is in a trial on the process. The caller may try another process. */
-  | { readonly kind: 'occupied' }
+  /**
+   * Another content is in a trial on the process, and the caller may try another process; or, if
+   * `isPostponed` is set, another attempt of the content was in progress, and the caller may choose any
+   * process again.
+   */
+  | { readonly kind: 'occupied'; readonly isPostponed?: true }
   | { readonly kind: 'refused'; readonly retryAfterMs: number };
 
 /** Admission of a content that needs no trial. */
@@ -57,14 +62,16 @@
 export class SuspectTrials {
   /** By record name. */
   private readonly observedTrials = new Map<string, ObservedTrial>();
-  /** Processes of the trials by this daemon, by content. */
+  /** Processes of the trials and serial runs by this daemon, by content. */
   private readonly ownTrials = new Map<string, string>();
+  /** Contents of {@link ownTrials} that run apart from other suspects. */
+  private readonly isolated = new Set<string>();
 
   constructor(private readonly options: SuspectTrialsOptions) {}
 
-  /** Returns whether this daemon has a trial of a content on a process. */
+  /** Returns whether this daemon has a trial, not only a serial run, of a content on a process. */
   hasTrialOn(content: string, processId: string): boolean {
-    return this.ownTrials.get(content) === processId;
+    return this.isolated.has(content) && this.ownTrials.get(content) === processId;
   }
 
   /** Returns the processes with trials of other contents. */
@@ -76,12 +83,21 @@
     return others.map(([, processId]) => processId);
   }
 
-  /** Requests the right to run a trial of a content on a process. */
-  async begin(content: string, processId: string): Promise<TrialAdmission> {
+  /**
+   * Requests the right to run a trial of a content on a process.
+   *
+   * @param kind Whether the content runs apart from other suspects, or only one attempt of it at a time.
+   */
+  async begin(
+    content: string,
+    processId: string,
+    kind: 'isolated' | 'serial' = 'isolated',
+  ): Promise<TrialAdmission> {
     if (this.isInProgress(content)) return refused(RETRY_AFTER_TRIAL_MS);
     if (this.processesOfOthers(content).includes(processId)) return { kind: 'occupied' };
     const { clock, daemon, store, log } = this.options.writer.options;
     this.ownTrials.set(content, processId);
+    if (kind === 'isolated') this.isolated.add(content);
     const record = {
       content: trialName(content),
       trial: content,
@@ -91,11 +107,11 @@
     };
     try {
       if (await store.claim(record)) return this.admit(record);
-      this.ownTrials.delete(content);
+      this.forgetOwn(content);
       return refused(RETRY_AFTER_TRIAL_MS);
     } catch (error) {
       // The record may have been created nevertheless; it is then removed after its lifetime.
-      this.ownTrials.delete(content);
+      this.forgetOwn(content);
       log.warned('quarantine_not_written', { content, failures: 1, cause: errorMessage(error) });
       return refused(RETRY_AFTER_STORE_FAILURE_MS);
     }
@@ -127,6 +143,11 @@
     return trial !== undefined && now - trial.seenAt < TRIAL_LIFETIME_MS;
   }
 
+  private forgetOwn(content: string): void {
+    this.ownTrials.delete(content);
+    this.isolated.delete(content);
+  }
+
   private admit(record: TrialRecord): TrialAdmission {
     const { writer, whenSettled } = this.options;
     const { content: name, trial: content, processId } = record;
@@ -138,7 +159,7 @@
       hasEnded = true;
       writer.options.tasks.spawn('suspect trial', async () => {
         await whenSettled(content);
-        this.ownTrials.delete(content);
+        this.forgetOwn(content);
         this.observedTrials.delete(name);
         writer.remove(name);
       });
--- a/packages/quarantine/test/quarantine-deployment.ts
+++ b/packages/quarantine/test/quarantine-deployment.ts
@@ -116,9 +116,15 @@
   }
 
   /** Breaks off a response. */
-  breakOff(daemon: RequestQuarantine, content: string, processId: string, sentAt: number): void {
+  breakOff(
+    daemon: RequestQuarantine,
+    content: string,
+    processId: string,
+    sentAt: number,
+    requestId = 'r',
+  ): void {
     const backEnd = backEndOf(processId);
-    daemon.noteBroken({ content, requestId: 'r', route: 'route', backEnd, wasLeaving: false, sentAt });
+    daemon.noteBroken({ content, requestId, route: 'route', backEnd, wasLeaving: false, sentAt });
   }
 
   async advance(durationMs: number): Promise<void> {
