Requests wait for a connection of this daemon instead of being refused

Cause: a daemon uses only its share of a worker's connections, and refused when it was used up, though runs take a fraction of the time that a request may wait.

Fix: they wait, most urgent and oldest first, until they must have been sent; refused at once if those ahead leave no time.

--- a/packages/forwarding/src/backend-choice.ts
+++ b/packages/forwarding/src/backend-choice.ts
@@ -4,7 +4,13 @@
 /** A back end to send to, or why there is none. */
 export type BackendChoice =
   | { readonly kind: 'send'; readonly backEnd: BackEnd; readonly reason: string }
-  | { readonly kind: 'refuse'; readonly reason: RefusalReason; readonly retryAfterMs: number };
+  | {
+      readonly kind: 'refuse';
+      readonly reason: RefusalReason;
+      readonly retryAfterMs: number;
+      /** With `connections_exhausted`, back ends that only lack a connection. */
+      readonly backEndIds?: readonly string[];
+    };
 
 /** Why a request is refused without having run. */
 export type RefusalReason =
@@ -21,3 +27,9 @@
 export function refusal(reason: RefusalReason, retryAfterMs: number): BackendChoice {
   return { kind: 'refuse', reason, retryAfterMs };
 }
+
+/** Builds a refusal for a request that could be sent to `backEnds` if this daemon had a connection left. */
+export function connectionsExhausted(backEnds: readonly BackEnd[], retryAfterMs: number): BackendChoice {
+  const backEndIds = backEnds.map(({ id }) => id);
+  return { kind: 'refuse', reason: 'connections_exhausted', retryAfterMs, backEndIds };
+}
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -140,6 +140,7 @@
     if (this.finishIfQuarantined() || (await this.finishIfOverQuota())) return true;
     const choice = await this.choose();
     if (choice.kind === 'refuse') {
+      if (await this.awaitConnection(choice.backEndIds)) return false;
       this.finishWithoutBackEnd(choice.reason, choice.retryAfterMs);
       return true;
     }
@@ -161,6 +162,15 @@
     }
   }
 
+  /** Waits while only connections of this daemon are lacking. Returns whether one of the back ends has one again. */
+  private async awaitConnection(backEndIds: readonly string[] = []): Promise<boolean> {
+    if (backEndIds.length === 0) return false;
+    const { context, service, priority, arrivedAt, answer, times, expired } = this.scope;
+    const until = answer.hasBegun ? times.resumeBy() : times.startBy();
+    const request = { service, backEndIds, priority, arrivedAt, until, signal: expired };
+    return context.connections.queue.wait(request, context.clock);
+  }
+
   /** Obtains a permit and sends. Returns whether the request has ended. */
   private async sendTo(
     choice: Extract<BackendChoice, { kind: 'send' }>,
--- a/packages/forwarding/src/plain-selector.ts
+++ b/packages/forwarding/src/plain-selector.ts
@@ -1,7 +1,7 @@
 /** Chooses the least loaded healthy back end of a service without models. */
 import type { BackEnd, BackendDirectory, LoadTracker, ServiceDefinition } from '@woodbarrow/backends';
 import { leastBy } from '@woodbarrow/runtime';
-import { refusal, type BackendChoice } from './backend-choice.js';
+import { connectionsExhausted, refusal, type BackendChoice } from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
 import type { ConnectionShare } from './connection-share.js';
 import type { SendPermits } from './send-permits.js';
@@ -46,7 +46,9 @@
     const candidates = eligible.length === 0 ? available : eligible;
     const waits = candidates.map(({ id }) => this.permits.waitMs(id));
     if (waits.every((waitMs) => waitMs > 0)) return refusal('not_accepting', Math.min(...waits));
-    return refusal(eligible.length === 0 ? 'all_excluded' : 'connections_exhausted', NO_BACKEND_RETRY_MS);
+    if (eligible.length === 0) return refusal('all_excluded', NO_BACKEND_RETRY_MS);
+    const accepting = eligible.filter(({ id }) => this.permits.waitMs(id) === 0);
+    return connectionsExhausted(accepting, NO_BACKEND_RETRY_MS);
   }
 
   private costOf(backEnd: BackEnd, health: BackendHealth, ids: readonly string[]): number {
--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -11,7 +11,7 @@
   type ServiceDefinition,
 } from '@woodbarrow/backends';
 import { leastBy, type Clock } from '@woodbarrow/runtime';
-import { refusal, type BackendChoice } from './backend-choice.js';
+import { connectionsExhausted, refusal, type BackendChoice } from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
 import type { ConnectionShare } from './connection-share.js';
 import { buildPromptChain, type PromptAffinity, type PromptChain } from './prompt-affinity.js';
@@ -95,8 +95,10 @@
       return this.sendChoice(loaded, request, chain, 'loaded');
     }
     if (best !== undefined) return this.sendChoice(best, request, chain, 'last_resort');
+    const unconnected = this.unconnectedHolders(request);
+    if (unconnected.length > 0) return connectionsExhausted(unconnected, UNAVAILABLE_RETRY_MS);
     if (!outcome.held) return this.refuse(request, outcome.retryAfterMs);
-    return refusal(this.unusableReason(outcome.backEndId, request), UNAVAILABLE_RETRY_MS);
+    return refusal('all_excluded', UNAVAILABLE_RETRY_MS);
   }
 
   /** Refuses when the target will not be loaded in time; its current holders may accept requests again sooner. */
@@ -107,14 +109,12 @@
     return refusal('not_accepting', Math.min(notAcceptingMs, unavailableMs));
   }
 
-  /** Why a holder of the target cannot be used: it declined, failed or is draining, or this daemon has no connection left to it. */
-  private unusableReason(
-    backEndId: string,
-    request: ReplicaRequest,
-  ): 'all_excluded' | 'connections_exhausted' {
-    const backEnd = this.directory.get(backEndId);
-    const isOpen = backEnd !== undefined && !backEnd.draining && !request.excluded.has(backEndId);
-    return isOpen ? 'connections_exhausted' : 'all_excluded';
+  /** Holders of the target that this daemon only lacks a connection to. */
+  private unconnectedHolders(request: ReplicaRequest): BackEnd[] {
+    const hasConnection = this.connections.limiterFor(request.service);
+    return this.directory
+      .holdersOf(request.service.name, request.target)
+      .filter(({ id }) => !request.excluded.has(id) && !hasConnection(id) && this.permits.waitMs(id) === 0);
   }
 
   /** Ids of workers that declined or failed this request, are in backoff, or accept no requests now. */
--- a/packages/forwarding/src/request-scope.ts
+++ b/packages/forwarding/src/request-scope.ts
@@ -21,6 +21,8 @@
   readonly priority: number;
   readonly service: ServiceDefinition;
   readonly body: Uint8Array;
+  /** Monotonic time in milliseconds. */
+  readonly arrivedAt: number;
   /** Digest of the content, which all attempts of one request share. */
   readonly digest: string;
   readonly times: RequestTimes;
--- a/packages/forwarding/src/request-sender.ts
+++ b/packages/forwarding/src/request-sender.ts
@@ -24,7 +24,7 @@
   /** Sends the request once and forwards the answer. Rejects if writing to the client fails. */
   async attempt(choice: BackendChoice & { kind: 'send' }): Promise<AttemptResult> {
     const { backEnd } = choice;
-    const { context, facts, progress, expired } = this.scope;
+    const { context, facts, progress, expired, service } = this.scope;
     const controller = new AbortController();
     const abort = (): void => {
       controller.abort();
@@ -47,6 +47,7 @@
     } finally {
       progress.isSending = false;
       ticket.ended();
+      context.connections.queue.noteEnded(service, backEnd.id, context.clock.monotonic() - sentAt);
       expired.removeEventListener('abort', abort);
     }
   }
--- a/packages/forwarding/test/forwarder.test.ts
+++ b/packages/forwarding/test/forwarder.test.ts
@@ -84,6 +84,52 @@
     expect(statuses.filter((status) => status === 503)).to.have.length(4);
   });
 
+  // Guards against refusals while runs end within the time of the request, as when all clients come to the one daemon left.
+  for (const [name, engine] of [
+    ['plain service', undefined],
+    ['model', ENGINE],
+  ] as const) {
+    it(`lets requests for a ${name} wait for a connection, the most urgent and then the oldest first`, async () => {
+      const world = new ForwardingWorld(
+        [
+          { kind: 'once', timeoutMs: 2000, priority: 5 },
+          { kind: 'once', timeoutMs: 2000, priority: 1 },
+        ],
+        engine,
+        10,
+      );
+      const script: BackendScript = async (call) => {
+        await world.wait(100);
+        return serve(call, world);
+      };
+      world.add('b1', script, engine === undefined ? [] : ['m']);
+      world.residency = () => Promise.resolve({ held: true, backEndId: 'b1' });
+      const target = engine === undefined ? {} : { model: 'm' };
+      const paths = ['/r0/0', '/r0/1', '/r0/2', '/r0/3', '/r0/4', '/r0/5', '/r0/6', '/r1/7'];
+      const asked = paths.map((path) => world.ask({ id: path, ...target }, path));
+      const statuses = (await Promise.all(asked)).map((exchange) => exchange.status);
+      expect(statuses).to.deep.equal(Array.from({ length: 8 }, () => 200));
+      const order = world.calls.map((call) => call.target.slice(-1));
+      expect(order).to.deep.equal(['0', '1', '2', '3', '7', '4', '5', '6']);
+    });
+  }
+
+  it('refuses requests at once that are expected to wait too long for a connection', async () => {
+    const world = new ForwardingWorld([{ kind: 'once', timeoutMs: 1000 }], undefined, 10);
+    const script: BackendScript = async (call) => {
+      await world.wait(400);
+      return serve(call, world);
+    };
+    world.add('b1', script);
+    await world.ask();
+    const asked = Array.from({ length: 16 }, () => world.ask());
+    await world.world.run(world.world.now + 10);
+    // Four run, and the four that can follow and end in time wait.
+    expect(world.refusals).to.have.length(8);
+    const statuses = (await Promise.all(asked)).map(({ status }) => status);
+    expect(statuses.filter((status) => status === 200)).to.have.length(8);
+  });
+
   it('refuses with connections_exhausted when an available worker holds the model', async () => {
     const world = new ForwardingWorld([{ kind: 'stream', timeoutMs: 500 }], ENGINE, 10);
     world.add('b1', hang, ['m']);
