A slow store is heard

Cause: each call was given 1.5 s and its response thrown away afterwards, so that such a store was never heard.

Fix: a listing still counts as failed after 1.5 s, so that silence is noticed as before, but stays open for 6 s while the next ones are tried. Later calls are given twice the time of the last response, 1.5 to 6 s.

--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -45,7 +45,8 @@
 
 /** Store whose records can be listed and watched. Calls may reject. */
 export interface RecordSource {
-  listAll(kind: string): Promise<RecordListing>;
+  /** Lists all records of a kind. @param limitMs Time after which a call of the listing is given up. @default up to the source */
+  listAll(kind: string, limitMs?: number): Promise<RecordListing>;
   /** Waits at most `waitMs` milliseconds for changes after a revision. */
   watch(kind: string, revision: number, waitMs: number, signal: AbortSignal): Promise<WatchResult>;
 }
--- a/packages/serving/src/record-watch.ts
+++ b/packages/serving/src/record-watch.ts
@@ -8,6 +8,7 @@
 import { backoffDelay, sleep, Wakeup, type Clock, type Random } from '@woodbarrow/runtime';
 import { StalenessTracker, type RecordSet } from '@woodbarrow/exchange';
 import type { RecordPosition, StorePosition } from '@woodbarrow/protocol';
+import { OverlappingListings } from './overlapping-listings.js';
 import type { RecordChange, RecordSource } from './ports.js';
 
 /** Options of {@link RecordWatch}. */
@@ -45,8 +46,10 @@
   private readonly wakeup = new Wakeup();
 
   private readonly staleness: StalenessTracker;
+  private readonly listings: OverlappingListings;
 
   constructor(private readonly options: RecordWatchOptions) {
+    this.listings = new OverlappingListings(options.store, options.set.source, options.clock);
     this.staleness = new StalenessTracker(options.clock, () => options.set.position);
   }
 
@@ -104,8 +107,8 @@
   }
 
   private async listRecords(): Promise<StorePosition> {
-    const { store, set, log } = this.options;
-    const { records, at } = await store.listAll(set.source);
+    const { set, log } = this.options;
+    const { records, at } = await this.listings.next();
     const { era: knownEra, revision: known } = set.position;
     const taken = set.replaceAll(records, at);
     log.changed('records_listed', { kind: set.source, ...at, known, count: records.length, taken });
