--- a/packages/gateway/src/jobs.ts
+++ b/packages/gateway/src/jobs.ts
@@ -14,10 +14,11 @@
 } from '@woodbarrow/runtime';
 import { CALLER_HEADERS } from './completion-request.js';
 import type { CompletionService } from './completions.js';
+import { JOB_RETENTION_MS, JobClaims } from './job-claims.js';
 import { JobCopies } from './job-copies.js';
 import { createJobSuffix, formatJobId, parseJobId } from './job-id.js';
 import { COPIES_PER_JOB, JobReplication, type CollectedJob } from './job-replication.js';
-import { JOB_RETENTION_MS, JobRunner, lostJobError } from './job-runner.js';
+import { JobRunner, lostJobError } from './job-runner.js';
 
 /** Options of {@link JobService}. */
 export interface JobServiceOptions {
@@ -62,7 +63,7 @@
       ...options,
       copies,
       replication: this.replication,
-      local: { id: membership.local.id, instance: membership.local.instance },
+      claims: new JobClaims(options.claims, membership.local, options.clock),
     });
   }
 
