Accesses to a claim wait for its deletion

By reading: a release awaited its write and then deleted the claim from memory, also where another claimant had been granted the key meanwhile. The voters would have had that claim and the leader not; only its start would have been refused. Deletions are now writes that later accesses to the key wait for, as records are. Tests of claims and jobs pass.

--- a/packages/coordination/src/claim-ledger.ts
+++ b/packages/coordination/src/claim-ledger.ts
@@ -296,16 +296,23 @@
   /** Stores the claim before it is replicated, so that a failed write leaves the key claimed. */
   private async record(lease: Lease, key: string, claim: Claim): Promise<void> {
     this.claims.set(key, claim);
-    const write = lease.write(new Map([[key, claim]]));
-    this.pendingWrites.set(key, write);
     this.unconfirmed.add(key);
+    const write = async (): Promise<void> => {
+      await lease.write(new Map([[key, claim]]));
+      this.unconfirmed.delete(key);
+    };
+    await this.trackWrite([key], write());
+    lease.assertValid();
+  }
+
+  /** Makes accesses to the keys wait for a write. */
+  private async trackWrite(keys: readonly string[], write: Promise<void>): Promise<void> {
+    for (const key of keys) this.pendingWrites.set(key, write);
     try {
       await write;
-      this.unconfirmed.delete(key);
     } finally {
-      if (this.pendingWrites.get(key) === write) this.pendingWrites.delete(key);
+      for (const key of keys) if (this.pendingWrites.get(key) === write) this.pendingWrites.delete(key);
     }
-    lease.assertValid();
   }
 
   /** Replicates a claim again if its last write failed, since the next leader may not read it. */
@@ -314,12 +321,15 @@
   }
 
   private async deleteClaims(lease: Lease, keys: readonly string[]): Promise<void> {
-    await lease.write(new Map(keys.map((key) => [key, null])));
-    for (const key of keys) {
-      this.claims.delete(key);
-      this.unconfirmed.delete(key);
-      this.answers.delete(key);
-    }
+    const write = async (): Promise<void> => {
+      await lease.write(new Map(keys.map((key) => [key, null])));
+      for (const key of keys) {
+        this.claims.delete(key);
+        this.unconfirmed.delete(key);
+        this.answers.delete(key);
+      }
+    };
+    await this.trackWrite(keys, write());
   }
 
   private async expire(): Promise<void> {
