What a view says of absent daemons stands in a class of its own

membership.ts had grown by hasEnded, mayReturn and the time in contact; job-deployment.ts had one type of call written twice.

--- a/packages/lab/test/job-deployment.ts
+++ b/packages/lab/test/job-deployment.ts
@@ -23,7 +23,6 @@
 export const GONE_MS = 3_600_000_000;
 const ANSWER_LIMIT_MS = 30_000;
 const CALLER_TOKEN = 'desk-caller-token';
-const OPERATOR_TOKEN = 'quetzal-operator-token';
 
 /** A response as a caller receives it. */
 export interface Reply {
@@ -32,6 +31,15 @@
   readonly text: string;
 }
 
+/** A call to a daemon's API for callers. */
+export interface ApiCall {
+  /** @default GET */
+  readonly method?: string;
+  readonly path: string;
+  readonly body?: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
 /** What a caller submits. */
 export interface JobOptions {
   /** Identifies the runs of this job; a long marker makes a large answer. */
@@ -88,16 +96,7 @@
   }
 
   /** Sends a request and advances virtual time until its response is complete. */
-  async send(
-    daemon: string,
-    call: {
-      method?: string;
-      path: string;
-      body?: unknown;
-      headers?: Readonly<Record<string, string>>;
-      operator?: boolean;
-    },
-  ): Promise<Reply> {
+  async send(daemon: string, call: ApiCall): Promise<Reply> {
     const sending = this.begin(daemon, call);
     let isDone = false;
     const done = sending.then(
@@ -112,25 +111,14 @@
   }
 
   /** Sends a request without advancing virtual time. */
-  async begin(
-    daemon: string,
-    call: {
-      method?: string;
-      path: string;
-      body?: unknown;
-      headers?: Readonly<Record<string, string>>;
-      operator?: boolean;
-    },
-  ): Promise<Reply> {
+  async begin(daemon: string, call: ApiCall): Promise<Reply> {
     const { deployment } = this;
-    const isOperator = call.operator === true;
-    const origin = isOperator ? deployment.operatorOrigin(daemon) : deployment.callerOrigin(daemon);
     const response = await deployment.clientIn(deployment.slot(daemon).plan.zone).send({
       method: call.method ?? 'GET',
-      origin,
+      origin: deployment.callerOrigin(daemon),
       path: call.path,
       headers: {
-        authorization: `Bearer ${isOperator ? OPERATOR_TOKEN : CALLER_TOKEN}`,
+        authorization: `Bearer ${CALLER_TOKEN}`,
         'content-type': 'application/json',
         ...call.headers,
       },
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -15,6 +15,7 @@
   type SyncResponse,
 } from '@woodbarrow/protocol';
 import { TaskGroup } from '@woodbarrow/runtime';
+import { Absence } from './absence.js';
 import { GossipBuffer } from './gossip-buffer.js';
 import { LocalHealth } from './local-health.js';
 import { MemberTable, isPresent } from './member-table.js';
@@ -75,6 +76,7 @@
     viewExchanges: 0,
   };
   private readonly table = new MemberTable();
+  private readonly absence: Absence;
   private readonly gossip = new GossipBuffer();
   private readonly health = new LocalHealth();
   private readonly targets: ProbeTargets;
@@ -84,11 +86,10 @@
   private consecutiveDifferences = 0;
   private lastProbeStart = 0;
   private startedAt = 0;
-  /** Monotonic time since which the view has had another present member; undefined while it has none. */
-  private connectedSince: number | undefined;
 
   constructor(private readonly options: MembershipOptions) {
     this.timings = { ...DEFAULT_MEMBERSHIP_TIMINGS, ...options.timings };
+    this.absence = new Absence(this.table, options.clock, STARTUP_PERIOD_MS);
     const { id, zone, region, instance, capacity = DEFAULT_CAPACITY } = options.identity;
     this.self = {
       id,
@@ -133,10 +134,8 @@
    * Whether a run of a daemon has ended in this member's view. A run that is suspended or partitioned looks like an ended
    * one. A run without a record counts as ended once this member has had time to learn of all members.
    */
-  hasEnded({ id, instance }: Incarnation): boolean {
-    const record = this.table.get(id);
-    if (record === undefined) return this.connectedMs() >= STARTUP_PERIOD_MS;
-    return record.instance > instance || (record.instance === instance && !isPresent(record));
+  hasEnded(run: Incarnation): boolean {
+    return this.absence.hasEnded(run);
   }
 
   /**
@@ -144,15 +143,7 @@
    * `limitMs`. A member that has been in contact with others for less than that may not have learned of every absent daemon.
    */
   mayReturn(id: string, limitMs: number): boolean {
-    const record = this.table.get(id);
-    if (record === undefined) return this.connectedMs() < limitMs;
-    const absentMs = this.options.clock.monotonic() - (this.table.changedAt(id) ?? 0);
-    return record.status === 'dead' && absentMs < limitMs;
-  }
-
-  /** Milliseconds for which this member has had others in its view without interruption; 0 if it has none. */
-  private connectedMs(): number {
-    return this.connectedSince === undefined ? 0 : this.options.clock.monotonic() - this.connectedSince;
+    return this.absence.mayReturn(id, limitMs);
   }
 
   /** Digest of the present members; equal views have equal digests. */
@@ -334,8 +325,7 @@
     }
     const before = this.table.get(record.id);
     if (!this.table.apply(record, this.options.clock.monotonic())) return;
-    if (this.table.presentCount <= 1) this.connectedSince = undefined;
-    else this.connectedSince ??= this.options.clock.monotonic();
+    this.absence.update();
     if (shouldGossip) this.gossip.add(record);
     this.emitChange(before, record);
   }
