--- a/packages/backends/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -7,3 +7,4 @@
 export * from './load-report.js';
 export * from './model-name.js';
 export * from './service-definition.js';
+export * from './pace-view.js';
--- a/packages/backends/src/service-definition.ts
+++ b/packages/backends/src/service-definition.ts
@@ -35,3 +35,22 @@
   /** Present when the workers run models. */
   readonly engine?: EngineDefinition;
 }
+
+/**
+ * Load time from the weight store from which loads count as slow, in milliseconds. Clients give up a stream that has not
+ * begun after 2 to 10 s, so the request that causes such a load cannot wait for it.
+ */
+const SLOW_LOAD_MS = 10_000;
+
+/** Cached per configuration, as it is checked for each request and an engine may list hundreds of models. */
+const slowLoads = new WeakMap<EngineDefinition, boolean>();
+
+/** Whether loads from the weight store take so long that they have to be started before the requests that need them. */
+export function hasSlowLoads(engine: EngineDefinition): boolean {
+  let isSlow = slowLoads.get(engine);
+  if (isSlow === undefined) {
+    isSlow = [...engine.models.values()].some(({ storeLoadMs }) => storeLoadMs >= SLOW_LOAD_MS);
+    slowLoads.set(engine, isSlow);
+  }
+  return isSlow;
+}
--- a/packages/serving/src/serving-settings.ts
+++ b/packages/serving/src/serving-settings.ts
@@ -33,6 +33,8 @@
   readonly metrics?: MetricsEndpoint;
   readonly repeats: RepeatSettings;
   readonly quotaAllowance: OvershootAllowance;
+  /** Whether callers compete for capacity; the units of a tenant at its limit then go to the more urgent requests first. */
+  readonly hasContendedCapacity: boolean;
   /** Allowance beyond the rate limit that a back end reports. */
   readonly rateLimitAllowance: OvershootAllowance;
   /** Whether the whole deployment starts for the first time. */
