--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -22,3 +22,6 @@
 export * from './worker-orders.js';
 export * from './zone-reachability.js';
 export * from './zone-residency.js';
+export * from './replica-spread.js';
+export * from './spread-history.js';
+export * from './victim-protection.js';
