Coordinators add replicas for services with slow loads

Callers of a busy model met its full holders until a request asked for a replica, and every daemon asked on its own. Each zone's coordinator now evaluates the same decision every 400 ms and loads what falls to its zone through the load scheduler. Claims name the worker of each load in progress, so that the zones agree on which workers are free. A load of a service with slow loads takes the pace of the workers into account, and an additional replica displaces neither the last replica of a model in use nor the last reachable copy. Nothing changes for other services.

--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -53,6 +53,8 @@
     'The coordinator of a zone responded to the demand of this daemon for a model. Zone, coordinator, model, adapter, whether the demand is held, reason, duration, remaining time.',
   load_decided:
     'A coordinator starts a load. Zone, model, demands that wait for it and their wait, all waiting demands, worker, evicted models, expected duration, source of the weights, recent demand.',
+  replica_wanted:
+    'A coordinator decided to add a replica of a model with slow loads. Zone, model, worker, projected load and remaining capacity in requests, reason (`load`, `capacity`, `pauses`).',
   demand_refused:
     'A coordinator refused a demand for a model. Zone, model, whether another replica was requested, reason, cause if no worker has capacity (`no_worker`, `no_victim`, `store_barred`, `no_memory`), remaining time, expected load time, waiting demands.',
   model_unserved:
--- a/packages/protocol/src/residency-messages.ts
+++ b/packages/protocol/src/residency-messages.ts
@@ -59,6 +59,8 @@
   readonly model: string;
   /** Milliseconds until the model is expected to be resident, as of the time of the report. */
   readonly readyInMs: number;
+  /** Worker that loads it; absent from daemons of an older version. */
+  readonly backEndId?: string;
 }
 
 /** Announces that the sender coordinates a zone, with its lease and the loads in progress. */
--- a/packages/residency/src/demand-router.ts
+++ b/packages/residency/src/demand-router.ts
@@ -1,5 +1,12 @@
 /** Routes demands for models to the coordinators of the zones, cheapest quote first. */
-import { hasAdapter, targetKey, type BackendDirectory, type ModelTarget } from '@woodbarrow/backends';
+import {
+  hasAdapter,
+  hasSlowLoads,
+  targetKey,
+  type BackendDirectory,
+  type ModelTarget,
+  type ServiceDefinition,
+} from '@woodbarrow/backends';
 import type { ResidencyClient, ResidencyDemand, ResidencyOutcome } from '@woodbarrow/forwarding';
 import { rankByRendezvous } from '@woodbarrow/coordination';
 import type { CoordinatorDirectory } from '@woodbarrow/exchange';
@@ -24,6 +31,8 @@
   readonly coordinators: CoordinatorDirectory;
   readonly peers: PeerNetwork;
   readonly quarantine: LoadQuarantine;
+  /** Returns a service; requests ask for no replicas of those with slow loads, whose coordinators decide alone. */
+  readonly serviceOf?: (name: string) => ServiceDefinition | undefined;
   readonly clock: Clock;
   readonly failures: CallFailures;
   readonly log: EventLog;
@@ -93,7 +102,9 @@
   }
 
   requestReplica(service: string, model: string, priority: number): void {
-    const { clock, directory } = this.options;
+    const { clock, directory, serviceOf } = this.options;
+    const engine = serviceOf?.(service)?.engine;
+    if (engine !== undefined && hasSlowLoads(engine)) return;
     const now = clock.monotonic();
     const key = `${service} ${model}`;
     if (now - (this.replicaRequestedAt.get(key) ?? -Infinity) < REPLICA_REQUEST_INTERVAL_MS) return;
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -23,5 +23,6 @@
 export * from './zone-reachability.js';
 export * from './zone-residency.js';
 export * from './replica-spread.js';
+export * from './replica-spreader.js';
 export * from './spread-history.js';
 export * from './victim-protection.js';
--- a/packages/residency/src/load-planner.ts
+++ b/packages/residency/src/load-planner.ts
@@ -2,17 +2,21 @@
  * Plans the loads of one zone from the current state: available workers, capacity of the weight store,
  * replicas and demand. The decisions are made by {@link planLoads} and {@link choosePlacement}.
  */
-import type {
-  BackendDirectory,
-  EngineDefinition,
-  LoadTracker,
-  ServiceDefinition,
+import {
+  hasSlowLoads,
+  UNIFORM_PACE,
+  type BackendDirectory,
+  type EngineDefinition,
+  type LoadTracker,
+  type PaceView,
+  type ServiceDefinition,
 } from '@woodbarrow/backends';
 import type { Clock } from '@woodbarrow/runtime';
 import { planLoads, urgencyOf, type LoadPlan, type PlannedLoad } from './load-plan.js';
 import type { LoadTimes } from './load-times.js';
 import { MemoizedLoads, memoize, type LoadView } from './load-view.js';
 import { LoadWindow } from './load-window.js';
+import { hasLocalCopy } from './local-copies.js';
 import type { DemandGroup, NoPlaceCause } from './pending-demand.js';
 import {
   choosePlacement,
@@ -26,6 +30,7 @@
 import type { RetryReservations } from './retry-reservations.js';
 import type { StoreLink, StoreLoad } from './store-link.js';
 import type { UnservedModels } from './unserved-models.js';
+import { selectReplicaVictims, type VictimPresence } from './victim-protection.js';
 import type { WorkerOrders } from './worker-orders.js';
 
 /** Rate limit of the weight store. */
@@ -48,6 +53,8 @@
   readonly link: StoreLink;
   readonly times: LoadTimes;
   readonly clock: Clock;
+  /** Pace of the workers; used for services with slow loads. Default: all workers are equally fast. */
+  readonly paces?: PaceView;
 }
 
 /**
@@ -60,6 +67,8 @@
   /** Returns the number of workers in all zones that hold a model. */
   readonly replicasOf: (model: string) => number;
   readonly victimsOf: (candidate: PlacementCandidate) => readonly RankedVictim[];
+  /** Returns those that an additional replica may displace, cheapest first. */
+  readonly replicaVictimsOf: (candidate: PlacementCandidate) => readonly RankedVictim[];
 }
 
 /** A plan with its inputs, used to place groups that arrive shortly after it was made. */
@@ -168,7 +177,24 @@
       }
       return ranked;
     };
-    return { engine, loads, replicasOf, victimsOf };
+    const presence = this.presenceOf(service, loads);
+    const replicaVictimsOf = hasSlowLoads(engine)
+      ? (candidate: PlacementCandidate): RankedVictim[] =>
+          selectReplicaVictims(candidate.backEnd.id, victimsOf(candidate), presence)
+      : victimsOf;
+    return { engine, loads, replicasOf, victimsOf, replicaVictimsOf };
+  }
+
+  private presenceOf(service: string, loads: LoadView): VictimPresence {
+    const { directory } = this.options;
+    const ids = (backEnds: readonly { readonly id: string }[]): string[] => backEnds.map(({ id }) => id);
+    return {
+      demandFor: (model) => loads.demandFor(model),
+      holdersOf: (model) => ids(directory.holdersOf(service, { model })),
+      copiesOf: (model) =>
+        ids(directory.ofService(service).filter((other) => !other.draining && hasLocalCopy(other, model))),
+      endsInMs: (id, model) => loads.endsInMs(id, model),
+    };
   }
 
   /** Whether a worker could start a load now. */
@@ -208,9 +234,10 @@
   private choose(
     group: DemandGroup,
     available: readonly PlacementCandidate[],
-    { engine, loads, replicasOf, victimsOf }: PlanInputs,
+    { engine, loads, replicasOf, victimsOf, replicaVictimsOf }: PlanInputs,
     limits: PlacementOverrides = {},
   ): PlacementChoice | undefined {
+    const { paces = UNIFORM_PACE } = this.options;
     const model = engine.models.get(group.model);
     if (model === undefined) return undefined;
     const isUsable = (candidate: PlacementCandidate): boolean =>
@@ -222,10 +249,11 @@
       model,
       engine,
       candidates: available.filter(isUsable),
-      victimsOf,
+      victimsOf: group.isAdditionalReplica ? replicaVictimsOf : victimsOf,
       times: this.options.times,
       storeWaitMs: this.storeWaitMs(group, model.storeLoadMs),
       storeSlowdown: this.options.link.slowdown(),
+      ...(hasSlowLoads(engine) ? { paceOf: (id: string) => paces.paceOf(id) } : {}),
       maximumVictimValue: group.isAdditionalReplica
         ? share * REPLICA_VICTIM_VALUE_SHARE
         : Math.max(MIN_VICTIM_VALUE_LIMIT * this.waitFactor(group), share),
--- a/packages/residency/src/load-scheduler.ts
+++ b/packages/residency/src/load-scheduler.ts
@@ -174,6 +174,7 @@
     return [...this.loading.values()].map((loading) => ({
       model: loading.model,
       readyInMs: Math.round(this.remainingLoadMs(loading)),
+      backEndId: loading.backEndId,
     }));
   }
 
--- a/packages/residency/src/placement-choice.ts
+++ b/packages/residency/src/placement-choice.ts
@@ -70,6 +70,8 @@
   readonly storeSlowdown: number;
   /** Maximum value of a victim, in recent requests per replica. */
   readonly maximumVictimValue: number;
+  /** Duration of work on a worker relative to the usual; absent where it does not matter. */
+  readonly paceOf?: (backEndId: string) => number;
 }
 
 /** Eviction cost per recent request and replica, in milliseconds. */
@@ -78,6 +80,11 @@
  * Cost of loading on a worker with resident adapters, as it cannot load adapters meanwhile, in milliseconds.
  */
 const ADAPTER_DELAY_COST_MS = 400;
+/**
+ * Cost of a worker that takes twice the usual time, in milliseconds. About the time that a usual run of 1 to 2 s takes
+ * longer there; well below a load from the weight store, which slow workers must not cause.
+ */
+const PACE_COST_MS = 1500;
 /** Cost of a worker's occupancy: each millisecond counts as this many milliseconds of waiting by others. */
 export const OCCUPANCY_WEIGHT = 2;
 /** Time within which waiting requests reach the worker after a load, in milliseconds. */
@@ -115,12 +122,14 @@
   const beginMs = Math.max(candidate.busyMs, victims.notBeforeMs) + victims.waitMs;
   const readyMs = Math.max(beginMs, storeWaitMs) + loadMs;
   const adapterDelayMs = candidate.residents.adapterCount > 0 ? ADAPTER_DELAY_COST_MS : 0;
+  const paceCostMs = ((inputs.paceOf?.(candidate.backEnd.id) ?? 1) - 1) * PACE_COST_MS;
   const { names, notBeforeMs, waitMs: unloadMs } = victims;
   const choice = { candidate, victims: names, readyMs, notBeforeMs, unloadMs, loadMs, source, storeWaitMs };
   return [
     {
       choice,
-      costMs: readyMs + victims.costMs + adapterDelayMs + (victims.waitMs + loadMs) * OCCUPANCY_WEIGHT,
+      costMs:
+        readyMs + victims.costMs + adapterDelayMs + paceCostMs + (victims.waitMs + loadMs) * OCCUPANCY_WEIGHT,
     },
   ];
 }
@@ -184,7 +193,7 @@
  * Returns the memory reserved for all adapter slots in MB, cached per configuration as it may list hundreds
  * of models.
  */
-function adapterReserveMb(engine: EngineDefinition): number {
+export function adapterReserveMb(engine: EngineDefinition): number {
   let reserveMb = adapterReserves.get(engine);
   if (reserveMb === undefined) {
     const sizes = [...engine.models.values()].map(({ adapterMb }) => adapterMb);
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -2,7 +2,7 @@
  * A daemon's role in model residency: candidate for the leases of the zones, and coordinator of the zones
  * that it holds.
  */
-import type { BackendDirectory, LoadTracker, ServiceDefinition } from '@woodbarrow/backends';
+import type { BackendDirectory, LoadTracker, PaceView, ServiceDefinition } from '@woodbarrow/backends';
 import {
   StoreLease,
   rankByCapacity,
@@ -17,6 +17,7 @@
 import type { LoadQuarantine } from '@woodbarrow/quarantine';
 import {
   residencyDemandMethod,
+  type LoadUnderWay,
   type ResidencyChange,
   type ResidencyDemandAnswer,
   type ResidencyDemandMessage,
@@ -26,6 +27,7 @@
 import { BackgroundService, sleep, type Clock, type Random } from '@woodbarrow/runtime';
 import { LeaseContacts, type KnownMember, type RunningMember } from './lease-contacts.js';
 import type { OrderClient } from './order-client.js';
+import { addReplicaCounts, type ReplicaCounts } from './replica-spreader.js';
 import type { StoreWindowOptions } from './load-planner.js';
 import { ZoneResidency, type UnservedDemands } from './zone-residency.js';
 
@@ -55,6 +57,8 @@
   readonly handoverPauseMs: number;
   readonly storeWindow: StoreWindowOptions;
   readonly quarantine: LoadQuarantine;
+  /** Pace of the workers; used for services with slow loads. Default: all workers are equally fast. */
+  readonly paces?: PaceView;
   readonly failures: CallFailures;
   readonly clock: Clock;
   readonly random: Random;
@@ -64,6 +68,10 @@
 const CANDIDACY_INTERVAL_MS = 250;
 /** Interval of periodic maintenance, in milliseconds. */
 const MAINTENANCE_INTERVAL_MS = 500;
+/**
+ * Interval between decisions on additional replicas, in milliseconds; about the age of the reports of other daemons.
+ */
+const SPREAD_INTERVAL_MS = 400;
 /** Interval between renewals of a lease, in milliseconds; a fraction of its lifetime. */
 const RENEW_INTERVAL_MS = 2000;
 const RENEW_RETRY_INTERVAL_MS = 600;
@@ -136,6 +144,14 @@
         return Promise.resolve();
       },
     );
+    this.tasks.loop(
+      'residency.spread',
+      () => SPREAD_INTERVAL_MS,
+      () => {
+        this.spreadReplicas();
+        return Promise.resolve();
+      },
+    );
   }
 
   /** Returns the fence of each zone that this daemon coordinates. */
@@ -166,6 +182,12 @@
     return new Map([...this.held].map(([zone, { residency }]) => [zone, residency.unserved]));
   }
 
+  /** Returns the additional replicas decided and loaded for the coordinated zones. */
+  replicaCounts(): ReplicaCounts {
+    const counts = [...this.held.values()].map(({ residency }) => residency.replicaCounts);
+    return addReplicaCounts(counts);
+  }
+
   /** Releases all leases on a planned stop. */
   async leave(): Promise<void> {
     this.isLeaving = true;
@@ -199,6 +221,15 @@
     }
   }
 
+  private spreadReplicas(): void {
+    if (this.held.size === 0) return;
+    for (const name of this.engineServices()) {
+      const service = this.options.serviceOf(name);
+      if (service === undefined) continue;
+      for (const { residency } of this.held.values()) residency.spreadReplicas(service);
+    }
+  }
+
   private engineServices(): Set<string> {
     const names = this.options.directory.all().map((backEnd) => backEnd.service);
     return new Set(names.filter((name) => this.options.serviceOf(name)?.engine !== undefined));
@@ -346,7 +377,7 @@
 
   private createCoordinator(zone: string, lease: StoreLease): ZoneResidency {
     const { self, directory, loads, orders, serviceOf, announce, clock, random, log } = this.options;
-    const { storeWindow, quarantine } = this.options;
+    const { storeWindow, quarantine, paces } = this.options;
     return new ZoneResidency({
       zone,
       holder: self.id,
@@ -364,6 +395,11 @@
       zones: () => this.zones(),
       storeLoadsInOtherZones: () => this.storeLoadsInOtherZones(zone),
       expectedElsewhereInMs: (model) => this.expectedElsewhereInMs(zone, model),
+      ...(paces === undefined ? {} : { paces }),
+      otherZones: {
+        hasCoordinator: (other) => this.held.has(other) || this.options.coordinators.of(other) !== undefined,
+        loadsUnderWay: () => this.loadsInOtherZones(zone),
+      },
       announce,
     });
   }
@@ -384,16 +420,18 @@
    * when none is loading it.
    */
   private expectedElsewhereInMs(zone: string, model: string): number {
-    let soonestMs = Infinity;
-    for (const other of this.zones()) {
-      if (other === zone) continue;
-      const loads =
-        this.held.get(other)?.residency.loadsUnderWay ?? this.options.coordinators.of(other)?.loading;
-      for (const load of loads ?? []) {
-        if (load.model === model) soonestMs = Math.min(soonestMs, load.readyInMs);
-      }
-    }
-    return soonestMs;
+    const loads = this.loadsInOtherZones(zone).filter((load) => load.model === model);
+    return Math.min(Infinity, ...loads.map(({ readyInMs }) => readyInMs));
+  }
+
+  /** Returns the loads of the other zones' coordinators, as last reported. */
+  private loadsInOtherZones(zone: string): LoadUnderWay[] {
+    return this.zones()
+      .filter((other) => other !== zone)
+      .flatMap(
+        (other) =>
+          this.held.get(other)?.residency.loadsUnderWay ?? this.options.coordinators.of(other)?.loading ?? [],
+      );
   }
 
   private async onDemand(message: ResidencyDemandMessage): Promise<ResidencyDemandAnswer> {
--- a/packages/residency/src/victim-protection.ts
+++ b/packages/residency/src/victim-protection.ts
@@ -13,7 +13,16 @@
   readonly copiesOf: (model: string) => readonly string[];
 }
 
-/** Demand from which a model counts as in use: one request within the last half-life of demand (4 s). */
+/** The state of models with the predicted end of their runs. */
+export interface VictimPresence extends ModelPresence {
+  /** Returns the expected milliseconds until a model's runs on a worker end; 0 without runs. */
+  readonly endsInMs: (workerId: string, model: string) => number;
+}
+
+/**
+ * Demand from which a model counts as in use: a request within about the last three half-lives of demand (12 s). A
+ * model with a request every 3 s is then rarely taken for an unused one.
+ */
 const IN_USE_DEMAND = 0.125;
 
 /** Whether a model has been requested recently. */
@@ -35,3 +44,20 @@
   if (!isInUse(model, presence)) return false;
   return otherHolders.every((id) => id > workerId);
 }
+
+/**
+ * Returns the victims on a worker that an additional replica may displace: first those without runs there, then those
+ * that other workers hold as well, otherwise in the given order.
+ */
+export function selectReplicaVictims<T extends { readonly name: string }>(
+  workerId: string,
+  ranked: readonly T[],
+  presence: VictimPresence,
+): T[] {
+  const rankOf = ({ name }: T): number =>
+    (presence.endsInMs(workerId, name) > 0 ? 2 : 0) +
+    (presence.holdersOf(name).some((id) => id !== workerId) ? 0 : 1);
+  return ranked
+    .filter(({ name }) => !isProtectedVictim(name, workerId, presence))
+    .sort((left, right) => rankOf(left) - rankOf(right));
+}
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -1,12 +1,15 @@
 /** Coordinates one zone: answers demands for models on its workers while it holds the zone's lease. */
 import {
   hasAdapter,
+  hasSlowLoads,
   targetKey,
+  UNIFORM_PACE,
   type AdapterTarget,
   type BackEnd,
   type BackendDirectory,
   type LoadTracker,
   type ModelTarget,
+  type PaceView,
   type ServiceDefinition,
 } from '@woodbarrow/backends';
 import { rankByRendezvous, type StoreLease } from '@woodbarrow/coordination';
@@ -26,6 +29,7 @@
 import { LoadScheduler } from './load-scheduler.js';
 import type { OrderClient } from './order-client.js';
 import type { Placement, RefusedDemandReason } from './pending-demand.js';
+import { ReplicaSpreader, type OtherZones, type ReplicaCounts } from './replica-spreader.js';
 import { StoreLink } from './store-link.js';
 import { WorkerOrders } from './worker-orders.js';
 
@@ -53,6 +57,10 @@
    */
   readonly expectedElsewhereInMs: (model: string) => number;
   readonly quarantine: LoadQuarantine;
+  /** Pace of the workers; used for services with slow loads. Default: all workers are equally fast. */
+  readonly paces?: PaceView;
+  /** What is known of the other zones. Default: no other zone has a coordinator. */
+  readonly otherZones?: OtherZones;
   /** Notifies all daemons of a change of residency. */
   readonly announce: (change: ResidencyChange) => void;
 }
@@ -75,12 +83,16 @@
 
 const LOAD_QUARANTINED: RefusedDemandReason = 'load_quarantined';
 
+/** A zone that is alone. */
+const NO_OTHER_ZONES: OtherZones = { hasCoordinator: () => false, loadsUnderWay: () => [] };
+
 /** Coordinator of one zone. */
 export class ZoneResidency {
   private readonly workers = new Map<string, WorkerOrders>();
   private readonly scheduler: LoadScheduler;
   private readonly times = new LoadTimes();
   private readonly link: StoreLink;
+  private readonly spreader: ReplicaSpreader;
 
   constructor(private readonly options: ZoneResidencyOptions) {
     this.link = new StoreLink({
@@ -97,6 +109,13 @@
       workersOf: (service) => this.availableWorkers(service).map((backEnd) => this.workerOf(backEnd.id)),
       mayAct: () => options.lease.mayAct(),
     });
+    this.spreader = new ReplicaSpreader({
+      ...options,
+      paces: options.paces ?? UNIFORM_PACE,
+      otherZones: options.otherZones ?? NO_OTHER_ZONES,
+      scheduler: this.scheduler,
+      workersOf: (service) => this.availableWorkers(service).map((backEnd) => this.workerOf(backEnd.id)),
+    });
   }
 
   /** Number of weight store loads in progress. */
@@ -156,6 +175,17 @@
     this.scheduler.schedule();
   }
 
+  /** Adds replicas of a service with slow loads before the holders of its models are full. */
+  spreadReplicas(service: ServiceDefinition): void {
+    if (service.engine === undefined || !hasSlowLoads(service.engine)) return;
+    if (this.options.lease.mayAct()) this.spreader.spread(service);
+  }
+
+  /** Additional replicas decided and loaded, for metrics. */
+  get replicaCounts(): ReplicaCounts {
+    return this.spreader.counts;
+  }
+
   /** Reads the state of workers; waits for it only while no worker's state is known. */
   private async synchronizeWorkers(service: string): Promise<void> {
     const workers = this.availableWorkers(service).map((worker) => this.workerOf(worker.id));
--- a/packages/residency/test/demand-router.test.ts
+++ b/packages/residency/test/demand-router.test.ts
@@ -1,5 +1,10 @@
 import { expect } from 'chai';
-import { BackendDirectory, NO_NEARBY_COPIES, type ModelTarget } from '@woodbarrow/backends';
+import {
+  BackendDirectory,
+  NO_NEARBY_COPIES,
+  type ModelTarget,
+  type ServiceDefinition,
+} from '@woodbarrow/backends';
 import { CoordinatorDirectory } from '@woodbarrow/exchange';
 import type { ResidencyDemand, ResidencyOutcome } from '@woodbarrow/forwarding';
 import { CallFailures, silentLog } from '@woodbarrow/observability';
@@ -13,6 +18,8 @@
 import { QUARANTINE_MS, loadContent } from '@woodbarrow/quarantine';
 import { DemandRouter, QUOTE_REASON } from '../src/index.js';
 import { daemonQuarantine, type DaemonQuarantine } from './load-quarantines.js';
+import { modelDefinition } from './simulated-workers.js';
+import { ENGINE } from './zone-world.js';
 
 const ZONES = ['alpha', 'beta'];
 
@@ -36,6 +43,8 @@
   private router: DemandRouter | undefined;
   private quarantined: DaemonQuarantine | undefined;
   private wall: () => number = () => 0;
+  /** The service of the model, where the daemon knows it. */
+  service: ServiceDefinition | undefined;
 
   async start(copies: readonly string[] = []): Promise<void> {
     const node = await this.cluster.add('asking');
@@ -85,6 +94,7 @@
       coordinators: directoryOfCoordinators,
       peers: node.peers,
       quarantine: this.quarantined.loads,
+      serviceOf: () => this.service,
       clock: node.process,
       failures: new CallFailures(node.process, silentLog),
       log: silentLog,
@@ -103,6 +113,12 @@
     });
   }
 
+  /** Requests another replica of the model, and waits until the message has arrived. */
+  async askForReplica(): Promise<void> {
+    this.router?.requestReplica('models', 'm', 1);
+    await this.cluster.advance(100);
+  }
+
   ask(changes: Partial<ResidencyDemand> = {}): Promise<ResidencyOutcome> {
     const demand = {
       service: 'models',
@@ -170,6 +186,20 @@
     expect(final?.withinMs).to.be.within(850, 925);
   });
 
+  it('requests replicas only of services without slow loads, whose coordinators do not decide on them', async () => {
+    const serviceWithLoads = (storeLoadMs: number): ServiceDefinition => {
+      const model = { ...modelDefinition('m'), storeLoadMs };
+      return { name: 'models', connectionLimit: 1, engine: { ...ENGINE, models: new Map([['m', model]]) } };
+    };
+    await world.start();
+    world.service = serviceWithLoads(10_000);
+    await world.askForReplica();
+    expect(world.asked).to.deep.equal([]);
+    world.service = serviceWithLoads(9000);
+    await world.askForReplica();
+    expect(world.asked.map(({ another }) => another)).to.deep.equal([true]);
+  });
+
   it('requests new quotes when a zone answers that another zone holds the model by now', async () => {
     await world.start();
     const answer = quoting(100);
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -421,6 +421,7 @@
       invalidRecords: () => ports.invalidRecords(),
       callFailures: () => this.failures.totals(),
       unserved: () => residency.unserved(),
+      replicas: () => residency.replicaCounts(),
       quarantine: () => this.quarantine.totals,
       loadQuarantine: () => this.loadQuarantine.totals,
       notices: () => this.noticeService.notices.totals,
@@ -436,7 +437,8 @@
     const { clock, client, dialect, random } = ports;
     const quarantine = this.loadQuarantine;
     const { notices, permits } = this.noticeService;
-    const demands = new DemandRouter({ directory, coordinators, peers, quarantine, clock, failures, log });
+    const shared = { directory, coordinators, peers, quarantine, clock, failures, log };
+    const demands = new DemandRouter({ ...shared, serviceOf: (name) => this.serviceOf(name) });
     const connections = new ConnectionShare(loads, () => this.membership.eligible().length);
     const context = {
       clock,
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -2,7 +2,7 @@
 import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
 import type { NoticeTotals } from '@woodbarrow/forwarding';
 import type { GateUsage, AllocatorUsage, PermitTotals } from '@woodbarrow/quota';
-import type { UnservedDemands } from '@woodbarrow/residency';
+import type { ReplicaCounts, UnservedDemands } from '@woodbarrow/residency';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
 
 /** Maximum number of tenants listed in each metric. */
@@ -23,6 +23,8 @@
   readonly invalidRecords: () => ReadonlyMap<string, number>;
   /** Unserved demands of the zones coordinated here, by zone. */
   readonly unserved: () => ReadonlyMap<string, UnservedDemands>;
+  /** Additional replicas decided and loaded for the zones coordinated here. */
+  readonly replicas: () => ReplicaCounts;
   readonly quarantine: () => QuarantineTotals;
   readonly loadQuarantine: () => LoadQuarantineTotals;
   readonly notices: () => NoticeTotals;
@@ -102,6 +104,7 @@
     );
     this.addUnservedGauges(sources);
     this.addQuarantineGauges(sources);
+    this.addReplicaGauges(sources);
     this.addNoticeGauges(sources);
     this.addQuotaGauges(sources);
     registry.gauge(
@@ -140,6 +143,20 @@
     );
   }
 
+  private addReplicaGauges({ replicas }: MetricSources): void {
+    this.registry.gauge(
+      'woodbarrow_replicas_wanted',
+      'Additional replicas that coordinators here decided on since the start, by reason.',
+      () => replicas().decided,
+      'reason',
+    );
+    this.registry.gauge(
+      'woodbarrow_replicas_loaded',
+      'Additional replicas that were decided on here and have been loaded since the start.',
+      () => replicas().loaded,
+    );
+  }
+
   private addNoticeGauges({ notices, permits }: MetricSources): void {
     this.registry.gauge(
       'woodbarrow_send_permits',
