--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -22,6 +22,7 @@
 export * from './worker-orders.js';
 export * from './zone-reachability.js';
 export * from './zone-residency.js';
+export * from './replica-decision.js';
 export * from './replica-spread.js';
 export * from './replica-spreader.js';
 export * from './spread-history.js';
--- a/packages/residency/src/replica-spreader.ts
+++ b/packages/residency/src/replica-spreader.ts
@@ -16,13 +16,8 @@
 import type { Clock } from '@woodbarrow/runtime';
 import type { LoadScheduler } from './load-scheduler.js';
 import { adapterReserveMb } from './placement-choice.js';
-import {
-  decideReplicas,
-  type ReplicaDecision,
-  type ReplicaReason,
-  type SpreadWorker,
-  type WantedReplica,
-} from './replica-spread.js';
+import type { ReplicaDecision, ReplicaReason, SpreadWorker, WantedReplica } from './replica-decision.js';
+import { decideReplicas } from './replica-spread.js';
 import { SpreadHistory } from './spread-history.js';
 import type { WorkerOrders } from './worker-orders.js';
 
--- a/packages/residency/test/placement-choice.test.ts
+++ b/packages/residency/test/placement-choice.test.ts
@@ -101,6 +101,16 @@
     expect(choosePlacement(inputs([far], { storeWaitMs: 700 }))?.readyMs).to.equal(700 + STORE_MS);
   });
 
+  it('prefers a fast worker, but loads on a slow one with a copy rather than from the weight store', () => {
+    const paceOf = (id: string): number => (id === 'slow' ? 1.6 : 0.6);
+    const slow = candidate('slow', ['a'], { onDisk: ['wanted'] });
+    const fast = candidate('fast', ['a'], { onDisk: ['wanted'] });
+    expect(choosePlacement(inputs([slow, fast]))?.candidate.backEnd.id).to.equal('slow');
+    expect(choosePlacement(inputs([slow, fast], { paceOf }))?.candidate.backEnd.id).to.equal('fast');
+    const far = candidate('far', ['a']);
+    expect(choosePlacement(inputs([slow, far], { paceOf }))?.candidate.backEnd.id).to.equal('slow');
+  });
+
   it('evicts the model with the least demand per replica', () => {
     for (let count = 0; count < 2; count += 1) loads.recordDemand('a');
     loads.recordDemand('b');
--- a/packages/residency/test/replica-spreader.test.ts
+++ b/packages/residency/test/replica-spreader.test.ts
@@ -85,8 +85,9 @@
   it('evicts neither the last replica of a model in use nor the last reachable copy', async () => {
     const zone = new SpreadZone(2, SLOW_ENGINE);
     const worker = zone.workers.get('w1');
-    await zone.load('w1', 'm2');
+    // Without the rule, the model that was loaded first would be the cheapest to evict.
     await zone.load('w1', 'm3');
+    await zone.load('w1', 'm2');
     const backEnd = zone.directory.get('w0');
     if (backEnd === undefined) throw new Error('no worker');
     zone.directory.put({ ...backEnd, nearby: { inMemory: [], onDisk: ['m1', 'm2'] } });
