Requests for slow-loading services wait at the daemon for room on a worker

Requests were sent to full workers at once, where most of the less urgent ones began late. Daemons now keep them in a queue, ordered by priority and latest time to send, while all holders of the model are at their slots.

--- a/packages/backends/src/load-tracker.ts
+++ b/packages/backends/src/load-tracker.ts
@@ -81,6 +81,8 @@
   readonly updatedAt: number;
 }
 
+/** Size of a request that no back end has received. */
+const NO_SIZE: WorkSize = { promptTokens: 0, outputTokens: 0 };
 const NO_LOAD: BackEndLoad = { requests: 0, unreadTokens: 0, heldTokens: 0 };
 
 /** Tracks the load on all back ends and the demand for models. */
@@ -126,6 +128,24 @@
     };
   }
 
+  /**
+   * Records a request that waits at this daemon for room on a worker. It is reported like work in progress, under an id
+   * that is not that of a back end.
+   */
+  startWaiting(target: ModelTarget, priority: number): WorkTicket {
+    return this.start(waitingId(target.model, priority), target, NO_SIZE);
+  }
+
+  /** Returns the requests of one priority that wait for room on a worker with the model, over all daemons. */
+  waitingFor(model: string, priority: number): number {
+    return this.loadOf(waitingId(model, priority)).requests;
+  }
+
+  /** Returns the requests of one priority that wait at this daemon for room on a worker with the model. */
+  ownWaitingFor(model: string, priority: number): number {
+    return this.ownRequests(waitingId(model, priority));
+  }
+
   /** Records a request for a model, whether or not a back end can accept it. */
   recordDemand(model: string): void {
     const now = this.clock.monotonic();
@@ -388,6 +408,11 @@
   return requests === 0 ? 0 : Math.max(MIN_REMAINING_MS, endsInMs - ageMs);
 }
 
+/** Id under which the requests that wait for a model are reported. */
+function waitingId(model: string, priority: number): string {
+  return `waiting/${String(priority)}/${model}`;
+}
+
 function lastUsedKey(backEndId: string, target: string): string {
   return `${backEndId} ${target}`;
 }
--- a/packages/forwarding/src/backend-choice.ts
+++ b/packages/forwarding/src/backend-choice.ts
@@ -1,9 +1,21 @@
 /** Result of choosing a back end. */
 import type { BackEnd } from '@woodbarrow/backends';
+import type { DispatchPlace } from './worker-places.js';
+
+/** A back end to send to. */
+export interface SendChoice {
+  readonly kind: 'send';
+  readonly backEnd: BackEnd;
+  readonly reason: string;
+  /** Place reserved on the back end until the request is in progress there. */
+  readonly place?: DispatchPlace;
+  /** Time for which the request waited for the place, in milliseconds. */
+  readonly queuedMs?: number;
+}
 
 /** A back end to send to, or why there is none. */
 export type BackendChoice =
-  | { readonly kind: 'send'; readonly backEnd: BackEnd; readonly reason: string }
+  | SendChoice
   | {
       readonly kind: 'refuse';
       readonly reason: RefusalReason;
@@ -21,7 +33,9 @@
   | 'client_gone'
   /** All suitable back ends are at their rate limits or have asked for a pause. */
   | 'not_accepting'
-  | 'connections_exhausted';
+  | 'connections_exhausted'
+  /** All workers that hold the model are full for longer than the request can wait. */
+  | 'workers_full';
 
 /** Builds a refusal. @param retryAfterMs Suggested delay before a retry, in milliseconds. */
 export function refusal(reason: RefusalReason, retryAfterMs: number): BackendChoice {
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -1,9 +1,10 @@
 /** Handles one request: chooses a back end, sends, forwards the answer, and retries where the route allows it. */
 import type { BackEnd, ServiceDefinition } from '@woodbarrow/backends';
+import type { ErrorKind } from '@woodbarrow/errors';
 import type { SuspectSlot, Verdict } from '@woodbarrow/quarantine';
 import type { IncomingExchange } from '@woodbarrow/runtime';
 import { ABORTED, raceAbort } from './race-abort.js';
-import type { BackendChoice, RefusalReason } from './backend-choice.js';
+import type { BackendChoice, RefusalReason, SendChoice } from './backend-choice.js';
 import type { ClientAnswer } from './client-answer.js';
 import type { ForwardingContext } from './forwarding-context.js';
 import { RequestAllowance, type AllowanceRefusal } from './request-allowance.js';
@@ -23,6 +24,12 @@
 /** Time reserved for delivering the answer to the client, in milliseconds. */
 const ANSWER_DELIVERY_MARGIN_MS = 20;
 
+/** Error kinds of refusals for which `no_replica` does not say enough. */
+const REFUSAL_KINDS: Partial<Record<RefusalReason, ErrorKind>> = {
+  model_too_late: 'wait_expired',
+  workers_full: 'shed',
+};
+
 /** A request with its route, tenant, service and body. */
 export interface AcceptedRequest {
   readonly exchange: IncomingExchange;
@@ -144,6 +151,15 @@
       this.finishWithoutBackEnd(choice.reason, choice.retryAfterMs);
       return true;
     }
+    try {
+      return await this.sendChosen(choice, slot);
+    } finally {
+      choice.place?.release('unused');
+    }
+  }
+
+  /** Sends to the chosen back end once. Returns whether the request has ended. */
+  private async sendChosen(choice: SendChoice, slot: SuspectSlot): Promise<boolean> {
     // The choice may have taken seconds, in which a quarantine verdict may have arrived.
     if (this.finishIfQuarantined()) return true;
     const admission = await this.context.quarantine.admit(this.scope.digest, choice.backEnd.id);
@@ -305,6 +321,7 @@
         targetLatencyMs: route.targetLatencyMs,
         targetBy: times.targetBy(),
         startBy: answer.hasBegun ? times.resumeBy() : times.startBy(),
+        isResumption: answer.hasBegun,
         excluded,
         signal: this.expired.signal,
       },
@@ -317,8 +334,7 @@
     if (this.expired.signal.aborted) this.finishExpired();
     else if (this.scope.progress.mayHaveRunOn.size > 0) this.finishUnserved();
     else {
-      const kind = reason === 'model_too_late' ? 'wait_expired' : 'no_replica';
-      this.scope.completion.refuse(kind, reason, retryAfterMs);
+      this.scope.completion.refuse(REFUSAL_KINDS[reason] ?? 'no_replica', reason, retryAfterMs);
     }
   }
 
--- a/packages/forwarding/src/forwarding-context.ts
+++ b/packages/forwarding/src/forwarding-context.ts
@@ -6,6 +6,7 @@
 import type { BackendHealth } from './backend-health.js';
 import type { BackendNotices } from './backend-notices.js';
 import type { ConnectionShare } from './connection-share.js';
+import type { DispatchQueue } from './dispatch-queue.js';
 import type { PlainSelector } from './plain-selector.js';
 import type { RetryBudget } from './retry-budget.js';
 import type { ReplicaSelector } from './replica-selector.js';
@@ -21,6 +22,8 @@
   readonly loads: LoadTracker;
   readonly runTimes: RunTimes;
   readonly connections: ConnectionShare;
+  /** Requests that wait for room on a worker; used by services with slow loads. */
+  readonly dispatch: DispatchQueue;
   readonly notices: BackendNotices;
   /** A permit is acquired for each send. */
   readonly permits: SendPermits;
--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -3,6 +3,7 @@
  * the first token. Requests a load if no usable worker holds them.
  */
 import {
+  hasSlowLoads,
   type BackEnd,
   type BackendDirectory,
   type EngineDefinition,
@@ -11,9 +12,10 @@
   type ServiceDefinition,
 } from '@woodbarrow/backends';
 import { leastBy, type Clock } from '@woodbarrow/runtime';
-import { connectionsExhausted, refusal, type BackendChoice } from './backend-choice.js';
+import { connectionsExhausted, refusal, type BackendChoice, type SendChoice } from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
 import type { ConnectionShare } from './connection-share.js';
+import type { DispatchQueue } from './dispatch-queue.js';
 import { buildPromptChain, type PromptAffinity, type PromptChain } from './prompt-affinity.js';
 import type { ResidencyClient } from './residency-client.js';
 import { shortestWaitMs, type SendPermits } from './send-permits.js';
@@ -48,6 +50,8 @@
   readonly targetBy: number;
   /** Monotonic time by which it must be sent at all. */
   readonly startBy: number;
+  /** Continues a stream whose answer has begun. */
+  readonly isResumption: boolean;
   readonly excluded: ReadonlySet<string>;
   readonly signal: AbortSignal;
 }
@@ -61,6 +65,7 @@
     private readonly residency: ResidencyClient,
     private readonly connections: ConnectionShare,
     private readonly permits: SendPermits,
+    private readonly dispatch: DispatchQueue,
     private readonly zone: string,
     private readonly clock: Clock,
   ) {}
@@ -69,6 +74,8 @@
   async select(request: ReplicaRequest, health: BackendHealth): Promise<BackendChoice> {
     const chain = buildPromptChain(request.target, request.facts.promptParts);
     if (request.signal.aborted) return refusal('client_gone', 0);
+    const placed = hasSlowLoads(request.engine) ? await this.awaitRoom(request, chain, health) : undefined;
+    if (placed !== undefined) return placed;
     const best = this.cheapest(this.usable(request, request.target), request, chain, health);
     if (best !== undefined && !health.isAvoided(best.id))
       return this.sendChoice(best, request, chain, 'resident');
@@ -101,6 +108,45 @@
     return refusal('all_excluded', UNAVAILABLE_RETRY_MS);
   }
 
+  /** Waits for room on a holder of the target; undefined when no holder can be used. */
+  private async awaitRoom(
+    request: ReplicaRequest,
+    chain: PromptChain,
+    health: BackendHealth,
+  ): Promise<BackendChoice | undefined> {
+    const holders = (): BackEnd[] =>
+      this.usable(request, request.target).filter(({ id }) => !health.isAvoided(id));
+    if (holders().length === 0) return undefined;
+    const { facts, service, target, engine, priority, targetBy, startBy, isResumption, signal } = request;
+    const outcome = await this.dispatch.wait({
+      id: facts.id,
+      service: service.name,
+      target,
+      engine,
+      tokens: facts.promptTokens + facts.outputTokens,
+      priority,
+      targetBy,
+      startBy,
+      isResumption,
+      signal,
+      holders,
+      cheapest: (candidates) => this.cheapest(candidates, request, chain, health),
+      onQueued: (backEnd) => {
+        this.requestReplicaIfOverloaded(backEnd, request);
+      },
+    });
+    if (outcome.kind === 'no_holder') return undefined;
+    if (outcome.kind === 'full') return refusal('workers_full', outcome.retryAfterMs);
+    if (outcome.kind === 'aborted') return refusal('client_gone', 0);
+    const { backEnd, place, queuedMs } = outcome;
+    if (signal.aborted) {
+      place.release('unused');
+      return refusal('client_gone', 0);
+    }
+    const reason = outcome.isLastResort ? 'last_resort' : 'resident';
+    return { ...this.sendChoice(backEnd, request, chain, reason), place, queuedMs };
+  }
+
   /** Refuses when the target will not be loaded in time; its current holders may accept requests again sooner. */
   private refuse(request: ReplicaRequest, unavailableMs: number): BackendChoice {
     const holders = this.directory.holdersOf(request.service.name, request.target);
@@ -131,7 +177,7 @@
     request: ReplicaRequest,
     chain: PromptChain,
     reason: string,
-  ): BackendChoice {
+  ): SendChoice {
     this.affinity.record(backEnd.id, chain);
     if (reason === 'resident') this.requestReplicaIfOverloaded(backEnd, request);
     return { kind: 'send', backEnd, reason };
@@ -192,10 +238,13 @@
 
   private requestReplicaIfOverloaded(backEnd: BackEnd, request: ReplicaRequest): void {
     const load = this.loads.loadOf(backEnd.id);
+    const waiting = hasSlowLoads(request.engine)
+      ? this.loads.waitingFor(request.target.model, request.priority)
+      : 0;
     const waitMs = load.unreadTokens / PREFILL_TOKENS_PER_MS;
     const isFull =
       load.heldTokens > request.engine.cacheTokens * REPLICA_REQUEST_USAGE_SHARE ||
-      load.requests > request.engine.slots * REPLICA_REQUEST_USAGE_SHARE;
+      load.requests + waiting > request.engine.slots * REPLICA_REQUEST_USAGE_SHARE;
     if (isFull || waitMs > request.targetLatencyMs * REPLICA_REQUEST_WAIT_SHARE) {
       this.residency.requestReplica(request.service.name, request.target.model, request.priority);
     }
--- a/packages/forwarding/src/request-sender.ts
+++ b/packages/forwarding/src/request-sender.ts
@@ -35,6 +35,7 @@
     progress.isSending = true;
     const expectedMs = this.runTimeEstimate.expectedMs();
     const ticket = context.loads.start(backEnd.id, facts.target, { ...facts, expectedMs });
+    choice.place?.release('sent');
     const sentAt = context.clock.monotonic();
     this.recordSent(choice);
     try {
@@ -47,12 +48,14 @@
     } finally {
       progress.isSending = false;
       ticket.ended();
-      context.connections.queue.noteEnded(service, backEnd.id, context.clock.monotonic() - sentAt);
+      const ranMs = context.clock.monotonic() - sentAt;
+      context.connections.queue.noteEnded(service, backEnd.id, ranMs);
+      context.dispatch.noteEnded(service.name, ranMs);
       expired.removeEventListener('abort', abort);
     }
   }
 
-  private recordSent({ backEnd, reason }: BackendChoice & { kind: 'send' }): void {
+  private recordSent({ backEnd, reason, queuedMs = 0 }: BackendChoice & { kind: 'send' }): void {
     const { context, facts, times } = this.scope;
     context.journal.decided('request_sent', facts.id, {
       backEnd: backEnd.id,
@@ -61,6 +64,7 @@
       running: context.loads.loadOf(backEnd.id).requests,
       recordAgeMs: Math.round(context.directory.recordAgeMs(backEnd.id)),
       leftMs: Math.round(times.remainingMs()),
+      ...(queuedMs > 0 ? { queuedMs: Math.round(queuedMs) } : {}),
     });
   }
 
--- /dev/null
+++ b/packages/forwarding/src/worker-places.ts
@@ -0,0 +1,129 @@
+/** Places for requests on workers: what the daemons report, and what this daemon has given to requests not yet sent. */
+import type { BackEnd, BackendDirectory, EngineDefinition, LoadTracker } from '@woodbarrow/backends';
+import type { Clock, Random } from '@woodbarrow/runtime';
+import {
+  LOAD_REPORT_INTERVAL_MS,
+  WorkerCapacity,
+  type Competition,
+  type WorkerUse,
+} from './worker-capacity.js';
+
+/** Least urgent priority. */
+const LAST_PRIORITY = 9;
+/** Requests per millisecond for each unit of demand: demand is a count that decays with a half-life of 4 s. */
+const REQUESTS_PER_MS_AND_DEMAND = Math.LN2 / 4000;
+
+/** A place on a worker that was given to a request. */
+export interface DispatchPlace {
+  /** Ends the reservation: the request is in progress there, or will not be sent. Further calls have no effect. */
+  release(outcome: 'sent' | 'unused'): void;
+}
+
+/** Size and urgency of a request that needs a place. */
+export interface PlaceRequest {
+  readonly engine: EngineDefinition;
+  readonly priority: number;
+  /** Prompt and expected output tokens. */
+  readonly tokens: number;
+  /** Continues a stream whose answer has begun; may take any free slot. */
+  readonly isResumption: boolean;
+}
+
+interface Reserved {
+  requests: number;
+  tokens: number;
+}
+
+/** Places on the workers as known to one daemon. */
+export class WorkerPlaces {
+  private readonly capacity: WorkerCapacity;
+  private readonly reservedByBackEnd = new Map<string, Reserved>();
+  /** Called when a place was returned without being used. */
+  onReturned: () => void = () => undefined;
+
+  constructor(
+    private readonly directory: BackendDirectory,
+    private readonly loads: LoadTracker,
+    private readonly daemonCount: () => number,
+    random: Random,
+    clock: Clock,
+  ) {
+    this.capacity = new WorkerCapacity(random, clock);
+  }
+
+  /** Whether this daemon may send a request to a worker now. */
+  hasRoom(backEnd: BackEnd, request: PlaceRequest): boolean {
+    const use = this.useOf(backEnd.id, request.engine);
+    return this.capacity.allows(backEnd.id, use, request.tokens, request.priority, () =>
+      this.competition(backEnd, request),
+    );
+  }
+
+  /** Reserves a place until the request is in progress. */
+  take(backEnd: BackEnd, { priority, tokens }: PlaceRequest): DispatchPlace {
+    const reserved = this.reservedByBackEnd.get(backEnd.id) ?? { requests: 0, tokens: 0 };
+    this.reservedByBackEnd.set(backEnd.id, reserved);
+    reserved.requests += 1;
+    reserved.tokens += tokens;
+    this.capacity.noteTaken(backEnd.id, priority);
+    let isOpen = true;
+    return {
+      release: (outcome) => {
+        if (!isOpen) return;
+        isOpen = false;
+        reserved.requests -= 1;
+        reserved.tokens -= tokens;
+        if (reserved.requests === 0) this.reservedByBackEnd.delete(backEnd.id);
+        if (outcome === 'sent') return;
+        this.capacity.noteReturned(backEnd.id, priority);
+        this.onReturned();
+      },
+    };
+  }
+
+  /** Returns the requests in progress on a worker, with the places given to requests not yet sent. */
+  useOf(backEndId: string, { slots, cacheTokens }: EngineDefinition): WorkerUse {
+    const load = this.loads.loadOf(backEndId);
+    const reserved = this.reservedByBackEnd.get(backEndId);
+    return {
+      requests: load.requests + (reserved?.requests ?? 0),
+      heldTokens: load.heldTokens + (reserved?.tokens ?? 0),
+      slots,
+      cacheTokens,
+    };
+  }
+
+  /** Returns the requests of other daemons that wait for a model and are at least as urgent. */
+  waitingElsewhere(model: string, priority: number): number {
+    let waiting = 0;
+    for (let level = 0; level <= priority; level += 1) waiting += this.elsewhere(model, level);
+    return waiting;
+  }
+
+  /** Expected competition for a worker, over all models that it holds. */
+  private competition(backEnd: BackEnd, { priority, isResumption }: PlaceRequest): Competition {
+    const daemons = Math.max(1, this.daemonCount());
+    if (daemons === 1 || isResumption) return { daemons: 1, own: 1, equal: 0, moreUrgent: 0, lessUrgent: 0 };
+    let [own, equal, moreUrgent, lessUrgent] = [0, 0, 0, 0];
+    for (const { name } of backEnd.models) {
+      const holders = Math.max(1, this.directory.holdersOf(backEnd.service, { model: name }).length);
+      own += this.loads.ownWaitingFor(name, priority) / holders;
+      equal += (this.elsewhere(name, priority) + this.expectedElsewhere(name, daemons)) / holders;
+      for (let level = 0; level < priority; level += 1) moreUrgent += this.elsewhere(name, level) / holders;
+      for (let level = priority + 1; level <= LAST_PRIORITY; level += 1)
+        lessUrgent += this.elsewhere(name, level) / holders;
+    }
+    // Without a reported waiting request of its own, the daemon asks for a single one.
+    return { daemons, own: own > 0 ? own : 1, equal, moreUrgent, lessUrgent };
+  }
+
+  private elsewhere(model: string, priority: number): number {
+    return this.loads.waitingFor(model, priority) - this.loads.ownWaitingFor(model, priority);
+  }
+
+  /** Expected requests for a model that arrive at other daemons within a report interval. */
+  private expectedElsewhere(model: string, daemons: number): number {
+    const arrivals = this.loads.demandFor(model) * REQUESTS_PER_MS_AND_DEMAND * LOAD_REPORT_INTERVAL_MS;
+    return (arrivals * (daemons - 1)) / daemons;
+  }
+}
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -34,6 +34,7 @@
   BackendNotices,
   ConfigurationHolder,
   ConnectionShare,
+  DispatchQueue,
   EMPTY_NOTICE,
   UNLIMITED_PERMIT,
   Forwarder,
@@ -41,6 +42,7 @@
   PromptAffinity,
   RetryBudget,
   ReplicaSelector,
+  WorkerPlaces,
   noopJournal,
   type ForwardingContext,
   type ResidencyClient,
@@ -190,6 +192,8 @@
   /** Verdicts that the quarantine has stored. */
   readonly quarantineRecords: QuarantineRecord[] = [];
   readonly quarantine: RequestQuarantine;
+  readonly places = new WorkerPlaces(this.directory, this.loads, () => 1, new Random(3), this.process);
+  readonly dispatch = new DispatchQueue(this.places, this.loads, noopJournal, new Random(4), this.process);
   private readonly health = new Map<string, BackendHealth>();
   /** Grants permits to send; grants all by default. */
   permits: SendPermits = { waitMs: () => 0, acquire: () => Promise.resolve(UNLIMITED_PERMIT) };
@@ -311,6 +315,7 @@
       loads: this.loads,
       runTimes: new RunTimes(),
       connections,
+      dispatch: this.dispatch,
       notices: new BackendNotices(this.process, silentLog),
       permits,
       plain: new PlainSelector(this.directory, this.loads, connections, permits, 'a'),
@@ -321,6 +326,7 @@
         residency,
         connections,
         permits,
+        this.dispatch,
         'a',
         this.process,
       ),
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -5,8 +5,10 @@
 export const LOG_EVENTS = {
   request_admitted:
     'A request was read and has a route. Route, service, digest of its content (shared by all attempts of one request), model, adapter, last event that the client already has, remaining time.',
+  request_queued:
+    'All workers that hold the model are full, and the request waits for room on one. Model, number of waiting requests that go first, expected wait.',
   request_sent:
-    'The request is being sent. Back end, reason for the choice, requests in progress there, age of its record, remaining time.',
+    'The request is being sent. Back end, reason for the choice, requests in progress there, age of its record, remaining time, time waited for room on a worker.',
   request_declined:
     'A back end did not accept the request or did not respond. Verdict: `not_run`, `not_resident`, `other_incarnation`, `unreachable`, `broken` or `timed_out`.',
   request_repeated: 'A retry is considered. Whether it is allowed, preceding result, remaining retry budget.',
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -5,11 +5,13 @@
   BackendHealth,
   ConfigurationHolder,
   ConnectionShare,
+  DispatchQueue,
   Forwarder,
   PlainSelector,
   PromptAffinity,
   RetryBudget,
   ReplicaSelector,
+  WorkerPlaces,
 } from '@woodbarrow/forwarding';
 import { CoordinatorDirectory, PeerExchange, type Member } from '@woodbarrow/exchange';
 import { isPresent, Membership } from '@woodbarrow/membership';
@@ -84,6 +86,7 @@
   private readonly records: RecordFollower;
   private readonly exchange: PeerExchange;
   private readonly forwarder: Forwarder;
+  private dispatch: DispatchQueue | undefined;
   private readonly metrics: ServingMetrics;
   private readonly deploymentView: DeploymentView;
   private readonly tasks: TaskGroup;
@@ -425,6 +428,7 @@
       loadQuarantine: () => this.loadQuarantine.totals,
       notices: () => this.noticeService.notices.totals,
       permits: () => this.noticeService.permitTotals,
+      dispatch: () => this.dispatch?.totals,
       quotaUse: () => this.quotaGate.usage(),
       quotaGranted: () => this.quotaService.usage(),
       log,
@@ -438,6 +442,11 @@
     const { notices, permits } = this.noticeService;
     const demands = new DemandRouter({ directory, coordinators, peers, quarantine, clock, failures, log });
     const connections = new ConnectionShare(loads, () => this.membership.eligible().length);
+    const journal = new LoggedJournal(log, this.metrics);
+    const daemonCount = (): number => this.membership.eligible().length;
+    const forwarderRandom = random.fork();
+    const places = new WorkerPlaces(directory, loads, daemonCount, random.fork(), clock);
+    this.dispatch = new DispatchQueue(places, loads, journal, random.fork(), clock);
     const context = {
       clock,
       client,
@@ -446,6 +455,7 @@
       loads,
       runTimes: new RunTimes(),
       connections,
+      dispatch: this.dispatch,
       notices,
       permits,
       plain: new PlainSelector(directory, loads, connections, permits, settings.zone),
@@ -456,6 +466,7 @@
         demands,
         connections,
         permits,
+        this.dispatch,
         settings.zone,
         clock,
       ),
@@ -465,11 +476,11 @@
       ),
       quota: this.quotaGate,
       quarantine: this.quarantine,
-      journal: new LoggedJournal(log, this.metrics),
+      journal,
       stopWaiting: this.stopWaiting.signal,
       healthOf: (service: string) => this.healthOf(service),
     };
-    return new Forwarder(context, this.configuration, random.fork());
+    return new Forwarder(context, this.configuration, forwarderRandom);
   }
 
   private self(): Member {
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -1,6 +1,6 @@
 /** Metrics that a serving daemon exports. */
 import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
-import type { NoticeTotals } from '@woodbarrow/forwarding';
+import type { DispatchTotals, NoticeTotals } from '@woodbarrow/forwarding';
 import type { GateUsage, AllocatorUsage, PermitTotals } from '@woodbarrow/quota';
 import type { UnservedDemands } from '@woodbarrow/residency';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
@@ -27,6 +27,8 @@
   readonly loadQuarantine: () => LoadQuarantineTotals;
   readonly notices: () => NoticeTotals;
   readonly permits: () => PermitTotals;
+  /** Queue of requests that wait for room on a worker. */
+  readonly dispatch: () => DispatchTotals | undefined;
   /** Units of limited tenants used and refused at this daemon, by tenant. */
   readonly quotaUse: () => ReadonlyMap<string, GateUsage>;
   /** Units granted by the quota allocators that run here, by tenant. */
@@ -103,6 +105,7 @@
     this.addUnservedGauges(sources);
     this.addQuarantineGauges(sources);
     this.addNoticeGauges(sources);
+    this.addDispatchGauge(sources);
     this.addQuotaGauges(sources);
     registry.gauge(
       'woodbarrow_log_lines_dropped',
@@ -155,6 +158,15 @@
     );
   }
 
+  private addDispatchGauge({ dispatch }: MetricSources): void {
+    this.registry.gauge(
+      'woodbarrow_dispatch_queue',
+      'Requests that wait for room on a worker now; since the start, requests that waited, that were refused as all workers were full, and that were sent to a full worker when their time was nearly up.',
+      () => new Map(Object.entries(dispatch() ?? {})),
+      'of',
+    );
+  }
+
   private addQuotaGauges({ quotaUse, quotaGranted }: MetricSources): void {
     const { registry } = this;
     registry.gauge(
