Waiting requests whose target is near go to a full worker that preempts for them

Name checks waited behind streams that a full worker would have preempted, and were late more often than without the queue. They now wait for a free slot until their target is near.

--- a/packages/forwarding/src/dispatch-queue.ts
+++ b/packages/forwarding/src/dispatch-queue.ts
@@ -7,9 +7,11 @@
   decideWithoutRoom,
   expectedWaitMs,
   expectedWaitOnWorkerMs,
+  isPreemptionExpected,
   spreadRetryMs,
 } from './dispatch-wait.js';
 import type { RequestJournal } from './request-journal.js';
+import { RunMix } from './run-mix.js';
 import type { DispatchPlace, PlaceRequest, WorkerPlaces } from './worker-places.js';
 
 /**
@@ -17,8 +19,6 @@
  * bounds the work of one pass over the queue and the bodies held in memory.
  */
 export const MAX_WAITING_REQUESTS = 256;
-/** Weight of the latest run in the average duration of runs. */
-const RUN_WEIGHT = 0.05;
 
 /** A request that needs a place. Times are monotonic, in milliseconds. */
 export interface DispatchRequest extends PlaceRequest, Omit<WaitingOrder, 'queuedAt'> {
@@ -69,8 +69,7 @@
 export class DispatchQueue {
   private readonly waiting = new Set<Waiter>();
   private readonly turns = new LessUrgentTurns();
-  /** Average duration of a run in milliseconds, by service. */
-  private readonly meanRunMs = new Map<string, number>();
+  private readonly runsByService = new Map<string, RunMix>();
   private readonly counts = { waited: 0, refused: 0, lastResort: 0 };
   private cancelPoll: CancelTimer | undefined;
   private isPassing = false;
@@ -117,9 +116,8 @@
   }
 
   /** Gives the place of a run that has ended to a waiting request. @param ranMs Duration in milliseconds. */
-  noteEnded(service: string, ranMs: number): void {
-    const meanMs = this.meanRunMs.get(service) ?? ranMs;
-    this.meanRunMs.set(service, meanMs + RUN_WEIGHT * (ranMs - meanMs));
+  noteEnded(service: string, priority: number, ranMs: number): void {
+    this.runsOf(service).record(priority, ranMs);
     this.giveFreePlaces();
   }
 
@@ -207,9 +205,18 @@
     const requestsOn = ({ id }: BackEnd): number => this.places.useOf(id, request.engine).requests;
     const leastLoaded = leastBy(request.holders(), requestsOn);
     if (leastLoaded === undefined) return;
-    const meanRunMs = this.meanRunMs.get(request.service);
-    const waitMs = expectedWaitOnWorkerMs(requestsOn(leastLoaded), request.engine.slots, meanRunMs);
-    const decision = decideWithoutRoom(startBy - this.clock.monotonic(), waitMs);
+    const { slots } = request.engine;
+    const requests = requestsOn(leastLoaded);
+    const runs = this.runsOf(request.service);
+    const now = this.clock.monotonic();
+    const waitOnWorkerMs = expectedWaitOnWorkerMs(requests, slots, runs.meanMs);
+    const decision = decideWithoutRoom({
+      targetLeftMs: waiter.targetBy - now,
+      startLeftMs: startBy - now,
+      preempts: isPreemptionExpected(requests, slots, runs.lessUrgentShare(waiter.priority)),
+      waitOnWorkerMs,
+      waitBehindQueueMs: waitOnWorkerMs + this.expectedWaitMs(waiter),
+    });
     if (decision === 'wait') return;
     if (decision === 'refuse' && !request.isResumption) {
       this.refuse(waiter);
@@ -234,7 +241,7 @@
     return expectedWaitMs({
       ahead: this.aheadOf(waiter),
       running,
-      meanRunMs: this.meanRunMs.get(request.service),
+      meanRunMs: this.runsOf(request.service).meanMs,
     });
   }
 
@@ -250,6 +257,15 @@
     return ahead;
   }
 
+  private runsOf(service: string): RunMix {
+    let runs = this.runsByService.get(service);
+    if (runs === undefined) {
+      runs = new RunMix();
+      this.runsByService.set(service, runs);
+    }
+    return runs;
+  }
+
   private inOrder(): Waiter[] {
     const now = this.clock.monotonic();
     return [...this.waiting].sort((left, right) => compareWaiting(left, right, now));
--- a/packages/forwarding/src/dispatch-wait.ts
+++ b/packages/forwarding/src/dispatch-wait.ts
@@ -31,13 +31,39 @@
   return ((requests - slots + 1) * meanRunMs) / slots;
 }
 
+/** State of a waiting request whose holders are all full. */
+export interface FullWorkerFacts {
+  /** Time until it must be sent to meet its target; negative if that has passed. */
+  readonly targetLeftMs: number;
+  /** Time until it must be sent at all. */
+  readonly startLeftMs: number;
+  /** Whether the least loaded worker is expected to preempt a less urgent request for it. */
+  readonly preempts: boolean;
+  /** Expected wait for a slot on that worker, and the same if the requests ahead in the queue are sent there first. */
+  readonly waitOnWorkerMs: number;
+  readonly waitBehindQueueMs: number;
+}
+
+/**
+ * What to do with a waiting request that has no place. Preemption makes a stream pause, so that a request which would
+ * cause it is sent only when it would otherwise miss its target. One whose target has passed goes to a full worker at
+ * the latest time at which it can still be served, unless requests that are ahead of it need the places.
+ */
+export function decideWithoutRoom(facts: FullWorkerFacts): 'wait' | 'send' | 'refuse' {
+  const { targetLeftMs, startLeftMs, preempts, waitOnWorkerMs, waitBehindQueueMs } = facts;
+  if (preempts && targetLeftMs <= DISPATCH_POLL_MS) return 'send';
+  if (startLeftMs - waitOnWorkerMs > DISPATCH_POLL_MS) return 'wait';
+  return startLeftMs >= waitBehindQueueMs ? 'send' : 'refuse';
+}
+
 /**
- * What to do with a waiting request that has no place: `wait`, `send` it to a full worker while it can still be served
- * there, or `refuse` it.
+ * Whether a full worker is expected to preempt a less urgent request for a new one.
+ *
+ * @param lessUrgentShare Share of the slot time that goes to less urgent requests.
  */
-export function decideWithoutRoom(leftMs: number, waitOnWorkerMs: number): 'wait' | 'send' | 'refuse' {
-  if (leftMs - waitOnWorkerMs > DISPATCH_POLL_MS) return 'wait';
-  return leftMs >= waitOnWorkerMs ? 'send' : 'refuse';
+export function isPreemptionExpected(requests: number, slots: number, lessUrgentShare: number): boolean {
+  // Requests beyond the slots have preempted others already, or wait for the same.
+  return slots * lessUrgentShare >= requests - slots + 1;
 }
 
 /** Returns the suggested retry delay after an expected wait. @param random Uniform number in [0, 1). */
--- a/packages/forwarding/src/request-sender.ts
+++ b/packages/forwarding/src/request-sender.ts
@@ -24,7 +24,7 @@
   /** Sends the request once and forwards the answer. Rejects if writing to the client fails. */
   async attempt(choice: BackendChoice & { kind: 'send' }): Promise<AttemptResult> {
     const { backEnd } = choice;
-    const { context, facts, progress, expired, service } = this.scope;
+    const { context, facts, progress, expired, service, priority } = this.scope;
     const controller = new AbortController();
     const abort = (): void => {
       controller.abort();
@@ -50,7 +50,7 @@
       ticket.ended();
       const ranMs = context.clock.monotonic() - sentAt;
       context.connections.queue.noteEnded(service, backEnd.id, ranMs);
-      context.dispatch.noteEnded(service.name, ranMs);
+      context.dispatch.noteEnded(service.name, priority, ranMs);
       expired.removeEventListener('abort', abort);
     }
   }
--- a/packages/forwarding/test/full-workers.ts
+++ b/packages/forwarding/test/full-workers.ts
@@ -25,12 +25,16 @@
   readonly runMs: number;
   readonly targetMs: number;
   readonly tokens: number;
+  /** Value of an answer in time, and of a late one. */
+  readonly value: number;
+  readonly lateValue: number;
 }
 
 /** What the callers of one kind got. */
 export interface KindResult {
   total: number;
   inTime: number;
+  value: number;
   refused: number;
   /** Abandoned by the client before the first event. */
   abandoned: number;
@@ -203,7 +207,7 @@
 
   /** Sends one request as a daemon does, and records what its caller gets. */
   async ask({ loads, queue }: Daemon, kind: RequestKind): Promise<void> {
-    const result = this.results.get(kind.name) ?? { total: 0, inTime: 0, refused: 0, abandoned: 0 };
+    const result = this.results.get(kind.name) ?? { total: 0, inTime: 0, value: 0, refused: 0, abandoned: 0 };
     this.results.set(kind.name, result);
     result.total += 1;
     const arrivedAt = this.clock.monotonic();
@@ -243,10 +247,12 @@
     const run = new Run(kind, () => {
       cancelLimit();
       ticket.ended();
-      queue.noteEnded('service', this.clock.monotonic() - sentAt);
+      queue.noteEnded('service', kind.priority, this.clock.monotonic() - sentAt);
       if (run.firstAt === undefined) result.abandoned += 1;
-      else if (run.firstAt - arrivedAt <= kind.targetMs && run.longestPauseMs <= PAUSE_TARGET_MS)
+      else if (run.firstAt - arrivedAt <= kind.targetMs && run.longestPauseMs <= PAUSE_TARGET_MS) {
         result.inTime += 1;
+        result.value += kind.value;
+      } else result.value += kind.lateValue;
     });
     const cancelLimit = this.clock.schedule(limitMs - (sentAt - arrivedAt), () => {
       if (run.firstAt === undefined) worker.remove(run);
