--- a/packages/forwarding/src/dispatch-queue.ts
+++ b/packages/forwarding/src/dispatch-queue.ts
@@ -1,5 +1,5 @@
 /** Requests that wait at this daemon until a worker that holds their target has room. */
-import type { BackEnd, LoadTracker, ModelTarget, WorkTicket } from '@woodbarrow/backends';
+import type { BackEnd, LoadTracker, WorkTicket } from '@woodbarrow/backends';
 import { leastBy, type CancelTimer, type Clock, type Random } from '@woodbarrow/runtime';
 import { LessUrgentTurns, compareWaiting, longestWaitingBelow, type WaitingOrder } from './dispatch-order.js';
 import {
@@ -24,7 +24,6 @@
 export interface DispatchRequest extends PlaceRequest, Omit<WaitingOrder, 'queuedAt'> {
   readonly id: string;
   readonly service: string;
-  readonly target: ModelTarget;
   readonly signal: AbortSignal;
   /** Returns the workers that it could be sent to now, full or not. */
   holders(): readonly BackEnd[];
@@ -81,6 +80,7 @@
     private readonly random: Random,
     private readonly clock: Clock,
   ) {
+    places.meanRunMs = (service) => this.runsOf(service).meanMs;
     places.onReturned = () => {
       this.giveFreePlaces();
     };
--- a/packages/forwarding/src/worker-capacity.ts
+++ b/packages/forwarding/src/worker-capacity.ts
@@ -7,7 +7,8 @@
 /** Interval at which daemons report their work to each other, in milliseconds; shares are drawn anew after it. */
 export const LOAD_REPORT_INTERVAL_MS = 300;
 /**
- * Share of the slots below which every daemon may send freely. With 16 slots and runs of 1.5 s, about three slots are
+ * Share of the slots below which every daemon may send freely, unless the requests expected within a report interval
+ * would fill the rest. With 16 slots and runs of 1.5 s, about three slots are
  * filled and freed within a report interval, so that the last quarter absorbs what the counts do not show yet.
  */
 const UNRESTRICTED_SLOT_SHARE = 0.75;
@@ -32,6 +33,13 @@
   readonly equal: number;
   readonly moreUrgent: number;
   readonly lessUrgent: number;
+  /**
+   * Requests that are expected at other daemons for any holder of the models. All daemons see the same counts and
+   * choose the same cheapest holder, so that it may receive all of them.
+   */
+  readonly arrivals: number;
+  /** Runs on the worker that are expected to end within a report interval. */
+  readonly ending: number;
 }
 
 /** Returns the number of free slots; 0 if the prompt cache would overflow. @param tokens Tokens of the request. */
@@ -43,8 +51,9 @@
 
 /** Returns the mean number of free slots that this daemon may take for one priority in a report interval. */
 export function shareOfFree(free: number, competition: Competition): number {
-  const { daemons, own, equal, moreUrgent, lessUrgent } = competition;
+  const { daemons, own, equal, moreUrgent, lessUrgent, ending } = competition;
   if (daemons <= 1) return free;
+  free += ending;
   const reserved = lessUrgent > 0 ? free * LESS_URGENT_SHARE : 0;
   const left = moreUrgent > 0 ? Math.max(free * LESS_URGENT_SHARE, free - moreUrgent) : free - reserved;
   // Most daemons have no request for a given worker, so an equal share of all daemons would leave slots unused.
@@ -75,8 +84,9 @@
   ): boolean {
     const free = freeSlots(use, tokens);
     if (free <= 0) return false;
-    if (use.requests < use.slots * UNRESTRICTED_SLOT_SHARE) return true;
-    return this.drawOf(backEndId, priority, free, competition).remaining > 0;
+    const isBelowBound = use.requests < use.slots * UNRESTRICTED_SLOT_SHARE;
+    const draw = this.drawOf(backEndId, priority, free, isBelowBound, competition);
+    return draw.remaining > 0;
   }
 
   /** Records that a slot of a worker was taken. */
@@ -91,15 +101,23 @@
     if (draw !== undefined) draw.remaining += 1;
   }
 
-  private drawOf(backEndId: string, priority: number, free: number, competition: () => Competition): Draw {
+  private drawOf(
+    backEndId: string,
+    priority: number,
+    free: number,
+    isBelowBound: boolean,
+    competition: () => Competition,
+  ): Draw {
     const now = this.clock.monotonic();
     const key = drawKey(backEndId, priority);
     const current = this.draws.get(key);
-    if (current !== undefined && now - current.at < LOAD_REPORT_INTERVAL_MS) return current;
+    const isCurrent = current !== undefined && now - current.at < LOAD_REPORT_INTERVAL_MS;
+    if (isCurrent && (isBelowBound || current.remaining < Infinity)) return current;
     if (current === undefined) this.removeExpired(now);
     const view = competition();
     // A single daemon knows all counts exactly, and the free slots alone bound it.
-    const remaining = view.daemons <= 1 ? Infinity : Math.floor(shareOfFree(free, view) + this.random.next());
+    const isUnrestricted = view.daemons <= 1 || (isBelowBound && free > view.arrivals);
+    const remaining = isUnrestricted ? Infinity : Math.floor(shareOfFree(free, view) + this.random.next());
     const draw = { at: now, remaining };
     this.draws.set(key, draw);
     return draw;
--- a/packages/forwarding/src/worker-places.ts
+++ b/packages/forwarding/src/worker-places.ts
@@ -1,5 +1,11 @@
 /** Places for requests on workers: what the daemons report, and what this daemon has given to requests not yet sent. */
-import type { BackEnd, BackendDirectory, EngineDefinition, LoadTracker } from '@woodbarrow/backends';
+import type {
+  BackEnd,
+  BackendDirectory,
+  EngineDefinition,
+  LoadTracker,
+  ModelTarget,
+} from '@woodbarrow/backends';
 import type { Clock, Random } from '@woodbarrow/runtime';
 import {
   LOAD_REPORT_INTERVAL_MS,
@@ -10,8 +16,6 @@
 
 /** Least urgent priority. */
 const LAST_PRIORITY = 9;
-/** Requests per millisecond for each unit of demand: demand is a count that decays with a half-life of 4 s. */
-const REQUESTS_PER_MS_AND_DEMAND = Math.LN2 / 4000;
 
 /** A place on a worker that was given to a request. */
 export interface DispatchPlace {
@@ -21,6 +25,7 @@
 
 /** Size and urgency of a request that needs a place. */
 export interface PlaceRequest {
+  readonly target: ModelTarget;
   readonly engine: EngineDefinition;
   readonly priority: number;
   /** Prompt and expected output tokens. */
@@ -38,6 +43,8 @@
 export class WorkerPlaces {
   private readonly capacity: WorkerCapacity;
   private readonly reservedByBackEnd = new Map<string, Reserved>();
+  /** Returns the mean duration of the runs of a service in milliseconds; undefined before any run has ended. */
+  meanRunMs: (service: string) => number | undefined = () => undefined;
   /** Called when a place was returned without being used. */
   onReturned: () => void = () => undefined;
 
@@ -101,29 +108,38 @@
   }
 
   /** Expected competition for a worker, over all models that it holds. */
-  private competition(backEnd: BackEnd, { priority, isResumption }: PlaceRequest): Competition {
+  private competition(backEnd: BackEnd, { target, priority, isResumption }: PlaceRequest): Competition {
     const daemons = Math.max(1, this.daemonCount());
-    if (daemons === 1 || isResumption) return { daemons: 1, own: 1, equal: 0, moreUrgent: 0, lessUrgent: 0 };
+    if (daemons === 1 || isResumption)
+      return { daemons: 1, own: 1, equal: 0, moreUrgent: 0, lessUrgent: 0, arrivals: 0, ending: 0 };
     let [own, equal, moreUrgent, lessUrgent] = [0, 0, 0, 0];
     for (const { name } of backEnd.models) {
       const holders = Math.max(1, this.directory.holdersOf(backEnd.service, { model: name }).length);
       own += this.loads.ownWaitingFor(name, priority) / holders;
-      equal += (this.elsewhere(name, priority) + this.expectedElsewhere(name, daemons)) / holders;
+      equal += this.elsewhere(name, priority) / holders;
       for (let level = 0; level < priority; level += 1) moreUrgent += this.elsewhere(name, level) / holders;
       for (let level = priority + 1; level <= LAST_PRIORITY; level += 1)
         lessUrgent += this.elsewhere(name, level) / holders;
     }
+    const ending = this.endingOn(backEnd);
+    const elsewhere = (daemons - 1) / daemons;
+    equal += ending * elsewhere;
+    const holders = this.directory.holdersOf(backEnd.service, target);
+    const arrivals = holders.reduce((sum, holder) => sum + this.endingOn(holder), 0) * elsewhere;
     // Without a reported waiting request of its own, the daemon asks for a single one.
-    return { daemons, own: own > 0 ? own : 1, equal, moreUrgent, lessUrgent };
+    return { daemons, own: own > 0 ? own : 1, equal, moreUrgent, lessUrgent, arrivals, ending };
   }
 
   private elsewhere(model: string, priority: number): number {
     return this.loads.waitingFor(model, priority) - this.loads.ownWaitingFor(model, priority);
   }
 
-  /** Expected requests for a model that arrive at other daemons within a report interval. */
-  private expectedElsewhere(model: string, daemons: number): number {
-    const arrivals = this.loads.demandFor(model) * REQUESTS_PER_MS_AND_DEMAND * LOAD_REPORT_INTERVAL_MS;
-    return (arrivals * (daemons - 1)) / daemons;
+  /**
+   * Expected number of runs that end on a worker within a report interval. As many are expected to be sent there, since
+   * the work in progress changes little within an interval.
+   */
+  private endingOn({ id, service }: BackEnd): number {
+    const meanMs = this.meanRunMs(service);
+    return meanMs === undefined ? 0 : (this.loads.loadOf(id).requests * LOAD_REPORT_INTERVAL_MS) / meanMs;
   }
 }
--- a/packages/forwarding/test/full-workers.ts
+++ b/packages/forwarding/test/full-workers.ts
@@ -210,6 +210,7 @@
     const result = this.results.get(kind.name) ?? { total: 0, inTime: 0, value: 0, refused: 0, abandoned: 0 };
     this.results.set(kind.name, result);
     result.total += 1;
+    loads.recordDemand('m');
     const arrivedAt = this.clock.monotonic();
     const limitMs = Math.max(2000, 4 * kind.targetMs);
     const cheapest = (holders: readonly BackEnd[]): BackEnd | undefined =>
