--- a/packages/forwarding/src/dispatch-queue.ts
+++ b/packages/forwarding/src/dispatch-queue.ts
@@ -1,5 +1,5 @@
 /** Requests that wait at this daemon until a worker that holds their target has room. */
-import type { BackEnd, LoadTracker, WorkTicket } from '@woodbarrow/backends';
+import type { BackEnd, BackendDirectory, LoadTracker, WorkTicket } from '@woodbarrow/backends';
 import { leastBy, type CancelTimer, type Clock, type Random } from '@woodbarrow/runtime';
 import { LessUrgentTurns, compareWaiting, longestWaitingBelow, type WaitingOrder } from './dispatch-order.js';
 import {
@@ -12,7 +12,7 @@
 } from './dispatch-wait.js';
 import type { RequestJournal } from './request-journal.js';
 import { RunMix } from './run-mix.js';
-import type { DispatchPlace, PlaceRequest, WorkerPlaces } from './worker-places.js';
+import { WorkerPlaces, type DispatchPlace, type PlaceRequest } from './worker-places.js';
 
 /**
  * Maximum number of waiting requests of one daemon. At its share of the demand a daemon has a few at a time; the limit
@@ -73,15 +73,20 @@
   private cancelPoll: CancelTimer | undefined;
   private isPassing = false;
 
+  /** Places on the workers that requests of this queue get. */
+  readonly places: WorkerPlaces;
+
   constructor(
-    private readonly places: WorkerPlaces,
+    directory: BackendDirectory,
     private readonly loads: LoadTracker,
     private readonly journal: RequestJournal,
+    daemonCount: () => number,
     private readonly random: Random,
     private readonly clock: Clock,
   ) {
-    places.meanRunMs = (service) => this.runsOf(service).meanMs;
-    places.onReturned = () => {
+    this.places = new WorkerPlaces(directory, loads, daemonCount, random.fork(), clock);
+    this.places.meanRunMs = (service) => this.runsOf(service).meanMs;
+    this.places.onReturned = () => {
       this.giveFreePlaces();
     };
   }
@@ -187,7 +192,9 @@
   private lessUrgentFor(backEnd: BackEnd, waiter: Waiter): Waiter | undefined {
     const candidates = [...this.waiting].filter(
       ({ priority, request }) =>
-        priority > waiter.priority && request.holders().some(({ id }) => id === backEnd.id),
+        priority > waiter.priority &&
+        this.places.isFree(backEnd, request) &&
+        request.holders().some(({ id }) => id === backEnd.id),
     );
     return longestWaitingBelow(waiter, candidates);
   }
--- a/packages/forwarding/src/dispatch-wait.ts
+++ b/packages/forwarding/src/dispatch-wait.ts
@@ -2,6 +2,10 @@
 
 /** Interval at which waiting requests look for room, in milliseconds; well below the shortest target of 200 ms. */
 export const DISPATCH_POLL_MS = 50;
+/** Time before the latest time to send in time at which a request is sent to preempt; covers two polls. */
+const PREEMPTION_MARGIN_MS = 2 * DISPATCH_POLL_MS;
+/** Minimum retry delay before any run has ended, in milliseconds; a slot is rarely free again sooner. */
+const MIN_RETRY_MS = 250;
 /** Maximum random addition to a suggested retry delay, as a share of it, so that callers do not return all at once. */
 const RETRY_SPREAD = 0.5;
 
@@ -51,22 +55,22 @@
  */
 export function decideWithoutRoom(facts: FullWorkerFacts): 'wait' | 'send' | 'refuse' {
   const { targetLeftMs, startLeftMs, preempts, waitOnWorkerMs, waitBehindQueueMs } = facts;
-  if (preempts && targetLeftMs <= DISPATCH_POLL_MS) return 'send';
+  if (preempts && targetLeftMs <= PREEMPTION_MARGIN_MS) return 'send';
   if (startLeftMs - waitOnWorkerMs > DISPATCH_POLL_MS) return 'wait';
   return startLeftMs >= waitBehindQueueMs ? 'send' : 'refuse';
 }
 
 /**
- * Whether a full worker is expected to preempt a less urgent request for a new one.
+ * Whether a full worker is expected to preempt a less urgent request for a new one: whether the requests that are at
+ * least as urgent do not fill its slots.
  *
  * @param lessUrgentShare Share of the slot time that goes to less urgent requests.
  */
 export function isPreemptionExpected(requests: number, slots: number, lessUrgentShare: number): boolean {
-  // Requests beyond the slots have preempted others already, or wait for the same.
-  return slots * lessUrgentShare >= requests - slots + 1;
+  return lessUrgentShare > 0 && requests * (1 - lessUrgentShare) < slots;
 }
 
 /** Returns the suggested retry delay after an expected wait. @param random Uniform number in [0, 1). */
 export function spreadRetryMs(waitMs: number, random: number): number {
-  return waitMs * (1 + RETRY_SPREAD * random);
+  return Math.max(MIN_RETRY_MS, waitMs) * (1 + RETRY_SPREAD * random);
 }
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -5,6 +5,7 @@
 import { ClientAnswer } from './client-answer.js';
 import { ForwardedRequest, type AcceptedRequest } from './forwarded-request.js';
 import type { ConfigurationHolder, ForwardingConfiguration } from './forwarding-configuration.js';
+import type { DispatchTotals } from './dispatch-queue.js';
 import type { ForwardingContext } from './forwarding-context.js';
 import { RequestCompletion } from './request-completion.js';
 import { TrafficSplitter } from './traffic-splitter.js';
@@ -32,6 +33,10 @@
     this.splitter = new TrafficSplitter(random);
   }
 
+  get dispatchTotals(): DispatchTotals {
+    return this.context.dispatch.totals;
+  }
+
   /** Answers one request. Never rejects. */
   async handle(exchange: IncomingExchange): Promise<void> {
     const arrival: Arrival = {
--- a/packages/forwarding/src/run-mix.ts
+++ b/packages/forwarding/src/run-mix.ts
@@ -2,7 +2,7 @@
 
 /** Factor by which each run reduces the weight of the earlier ones; the last 20 runs or so count. */
 const DECAY_PER_RUN = 0.95;
-/** Number of (decayed) runs below which nothing is derived from them. */
+/** Number of (decayed) runs below which their division among the priorities is not used. */
 const MIN_RUNS = 5;
 
 /** Runs of one service as observed by this daemon. Durations in milliseconds. */
@@ -24,11 +24,14 @@
     return this.runs > 0 ? this.totalMs / this.runs : undefined;
   }
 
-  /** Returns the share of the slot time that goes to runs less urgent than a priority; 0 while too little is known. */
+  /**
+   * Returns the share of the slot time that goes to runs less urgent than a priority; 1 while too little is known, so
+   * that an urgent request is not held back without a reason.
+   */
   lessUrgentShare(priority: number): number {
-    if (this.runs < MIN_RUNS || this.totalMs <= 0) return 0;
     let lessUrgentMs = 0;
     for (const [key, ms] of this.msByPriority) if (key > priority) lessUrgentMs += ms;
+    if (this.runs < MIN_RUNS || this.totalMs <= 0) return 1;
     return lessUrgentMs / this.totalMs;
   }
 }
--- a/packages/forwarding/src/worker-capacity.ts
+++ b/packages/forwarding/src/worker-capacity.ts
@@ -53,9 +53,10 @@
 export function shareOfFree(free: number, competition: Competition): number {
   const { daemons, own, equal, moreUrgent, lessUrgent, ending } = competition;
   if (daemons <= 1) return free;
-  free += ending;
-  const reserved = lessUrgent > 0 ? free * LESS_URGENT_SHARE : 0;
-  const left = moreUrgent > 0 ? Math.max(free * LESS_URGENT_SHARE, free - moreUrgent) : free - reserved;
+  // Slots that become free within the interval count by half: on average they are free for half of it.
+  const room = free + ending / 2;
+  const reserved = lessUrgent > 0 ? room * LESS_URGENT_SHARE : 0;
+  const left = moreUrgent > 0 ? Math.max(room * LESS_URGENT_SHARE, room - moreUrgent) : room - reserved;
   // Most daemons have no request for a given worker, so an equal share of all daemons would leave slots unused.
   return left * Math.max(1 / daemons, own / (own + equal));
 }
--- a/packages/forwarding/src/worker-places.ts
+++ b/packages/forwarding/src/worker-places.ts
@@ -10,6 +10,7 @@
 import {
   LOAD_REPORT_INTERVAL_MS,
   WorkerCapacity,
+  freeSlots,
   type Competition,
   type WorkerUse,
 } from './worker-capacity.js';
@@ -66,6 +67,11 @@
     );
   }
 
+  /** Whether a worker has a free slot and cache for a request, whatever the share of this daemon. */
+  isFree(backEnd: BackEnd, { engine, tokens }: PlaceRequest): boolean {
+    return freeSlots(this.useOf(backEnd.id, engine), tokens) > 0;
+  }
+
   /** Reserves a place until the request is in progress. */
   take(backEnd: BackEnd, { priority, tokens }: PlaceRequest): DispatchPlace {
     const reserved = this.reservedByBackEnd.get(backEnd.id) ?? { requests: 0, tokens: 0 };
--- a/packages/forwarding/test/full-workers.ts
+++ b/packages/forwarding/test/full-workers.ts
@@ -7,7 +7,7 @@
   type BackEnd,
 } from '@woodbarrow/backends';
 import { Random, SimulatedProcess, SimulatedWorld, leastBy, type CancelTimer } from '@woodbarrow/runtime';
-import { DispatchQueue, WorkerPlaces, noopJournal } from '../src/index.js';
+import { DispatchQueue, noopJournal } from '../src/index.js';
 import { ENGINE } from './engines.js';
 
 /** Time from the start in a slot to the first event, in milliseconds. */
@@ -127,19 +127,19 @@
   readonly clock = new SimulatedProcess(this.world, { name: 'd', zone: 'a', region: 'r' });
   readonly directory = new BackendDirectory(this.clock);
   readonly daemons: Daemon[] = [];
-  readonly results = new Map<string, KindResult>();
-  /** Largest number of requests on one worker. */
-  largestUse = 0;
+  private results = new Map<string, KindResult>();
   areReportsLost = false;
   private readonly workers = new Map<string, SlotWorker>();
   private readonly relay = new LoadTracker(this.clock);
-  private readonly random = new Random(1);
+  private readonly random: Random;
 
   constructor(
     daemonCount: number,
     holderCount: number,
     private readonly hasQueue: boolean,
+    seed = 1,
   ) {
+    this.random = new Random(seed);
     for (let index = 0; index < holderCount; index += 1) this.addHolder(`w${String(index)}`);
     for (let index = 0; index < daemonCount; index += 1) this.addDaemon(index, daemonCount);
   }
@@ -170,28 +170,27 @@
       const kind = kinds.find(({ share }) => (point -= share) < 0) ?? kinds[0];
       const daemon = this.random.pick(this.daemons);
       if (kind !== undefined && daemon !== undefined) void this.ask(daemon, kind);
-      for (const { running } of this.workers.values())
-        this.largestUse = Math.max(this.largestUse, running.size);
     }
     await this.world.run(until);
   }
 
-  /** Share of one kind. */
-  share(kind: string, of: 'inTime' | 'refused' | 'abandoned'): number {
-    const result = this.results.get(kind);
-    return result === undefined ? 0 : result[of] / result.total;
+  /** Returns the results of the requests since the last call; requests in progress still change them. */
+  takeResults(): ReadonlyMap<string, KindResult> {
+    const { results } = this;
+    this.results = new Map();
+    return results;
   }
 
   private addDaemon(index: number, daemonCount: number): void {
     const loads = new LoadTracker(this.clock);
-    const places = new WorkerPlaces(
+    const queue = new DispatchQueue(
       this.directory,
       loads,
+      noopJournal,
       () => daemonCount,
       new Random(index + 10),
       this.clock,
     );
-    const queue = new DispatchQueue(places, loads, noopJournal, new Random(index + 900), this.clock);
     this.daemons.push({ loads, queue });
     if (daemonCount === 1) return;
     const report = (): void => {
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -42,7 +42,6 @@
   PromptAffinity,
   RetryBudget,
   ReplicaSelector,
-  WorkerPlaces,
   noopJournal,
   type ForwardingContext,
   type ResidencyClient,
@@ -192,8 +191,14 @@
   /** Verdicts that the quarantine has stored. */
   readonly quarantineRecords: QuarantineRecord[] = [];
   readonly quarantine: RequestQuarantine;
-  readonly places = new WorkerPlaces(this.directory, this.loads, () => 1, new Random(3), this.process);
-  readonly dispatch = new DispatchQueue(this.places, this.loads, noopJournal, new Random(4), this.process);
+  readonly dispatch = new DispatchQueue(
+    this.directory,
+    this.loads,
+    noopJournal,
+    () => 1,
+    new Random(3),
+    this.process,
+  );
   private readonly health = new Map<string, BackendHealth>();
   /** Grants permits to send; grants all by default. */
   permits: SendPermits = { waitMs: () => 0, acquire: () => Promise.resolve(UNLIMITED_PERMIT) };
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -11,7 +11,6 @@
   PromptAffinity,
   RetryBudget,
   ReplicaSelector,
-  WorkerPlaces,
 } from '@woodbarrow/forwarding';
 import { CoordinatorDirectory, PeerExchange, type Member } from '@woodbarrow/exchange';
 import { isPresent, Membership } from '@woodbarrow/membership';
@@ -86,7 +85,6 @@
   private readonly records: RecordFollower;
   private readonly exchange: PeerExchange;
   private readonly forwarder: Forwarder;
-  private dispatch: DispatchQueue | undefined;
   private readonly metrics: ServingMetrics;
   private readonly deploymentView: DeploymentView;
   private readonly tasks: TaskGroup;
@@ -428,7 +426,7 @@
       loadQuarantine: () => this.loadQuarantine.totals,
       notices: () => this.noticeService.notices.totals,
       permits: () => this.noticeService.permitTotals,
-      dispatch: () => this.dispatch?.totals,
+      dispatch: () => this.forwarder.dispatchTotals,
       quotaUse: () => this.quotaGate.usage(),
       quotaGranted: () => this.quotaService.usage(),
       log,
@@ -441,12 +439,11 @@
     const quarantine = this.loadQuarantine;
     const { notices, permits } = this.noticeService;
     const demands = new DemandRouter({ directory, coordinators, peers, quarantine, clock, failures, log });
-    const connections = new ConnectionShare(loads, () => this.membership.eligible().length);
-    const journal = new LoggedJournal(log, this.metrics);
     const daemonCount = (): number => this.membership.eligible().length;
+    const connections = new ConnectionShare(loads, daemonCount);
+    const journal = new LoggedJournal(log, this.metrics);
     const forwarderRandom = random.fork();
-    const places = new WorkerPlaces(directory, loads, daemonCount, random.fork(), clock);
-    this.dispatch = new DispatchQueue(places, loads, journal, random.fork(), clock);
+    const dispatch = new DispatchQueue(directory, loads, journal, daemonCount, random.fork(), clock);
     const context = {
       clock,
       client,
@@ -455,7 +452,7 @@
       loads,
       runTimes: new RunTimes(),
       connections,
-      dispatch: this.dispatch,
+      dispatch,
       notices,
       permits,
       plain: new PlainSelector(directory, loads, connections, permits, settings.zone),
@@ -466,14 +463,11 @@
         demands,
         connections,
         permits,
-        this.dispatch,
+        dispatch,
         settings.zone,
         clock,
       ),
-      budget: new RetryBudget(
-        { ...settings.repeats, daemonCount: () => this.membership.eligible().length },
-        clock,
-      ),
+      budget: new RetryBudget({ ...settings.repeats, daemonCount }, clock),
       quota: this.quotaGate,
       quarantine: this.quarantine,
       journal,
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -28,7 +28,7 @@
   readonly notices: () => NoticeTotals;
   readonly permits: () => PermitTotals;
   /** Queue of requests that wait for room on a worker. */
-  readonly dispatch: () => DispatchTotals | undefined;
+  readonly dispatch: () => DispatchTotals;
   /** Units of limited tenants used and refused at this daemon, by tenant. */
   readonly quotaUse: () => ReadonlyMap<string, GateUsage>;
   /** Units granted by the quota allocators that run here, by tenant. */
@@ -162,7 +162,7 @@
     this.registry.gauge(
       'woodbarrow_dispatch_queue',
       'Requests that wait for room on a worker now; since the start, requests that waited, that were refused as all workers were full, and that were sent to a full worker when their time was nearly up.',
-      () => new Map(Object.entries(dispatch() ?? {})),
+      () => new Map(Object.entries(dispatch())),
       'of',
     );
   }
