--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -5,6 +5,7 @@
   BackendHealth,
   ConfigurationHolder,
   ConnectionShare,
+  DispatchQueue,
   Forwarder,
   PlainSelector,
   PromptAffinity,
@@ -426,6 +427,7 @@
       loadQuarantine: () => this.loadQuarantine.totals,
       notices: () => this.noticeService.notices.totals,
       permits: () => this.noticeService.permitTotals,
+      dispatch: () => this.forwarder.dispatchTotals,
       quotaUse: () => this.quotaGate.usage(),
       quotaGranted: () => this.quotaService.usage(),
       log,
@@ -439,7 +441,11 @@
     const { notices, permits } = this.noticeService;
     const shared = { directory, coordinators, peers, quarantine, clock, failures, log };
     const demands = new DemandRouter({ ...shared, serviceOf: (name) => this.serviceOf(name) });
-    const connections = new ConnectionShare(loads, () => this.membership.eligible().length);
+    const daemonCount = (): number => this.membership.eligible().length;
+    const connections = new ConnectionShare(loads, daemonCount);
+    const journal = new LoggedJournal(log, this.metrics);
+    const forwarderRandom = random.fork();
+    const dispatch = new DispatchQueue(directory, loads, journal, daemonCount, random.fork(), clock);
     const context = {
       clock,
       client,
@@ -448,6 +454,7 @@
       loads,
       runTimes: new RunTimes(),
       connections,
+      dispatch,
       notices,
       permits,
       plain: new PlainSelector(directory, loads, connections, permits, settings.zone),
@@ -458,20 +465,18 @@
         demands,
         connections,
         permits,
+        dispatch,
         settings.zone,
         clock,
       ),
-      budget: new RetryBudget(
-        { ...settings.repeats, daemonCount: () => this.membership.eligible().length },
-        clock,
-      ),
+      budget: new RetryBudget({ ...settings.repeats, daemonCount }, clock),
       quota: this.quotaGate,
       quarantine: this.quarantine,
-      journal: new LoggedJournal(log, this.metrics),
+      journal,
       stopWaiting: this.stopWaiting.signal,
       healthOf: (service: string) => this.healthOf(service),
     };
-    return new Forwarder(context, this.configuration, random.fork());
+    return new Forwarder(context, this.configuration, forwarderRandom);
   }
 
   private self(): Member {
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -1,6 +1,6 @@
 /** Metrics that a serving daemon exports. */
 import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
-import type { NoticeTotals } from '@woodbarrow/forwarding';
+import type { DispatchTotals, NoticeTotals } from '@woodbarrow/forwarding';
 import type { GateUsage, AllocatorUsage, PermitTotals } from '@woodbarrow/quota';
 import type { ReplicaCounts, UnservedDemands } from '@woodbarrow/residency';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
@@ -29,6 +29,8 @@
   readonly loadQuarantine: () => LoadQuarantineTotals;
   readonly notices: () => NoticeTotals;
   readonly permits: () => PermitTotals;
+  /** Queue of requests that wait for room on a worker. */
+  readonly dispatch: () => DispatchTotals;
   /** Units of limited tenants used and refused at this daemon, by tenant. */
   readonly quotaUse: () => ReadonlyMap<string, GateUsage>;
   /** Units granted by the quota allocators that run here, by tenant. */
@@ -106,6 +108,7 @@
     this.addQuarantineGauges(sources);
     this.addReplicaGauges(sources);
     this.addNoticeGauges(sources);
+    this.addDispatchGauge(sources);
     this.addQuotaGauges(sources);
     registry.gauge(
       'woodbarrow_log_lines_dropped',
@@ -172,6 +175,15 @@
     );
   }
 
+  private addDispatchGauge({ dispatch }: MetricSources): void {
+    this.registry.gauge(
+      'woodbarrow_dispatch_queue',
+      'Requests that wait for room on a worker now; since the start, requests that waited, that were refused as all workers were full, and that were sent to a full worker when their time was nearly up.',
+      () => new Map(Object.entries(dispatch())),
+      'of',
+    );
+  }
+
   private addQuotaGauges({ quotaUse, quotaGranted }: MetricSources): void {
     const { registry } = this;
     registry.gauge(
