Pace of the workers, tracked per daemon and added up by the regular exchange

Workers of some deployments report how long work takes there at present. No code read the figure, so that streams were sent to slow workers as often as to fast ones.

WorkerPaces keeps a decayed sum of the figures of each worker, from the daemon's own answers and from the reports of others, and damps it while it rests on few figures or on one moment. StateReport carries it in an optional field, at most once a second to one receiver.

--- a/packages/backends/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -8,3 +8,5 @@
 export * from './model-name.js';
 export * from './service-definition.js';
 export * from './pace-view.js';
+export * from './reported-load.js';
+export * from './worker-paces.js';
--- a/packages/exchange/src/peer-exchange.ts
+++ b/packages/exchange/src/peer-exchange.ts
@@ -4,7 +4,7 @@
  * relay of its zone: it sends its report, and the relay responds after an interval, or at once when there is
  * an urgent change. A daemon that cannot attach to any relay follows the store itself until it can.
  */
-import { summarizedReport, type LoadTracker, type ReportScope } from '@woodbarrow/backends';
+import { summarizedReport, type LoadTracker, type ReportScope, type WorkerPaces } from '@woodbarrow/backends';
 import { relayTopology, STORE_FOLLOWER_COUNT, type RelayTopology } from '@woodbarrow/coordination';
 import { logTaskFailures, type CallFailures, type EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
@@ -30,6 +30,7 @@
 import { CrashMarkTransfer, type SharedCrashMarks } from './crash-mark-transfer.js';
 import { HeldCalls } from './held-calls.js';
 import { FollowerWatch } from './follower-watch.js';
+import { PaceTransfer } from './pace-transfer.js';
 import type { RecordSet } from './record-set.js';
 import { RecordTransfer } from './record-transfer.js';
 import { toLoadReport, toStateReport } from './state-report.js';
@@ -63,6 +64,7 @@
   readonly isGroupKnown: () => boolean;
   readonly peers: PeerNetwork;
   readonly loads: LoadTracker;
+  readonly paces: WorkerPaces;
   readonly coordinators: CoordinatorDirectory;
   readonly records: FollowedRecords;
   /** Kinds of records whose changes are forwarded immediately. */
@@ -127,6 +129,7 @@
   private readonly changeTransfer: ChangeTransfer;
   private readonly recordTransfer: RecordTransfer;
   private readonly crashMarkTransfer: CrashMarkTransfer;
+  private readonly paceTransfer: PaceTransfer;
   /** Monotonic time of the last report of each relay. */
   private readonly lastReportAt = new Map<string, number>();
   /** Monotonic time since which no relay has answered. */
@@ -144,6 +147,7 @@
     this.followerTracker = new FollowerWatch(options.clock);
     this.heldCalls = new HeldCalls(options.clock);
     this.crashMarkTransfer = new CrashMarkTransfer(options.crashMarks, options.clock);
+    this.paceTransfer = new PaceTransfer(options.paces, options.clock);
     const { clock, records, urgentSources } = options;
     this.recordTransfer = new RecordTransfer({ sets: records.sets, urgentSources, clock });
     this.staleness = new StalenessTracker(clock, () => this.recordTransfer.newestUrgentPosition());
@@ -290,6 +294,7 @@
   private changeRole(): void {
     const { loads, coordinators, log } = this.options;
     loads.dropReports();
+    this.paceTransfer.dropReports();
     coordinators.dropReports();
     log.changed('exchange_role', { relay: this.topology.isRelay, relays: this.topology.relays.length });
   }
@@ -300,7 +305,9 @@
     try {
       const options = { timeoutMs: REPORT_TIMEOUT_MS };
       const crashMarks = this.crashMarkTransfer.reportFor(relay.id);
-      const request = { ...message, crashMarks };
+      const scopes = message.isRelay ? RELAY_REPORT_SCOPES : [];
+      const state = this.paceTransfer.withPaces(relay.id, message.state, scopes);
+      const request = { ...message, state, crashMarks };
       const answer = await this.options.peers.call(relay.address, stateReportMethod, request, options);
       this.crashMarkTransfer.receive(relay.id, answer.crashMarks);
       if (answer.isRelay) this.receiveRelayReport(relay.id, answer);
@@ -348,6 +355,7 @@
     if (this.attachedRelay?.id !== relay.id) {
       log.changed('exchange_attached', { relay: relay.id, before: this.attachedRelay?.id });
       this.options.loads.dropReports();
+      this.paceTransfer.dropReports();
       this.options.coordinators.dropReports();
     }
     this.attachedRelay = relay;
@@ -376,7 +384,7 @@
     this.crashMarkTransfer.receive(message.from, message.crashMarks);
     this.fetchUrgent(message);
     return {
-      state: message.isRelay ? this.ownState(RELAY_REPORT_SCOPES) : EMPTY_STATE,
+      state: message.isRelay ? this.stateForRelay(message.from) : EMPTY_STATE,
       isRelay: this.topology.isRelay,
       needsRecords: !records.isFollowing,
       updates: message.needsRecords ? this.recordTransfer.updatesFor(message.positions) : [],
@@ -419,12 +427,13 @@
     if (!this.hasUrgentUpdateFor(message)) await this.heldCalls.hold(REPORT_INTERVAL_MS);
     const { loads, coordinators } = this.options;
     const combined = loads.combinedReport(ALL_SCOPES, message.from);
+    const state = toStateReport(
+      message.needsDetail ? combined : summarizedReport(combined),
+      coordinators.claims(['own', ...ALL_SCOPES]),
+    );
     return {
       isRelay: this.topology.isRelay,
-      state: toStateReport(
-        message.needsDetail ? combined : summarizedReport(combined),
-        coordinators.claims(['own', ...ALL_SCOPES]),
-      ),
+      state: this.paceTransfer.withPaces(message.from, state, ALL_SCOPES),
       updates: this.recordTransfer.updatesFor(message.positions, message.from),
       ...this.changeTransfer.readFor(message.from),
       crashMarks: this.crashMarkTransfer.reportFor(message.from),
@@ -438,12 +447,15 @@
 
   private applyReport(source: string, scope: ReportScope, state: StateReport): void {
     this.options.loads.acceptReport(source, scope, toLoadReport(state));
+    this.paceTransfer.receive(source, scope, state);
     this.options.coordinators.accept(source, scope, state.claims);
   }
 
   private attachMessage(relayId: string): AttachMessage {
+    const message = this.reportMessage([]);
     return {
-      ...this.reportMessage([]),
+      ...message,
+      state: this.paceTransfer.withPaces(relayId, message.state, []),
       crashMarks: this.crashMarkTransfer.reportFor(relayId),
       needsDetail: this.options.ownClaims().length > 0,
     };
@@ -460,6 +472,10 @@
     };
   }
 
+  private stateForRelay(relayId: string): StateReport {
+    return this.paceTransfer.withPaces(relayId, this.ownState(RELAY_REPORT_SCOPES), RELAY_REPORT_SCOPES);
+  }
+
   private ownState(scopes: readonly ReportScope[]): StateReport {
     const { loads, coordinators } = this.options;
     return toStateReport(loads.combinedReport(scopes), coordinators.claims(['own', ...scopes]));
--- a/packages/protocol/src/exchange-messages.ts
+++ b/packages/protocol/src/exchange-messages.ts
@@ -28,6 +28,16 @@
   readonly w: number;
 }
 
+/** Pace of one worker. All figures are integers, which take less space. */
+export interface PaceReport {
+  /** Back end id. */
+  readonly b: string;
+  /** Mean of the reported figures, in percent of the usual time. */
+  readonly p: number;
+  /** Number of figures, weighted by recency, in hundredths. */
+  readonly w: number;
+}
+
 /** A zone claim with the daemon that made it. */
 export interface RelayedClaim extends ZoneClaim {
   readonly holder: string;
@@ -58,6 +68,11 @@
   readonly loads: readonly LoadEntry[];
   readonly demand: readonly DemandEntry[];
   readonly claims: readonly RelayedClaim[];
+  /**
+   * Pace of the workers that report it. Absent if there are none, from daemons without support for it, and from reports that
+   * follow soon after one with paces; the previous ones then stay in effect until they expire.
+   */
+  readonly paces?: readonly PaceReport[];
 }
 
 /** Report of a daemon to a relay. */
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { BackendDirectory, LoadTracker, NO_NEARBY_COPIES } from '@woodbarrow/backends';
+import { BackendDirectory, LoadTracker, NO_NEARBY_COPIES, WorkerPaces } from '@woodbarrow/backends';
 import type { ObservedEra, LeaseRecord, LeaseRecordStore, StoredLease } from '@woodbarrow/coordination';
 import { CallFailures, silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster } from '@woodbarrow/peering';
@@ -109,6 +109,7 @@
       isGroupKnown: () => true,
       peers: node.peers,
       loads,
+      paces: new WorkerPaces(node.process),
       coordinators,
       records: noRecords,
       urgentSources: [],
--- a/packages/serving/test/exchange.test.ts
+++ b/packages/serving/test/exchange.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { LoadTracker } from '@woodbarrow/backends';
+import { LoadTracker, WorkerPaces } from '@woodbarrow/backends';
 import { relayTopology, STORE_FOLLOWER_COUNT } from '@woodbarrow/coordination';
 import { CoordinatorDirectory, PeerExchange, type Member } from '@woodbarrow/exchange';
 import { CallFailures, silentLog } from '@woodbarrow/observability';
@@ -36,6 +36,7 @@
 /** Exchange of one daemon, with everything that it received. */
 class ExchangingDaemon {
   readonly loads: LoadTracker;
+  readonly paces: WorkerPaces;
   readonly coordinators: CoordinatorDirectory;
   readonly crashMarks: CountingCrashMarks;
   readonly changes: ResidencyChange[] = [];
@@ -54,6 +55,7 @@
   ) {
     const { process: clock, peers, random } = node;
     this.loads = new LoadTracker(clock);
+    this.paces = new WorkerPaces(clock);
     this.coordinators = new CoordinatorDirectory(clock, self.id);
     this.crashMarks = new CountingCrashMarks(clock);
     this.follower = new RecordFollower({
@@ -79,6 +81,7 @@
       isGroupKnown: () => true,
       peers,
       loads: this.loads,
+      paces: this.paces,
       coordinators: this.coordinators,
       records: this.follower,
       urgentSources: [CONFIGURATION],
