Workers are chosen by the pace that they report

Callers of slow workers had pauses although fast workers held the model as well: the choice considered only the expected time to the first event.

The fourth figure of Server-Load is decoded in the head of each answer that comes from the worker that was asked. The cost of a worker includes what its pace adds to the whole expected run; full, failing and avoided workers still come last. Latency ratios are divided by the figure of the answer, so that a slow moment does not look like a failure. All factors are exactly 1 while no pace is known.

--- a/packages/forwarding/src/answer-forwarder.ts
+++ b/packages/forwarding/src/answer-forwarder.ts
@@ -1,5 +1,5 @@
 /** Forwards a back end's answer to the client and records its outcome for health, quarantine and run times. */
-import type { BackEnd } from '@woodbarrow/backends';
+import type { BackEnd, ReportedLoad } from '@woodbarrow/backends';
 import type { BackendResponse } from '@woodbarrow/runtime';
 import { ABORTED, raceAbort } from './race-abort.js';
 import {
@@ -25,6 +25,8 @@
 /** An answer, its back end, and the time at which the request was sent. */
 export interface SentAnswer {
   readonly answer: BackendResponse;
+  /** Load that the answer reports. */
+  readonly load?: ReportedLoad;
   readonly backEnd: BackEnd;
   /** Monotonic time in milliseconds. */
   readonly sentAt: number;
@@ -89,7 +91,7 @@
 
   private async forwardBody(client: PendingAnswer, sent: SentAnswer): Promise<AttemptResult> {
     const { context, route, progress, times, completion } = this.scope;
-    const { answer, backEnd, sentAt } = sent;
+    const { answer, backEnd, sentAt, load } = sent;
     const latencyMs = context.clock.monotonic() - sentAt;
     const idleTimeoutMs = this.failures.answerTimeoutMs(progress.mayHaveRunOn.size);
     const isProcessAlive = (): Promise<boolean> => this.isProcessAlive(backEnd);
@@ -98,7 +100,8 @@
     context.quarantine.noteServed(this.scope.digest);
     const failed = answer.status >= 500;
     const latencyRatio = failed ? undefined : latencyMs / times.expectedMs();
-    this.failures.health().record(backEnd.id, failed ? 'failed_answer' : 'good', latencyRatio);
+    const health = this.failures.health();
+    health.record(backEnd.id, failed ? 'failed_answer' : 'good', latencyRatio, load?.pacePercent);
     if (result.kind === 'held') {
       if (failed && mayRunAgain(route.kind)) {
         progress.excluded.add(backEnd.id);
@@ -133,7 +136,7 @@
     return { firstMs, longestGapMs, firstEvent: firstEventIdOfRun, lastEvent };
   }
 
-  private streamOptions({ backEnd, sentAt }: SentAnswer): StreamRelayOptions {
+  private streamOptions({ backEnd, sentAt, load }: SentAnswer): StreamRelayOptions {
     const { context, times } = this.scope;
     const latencyRatio = (context.clock.monotonic() - sentAt) / times.expectedMs();
     return {
@@ -141,7 +144,7 @@
       idleTimeoutMs: () => this.idleTimeoutMs(backEnd),
       isProcessAlive: () => this.isProcessAlive(backEnd),
       onAccepted: () => {
-        this.failures.health().record(backEnd.id, 'good', latencyRatio);
+        this.failures.health().record(backEnd.id, 'good', latencyRatio, load?.pacePercent);
       },
     };
   }
--- a/packages/forwarding/src/backend-health.ts
+++ b/packages/forwarding/src/backend-health.ts
@@ -33,13 +33,16 @@
   /**
    * Records the result of a request.
    *
-   * @param ratio Measured time over the time expected for a request of that size; absent if nothing was measured.
+   * @param measuredRatio Measured time over the time expected for a request of that size; absent if nothing was measured.
+   * @param pacePercent Pace that the worker reported with the answer, in percent of the usual time. The ratio is divided by it:
+   * a worker that is slow for a moment and says so is not taken for a failing one, and a steady difference counts through its pace.
    */
-  record(backEndId: string, result: SendResult, ratio?: number): void {
+  record(backEndId: string, result: SendResult, measuredRatio?: number, pacePercent = 100): void {
     const record = this.recordOf(backEndId);
     const failed = result !== 'good';
     record.failureRate += RESULT_WEIGHT * ((failed ? 1 : 0) - record.failureRate);
-    if (ratio !== undefined) {
+    if (measuredRatio !== undefined) {
+      const ratio = measuredRatio / (pacePercent / 100);
       record.latencyRatio += RESULT_WEIGHT * (ratio - record.latencyRatio);
       this.serviceLatencyRatio += SERVICE_RESULT_WEIGHT * (ratio - this.serviceLatencyRatio);
     }
--- a/packages/forwarding/src/forwarding-context.ts
+++ b/packages/forwarding/src/forwarding-context.ts
@@ -1,5 +1,5 @@
 /** Components that all requests of a daemon share. */
-import type { BackendDirectory, LoadTracker, RunTimes } from '@woodbarrow/backends';
+import type { BackendDirectory, LoadTracker, RunTimes, WorkerPaces } from '@woodbarrow/backends';
 import type { RequestQuarantine } from '@woodbarrow/quarantine';
 import type { BackendClient, Clock } from '@woodbarrow/runtime';
 import type { RequestJournal } from './request-journal.js';
@@ -20,6 +20,8 @@
   readonly directory: BackendDirectory;
   readonly loads: LoadTracker;
   readonly runTimes: RunTimes;
+  /** Receives the pace that answers report. */
+  readonly paces: WorkerPaces;
   readonly connections: ConnectionShare;
   readonly notices: BackendNotices;
   /** A permit is acquired for each send. */
--- a/packages/forwarding/src/plain-selector.ts
+++ b/packages/forwarding/src/plain-selector.ts
@@ -1,5 +1,11 @@
 /** Chooses the least loaded healthy back end of a service without models. */
-import type { BackEnd, BackendDirectory, LoadTracker, ServiceDefinition } from '@woodbarrow/backends';
+import type {
+  BackEnd,
+  BackendDirectory,
+  LoadTracker,
+  PaceView,
+  ServiceDefinition,
+} from '@woodbarrow/backends';
 import { leastBy } from '@woodbarrow/runtime';
 import { connectionsExhausted, refusal, type BackendChoice } from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
@@ -23,6 +29,7 @@
     private readonly connections: ConnectionShare,
     private readonly permits: SendPermits,
     private readonly zone: string,
+    private readonly paces: PaceView,
   ) {}
 
   /** Selects a back end. @param excluded Back ends that have declined or failed this request. */
@@ -53,7 +60,7 @@
 
   private costOf(backEnd: BackEnd, health: BackendHealth, ids: readonly string[]): number {
     const { requests } = this.loads.loadOf(backEnd.id);
-    let cost = (requests + 1) * health.slowness(backEnd.id);
+    let cost = (requests + 1) * health.slowness(backEnd.id) * this.paces.paceOf(backEnd.id);
     if (requests >= backEnd.slots) cost += requests;
     if (backEnd.zone !== this.zone) cost += OTHER_ZONE_COST;
     if (health.isAvoided(backEnd.id)) cost += AVOIDED_COST;
--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -8,12 +8,15 @@
   type EngineDefinition,
   type LoadTracker,
   type ModelTarget,
+  type PaceView,
+  type RunTimes,
   type ServiceDefinition,
 } from '@woodbarrow/backends';
 import { leastBy, type Clock } from '@woodbarrow/runtime';
 import { connectionsExhausted, refusal, type BackendChoice } from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
 import type { ConnectionShare } from './connection-share.js';
+import { PaceCost } from './pace-cost.js';
 import { buildPromptChain, type PromptAffinity, type PromptChain } from './prompt-affinity.js';
 import type { ResidencyClient } from './residency-client.js';
 import { shortestWaitMs, type SendPermits } from './send-permits.js';
@@ -63,6 +66,8 @@
     private readonly permits: SendPermits,
     private readonly zone: string,
     private readonly clock: Clock,
+    private readonly paces: PaceView,
+    private readonly runTimes: RunTimes,
   ) {}
 
   /** Resolves once a worker holds the target, or when none will in time. */
@@ -157,9 +162,13 @@
   ): BackEnd | undefined {
     const ids = holders.map((holder) => holder.id);
     const preferred = this.affinity.preferredWorker(holders, chain)?.id;
-    return leastBy(holders, (holder) =>
-      this.costOf(holder, request, chain, health, ids, holder.id === preferred),
-    );
+    const pace = new PaceCost(this.paces, this.runTimes, request.facts);
+    const paceSpreadMs = pace.spreadMs(ids);
+    return leastBy(holders, (holder) => {
+      const penaltyMs = this.penaltyOf(holder, request, health, ids);
+      const cost = this.costOf(holder, request, chain, health, pace, holder.id === preferred);
+      return penaltyMs === 0 ? cost : cost + penaltyMs + paceSpreadMs;
+    });
   }
 
   private costOf(
@@ -167,11 +176,11 @@
     request: ReplicaRequest,
     chain: PromptChain,
     health: BackendHealth,
-    ids: readonly string[],
+    pace: PaceCost,
     isPreferred: boolean,
   ): number {
     const load = this.loads.loadOf(backEnd.id);
-    const { facts, engine } = request;
+    const { facts } = request;
     const shared = chain.tokens[chain.tokens.length - 2] ?? 0;
     const presumedTokens = isPreferred ? shared * PRESUMED_CACHED_SHARE : 0;
     const cachedTokens = Math.min(
@@ -179,15 +188,28 @@
       Math.max(this.affinity.cachedTokens(backEnd.id, chain), presumedTokens),
     );
     const uncachedTokens = load.unreadTokens + facts.promptTokens - cachedTokens;
-    let cost =
+    const firstTokenMs =
       (uncachedTokens / PREFILL_TOKENS_PER_MS + load.requests * RUNNING_REQUEST_COST_MS) *
-      health.slowness(backEnd.id);
+      health.slowness(backEnd.id) *
+      pace.paceOf(backEnd.id);
+    const zoneCostMs = backEnd.zone === this.zone ? 0 : OTHER_ZONE_COST_MS;
+    return firstTokenMs + pace.addedMs(backEnd.id) + zoneCostMs;
+  }
+
+  /** Cost of a worker that is used only if there is no other; 0 for all others. */
+  private penaltyOf(
+    backEnd: BackEnd,
+    { facts, engine }: ReplicaRequest,
+    health: BackendHealth,
+    ids: readonly string[],
+  ): number {
+    const load = this.loads.loadOf(backEnd.id);
     const reservedTokens = load.heldTokens + facts.promptTokens + facts.outputTokens;
-    if (reservedTokens > engine.cacheTokens || load.requests >= engine.slots) cost += CACHE_FULL_COST_MS;
-    if (backEnd.zone !== this.zone) cost += OTHER_ZONE_COST_MS;
-    if (health.isAvoided(backEnd.id)) cost += AVOIDED_COST_MS;
-    if (health.isOutlier(backEnd.id, ids)) cost += OUTLIER_COST_MS;
-    return cost;
+    const isFull = reservedTokens > engine.cacheTokens || load.requests >= engine.slots;
+    let penaltyMs = isFull ? CACHE_FULL_COST_MS : 0;
+    if (health.isAvoided(backEnd.id)) penaltyMs += AVOIDED_COST_MS;
+    if (health.isOutlier(backEnd.id, ids)) penaltyMs += OUTLIER_COST_MS;
+    return penaltyMs;
   }
 
   private requestReplicaIfOverloaded(backEnd: BackEnd, request: ReplicaRequest): void {
--- a/packages/forwarding/src/request-sender.ts
+++ b/packages/forwarding/src/request-sender.ts
@@ -1,5 +1,5 @@
 /** Sends a request to a chosen back end and handles the outcome. */
-import type { BackEnd, ModelTarget, WorkTicket } from '@woodbarrow/backends';
+import type { BackEnd, ModelTarget, ReportedLoad, WorkTicket } from '@woodbarrow/backends';
 import { AnswerForwarder } from './answer-forwarder.js';
 import type { BackendChoice } from './backend-choice.js';
 import type { BackendNotice } from './backend-notice.js';
@@ -78,6 +78,9 @@
       onNotice: (notice: BackendNotice) => {
         context.notices.record(backEnd.id, notice, sentAt);
       },
+      onLoad: ({ pacePercent }: ReportedLoad) => {
+        if (pacePercent !== undefined) context.paces.record(backEnd.id, pacePercent);
+      },
       ...(timeoutMs === undefined ? {} : { timeoutMs }),
     };
     return sendAttempt(plan, context.client, context.dialect, context.clock);
@@ -105,7 +108,7 @@
     switch (outcome.kind) {
       case 'answered':
         ticket.begun();
-        return this.answerForwarder.forward({ answer: outcome.answer, backEnd, sentAt });
+        return this.answerForwarder.forward({ ...outcome, backEnd, sentAt });
       case 'declined':
         return this.recordDeclined(backEnd, outcome.verdict);
       case 'unreachable':
--- a/packages/forwarding/src/send-attempt.ts
+++ b/packages/forwarding/src/send-attempt.ts
@@ -1,6 +1,6 @@
 /** Sends one request to one back end, up to the head of the answer. */
 import { errorMessage } from '@woodbarrow/errors';
-import type { BackEnd } from '@woodbarrow/backends';
+import type { BackEnd, ReportedLoad } from '@woodbarrow/backends';
 import { HttpNotSentError, type BackendResponse, type BackendClient, type Clock } from '@woodbarrow/runtime';
 import type { BackendNotice } from './backend-notice.js';
 import type { AnswerVerdict, WireDialect } from './wire-dialect.js';
@@ -11,7 +11,7 @@
 /** Result of a send. */
 export type SendOutcome =
   /** The head of the answer arrived; its body is still to be read. */
-  | { readonly kind: 'answered'; readonly answer: BackendResponse }
+  | { readonly kind: 'answered'; readonly answer: BackendResponse; readonly load?: ReportedLoad }
   /** The back end states that it did not run the request. */
   | { readonly kind: 'declined'; readonly verdict: 'not_run' | 'other_incarnation' | 'not_resident' }
   /** The connection failed; the back end did not receive the request. */
@@ -33,6 +33,8 @@
   readonly controller: AbortController;
   /** Called with the notice in the head of the answer. */
   readonly onNotice: (notice: BackendNotice) => void;
+  /** Called with the load in the head of an answer that comes from the back end. */
+  readonly onLoad: (load: ReportedLoad) => void;
   /** Milliseconds to wait for the head of the answer; limited by the controller alone when absent. */
   readonly timeoutMs?: number;
 }
@@ -66,7 +68,10 @@
     const verdict = dialect.judge(sent, answer.status, answer.headers);
     const notice = dialect.readNotice(sent, answer.status, answer.headers);
     if (notice !== undefined) plan.onNotice(notice);
-    return outcomeOf(verdict, answer);
+    const isFromBackEnd = notice !== undefined && verdict !== 'foreign' && verdict !== 'other_incarnation';
+    const load = isFromBackEnd ? dialect.readLoad(answer.headers) : undefined;
+    if (load !== undefined) plan.onLoad(load);
+    return outcomeOf(verdict, answer, load);
   } catch (error) {
     if (hasTimedOut) return { kind: 'silent' };
     if (error instanceof HttpNotSentError) return { kind: 'unreachable', detail: errorMessage(error) };
@@ -76,10 +81,14 @@
   }
 }
 
-function outcomeOf(verdict: AnswerVerdict, answer: BackendResponse): SendOutcome {
+function outcomeOf(
+  verdict: AnswerVerdict,
+  answer: BackendResponse,
+  load: ReportedLoad | undefined,
+): SendOutcome {
   switch (verdict) {
     case 'genuine':
-      return { kind: 'answered', answer };
+      return { kind: 'answered', answer, ...(load === undefined ? {} : { load }) };
     case 'foreign':
       answer.discard();
       return { kind: 'broken', detail: 'foreign answer' };
--- a/packages/forwarding/src/wire-dialect.ts
+++ b/packages/forwarding/src/wire-dialect.ts
@@ -3,7 +3,7 @@
  * is deployed on.
  */
 import type { RawHeaders } from '@woodbarrow/runtime';
-import type { ModelTarget } from '@woodbarrow/backends';
+import type { ModelTarget, ReportedLoad } from '@woodbarrow/backends';
 import type { BackendNotice } from './backend-notice.js';
 
 /** One part of a prompt that may be shared with other prompts. */
@@ -91,4 +91,6 @@
     status: number,
     headers: Readonly<Record<string, string | undefined>>,
   ): BackendNotice | undefined;
+  /** Returns the load that the head of an answer reports; undefined if it is absent or malformed. */
+  readLoad(headers: Readonly<Record<string, string | undefined>>): ReportedLoad | undefined;
 }
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -4,6 +4,7 @@
   LoadTracker,
   NO_NEARBY_COPIES,
   RunTimes,
+  WorkerPaces,
   type BackEnd,
   type EngineDefinition,
   type ModelTarget,
@@ -166,6 +167,8 @@
     retryAfterSeconds === undefined ? [] : ['retry', String(retryAfterSeconds)],
   judge: (_sent, status) => (status === 503 ? 'not_run' : 'genuine'),
   readNotice: () => EMPTY_NOTICE,
+  readLoad: ({ pace }) =>
+    pace === undefined ? undefined : { running: 0, waiting: 0, slots: 4, pacePercent: Number(pace) },
 };
 
 /** Forwarder with scripted back ends in virtual time. */
@@ -174,6 +177,8 @@
   readonly process = new SimulatedProcess(this.world, { name: 'd', zone: 'a', region: 'r' });
   readonly directory = new BackendDirectory(this.process);
   readonly loads = new LoadTracker(this.process);
+  readonly paces = new WorkerPaces(this.process);
+  readonly runTimes = new RunTimes();
   readonly stop = new AbortController();
   readonly calls: BackendCall[] = [];
   readonly demands: ResidencyDemand[] = [];
@@ -309,11 +314,12 @@
       dialect,
       directory: this.directory,
       loads: this.loads,
-      runTimes: new RunTimes(),
+      runTimes: this.runTimes,
+      paces: this.paces,
       connections,
       notices: new BackendNotices(this.process, silentLog),
       permits,
-      plain: new PlainSelector(this.directory, this.loads, connections, permits, 'a'),
+      plain: new PlainSelector(this.directory, this.loads, connections, permits, 'a', this.paces),
       replicas: new ReplicaSelector(
         this.directory,
         this.loads,
@@ -323,6 +329,8 @@
         permits,
         'a',
         this.process,
+        this.paces,
+        this.runTimes,
       ),
       budget: new RetryBudget(
         { ratio: 0.2, extra: 40, windowMs: 10_000, daemonCount: () => 1 },
