Pace is read from health answers before traffic; log event and metrics

Before the first requests, no daemon knew which workers are slow.

The daemon passes one WorkerPaces to the forwarder, the exchange and the residency service.

--- a/packages/backends/src/service-definition.ts
+++ b/packages/backends/src/service-definition.ts
@@ -32,6 +32,8 @@
   readonly name: string;
   /** Maximum number of connections that one worker accepts over all callers. */
   readonly connectionLimit: number;
+  /** Path of the workers' health answers; absent if they have none. */
+  readonly healthPath?: string;
   /** Present when the workers run models. */
   readonly engine?: EngineDefinition;
 }
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -32,6 +32,8 @@
     'A back end declined a request and requested a pause from this daemon. Back end, duration.',
   notice_malformed:
     'A response contains an invalid report about its back end, which is ignored; logged once for each back end and text. Back end, subject of the report, text.',
+  worker_pace_learnt:
+    'A worker whose pace was unknown reported how long work takes there. Back end, the pace assumed from now on (1 is usual), the figure in percent.',
   process_ended_under_request:
     'The process of a back end exited while it ran a request. Content, back end, time since the request was sent, number of processes that exited while running the content, time until the exit was detected.',
   request_quarantined:
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -11,6 +11,7 @@
 export * from './load-window.js';
 export * from './adapter-orders.js';
 export * from './order-client.js';
+export * from './pace-probes.js';
 export * from './order-sender.js';
 export * from './pending-demand.js';
 export * from './placement-choice.js';
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -2,7 +2,7 @@
  * A daemon's role in model residency: candidate for the leases of the zones, and coordinator of the zones
  * that it holds.
  */
-import type { BackendDirectory, LoadTracker, ServiceDefinition } from '@woodbarrow/backends';
+import type { BackendDirectory, LoadTracker, PaceView, ServiceDefinition } from '@woodbarrow/backends';
 import {
   StoreLease,
   rankByCapacity,
@@ -26,6 +26,7 @@
 import { BackgroundService, sleep, type Clock, type Random } from '@woodbarrow/runtime';
 import { LeaseContacts, type KnownMember, type RunningMember } from './lease-contacts.js';
 import type { OrderClient } from './order-client.js';
+import type { PaceProbes } from './pace-probes.js';
 import type { StoreWindowOptions } from './load-planner.js';
 import { ZoneResidency, type UnservedDemands } from './zone-residency.js';
 
@@ -55,6 +56,10 @@
   readonly handoverPauseMs: number;
   readonly storeWindow: StoreWindowOptions;
   readonly quarantine: LoadQuarantine;
+  /** Pace of the workers. @default all are equally fast */
+  readonly paces?: PaceView;
+  /** Reads the pace of workers before there is traffic. @default it is not read */
+  readonly paceProbes?: PaceProbes;
   readonly failures: CallFailures;
   readonly clock: Clock;
   readonly random: Random;
@@ -122,6 +127,7 @@
     directory.events.on('removed', (backEnd) => {
       for (const zone of this.held.values()) zone.residency.forget(backEnd.id);
       this.options.loads.forgetBackEnd(backEnd.id);
+      this.options.paceProbes?.forget(backEnd.id);
     });
     this.tasks.loop(
       'residency.candidate',
@@ -346,7 +352,7 @@
 
   private createCoordinator(zone: string, lease: StoreLease): ZoneResidency {
     const { self, directory, loads, orders, serviceOf, announce, clock, random, log } = this.options;
-    const { storeWindow, quarantine } = this.options;
+    const { storeWindow, quarantine, paces, paceProbes } = this.options;
     return new ZoneResidency({
       zone,
       holder: self.id,
@@ -360,6 +366,8 @@
       log,
       storeWindow,
       quarantine,
+      ...(paces === undefined ? {} : { paces }),
+      ...(paceProbes === undefined ? {} : { paceProbes }),
       signal: this.tasks.signal,
       zones: () => this.zones(),
       storeLoadsInOtherZones: () => this.storeLoadsInOtherZones(zone),
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -7,6 +7,7 @@
   type BackendDirectory,
   type LoadTracker,
   type ModelTarget,
+  type PaceView,
   type ServiceDefinition,
 } from '@woodbarrow/backends';
 import { rankByRendezvous, type StoreLease } from '@woodbarrow/coordination';
@@ -25,6 +26,7 @@
 import { LoadTimes } from './load-times.js';
 import { LoadScheduler } from './load-scheduler.js';
 import type { OrderClient } from './order-client.js';
+import type { PaceProbes } from './pace-probes.js';
 import type { Placement, RefusedDemandReason } from './pending-demand.js';
 import { StoreLink } from './store-link.js';
 import { WorkerOrders } from './worker-orders.js';
@@ -53,6 +55,10 @@
    */
   readonly expectedElsewhereInMs: (model: string) => number;
   readonly quarantine: LoadQuarantine;
+  /** Pace of the workers. @default all are equally fast */
+  readonly paces?: PaceView;
+  /** Reads the pace of workers before there is traffic. @default it is not read */
+  readonly paceProbes?: PaceProbes;
   /** Notifies all daemons of a change of residency. */
   readonly announce: (change: ResidencyChange) => void;
 }
@@ -154,6 +160,9 @@
   maintain(service: string): void {
     void this.synchronizeWorkers(service);
     this.scheduler.schedule();
+    const definition = this.options.serviceOf(service);
+    if (definition !== undefined)
+      this.options.paceProbes?.readUnknown(definition, this.availableWorkers(service));
   }
 
   /** Reads the state of workers; waits for it only while no worker's state is known. */
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -5,7 +5,7 @@
 import type { ForwardingConfiguration, WireDialect } from '@woodbarrow/forwarding';
 import type { RecordEntry, StorePosition } from '@woodbarrow/protocol';
 import type { ProcessProbe, QuarantineEntry, QuarantineStore } from '@woodbarrow/quarantine';
-import type { OrderClient } from '@woodbarrow/residency';
+import type { HealthClient, OrderClient } from '@woodbarrow/residency';
 import type { BackendClient, Clock, Random, Transport } from '@woodbarrow/runtime';
 
 export type { RecordEntry, StorePosition };
@@ -99,6 +99,7 @@
   readonly dialect: WireDialect;
   readonly orders: OrderClient;
   readonly probe: ProcessProbe;
+  readonly health: HealthClient;
   readonly quarantine: QuarantineStore;
   readonly leases: LeaseRecordStore;
   readonly registry: MemberRegistry;
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -1,6 +1,12 @@
 /** Assembles, starts and stops the parts of one serving daemon. */
 import { setMaxListeners } from 'node:events';
-import { BackendDirectory, LoadTracker, RunTimes, type ServiceDefinition } from '@woodbarrow/backends';
+import {
+  BackendDirectory,
+  LoadTracker,
+  RunTimes,
+  type ServiceDefinition,
+  type WorkerPaces,
+} from '@woodbarrow/backends';
 import {
   BackendHealth,
   ConfigurationHolder,
@@ -18,11 +24,10 @@
 import { ownerByRendezvous } from '@woodbarrow/coordination';
 import { LoadQuarantine, RequestQuarantine } from '@woodbarrow/quarantine';
 import { QuotaGate, QuotaService } from '@woodbarrow/quota';
-import { DemandRouter, ResidencyService } from '@woodbarrow/residency';
+import { DemandRouter, PaceProbes, ResidencyService } from '@woodbarrow/residency';
 import {
   NodeIngress,
   TaskGroup,
-  encodeText,
   sleep,
   type IncomingExchange,
   type IngressLimits,
@@ -30,8 +35,11 @@
 import { BackendNoticeService } from './backend-notice-service.js';
 import { DeploymentView } from './deployment-view.js';
 import { LoggedJournal } from './logged-journal.js';
+import { createLoggedPaces } from './logged-paces.js';
+import { listenForMetrics } from './metrics-endpoint.js';
 import { ServingMetrics } from './serving-metrics.js';
 import { MemberRegistration } from './member-registration.js';
+import { MEMBERSHIP_TIMINGS } from './membership-timings.js';
 import type { ServingPorts } from './ports.js';
 import { RecordFollower } from './record-follower.js';
 import type { ServingSettings } from './serving-settings.js';
@@ -49,14 +57,6 @@
   headerTimeoutMs: 3000,
   idleTimeoutMs: 60_000,
 };
-/** Timings of failure detection for a small number of daemons on fast links. */
-const MEMBERSHIP_TIMINGS = {
-  probeIntervalMs: 700,
-  probeTimeoutMs: 300,
-  indirectTimeoutMs: 600,
-  suspicionMs: 1500,
-  reconnectIntervalMs: 3000,
-};
 /**
  * Time after the start of a planned stop during which requests are still accepted: clients are directed elsewhere only
  * after two failed readiness checks, a second apart. Requests accepted later might not finish within the grace period.
@@ -71,6 +71,7 @@
   private readonly configuration = new ConfigurationHolder();
   private readonly directory: BackendDirectory;
   private readonly loads: LoadTracker;
+  private readonly paces: WorkerPaces;
   private readonly affinity = new PromptAffinity();
   private readonly health = new Map<string, BackendHealth>();
   private readonly peers: PeerNetwork;
@@ -109,6 +110,7 @@
     this.failures = new CallFailures(clock, log);
     this.directory = new BackendDirectory(clock);
     this.loads = new LoadTracker(clock);
+    this.paces = createLoggedPaces(clock, log);
     this.quarantine = this.createQuarantine();
     const { directory, quarantine: contents } = this;
     this.loadQuarantine = new LoadQuarantine({ contents, directory, clock, log });
@@ -145,6 +147,7 @@
     this.forwarder = this.createForwarder(coordinators);
     this.directory.events.on('removed', (backEnd) => {
       this.affinity.forget(backEnd.id);
+      this.paces.forget(backEnd.id);
       this.health.get(backEnd.service)?.forget(backEnd.id);
       this.noticeService.noteRemoved(backEnd.id);
       ports.client.closeIdleConnections(backEnd.address);
@@ -268,7 +271,7 @@
   }
 
   private createResidency(instance: number, coordinators: CoordinatorDirectory): ResidencyService {
-    const { settings, ports, log, directory, loads, peers } = this;
+    const { settings, ports, log, directory, loads, paces, peers } = this;
     return new ResidencyService({
       self: this.self(),
       instance,
@@ -294,6 +297,8 @@
       handoverPauseMs: settings.handoverPauseMs,
       storeWindow: settings.storeWindow,
       quarantine: this.loadQuarantine,
+      paces,
+      paceProbes: new PaceProbes({ paces, health: ports.health, clock: ports.clock }),
       failures: this.failures,
       clock: ports.clock,
       random: ports.random.fork(),
@@ -381,13 +386,14 @@
   }
 
   private createExchange(coordinators: CoordinatorDirectory): PeerExchange {
-    const { ports, log, loads, peers, records } = this;
+    const { ports, log, loads, paces, peers, records } = this;
     return new PeerExchange({
       self: this.self(),
       members: () => this.expectedMembers(),
       isGroupKnown: () => this.registration.isGroupKnown,
       peers,
       loads,
+      paces,
       coordinators,
       records,
       urgentSources: ports.feed.kinds.filter((kind) => kind.isUrgent).map((kind) => kind.source),
@@ -425,6 +431,7 @@
       loadQuarantine: () => this.loadQuarantine.totals,
       notices: () => this.noticeService.notices.totals,
       permits: () => this.noticeService.permitTotals,
+      paces: () => this.paces.totals(),
       quotaUse: () => this.quotaGate.usage(),
       quotaGranted: () => this.quotaService.usage(),
       log,
@@ -432,23 +439,25 @@
   }
 
   private createForwarder(coordinators: CoordinatorDirectory): Forwarder {
-    const { settings, ports, log, directory, loads, peers, affinity, failures } = this;
+    const { settings, ports, log, directory, loads, paces, peers, affinity, failures } = this;
     const { clock, client, dialect, random } = ports;
     const quarantine = this.loadQuarantine;
     const { notices, permits } = this.noticeService;
     const demands = new DemandRouter({ directory, coordinators, peers, quarantine, clock, failures, log });
     const connections = new ConnectionShare(loads, () => this.membership.eligible().length);
+    const runTimes = new RunTimes();
     const context = {
       clock,
       client,
       dialect,
       directory,
       loads,
-      runTimes: new RunTimes(),
+      runTimes,
+      paces,
       connections,
       notices,
       permits,
-      plain: new PlainSelector(directory, loads, connections, permits, settings.zone),
+      plain: new PlainSelector(directory, loads, connections, permits, settings.zone, paces),
       replicas: new ReplicaSelector(
         directory,
         loads,
@@ -458,6 +467,8 @@
         permits,
         settings.zone,
         clock,
+        paces,
+        runTimes,
       ),
       budget: new RetryBudget(
         { ...settings.repeats, daemonCount: () => this.membership.eligible().length },
@@ -503,15 +514,7 @@
   private async startMetrics(): Promise<void> {
     const { metrics: endpoint } = this.settings;
     if (endpoint === undefined) return;
-    this.metricsServer = await NodeIngress.listen(endpoint.address, READINESS_LIMITS, (exchange) => {
-      const isMetricsPath = exchange.target === endpoint.path;
-      const headers = isMetricsPath ? ['Content-Type', this.metrics.contentType] : [];
-      exchange.respond(
-        { status: isMetricsPath ? 200 : 404, headers },
-        encodeText(isMetricsPath ? this.metrics.render() : ''),
-      );
-      return Promise.resolve();
-    });
+    this.metricsServer = await listenForMetrics(endpoint, READINESS_LIMITS, this.metrics);
   }
 
   private answerReadiness(exchange: IncomingExchange): Promise<void> {
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -1,4 +1,5 @@
 /** Metrics that a serving daemon exports. */
+import type { PaceTotals } from '@woodbarrow/backends';
 import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
 import type { NoticeTotals } from '@woodbarrow/forwarding';
 import type { GateUsage, AllocatorUsage, PermitTotals } from '@woodbarrow/quota';
@@ -27,6 +28,7 @@
   readonly loadQuarantine: () => LoadQuarantineTotals;
   readonly notices: () => NoticeTotals;
   readonly permits: () => PermitTotals;
+  readonly paces: () => PaceTotals;
   /** Units of limited tenants used and refused at this daemon, by tenant. */
   readonly quotaUse: () => ReadonlyMap<string, GateUsage>;
   /** Units granted by the quota allocators that run here, by tenant. */
@@ -104,6 +106,7 @@
     this.addQuarantineGauges(sources);
     this.addNoticeGauges(sources);
     this.addQuotaGauges(sources);
+    this.addPaceGauges(sources);
     registry.gauge(
       'woodbarrow_log_lines_dropped',
       'Log lines left out since the start.',
@@ -155,6 +158,19 @@
     );
   }
 
+  private addPaceGauges({ paces }: MetricSources): void {
+    this.registry.gauge('woodbarrow_paced_workers', 'Workers whose pace is known.', () => paces().known);
+    this.registry.gauge(
+      'woodbarrow_worker_pace',
+      'Pace of the fastest and of the slowest worker; 1 is the usual pace, 2 if work takes twice as long.',
+      () => {
+        const { fastest, slowest } = paces();
+        return new Map(Object.entries({ fastest, slowest }));
+      },
+      'of',
+    );
+  }
+
   private addQuotaGauges({ quotaUse, quotaGranted }: MetricSources): void {
     const { registry } = this;
     registry.gauge(
