--- a/packages/forwarding/src/pace-cost.ts
+++ b/packages/forwarding/src/pace-cost.ts
@@ -1,23 +1,30 @@
-/** Time that the pace of a worker adds to a run, for the choice among workers. */
+/** Time that the pace of the workers adds to a run, for the choice among them. */
 import type { PaceView, RunTimes } from '@woodbarrow/backends';
 import type { RequestFacts } from './wire-dialect.js';
 
-/** Estimates the effect of the workers' pace on one request. */
+/** Effect of the pace of some workers on one request. */
 export class PaceCost {
+  /** Largest difference of {@link PaceCost.addedMs} between two of the workers. */
+  private readonly spreadMs: number;
+  private readonly paceById: ReadonlyMap<string, number>;
   /** Expected duration of the run at the usual pace, in milliseconds. */
   private readonly runMs: number;
 
   constructor(
-    private readonly paces: PaceView,
-    runTimes: RunTimes,
     { target, expectedTokens }: RequestFacts,
+    backEndIds: readonly string[],
+    view: PaceView,
+    runTimes: RunTimes,
   ) {
+    this.paceById = new Map(backEndIds.map((id) => [id, view.paceOf(id)]));
     this.runMs = target === undefined ? 0 : runTimes.expectedMs(target.model, expectedTokens);
+    const paces = [...this.paceById.values()];
+    this.spreadMs = paces.length === 0 ? 0 : this.runMs * (Math.max(...paces) - Math.min(...paces));
   }
 
   /** Duration of work on a worker relative to the usual; 1 if unknown. */
   paceOf(backEndId: string): number {
-    return this.paces.paceOf(backEndId);
+    return this.paceById.get(backEndId) ?? 1;
   }
 
   /**
@@ -25,15 +32,11 @@
    * events after the first one are late on a slow worker too, so the time to the first event alone does not suffice.
    */
   addedMs(backEndId: string): number {
-    return this.runMs * (this.paces.paceOf(backEndId) - 1);
+    return this.runMs * (this.paceOf(backEndId) - 1);
   }
 
-  /**
-   * Largest difference of {@link PaceCost.addedMs} between two of the workers. Added to the cost of workers to be used last,
-   * such as full ones, so that the pace of a worker never makes up for that.
-   */
-  spreadMs(backEndIds: readonly string[]): number {
-    const added = backEndIds.map((id) => this.addedMs(id));
-    return added.length === 0 ? 0 : Math.max(...added) - Math.min(...added);
+  /** Raises a penalty above any difference of pace, so that a full or failing worker is not preferred for its pace. */
+  penaltyMs(penaltyMs: number): number {
+    return penaltyMs === 0 ? 0 : penaltyMs + this.spreadMs;
   }
 }
--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -162,12 +162,11 @@
   ): BackEnd | undefined {
     const ids = holders.map((holder) => holder.id);
     const preferred = this.affinity.preferredWorker(holders, chain)?.id;
-    const pace = new PaceCost(this.paces, this.runTimes, request.facts);
-    const paceSpreadMs = pace.spreadMs(ids);
+    const pace = new PaceCost(request.facts, ids, this.paces, this.runTimes);
     return leastBy(holders, (holder) => {
       const penaltyMs = this.penaltyOf(holder, request, health, ids);
       const cost = this.costOf(holder, request, chain, health, pace, holder.id === preferred);
-      return penaltyMs === 0 ? cost : cost + penaltyMs + paceSpreadMs;
+      return cost + pace.penaltyMs(penaltyMs);
     });
   }
 
