--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -345,13 +345,16 @@
         },
       },
       stopWaiting: this.stop.signal,
-      healthOf: (name) => {
-        const health = this.health.get(name) ?? new BackendHealth(this.process);
-        this.health.set(name, health);
-        return health;
-      },
+      healthOf: (name) => this.healthOf(name),
     };
   }
+
+  /** Returns the health of the back ends of a service. */
+  healthOf(name: string): BackendHealth {
+    const health = this.health.get(name) ?? new BackendHealth(this.process);
+    this.health.set(name, health);
+    return health;
+  }
 }
 
 function valueOf(headers: readonly string[], name: string): string {
