--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -4,6 +4,7 @@
   LoadTracker,
   NO_NEARBY_COPIES,
   RunTimes,
+  WorkerPaces,
   type BackEnd,
   type EngineDefinition,
   type ModelTarget,
@@ -167,6 +168,8 @@
     retryAfterSeconds === undefined ? [] : ['retry', String(retryAfterSeconds)],
   judge: (_sent, status) => (status === 503 ? 'not_run' : 'genuine'),
   readNotice: () => EMPTY_NOTICE,
+  readLoad: ({ pace }) =>
+    pace === undefined ? undefined : { running: 0, waiting: 0, slots: 4, pacePercent: Number(pace) },
 };
 
 /** Forwarder with scripted back ends in virtual time. */
@@ -175,6 +178,8 @@
   readonly process = new SimulatedProcess(this.world, { name: 'd', zone: 'a', region: 'r' });
   readonly directory = new BackendDirectory(this.process);
   readonly loads = new LoadTracker(this.process);
+  readonly paces = new WorkerPaces(this.process);
+  readonly runTimes = new RunTimes();
   readonly stop = new AbortController();
   readonly calls: BackendCall[] = [];
   readonly demands: ResidencyDemand[] = [];
@@ -318,12 +323,13 @@
       dialect,
       directory: this.directory,
       loads: this.loads,
-      runTimes: new RunTimes(),
+      runTimes: this.runTimes,
+      paces: this.paces,
       connections,
       dispatch: this.dispatch,
       notices: new BackendNotices(this.process, silentLog),
       permits,
-      plain: new PlainSelector(this.directory, this.loads, connections, permits, 'a'),
+      plain: new PlainSelector(this.directory, this.loads, connections, permits, 'a', this.paces),
       replicas: new ReplicaSelector(
         this.directory,
         this.loads,
@@ -334,6 +340,8 @@
         this.dispatch,
         'a',
         this.process,
+        this.paces,
+        this.runTimes,
       ),
       budget: new RetryBudget(
         { ratio: 0.2, extra: 40, windowMs: 10_000, daemonCount: () => 1 },
@@ -348,13 +356,16 @@
         },
       },
       stopWaiting: this.stop.signal,
-      healthOf: (name) => {
-        const health = this.health.get(name) ?? new BackendHealth(this.process);
-        this.health.set(name, health);
-        return health;
-      },
+      healthOf: (name) => this.healthOf(name),
     };
   }
+
+  /** Returns the health of the back ends of a service. */
+  healthOf(name: string): BackendHealth {
+    const health = this.health.get(name) ?? new BackendHealth(this.process);
+    this.health.set(name, health);
+    return health;
+  }
 }
 
 function valueOf(headers: readonly string[], name: string): string {
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -28,6 +28,7 @@
 import { LeaseContacts, type KnownMember, type RunningMember } from './lease-contacts.js';
 import type { OrderClient } from './order-client.js';
 import { addReplicaCounts, type ReplicaCounts } from './replica-spreader.js';
+import type { PaceProbes } from './pace-probes.js';
 import type { StoreWindowOptions } from './load-planner.js';
 import { ZoneResidency, type UnservedDemands } from './zone-residency.js';
 
@@ -59,6 +60,8 @@
   readonly quarantine: LoadQuarantine;
   /** Pace of the workers; used for services with slow loads. Default: all workers are equally fast. */
   readonly paces?: PaceView;
+  /** Reads the pace of workers before there is traffic. @default it is not read */
+  readonly paceProbes?: PaceProbes;
   readonly failures: CallFailures;
   readonly clock: Clock;
   readonly random: Random;
@@ -130,6 +133,7 @@
     directory.events.on('removed', (backEnd) => {
       for (const zone of this.held.values()) zone.residency.forget(backEnd.id);
       this.options.loads.forgetBackEnd(backEnd.id);
+      this.options.paceProbes?.forget(backEnd.id);
     });
     this.tasks.loop(
       'residency.candidate',
@@ -377,7 +381,7 @@
 
   private createCoordinator(zone: string, lease: StoreLease): ZoneResidency {
     const { self, directory, loads, orders, serviceOf, announce, clock, random, log } = this.options;
-    const { storeWindow, quarantine, paces } = this.options;
+    const { storeWindow, quarantine, paces, paceProbes } = this.options;
     return new ZoneResidency({
       zone,
       holder: self.id,
@@ -391,6 +395,8 @@
       log,
       storeWindow,
       quarantine,
+      ...(paces === undefined ? {} : { paces }),
+      ...(paceProbes === undefined ? {} : { paceProbes }),
       signal: this.tasks.signal,
       zones: () => this.zones(),
       storeLoadsInOtherZones: () => this.storeLoadsInOtherZones(zone),
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -28,6 +28,7 @@
 import { LoadTimes } from './load-times.js';
 import { LoadScheduler } from './load-scheduler.js';
 import type { OrderClient } from './order-client.js';
+import type { PaceProbes } from './pace-probes.js';
 import type { Placement, RefusedDemandReason } from './pending-demand.js';
 import { ReplicaSpreader, type OtherZones, type ReplicaCounts } from './replica-spreader.js';
 import { StoreLink } from './store-link.js';
@@ -61,6 +62,8 @@
   readonly paces?: PaceView;
   /** What is known of the other zones. Default: no other zone has a coordinator. */
   readonly otherZones?: OtherZones;
+  /** Reads the pace of workers before there is traffic. @default it is not read */
+  readonly paceProbes?: PaceProbes;
   /** Notifies all daemons of a change of residency. */
   readonly announce: (change: ResidencyChange) => void;
 }
@@ -173,6 +176,9 @@
   maintain(service: string): void {
     void this.synchronizeWorkers(service);
     this.scheduler.schedule();
+    const definition = this.options.serviceOf(service);
+    if (definition !== undefined)
+      this.options.paceProbes?.readUnknown(definition, this.availableWorkers(service));
   }
 
   /** Adds replicas of a service with slow loads before the holders of its models are full. */
--- /dev/null
+++ b/packages/serving/src/forwarder-assembly.ts
@@ -0,0 +1,109 @@
+/** Assembles the parts of a daemon that handle requests. */
+import {
+  RunTimes,
+  type BackendDirectory,
+  type LoadTracker,
+  type ServiceDefinition,
+  type WorkerPaces,
+} from '@woodbarrow/backends';
+import type { CoordinatorDirectory } from '@woodbarrow/exchange';
+import {
+  ConnectionShare,
+  DispatchQueue,
+  Forwarder,
+  PlainSelector,
+  ReplicaSelector,
+  RetryBudget,
+  type BackendHealth,
+  type ConfigurationHolder,
+  type PromptAffinity,
+  type RequestJournal,
+} from '@woodbarrow/forwarding';
+import type { CallFailures, EventLog } from '@woodbarrow/observability';
+import type { PeerNetwork } from '@woodbarrow/peering';
+import type { LoadQuarantine, RequestQuarantine } from '@woodbarrow/quarantine';
+import type { QuotaGate } from '@woodbarrow/quota';
+import { DemandRouter } from '@woodbarrow/residency';
+import type { BackendNoticeService } from './backend-notice-service.js';
+import type { ServingPorts } from './ports.js';
+import type { ServingSettings } from './serving-settings.js';
+
+/** Parts of the daemon that handling a request needs. */
+export interface ForwarderParts {
+  readonly settings: ServingSettings;
+  readonly ports: ServingPorts;
+  readonly configuration: ConfigurationHolder;
+  readonly directory: BackendDirectory;
+  readonly loads: LoadTracker;
+  readonly paces: WorkerPaces;
+  readonly affinity: PromptAffinity;
+  readonly coordinators: CoordinatorDirectory;
+  readonly peers: PeerNetwork;
+  /** Returns the number of daemons that take requests. */
+  readonly daemonCount: () => number;
+  readonly serviceOf: (name: string) => ServiceDefinition | undefined;
+  /** Returns the health of the back ends of a service. */
+  readonly healthOf: (service: string) => BackendHealth;
+  readonly notices: BackendNoticeService;
+  readonly quota: QuotaGate;
+  readonly quarantine: RequestQuarantine;
+  readonly loadQuarantine: LoadQuarantine;
+  readonly journal: RequestJournal;
+  /** Aborts when the daemon stops. */
+  readonly stopWaiting: AbortSignal;
+  readonly failures: CallFailures;
+  readonly log: EventLog;
+}
+
+/** Creates the entry point for client requests. */
+export function assembleForwarder(parts: ForwarderParts): Forwarder {
+  const { settings, ports, directory, loads, paces, affinity, daemonCount, journal } = parts;
+  const { clock, client, dialect, random } = ports;
+  const { notices, permits } = parts.notices;
+  const demands = createDemandRouter(parts);
+  const connections = new ConnectionShare(loads, daemonCount);
+  const runTimes = new RunTimes();
+  const forwarderRandom = random.fork();
+  const dispatch = new DispatchQueue(directory, loads, journal, daemonCount, random.fork(), clock);
+  const context = {
+    clock,
+    client,
+    dialect,
+    directory,
+    loads,
+    runTimes,
+    paces,
+    connections,
+    dispatch,
+    notices,
+    permits,
+    plain: new PlainSelector(directory, loads, connections, permits, settings.zone, paces),
+    replicas: new ReplicaSelector(
+      directory,
+      loads,
+      affinity,
+      demands,
+      connections,
+      permits,
+      dispatch,
+      settings.zone,
+      clock,
+      paces,
+      runTimes,
+    ),
+    budget: new RetryBudget({ ...settings.repeats, daemonCount }, clock),
+    quota: parts.quota,
+    quarantine: parts.quarantine,
+    journal,
+    stopWaiting: parts.stopWaiting,
+    healthOf: parts.healthOf,
+  };
+  return new Forwarder(context, parts.configuration, forwarderRandom);
+}
+
+function createDemandRouter(parts: ForwarderParts): DemandRouter {
+  const { directory, coordinators, peers, failures, log, serviceOf, ports } = parts;
+  const { clock } = ports;
+  const quarantine = parts.loadQuarantine;
+  return new DemandRouter({ directory, coordinators, peers, quarantine, serviceOf, clock, failures, log });
+}
