--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -246,8 +246,11 @@
 
   /** Ends the request if the quota of its tenant does not allow it now. Returns whether it did. */
   private async finishIfOverQuota(): Promise<boolean> {
-    const { times, answer, progress } = this.scope;
-    const refusal = await this.allowance.acquire(times.startBy() - this.context.clock.monotonic());
+    const { times, answer, progress, priority } = this.scope;
+    const now = this.context.clock.monotonic();
+    const usefulUntil = answer.hasBegun ? times.resumeBy() : times.targetBy();
+    const urgency = { priority, usefulWaitMs: Math.max(0, usefulUntil - now) };
+    const refusal = await this.allowance.acquire(times.startBy() - now, urgency);
     if (refusal === undefined) return false;
     if (this.expired.signal.aborted) this.finishExpired();
     else if (answer.hasBegun || progress.mayHaveRunOn.size > 0) this.finishUnserved();
@@ -255,10 +258,11 @@
     return true;
   }
 
-  private refuseForQuota({ kind, retryAfterMs }: AllowanceRefusal): void {
-    const { completion } = this.scope;
-    if (kind === 'over_limit') completion.refuse('tenant_over_limit', 'over_limit', retryAfterMs);
-    else completion.refuse('peer_unreachable', 'no_granter', retryAfterMs);
+  private refuseForQuota({ kind, retryAfterMs, shortage }: AllowanceRefusal): void {
+    const { completion, tenant, priority } = this.scope;
+    const facts = { tenant: tenant?.name, priority, ...shortage };
+    if (kind === 'over_limit') completion.refuse('tenant_over_limit', 'over_limit', retryAfterMs, facts);
+    else completion.refuse('peer_unreachable', 'no_granter', retryAfterMs, facts);
   }
 
   private refuseQuarantined({ ends, retryAfterMs }: Verdict): void {
--- a/packages/forwarding/src/request-allowance.ts
+++ b/packages/forwarding/src/request-allowance.ts
@@ -1,5 +1,5 @@
 /** Quota ticket of one request; requests without a limited tenant need none. */
-import type { QuotaOutcome, QuotaTicket, RequestQuota } from './request-quota.js';
+import type { QuotaOutcome, QuotaTicket, QuotaUrgency, RequestQuota } from './request-quota.js';
 import { unitsOf } from './request-quota.js';
 import type { Tenant } from './tenant.js';
 import type { RequestFacts } from './wire-dialect.js';
@@ -24,11 +24,18 @@
   }
 
   /** Acquires a ticket unless a valid one is held. @param withinMs Maximum useful wait, in milliseconds. */
-  async acquire(withinMs: number): Promise<AllowanceRefusal | undefined> {
+  async acquire(withinMs: number, urgency: QuotaUrgency): Promise<AllowanceRefusal | undefined> {
     const { tenant } = this;
     if (tenant?.quota === undefined || this.isValid) return undefined;
     const units = unitsOf(tenant.quota, this.facts);
-    const outcome = await this.quota.acquire(tenant.name, tenant.quota, units, withinMs, this.signal);
+    const outcome = await this.quota.acquire(
+      tenant.name,
+      tenant.quota,
+      units,
+      withinMs,
+      this.signal,
+      urgency,
+    );
     if (outcome.kind !== 'granted') return outcome;
     this.ticket = outcome.ticket;
     return undefined;
--- a/packages/forwarding/src/request-completion.ts
+++ b/packages/forwarding/src/request-completion.ts
@@ -44,8 +44,13 @@
 export class RequestCompletion {
   constructor(private readonly options: CompletionOptions) {}
 
-  /** Answers that the request did not run and will not run. @param retryAfterMs Suggested retry delay; 0 if unknown. */
-  refuse(kind: ErrorKind, cause: string, retryAfterMs: number): void {
+  /**
+   * Answers that the request did not run and will not run.
+   *
+   * @param retryAfterMs Suggested retry delay; 0 if unknown.
+   * @param facts Further facts for the log.
+   */
+  refuse(kind: ErrorKind, cause: string, retryAfterMs: number, facts: DecisionFacts = {}): void {
     if (!this.answerError(kind, retryAfterMs)) return;
     this.recordOutcome('refused');
     this.recordDecision('request_refused', {
@@ -53,6 +58,7 @@
       cause,
       retryAfterMs: Math.round(retryAfterMs),
       waitedMs: Math.round(this.options.elapsedMs()),
+      ...facts,
     });
   }
 
--- a/packages/forwarding/src/request-quota.ts
+++ b/packages/forwarding/src/request-quota.ts
@@ -10,13 +10,32 @@
   refund(): void;
 }
 
+/** How urgently a request needs its units. */
+export interface QuotaUrgency {
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Time for which waiting for a refill is of use, in milliseconds. */
+  readonly usefulWaitMs: number;
+}
+
+/** Why units were not available, as far as the daemon knows. */
+export interface QuotaShortage {
+  readonly limitPerSecond: number;
+  readonly units: number;
+  /** Units that nobody claims at the allocators that responded, in total. */
+  readonly unitsLeft: number;
+  /** Allocators that responded, of those called. */
+  readonly allocatorsAnswered: number;
+  readonly allocators: number;
+}
+
 /** Result of acquiring units. */
 export type QuotaOutcome =
   | { readonly kind: 'granted'; readonly ticket: QuotaTicket }
   /** The tenant has used up its quota. */
-  | { readonly kind: 'over_limit'; readonly retryAfterMs: number }
+  | { readonly kind: 'over_limit'; readonly retryAfterMs: number; readonly shortage?: QuotaShortage }
   /** The quota allocator does not respond, so usage is unknown. */
-  | { readonly kind: 'unavailable'; readonly retryAfterMs: number };
+  | { readonly kind: 'unavailable'; readonly retryAfterMs: number; readonly shortage?: QuotaShortage };
 
 /** Enforces the quotas of tenants. */
 export interface RequestQuota {
@@ -24,6 +43,7 @@
    * Acquires the units of one request.
    *
    * @param withinMs Maximum useful wait for the quota allocator, in milliseconds.
+   * @param urgency Absent counts as the least urgent. Used only if units are divided among priorities.
    */
   acquire(
     tenant: string,
@@ -31,6 +51,7 @@
     units: number,
     withinMs: number,
     signal: AbortSignal,
+    urgency?: QuotaUrgency,
   ): Promise<QuotaOutcome>;
 }
 
--- a/packages/protocol/src/grant-messages.ts
+++ b/packages/protocol/src/grant-messages.ts
@@ -2,6 +2,18 @@
 import type { RateLimitReport } from './backend-messages.js';
 import { definePeerMethod } from './method.js';
 
+/** How long a request can wait for units, and how the allocator recognizes it in further calls. */
+export interface GrantClaim {
+  /** Identifies the waiting request among those of all daemons. */
+  readonly id: string;
+  /** Time for which waiting for the units is of use, in milliseconds. */
+  readonly usefulWaitMs: number;
+  /** Whether the daemon asks the other allocators before it decides where to wait. */
+  readonly isProbe: boolean;
+  /** Units of requests that the daemon has refused without a call since its last call. */
+  readonly refusedUnits: number;
+}
+
 /** A request to a quota allocator for units of a limit. */
 export interface GrantRequest {
   /** Units still missing for the first waiting request. */
@@ -14,6 +26,10 @@
   readonly mayBePart: boolean;
   /** Whether this is the last allocator asked; if so, its response sets the time of the next retry. */
   readonly isLast: boolean;
+  /** Priority of the waiting request, 0 to 9; 0 is the most urgent. Absent counts as the least urgent. */
+  readonly priority?: number;
+  /** Absent if the daemon does not wait for units that are set aside for it. */
+  readonly claim?: GrantClaim;
 }
 
 /** Response of a quota allocator. */
@@ -26,6 +42,10 @@
   readonly left: number;
   /** Milliseconds until the missing units become available; set by the last allocator asked. */
   readonly retryAfterMs: number;
+  /** Whether units are being set aside for the claim; the daemon asks again after `retryAfterMs`. */
+  readonly isWaiting?: boolean;
+  /** Milliseconds until the allocator would have the units of this request, after those that wait. */
+  readonly dueMs?: number;
 }
 
 /** A request for units of a tenant's quota. */
--- /dev/null
+++ b/packages/quota/src/claim-line.ts
@@ -0,0 +1,123 @@
+/** Requests that wait at an allocator for units, in the order in which they asked. */
+
+/** A request that waits for units. Units already in the bucket are set aside for it. */
+export interface Claim {
+  readonly id: string;
+  readonly units: number;
+  /** Units set aside so far. */
+  filled: number;
+  /** Monotonic time of the last call for this claim, in milliseconds. */
+  renewedAt: number;
+}
+
+/**
+ * Time after which a claim without a further call lapses, in milliseconds. A daemon asks again at
+ * least every 200 ms, and its call may take 300 ms before it times out.
+ */
+export const CLAIM_LIFETIME_MS = 600;
+/** Time for which the size of the largest request is remembered, in milliseconds. */
+const LARGEST_MEMORY_MS = 2000;
+/**
+ * Maximum time to which retries of refused requests are spread out, in milliseconds. An overload that
+ * lasts longer is not known to last, and callers with deadlines of a few seconds would not return.
+ */
+const MAX_RETRY_SPREAD_MS = 8000;
+/** Difference below which units count as equal; sums of refills are subject to rounding. */
+const ROUNDING_UNITS = 1e-6;
+
+/** Claims that are served strictly in the order in which they were made. */
+export class ClaimLine {
+  private readonly claims = new Map<string, Claim>();
+  private largest = { units: 0, at: -Infinity };
+  private retriesUntil = 0;
+
+  /** Units that the claims still lack. */
+  get missing(): number {
+    let sum = 0;
+    for (const { units, filled } of this.claims.values()) sum += units - filled;
+    return sum;
+  }
+
+  /** Units in the bucket that are set aside for the claims. */
+  get setAside(): number {
+    let sum = 0;
+    for (const { filled } of this.claims.values()) sum += filled;
+    return sum;
+  }
+
+  find(id: string): Claim | undefined {
+    return this.claims.get(id);
+  }
+
+  add(id: string, units: number, now: number): Claim {
+    const claim = { id, units, filled: 0, renewedAt: now };
+    this.claims.set(id, claim);
+    return claim;
+  }
+
+  remove(id: string): void {
+    this.claims.delete(id);
+  }
+
+  /** Drops the claims whose askers have not called again. */
+  dropLapsed(now: number): void {
+    for (const { id, renewedAt } of this.claims.values()) {
+      if (now - renewedAt > CLAIM_LIFETIME_MS) this.claims.delete(id);
+    }
+  }
+
+  /** Sets units aside for the claims, in order. The caller must not pass more than are missing. */
+  fill(units: number): void {
+    let left = units;
+    for (const claim of this.claims.values()) {
+      if (left <= 0) return;
+      const lacking = claim.units - claim.filled;
+      const isWhole = left >= lacking - ROUNDING_UNITS;
+      claim.filled = isWhole ? claim.units : claim.filled + left;
+      left -= lacking;
+    }
+  }
+
+  /** Returns all units set aside to the bucket. */
+  releaseAll(): void {
+    for (const claim of this.claims.values()) claim.filled = 0;
+  }
+
+  /** Returns the units that must be refilled until a claim is filled. */
+  missingUntil(id: string): number {
+    let sum = 0;
+    for (const claim of this.claims.values()) {
+      sum += claim.units - claim.filled;
+      if (claim.id === id) break;
+    }
+    return sum;
+  }
+
+  /** Records the size of a request that could be served in time if nobody waited. */
+  recordSize(units: number, now: number): void {
+    if (units >= this.largest.units || now - this.largest.at > LARGEST_MEMORY_MS)
+      this.largest = { units, at: now };
+  }
+
+  /**
+   * Returns the size of the largest recent request. Smaller ones are admitted only where it would be;
+   * otherwise they would fill the line to where there is room for small ones alone.
+   */
+  largestUnits(now: number): number {
+    return now - this.largest.at > LARGEST_MEMORY_MS ? 0 : this.largest.units;
+  }
+
+  /**
+   * Returns the milliseconds until a refused request may retry: after the claims, and after the
+   * requests refused before it.
+   *
+   * @param waitMs Time until its units would be there after the claims.
+   * @param units Units of the request and of others that its daemon has refused.
+   * @param ratePerMs Units that the line receives per millisecond.
+   */
+  reserveRetry(waitMs: number, units: number, ratePerMs: number, now: number): number {
+    const from = Math.max(now + waitMs, this.retriesUntil);
+    this.retriesUntil = Math.min(from + units / ratePerMs, now + MAX_RETRY_SPREAD_MS);
+    return from - now;
+  }
+}
--- a/packages/quota/src/quota-gate.ts
+++ b/packages/quota/src/quota-gate.ts
@@ -4,13 +4,15 @@
  */
 import { rankByRendezvous } from '@woodbarrow/coordination';
 import type { CoordinatorDirectory } from '@woodbarrow/exchange';
-import type { QuotaOutcome, RequestQuota, TenantQuota } from '@woodbarrow/forwarding';
+import type { QuotaOutcome, QuotaUrgency, RequestQuota, TenantQuota } from '@woodbarrow/forwarding';
 import type { CallFailures } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import { quotaGrantMethod, type GrantAnswer, type GrantRequest } from '@woodbarrow/protocol';
-import type { Clock } from '@woodbarrow/runtime';
+import type { Clock, Random } from '@woodbarrow/runtime';
 import { callAllocator } from './call-allocator.js';
-import { UnitGate, type GateUsage } from './unit-gate.js';
+import { PriorityGate } from './priority-gate.js';
+import type { UnitCounts } from './priority-usage.js';
+import { UnitGate, type GateUsage, type UnitGateOptions } from './unit-gate.js';
 import type { OvershootAllowance } from './unit-share.js';
 
 /** Options of {@link QuotaGate}. */
@@ -26,21 +28,27 @@
   readonly peers: Pick<PeerNetwork, 'call'>;
   readonly failures: CallFailures;
   readonly clock: Clock;
+  /**
+   * Spreads the retries of refused requests. If set, units are divided among the priorities of the
+   * requests; the allocators must do so too.
+   */
+  readonly prioritiesWith?: Random;
 }
 
 /** Acquires units of tenants' limits for the requests of one daemon. */
 export class QuotaGate implements RequestQuota {
-  private readonly gate: UnitGate;
+  private readonly gate: UnitGate | PriorityGate;
 
   constructor(private readonly options: QuotaGateOptions) {
-    const { allowance, zones, clock } = options;
-    this.gate = new UnitGate({
+    const { daemon, allowance, zones, clock, prioritiesWith: random } = options;
+    const common = {
       allowance,
       allocatorCount: zones.length,
-      zonesFor: (tenant) => this.zonesInOrder(tenant),
-      requestUnits: (zone, tenant, wish) => this.requestUnits(zone, tenant, wish),
+      zonesFor: (tenant: string) => this.zonesInOrder(tenant),
+      requestUnits: (zone: string, tenant: string, wish: GrantRequest) => this.requestUnits(zone, tenant, wish),
       clock,
-    });
+    } satisfies UnitGateOptions;
+    this.gate = random === undefined ? new UnitGate(common) : new PriorityGate({ ...common, daemon, random });
   }
 
   acquire(
@@ -49,8 +57,9 @@
     units: number,
     maxWaitMs: number,
     signal: AbortSignal,
+    urgency?: QuotaUrgency,
   ): Promise<QuotaOutcome> {
-    return this.gate.acquire(tenant, quota, units, maxWaitMs, signal);
+    return this.gate.acquire(tenant, quota, units, maxWaitMs, signal, urgency);
   }
 
   /** Returns the units used and refused since the start, by tenant. */
@@ -58,6 +67,11 @@
     return this.gate.usage();
   }
 
+  /** Returns the units granted and refused since the start, by `tenant/priority`; empty without priorities. */
+  usageByPriority(): ReadonlyMap<string, UnitCounts> {
+    return this.gate instanceof PriorityGate ? this.gate.usageByPriority().entries() : new Map();
+  }
+
   private requestUnits(zone: string, tenant: string, wish: GrantRequest): Promise<GrantAnswer | undefined> {
     return callAllocator(this.options, zone, quotaGrantMethod, { zone, tenant, ...wish });
   }
--- a/packages/quota/src/quota-service.ts
+++ b/packages/quota/src/quota-service.ts
@@ -18,6 +18,8 @@
   readonly quotaOf: (tenant: string) => TenantQuota | undefined;
   /** Returns the lease of a zone while this daemon holds it. */
   readonly authorityOf: (zone: string) => ZoneAuthority | undefined;
+  /** Whether units are divided among the priorities of the requests. @default false */
+  readonly hasPriorities?: boolean;
   readonly peers: PeerNetwork;
   readonly clock: Clock;
   readonly log: EventLog;
@@ -28,11 +30,18 @@
   private readonly allocators: ZoneAllocators<UnitAllocator>;
 
   constructor(private readonly options: QuotaServiceOptions) {
-    const { zones, allowance, quotaOf, authorityOf, clock, log } = options;
+    const { zones, allowance, quotaOf, authorityOf, hasPriorities = false, clock, log } = options;
     this.allocators = new ZoneAllocators({
       authorityOf: (zone) => (zones.includes(zone) ? authorityOf(zone) : undefined),
       create: (startsAt) =>
-        new UnitAllocator({ allowance, allocatorCount: zones.length, limitOf: quotaOf, startsAt, clock }),
+        new UnitAllocator({
+          allowance,
+          allocatorCount: zones.length,
+          limitOf: quotaOf,
+          startsAt,
+          hasPriorities,
+          clock,
+        }),
       onCreated: (zone, fence, startsInMs) => {
         log.changed('quota_granter_started', { zone, fence, startsInMs: Math.round(startsInMs) });
       },
--- a/packages/quota/src/unit-allocator.ts
+++ b/packages/quota/src/unit-allocator.ts
@@ -1,6 +1,8 @@
 /** Allocates units of limits for one zone while this daemon holds the zone's lease. */
 import type { GrantAnswer, GrantRequest } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
+import { CLAIM_LIFETIME_MS } from './claim-line.js';
+import { PriorityShares, validPriority, type ShareRequest } from './priority-shares.js';
 import { shareOf, type OvershootAllowance, type UnitLimit } from './unit-share.js';
 import { UnitBucket } from './unit-bucket.js';
 
@@ -13,6 +15,8 @@
   readonly limitOf: (subject: string) => UnitLimit | undefined;
   /** Monotonic time from which the buckets fill. By then the previous allocator has stopped granting. */
   readonly startsAt: number;
+  /** Whether the units are divided among the priorities of the requests. @default false */
+  readonly hasPriorities?: boolean;
   readonly clock: Clock;
 }
 
@@ -30,6 +34,8 @@
 
 interface SubjectBucket {
   readonly bucket: UnitBucket;
+  /** Absent if units are not divided among priorities. */
+  readonly shares: PriorityShares | undefined;
   limit: UnitLimit;
   granted: number;
   turnedDown: number;
@@ -46,7 +52,8 @@
     const { needed, isLast } = wish;
     const entry = this.entryOf(subject);
     if (entry === undefined) return { granted: 0, lifetimeMs: 0, left: 0, retryAfterMs: 0 };
-    const { bucket } = entry;
+    const { bucket, shares } = entry;
+    if (shares !== undefined) return grantByPriority(entry, shares, wish);
     const granted = unitsToGrant(bucket, wish);
     bucket.take(granted);
     entry.granted += granted;
@@ -70,13 +77,14 @@
   }
 
   private entryOf(subject: string): SubjectBucket | undefined {
-    const { limitOf, allowance, allocatorCount, clock, startsAt } = this.options;
+    const { limitOf, allowance, allocatorCount, clock, startsAt, hasPriorities = false } = this.options;
     const limit = limitOf(subject);
     if (limit === undefined) return undefined;
     const existing = this.subjects.get(subject);
     if (existing === undefined) {
       const bucket = new UnitBucket(shareOf(limit, allowance, allocatorCount), clock, startsAt);
-      const created = { bucket, limit, granted: 0, turnedDown: 0 };
+      const shares = hasPriorities ? new PriorityShares(clock) : undefined;
+      const created = { bucket, shares, limit, granted: 0, turnedDown: 0 };
       this.subjects.set(subject, created);
       return created;
     }
@@ -102,3 +110,58 @@
   const free = available - waiting - bucket.depth * RESERVED_FRACTION;
   return waiting + Math.min(ahead, Math.max(0, free));
 }
+
+/**
+ * Grants units as the shares of the priorities allow. Prefetched units, and parts of requests that are
+ * larger than a bucket, come from units that nobody claims.
+ */
+function grantByPriority(entry: SubjectBucket, shares: PriorityShares, wish: GrantRequest): GrantAnswer {
+  const { bucket } = entry;
+  const { lifetimeMs } = bucket;
+  const { needed, mayBePart, isLast, claim } = wish;
+  // A claim for most of a bucket would leave no place for the claims of other priorities.
+  const units = mayBePart ? Math.min(needed, bucket.depth * RESERVED_FRACTION) : needed;
+  if (units > bucket.depth)
+    return { granted: 0, lifetimeMs, left: 0, retryAfterMs: 0, dueMs: units / bucket.ratePerMs };
+  const decision = shares.decide({ ...shareRequestOf(wish), units }, bucket.available(), bucket.ratePerMs);
+  if (decision.kind === 'granted') {
+    const free = bucket.available() - shares.setAside() - units - bucket.depth * RESERVED_FRACTION;
+    const granted = units + Math.min(wish.ahead, Math.max(0, free));
+    bucket.take(granted);
+    entry.granted += granted;
+    return { granted, lifetimeMs, left: unclaimedUnits(bucket, shares), retryAfterMs: 0, dueMs: 0 };
+  }
+  const free = unclaimedUnits(bucket, shares);
+  if (mayBePart && decision.kind === 'refused' && free > 0) {
+    bucket.take(free);
+    entry.granted += free;
+    return { granted: free, lifetimeMs, left: 0, retryAfterMs: 0, dueMs: decision.dueMs };
+  }
+  const { dueMs } = decision;
+  const common = { granted: 0, lifetimeMs, left: free, dueMs };
+  if (decision.kind === 'waits') {
+    const retryAfterMs = claim === undefined && !isLast ? 0 : decision.askAgainMs;
+    return { ...common, retryAfterMs, isWaiting: true };
+  }
+  if (claim?.isProbe !== true) entry.turnedDown += needed;
+  return { ...common, retryAfterMs: isLast ? decision.retryAfterMs : 0 };
+}
+
+function unclaimedUnits(bucket: UnitBucket, shares: PriorityShares): number {
+  return Math.max(0, bucket.available() - shares.setAside());
+}
+
+/**
+ * Returns the request of a daemon to the shares. Daemons of an older version identify no request;
+ * those with requests of the same size share a claim, which goes to the first that asks once it is
+ * filled.
+ */
+function shareRequestOf({ needed, priority, claim }: GrantRequest): ShareRequest {
+  const common = { priority: validPriority(priority), units: needed };
+  if (claim === undefined) {
+    const claimId = `size ${String(needed)}`;
+    return { ...common, claimId, usefulWaitMs: CLAIM_LIFETIME_MS, isProbe: false, refusedUnits: 0 };
+  }
+  const { id, usefulWaitMs, isProbe, refusedUnits } = claim;
+  return { ...common, claimId: id, usefulWaitMs, isProbe, refusedUnits };
+}
--- a/packages/quota/src/unit-bucket.ts
+++ b/packages/quota/src/unit-bucket.ts
@@ -34,6 +34,10 @@
     return this.share.depth;
   }
 
+  get ratePerMs(): number {
+    return this.share.ratePerMs;
+  }
+
   get lifetimeMs(): number {
     return this.share.lifetimeMs;
   }
--- a/packages/quota/src/unit-gate.ts
+++ b/packages/quota/src/unit-gate.ts
@@ -3,7 +3,7 @@
  * beforehand; if the local allowance is too small, they wait while the allocators are called one after
  * the other.
  */
-import type { QuotaOutcome, QuotaTicket } from '@woodbarrow/forwarding';
+import type { QuotaOutcome, QuotaShortage, QuotaTicket } from '@woodbarrow/forwarding';
 import type { GrantAnswer, GrantRequest } from '@woodbarrow/protocol';
 import { sleep, type Clock } from '@woodbarrow/runtime';
 import { LocalAllowance } from './local-allowance.js';
@@ -75,7 +75,9 @@
 
 /** Combined result of one call to each allocator. */
 interface RoundResult {
-  readonly hasAnswer: boolean;
+  /** Allocators that responded, of those called. */
+  readonly answered: number;
+  readonly called: number;
   /** Units left in the buckets of the allocators, in total. */
   readonly remaining: number;
   readonly retryAfterMs: number;
@@ -90,7 +92,7 @@
    * Size of the last refused request, and the monotonic time until which requests of that size are
    * refused without a call.
    */
-  lastRejection: { readonly units: number; readonly until: number } | undefined;
+  lastRejection: { readonly units: number; readonly until: number; readonly round: RoundResult } | undefined;
   /** Rate of the limit when units were last requested. */
   ratePerSecond: number;
   lifetimeMs: number;
@@ -128,7 +130,8 @@
     const { lastRejection } = state;
     if (lastRejection !== undefined && units >= lastRejection.units && now < lastRejection.until) {
       state.refused += units;
-      return Promise.resolve({ kind: 'over_limit', retryAfterMs: lastRejection.until - now });
+      const shortage = shortageOf(limit, units, lastRejection.round);
+      return Promise.resolve({ kind: 'over_limit', retryAfterMs: lastRejection.until - now, shortage });
     }
     return new Promise((resolve) => {
       const giveUpAt = now + Math.min(MAX_ALLOCATOR_WAIT_MS, maxWaitMs);
@@ -154,8 +157,8 @@
       while (this.dropAborted(state)) {
         const round = await this.requestRound(subject, limit, state);
         if (this.grantFromAllowance(state)) continue;
-        if (round.hasAnswer) await this.handleOverLimit(state, limit, round.retryAfterMs);
-        else await this.waitForAllocator(state);
+        if (round.answered > 0) await this.handleOverLimit(state, limit, round);
+        else await this.waitForAllocator(state, limit, round);
       }
     } finally {
       state.isServing = false;
@@ -185,7 +188,7 @@
       missing > 0 && missing <= round.remaining && units > depth * LARGE_REQUEST_FRACTION;
     if (units > depth || !canCombineParts) return round;
     const parts = await this.requestFromEach(subject, state, true);
-    return { ...parts, hasAnswer: round.hasAnswer || parts.hasAnswer };
+    return { ...parts, answered: Math.max(round.answered, parts.answered), called: round.called };
   }
 
   private async requestFromEach(
@@ -194,7 +197,7 @@
     mayBePart: boolean,
   ): Promise<RoundResult> {
     const { clock, zonesFor, requestUnits } = this.options;
-    const round = { hasAnswer: false, remaining: 0, retryAfterMs: 0 };
+    const round = { answered: 0, called: 0, remaining: 0, retryAfterMs: 0 };
     const zones = zonesFor(subject);
     for (const [index, zone] of zones.entries()) {
       const needed = missingUnitsOf(state);
@@ -204,9 +207,10 @@
       const ahead = state.rate.perMs() * state.lifetimeMs * PREFETCH_FRACTION;
       const isLast = index === zones.length - 1;
       const askedAt = clock.elapsed();
+      round.called += 1;
       const answer = await requestUnits(zone, subject, { needed, queued, ahead, mayBePart, isLast });
       if (answer === undefined) continue;
-      round.hasAnswer = true;
+      round.answered += 1;
       round.remaining += answer.left;
       round.retryAfterMs = Math.max(round.retryAfterMs, answer.retryAfterMs);
       state.lifetimeMs = answer.lifetimeMs;
@@ -234,33 +238,39 @@
   private async handleOverLimit(
     state: SubjectState,
     limit: UnitLimit,
-    reportedRetryMs: number,
+    round: RoundResult,
   ): Promise<void> {
     const [first] = state.waiting;
     if (first === undefined) return;
     // The last allocator, which reports the delay, did not respond. The refill takes at least this
     // long.
     const { maxBackoffMs = Infinity } = this.options;
-    const dueMs = reportedRetryMs > 0 ? reportedRetryMs : (first.units * MS_PER_SECOND) / limit.ratePerSecond;
+    const reportedMs = round.retryAfterMs;
+    const dueMs = reportedMs > 0 ? reportedMs : (first.units * MS_PER_SECOND) / limit.ratePerSecond;
     const retryAfterMs = Math.min(maxBackoffMs, dueMs);
     if (retryAfterMs <= MAX_REFILL_WAIT_MS && !first.hasWaitedForRefill) {
       first.hasWaitedForRefill = true;
       await sleep(this.options.clock, retryAfterMs);
       return;
     }
-    state.lastRejection = { units: first.units, until: this.options.clock.monotonic() + retryAfterMs };
+    state.lastRejection = { units: first.units, until: this.options.clock.monotonic() + retryAfterMs, round };
     for (const request of state.waiting.filter(({ units }) => units >= first.units)) {
       state.refused += request.units;
-      this.settle(state, request, { kind: 'over_limit', retryAfterMs });
+      const shortage = shortageOf(limit, request.units, round);
+      this.settle(state, request, { kind: 'over_limit', retryAfterMs, shortage });
     }
   }
 
-  private async waitForAllocator(state: SubjectState): Promise<void> {
+  private async waitForAllocator(state: SubjectState, limit: UnitLimit, round: RoundResult): Promise<void> {
     const now = this.options.clock.monotonic();
     for (const request of state.waiting.filter(
       ({ giveUpAt }) => giveUpAt <= now + ALLOCATOR_RETRY_INTERVAL_MS,
     ))
-      this.settle(state, request, { kind: 'unavailable', retryAfterMs: RETRY_AFTER_NO_ALLOCATOR_MS });
+      this.settle(state, request, {
+        kind: 'unavailable',
+        retryAfterMs: RETRY_AFTER_NO_ALLOCATOR_MS,
+        shortage: shortageOf(limit, request.units, round),
+      });
     if (state.waiting.length > 0) await sleep(this.options.clock, ALLOCATOR_RETRY_INTERVAL_MS);
   }
 
@@ -312,3 +322,17 @@
   const [first] = waiting;
   return first === undefined ? 0 : first.units - localAllowance.available();
 }
+
+function shortageOf(
+  { ratePerSecond }: UnitLimit,
+  units: number,
+  { remaining, answered, called }: RoundResult,
+): QuotaShortage {
+  return {
+    limitPerSecond: ratePerSecond,
+    units,
+    unitsLeft: Math.round(remaining),
+    allocatorsAnswered: answered,
+    allocators: called,
+  };
+}
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -308,6 +308,7 @@
       allowance: settings.quotaAllowance,
       quotaOf: (tenant) => configuration.current?.tenants?.named(tenant)?.quota,
       authorityOf: (zone) => residency.leaseHeld(zone),
+      hasPriorities: settings.hasContendedCapacity,
       peers,
       clock: ports.clock,
       log,
@@ -325,6 +326,7 @@
       peers,
       failures,
       clock: ports.clock,
+      ...(settings.hasContendedCapacity ? { prioritiesWith: ports.random.fork() } : {}),
     });
   }
 
@@ -426,6 +428,7 @@
       notices: () => this.noticeService.notices.totals,
       permits: () => this.noticeService.permitTotals,
       quotaUse: () => this.quotaGate.usage(),
+      quotaUseByPriority: () => this.quotaGate.usageByPriority(),
       quotaGranted: () => this.quotaService.usage(),
       log,
     });
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -1,7 +1,7 @@
 /** Metrics that a serving daemon exports. */
 import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
 import type { NoticeTotals } from '@woodbarrow/forwarding';
-import type { GateUsage, AllocatorUsage, PermitTotals } from '@woodbarrow/quota';
+import type { GateUsage, AllocatorUsage, PermitTotals, UnitCounts } from '@woodbarrow/quota';
 import type { UnservedDemands } from '@woodbarrow/residency';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
 
@@ -29,6 +29,8 @@
   readonly permits: () => PermitTotals;
   /** Units of limited tenants used and refused at this daemon, by tenant. */
   readonly quotaUse: () => ReadonlyMap<string, GateUsage>;
+  /** Units granted and refused at this daemon, by `tenant/priority`; empty without contended capacity. */
+  readonly quotaUseByPriority: () => ReadonlyMap<string, UnitCounts>;
   /** Units granted by the quota allocators that run here, by tenant. */
   readonly quotaGranted: () => ReadonlyMap<string, AllocatorUsage>;
   readonly log: BoundedLog;
@@ -155,7 +157,7 @@
     );
   }
 
-  private addQuotaGauges({ quotaUse, quotaGranted }: MetricSources): void {
+  private addQuotaGauges({ quotaUse, quotaUseByPriority, quotaGranted }: MetricSources): void {
     const { registry } = this;
     registry.gauge(
       'woodbarrow_tenant_used_units',
@@ -169,6 +171,18 @@
       () => largestByTenant(quotaUse(), ({ refused }) => refused),
       'tenant',
     );
+    registry.gauge(
+      'woodbarrow_tenant_priority_granted_units',
+      'Units granted to requests of this daemon since the start, by tenant and priority, where units are divided among priorities.',
+      () => largestByTenant(quotaUseByPriority(), ({ granted }) => granted),
+      'tenant_priority',
+    );
+    registry.gauge(
+      'woodbarrow_tenant_priority_refused_units',
+      'Units refused to requests of this daemon since the start, by tenant and priority, where units are divided among priorities.',
+      () => largestByTenant(quotaUseByPriority(), ({ refused }) => refused),
+      'tenant_priority',
+    );
     registry.gauge(
       'woodbarrow_tenant_granted_units',
       'Units of limited tenants that this daemon has handed out for the zones coordinated here.',
