--- a/packages/quota/src/claim-line.ts
+++ b/packages/quota/src/claim-line.ts
@@ -6,19 +6,14 @@
   readonly units: number;
   /** Units set aside so far. */
   filled: number;
-  /** Monotonic time of the last call for this claim, in milliseconds. */
-  renewedAt: number;
+  /** Monotonic time at which the claim lapses unless its daemon asks again, in milliseconds. */
+  lapsesAt: number;
 }
 
-/**
- * Time after which a claim without a further call lapses, in milliseconds. A daemon asks again at
- * least every 200 ms, and its call may take 300 ms before it times out.
- */
-export const CLAIM_LIFETIME_MS = 600;
 /** Time for which the size of the largest request is remembered, in milliseconds. */
 const LARGEST_MEMORY_MS = 2000;
 /**
- * Maximum time to which retries of refused requests are spread out, in milliseconds. An overload that
+ * Maximum retry delay, in milliseconds, before it is spread at random. An overload that
  * lasts longer is not known to last, and callers with deadlines of a few seconds would not return.
  */
 const MAX_RETRY_SPREAD_MS = 8000;
@@ -49,10 +44,8 @@
     return this.claims.get(id);
   }
 
-  add(id: string, units: number, now: number): Claim {
-    const claim = { id, units, filled: 0, renewedAt: now };
-    this.claims.set(id, claim);
-    return claim;
+  add(id: string, units: number, lapsesAt: number): void {
+    this.claims.set(id, { id, units, filled: 0, lapsesAt });
   }
 
   remove(id: string): void {
@@ -61,8 +54,8 @@
 
   /** Drops the claims whose askers have not called again. */
   dropLapsed(now: number): void {
-    for (const { id, renewedAt } of this.claims.values()) {
-      if (now - renewedAt > CLAIM_LIFETIME_MS) this.claims.delete(id);
+    for (const { id, lapsesAt } of this.claims.values()) {
+      if (now > lapsesAt) this.claims.delete(id);
     }
   }
 
@@ -116,8 +109,9 @@
    * @param ratePerMs Units that the line receives per millisecond.
    */
   reserveRetry(waitMs: number, units: number, ratePerMs: number, now: number): number {
-    const from = Math.max(now + waitMs, this.retriesUntil);
-    this.retriesUntil = Math.min(from + units / ratePerMs, now + MAX_RETRY_SPREAD_MS);
+    const latest = now + MAX_RETRY_SPREAD_MS;
+    const from = Math.min(latest, Math.max(now + waitMs, this.retriesUntil));
+    this.retriesUntil = Math.min(latest, from + units / ratePerMs);
     return from - now;
   }
 }
--- a/packages/quota/src/priority-gate.ts
+++ b/packages/quota/src/priority-gate.ts
@@ -10,6 +10,7 @@
 import { LocalAllowance } from './local-allowance.js';
 import { PriorityUsage } from './priority-usage.js';
 import { LEAST_URGENT_PRIORITY, validPriority } from './priority-shares.js';
+import { RecentQuotes } from './recent-quotes.js';
 import { RefusalMemory } from './refusal-memory.js';
 import { ResponsiveAllocators } from './responsive-allocators.js';
 import { RETRY_AFTER_NO_ALLOCATOR_MS, type GateUsage, type UnitGateOptions } from './unit-gate.js';
@@ -36,8 +37,6 @@
  * of a bucket.
  */
 const PARTS_FRACTION = 0.5;
-/** Delay beyond its target that a request accepts while its units are being set aside, in milliseconds. */
-const LATE_UNITS_TOLERANCE_MS = 10;
 
 interface WaitingRequest {
   /** Counts the requests of this daemon, in arrival order. */
@@ -67,6 +66,7 @@
   readonly allowance: LocalAllowance;
   readonly rate: UsageRate;
   readonly refusals: RefusalMemory;
+  readonly quotes: RecentQuotes;
   readonly waiting: Set<WaitingRequest>;
   limit: UnitLimit;
   lifetimeMs: number;
@@ -189,6 +189,8 @@
   ): Promise<void> {
     for (const zone of zones) {
       if (request.collected.missing() <= 0) return;
+      // A first call tells whether the others may have units sooner.
+      if (round.best !== undefined && state.quotes.isTooLate(zone, this.refusable(request))) continue;
       const answer = await this.ask(zone, state, request, true, mayBePart);
       if (answer === undefined) continue;
       round.answered += 1;
@@ -212,8 +214,6 @@
     const { clock } = this.options;
     let answer: GrantAnswer | undefined = best.answer;
     for (;;) {
-      if (answer.isWaiting === true && !this.isInTime(request, dueMsOf(answer)))
-        return this.refuse(state, request, answer, round);
       if (answer.isWaiting === true) await sleep(clock, answer.retryAfterMs, request.signal);
       if (request.signal.aborted) return { kind: 'unavailable', retryAfterMs: 0 };
       const held = this.ticketInTurn(state, request);
@@ -234,7 +234,7 @@
   ): QuotaOutcome {
     const shortage = shortageOf(state, request, round);
     const dueMs = dueMsOf(answer);
-    const refusal = { dueMs, retryAfterMs: Math.max(dueMs, answer.retryAfterMs), shortage };
+    const refusal = { dueMs, retryAfterMs: answer.retryAfterMs, shortage };
     const retryAfterMs = state.refusals.record(this.refusable(request), refusal);
     return { kind: 'over_limit', retryAfterMs, shortage };
   }
@@ -269,6 +269,7 @@
       return undefined;
     }
     this.allocators.recordAnswer(zone);
+    state.quotes.record(zone, refusable, dueMsOf(answer));
     state.lifetimeMs = answer.lifetimeMs;
     const expiresAt = askedAt + answer.lifetimeMs;
     const own = Math.min(needed, answer.granted);
@@ -282,10 +283,6 @@
     return units > shareOf(limit, allowance, allocatorCount).depth * PARTS_FRACTION;
   }
 
-  private isInTime({ usefulUntil }: WaitingRequest, dueMs: number): boolean {
-    return this.options.clock.monotonic() + dueMs <= usefulUntil + LATE_UNITS_TOLERANCE_MS;
-  }
-
   /** Waits before the allocators are called again. Returns false if the request has waited long enough. */
   private async waitForAllocator({ giveUpAt, signal }: WaitingRequest): Promise<boolean> {
     const { clock } = this.options;
@@ -351,6 +348,7 @@
       allowance: new LocalAllowance(clock),
       rate: new UsageRate(clock),
       refusals: new RefusalMemory(clock, random),
+      quotes: new RecentQuotes(clock),
       waiting: new Set<WaitingRequest>(),
       limit,
       lifetimeMs: 0,
--- a/packages/quota/src/priority-shares.ts
+++ b/packages/quota/src/priority-shares.ts
@@ -24,13 +24,24 @@
 const WEIGHT_STEP = 0.5;
 /** Maximum wait for which a probe makes a claim, in milliseconds. Others first ask the other allocators. */
 export const PROBE_CLAIM_MS = 50;
+/** Minimum time after which a waiting daemon asks again, in milliseconds. */
+const MIN_POLL_MS = 5;
 /**
- * Maximum time after which a waiting daemon asks again, in milliseconds. Claims may be filled earlier
- * than expected; units set aside for longer would fill the bucket, which then loses refill.
+ * Time up to which a waiting daemon asks again only when its units are due, in milliseconds. Claims may
+ * be filled earlier than expected; units set aside for longer would fill the bucket, which then loses
+ * refill.
  */
-const MAX_POLL_MS = 200;
-/** Minimum time after which a waiting daemon asks again, in milliseconds. */
-const MIN_POLL_MS = 2;
+const EXACT_POLL_MS = 300;
+/** Fraction of a longer wait after which a daemon asks again, and its bound in milliseconds. */
+const POLL_FRACTION = 0.25;
+const MAX_POLL_MS = 1000;
+/**
+ * Time after which a claim lapses if its daemon has not asked again as told, in milliseconds. A call may
+ * take 300 ms before it times out.
+ */
+const CLAIM_LAPSE_MS = 400;
+/** Delay beyond the useful wait that a waiting request accepts, in milliseconds: the error of a forecast. */
+const LATE_UNITS_TOLERANCE_MS = 10;
 
 /** A request for units at one allocator. */
 export interface ShareRequest {
@@ -101,17 +112,13 @@
     const roomFor = Math.max(units, line.largestUnits(now));
     const admittedMs = (line.missing + roomFor - free) / lineRate;
     if (admittedMs <= (request.isProbe ? Math.min(PROBE_CLAIM_MS, usefulWaitMs) : usefulWaitMs)) {
-      line.add(claimId, units, now);
+      const decision = waitingFor(dueMs);
+      line.add(claimId, units, now + decision.askAgainMs + CLAIM_LAPSE_MS);
       this.settle(level);
-      return waitingFor(dueMs);
+      return decision;
     }
     if (request.isProbe) return { kind: 'refused', dueMs: admittedMs, retryAfterMs: 0 };
-    const refusedUnits = units + request.refusedUnits;
-    return {
-      kind: 'refused',
-      dueMs: admittedMs,
-      retryAfterMs: line.reserveRetry(dueMs, refusedUnits, lineRate, now),
-    };
+    return refused(line, request, admittedMs, lineRate, now);
   }
 
   /** Units set aside for claims. */
@@ -122,17 +129,27 @@
   private decideOnClaim(
     own: PriorityClass,
     line: ClaimLine,
-    { claimId, units }: ShareRequest,
+    request: ShareRequest,
     ratePerMs: number,
   ): ShareDecision {
+    const now = this.clock.monotonic();
+    const { claimId, units, usefulWaitMs } = request;
     const missing = line.missingUntil(claimId);
     const claim = line.find(claimId);
     if (claim === undefined || claim.filled >= claim.units) {
       line.remove(claimId);
       return this.granted(own, units);
     }
-    claim.renewedAt = this.clock.monotonic();
-    return waitingFor(missing / (this.rateOf(own, ratePerMs) * own.fractionOf(line)));
+    const lineRate = this.rateOf(own, ratePerMs) * own.fractionOf(line);
+    const dueMs = missing / lineRate;
+    if (dueMs > usefulWaitMs + LATE_UNITS_TOLERANCE_MS) {
+      // The priority receives less than when the claim was made.
+      line.remove(claimId);
+      return refused(line, request, dueMs, lineRate, now);
+    }
+    const decision = waitingFor(dueMs);
+    claim.lapsesAt = now + decision.askAgainMs + CLAIM_LAPSE_MS;
+    return decision;
   }
 
   private granted(own: PriorityClass, units: number): ShareDecision {
@@ -175,8 +192,20 @@
   }
 }
 
-function waitingFor(dueMs: number): ShareDecision {
-  return { kind: 'waits', dueMs, askAgainMs: Math.min(MAX_POLL_MS, Math.max(MIN_POLL_MS, dueMs)) };
+function waitingFor(dueMs: number): Extract<ShareDecision, { kind: 'waits' }> {
+  const laterMs = Math.min(MAX_POLL_MS, Math.max(EXACT_POLL_MS, dueMs * POLL_FRACTION));
+  return { kind: 'waits', dueMs, askAgainMs: Math.max(MIN_POLL_MS, Math.min(dueMs, laterMs)) };
+}
+
+function refused(
+  line: ClaimLine,
+  { units, refusedUnits }: ShareRequest,
+  dueMs: number,
+  lineRate: number,
+  now: number,
+): ShareDecision {
+  const retryAfterMs = line.reserveRetry(dueMs, units + refusedUnits, lineRate, now);
+  return { kind: 'refused', dueMs, retryAfterMs };
 }
 
 /** Returns a valid priority for one received from another daemon. */
--- a/packages/quota/src/quota-gate.ts
+++ b/packages/quota/src/quota-gate.ts
@@ -45,7 +45,8 @@
       allowance,
       allocatorCount: zones.length,
       zonesFor: (tenant: string) => this.zonesInOrder(tenant),
-      requestUnits: (zone: string, tenant: string, wish: GrantRequest) => this.requestUnits(zone, tenant, wish),
+      requestUnits: (zone: string, tenant: string, wish: GrantRequest) =>
+        this.requestUnits(zone, tenant, wish),
       clock,
     } satisfies UnitGateOptions;
     this.gate = random === undefined ? new UnitGate(common) : new PriorityGate({ ...common, daemon, random });
--- a/packages/quota/src/refusal-memory.ts
+++ b/packages/quota/src/refusal-memory.ts
@@ -83,6 +83,6 @@
 }
 
 /** Requests that share a line at the allocators. */
-function laneOf({ priority, usefulWaitMs }: RefusedRequest): string {
+export function laneOf({ priority, usefulWaitMs }: RefusedRequest): string {
   return `${String(priority)} ${usefulWaitMs > PATIENT_WAIT_MS ? 'patient' : 'soon'}`;
 }
--- a/packages/quota/src/unit-allocator.ts
+++ b/packages/quota/src/unit-allocator.ts
@@ -1,7 +1,6 @@
 /** Allocates units of limits for one zone while this daemon holds the zone's lease. */
 import type { GrantAnswer, GrantRequest } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
-import { CLAIM_LIFETIME_MS } from './claim-line.js';
 import { PriorityShares, validPriority, type ShareRequest } from './priority-shares.js';
 import { shareOf, type OvershootAllowance, type UnitLimit } from './unit-share.js';
 import { UnitBucket } from './unit-bucket.js';
@@ -32,6 +31,9 @@
  */
 const RESERVED_FRACTION = 0.5;
 
+/** Useful wait of requests of daemons that state none, in milliseconds; they retry after about this time. */
+const ANONYMOUS_WAIT_MS = 500;
+
 interface SubjectBucket {
   readonly bucket: UnitBucket;
   /** Absent if units are not divided among priorities. */
@@ -160,7 +162,7 @@
   const common = { priority: validPriority(priority), units: needed };
   if (claim === undefined) {
     const claimId = `size ${String(needed)}`;
-    return { ...common, claimId, usefulWaitMs: CLAIM_LIFETIME_MS, isProbe: false, refusedUnits: 0 };
+    return { ...common, claimId, usefulWaitMs: ANONYMOUS_WAIT_MS, isProbe: false, refusedUnits: 0 };
   }
   const { id, usefulWaitMs, isProbe, refusedUnits } = claim;
   return { ...common, claimId: id, usefulWaitMs, isProbe, refusedUnits };
--- a/packages/quota/src/unit-gate.ts
+++ b/packages/quota/src/unit-gate.ts
@@ -235,11 +235,7 @@
    * Handles a round in which the allocators had too few units for the first request. It waits for a
    * short refill; otherwise it and all requests of at least its size are refused.
    */
-  private async handleOverLimit(
-    state: SubjectState,
-    limit: UnitLimit,
-    round: RoundResult,
-  ): Promise<void> {
+  private async handleOverLimit(state: SubjectState, limit: UnitLimit, round: RoundResult): Promise<void> {
     const [first] = state.waiting;
     if (first === undefined) return;
     // The last allocator, which reports the delay, did not respond. The refill takes at least this
--- a/packages/quota/test/quota-world.ts
+++ b/packages/quota/test/quota-world.ts
@@ -1,6 +1,6 @@
 /** Simulates daemons, allocators and callers, and measures the units that reach the workers. */
 import { CoordinatorDirectory } from '@woodbarrow/exchange';
-import type { QuotaOutcome, RequestQuota, TenantQuota } from '@woodbarrow/forwarding';
+import type { QuotaOutcome, QuotaUrgency, RequestQuota, TenantQuota } from '@woodbarrow/forwarding';
 import { CallFailures, silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster, type PeerNetwork, type SimulatedNode } from '@woodbarrow/peering';
 import { Random, type Clock } from '@woodbarrow/runtime';
@@ -92,6 +92,8 @@
   readonly cluster: SimulatedCluster;
   readonly daemons: WorldDaemon[] = [];
   readonly random: Random;
+  /** Source of its own, so that the requests are the same with and without priorities. */
+  private readonly urgencies: Random;
   /** Calls to allocators, and requests, since the start. */
   allocatorCalls = 0;
   requests = 0;
@@ -106,9 +108,11 @@
     readonly tenants: readonly TenantLoad[],
     private readonly createQuota: QuotaFactory,
     seed = 1,
+    private readonly hasPriorities = false,
   ) {
     this.cluster = new SimulatedCluster({ seed });
     this.random = new Random(seed);
+    this.urgencies = new Random(seed + 1000);
     for (const { name, quota } of tenants) {
       this.runs.set(name, []);
       this.buckets.set(name, new LimitBucket(quota));
@@ -174,6 +178,7 @@
       allowance: ALLOWANCE,
       quotaOf: (tenant) => this.tenants.find((candidate) => candidate.name === tenant)?.quota,
       authorityOf: (candidate) => this.leases.authorityOf(candidate, index),
+      hasPriorities: this.hasPriorities,
       peers,
       clock,
       log: silentLog,
@@ -219,6 +224,11 @@
     }
   }
 
+  private drawUrgency(): QuotaUrgency {
+    const usefulWaitMs = this.urgencies.pick([150, 500, 6000]) ?? 0;
+    return { priority: this.urgencies.integer(4), usefulWaitMs };
+  }
+
   private acquire(daemon: WorldDaemon, tenant: TenantLoad, units: number): Promise<QuotaOutcome> {
     return new Promise((resolve) => {
       daemon.node.process.deliver(() => {
@@ -228,6 +238,7 @@
           units,
           3000,
           new AbortController().signal,
+          this.hasPriorities ? this.drawUrgency() : undefined,
         );
         void outcome.then(resolve);
       });
@@ -257,8 +268,13 @@
 }
 
 /** Creates gates that share the limit through allocators. */
-export const sharedUnits: QuotaFactory = (daemon, world) =>
-  new QuotaGate({
+export const sharedUnits: QuotaFactory = (daemon, world) => createGate(daemon, world, false);
+
+/** Creates gates that also divide the units among priorities. */
+export const prioritizedUnits: QuotaFactory = (daemon, world) => createGate(daemon, world, true);
+
+function createGate(daemon: WorldDaemon, world: QuotaWorld, hasPriorities: boolean): QuotaGate {
+  return new QuotaGate({
     daemon: daemon.name,
     zone: daemon.zone,
     zones: ZONES,
@@ -267,7 +283,9 @@
     peers: countedPeers(daemon.node.peers, world),
     failures: new CallFailures(daemon.node.process, silentLog),
     clock: daemon.node.process,
+    ...(hasPriorities ? { prioritiesWith: daemon.node.random } : {}),
   });
+}
 
 function countedPeers(peers: PeerNetwork, world: QuotaWorld): Pick<PeerNetwork, 'call'> {
   return {
--- a/packages/quota/test/quota.test.ts
+++ b/packages/quota/test/quota.test.ts
@@ -1,7 +1,14 @@
 import { expect } from 'chai';
 import type { QuotaOutcome } from '@woodbarrow/forwarding';
 import { Random } from '@woodbarrow/runtime';
-import { QuotaWorld, fixedShares, sharedUnits, type QuotaFactory, type TenantLoad } from './quota-world.js';
+import {
+  QuotaWorld,
+  fixedShares,
+  prioritizedUnits,
+  sharedUnits,
+  type QuotaFactory,
+  type TenantLoad,
+} from './quota-world.js';
 
 const DAEMONS = 40;
 /** Ratio of a tenant's limit to its average load. */
@@ -30,7 +37,7 @@
   seed: number,
   scenario: (world: QuotaWorld) => Promise<void>,
 ): Promise<QuotaWorld> {
-  const world = new QuotaWorld(loads(seed), createQuota, seed);
+  const world = new QuotaWorld(loads(seed), createQuota, seed, createQuota === prioritizedUnits);
   await world.start(DAEMONS);
   await scenario(world);
   return world;
@@ -71,77 +78,82 @@
   return result.wronglyRefused / result.entitled;
 }
 
-describe('deployment-wide tenant limits', () => {
-  it('admit tenants below their limit', async () => {
-    for (const seed of SEEDS) {
-      const world = await simulate(sharedUnits, seed, (each) => each.cluster.advance(20_000));
-      for (const { name } of TENANTS) {
-        expect(wronglyRefused(world, name), `${name} with seed ${String(seed)}`).to.be.below(0.05);
-        expect(world.resultOf(name).peakUsage).to.be.below(1);
+for (const [name, createQuota] of [
+  ['deployment-wide tenant limits', sharedUnits],
+  ['deployment-wide tenant limits with priorities', prioritizedUnits],
+] as const) {
+  describe(name, () => {
+    it('admit tenants below their limit', async () => {
+      for (const seed of SEEDS) {
+        const world = await simulate(createQuota, seed, (each) => each.cluster.advance(20_000));
+        for (const { name } of TENANTS) {
+          expect(wronglyRefused(world, name), `${name} with seed ${String(seed)}`).to.be.below(0.05);
+          expect(world.resultOf(name).peakUsage).to.be.below(1);
+        }
       }
-    }
-  });
+    });
 
-  it('grant an overloading tenant its limit without refusing other tenants', async () => {
-    for (const seed of SEEDS) {
-      const world = await simulate(sharedUnits, seed, overloadLargestTenant);
-      const { ran, entitled, peakUsage } = world.resultOf('large');
-      expect(ran / entitled).to.be.within(0.93, 1.1);
-      expect(peakUsage).to.be.below(1);
-      for (const name of ['middle', 'small']) expect(wronglyRefused(world, name), name).to.be.below(0.1);
+    it('grant an overloading tenant its limit without refusing other tenants', async () => {
+      for (const seed of SEEDS) {
+        const world = await simulate(createQuota, seed, overloadLargestTenant);
+        const { ran, entitled, peakUsage } = world.resultOf('large');
+        expect(ran / entitled).to.be.within(0.93, 1.1);
+        expect(peakUsage).to.be.below(1);
+        for (const name of ['middle', 'small']) expect(wronglyRefused(world, name), name).to.be.below(0.1);
+      }
+    });
+
+    for (const firstSeed of [1, 6, 11, 16]) {
+      const lastSeed = firstSeed + 4;
+      const seeds = `seeds ${String(firstSeed)} to ${String(lastSeed)}`;
+      it(`hold in every window while daemons and allocators are killed, paused and partitioned, ${seeds}`, async () => {
+        for (let seed = firstSeed; seed <= lastSeed; seed += 1) {
+          const world = await simulate(createQuota, seed, injectFaults);
+          for (const { name } of TENANTS) {
+            const { peakUsage, ran } = world.resultOf(name);
+            expect(peakUsage, `${name} with seed ${String(seed)}`).to.be.below(1);
+            expect(ran).to.be.above(0);
+          }
+        }
+      });
     }
-  });
 
-  for (const firstSeed of [1, 6, 11, 16]) {
-    const lastSeed = firstSeed + 4;
-    const seeds = `seeds ${String(firstSeed)} to ${String(lastSeed)}`;
-    it(`hold in every window while daemons and allocators are killed, paused and partitioned, ${seeds}`, async () => {
-      for (let seed = firstSeed; seed <= lastSeed; seed += 1) {
-        const world = await simulate(sharedUnits, seed, injectFaults);
+    it('take effect when lowered far below the load', async () => {
+      const world = await simulate(createQuota, 7, async (each) => {
+        await each.cluster.advance(6000);
+        const [largest] = each.tenants;
+        if (largest === undefined) return;
+        const ratePerSecond = largest.quota.ratePerSecond / 10;
+        each.changeQuota('large', { ...largest.quota, ratePerSecond, burst: ratePerSecond });
+        await each.cluster.advance(20_000);
+      });
+      const windowAfter = world.now - 20_000 + 8000;
+      expect(world.resultOf('large', windowAfter).peakUsage).to.be.below(1);
+    });
+
+    /**
+     * Compares with fixed shares on the same seeds. These refuse much of a tenant near its limit, and
+     * almost all of a small one whose share is less than one request.
+     */
+    it('refuse far less than fixed equal shares per daemon', async () => {
+      for (const seed of SEEDS) {
+        const world = await simulate(createQuota, seed, overloadLargestTenant);
+        const shared = await simulate(fixedShares(DAEMONS), seed, overloadLargestTenant);
         for (const { name } of TENANTS) {
-          const { peakUsage, ran } = world.resultOf(name);
-          expect(peakUsage, `${name} with seed ${String(seed)}`).to.be.below(1);
-          expect(ran).to.be.above(0);
+          expect(wronglyRefused(world, name), name).to.be.below(0.2);
+          expect(wronglyRefused(shared, name), name).to.be.above(0.4);
+          expect(shared.resultOf(name).peakUsage).to.be.below(1);
         }
+        expect(world.allocatorCalls / world.requests).to.be.below(1.3);
       }
     });
-  }
 
-  it('take effect when lowered far below the load', async () => {
-    const world = await simulate(sharedUnits, 7, async (each) => {
-      await each.cluster.advance(6000);
-      const [largest] = each.tenants;
-      if (largest === undefined) return;
-      const ratePerSecond = largest.quota.ratePerSecond / 10;
-      each.changeQuota('large', { ...largest.quota, ratePerSecond, burst: ratePerSecond });
-      await each.cluster.advance(20_000);
+    it('need no allocator call for most requests of a tenant far below its limit', async () => {
+      const world = await simulate(createQuota, 1, (each) => each.cluster.advance(20_000));
+      expect(world.allocatorCalls / world.requests).to.be.below(0.6);
     });
-    const windowAfter = world.now - 20_000 + 8000;
-    expect(world.resultOf('large', windowAfter).peakUsage).to.be.below(1);
-  });
-
-  /**
-   * Compares with fixed shares on the same seeds. These refuse much of a tenant near its limit, and
-   * almost all of a small one whose share is less than one request.
-   */
-  it('refuse far less than fixed equal shares per daemon', async () => {
-    for (const seed of SEEDS) {
-      const world = await simulate(sharedUnits, seed, overloadLargestTenant);
-      const shared = await simulate(fixedShares(DAEMONS), seed, overloadLargestTenant);
-      for (const { name } of TENANTS) {
-        expect(wronglyRefused(world, name), name).to.be.below(0.2);
-        expect(wronglyRefused(shared, name), name).to.be.above(0.4);
-        expect(shared.resultOf(name).peakUsage).to.be.below(1);
-      }
-      expect(world.allocatorCalls / world.requests).to.be.below(1.3);
-    }
-  });
-
-  it('need no allocator call for most requests of a tenant far below its limit', async () => {
-    const world = await simulate(sharedUnits, 1, (each) => each.cluster.advance(20_000));
-    expect(world.allocatorCalls / world.requests).to.be.below(0.6);
   });
-});
+}
 
 describe('QuotaGate', () => {
   const quota = { unit: 'tokens' as const, ratePerSecond: 10_000, burst: 10_000, plainTokens: 200 };
