--- a/packages/quota/src/claim-line.ts
+++ b/packages/quota/src/claim-line.ts
@@ -25,19 +25,19 @@
   private readonly claims = new Map<string, Claim>();
   private largest = { units: 0, at: -Infinity };
   private retriesUntil = 0;
+  private claimedUnits = 0;
+  private filledUnits = 0;
+  /** Monotonic time before which no claim lapses. */
+  private noLapseUntil = Infinity;
 
   /** Units that the claims still lack. */
   get missing(): number {
-    let sum = 0;
-    for (const { units, filled } of this.claims.values()) sum += units - filled;
-    return sum;
+    return Math.max(0, this.claimedUnits - this.filledUnits);
   }
 
   /** Units in the bucket that are set aside for the claims. */
   get setAside(): number {
-    let sum = 0;
-    for (const { filled } of this.claims.values()) sum += filled;
-    return sum;
+    return this.filledUnits;
   }
 
   find(id: string): Claim | undefined {
@@ -46,16 +46,30 @@
 
   add(id: string, units: number, lapsesAt: number): void {
     this.claims.set(id, { id, units, filled: 0, lapsesAt });
+    this.claimedUnits += units;
+    this.noLapseUntil = Math.min(this.noLapseUntil, lapsesAt);
   }
 
   remove(id: string): void {
+    const claim = this.claims.get(id);
+    if (claim === undefined) return;
     this.claims.delete(id);
+    this.claimedUnits -= claim.units;
+    this.filledUnits -= claim.filled;
+    if (this.claims.size > 0) return;
+    // Discards the rounding errors of the sums.
+    this.claimedUnits = 0;
+    this.filledUnits = 0;
+    this.noLapseUntil = Infinity;
   }
 
   /** Drops the claims whose askers have not called again. */
   dropLapsed(now: number): void {
-    for (const { id, lapsesAt } of this.claims.values()) {
-      if (now > lapsesAt) this.claims.delete(id);
+    if (now <= this.noLapseUntil) return;
+    this.noLapseUntil = Infinity;
+    for (const { id, lapsesAt } of [...this.claims.values()]) {
+      if (now > lapsesAt) this.remove(id);
+      else this.noLapseUntil = Math.min(this.noLapseUntil, lapsesAt);
     }
   }
 
@@ -65,15 +79,17 @@
     for (const claim of this.claims.values()) {
       if (left <= 0) return;
       const lacking = claim.units - claim.filled;
-      const isWhole = left >= lacking - ROUNDING_UNITS;
-      claim.filled = isWhole ? claim.units : claim.filled + left;
-      left -= lacking;
+      const taken = left >= lacking - ROUNDING_UNITS ? lacking : left;
+      claim.filled = taken === lacking ? claim.units : claim.filled + taken;
+      this.filledUnits += taken;
+      left -= taken;
     }
   }
 
   /** Returns all units set aside to the bucket. */
   releaseAll(): void {
     for (const claim of this.claims.values()) claim.filled = 0;
+    this.filledUnits = 0;
   }
 
   /** Returns the units that must be refilled until a claim is filled. */
--- a/packages/quota/src/priority-gate.ts
+++ b/packages/quota/src/priority-gate.ts
@@ -6,10 +6,10 @@
  */
 import type { QuotaOutcome, QuotaShortage, QuotaTicket, QuotaUrgency } from '@woodbarrow/forwarding';
 import type { GrantAnswer } from '@woodbarrow/protocol';
-import { sleep, type Clock, type Random } from '@woodbarrow/runtime';
+import { sleep, type Random } from '@woodbarrow/runtime';
 import { LocalAllowance } from './local-allowance.js';
 import { PriorityUsage } from './priority-usage.js';
-import { LEAST_URGENT_PRIORITY, validPriority } from './priority-shares.js';
+import { LEAST_URGENT_PRIORITY, PROBE_CLAIM_MS, validPriority } from './priority-shares.js';
 import { RecentQuotes } from './recent-quotes.js';
 import { RefusalMemory } from './refusal-memory.js';
 import { ResponsiveAllocators } from './responsive-allocators.js';
@@ -58,7 +58,7 @@
   /** Units that nobody claims, in total. */
   left: number;
   /** The allocator that has the units first. */
-  best: { readonly zone: string; readonly answer: GrantAnswer } | undefined;
+  best: { readonly zone: string; readonly dueMs: number; readonly answer?: GrantAnswer } | undefined;
 }
 
 interface SubjectState {
@@ -168,10 +168,15 @@
     const isLarge = request.units > depth * PARTS_FRACTION;
     const round: Round = { answered: 0, called: 0, left: 0, best: undefined };
     const zones = this.allocators.select(zonesFor(state.name));
+    const known = state.quotes.earliest(zones, this.refusable(request), PROBE_CLAIM_MS);
+    if (known !== undefined) {
+      const called = zonesFor(state.name).length;
+      return { answered: zones.length, called, left: 0, best: { zone: known, dueMs: 0 } };
+    }
     await this.askEach(zones, state, request, round, isLarge);
     // Together the allocators have the units that no single one has.
     const missing = request.collected.missing();
-    const isHeld = round.best?.answer.isWaiting === true;
+    const isHeld = round.best?.answer?.isWaiting === true;
     if (!isLarge && !isHeld && missing > 0 && missing <= round.left) {
       const parts: Round = { answered: 0, called: 0, left: 0, best: undefined };
       await this.askEach(zones, state, request, parts, true);
@@ -195,8 +200,8 @@
       if (answer === undefined) continue;
       round.answered += 1;
       round.left += answer.left;
-      if (round.best === undefined || dueMsOf(answer) < dueMsOf(round.best.answer))
-        round.best = { zone, answer };
+      const dueMs = dueMsOf(answer);
+      if (round.best === undefined || dueMs < round.best.dueMs) round.best = { zone, dueMs, answer };
       if (answer.isWaiting === true) return;
     }
   }
@@ -212,9 +217,10 @@
     round: Round,
   ): Promise<QuotaOutcome | undefined> {
     const { clock } = this.options;
-    let answer: GrantAnswer | undefined = best.answer;
+    let { answer } = best;
     for (;;) {
-      if (answer.isWaiting === true) await sleep(clock, answer.retryAfterMs, request.signal);
+      const isClaimed = answer?.isWaiting === true;
+      if (answer?.isWaiting === true) await sleep(clock, answer.retryAfterMs, request.signal);
       if (request.signal.aborted) return { kind: 'unavailable', retryAfterMs: 0 };
       const held = this.ticketInTurn(state, request);
       if (held !== undefined) return { kind: 'granted', ticket: held };
@@ -222,6 +228,7 @@
       const ticket = this.ticketFor(state, request);
       if (ticket !== undefined) return { kind: 'granted', ticket };
       if (answer === undefined || answer.granted > 0) return undefined;
+      if (!isClaimed) state.quotes.record(best.zone, this.refusable(request), dueMsOf(answer));
       if (answer.isWaiting !== true) return this.refuse(state, request, answer, round);
     }
   }
@@ -269,7 +276,7 @@
       return undefined;
     }
     this.allocators.recordAnswer(zone);
-    state.quotes.record(zone, refusable, dueMsOf(answer));
+    if (isProbe) state.quotes.record(zone, refusable, dueMsOf(answer));
     state.lifetimeMs = answer.lifetimeMs;
     const expiresAt = askedAt + answer.lifetimeMs;
     const own = Math.min(needed, answer.granted);
--- a/packages/quota/src/priority-shares.ts
+++ b/packages/quota/src/priority-shares.ts
@@ -118,7 +118,8 @@
       return decision;
     }
     if (request.isProbe) return { kind: 'refused', dueMs: admittedMs, retryAfterMs: 0 };
-    return refused(line, request, admittedMs, lineRate, now);
+    const retryAfterMs = line.reserveRetry(dueMs, units + request.refusedUnits, lineRate, now);
+    return { kind: 'refused', dueMs: admittedMs, retryAfterMs };
   }
 
   /** Units set aside for claims. */
@@ -145,7 +146,8 @@
     if (dueMs > usefulWaitMs + LATE_UNITS_TOLERANCE_MS) {
       // The priority receives less than when the claim was made.
       line.remove(claimId);
-      return refused(line, request, dueMs, lineRate, now);
+      const retryAfterMs = line.reserveRetry(dueMs, units + request.refusedUnits, lineRate, now);
+      return { kind: 'refused', dueMs, retryAfterMs };
     }
     const decision = waitingFor(dueMs);
     claim.lapsesAt = now + decision.askAgainMs + CLAIM_LAPSE_MS;
@@ -197,17 +199,6 @@
   return { kind: 'waits', dueMs, askAgainMs: Math.max(MIN_POLL_MS, Math.min(dueMs, laterMs)) };
 }
 
-function refused(
-  line: ClaimLine,
-  { units, refusedUnits }: ShareRequest,
-  dueMs: number,
-  lineRate: number,
-  now: number,
-): ShareDecision {
-  const retryAfterMs = line.reserveRetry(dueMs, units + refusedUnits, lineRate, now);
-  return { kind: 'refused', dueMs, retryAfterMs };
-}
-
 /** Returns a valid priority for one received from another daemon. */
 export function validPriority(priority: number | undefined): number {
   if (priority === undefined || !Number.isFinite(priority)) return LEAST_URGENT_PRIORITY;
--- a/packages/quota/src/recent-quotes.ts
+++ b/packages/quota/src/recent-quotes.ts
@@ -28,6 +28,22 @@
     this.quotes.set(keyOf(zone, request), quote);
   }
 
+  /**
+   * Returns the allocator that has units first, if all have recently said that they have none soon.
+   *
+   * @param soonMs Time within which units may be there sooner than by another call, in milliseconds.
+   */
+  earliest(zones: readonly string[], request: RefusedRequest, soonMs: number): string | undefined {
+    const now = this.clock.monotonic();
+    let best: { readonly zone: string; readonly dueAt: number } | undefined;
+    for (const zone of zones) {
+      const quote = this.quotes.get(keyOf(zone, request));
+      if (quote === undefined || now >= quote.expiresAt || quote.dueAt <= now + soonMs) return undefined;
+      if (best === undefined || quote.dueAt < best.dueAt) best = { zone, dueAt: quote.dueAt };
+    }
+    return best?.zone;
+  }
+
   /** Whether an allocator has recently quoted a time that is too late for a request. */
   isTooLate(zone: string, request: RefusedRequest): boolean {
     const quote = this.quotes.get(keyOf(zone, request));
--- a/packages/quota/src/refusal-memory.ts
+++ b/packages/quota/src/refusal-memory.ts
@@ -3,8 +3,9 @@
 import type { Clock, Random } from '@woodbarrow/runtime';
 import { PATIENT_WAIT_MS } from './priority-class.js';
 
-/** Bounds of the time without calls after a refusal, in milliseconds. They bound the calls of a daemon. */
+/** Minimum time without calls after a refusal, in milliseconds. It bounds the calls of a daemon. */
 const MIN_CLOSED_MS = 20;
+/** Maximum time without calls after a refusal, in milliseconds. Waiting requests may be gone by then. */
 const MAX_CLOSED_MS = 500;
 /** Minimum retry delay reported to a caller, in milliseconds. With less, all callers would be back at once. */
 const MIN_RETRY_MS = 200;
@@ -30,8 +31,10 @@
 interface Lane {
   readonly request: RefusedRequest;
   readonly shortage: QuotaShortage;
-  /** Monotonic time until which requests are refused without a call. */
-  readonly closedUntil: number;
+  /** Monotonic time at which units would have been available to the request. */
+  readonly dueAt: number;
+  /** Monotonic time after which the refusal is forgotten. */
+  readonly expiresAt: number;
   /** Monotonic time at which units will be available. */
   readonly retryAt: number;
 }
@@ -49,20 +52,18 @@
   /** Records a refusal. Returns the retry delay for the caller in milliseconds. */
   record(request: RefusedRequest, { dueMs, retryAfterMs, shortage }: AllocatorRefusal): number {
     const now = this.clock.monotonic();
-    // By then the requests that wait have been served as far as this one would still be in time.
-    const closedMs = Math.min(MAX_CLOSED_MS, Math.max(MIN_CLOSED_MS, dueMs - request.usefulWaitMs));
     const retryAt = now + retryAfterMs;
-    this.lanes.set(laneOf(request), { request, shortage, closedUntil: now + closedMs, retryAt });
-    return this.retryDelayMs(retryAt - now);
+    const dueAt = now + dueMs + MIN_CLOSED_MS;
+    this.lanes.set(laneOf(request), { request, shortage, dueAt, expiresAt: now + MAX_CLOSED_MS, retryAt });
+    return this.retryDelayMs(retryAfterMs);
   }
 
   /** Returns the refusal of a request that is known not to be served in time; undefined to call the allocators. */
   refuse(request: RefusedRequest): { retryAfterMs: number; shortage: QuotaShortage } | undefined {
     const lane = this.lanes.get(laneOf(request));
     const now = this.clock.monotonic();
-    if (lane === undefined || now >= lane.closedUntil) return undefined;
-    if (request.units < lane.request.units || request.usefulWaitMs > lane.request.usefulWaitMs)
-      return undefined;
+    if (lane === undefined || now >= lane.expiresAt || request.units < lane.request.units) return undefined;
+    if (lane.dueAt - now <= request.usefulWaitMs) return undefined;
     const key = laneOf(request);
     this.refusedUnits.set(key, (this.refusedUnits.get(key) ?? 0) + request.units);
     const shortage = { ...lane.shortage, units: request.units };
--- a/packages/quota/src/unit-allocator.ts
+++ b/packages/quota/src/unit-allocator.ts
@@ -122,7 +122,8 @@
   const { lifetimeMs } = bucket;
   const { needed, mayBePart, isLast, claim } = wish;
   // A claim for most of a bucket would leave no place for the claims of other priorities.
-  const units = mayBePart ? Math.min(needed, bucket.depth * RESERVED_FRACTION) : needed;
+  const largest = Math.max(bucket.depth * RESERVED_FRACTION, shares.settle(bucket.available()));
+  const units = mayBePart ? Math.min(needed, largest) : needed;
   if (units > bucket.depth)
     return { granted: 0, lifetimeMs, left: 0, retryAfterMs: 0, dueMs: units / bucket.ratePerMs };
   const decision = shares.decide({ ...shareRequestOf(wish), units }, bucket.available(), bucket.ratePerMs);
