--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -304,6 +304,7 @@
       allowance: settings.quotaAllowance,
       quotaOf: (tenant) => configuration.current?.tenants?.named(tenant)?.quota,
       authorityOf: (zone) => residency.leaseHeld(zone),
+      hasPriorities: settings.hasContendedCapacity,
       peers,
       clock: ports.clock,
       log,
@@ -321,6 +322,7 @@
       peers,
       failures,
       clock: ports.clock,
+      ...(settings.hasContendedCapacity ? { prioritiesWith: ports.random.fork() } : {}),
     });
   }
 
@@ -426,6 +428,7 @@
       dispatch: () => this.forwarder.dispatchTotals,
       paces: () => this.paces.totals(),
       quotaUse: () => this.quotaGate.usage(),
+      quotaUseByPriority: () => this.quotaGate.usageByPriority(),
       quotaGranted: () => this.quotaService.usage(),
       log,
     });
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -2,8 +2,8 @@
 import type { PaceTotals } from '@woodbarrow/backends';
 import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
 import type { DispatchTotals, NoticeTotals } from '@woodbarrow/forwarding';
-import type { GateUsage, AllocatorUsage, PermitTotals } from '@woodbarrow/quota';
 import type { ReplicaCounts, UnservedDemands } from '@woodbarrow/residency';
+import type { GateUsage, AllocatorUsage, PermitTotals, UnitCounts } from '@woodbarrow/quota';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
 
 /** Maximum number of tenants listed in each metric. */
@@ -35,6 +35,8 @@
   readonly paces: () => PaceTotals;
   /** Units of limited tenants used and refused at this daemon, by tenant. */
   readonly quotaUse: () => ReadonlyMap<string, GateUsage>;
+  /** Units granted and refused at this daemon, by `tenant/priority`; empty without contended capacity. */
+  readonly quotaUseByPriority: () => ReadonlyMap<string, UnitCounts>;
   /** Units granted by the quota allocators that run here, by tenant. */
   readonly quotaGranted: () => ReadonlyMap<string, AllocatorUsage>;
   readonly log: BoundedLog;
@@ -200,7 +202,7 @@
     );
   }
 
-  private addQuotaGauges({ quotaUse, quotaGranted }: MetricSources): void {
+  private addQuotaGauges({ quotaUse, quotaUseByPriority, quotaGranted }: MetricSources): void {
     const { registry } = this;
     registry.gauge(
       'woodbarrow_tenant_used_units',
@@ -214,6 +216,18 @@
       () => largestByTenant(quotaUse(), ({ refused }) => refused),
       'tenant',
     );
+    registry.gauge(
+      'woodbarrow_tenant_priority_granted_units',
+      'Units granted to requests of this daemon since the start, by tenant and priority, where units are divided among priorities.',
+      () => largestByTenant(quotaUseByPriority(), ({ granted }) => granted),
+      'tenant_priority',
+    );
+    registry.gauge(
+      'woodbarrow_tenant_priority_refused_units',
+      'Units refused to requests of this daemon since the start, by tenant and priority, where units are divided among priorities.',
+      () => largestByTenant(quotaUseByPriority(), ({ refused }) => refused),
+      'tenant_priority',
+    );
     registry.gauge(
       'woodbarrow_tenant_granted_units',
       'Units of limited tenants that this daemon has handed out for the zones coordinated here.',
