Schedule of loads from a slow weight store: decisions and messages

Zones that start loads when each sees room on the weight store's link slow each other down; few loads of more than 10 s end, and models without a copy are refused all along. The schedule takes each zone's complete list of wishes and loads and returns grants and expected starts; a zone without a scheduler loads in its turn. Measurements of the link can be handed on between zones. Nothing uses it yet.

--- a/packages/backends/src/load-tracker.ts
+++ b/packages/backends/src/load-tracker.ts
@@ -44,7 +44,7 @@
 /** Milliseconds after the start of its last request for which an idle target is still reported. */
 const RECENT_USE_REPORT_MS = 600;
 /** Half-life of the demand for a model, in milliseconds. */
-const DEMAND_HALF_LIFE_MS = 4000;
+export const DEMAND_HALF_LIFE_MS = 4000;
 
 /** Milliseconds by which a report of a request may be delayed. */
 const MAX_REPORT_DELAY_MS = 700;
--- a/packages/exchange/src/coordinator-directory.ts
+++ b/packages/exchange/src/coordinator-directory.ts
@@ -90,7 +90,7 @@
     if (best === undefined) return undefined;
     const { holder, address, fence, storeLoads } = best;
     const ageMs = this.clock.elapsed() - receivedAt;
-    const loading = best.loading.map(({ model, readyInMs }) => ({ model, readyInMs: readyInMs - ageMs }));
+    const loading = best.loading.map((load) => ({ ...load, readyInMs: load.readyInMs - ageMs }));
     return { memberId: holder, address, fence, storeLoads, loading };
   }
 
--- a/packages/protocol/src/residency-messages.ts
+++ b/packages/protocol/src/residency-messages.ts
@@ -59,6 +59,90 @@
   readonly model: string;
   /** Milliseconds until the model is expected to be resident, as of the time of the report. */
   readonly readyInMs: number;
+  /** Set for a load that the weight store schedule counts; absent for all others. */
+  readonly fromStore?: boolean;
+}
+
+/** Why a zone wants a load from the weight store, in the order in which the scheduler serves the kinds. */
+export type StoreWishKind =
+  /** The model is asked for and no worker holds it. */
+  | 'first'
+  /** The model's holders are overloaded. */
+  | 'replica'
+  /** The model is not asked for yet, and no worker holds it or has a copy. */
+  | 'ahead';
+
+/** A load from the weight store that a zone wants. Times are in milliseconds as of the report. */
+export interface StoreWish {
+  readonly service: string;
+  readonly model: string;
+  readonly kind: StoreWishKind;
+  /** Number of demands that wait for the model in the zone. */
+  readonly waiting: number;
+  /** Time until the last of them expires; 0 without any. */
+  readonly waitingForMs: number;
+  /** Recent requests per second, over all daemons, that the load would let be served. */
+  readonly requestsPerS: number;
+  /** Time of the load at full speed. */
+  readonly loadMs: number;
+  /** Best worker of the zone for the load. */
+  readonly worker: string;
+  /** Expected cost of the load there. */
+  readonly costMs: number;
+  /** Time until that worker could start the load. */
+  readonly startableInMs: number;
+}
+
+/** A load from the weight store in progress. */
+export interface StoreLoadUnderWay {
+  readonly service: string;
+  readonly model: string;
+  readonly kind: StoreWishKind;
+  readonly readyInMs: number;
+}
+
+/** Number of concurrent loads that the link to the weight store carries at full speed, as measured. */
+export interface LinkMeasurement {
+  readonly capacity: number;
+  readonly measuredAgoMs: number;
+}
+
+/** Complete list of a zone's wishes and loads in progress, sent to the scheduler of the weight store. */
+export interface StoreWishesMessage {
+  readonly zone: string;
+  /** Fence of the zone's lease: another coordinator does not know the loads of its predecessor. */
+  readonly fence: number;
+  readonly wishes: readonly StoreWish[];
+  readonly loading: readonly StoreLoadUnderWay[];
+  /** Absent until a load has been measured. */
+  readonly link?: LinkMeasurement;
+}
+
+/** A load that the receiver may start now. */
+export interface StoreGrant {
+  readonly service: string;
+  readonly model: string;
+  readonly kind: StoreWishKind;
+  /** Milliseconds after which it expires. */
+  readonly expiresInMs: number;
+}
+
+/** When the scheduler expects a model's load to start. */
+export interface ExpectedStoreStart {
+  readonly service: string;
+  readonly model: string;
+  readonly startInMs: number;
+}
+
+/** Response of the scheduler of the weight store. */
+export interface StoreWishesAnswer {
+  readonly grants: readonly StoreGrant[];
+  /** Expected starts of the other wishes of the zone. */
+  readonly expected: readonly ExpectedStoreStart[];
+  /** Expected start of a load that is not listed. */
+  readonly nextStartInMs: number;
+  /** Newest measurement of all zones; absent while there is none. */
+  readonly link?: LinkMeasurement;
 }
 
 /** Announces that the sender coordinates a zone, with its lease and the loads in progress. */
@@ -127,6 +211,9 @@
 export const leaseResumeMethod = definePeerMethod<LeaseResumeMessage, ResidencyAcknowledgement>(
   'residency.lease_resume',
 );
+export const storeWishesMethod = definePeerMethod<StoreWishesMessage, StoreWishesAnswer>(
+  'residency.store-wishes',
+);
 export const residencyChangedMethod = definePeerMethod<ResidencyChangedMessage, ResidencyAcknowledgement>(
   'residency.changed',
 );
--- a/packages/residency/src/store-link.ts
+++ b/packages/residency/src/store-link.ts
@@ -4,10 +4,13 @@
  * workers. The capacity is estimated from load times and concurrency: additive increase while loads run at
  * full speed, and a step towards the measured capacity when they do not (gradient concurrency limit).
  */
+import type { LinkMeasurement } from '@woodbarrow/protocol';
 import type { Clock, Random } from '@woodbarrow/runtime';
 
 /** Initial limit of concurrent loads; does not overload small links, and grows quickly on large ones. */
 const INITIAL_LOAD_LIMIT = 4;
+/** Increase by one load at full speed: the limit doubles in a round until the first slow load, then rises by one a round. */
+const DEFAULT_GROWTH = { untilSlow: 1, afterSlow: 1 };
 /** Delay until other zones know of a load here, in milliseconds. */
 const LOAD_REPORT_INTERVAL_MS = 300;
 /** A load counts as full speed up to this multiple of its configured time; allows for the lag of reports. */
@@ -25,6 +28,10 @@
   readonly zoneCount: () => number;
   readonly random: Random;
   readonly clock: Clock;
+  /** Initial limit of concurrent loads. @default 4 */
+  readonly initialLimit?: number;
+  /** Increase of the capacity by a load at full speed, before and after the first slow one. @default 1 and 1 */
+  readonly growth?: { readonly untilSlow: number; readonly afterSlow: number };
 }
 
 /**
@@ -51,7 +58,9 @@
 /** The link as observed by one zone's coordinator. */
 export class StoreLink {
   private readonly activeLoads = new Set<ActiveLoad>();
-  private estimatedCapacity = INITIAL_LOAD_LIMIT;
+  private estimatedCapacity: number;
+  /** Monotonic time of the last measurement, here or in another zone. */
+  private measuredAt: number | undefined;
   /** Until a load is slowed, the limit grows by one per load instead of one per round. */
   private hasSlowedDown = false;
   private accountedAt: number;
@@ -62,6 +71,23 @@
 
   constructor(private readonly options: StoreLinkOptions) {
     this.accountedAt = options.clock.monotonic();
+    this.estimatedCapacity = options.initialLimit ?? INITIAL_LOAD_LIMIT;
+  }
+
+  /** The last measurement; undefined before the first. */
+  get measurement(): LinkMeasurement | undefined {
+    const { measuredAt, estimatedCapacity: capacity } = this;
+    if (measuredAt === undefined) return undefined;
+    return { capacity, measuredAgoMs: this.options.clock.monotonic() - measuredAt };
+  }
+
+  /** Adopts a measurement of another zone if it is newer, so that all zones continue from the same estimate. */
+  adopt({ capacity, measuredAgoMs }: LinkMeasurement): void {
+    const measuredAt = this.options.clock.monotonic() - measuredAgoMs;
+    if (measuredAt <= (this.measuredAt ?? -Infinity)) return;
+    this.hasSlowedDown ||= capacity < this.estimatedCapacity;
+    this.estimatedCapacity = capacity;
+    this.measuredAt = measuredAt;
   }
 
   /** Number of loads in progress in this zone. */
@@ -138,6 +164,8 @@
     const tookMs = Math.max(1, this.options.clock.monotonic() - load.beganAt);
     const ratio = tookMs / load.configuredMs;
     const meanAtOnce = Math.max(1, load.concurrencyMs / tookMs);
+    const { untilSlow, afterSlow } = this.options.growth ?? DEFAULT_GROWTH;
+    this.measuredAt = this.options.clock.monotonic();
     if (ratio > FULL_SPEED_RATIO) {
       this.hasSlowedDown = true;
       // Mean concurrency divided by the slowdown is the measured capacity.
@@ -146,7 +174,7 @@
         this.estimatedCapacity + CAPACITY_SMOOTHING_FACTOR * (meanAtOnce / ratio - this.estimatedCapacity),
       );
     } else if (meanAtOnce >= this.estimatedCapacity * MIN_PROBING_UTILIZATION) {
-      this.estimatedCapacity += this.hasSlowedDown ? 1 / this.estimatedCapacity : 1;
+      this.estimatedCapacity += this.hasSlowedDown ? afterSlow / this.estimatedCapacity : untilSlow;
     }
   }
 
