Loads of services with slow loads start under a grant of the weight store schedule

Quotes use the expected start, and the end of the load where another zone has it in progress. Models that exist on no worker are loaded before there is traffic. Services whose models all load within 10 s are not affected: no message is sent and no grant is needed.

--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -59,6 +59,11 @@
     'Demands for a model have failed for seconds and it is resident on no worker. Zone, model, cause, number of demands, duration.',
   order_answered: 'A worker responded to an order, or did not respond. Order, sequence, outcome.',
   worker_learnt: 'A report of a worker was adopted. Sequence, models.',
+  store_load_granted:
+    'The scheduler of the weight store let a zone start a load. Zone, model, kind (`first`, `replica`, `ahead`), demands that wait, requests per second that it serves, duration at full speed, loads in progress, their limit.',
+  store_schedule_lost:
+    'The scheduler of the weight store does not answer a zone, which now loads one model at a time in its turn. Zone, scheduler, time since its last answer.',
+  store_schedule_regained: 'The scheduler of the weight store answers a zone again. Zone, scheduler.',
   load_finished:
     'A load has completed. Worker, model, time until the evicted models were unloaded, total time.',
   load_failed: 'A load has failed. Worker, model, cause.',
--- a/packages/residency/src/load-planner.ts
+++ b/packages/residency/src/load-planner.ts
@@ -2,12 +2,14 @@
  * Plans the loads of one zone from the current state: available workers, capacity of the weight store,
  * replicas and demand. The decisions are made by {@link planLoads} and {@link choosePlacement}.
  */
-import type {
-  BackendDirectory,
-  EngineDefinition,
-  LoadTracker,
-  ServiceDefinition,
+import {
+  hasSlowLoads,
+  type BackendDirectory,
+  type EngineDefinition,
+  type LoadTracker,
+  type ServiceDefinition,
 } from '@woodbarrow/backends';
+import type { StoreWishKind } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
 import { planLoads, urgencyOf, type LoadPlan, type PlannedLoad } from './load-plan.js';
 import type { LoadTimes } from './load-times.js';
@@ -24,6 +26,7 @@
 } from './placement-choice.js';
 import type { ResidentSet } from './resident-set.js';
 import type { RetryReservations } from './retry-reservations.js';
+import type { StoreAccess } from './store-access.js';
 import type { StoreLink, StoreLoad } from './store-link.js';
 import type { UnservedModels } from './unserved-models.js';
 import type { WorkerOrders } from './worker-orders.js';
@@ -46,6 +49,14 @@
   readonly zones: () => readonly string[];
   readonly storeWindow: StoreWindowOptions;
   readonly link: StoreLink;
+  /** The link as observed by loads of services with slow loads, which the weight store schedule grants. */
+  readonly scheduledLink: StoreLink;
+  readonly access: StoreAccess;
+  /**
+   * Returns the milliseconds until a model that another zone is loading should be resident there; Infinity
+   * when none is loading it.
+   */
+  readonly expectedElsewhereInMs: (model: string) => number;
   readonly times: LoadTimes;
   readonly clock: Clock;
 }
@@ -76,7 +87,7 @@
 }
 
 /** Limits that override those of a usual placement. */
-type PlacementOverrides = Partial<Pick<PlacementInputs, 'maximumVictimValue' | 'storeWaitMs'>>;
+type PlacementOverrides = Partial<Pick<PlacementInputs, 'maximumVictimValue' | 'storeWaitMs' | 'victimsOf'>>;
 
 /** Number of loads allowed in a window in addition to the rate. */
 const WINDOW_EXTRA_LOADS = 3;
@@ -97,6 +108,9 @@
  */
 const REPLICA_LINK_SHARE = 0.5;
 
+/** Loads ahead of demand evict only models with at least this many replicas. */
+const MIN_REPLICAS_OF_SPARE_VICTIM = 2;
+
 /** Plans the loads of one zone. */
 export class LoadPlanner {
   private readonly window: LoadWindow;
@@ -119,10 +133,11 @@
    * models.
    */
   plan(service: string, groups: readonly DemandGroup[]): PlanSnapshot | undefined {
-    const { clock, serviceOf, link } = this.options;
+    const { clock, serviceOf, link, scheduledLink } = this.options;
     const engine = serviceOf(service)?.engine;
     if (engine === undefined) return undefined;
     link.accumulateConcurrency();
+    scheduledLink.accumulateConcurrency();
     this.storeWindowLimit = this.storeWindowLimitOf(engine);
     const view = this.createView(service, engine);
     const candidates = this.candidates(service);
@@ -141,6 +156,34 @@
     };
   }
 
+  /** Whether loads of a service from the weight store need a grant. */
+  isScheduled(service: string): boolean {
+    const engine = this.options.serviceOf(service)?.engine;
+    return engine !== undefined && hasSlowLoads(engine);
+  }
+
+  /** Returns a function that places groups as if the weight store were free, on the current state of the workers. */
+  storePlacements(service: string): (group: DemandGroup, kind: StoreWishKind) => PlacementChoice | undefined {
+    const engine = this.options.serviceOf(service)?.engine;
+    if (engine === undefined) return () => undefined;
+    const view = this.createView(service, engine);
+    const candidates = this.candidates(service);
+    const spareVictims = (candidate: PlacementCandidate): readonly RankedVictim[] =>
+      view.victimsOf(candidate).filter(({ name }) => view.replicasOf(name) >= MIN_REPLICAS_OF_SPARE_VICTIM);
+    return (group, kind) =>
+      this.choose(group, candidates, view, {
+        storeWaitMs: 0,
+        ...(kind === 'ahead' ? { victimsOf: spareVictims } : {}),
+      });
+  }
+
+  /** Returns the milliseconds until the zone may start another load by its rate limit. */
+  windowWaitMs(service: string): number {
+    const engine = this.options.serviceOf(service)?.engine;
+    if (engine !== undefined) this.storeWindowLimit = this.storeWindowLimitOf(engine);
+    return this.window.waitMs();
+  }
+
   private noPlaceCause(
     group: DemandGroup,
     candidates: readonly PlacementCandidate[],
@@ -185,7 +228,10 @@
   recordStart({ group, choice }: PlannedLoad): StoreLoad | undefined {
     if (choice.source !== 'store') return undefined;
     this.window.record();
-    const { link, serviceOf } = this.options;
+    const { serviceOf, access } = this.options;
+    const isScheduled = this.isScheduled(group.service);
+    if (isScheduled) access.recordStart(group.service, group.model);
+    const link = isScheduled ? this.options.scheduledLink : this.options.link;
     const model = serviceOf(group.service)?.engine?.models.get(group.model);
     return link.begin(model?.storeLoadMs ?? choice.loadMs);
   }
@@ -194,11 +240,19 @@
   private storeWaitMs(group: DemandGroup, loadMs: number): number {
     const { link } = this.options;
     if (!group.demands.some((demand) => demand.mayUseStore)) return Infinity;
+    if (this.isScheduled(group.service)) return this.scheduledWaitMs(group);
     if (group.isAdditionalReplica && link.concurrentLoads >= link.loadLimit * REPLICA_LINK_SHARE)
       return Infinity;
     return Math.max(this.window.waitMs(), link.waitMs(loadMs));
   }
 
+  private scheduledWaitMs({ service, model }: DemandGroup): number {
+    const { access, expectedElsewhereInMs } = this.options;
+    // The link is slow, so the same model is not loaded in two zones at once.
+    if (expectedElsewhereInMs(model) !== Infinity) return Infinity;
+    return Math.max(this.window.waitMs(), access.startInMs(service, model));
+  }
+
   private storeWindowLimitOf(engine: EngineDefinition): number {
     const { windowMs, overshoot } = this.options.storeWindow;
     const allowed = (engine.storeLoadsPerSecond * windowMs * overshoot) / 1000;
@@ -225,7 +279,8 @@
       victimsOf,
       times: this.options.times,
       storeWaitMs: this.storeWaitMs(group, model.storeLoadMs),
-      storeSlowdown: this.options.link.slowdown(),
+      // Scheduled loads wait until they run at full speed.
+      storeSlowdown: this.isScheduled(group.service) ? 1 : this.options.link.slowdown(),
       maximumVictimValue: group.isAdditionalReplica
         ? share * REPLICA_VICTIM_VALUE_SHARE
         : Math.max(MIN_VICTIM_VALUE_LIMIT * this.waitFactor(group), share),
--- a/packages/residency/src/load-scheduler.ts
+++ b/packages/residency/src/load-scheduler.ts
@@ -4,7 +4,7 @@
  */
 import { remainingMs } from '@woodbarrow/backends';
 import type { EventLog } from '@woodbarrow/observability';
-import type { LoadUnderWay } from '@woodbarrow/protocol';
+import type { LoadUnderWay, StoreWishKind } from '@woodbarrow/protocol';
 import type { LoadAdmission } from './load-admission.js';
 import { victimsToRetire, type PlannedLoad } from './load-plan.js';
 import { PlanCache } from './plan-cache.js';
@@ -23,6 +23,7 @@
   type WantedModel,
 } from './pending-demand.js';
 import type { PlacementChoice } from './placement-choice.js';
+import { ScheduledLoads, type ScheduledReport } from './scheduled-loads.js';
 import { RetryReservations } from './retry-reservations.js';
 import { UnservedModels } from './unserved-models.js';
 
@@ -36,6 +37,8 @@
    * when none is loading it.
    */
   readonly expectedElsewhereInMs: (model: string) => number;
+  /** Called when the zone's wishes or loads from the weight store have changed. */
+  readonly onStoreChange: () => void;
   readonly admission: LoadAdmission;
   readonly log: EventLog;
   readonly signal: AbortSignal;
@@ -59,6 +62,9 @@
   readonly expectedMs: number;
   readonly backEndId: string;
   readonly demands: PendingDemand[];
+  readonly service: string;
+  /** Set for a load from the weight store that the schedule has granted. */
+  readonly scheduledKind?: StoreWishKind;
 }
 
 /** Interval between plans while demands wait and no other event triggers one, in milliseconds. */
@@ -94,6 +100,7 @@
   /** Monotonic time of the last {@link schedule}; the flag below marks that the next one is pending. */
   private lastScheduledAt = -Infinity;
   private isBatchPending = false;
+  private readonly scheduledLoads: ScheduledLoads;
 
   constructor(private readonly options: LoadSchedulerOptions) {
     this.queue = new DemandQueue(options.clock);
@@ -103,6 +110,24 @@
     const groupsOf = (service: string): DemandGroup[] =>
       this.queue.all().filter((group) => group.service === service && this.mayBegin(group));
     this.plans = new PlanCache(this.planner, groupsOf, options.clock);
+    this.scheduledLoads = new ScheduledLoads({
+      ...options,
+      planner: this.planner,
+      groupsOf: (service) => this.queue.all().filter((group) => group.service === service),
+      mayBegin: (group) => this.mayBeginScheduled(group),
+      loading: () =>
+        [...this.loading.values()].map((load) => ({ ...load, readyInMs: this.remainingLoadMs(load) })),
+    });
+  }
+
+  /** Loads ahead of demand that have been started here. */
+  get loadsAhead(): number {
+    return this.scheduledLoads.loadsAhead;
+  }
+
+  /** Returns the wishes for, and loads from, the weight store of services with slow loads. */
+  storeReport(): ScheduledReport {
+    return this.scheduledLoads.report();
   }
 
   /**
@@ -138,6 +163,9 @@
   }
 
   private noPlaceQuote(asked: DemandGroup, snapshot: PlanSnapshot): LoadQuote {
+    const elsewhereInMs = this.options.expectedElsewhereInMs(asked.model);
+    if (this.planner.isScheduled(asked.service) && Number.isFinite(elsewhereInMs))
+      return { readyMs: Math.max(0, elsewhereInMs), occupiesMs: 0 };
     const cause = snapshot.noPlaceCause(asked);
     if (!asked.isAdditionalReplica) this.unserved.recordRefusal(asked, cause);
     return { readyMs: Infinity, occupiesMs: 0, cause };
@@ -174,6 +202,7 @@
     return [...this.loading.values()].map((loading) => ({
       model: loading.model,
       readyInMs: Math.round(this.remainingLoadMs(loading)),
+      ...(loading.scheduledKind === undefined ? {} : { fromStore: true }),
     }));
   }
 
@@ -188,6 +217,7 @@
     this.settleQuarantined();
     const services = new Set(this.queue.all().map((group) => group.service));
     for (const service of services) this.startLoads(service);
+    for (const { planned, kind } of this.scheduledLoads.startable()) this.start(planned, kind);
     for (const service of this.servicesWithRetirements) if (!services.has(service)) this.retire(service, []);
     this.tickWhileWaiting();
   }
@@ -216,6 +246,7 @@
       this.attach(wanted, loading, demand);
     } else if (this.queue.add(wanted, demand)) {
       this.scheduleBatched();
+      this.noteWish(wanted);
     } else {
       this.settleRefused(wanted, demand, { kind: 'refused', reason: 'queue_full', retryAfterMs: readyMs });
     }
@@ -370,7 +401,22 @@
     else this.servicesWithRetirements.delete(service);
   }
 
-  private start(planned: PlannedLoad): void {
+  /** Reports a new wish at once; further demands for the same model wait for the next report. */
+  private noteWish(wanted: WantedModel): void {
+    if (this.planner.isScheduled(wanted.service) && this.queue.demandsOf(groupKey(wanted)).length === 1)
+      this.options.onStoreChange();
+  }
+
+  private mayBeginScheduled(group: DemandGroup): boolean {
+    const isLoading = [true, false].some((isAdditionalReplica) =>
+      this.loading.has(groupKey({ ...group, isAdditionalReplica })),
+    );
+    const { admission, expectedElsewhereInMs } = this.options;
+    if (isLoading || expectedElsewhereInMs(group.model) !== Infinity) return false;
+    return admission.verdictOf(group) === undefined && admission.mayBegin(group, false);
+  }
+
+  private start(planned: PlannedLoad, kind?: StoreWishKind): void {
     const { group, choice } = planned;
     const { clock, workersOf } = this.options;
     const { id } = choice.candidate.backEnd;
@@ -380,10 +426,22 @@
     const storeLoad = this.planner.recordStart(planned);
     const expectedMs = choice.unloadMs + choice.loadMs;
     const { model } = group;
-    const loading: ActiveLoad = { model, beganAt: clock.monotonic(), expectedMs, backEndId: id, demands: [] };
+    const { service, isAdditionalReplica } = group;
+    const isScheduled = storeLoad !== undefined && this.planner.isScheduled(service);
+    const scheduledKind = kind ?? (isAdditionalReplica ? 'replica' : 'first');
+    const loading: ActiveLoad = {
+      model,
+      beganAt: clock.monotonic(),
+      expectedMs,
+      backEndId: id,
+      demands: [],
+      service,
+      ...(isScheduled ? { scheduledKind } : {}),
+    };
     this.loading.set(group.key, loading);
     this.plans.invalidate();
     for (const demand of this.queue.take(group.key)) this.attach(group, loading, demand);
+    if (isScheduled) this.options.onStoreChange();
     const finish = (loaded: boolean): void => {
       storeLoad?.noteEnded(loaded);
       this.finish(group, loading, loaded);
@@ -405,6 +463,7 @@
       else this.queue.add(group, demand);
     }
     this.schedule();
+    if (loading.scheduledKind !== undefined) this.options.onStoreChange();
   }
 
   /**
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -2,7 +2,12 @@
  * A daemon's role in model residency: candidate for the leases of the zones, and coordinator of the zones
  * that it holds.
  */
-import type { BackendDirectory, LoadTracker, ServiceDefinition } from '@woodbarrow/backends';
+import {
+  hasSlowLoads,
+  type BackendDirectory,
+  type LoadTracker,
+  type ServiceDefinition,
+} from '@woodbarrow/backends';
 import {
   StoreLease,
   rankByCapacity,
@@ -27,6 +32,11 @@
 import { LeaseContacts, type KnownMember, type RunningMember } from './lease-contacts.js';
 import type { OrderClient } from './order-client.js';
 import type { StoreWindowOptions } from './load-planner.js';
+import {
+  StoreScheduleService,
+  WISHES_INTERVAL_MS,
+  type StoreScheduleTotals,
+} from './store-schedule-service.js';
 import { ZoneResidency, type UnservedDemands } from './zone-residency.js';
 
 /** Options of {@link ResidencyService}. */
@@ -94,6 +104,7 @@
   private readonly retryAt = new Map<string, number>();
   private isLeaving = false;
   private readonly contacts: LeaseContacts;
+  private readonly storeSchedule: StoreScheduleService;
 
   constructor(private readonly options: ResidencyServiceOptions) {
     super(options.clock, logTaskFailures(options.log));
@@ -112,6 +123,15 @@
         this.resume(zone);
       },
     });
+    this.storeSchedule = new StoreScheduleService({
+      ...options,
+      held: () =>
+        new Map(
+          [...this.held].map(([zone, { lease, residency }]) => [zone, { fence: lease.fence, residency }]),
+        ),
+      zones: () => this.zones(),
+      isNeeded: () => this.hasSlowLoads(),
+    });
   }
 
   /** Starts the service. The peer network must be listening. */
@@ -119,6 +139,7 @@
     const { peers, directory } = this.options;
     peers.handle(residencyDemandMethod, (message) => this.onDemand(message));
     this.contacts.start();
+    this.storeSchedule.start();
     directory.events.on('removed', (backEnd) => {
       for (const zone of this.held.values()) zone.residency.forget(backEnd.id);
       this.options.loads.forgetBackEnd(backEnd.id);
@@ -136,6 +157,19 @@
         return Promise.resolve();
       },
     );
+    this.tasks.loop(
+      'residency.store-schedule',
+      () => WISHES_INTERVAL_MS,
+      () => {
+        if (this.held.size > 0) this.storeSchedule.report();
+        return Promise.resolve();
+      },
+    );
+  }
+
+  /** Returns what this daemon knows of the schedule of the weight store, for metrics. */
+  storeScheduleTotals(): StoreScheduleTotals {
+    return this.storeSchedule.totals;
   }
 
   /** Returns the fence of each zone that this daemon coordinates. */
@@ -204,6 +238,13 @@
     return new Set(names.filter((name) => this.options.serviceOf(name)?.engine !== undefined));
   }
 
+  private hasSlowLoads(): boolean {
+    return [...this.engineServices()].some((service) => {
+      const engine = this.options.serviceOf(service)?.engine;
+      return engine !== undefined && hasSlowLoads(engine);
+    });
+  }
+
   /** Acquires free zones for which this daemon is the preferred holder. */
   private acquireFreeZones(): Promise<void> {
     if (this.isLeaving || !this.options.isGroupKnown()) return Promise.resolve();
@@ -364,6 +405,9 @@
       zones: () => this.zones(),
       storeLoadsInOtherZones: () => this.storeLoadsInOtherZones(zone),
       expectedElsewhereInMs: (model) => this.expectedElsewhereInMs(zone, model),
+      onStoreChange: () => {
+        this.storeSchedule.reportSoon();
+      },
       announce,
     });
   }
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -18,6 +18,8 @@
   ResidencyChange,
   ResidencyDemandAnswer,
   ResidencyDemandMessage,
+  StoreWishesAnswer,
+  StoreWishesMessage,
 } from '@woodbarrow/protocol';
 import { leastBy, settleWithin, sleep, type Clock, type Random } from '@woodbarrow/runtime';
 import { LoadAdmission } from './load-admission.js';
@@ -26,7 +28,9 @@
 import { LoadScheduler } from './load-scheduler.js';
 import type { OrderClient } from './order-client.js';
 import type { Placement, RefusedDemandReason } from './pending-demand.js';
+import { StoreAccess } from './store-access.js';
 import { StoreLink } from './store-link.js';
+import { INITIAL_SCHEDULED_LOADS } from './store-schedule.js';
 import { WorkerOrders } from './worker-orders.js';
 
 /** Options of {@link ZoneResidency}. */
@@ -52,6 +56,8 @@
    * when none is loading it.
    */
   readonly expectedElsewhereInMs: (model: string) => number;
+  /** Called when the zone's wishes or loads from the weight store have changed. */
+  readonly onStoreChange?: () => void;
   readonly quarantine: LoadQuarantine;
   /** Notifies all daemons of a change of residency. */
   readonly announce: (change: ResidencyChange) => void;
@@ -70,6 +76,11 @@
 }
 
 const RETRY_AFTER_BUSY_MS = 500;
+/**
+ * Increase of the measured capacity by a scheduled load at full speed. A load too many delays all others by its share for more
+ * than 10 s, so the limit is probed only after several loads.
+ */
+const SCHEDULED_LINK_GROWTH = { untilSlow: 0.5, afterSlow: 0.25 };
 /** Reason of an answer that is only a quote. */
 export const QUOTE_REASON = 'quote';
 
@@ -81,18 +92,32 @@
   private readonly scheduler: LoadScheduler;
   private readonly times = new LoadTimes();
   private readonly link: StoreLink;
+  /** The link as observed by the loads of services with slow loads. */
+  private readonly scheduledLink: StoreLink;
+  /** The zone's access to the weight store for services with slow loads. */
+  readonly access: StoreAccess;
 
   constructor(private readonly options: ZoneResidencyOptions) {
+    const { clock, random, zone, zones } = options;
+    const shared = { clock, random, zoneCount: () => zones().length };
     this.link = new StoreLink({
-      clock: options.clock,
-      random: options.random,
-      loadsInOtherZones: options.storeLoadsInOtherZones,
-      zoneCount: () => options.zones().length,
+      ...shared,
+      loadsInOtherZones: () => options.storeLoadsInOtherZones() + this.scheduledLink.ownLoads,
     });
+    this.scheduledLink = new StoreLink({
+      ...shared,
+      loadsInOtherZones: () => options.storeLoadsInOtherZones() + this.link.ownLoads,
+      initialLimit: INITIAL_SCHEDULED_LOADS,
+      growth: SCHEDULED_LINK_GROWTH,
+    });
+    this.access = new StoreAccess({ zone, zones, clock });
     this.scheduler = new LoadScheduler({
       ...options,
       times: this.times,
       link: this.link,
+      scheduledLink: this.scheduledLink,
+      access: this.access,
+      onStoreChange: options.onStoreChange ?? (() => undefined),
       admission: new LoadAdmission(options),
       workersOf: (service) => this.availableWorkers(service).map((backEnd) => this.workerOf(backEnd.id)),
       mayAct: () => options.lease.mayAct(),
@@ -101,7 +126,7 @@
 
   /** Number of weight store loads in progress. */
   get storeLoads(): number {
-    return this.link.ownLoads;
+    return this.link.ownLoads + this.scheduledLink.ownLoads;
   }
 
   /** Loads in progress, as advertised to other zones. */
@@ -109,6 +134,45 @@
     return this.scheduler.loadsUnderWay();
   }
 
+  /** Measured capacity of the link to the weight store; undefined before the first measurement. */
+  get linkCapacity(): number | undefined {
+    return this.scheduledLink.measurement?.capacity;
+  }
+
+  /** Loads ahead of demand that have been started in the zone. */
+  get loadsAhead(): number {
+    return this.scheduler.loadsAhead;
+  }
+
+  /**
+   * Returns what the zone wants from the weight store for services with slow loads, and the time of their slowest load in
+   * milliseconds; undefined without such services, or while the lease does not allow orders.
+   */
+  storeReport(): { readonly message: StoreWishesMessage; readonly slowestLoadMs: number } | undefined {
+    const { zone, lease } = this.options;
+    const { hasServices, slowestLoadMs, wishes, loading } = this.scheduler.storeReport();
+    if (!hasServices || !lease.mayAct()) return undefined;
+    const link = this.scheduledLink.measurement;
+    const message = { zone, fence: lease.fence, wishes, loading, ...(link === undefined ? {} : { link }) };
+    return { message, slowestLoadMs };
+  }
+
+  /** Accepts an answer of the weight store's scheduler and starts the granted loads. */
+  acceptSchedule(answer: StoreWishesAnswer): void {
+    if (answer.link !== undefined) this.scheduledLink.adopt(answer.link);
+    this.access.accept(answer);
+    this.scheduler.schedule();
+  }
+
+  /** Decides on the zone's loads from the weight store without the scheduler, once that has not answered for too long. */
+  scheduleAlone(): void {
+    if (!this.access.isOnOwn) return;
+    const report = this.storeReport();
+    if (report === undefined) return;
+    this.access.decideAlone(report.message, report.slowestLoadMs);
+    this.scheduler.schedule();
+  }
+
   /** What could not be served, for metrics. */
   get unserved(): UnservedDemands {
     const { unserved, refusalsByReason } = this.scheduler;
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -1,11 +1,12 @@
 import { expect } from 'chai';
-import { BackendDirectory, LoadTracker, NO_NEARBY_COPIES } from '@woodbarrow/backends';
+import { BackendDirectory, LoadTracker, NO_NEARBY_COPIES, type ModelDefinition } from '@woodbarrow/backends';
 import type { ObservedEra, LeaseRecord, LeaseRecordStore, StoredLease } from '@woodbarrow/coordination';
 import { CallFailures, silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster } from '@woodbarrow/peering';
 import { Random } from '@woodbarrow/runtime';
 import { CoordinatorDirectory, PeerExchange, type FollowedRecords } from '@woodbarrow/exchange';
 import { ResidencyService, type OrderClient, type RunningMember } from '../src/index.js';
+import { modelDefinition } from './simulated-workers.js';
 import { daemonQuarantine } from './load-quarantines.js';
 
 const ZONES = ['alpha', 'beta', 'gamma'];
@@ -68,8 +69,12 @@
   readonly cluster = new SimulatedCluster({ seed: 1 });
   readonly store = new LeaseStore(() => this.cluster.world.now);
   readonly members = new Map<string, RunningMember>();
+  /** Services by daemon. */
+  readonly services = new Map<string, ResidencyService>();
   private runs = 0;
 
+  constructor(private readonly models: ReadonlyMap<string, ModelDefinition> = new Map()) {}
+
   async start(name: string, zone: string): Promise<() => void> {
     const node = await this.cluster.add(name, zone);
     const self = { id: name, address: node.peers.address, zone, capacity: 100, instance: this.runs + 1 };
@@ -95,7 +100,7 @@
       weightsMb: 1,
       adapterSlots: 1,
       storeLoadsPerSecond: 1,
-      models: new Map(),
+      models: this.models,
     };
     // A daemon that has just started knows only itself.
     const members = (): RunningMember[] =>
@@ -146,6 +151,7 @@
       random: new Random(1),
       log: silentLog,
     });
+    this.services.set(name, service);
     exchange.start();
     service.start();
     return () => {
@@ -170,6 +176,24 @@
 }
 
 describe('ResidencyService', () => {
+  /** Returns the daemons that schedule the weight store, among three with one zone each. */
+  async function schedulers(model: ModelDefinition): Promise<string[]> {
+    const world = new ServiceWorld(new Map([[model.name, model]]));
+    for (const zone of ZONES) await world.start(`daemon-${zone}`, zone);
+    await world.cluster.advance(6000);
+    const alpha = world.holderOf('alpha');
+    return [...world.services].flatMap(([name, service]) =>
+      service.storeScheduleTotals().isScheduler ? [name === alpha ? 'holder of alpha' : name] : [],
+    );
+  }
+
+  it('schedules the weight store at the coordinator of the first zone, only with slow loads', async () => {
+    expect(await schedulers({ ...modelDefinition('m'), storeLoadMs: 12_000 })).to.deep.equal([
+      'holder of alpha',
+    ]);
+    expect(await schedulers(modelDefinition('m'))).to.deep.equal([]);
+  });
+
   it('resumes its leases at once after a restart, independently of each other', async () => {
     const world = new ServiceWorld();
     const stops = new Map<string, () => void>();
