--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -421,6 +421,7 @@
       invalidRecords: () => ports.invalidRecords(),
       callFailures: () => this.failures.totals(),
       unserved: () => residency.unserved(),
+      storeSchedule: () => residency.storeScheduleTotals(),
       quarantine: () => this.quarantine.totals,
       loadQuarantine: () => this.loadQuarantine.totals,
       notices: () => this.noticeService.notices.totals,
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -2,7 +2,7 @@
 import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
 import type { NoticeTotals } from '@woodbarrow/forwarding';
 import type { GateUsage, AllocatorUsage, PermitTotals } from '@woodbarrow/quota';
-import type { UnservedDemands } from '@woodbarrow/residency';
+import type { StoreScheduleTotals, UnservedDemands } from '@woodbarrow/residency';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
 
 /** Maximum number of tenants listed in each metric. */
@@ -23,6 +23,7 @@
   readonly invalidRecords: () => ReadonlyMap<string, number>;
   /** Unserved demands of the zones coordinated here, by zone. */
   readonly unserved: () => ReadonlyMap<string, UnservedDemands>;
+  readonly storeSchedule: () => StoreScheduleTotals;
   readonly quarantine: () => QuarantineTotals;
   readonly loadQuarantine: () => LoadQuarantineTotals;
   readonly notices: () => NoticeTotals;
@@ -101,6 +102,7 @@
       'call',
     );
     this.addUnservedGauges(sources);
+    this.addStoreScheduleGauges(sources);
     this.addQuarantineGauges(sources);
     this.addNoticeGauges(sources);
     this.addQuotaGauges(sources);
@@ -140,6 +142,32 @@
     );
   }
 
+  private addStoreScheduleGauges({ storeSchedule }: MetricSources): void {
+    const { registry } = this;
+    registry.gauge(
+      'woodbarrow_store_scheduler',
+      'Whether this daemon schedules the loads from the weight store: 1 or 0.',
+      () => (storeSchedule().isScheduler ? 1 : 0),
+    );
+    registry.gauge(
+      'woodbarrow_store_load_grants',
+      'Loads from the weight store that this daemon has granted since the start, by kind.',
+      () => storeSchedule().grantsByKind,
+      'kind',
+    );
+    registry.gauge(
+      'woodbarrow_store_loads_ahead',
+      'Loads ahead of demand started in the zones coordinated here.',
+      () => storeSchedule().loadsAhead,
+    );
+    registry.gauge(
+      'woodbarrow_store_link_capacity',
+      'Measured number of loads that the link to the weight store carries at full speed, by zone coordinated here.',
+      () => storeSchedule().linkCapacity,
+      'zone',
+    );
+  }
+
   private addNoticeGauges({ notices, permits }: MetricSources): void {
     this.registry.gauge(
       'woodbarrow_send_permits',
