--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -3,7 +3,7 @@
 import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
 import type { DispatchTotals, NoticeTotals } from '@woodbarrow/forwarding';
 import type { GateUsage, AllocatorUsage, PermitTotals } from '@woodbarrow/quota';
-import type { ReplicaCounts, UnservedDemands } from '@woodbarrow/residency';
+import type { ReplicaCounts, StoreScheduleTotals, UnservedDemands } from '@woodbarrow/residency';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
 
 /** Maximum number of tenants listed in each metric. */
@@ -26,6 +26,7 @@
   readonly unserved: () => ReadonlyMap<string, UnservedDemands>;
   /** Additional replicas decided and loaded for the zones coordinated here. */
   readonly replicas: () => ReplicaCounts;
+  readonly storeSchedule: () => StoreScheduleTotals;
   readonly quarantine: () => QuarantineTotals;
   readonly loadQuarantine: () => LoadQuarantineTotals;
   readonly notices: () => NoticeTotals;
@@ -107,6 +108,7 @@
       'call',
     );
     this.addUnservedGauges(sources);
+    this.addStoreScheduleGauges(sources);
     this.addQuarantineGauges(sources);
     this.addReplicaGauges(sources);
     this.addNoticeGauges(sources);
@@ -163,6 +165,32 @@
     );
   }
 
+  private addStoreScheduleGauges({ storeSchedule }: MetricSources): void {
+    const { registry } = this;
+    registry.gauge(
+      'woodbarrow_store_scheduler',
+      'Whether this daemon schedules the loads from the weight store: 1 or 0.',
+      () => (storeSchedule().isScheduler ? 1 : 0),
+    );
+    registry.gauge(
+      'woodbarrow_store_load_grants',
+      'Loads from the weight store that this daemon has granted since the start, by kind.',
+      () => storeSchedule().grantsByKind,
+      'kind',
+    );
+    registry.gauge(
+      'woodbarrow_store_loads_ahead',
+      'Loads ahead of demand started in the zones coordinated here.',
+      () => storeSchedule().loadsAhead,
+    );
+    registry.gauge(
+      'woodbarrow_store_link_capacity',
+      'Measured number of loads that the link to the weight store carries at full speed, by zone coordinated here.',
+      () => storeSchedule().linkCapacity,
+      'zone',
+    );
+  }
+
   private addNoticeGauges({ notices, permits }: MetricSources): void {
     this.registry.gauge(
       'woodbarrow_send_permits',
