Streams under way take any free slot of a worker

A stream that was resumed waited up to a report interval although its worker had a free slot: the drawn share of this daemon, which requests of the same priority had used up, applied to it too. Its draw also lifted the bound for new requests of its priority. Resumed streams now neither use nor replace the draw.

--- a/packages/forwarding/src/worker-places.ts
+++ b/packages/forwarding/src/worker-places.ts
@@ -61,6 +61,7 @@
 
   /** Whether this daemon may send a request to a worker now. */
   hasRoom(backEnd: BackEnd, request: PlaceRequest): boolean {
+    if (request.isResumption) return this.isFree(backEnd, request);
     const use = this.useOf(backEnd.id, request.engine);
     return this.capacity.allows(backEnd.id, use, request.tokens, request.priority, () =>
       this.competition(backEnd, request),
@@ -114,9 +115,9 @@
   }
 
   /** Expected competition for a worker, over all models that it holds. */
-  private competition(backEnd: BackEnd, { target, priority, isResumption }: PlaceRequest): Competition {
+  private competition(backEnd: BackEnd, { target, priority }: PlaceRequest): Competition {
     const daemons = Math.max(1, this.daemonCount());
-    if (daemons === 1 || isResumption)
+    if (daemons === 1)
       return { daemons: 1, own: 1, equal: 0, moreUrgent: 0, lessUrgent: 0, arrivals: 0, ending: 0 };
     let [own, equal, moreUrgent, lessUrgent] = [0, 0, 0, 0];
     for (const { name } of backEnd.models) {
