Streams under way precede less urgent new requests

Every fourth place of a worker goes to the longest waiting less urgent request. It was also taken from a resumed stream, whose client then saw a longer pause. Places of resumed streams no longer count among these turns.

--- a/packages/forwarding/src/dispatch-queue.ts
+++ b/packages/forwarding/src/dispatch-queue.ts
@@ -171,7 +171,7 @@
     }
   }
 
-  /** Tries to place one request; a less urgent one whose turn it is takes the place first. */
+  /** Tries to place one request; a less urgent one whose turn it is takes the place first, except from a resumed stream. */
   private tryPlace(waiter: Waiter): void {
     while (this.waiting.has(waiter)) {
       const { request } = waiter;
@@ -184,12 +184,13 @@
       if (backEnd === undefined) return;
       const lessUrgent = this.lessUrgentFor(backEnd, waiter);
       const isTurn = lessUrgent !== undefined && this.turns.isDue(backEnd.id);
-      this.turns.noteGiven(backEnd.id, lessUrgent !== undefined && !isTurn);
+      if (!waiter.isResumption) this.turns.noteGiven(backEnd.id, lessUrgent !== undefined && !isTurn);
       this.place(isTurn ? lessUrgent : waiter, backEnd, false);
     }
   }
 
   private lessUrgentFor(backEnd: BackEnd, waiter: Waiter): Waiter | undefined {
+    if (waiter.isResumption) return undefined;
     const candidates = [...this.waiting].filter(
       ({ priority, request }) =>
         priority > waiter.priority &&
--- a/packages/forwarding/test/dispatch-resumption.test.ts
+++ b/packages/forwarding/test/dispatch-resumption.test.ts
@@ -2,7 +2,13 @@
 import { expect } from 'chai';
 import { BackendDirectory, LoadTracker, NO_NEARBY_COPIES, type BackEnd } from '@woodbarrow/backends';
 import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
-import { DispatchQueue, noopJournal, type DispatchOutcome, type DispatchRequest } from '../src/index.js';
+import {
+  DispatchQueue,
+  LESS_URGENT_EVERY,
+  noopJournal,
+  type DispatchOutcome,
+  type DispatchRequest,
+} from '../src/index.js';
 import { FULL_ENGINE } from './full-workers.js';
 
 const WORKER: BackEnd = {
@@ -78,4 +84,21 @@
     ask(queue, { id: 'resumed', isResumption: true });
     expect(await kindOf('resumed')).to.equal('placed');
   });
+
+  it('is not passed by a less urgent new request whose turn it is', async () => {
+    const queue = createQueue(1);
+    const running = fill(FULL_ENGINE.slots);
+    ask(queue, { id: 'batch', priority: 2 });
+    for (let place = 1; place < LESS_URGENT_EVERY; place += 1) {
+      ask(queue, { id: `urgent-${String(place)}` });
+      running.pop()?.();
+      queue.noteEnded('service', 0, 100);
+      expect(await kindOf(`urgent-${String(place)}`)).to.equal('placed');
+    }
+    ask(queue, { id: 'resumed', priority: 1, isResumption: true });
+    running.pop()?.();
+    queue.noteEnded('service', 0, 100);
+    expect(await kindOf('resumed')).to.equal('placed');
+    expect(await kindOf('batch')).to.equal(undefined);
+  });
 });
