Waiting requests leave no use times of targets behind

Each waiting request recorded a use of its target under an id that is not that of a back end, at its daemon and at every relay that received the report. Use times are removed with their back end, so that these entries stayed for ever.

--- a/packages/backends/src/load-tracker.ts
+++ b/packages/backends/src/load-tracker.ts
@@ -81,6 +81,8 @@
   readonly updatedAt: number;
 }
 
+/** Prefix of the ids under which waiting requests are reported. */
+const WAITING_PREFIX = 'waiting/';
 /** Size of a request that no back end has received. */
 const NO_SIZE: WorkSize = { promptTokens: 0, outputTokens: 0 };
 const NO_LOAD: BackEndLoad = { requests: 0, unreadTokens: 0, heldTokens: 0 };
@@ -101,39 +103,17 @@
   start(backEndId: string, target: ModelTarget | undefined, size: WorkSize): WorkTicket {
     const key = target === undefined ? '' : targetKey(target);
     const load = this.ownLoad(backEndId, key);
-    const heldTokens = size.promptTokens + size.outputTokens;
-    load.requests += 1;
-    load.unreadTokens += size.promptTokens;
-    load.heldTokens += heldTokens;
     load.lastStartedAt = this.clock.monotonic();
-    const run = { startedAt: load.lastStartedAt, expectedMs: size.expectedMs ?? 0 };
-    load.runs.add(run);
     this.recordUse(backEndId, key);
-    let unreadTokens = size.promptTokens;
-    let isOpen = true;
-    const begun = (): void => {
-      load.unreadTokens -= unreadTokens;
-      unreadTokens = 0;
-    };
-    return {
-      begun,
-      ended: () => {
-        if (!isOpen) return;
-        isOpen = false;
-        begun();
-        load.runs.delete(run);
-        load.requests -= 1;
-        load.heldTokens -= heldTokens;
-      },
-    };
+    return this.addRequest(load, size);
   }
 
   /**
    * Records a request that waits at this daemon for room on a worker. It is reported like work in progress, under an id
-   * that is not that of a back end.
+   * that is not that of a back end. It is no use of the target: use times are removed only with their back end.
    */
   startWaiting(target: ModelTarget, priority: number): WorkTicket {
-    return this.start(waitingId(target.model, priority), target, NO_SIZE);
+    return this.addRequest(this.ownLoad(waitingId(target.model, priority), targetKey(target)), NO_SIZE);
   }
 
   /** Returns the requests of one priority that wait for room on a worker with the model, over all daemons. */
@@ -269,7 +249,8 @@
       const backEndLoads = byBackEnd.get(load.backEndId);
       if (backEndLoads === undefined) byBackEnd.set(load.backEndId, [load]);
       else backEndLoads.push(load);
-      if (load.target !== '') this.recordUse(load.backEndId, load.target);
+      if (load.target !== '' && !load.backEndId.startsWith(WAITING_PREFIX))
+        this.recordUse(load.backEndId, load.target);
     }
     const weights = new Map(demand.map(({ model, weight }) => [model, weight]));
     this.recordDemandIncreases(source, weights);
@@ -294,6 +275,32 @@
     }
   }
 
+  private addRequest(load: MutableLoad, size: WorkSize): WorkTicket {
+    const heldTokens = size.promptTokens + size.outputTokens;
+    load.requests += 1;
+    load.unreadTokens += size.promptTokens;
+    load.heldTokens += heldTokens;
+    const run = { startedAt: this.clock.monotonic(), expectedMs: size.expectedMs ?? 0 };
+    load.runs.add(run);
+    let unreadTokens = size.promptTokens;
+    let isOpen = true;
+    const begun = (): void => {
+      load.unreadTokens -= unreadTokens;
+      unreadTokens = 0;
+    };
+    return {
+      begun,
+      ended: () => {
+        if (!isOpen) return;
+        isOpen = false;
+        begun();
+        load.runs.delete(run);
+        load.requests -= 1;
+        load.heldTokens -= heldTokens;
+      },
+    };
+  }
+
   private ownLoad(backEndId: string, key: string): MutableLoad {
     let targets = this.ownLoadByBackEnd.get(backEndId);
     if (targets === undefined) {
@@ -410,7 +417,7 @@
 
 /** Id under which the requests that wait for a model are reported. */
 function waitingId(model: string, priority: number): string {
-  return `waiting/${String(priority)}/${model}`;
+  return `${WAITING_PREFIX}${String(priority)}/${model}`;
 }
 
 function lastUsedKey(backEndId: string, target: string): string {
--- a/packages/backends/test/load-tracker.test.ts
+++ b/packages/backends/test/load-tracker.test.ts
@@ -24,6 +24,17 @@
     expect(book(0).requestsFor('w', 'm')).to.equal(3);
   });
 
+  it('keeps no use times of requests that waited, since no back end is removed that would clear them', () => {
+    const ticket = book(1).startWaiting({ model: 'm' }, 2);
+    book(0).acceptReport('1', 'attached', book(1).ownReport());
+    expect(book(0).waitingFor('m', 2)).to.equal(1);
+    ticket.ended();
+    expect(book(1).waitingFor('m', 2)).to.equal(0);
+    expect(book(1).idleMs('waiting/2/m', 'm')).to.equal(Infinity);
+    expect(book(0).idleMs('waiting/2/m', 'm')).to.equal(Infinity);
+    expect(book(1).ownReport().loads).to.deep.equal([]);
+  });
+
   it('combines only reports of the given scopes and without the excluded source', () => {
     for (const each of books) each.start('w', { model: 'm' }, SIZE);
     book(0).acceptReport('1', 'attached', book(1).ownReport());
