Expected wait in the dispatch queue follows requests that ran

Requests that a worker declined or did not receive counted as runs of a few milliseconds. Where workers decline, the expected wait fell to nearly nothing: requests waited that could not be served in time, and Retry-After was too short.

--- a/packages/forwarding/src/dispatch-queue.ts
+++ b/packages/forwarding/src/dispatch-queue.ts
@@ -120,9 +120,13 @@
     });
   }
 
-  /** Gives the place of a run that has ended to a waiting request. @param ranMs Duration in milliseconds. */
-  noteEnded(service: string, priority: number, ranMs: number): void {
-    this.runsOf(service).record(priority, ranMs);
+  /**
+   * Gives the place of a request that has ended to a waiting one.
+   *
+   * @param ranMs Duration in milliseconds; undefined if the request did not run, which says nothing about others.
+   */
+  noteEnded(service: string, priority: number, ranMs: number | undefined): void {
+    if (ranMs !== undefined) this.runsOf(service).record(priority, ranMs);
     this.giveFreePlaces();
   }
 
--- a/packages/forwarding/src/request-sender.ts
+++ b/packages/forwarding/src/request-sender.ts
@@ -38,9 +38,12 @@
     choice.place?.release('sent');
     const sentAt = context.clock.monotonic();
     this.recordSent(choice);
+    let mayHaveRun = true;
     try {
       const outcome = await this.send(backEnd, controller, sentAt);
-      return await this.conclude(outcome, backEnd, ticket, sentAt);
+      const result = await this.conclude(outcome, backEnd, ticket, sentAt);
+      mayHaveRun = result.kind !== 'not_run';
+      return result;
     } catch (error) {
       // Writing to the client failed, so the back end's work is no longer needed.
       abort();
@@ -50,7 +53,7 @@
       ticket.ended();
       const ranMs = context.clock.monotonic() - sentAt;
       context.connections.queue.noteEnded(service, backEnd.id, ranMs);
-      context.dispatch.noteEnded(service.name, priority, ranMs);
+      context.dispatch.noteEnded(service.name, priority, mayHaveRun ? ranMs : undefined);
       expired.removeEventListener('abort', abort);
     }
   }
--- a/packages/forwarding/test/full-holders.test.ts
+++ b/packages/forwarding/test/full-holders.test.ts
@@ -117,6 +117,15 @@
     expect(world.dispatch.totals.waiting).to.equal(0);
   });
 
+  it('expect the wait from requests that ran, not from those that a worker declined', async () => {
+    world.add('b2', () => Promise.resolve(answer(503)), ['m']);
+    world.begin(9);
+    await world.run(20);
+    const declined = world.calls.filter(({ address }) => address === 'b2');
+    expect(declined.length).to.be.greaterThan(3);
+    expect(world.dispatch.places.meanRunMs('service')).to.be.closeTo(400, 0.001);
+  });
+
   it('give their place back when their client leaves as they get it', async () => {
     const backEnd = world.directory.get('b1');
     if (backEnd === undefined) throw new Error('no back end');
