Waiting requests go to a full worker when none are ahead of them

A request whose time was nearly up was refused instead, also without any other waiting request, where holders have less than some 30 slots in use: the wait behind the queue counted the place of the request itself twice. The same held for requests larger than the free prompt cache of all holders. The wait behind the queue is computed only where it decides.

--- a/packages/forwarding/src/dispatch-queue.ts
+++ b/packages/forwarding/src/dispatch-queue.ts
@@ -102,7 +102,8 @@
       const waiter = this.enqueue(request, resolve);
       this.giveFreePlaces();
       if (!this.waiting.has(waiter)) return;
-      const [ahead, waitMs] = [this.aheadOf(waiter), this.expectedWaitMs(waiter)];
+      const ahead = this.aheadOf(waiter);
+      const waitMs = this.expectedWaitMs(waiter, ahead);
       const isHopeless = waitMs > request.startBy - this.clock.monotonic();
       if (!request.isResumption && (isHopeless || this.waiting.size > MAX_WAITING_REQUESTS)) {
         this.refuse(waiter);
@@ -227,7 +228,8 @@
       startLeftMs: startBy - now,
       preempts: isPreemptionExpected(requests, slots, runs.lessUrgentShare(waiter.priority)),
       waitOnWorkerMs,
-      waitBehindQueueMs: waitOnWorkerMs + this.expectedWaitMs(waiter),
+      // The wait on the worker contains the place that the request itself needs.
+      waitBehindQueueMs: () => waitOnWorkerMs + this.expectedWaitMs(waiter, this.aheadOf(waiter) - 1),
     });
     if (decision === 'wait') return;
     if (decision === 'refuse' && !request.isResumption) {
@@ -240,18 +242,17 @@
 
   private refuse(waiter: Waiter): void {
     this.counts.refused += 1;
-    const retryAfterMs = spreadRetryMs(this.expectedWaitMs(waiter), this.random.next());
+    const retryAfterMs = spreadRetryMs(this.expectedWaitMs(waiter, this.aheadOf(waiter)), this.random.next());
     waiter.settle({ kind: 'full', retryAfterMs });
   }
 
-  private expectedWaitMs(waiter: Waiter): number {
-    const { request } = waiter;
+  private expectedWaitMs({ request }: Waiter, ahead: number): number {
     const { engine } = request;
     let running = 0;
     for (const { id } of request.holders())
       running += Math.min(engine.slots, this.places.useOf(id, engine).requests);
     return expectedWaitMs({
-      ahead: this.aheadOf(waiter),
+      ahead,
       running,
       meanRunMs: this.runsOf(request.service).meanMs,
     });
--- a/packages/forwarding/src/dispatch-wait.ts
+++ b/packages/forwarding/src/dispatch-wait.ts
@@ -43,9 +43,10 @@
   readonly startLeftMs: number;
   /** Whether the least loaded worker is expected to preempt a less urgent request for it. */
   readonly preempts: boolean;
-  /** Expected wait for a slot on that worker, and the same if the requests ahead in the queue are sent there first. */
+  /** Expected wait for a slot on that worker. */
   readonly waitOnWorkerMs: number;
-  readonly waitBehindQueueMs: number;
+  /** Returns the same if the requests ahead in the queue are sent there first; a function, since few decisions need it. */
+  readonly waitBehindQueueMs: () => number;
 }
 
 /**
@@ -57,7 +58,7 @@
   const { targetLeftMs, startLeftMs, preempts, waitOnWorkerMs, waitBehindQueueMs } = facts;
   if (preempts && targetLeftMs <= PREEMPTION_MARGIN_MS) return 'send';
   if (startLeftMs - waitOnWorkerMs > DISPATCH_POLL_MS) return 'wait';
-  return startLeftMs >= waitBehindQueueMs ? 'send' : 'refuse';
+  return startLeftMs >= waitBehindQueueMs() ? 'send' : 'refuse';
 }
 
 /**
--- a/packages/forwarding/test/dispatch-rules.test.ts
+++ b/packages/forwarding/test/dispatch-rules.test.ts
@@ -102,7 +102,7 @@
     startLeftMs: 2000,
     preempts: true,
     waitOnWorkerMs: 100,
-    waitBehindQueueMs: 150,
+    waitBehindQueueMs: () => 150,
   };
 
   it('waits, goes to a worker that preempts when its target is near, and is refused when that cannot serve it', () => {
--- a/packages/forwarding/test/full-holders.test.ts
+++ b/packages/forwarding/test/full-holders.test.ts
@@ -117,6 +117,15 @@
     expect(world.dispatch.totals.waiting).to.equal(0);
   });
 
+  it('are sent to a full worker when their time is nearly up and none are ahead of them', async () => {
+    world.recordRuns(400);
+    const exchanges = world.begin(5);
+    await world.run(60_000);
+    expect(exchanges[4]?.status).to.not.equal(503);
+    expect(world.calls).to.have.length(5);
+    expect(world.dispatch.totals).to.include({ waiting: 0, refused: 0, lastResort: 1 });
+  });
+
   it('expect the wait from requests that ran, not from those that a worker declined', async () => {
     world.add('b2', () => Promise.resolve(answer(503)), ['m']);
     world.begin(9);
