--- a/packages/forwarding/src/dispatch-wait.ts
+++ b/packages/forwarding/src/dispatch-wait.ts
@@ -58,7 +58,7 @@
   const { targetLeftMs, startLeftMs, preempts, waitOnWorkerMs, waitBehindQueueMs } = facts;
   if (preempts && targetLeftMs <= PREEMPTION_MARGIN_MS) return 'send';
   // A late request that the queue will not serve in its time is not held until that time is up.
-  if (targetLeftMs < 0 && waitBehindQueueMs > startLeftMs) return 'refuse';
+  if (targetLeftMs < 0 && waitBehindQueueMs() > startLeftMs) return 'refuse';
   if (startLeftMs - waitOnWorkerMs > DISPATCH_POLL_MS) return 'wait';
   return startLeftMs >= waitBehindQueueMs() ? 'send' : 'refuse';
 }
