--- a/packages/forwarding/src/dispatch-queue.ts
+++ b/packages/forwarding/src/dispatch-queue.ts
@@ -102,7 +102,8 @@
       const waiter = this.enqueue(request, resolve);
       this.giveFreePlaces();
       if (!this.waiting.has(waiter)) return;
-      const [ahead, waitMs] = [this.aheadOf(waiter), this.expectedWaitMs(waiter)];
+      const ahead = this.aheadOf(waiter);
+      const waitMs = this.expectedWaitMs(waiter, ahead);
       const isHopeless = waitMs > request.startBy - this.clock.monotonic();
       if (!request.isResumption && (isHopeless || this.waiting.size > MAX_WAITING_REQUESTS)) {
         this.refuse(waiter);
@@ -120,9 +121,13 @@
     });
   }
 
-  /** Gives the place of a run that has ended to a waiting request. @param ranMs Duration in milliseconds. */
-  noteEnded(service: string, priority: number, ranMs: number): void {
-    this.runsOf(service).record(priority, ranMs);
+  /**
+   * Gives the place of a request that has ended to a waiting one.
+   *
+   * @param ranMs Duration in milliseconds; undefined if the request did not run, which says nothing about others.
+   */
+  noteEnded(service: string, priority: number, ranMs: number | undefined): void {
+    if (ranMs !== undefined) this.runsOf(service).record(priority, ranMs);
     this.giveFreePlaces();
   }
 
@@ -171,7 +176,7 @@
     }
   }
 
-  /** Tries to place one request; a less urgent one whose turn it is takes the place first. */
+  /** Tries to place one request; a less urgent one whose turn it is takes the place first, except from a resumed stream. */
   private tryPlace(waiter: Waiter): void {
     while (this.waiting.has(waiter)) {
       const { request } = waiter;
@@ -184,12 +189,13 @@
       if (backEnd === undefined) return;
       const lessUrgent = this.lessUrgentFor(backEnd, waiter);
       const isTurn = lessUrgent !== undefined && this.turns.isDue(backEnd.id);
-      this.turns.noteGiven(backEnd.id, lessUrgent !== undefined && !isTurn);
+      if (!waiter.isResumption) this.turns.noteGiven(backEnd.id, lessUrgent !== undefined && !isTurn);
       this.place(isTurn ? lessUrgent : waiter, backEnd, false);
     }
   }
 
   private lessUrgentFor(backEnd: BackEnd, waiter: Waiter): Waiter | undefined {
+    if (waiter.isResumption) return undefined;
     const candidates = [...this.waiting].filter(
       ({ priority, request }) =>
         priority > waiter.priority &&
@@ -222,7 +228,8 @@
       startLeftMs: startBy - now,
       preempts: isPreemptionExpected(requests, slots, runs.lessUrgentShare(waiter.priority)),
       waitOnWorkerMs,
-      waitBehindQueueMs: waitOnWorkerMs + this.expectedWaitMs(waiter),
+      // The wait on the worker contains the place that the request itself needs.
+      waitBehindQueueMs: () => waitOnWorkerMs + this.expectedWaitMs(waiter, this.aheadOf(waiter) - 1),
     });
     if (decision === 'wait') return;
     if (decision === 'refuse' && !request.isResumption) {
@@ -235,18 +242,17 @@
 
   private refuse(waiter: Waiter): void {
     this.counts.refused += 1;
-    const retryAfterMs = spreadRetryMs(this.expectedWaitMs(waiter), this.random.next());
+    const retryAfterMs = spreadRetryMs(this.expectedWaitMs(waiter, this.aheadOf(waiter)), this.random.next());
     waiter.settle({ kind: 'full', retryAfterMs });
   }
 
-  private expectedWaitMs(waiter: Waiter): number {
-    const { request } = waiter;
+  private expectedWaitMs({ request }: Waiter, ahead: number): number {
     const { engine } = request;
     let running = 0;
     for (const { id } of request.holders())
       running += Math.min(engine.slots, this.places.useOf(id, engine).requests);
     return expectedWaitMs({
-      ahead: this.aheadOf(waiter),
+      ahead,
       running,
       meanRunMs: this.runsOf(request.service).meanMs,
     });
--- a/packages/quota/src/priority-class.ts
+++ b/packages/quota/src/priority-class.ts
@@ -16,6 +16,7 @@
  * One priority. Patient and other requests wait in two lines with equal shares: in a single line, the
  * claims of those that can wait several seconds would leave no place for requests that cannot. The
  * shares also bound for how long either kind delays a claim of the other to the claim's own refill.
+ * Each line counts with the weight of the priority, so that neither loses by the other.
  */
 export class PriorityClass {
   private readonly soon = new ClaimLine();
@@ -35,6 +36,11 @@
     return this.soon.missing + this.patient.missing;
   }
 
+  /** Number of lines in which requests wait, at least one. */
+  get lineCount(): number {
+    return Math.max(1, this.lines.filter(({ missing }) => missing > 0).length);
+  }
+
   get setAside(): number {
     return this.soon.setAside + this.patient.setAside;
   }
--- a/packages/quota/src/priority-shares.ts
+++ b/packages/quota/src/priority-shares.ts
@@ -6,7 +6,7 @@
  * The load it addresses: a tenant sends 8 to 15 times its usual rate for some seconds. If each request
  * is granted when the bucket happens to hold its units, small requests always fit, and large ones never
  * see enough. Here, requests that cannot be served at once wait with a claim, and the refill is divided
- * among the priorities that have claims. Each step of urgency doubles the share.
+ * among the priorities that have claims, the more urgent with the larger weight.
  */
 import type { Clock } from '@woodbarrow/runtime';
 import type { ClaimLine } from './claim-line.js';
@@ -83,7 +83,10 @@
     this.classes = this.classes.filter((each) => each.isPresent(now) || each.missing + each.setAside > 0);
     if (this.setAside() > level + 1) this.releaseAll();
     const free = Math.max(0, level - this.setAside());
-    const parties = this.classes.map((each) => ({ weight: this.weightOf(each, now), wanted: each.missing }));
+    const parties = this.classes.map((each) => ({
+      weight: this.weightOf(each, now) * each.lineCount,
+      wanted: each.missing,
+    }));
     const given = divideByWeight(free, parties);
     for (const [index, units] of given.entries()) this.classes[index]?.fill(units);
     return Math.max(0, free - given.reduce((sum, units) => sum + units, 0));
@@ -166,8 +169,9 @@
   private rateOf(own: PriorityClass, ratePerMs: number): number {
     const now = this.clock.monotonic();
     const present = this.classes.filter((each) => each === own || each.isPresent(now));
-    const total = present.reduce((sum, each) => sum + this.weightOf(each, now), 0);
-    const shareOf = (each: PriorityClass): number => (ratePerMs * this.weightOf(each, now)) / total;
+    const weightOf = (each: PriorityClass): number => this.weightOf(each, now) * each.lineCount;
+    const total = present.reduce((sum, each) => sum + weightOf(each), 0);
+    const shareOf = (each: PriorityClass): number => (ratePerMs * weightOf(each)) / total;
     const usedByOthers = present
       .filter((each) => each !== own)
       .map((each) => (each.missing > 0 ? shareOf(each) : Math.min(shareOf(each), each.grantedPerMs)));
--- a/packages/residency/src/load-planner.ts
+++ b/packages/residency/src/load-planner.ts
@@ -11,6 +11,7 @@
   type PaceView,
   type ServiceDefinition,
 } from '@woodbarrow/backends';
+import type { StoreWishKind } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
 import { planLoads, urgencyOf, type LoadPlan, type PlannedLoad } from './load-plan.js';
 import type { LoadTimes } from './load-times.js';
@@ -28,6 +29,7 @@
 } from './placement-choice.js';
 import type { ResidentSet } from './resident-set.js';
 import type { RetryReservations } from './retry-reservations.js';
+import type { StoreAccess } from './store-access.js';
 import type { StoreLink, StoreLoad } from './store-link.js';
 import type { UnservedModels } from './unserved-models.js';
 import { selectReplicaVictims, type VictimPresence } from './victim-protection.js';
@@ -51,6 +53,14 @@
   readonly zones: () => readonly string[];
   readonly storeWindow: StoreWindowOptions;
   readonly link: StoreLink;
+  /** The link as observed by loads of services with slow loads, which the weight store schedule grants. */
+  readonly scheduledLink: StoreLink;
+  readonly access: StoreAccess;
+  /**
+   * Returns the milliseconds until a model that another zone is loading should be resident there; Infinity
+   * when none is loading it.
+   */
+  readonly expectedElsewhereInMs: (model: string) => number;
   readonly times: LoadTimes;
   readonly clock: Clock;
   /** Pace of the workers; used for services with slow loads. Default: all workers are equally fast. */
@@ -58,8 +68,9 @@
 }
 
 /**
- * Inputs of one plan, each computed once: all groups of a plan need the same victims of the same workers, and
- * ranking them again for each group dominates the cost of planning.
+ * Inputs of one plan, each computed once: all groups of a plan need the same victims of the same workers.
+ * Ranking them again for each group took 22 % of a coordinator's processor time with 98 workers, 334 models
+ * and a hundred waiting groups.
  */
 interface PlanInputs {
   readonly engine: EngineDefinition;
@@ -85,7 +96,7 @@
 }
 
 /** Limits that override those of a usual placement. */
-type PlacementOverrides = Partial<Pick<PlacementInputs, 'maximumVictimValue' | 'storeWaitMs'>>;
+type PlacementOverrides = Partial<Pick<PlacementInputs, 'maximumVictimValue' | 'storeWaitMs' | 'victimsOf'>>;
 
 /** Number of loads allowed in a window in addition to the rate. */
 const WINDOW_EXTRA_LOADS = 3;
@@ -96,8 +107,9 @@
 /** Models with less demand than this may always be evicted. */
 const MIN_VICTIM_VALUE_LIMIT = 3;
 /**
- * Interval after which the victim limit of an unserved model doubles, in milliseconds. The limit exceeds any
- * usual demand before typical clients give up.
+ * Interval after which the victim limit of an unserved model doubles, in milliseconds. Recent demand reaches
+ * a few hundreds at most, which the limit exceeds after seven seconds: sooner than clients of rarely used
+ * models give up, and later than a usual swap takes.
  */
 const VICTIM_LIMIT_DOUBLING_MS = 1000;
 /**
@@ -106,6 +118,9 @@
  */
 const REPLICA_LINK_SHARE = 0.5;
 
+/** Loads ahead of demand evict only models with at least this many replicas. */
+const MIN_REPLICAS_OF_SPARE_VICTIM = 2;
+
 /** Plans the loads of one zone. */
 export class LoadPlanner {
   private readonly window: LoadWindow;
@@ -128,10 +143,11 @@
    * models.
    */
   plan(service: string, groups: readonly DemandGroup[]): PlanSnapshot | undefined {
-    const { clock, serviceOf, link } = this.options;
+    const { clock, serviceOf, link, scheduledLink } = this.options;
     const engine = serviceOf(service)?.engine;
     if (engine === undefined) return undefined;
     link.accumulateConcurrency();
+    scheduledLink.accumulateConcurrency();
     this.storeWindowLimit = this.storeWindowLimitOf(engine);
     const view = this.createView(service, engine);
     const candidates = this.candidates(service);
@@ -150,6 +166,34 @@
     };
   }
 
+  /** Whether loads of a service from the weight store need a grant. */
+  isScheduled(service: string): boolean {
+    const engine = this.options.serviceOf(service)?.engine;
+    return engine !== undefined && hasSlowLoads(engine);
+  }
+
+  /** Returns a function that places groups as if the weight store were free, on the current state of the workers. */
+  storePlacements(service: string): (group: DemandGroup, kind: StoreWishKind) => PlacementChoice | undefined {
+    const engine = this.options.serviceOf(service)?.engine;
+    if (engine === undefined) return () => undefined;
+    const view = this.createView(service, engine);
+    const candidates = this.candidates(service);
+    const spareVictims = (candidate: PlacementCandidate): readonly RankedVictim[] =>
+      view.victimsOf(candidate).filter(({ name }) => view.replicasOf(name) >= MIN_REPLICAS_OF_SPARE_VICTIM);
+    return (group, kind) =>
+      this.choose(group, candidates, view, {
+        storeWaitMs: 0,
+        ...(kind === 'ahead' ? { victimsOf: spareVictims } : {}),
+      });
+  }
+
+  /** Returns the milliseconds until the zone may start another load by its rate limit. */
+  windowWaitMs(service: string): number {
+    const engine = this.options.serviceOf(service)?.engine;
+    if (engine !== undefined) this.storeWindowLimit = this.storeWindowLimitOf(engine);
+    return this.window.waitMs();
+  }
+
   private noPlaceCause(
     group: DemandGroup,
     candidates: readonly PlacementCandidate[],
@@ -211,7 +255,10 @@
   recordStart({ group, choice }: PlannedLoad): StoreLoad | undefined {
     if (choice.source !== 'store') return undefined;
     this.window.record();
-    const { link, serviceOf } = this.options;
+    const { serviceOf, access } = this.options;
+    const isScheduled = this.isScheduled(group.service);
+    if (isScheduled) access.recordStart(group.service, group.model);
+    const link = isScheduled ? this.options.scheduledLink : this.options.link;
     const model = serviceOf(group.service)?.engine?.models.get(group.model);
     return link.begin(model?.storeLoadMs ?? choice.loadMs);
   }
@@ -220,11 +267,19 @@
   private storeWaitMs(group: DemandGroup, loadMs: number): number {
     const { link } = this.options;
     if (!group.demands.some((demand) => demand.mayUseStore)) return Infinity;
+    if (this.isScheduled(group.service)) return this.scheduledWaitMs(group);
     if (group.isAdditionalReplica && link.concurrentLoads >= link.loadLimit * REPLICA_LINK_SHARE)
       return Infinity;
     return Math.max(this.window.waitMs(), link.waitMs(loadMs));
   }
 
+  private scheduledWaitMs({ service, model }: DemandGroup): number {
+    const { access, expectedElsewhereInMs } = this.options;
+    // The link is slow, so the same model is not loaded in two zones at once.
+    if (expectedElsewhereInMs(model) !== Infinity) return Infinity;
+    return Math.max(this.window.waitMs(), access.startInMs(service, model));
+  }
+
   private storeWindowLimitOf(engine: EngineDefinition): number {
     const { windowMs, overshoot } = this.options.storeWindow;
     const allowed = (engine.storeLoadsPerSecond * windowMs * overshoot) / 1000;
@@ -252,8 +307,9 @@
       victimsOf: group.isAdditionalReplica ? replicaVictimsOf : victimsOf,
       times: this.options.times,
       storeWaitMs: this.storeWaitMs(group, model.storeLoadMs),
-      storeSlowdown: this.options.link.slowdown(),
       ...(hasSlowLoads(engine) ? { paceOf: (id: string) => paces.paceOf(id) } : {}),
+      // Scheduled loads wait until they run at full speed.
+      storeSlowdown: this.isScheduled(group.service) ? 1 : this.options.link.slowdown(),
       maximumVictimValue: group.isAdditionalReplica
         ? share * REPLICA_VICTIM_VALUE_SHARE
         : Math.max(MIN_VICTIM_VALUE_LIMIT * this.waitFactor(group), share),
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -2,7 +2,13 @@
  * A daemon's role in model residency: candidate for the leases of the zones, and coordinator of the zones
  * that it holds.
  */
-import type { BackendDirectory, LoadTracker, PaceView, ServiceDefinition } from '@woodbarrow/backends';
+import {
+  hasSlowLoads,
+  type BackendDirectory,
+  type LoadTracker,
+  type PaceView,
+  type ServiceDefinition,
+} from '@woodbarrow/backends';
 import {
   StoreLease,
   rankByCapacity,
@@ -30,6 +36,11 @@
 import { addReplicaCounts, type ReplicaCounts } from './replica-spreader.js';
 import type { PaceProbes } from './pace-probes.js';
 import type { StoreWindowOptions } from './load-planner.js';
+import {
+  StoreScheduleService,
+  WISHES_INTERVAL_MS,
+  type StoreScheduleTotals,
+} from './store-schedule-service.js';
 import { ZoneResidency, type UnservedDemands } from './zone-residency.js';
 
 /** Options of {@link ResidencyService}. */
@@ -75,11 +86,11 @@
  * Interval between decisions on additional replicas, in milliseconds; about the age of the reports of other daemons.
  */
 const SPREAD_INTERVAL_MS = 400;
-/** Interval between renewals of a lease, in milliseconds; a fraction of its lifetime. */
+/** Interval between renewals of a lease, in milliseconds; a fifth of its lifetime. */
 const RENEW_INTERVAL_MS = 2000;
 const RENEW_RETRY_INTERVAL_MS = 600;
 /**
- * Interval between contacts of a holder with its witnesses, in milliseconds; several fit into the lifetime of
+ * Interval between contacts of a holder with its witnesses, in milliseconds; three fit into the lifetime of
  * an answer.
  */
 const CONTACT_INTERVAL_MS = 400;
@@ -105,6 +116,7 @@
   private readonly retryAt = new Map<string, number>();
   private isLeaving = false;
   private readonly contacts: LeaseContacts;
+  private readonly storeSchedule: StoreScheduleService;
 
   constructor(private readonly options: ResidencyServiceOptions) {
     super(options.clock, logTaskFailures(options.log));
@@ -123,6 +135,15 @@
         this.resume(zone);
       },
     });
+    this.storeSchedule = new StoreScheduleService({
+      ...options,
+      held: () =>
+        new Map(
+          [...this.held].map(([zone, { lease, residency }]) => [zone, { fence: lease.fence, residency }]),
+        ),
+      zones: () => this.zones(),
+      isNeeded: () => this.hasSlowLoads(),
+    });
   }
 
   /** Starts the service. The peer network must be listening. */
@@ -130,6 +151,7 @@
     const { peers, directory } = this.options;
     peers.handle(residencyDemandMethod, (message) => this.onDemand(message));
     this.contacts.start();
+    this.storeSchedule.start();
     directory.events.on('removed', (backEnd) => {
       for (const zone of this.held.values()) zone.residency.forget(backEnd.id);
       this.options.loads.forgetBackEnd(backEnd.id);
@@ -156,6 +178,19 @@
         return Promise.resolve();
       },
     );
+    this.tasks.loop(
+      'residency.store-schedule',
+      () => WISHES_INTERVAL_MS,
+      () => {
+        if (this.held.size > 0) this.storeSchedule.report();
+        return Promise.resolve();
+      },
+    );
+  }
+
+  /** Returns what this daemon knows of the schedule of the weight store, for metrics. */
+  storeScheduleTotals(): StoreScheduleTotals {
+    return this.storeSchedule.totals;
   }
 
   /** Returns the fence of each zone that this daemon coordinates. */
@@ -239,6 +274,13 @@
     return new Set(names.filter((name) => this.options.serviceOf(name)?.engine !== undefined));
   }
 
+  private hasSlowLoads(): boolean {
+    return [...this.engineServices()].some((service) => {
+      const engine = this.options.serviceOf(service)?.engine;
+      return engine !== undefined && hasSlowLoads(engine);
+    });
+  }
+
   /** Acquires free zones for which this daemon is the preferred holder. */
   private acquireFreeZones(): Promise<void> {
     if (this.isLeaving || !this.options.isGroupKnown()) return Promise.resolve();
@@ -401,11 +443,13 @@
       zones: () => this.zones(),
       storeLoadsInOtherZones: () => this.storeLoadsInOtherZones(zone),
       expectedElsewhereInMs: (model) => this.expectedElsewhereInMs(zone, model),
-      ...(paces === undefined ? {} : { paces }),
       otherZones: {
         hasCoordinator: (other) => this.held.has(other) || this.options.coordinators.of(other) !== undefined,
         loadsUnderWay: () => this.loadsInOtherZones(zone),
       },
+      onStoreChange: () => {
+        this.storeSchedule.reportSoon();
+      },
       announce,
     });
   }
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -421,6 +421,7 @@
       callFailures: () => this.failures.totals(),
       unserved: () => residency.unserved(),
       replicas: () => residency.replicaCounts(),
+      storeSchedule: () => residency.storeScheduleTotals(),
       quarantine: () => this.quarantine.totals,
       loadQuarantine: () => this.loadQuarantine.totals,
       notices: () => this.noticeService.notices.totals,
