The dispatch queue acts only where callers compete for capacity

A slot that becomes free stays unused until reports tell of it, while a worker's own queue uses it at once.

--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -68,7 +68,8 @@
     private readonly residency: ResidencyClient,
     private readonly connections: ConnectionShare,
     private readonly permits: SendPermits,
-    private readonly dispatch: DispatchQueue,
+    /** Queue for requests whose holders are full; undefined where they are sent to full workers. */
+    private readonly dispatch: DispatchQueue | undefined,
     private readonly zone: string,
     private readonly clock: Clock,
     private readonly paces: PaceView,
@@ -79,7 +80,11 @@
   async select(request: ReplicaRequest, health: BackendHealth): Promise<BackendChoice> {
     const chain = buildPromptChain(request.target, request.facts.promptParts);
     if (request.signal.aborted) return refusal('client_gone', 0);
-    const placed = hasSlowLoads(request.engine) ? await this.awaitRoom(request, chain, health) : undefined;
+    const { dispatch } = this;
+    const placed =
+      dispatch !== undefined && hasSlowLoads(request.engine)
+        ? await this.awaitRoom(dispatch, request, chain, health)
+        : undefined;
     if (placed !== undefined) return placed;
     const best = this.cheapest(this.usable(request, request.target), request, chain, health);
     if (best !== undefined && !health.isAvoided(best.id))
@@ -115,6 +120,7 @@
 
   /** Waits for room on a holder of the target; undefined when no holder can be used. */
   private async awaitRoom(
+    dispatch: DispatchQueue,
     request: ReplicaRequest,
     chain: PromptChain,
     health: BackendHealth,
@@ -123,7 +129,7 @@
       this.usable(request, request.target).filter(({ id }) => !health.isAvoided(id));
     if (holders().length === 0) return undefined;
     const { facts, service, target, engine, priority, targetBy, startBy, isResumption, signal } = request;
-    const outcome = await this.dispatch.wait({
+    const outcome = await dispatch.wait({
       id: facts.id,
       service: service.name,
       target,
--- a/packages/forwarding/test/full-holders.test.ts
+++ b/packages/forwarding/test/full-holders.test.ts
@@ -67,13 +67,14 @@
     expect(world.calls).to.have.length(5);
   });
 
-  it('are sent at once without slow loads', async () => {
-    world = new HeldWorld([{}], ENGINE);
-    world.add('b1', world.hold, ['m']);
-    world.begin(5);
-    await world.run(10);
-    expect(world.calls).to.have.length(5);
-    expect(world.dispatch.totals).to.deep.equal({ waiting: 0, waited: 0, refused: 0, lastResort: 0 });
+  it('are sent at once without slow loads, or where the settings ask for no queue', async () => {
+    for (const unqueued of [new HeldWorld([{}], ENGINE), new HeldWorld([{}], SLOW_ENGINE, 100, false)]) {
+      unqueued.add('b1', unqueued.hold, ['m']);
+      unqueued.begin(5);
+      await unqueued.run(10);
+      expect(unqueued.calls).to.have.length(5);
+      expect(unqueued.dispatch.totals).to.deep.equal({ waiting: 0, waited: 0, refused: 0, lastResort: 0 });
+    }
   });
 
   it('are refused as not run when they cannot be served before their clients give up', async () => {
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -211,7 +211,12 @@
   quota: RequestQuota['acquire'] = () =>
     Promise.resolve({ kind: 'granted', ticket: { isValid: () => true, refund: () => undefined } });
 
-  constructor(routes: readonly Partial<Route>[], engine?: EngineDefinition, connectionLimit = 100) {
+  constructor(
+    routes: readonly Partial<Route>[],
+    engine?: EngineDefinition,
+    connectionLimit = 100,
+    private readonly queuesForRoom = true,
+  ) {
     const service: ServiceDefinition = {
       name: 'service',
       connectionLimit,
@@ -337,7 +342,7 @@
         residency,
         connections,
         permits,
-        this.dispatch,
+        this.queuesForRoom ? this.dispatch : undefined,
         'a',
         this.process,
         this.paces,
--- a/packages/serving/src/forwarder-assembly.ts
+++ b/packages/serving/src/forwarder-assembly.ts
@@ -85,7 +85,7 @@
       demands,
       connections,
       permits,
-      dispatch,
+      settings.hasContendedCapacity ? dispatch : undefined,
       settings.zone,
       clock,
       paces,
