Decision on replicas reads only workers with a copy for each model

A pass read all workers of the service for each model, and again for each model that needs a replica: with 4,700 workers and 1,600 models it took longer than the interval between passes on a coordinator's share of a core, which delayed the requests that the daemon forwards.

The mean capacity is computed once per pass, and workers are looked up by the models of which they have a copy. Decisions are unchanged.

--- a/packages/residency/src/replica-spread.ts
+++ b/packages/residency/src/replica-spread.ts
@@ -67,7 +67,9 @@
   /** Requests in progress per model. */
   readonly loads = new Map<string, number>();
   private readonly holders = new Map<string, SpreadWorker[]>();
-  private readonly copies = new Map<string, string[]>();
+  /** Workers with a copy of each model. */
+  private readonly copies = new Map<string, SpreadWorker[]>();
+  private readonly meanCapacity: number;
   private readonly presence: ModelPresence;
   private readonly sizesMb: ReadonlyMap<string, number>;
 
@@ -76,13 +78,14 @@
       for (const [model, requests] of worker.requestsByModel)
         this.loads.set(model, this.loadOf(model) + requests);
       for (const model of worker.held) addTo(this.holders, model, worker);
-      for (const model of worker.copies) addTo(this.copies, model, worker.id);
+      for (const model of worker.copies) addTo(this.copies, model, worker);
     }
+    this.meanCapacity = sum(inputs.workers.map(capacityOf)) / Math.max(1, inputs.workers.length);
     this.sizesMb = new Map(inputs.models.map(({ name, weightsMb }) => [name, weightsMb]));
     this.presence = {
       demandFor: inputs.demandFor,
       holdersOf: (model) => this.holdersOf(model).map(({ id }) => id),
-      copiesOf: (model) => this.copies.get(model) ?? [],
+      copiesOf: (model) => this.copyHoldersOf(model).map(({ id }) => id),
     };
   }
 
@@ -96,12 +99,11 @@
 
   /** Chooses the worker for a replica; undefined when none can take it. */
   place(need: Need, decided: readonly ReplicaDecision[]): ReplicaDecision | undefined {
-    const { history, now, workers } = this.inputs;
+    const { history, now } = this.inputs;
     const { model } = need;
-    const usable = workers.filter(
+    const usable = this.copyHoldersOf(model).filter(
       (worker) =>
         worker.canLoad &&
-        worker.copies.has(model) &&
         !worker.held.includes(model) &&
         !history.wasChosen(model, worker.id, now) &&
         !decided.some(({ workerId }) => workerId === worker.id) &&
@@ -126,7 +128,7 @@
       return undefined;
     const free = holders.map((holder) => freeSlots(holder, model));
     const arriving = loading.filter((load) => load.model === model && load.readyInMs <= horizonMs).length;
-    const capacity = sum(free) + arriving * this.meanCapacity();
+    const capacity = sum(free) + arriving * this.meanCapacity;
     const isFull = capacity < 1;
     const waiting = isFull && demandFor(model) >= WAITING_DEMAND ? 1 : 0;
     const current = Math.max(this.loadOf(model), waiting);
@@ -189,11 +191,6 @@
     return worker.held.filter((model) => model !== apartFrom && this.loadOf(model) >= limit).length;
   }
 
-  private meanCapacity(): number {
-    const { workers } = this.inputs;
-    return sum(workers.map(capacityOf)) / Math.max(1, workers.length);
-  }
-
   private loadOf(model: string): number {
     return this.loads.get(model) ?? 0;
   }
@@ -201,6 +198,10 @@
   private holdersOf(model: string): readonly SpreadWorker[] {
     return this.holders.get(model) ?? [];
   }
+
+  private copyHoldersOf(model: string): readonly SpreadWorker[] {
+    return this.copies.get(model) ?? [];
+  }
 }
 
 /** Returns the requests that a worker runs at the usual pace; a slow worker is not given all its slots' worth. */
--- a/packages/residency/test/replica-spread.test.ts
+++ b/packages/residency/test/replica-spread.test.ts
@@ -229,4 +229,23 @@
     expect(decide([full, lost])).to.deep.equal([]);
     expect(decide([full, lost, worker('w3', { copies: ['hot'] })])[0]).to.include({ workerId: 'w3' });
   });
+
+  it('reads a worker a bounded number of times per pass, however many models there are', () => {
+    const names = Array.from({ length: 200 }, (_, index) => `model-${String(index)}`);
+    let reads = 0;
+    const counted = (of: SpreadWorker): SpreadWorker =>
+      new Proxy(of, {
+        get: (target, name, receiver): unknown => {
+          if (name === 'pace' || name === 'canLoad') reads += 1;
+          return Reflect.get(target, name, receiver);
+        },
+      });
+    const busy = names.map((name) => worker(`w-${name}`, { runs: { [name]: 16 } }));
+    const idle = Array.from({ length: 100 }, (_, index) => worker(`idle-${String(index)}`, {}));
+    const workers = [...busy, ...idle].map(counted);
+    decide(workers, { models: definitionsOf(names) });
+    expect(reads)
+      .to.be.above(0)
+      .and.at.most(workers.length * 5);
+  });
 });
