Replica spread looks up coordinators per zone and excludes only workers of its zone

A pass looked up the coordinator of each worker's zone, and a wanted replica listed all other workers of the service as excluded, against which each plan and quote compared each worker of the zone. Both grow with the number of workers in all zones.

Coordinators are looked up once per zone and pass. Only workers of the zone are excluded, as the scheduler considers no others.

--- a/packages/residency/src/replica-spreader.ts
+++ b/packages/residency/src/replica-spreader.ts
@@ -107,7 +107,10 @@
   /** Requests a load on exactly the chosen worker, unless it would come too late. */
   private add(service: string, { model, workerId, reason, load, capacity }: ReplicaDecision): void {
     const { scheduler, directory, log, zone } = this.options;
-    const others = directory.ofService(service).filter(({ id }) => id !== workerId);
+    // The scheduler places loads on workers of its own zone only; a longer list would slow each of its plans.
+    const others = directory
+      .ofService(service)
+      .filter((backEnd) => backEnd.zone === zone && backEnd.id !== workerId);
     const limits = { without: others.map(({ id }) => id), mayUseStore: false };
     const wanted = { service, model, isAdditionalReplica: true };
     log.changed('replica_wanted', {
@@ -141,9 +144,11 @@
     }
     const loadingOn = new Set(loading.map(({ backEndId }) => backEndId));
     const own = new Map(this.options.workersOf(service).map((worker) => [worker.backEndId, worker]));
+    const zones = new Set(directory.ofService(service).map((backEnd) => backEnd.zone));
+    const coordinated = new Set([...zones].filter((other) => otherZones.hasCoordinator(other)));
     const canLoad = (backEnd: BackEnd): boolean => {
       if (loadingOn.has(backEnd.id)) return false;
-      if (backEnd.zone !== zone) return otherZones.hasCoordinator(backEnd.zone);
+      if (backEnd.zone !== zone) return coordinated.has(backEnd.zone);
       const worker = own.get(backEnd.id);
       return worker?.isSynchronized === true && worker.isResponsive && worker.busyMs <= 0;
     };
--- a/packages/residency/test/replica-spreader.test.ts
+++ b/packages/residency/test/replica-spreader.test.ts
@@ -1,9 +1,10 @@
 import { expect } from 'chai';
-import { UNIFORM_PACE, type EngineDefinition } from '@woodbarrow/backends';
+import { NO_NEARBY_COPIES, UNIFORM_PACE, type EngineDefinition } from '@woodbarrow/backends';
 import { silentLog, type EventDetails } from '@woodbarrow/observability';
 import type { LoadUnderWay } from '@woodbarrow/protocol';
 import {
   ReplicaSpreader,
+  type DemandLimits,
   type LoadScheduler,
   type OtherZones,
   type SpreadableWorker,
@@ -115,15 +116,22 @@
 
 describe('ReplicaSpreader', () => {
   /** Returns the workers on which a zone loads when a worker of `zone-b` is the better one. */
-  function loadsHere(otherZones: OtherZones): string[] {
+  function loadsHere(
+    otherZones: OtherZones,
+    onWait: (limits: DemandLimits) => void = () => undefined,
+  ): string[] {
     const zone = new SpreadZone(2, SLOW_ENGINE);
     const own = zone.directory.get('w1');
     if (own === undefined) throw new Error('no worker');
     zone.directory.put({ ...own, id: 'b1', name: 'b1', zone: 'zone-b' });
+    zone.directory.put({ ...own, id: 'b2', name: 'b2', zone: 'zone-b', nearby: NO_NEARBY_COPIES });
     const logged: EventDetails[] = [];
     const scheduler: Pick<LoadScheduler, 'quote' | 'wait' | 'loadsUnderWay'> = {
       quote: () => ({ readyMs: 600, occupiesMs: 600 }),
-      wait: () => new Promise(() => undefined),
+      wait: (_wanted, _times, limits) => {
+        onWait(limits);
+        return new Promise(() => undefined);
+      },
       loadsUnderWay: () => [],
     };
     const spreader = new ReplicaSpreader({
@@ -158,4 +166,19 @@
       'w1',
     ]);
   });
+
+  it('excludes only workers of its own zone, which alone the scheduler considers', () => {
+    const excluded: string[][] = [];
+    loadsHere({ hasCoordinator: () => false, loadsUnderWay: () => [] }, ({ without }) => {
+      excluded.push([...without]);
+    });
+    expect(excluded).to.deep.equal([['w0']]);
+  });
+
+  it('looks up the coordinator of a zone once per pass, not once per worker', () => {
+    const zones: string[] = [];
+    const hasCoordinator = (zone: string): boolean => zones.push(zone) > 0;
+    loadsHere({ hasCoordinator, loadsUnderWay: () => [] });
+    expect(zones.filter((zone) => zone === 'zone-b')).to.have.length(1);
+  });
 });
