Expected starts do not count loads ahead of demand that have not started

While many models were loaded ahead of demand, a request for one of them, or for a model that was not listed, was quoted the end of all these loads: it was refused although its load goes before them, and its Retry-After was too long by as much.

The expected start of a model that is asked for next now counts only loads in progress, granted ones, and those ranked up to the last model that is asked for.

--- a/packages/residency/src/store-schedule.ts
+++ b/packages/residency/src/store-schedule.ts
@@ -148,10 +148,14 @@
       inProgress.some((load) => load.model === model && (load.service ?? service) === service);
     const { limit } = this;
     const slots = this.slotsOf(inProgress, now, limit);
+    /** The places as a model finds them that is asked for next: it goes before what is ranked after the last such model. */
+    const nextSlots = [...slots];
     const byKey = new Map<string, number>();
     let used = inProgress.length + this.grants.size;
     const replicas = [...inProgress, ...this.grants.values()].filter(({ kind }) => kind === 'replica').length;
-    for (const merged of rankWishes(this.mergedWishes(now), limit, replicas)) {
+    const ranked = rankWishes(this.mergedWishes(now), limit, replicas);
+    const lastFirst = ranked.map(({ wish }) => wish.kind).lastIndexOf('first');
+    for (const [index, merged] of ranked.entries()) {
       const { wish, key } = merged;
       if (isLoading(wish)) continue;
       const startInMs = Math.max(0, slots[0] ?? 0);
@@ -159,15 +163,20 @@
       if (!isInTime(wish, startInMs)) continue;
       const offer = this.usableOffer(merged, startInMs);
       if (offer === undefined) continue;
-      if (startInMs <= 0 && used < limit && this.mayGrant(now)) {
+      const isGranted = startInMs <= 0 && used < limit && this.mayGrant(now);
+      if (isGranted) {
         this.grant(merged, offer, used, now);
         used += 1;
         byKey.delete(key);
       }
-      slots[0] = startInMs + wish.loadMs;
-      slots.sort((left, right) => left - right);
+      occupy(slots, wish.loadMs);
+      if (isGranted || index <= lastFirst) occupy(nextSlots, wish.loadMs);
     }
-    return { byKey, nextInMs: Math.max(0, slots[0] ?? 0) };
+    const nextInMs = Math.max(0, nextSlots[0] ?? 0);
+    // Expected starts are read for requests; with the first one, a load ahead of demand becomes one that is asked for.
+    for (const { key, wish } of ranked)
+      if (wish.kind === 'ahead' && byKey.has(key)) byKey.set(key, Math.max(nextInMs, wish.startableInMs));
+    return { byKey, nextInMs };
   }
 
   /** Grants of a former scheduler may still become loads until they expire. */
@@ -253,3 +262,9 @@
     return { grants, expected, nextStartInMs: Math.round(starts.nextInMs), ...link };
   }
 }
+
+/** Adds a load to the first free place of the link. @param slots Milliseconds until each place is free, ascending. */
+function occupy(slots: number[], loadMs: number): void {
+  slots[0] = Math.max(0, slots[0] ?? 0) + loadMs;
+  slots.sort((left, right) => left - right);
+}
--- a/packages/residency/test/store-schedule.test.ts
+++ b/packages/residency/test/store-schedule.test.ts
@@ -185,6 +185,23 @@
     expect(scheduler.granted(wishes('a', list))).to.deep.equal(['many', 'few']);
   });
 
+  // Requests were refused, with the end of all loads ahead of demand as retry delay, though their loads come before those.
+  it('expects a model that is asked for next to start before the remaining loads ahead of demand', async () => {
+    const scheduler = new Scheduler();
+    const list = Array.from({ length: 12 }, (_, index) => ({
+      model: `m${String(index)}`,
+      kind: 'ahead' as const,
+      requestsPerS: 0,
+    }));
+    scheduler.granted(wishes('a', list));
+    await scheduler.pass(1000);
+    const answer = scheduler.schedule.accept(wishes('a', list));
+    expect(answer.grants).to.have.length(2);
+    expect(answer.nextStartInMs).to.equal(10_000);
+    expect(answer.expected).to.have.length(10);
+    expect(new Set(answer.expected.map(({ startInMs }) => startInMs))).to.deep.equal(new Set([10_000]));
+  });
+
   it('does not load a model again that has just been loaded, for a zone that has not heard of it', async () => {
     const scheduler = new Scheduler();
     const loading = [{ service: 'models', model: 'm1', kind: 'first' as const, readyInMs: 300 }];
