Daemon without zones gives up the schedule of the weight store

The reports stop with the last zone of a daemon, and with them the check of its role: it went on to count as the scheduler in the metrics. With a zone again, it went on with its former state and granted loads at once, without the pause that lets the grants of another scheduler expire.

The role is now also checked while the daemon coordinates no zone.

--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -182,7 +182,7 @@
       'residency.store-schedule',
       () => WISHES_INTERVAL_MS,
       () => {
-        if (this.held.size > 0) this.storeSchedule.report();
+        this.storeSchedule.report();
         return Promise.resolve();
       },
     );
--- a/packages/residency/src/store-schedule-service.ts
+++ b/packages/residency/src/store-schedule-service.ts
@@ -111,7 +111,7 @@
   report(): void {
     const { clock, held } = this.options;
     this.lastReportAt = clock.monotonic();
-    if (!this.options.isNeeded()) {
+    if (held().size === 0 || !this.options.isNeeded()) {
       this.schedule = undefined;
       return;
     }
--- a/packages/residency/test/residency-service.test.ts
+++ b/packages/residency/test/residency-service.test.ts
@@ -201,6 +201,18 @@
     expect(await schedulers(modelDefinition('m'))).to.deep.equal([]);
   });
 
+  // Otherwise it would go on with old grants, without waiting for those of its successor, once it coordinates a zone again.
+  it('gives up the schedule of the weight store with its last zone', async () => {
+    const world = new ServiceWorld(new Map([['m', { ...modelDefinition('m'), storeLoadMs: 12_000 }]]));
+    for (const zone of ZONES) await world.start(`daemon-${zone}`, zone);
+    await world.cluster.advance(6000);
+    const scheduler = world.services.get(world.holderOf('alpha') ?? '');
+    expect(scheduler?.storeScheduleTotals().isScheduler).to.equal(true);
+    await scheduler?.leave();
+    await world.cluster.advance(1000);
+    expect(scheduler?.storeScheduleTotals().isScheduler).to.equal(false);
+  });
+
   it('resumes its leases at once after a restart, independently of each other', async () => {
     const world = new ServiceWorld();
     const stops = new Map<string, () => void>();
