Refused requests for a missing model with slow loads do not fill the demand queue

Each refused request for a model with recent demand was queued until its retry, which with slow loads is due after the load from the weight store, or after the zone's next turn. With many requests for one missing model the queue reached its limit, and requests for all other models of the zone were refused as 'queue_full', also those for models with a local copy.

A retry that is not expected to arrive is queued only if no demand for the model is. Services without slow loads queue as before.

--- a/packages/residency/src/load-scheduler.ts
+++ b/packages/residency/src/load-scheduler.ts
@@ -274,7 +274,7 @@
     const retryAt = demand.arrivedAt + retryAfterMs;
     const deadline = retryAt + RETRY_SLACK_MS;
     this.reservations.reserve(wanted.model, deadline);
-    if (this.loading.has(groupKey(wanted))) return;
+    if (this.loading.has(groupKey(wanted)) || this.isLateRetryQueued(wanted, readyMs)) return;
     this.queue.add(wanted, {
       ...demand,
       targetAt: retryAt,
@@ -285,6 +285,15 @@
     this.scheduleBatched();
   }
 
+  /**
+   * Whether a retry that is not expected to arrive need not be queued, as a demand for the model is queued already. With
+   * slow loads such retries are due after 10 s or more, and one for each request would fill the queue until then.
+   */
+  private isLateRetryQueued(wanted: WantedModel, readyMs: number): boolean {
+    if (readyMs <= MAX_EXPECTED_RETRY_MS || !this.planner.isScheduled(wanted.service)) return false;
+    return this.queue.demandsOf(groupKey(wanted)).length > 0;
+  }
+
   /** Refuses a demand that expired while it waited; its group may still be loaded for others. */
   private settleExpired(wanted: WantedModel, demand: PendingDemand): void {
     if (!demand.isWaiting()) return;
--- a/packages/residency/test/scheduled-loads.test.ts
+++ b/packages/residency/test/scheduled-loads.test.ts
@@ -9,7 +9,7 @@
   StoreWishesAnswer,
   StoreWishKind,
 } from '@woodbarrow/protocol';
-import type { ZoneResidency } from '../src/index.js';
+import { MAX_PENDING_DEMANDS, type ZoneResidency } from '../src/index.js';
 import { modelDefinition } from './simulated-workers.js';
 import { demand, ENGINE, MODELS, SERVICE, ZONE, ZoneWorld } from './zone-world.js';
 
@@ -105,6 +105,31 @@
     expect(zone.violations()).to.deep.equal([]);
   });
 
+  // Each refused request was kept until its distant retry, and the full queue refused requests for all other models.
+  it('keeps the queue free for other models while many requests for a missing model are refused', async () => {
+    const { zone, coordinator } = await slowZone();
+    for (const backEnd of zone.directory.ofService(SERVICE))
+      zone.directory.put({ ...backEnd, nearby: { inMemory: [], onDisk: ['m8'] } });
+    const ask = (model: string, mayUseStore: boolean): Promise<ResidencyDemandAnswer> =>
+      coordinator.demand({
+        zone: ZONE,
+        service: SERVICE,
+        model,
+        priority: 1,
+        without: [],
+        mayUseStore,
+        withinMs: 4000,
+        quote: false,
+      });
+    const missing = Array.from({ length: MAX_PENDING_DEMANDS }, () => {
+      zone.loads.recordDemand('m9');
+      return ask('m9', true);
+    });
+    const refused = await zone.settle(Promise.all(missing));
+    expect(refused.every(({ reason }) => reason === 'loading')).to.equal(true);
+    expect((await zone.settle(ask('m8', false))).reason).to.equal('resident');
+  });
+
   it('wishes for models that exist nowhere before there is traffic', async () => {
     const { coordinator } = await slowZone();
     const wishes = coordinator.storeReport()?.message.wishes ?? [];
