Replica spread counts the requests that wait at the daemons

Since requests wait at the daemons instead of on a full worker, the decision on replicas saw at most the slots of a model's holders as its load. A rare model whose only holder is full of requests for other models looked unused unless several requests for it came within seconds, and its requests waited until they were rejected.

The load tracker returns the waiting requests by model, and the decision adds them to the requests in progress.

--- a/packages/backends/src/load-tracker.ts
+++ b/packages/backends/src/load-tracker.ts
@@ -81,6 +81,8 @@
   readonly updatedAt: number;
 }
 
+/** Start of the ids under which waiting requests are reported. */
+const WAITING_ID_PREFIX = 'waiting/';
 /** Size of a request that no back end has received. */
 const NO_SIZE: WorkSize = { promptTokens: 0, outputTokens: 0 };
 const NO_LOAD: BackEndLoad = { requests: 0, unreadTokens: 0, heldTokens: 0 };
@@ -146,6 +148,20 @@
     return this.ownRequests(waitingId(model, priority));
   }
 
+  /** Returns the requests of all priorities that wait for room on a worker, by model, over all daemons. */
+  waitingByModel(): ReadonlyMap<string, number> {
+    const waiting = new Map<string, number>();
+    const add = (id: string, requests: number): void => {
+      const model = modelOfWaitingId(id);
+      if (model !== undefined && requests > 0) waiting.set(model, (waiting.get(model) ?? 0) + requests);
+    };
+    for (const id of this.ownLoadByBackEnd.keys()) add(id, this.ownRequests(id));
+    for (const report of this.freshReports()) {
+      for (const loads of report.loads.values()) for (const load of loads) add(load.backEndId, load.requests);
+    }
+    return waiting;
+  }
+
   /** Records a request for a model, whether or not a back end can accept it. */
   recordDemand(model: string): void {
     const now = this.clock.monotonic();
@@ -410,7 +426,14 @@
 
 /** Id under which the requests that wait for a model are reported. */
 function waitingId(model: string, priority: number): string {
-  return `waiting/${String(priority)}/${model}`;
+  return `${WAITING_ID_PREFIX}${String(priority)}/${model}`;
+}
+
+/** Returns the model of a {@link waitingId}; undefined for the id of a back end. */
+function modelOfWaitingId(id: string): string | undefined {
+  return id.startsWith(WAITING_ID_PREFIX)
+    ? id.slice(id.indexOf('/', WAITING_ID_PREFIX.length) + 1)
+    : undefined;
 }
 
 function lastUsedKey(backEndId: string, target: string): string {
--- a/packages/backends/test/load-tracker.test.ts
+++ b/packages/backends/test/load-tracker.test.ts
@@ -80,4 +80,21 @@
     ]);
     expect(demand).to.deep.equal([]);
   });
+
+  // A coordinator that does not see them takes a model whose requests all wait for an unused one.
+  it('counts waiting requests of all daemons and priorities by model, also from a summary', async () => {
+    book(0).start('w', { model: 'm' }, SIZE);
+    book(0).startWaiting({ model: 'm', adapter: 'a' }, 0);
+    book(0).startWaiting({ model: 'm' }, 2).ended();
+    book(1).startWaiting({ model: 'm' }, 1);
+    book(2).startWaiting({ model: 'org/n' }, 9);
+    book(0).acceptReport('1', 'attached', book(1).ownReport());
+    book(0).acceptReport('2', 'relay', summarizedReport(book(2).ownReport()));
+    expect([...book(0).waitingByModel()]).to.have.deep.members([
+      ['m', 2],
+      ['org/n', 1],
+    ]);
+    await world.run(world.now + 2001);
+    expect([...book(0).waitingByModel()]).to.deep.equal([['m', 1]]);
+  });
 });
--- a/packages/residency/src/replica-decision.ts
+++ b/packages/residency/src/replica-decision.ts
@@ -32,6 +32,8 @@
   /** Workers of the service in all zones, without draining ones. */
   readonly workers: readonly SpreadWorker[];
   readonly loading: readonly SpreadLoad[];
+  /** Requests that wait at the daemons for room on a worker, by model. */
+  readonly waiting: ReadonlyMap<string, number>;
   /** Returns the recent demand for a model: the decayed number of its requests. */
   readonly demandFor: (model: string) => number;
   readonly models: readonly ModelDefinition[];
--- a/packages/residency/src/replica-spread.ts
+++ b/packages/residency/src/replica-spread.ts
@@ -64,8 +64,8 @@
 
 /** Indexes of one pass. */
 class Spread {
-  /** Requests in progress per model. */
-  readonly loads = new Map<string, number>();
+  /** Requests in progress and waiting per model. */
+  readonly loads: Map<string, number>;
   private readonly holders = new Map<string, SpreadWorker[]>();
   /** Workers with a copy of each model. */
   private readonly copies = new Map<string, SpreadWorker[]>();
@@ -74,6 +74,7 @@
   private readonly sizesMb: ReadonlyMap<string, number>;
 
   constructor(private readonly inputs: SpreadInputs) {
+    this.loads = new Map(inputs.waiting);
     for (const worker of inputs.workers) {
       for (const [model, requests] of worker.requestsByModel)
         this.loads.set(model, this.loadOf(model) + requests);
--- a/packages/residency/src/replica-spreader.ts
+++ b/packages/residency/src/replica-spreader.ts
@@ -93,6 +93,7 @@
     const { decisions, unplaced } = decideReplicas({
       workers: this.workersOf(name, engine, loading),
       loading,
+      waiting: loads.waitingByModel(),
       demandFor: (model) => loads.demandFor(model),
       models: [...engine.models.values()],
       mayLoad: (model) => quarantine.verdictOf(name, { model }) === undefined,
--- a/packages/residency/test/drafting-load.ts
+++ b/packages/residency/test/drafting-load.ts
@@ -166,6 +166,7 @@
         loading: this.workers.flatMap(({ load }) =>
           load === undefined ? [] : [{ model: load.model, readyInMs: load.endsAt - this.now }],
         ),
+        waiting: new Map(),
         demandFor: (model) => this.demand.get(model) ?? 0,
         models: this.models,
         mayLoad: () => true,
--- a/packages/residency/test/replica-spread.test.ts
+++ b/packages/residency/test/replica-spread.test.ts
@@ -125,6 +125,7 @@
   return decideReplicas({
     workers,
     loading: [],
+    waiting: new Map(),
     demandFor,
     mayLoad,
     models,
@@ -166,6 +167,14 @@
     expect(decision).to.include({ model: 'rare', workerId: 'w2', reason: 'capacity' });
   });
 
+  // Requests that wait at the daemons are not in progress on any worker, and a few of them are little demand.
+  it('counts waiting requests as load', () => {
+    const holder = worker('w1', { runs: { hot: 16 }, held: ['hot', 'rare'] });
+    const inputs = { demandFor: (): number => 0.9, waiting: new Map([['rare', 1]]) };
+    const [decision] = decide([holder, worker('w2', { copies: ['rare'] })], inputs);
+    expect(decision).to.include({ model: 'rare', workerId: 'w2', reason: 'capacity', load: 1 });
+  });
+
   it('prefers a worker without busy models to a faster one that would be shared', () => {
     const shared = worker('w3', { pace: 0.6, runs: { warm: 5 }, copies: ['hot'] });
     const slow = worker('w4', { pace: 1.6, copies: ['hot'] });
--- a/packages/residency/test/replica-spreader.test.ts
+++ b/packages/residency/test/replica-spreader.test.ts
@@ -125,6 +125,7 @@
     if (own === undefined) throw new Error('no worker');
     zone.directory.put({ ...own, id: 'b1', name: 'b1', zone: 'zone-b' });
     zone.directory.put({ ...own, id: 'b2', name: 'b2', zone: 'zone-b', nearby: NO_NEARBY_COPIES });
+    zone.loads.startWaiting({ model: 'm0' }, 2);
     const logged: EventDetails[] = [];
     const scheduler: Pick<LoadScheduler, 'quote' | 'wait' | 'loadsUnderWay'> = {
       quote: () => ({ readyMs: 600, occupiesMs: 600 }),
@@ -147,6 +148,7 @@
       log: { ...silentLog, changed: (_, details = {}) => logged.push(details) },
     });
     spreader.spread({ name: SERVICE, connectionLimit: 1, engine: SLOW_ENGINE });
+    for (const { load } of logged) expect(load, 'requests in progress and waiting').to.equal(FULL + 1);
     return logged.map(({ backEnd }) => String(backEnd));
   }
 
