Replica spread reads each report of requests once per pass

A pass looked up each worker, and each model that it holds, in the reports of all sources: on a relay of a large deployment with tens of sources this was most of its time.

The load tracker returns the requests by back end and target in one pass over the reports.

--- a/packages/backends/src/load-tracker.ts
+++ b/packages/backends/src/load-tracker.ts
@@ -229,6 +229,27 @@
     return requests;
   }
 
+  /**
+   * Returns the requests in progress by back end and target, over all daemons. Reads each report once, where
+   * {@link loadOf} and {@link requestsFor} look up one back end in all reports.
+   */
+  requestsByTarget(): ReadonlyMap<string, ReadonlyMap<string, number>> {
+    const sums = new Map<string, Map<string, number>>();
+    const add = (backEndId: string, target: string, requests: number): void => {
+      if (requests === 0) return;
+      const targets = sums.get(backEndId) ?? new Map<string, number>();
+      if (targets.size === 0) sums.set(backEndId, targets);
+      targets.set(target, (targets.get(target) ?? 0) + requests);
+    };
+    for (const [id, targets] of this.ownLoadByBackEnd)
+      for (const [target, { requests }] of targets) add(id, target, requests);
+    for (const report of this.freshReports()) {
+      for (const loads of report.loads.values())
+        for (const { backEndId, target, requests } of loads) add(backEndId, target, requests);
+    }
+    return sums;
+  }
+
   /**
    * Returns the expected milliseconds until the last request for a model or its adapters ends on a back end; 0 when
    * there is none.
@@ -440,7 +461,8 @@
   return `${backEndId} ${target}`;
 }
 
-function isTargetOfModel(key: string, model: string): boolean {
+/** Whether the key of a target is that of a model or of one of its adapters. */
+export function isTargetOfModel(key: string, model: string): boolean {
   return key === model || (key.startsWith(model) && key.charAt(model.length) === '/');
 }
 
--- a/packages/backends/test/load-tracker.test.ts
+++ b/packages/backends/test/load-tracker.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
-import { LoadTracker, summarizedReport } from '../src/index.js';
+import { LoadTracker, isTargetOfModel, summarizedReport } from '../src/index.js';
 
 const SIZE = { promptTokens: 100, outputTokens: 10 };
 
@@ -97,4 +97,23 @@
     await world.run(world.now + 2001);
     expect([...book(0).waitingByModel()]).to.deep.equal([['m', 1]]);
   });
+
+  it('returns the same requests for all back ends at once as for one of them', () => {
+    book(0).start('w', { model: 'm' }, SIZE);
+    book(0).start('w', { model: 'n' }, SIZE).ended();
+    book(1).start('w', { model: 'm', adapter: 'a' }, SIZE);
+    book(2).start('v', { model: 'n' }, SIZE);
+    book(0).acceptReport('1', 'attached', book(1).ownReport());
+    book(0).acceptReport('2', 'relay', book(2).ownReport());
+    const all = book(0).requestsByTarget();
+    const requestsFor = (id: string, model: string): number =>
+      [...(all.get(id) ?? [])].reduce(
+        (sum, [key, count]) => sum + (isTargetOfModel(key, model) ? count : 0),
+        0,
+      );
+    expect(all.size).to.equal(2);
+    for (const id of ['v', 'w'])
+      for (const model of ['m', 'n']) expect(requestsFor(id, model)).to.equal(book(0).requestsFor(id, model));
+    expect(requestsFor('w', 'm')).to.equal(2);
+  });
 });
--- a/packages/residency/src/replica-spreader.ts
+++ b/packages/residency/src/replica-spreader.ts
@@ -2,13 +2,14 @@
  * Adds replicas in one zone: evaluates the decision on replicas over the workers of all zones, and gives those for its
  * own zone to the load scheduler.
  */
-import type {
-  BackEnd,
-  BackendDirectory,
-  EngineDefinition,
-  LoadTracker,
-  PaceView,
-  ServiceDefinition,
+import {
+  isTargetOfModel,
+  type BackEnd,
+  type BackendDirectory,
+  type EngineDefinition,
+  type LoadTracker,
+  type PaceView,
+  type ServiceDefinition,
 } from '@woodbarrow/backends';
 import type { EventLog } from '@woodbarrow/observability';
 import type { LoadUnderWay } from '@woodbarrow/protocol';
@@ -67,6 +68,8 @@
 /** Time within which a replica must be resident, in milliseconds; the demand may be another by then. */
 const REPLICA_DEADLINE_MS = 4000;
 
+const NO_REQUESTS: ReadonlyMap<string, number> = new Map();
+
 /** Adds the replicas of one zone. */
 export class ReplicaSpreader {
   private readonly histories = new Map<string, SpreadHistory>();
@@ -138,6 +141,7 @@
     loading: readonly LoadUnderWay[],
   ): SpreadWorker[] {
     const { directory, otherZones, zone, paces, loads } = this.options;
+    const requestsByTarget = loads.requestsByTarget();
     const held = new Map<string, string[]>();
     for (const model of models.keys()) {
       for (const { id } of directory.holdersOf(service, { model }))
@@ -159,7 +163,7 @@
       .map((backEnd) => {
         const { id, slots, nearby } = backEnd;
         const models = held.get(id) ?? [];
-        const { requests } = loads.loadOf(id);
+        const byTarget = requestsByTarget.get(id);
         return {
           id,
           zone: backEnd.zone,
@@ -168,17 +172,12 @@
           held: models,
           copies: new Set([...nearby.inMemory, ...nearby.onDisk]),
           canLoad: canLoad(backEnd),
-          requests,
-          requestsByModel: this.requestsByModel(id, requests === 0 ? [] : models),
+          requests: [...(byTarget?.values() ?? [])].reduce((sum, requests) => sum + requests, 0),
+          requestsByModel: byTarget === undefined ? NO_REQUESTS : requestsByModel(byTarget, models),
         };
       });
   }
 
-  private requestsByModel(backEndId: string, models: readonly string[]): Map<string, number> {
-    const { loads } = this.options;
-    return new Map(models.map((model) => [model, loads.requestsFor(backEndId, model)]));
-  }
-
   private historyOf(service: string): SpreadHistory {
     let history = this.histories.get(service);
     if (history === undefined) {
@@ -188,3 +187,16 @@
     return history;
   }
 }
+
+/** Sums the requests for a model and its adapters. */
+function requestsByModel(
+  byTarget: ReadonlyMap<string, number>,
+  models: readonly string[],
+): ReadonlyMap<string, number> {
+  const sums = new Map(models.map((model) => [model, 0]));
+  for (const [target, requests] of byTarget) {
+    for (const model of models)
+      if (isTargetOfModel(target, model)) sums.set(model, (sums.get(model) ?? 0) + requests);
+  }
+  return sums;
+}
