Wishes for loads from the weight store do not compute an unused wait

Each wish computed the wait for the weight store although the placement ignores it, which reads the workers of all zones twice more for each wish, in reports that are made several times a second.

--- a/packages/residency/src/load-planner.ts
+++ b/packages/residency/src/load-planner.ts
@@ -304,7 +304,7 @@
       candidates: available.filter(isUsable),
       victimsOf: group.isAdditionalReplica ? replicaVictimsOf : victimsOf,
       times: this.options.times,
-      storeWaitMs: this.storeWaitMs(group, model.storeLoadMs),
+      storeWaitMs: limits.storeWaitMs ?? this.storeWaitMs(group, model.storeLoadMs),
       ...(hasSlowLoads(engine) ? { paceOf: (id: string) => paces.paceOf(id) } : {}),
       // Scheduled loads wait until they run at full speed.
       storeSlowdown: this.isScheduled(group.service) ? 1 : this.options.link.slowdown(),
--- a/packages/residency/test/scheduled-loads.test.ts
+++ b/packages/residency/test/scheduled-loads.test.ts
@@ -130,6 +130,19 @@
     expect((await zone.settle(ask('m8', false))).reason).to.equal('resident');
   });
 
+  // Each lookup covers all workers of the deployment, and reports are made several times a second.
+  it('looks up the loads of other zones once per wish', async () => {
+    const { zone, coordinator } = await slowZone();
+    const lookups: string[] = [];
+    zone.expectedElsewhereInMs.get = (model) => {
+      lookups.push(model);
+      return undefined;
+    };
+    const wishes = coordinator.storeReport()?.message.wishes ?? [];
+    expect(wishes).to.have.length.above(0);
+    expect(lookups).to.have.members(wishes.map(({ model }) => model));
+  });
+
   it('wishes for models that exist nowhere before there is traffic', async () => {
     const { coordinator } = await slowZone();
     const wishes = coordinator.storeReport()?.message.wishes ?? [];
