Loads ahead of demand in two zones do not evict both replicas of a model in use

A load ahead of demand evicted any model with two replicas. Two zones that start such loads at the same time both see two replicas, so each could evict one, and the requests for the model found no worker with it.

Such loads now follow the rule for additional replicas: the replica on the worker with the lowest id stays, and models without runs go first.

--- a/packages/residency/src/load-planner.ts
+++ b/packages/residency/src/load-planner.ts
@@ -177,7 +177,9 @@
     const view = this.createView(service, engine);
     const candidates = this.candidates(service);
     const spareVictims = (candidate: PlacementCandidate): readonly RankedVictim[] =>
-      view.victimsOf(candidate).filter(({ name }) => view.replicasOf(name) >= MIN_REPLICAS_OF_SPARE_VICTIM);
+      view
+        .replicaVictimsOf(candidate)
+        .filter(({ name }) => view.replicasOf(name) >= MIN_REPLICAS_OF_SPARE_VICTIM);
     return (group, kind) =>
       this.choose(group, candidates, view, {
         storeWaitMs: 0,
--- a/packages/residency/test/scheduled-loads.test.ts
+++ b/packages/residency/test/scheduled-loads.test.ts
@@ -130,6 +130,28 @@
     expect((await zone.settle(ask('m8', false))).reason).to.equal('resident');
   });
 
+  // Two zones that evict for a load each at the same time see two replicas, and would remove both.
+  it('keeps the replica on the worker with the lowest id when it evicts a model in use for a load ahead of demand', async () => {
+    const { zone, coordinator } = await slowZone();
+    for (const [model, kind] of [
+      ['m0', 'replica'],
+      ['m2', 'ahead'],
+      ['m3', 'ahead'],
+      ['m4', 'ahead'],
+      ['m5', 'ahead'],
+    ] as const) {
+      coordinator.acceptSchedule(answer({ grants: [grant(model, kind)] }));
+      zone.loads.recordDemand('m0');
+      await zone.world.run(zone.world.now + LOAD_MS + 1000);
+      zone.loads.recordDemand('m0');
+      refreshRecords(zone);
+    }
+    expect([...(zone.workers.get('w0')?.models.keys() ?? [])]).to.include('m0');
+    expect([...(zone.workers.get('w1')?.models.keys() ?? [])])
+      .to.include('m5')
+      .and.not.include('m0');
+  });
+
   // Each lookup covers all workers of the deployment, and reports are made several times a second.
   it('looks up the loads of other zones once per wish', async () => {
     const { zone, coordinator } = await slowZone();
