Grants and wishes of the weight store expire while the machine is suspended

A zone kept a grant, and the scheduler the wishes of a zone, for as long as the machine was suspended, as their age was measured in monotonic time: the zone could start a load long after the grant had passed to another zone, and the scheduler granted loads to zones that no longer wished for them.

Both are now measured in elapsed time, as for all that other daemons report.

--- a/packages/residency/src/store-access.ts
+++ b/packages/residency/src/store-access.ts
@@ -25,6 +25,7 @@
 const DEFAULT_LOAD_MS = 10_000;
 
 interface HeldGrant extends StoreGrant {
+  /** In elapsed time, so that no grant is used after the machine was suspended beyond its end. */
   readonly expiresAt: number;
 }
 
@@ -97,15 +98,17 @@
   private isUsable(key: string): boolean {
     const now = this.options.clock.monotonic();
     const usedAt = this.usedAt.get(key) ?? -Infinity;
-    return (this.held.get(key)?.expiresAt ?? 0) > now && now - usedAt > GRANT_LIFETIME_MS;
+    const expiresAt = this.held.get(key)?.expiresAt ?? -Infinity;
+    return expiresAt > this.options.clock.elapsed() && now - usedAt > GRANT_LIFETIME_MS;
   }
 
   private apply({ grants, expected, nextStartInMs }: StoreWishesAnswer): void {
     const now = this.options.clock.monotonic();
     const keyOf = ({ service, model }: { service: string; model: string }): string =>
       storeKey(service, model);
+    const elapsed = this.options.clock.elapsed();
     this.held = new Map(
-      grants.map((grant) => [keyOf(grant), { ...grant, expiresAt: now + grant.expiresInMs }]),
+      grants.map((grant) => [keyOf(grant), { ...grant, expiresAt: elapsed + grant.expiresInMs }]),
     );
     this.startsAt = new Map(expected.map((start) => [keyOf(start), now + start.startInMs]));
     this.nextStartAt = now + nextStartInMs;
--- a/packages/residency/src/store-schedule.ts
+++ b/packages/residency/src/store-schedule.ts
@@ -56,6 +56,7 @@
 
 interface ReceivedWishes {
   readonly message: StoreWishesMessage;
+  /** In elapsed time: wishes from before a suspension of the machine are old. */
   readonly receivedAt: number;
 }
 
@@ -101,7 +102,7 @@
   accept(message: StoreWishesMessage): StoreWishesAnswer {
     const now = this.options.clock.monotonic();
     this.recordEnds(message, now);
-    this.reports.set(message.zone, { message, receivedAt: now });
+    this.reports.set(message.zone, { message, receivedAt: this.options.clock.elapsed() });
     this.loads.report(message.zone, message.fence, message.loading);
     this.acceptMeasurement(message.link, now);
     this.removeExpired(now);
@@ -129,8 +130,9 @@
   }
 
   private removeExpired(now: number): void {
+    const elapsed = this.options.clock.elapsed();
     for (const [zone, { receivedAt }] of this.reports)
-      if (now - receivedAt > ZONE_SILENT_AFTER_MS) this.reports.delete(zone);
+      if (elapsed - receivedAt > ZONE_SILENT_AFTER_MS) this.reports.delete(zone);
     for (const [key, { zone, grantedAt }] of this.grants) {
       if (now - grantedAt <= GRANT_LIFETIME_MS) continue;
       this.grants.delete(key);
@@ -153,7 +155,7 @@
     const byKey = new Map<string, number>();
     let used = inProgress.length + this.grants.size;
     const replicas = [...inProgress, ...this.grants.values()].filter(({ kind }) => kind === 'replica').length;
-    const ranked = rankWishes(this.mergedWishes(now), limit, replicas);
+    const ranked = rankWishes(this.mergedWishes(), limit, replicas);
     const lastFirst = ranked.map(({ wish }) => wish.kind).lastIndexOf('first');
     for (const [index, merged] of ranked.entries()) {
       const { wish, key } = merged;
@@ -213,10 +215,11 @@
     return [...reported, ...this.options.claimedLoads().filter((load) => !isReported(load))];
   }
 
-  private mergedWishes(now: number): MergedWish[] {
+  private mergedWishes(): MergedWish[] {
+    const elapsed = this.options.clock.elapsed();
     const reports = [...this.reports.values()].map(({ message, receivedAt }) => ({
       zone: message.zone,
-      ageMs: now - receivedAt,
+      ageMs: elapsed - receivedAt,
       wishes: message.wishes,
     }));
     return mergeWishes(
--- a/packages/residency/test/scheduled-loads.test.ts
+++ b/packages/residency/test/scheduled-loads.test.ts
@@ -199,6 +199,16 @@
     expect(coordinator.storeLoads).to.equal(1);
   });
 
+  it('does not use a grant after its machine was suspended beyond the end of the grant', async () => {
+    const { zone, coordinator } = await slowZone();
+    coordinator.access.accept(answer({ grants: [grant('m7')] }));
+    expect(coordinator.access.startInMs(SERVICE, 'm7')).to.equal(0);
+    zone.process.suspend(1500);
+    await zone.world.run(zone.world.now + 1500);
+    expect(coordinator.access.startInMs(SERVICE, 'm7')).to.be.above(0);
+    expect(coordinator.access.grants()).to.deep.equal([]);
+  });
+
   it('loads one model at a time in its turn while the scheduler does not answer', async () => {
     const { zone, coordinator } = await slowZone(4);
     let most = 0;
--- a/packages/residency/test/store-schedule.test.ts
+++ b/packages/residency/test/store-schedule.test.ts
@@ -67,7 +67,8 @@
 
 class Scheduler {
   readonly world = new SimulatedWorld();
-  readonly clock: Clock = new SimulatedProcess(this.world, { name: 'd', zone: 'z', region: 'r' });
+  readonly process = new SimulatedProcess(this.world, { name: 'd', zone: 'z', region: 'r' });
+  readonly clock: Clock = this.process;
   readonly claimed = new StoreLoads(this.clock);
   schedule = this.create();
 
@@ -159,6 +160,16 @@
     expect(scheduler.granted(wishes('b', [{}]))).to.deep.equal(['m1']);
   });
 
+  it('forgets the wishes of a zone from before its machine was suspended', async () => {
+    const scheduler = new Scheduler();
+    await scheduler.pass(900);
+    expect(scheduler.granted(wishes('a', [{ costMs: 1 }]))).to.deep.equal([]);
+    scheduler.process.suspend(2000);
+    await scheduler.pass(2000);
+    await scheduler.pass(200);
+    expect(scheduler.granted(wishes('b', [{}]))).to.deep.equal(['m1']);
+  });
+
   it('starts no load that would serve nobody in time, and tells when others are expected to start', async () => {
     const scheduler = new Scheduler();
     await scheduler.pass(1);
