Additional replicas evict unused models before replicas of models in use

The planner evicted a replica of a model in use that had no request at that moment before an unused model without another holder, while the decision on replicas expected the unused one to go and had not checked whether the other replica was dispensable. The evicted replica was soon wanted again.

Victims without runs are now ordered by whether they are in use first.

--- a/packages/residency/src/victim-protection.ts
+++ b/packages/residency/src/victim-protection.ts
@@ -47,7 +47,8 @@
 
 /**
  * Returns the victims on a worker that an additional replica may displace: first those without runs there, then those
- * that other workers hold as well, otherwise in the given order.
+ * that are not in use, as the decision on replicas expects, then those that other workers hold as well, otherwise in
+ * the given order.
  */
 export function selectReplicaVictims<T extends { readonly name: string }>(
   workerId: string,
@@ -55,7 +56,8 @@
   presence: VictimPresence,
 ): T[] {
   const rankOf = ({ name }: T): number =>
-    (presence.endsInMs(workerId, name) > 0 ? 2 : 0) +
+    (presence.endsInMs(workerId, name) > 0 ? 4 : 0) +
+    (isInUse(name, presence) ? 2 : 0) +
     (presence.holdersOf(name).some((id) => id !== workerId) ? 0 : 1);
   return ranked
     .filter(({ name }) => !isProtectedVictim(name, workerId, presence))
