--- a/packages/residency/src/store-schedule.ts
+++ b/packages/residency/src/store-schedule.ts
@@ -56,6 +56,7 @@
 
 interface ReceivedWishes {
   readonly message: StoreWishesMessage;
+  /** In elapsed time: wishes from before a suspension of the machine are old. */
   readonly receivedAt: number;
 }
 
@@ -101,7 +102,7 @@
   accept(message: StoreWishesMessage): StoreWishesAnswer {
     const now = this.options.clock.monotonic();
     this.recordEnds(message, now);
-    this.reports.set(message.zone, { message, receivedAt: now });
+    this.reports.set(message.zone, { message, receivedAt: this.options.clock.elapsed() });
     this.loads.report(message.zone, message.fence, message.loading);
     this.acceptMeasurement(message.link, now);
     this.removeExpired(now);
@@ -129,8 +130,9 @@
   }
 
   private removeExpired(now: number): void {
+    const elapsed = this.options.clock.elapsed();
     for (const [zone, { receivedAt }] of this.reports)
-      if (now - receivedAt > ZONE_SILENT_AFTER_MS) this.reports.delete(zone);
+      if (elapsed - receivedAt > ZONE_SILENT_AFTER_MS) this.reports.delete(zone);
     for (const [key, { zone, grantedAt }] of this.grants) {
       if (now - grantedAt <= GRANT_LIFETIME_MS) continue;
       this.grants.delete(key);
@@ -148,10 +150,14 @@
       inProgress.some((load) => load.model === model && (load.service ?? service) === service);
     const { limit } = this;
     const slots = this.slotsOf(inProgress, now, limit);
+    /** The places as a model finds them that is asked for next: it goes before what is ranked after the last such model. */
+    const nextSlots = [...slots];
     const byKey = new Map<string, number>();
     let used = inProgress.length + this.grants.size;
     const replicas = [...inProgress, ...this.grants.values()].filter(({ kind }) => kind === 'replica').length;
-    for (const merged of rankWishes(this.mergedWishes(now), limit, replicas)) {
+    const ranked = rankWishes(this.mergedWishes(), limit, replicas);
+    const lastFirst = ranked.map(({ wish }) => wish.kind).lastIndexOf('first');
+    for (const [index, merged] of ranked.entries()) {
       const { wish, key } = merged;
       if (isLoading(wish)) continue;
       const startInMs = Math.max(0, slots[0] ?? 0);
@@ -159,15 +165,20 @@
       if (!isInTime(wish, startInMs)) continue;
       const offer = this.usableOffer(merged, startInMs);
       if (offer === undefined) continue;
-      if (startInMs <= 0 && used < limit && this.mayGrant(now)) {
+      const isGranted = startInMs <= 0 && used < limit && this.mayGrant(now);
+      if (isGranted) {
         this.grant(merged, offer, used, now);
         used += 1;
         byKey.delete(key);
       }
-      slots[0] = startInMs + wish.loadMs;
-      slots.sort((left, right) => left - right);
+      occupy(slots, wish.loadMs);
+      if (isGranted || index <= lastFirst) occupy(nextSlots, wish.loadMs);
     }
-    return { byKey, nextInMs: Math.max(0, slots[0] ?? 0) };
+    const nextInMs = Math.max(0, nextSlots[0] ?? 0);
+    // Expected starts are read for requests; with the first one, a load ahead of demand becomes one that is asked for.
+    for (const { key, wish } of ranked)
+      if (wish.kind === 'ahead' && byKey.has(key)) byKey.set(key, Math.max(nextInMs, wish.startableInMs));
+    return { byKey, nextInMs };
   }
 
   /** Grants of a former scheduler may still become loads until they expire. */
@@ -204,10 +215,11 @@
     return [...reported, ...this.options.claimedLoads().filter((load) => !isReported(load))];
   }
 
-  private mergedWishes(now: number): MergedWish[] {
+  private mergedWishes(): MergedWish[] {
+    const elapsed = this.options.clock.elapsed();
     const reports = [...this.reports.values()].map(({ message, receivedAt }) => ({
       zone: message.zone,
-      ageMs: now - receivedAt,
+      ageMs: elapsed - receivedAt,
       wishes: message.wishes,
     }));
     return mergeWishes(
@@ -253,3 +265,9 @@
     return { grants, expected, nextStartInMs: Math.round(starts.nextInMs), ...link };
   }
 }
+
+/** Adds a load to the first free place of the link. @param slots Milliseconds until each place is free, ascending. */
+function occupy(slots: number[], loadMs: number): void {
+  slots[0] = Math.max(0, slots[0] ?? 0) + loadMs;
+  slots.sort((left, right) => left - right);
+}
--- a/packages/residency/test/scheduled-loads.test.ts
+++ b/packages/residency/test/scheduled-loads.test.ts
@@ -9,7 +9,7 @@
   StoreWishesAnswer,
   StoreWishKind,
 } from '@woodbarrow/protocol';
-import type { ZoneResidency } from '../src/index.js';
+import { MAX_PENDING_DEMANDS, type ZoneResidency } from '../src/index.js';
 import { modelDefinition } from './simulated-workers.js';
 import { demand, ENGINE, MODELS, SERVICE, ZONE, ZoneWorld } from './zone-world.js';
 
@@ -105,6 +105,66 @@
     expect(zone.violations()).to.deep.equal([]);
   });
 
+  // Each refused request was kept until its distant retry, and the full queue refused requests for all other models.
+  it('keeps the queue free for other models while many requests for a missing model are refused', async () => {
+    const { zone, coordinator } = await slowZone();
+    for (const backEnd of zone.directory.ofService(SERVICE))
+      zone.directory.put({ ...backEnd, nearby: { inMemory: [], onDisk: ['m8'] } });
+    const ask = (model: string, mayUseStore: boolean): Promise<ResidencyDemandAnswer> =>
+      coordinator.demand({
+        zone: ZONE,
+        service: SERVICE,
+        model,
+        priority: 1,
+        without: [],
+        mayUseStore,
+        withinMs: 4000,
+        quote: false,
+      });
+    const missing = Array.from({ length: MAX_PENDING_DEMANDS }, () => {
+      zone.loads.recordDemand('m9');
+      return ask('m9', true);
+    });
+    const refused = await zone.settle(Promise.all(missing));
+    expect(refused.every(({ reason }) => reason === 'loading')).to.equal(true);
+    expect((await zone.settle(ask('m8', false))).reason).to.equal('resident');
+  });
+
+  // Two zones that evict for a load each at the same time see two replicas, and would remove both.
+  it('keeps the replica on the worker with the lowest id when it evicts a model in use for a load ahead of demand', async () => {
+    const { zone, coordinator } = await slowZone();
+    for (const [model, kind] of [
+      ['m0', 'replica'],
+      ['m2', 'ahead'],
+      ['m3', 'ahead'],
+      ['m4', 'ahead'],
+      ['m5', 'ahead'],
+    ] as const) {
+      coordinator.acceptSchedule(answer({ grants: [grant(model, kind)] }));
+      zone.loads.recordDemand('m0');
+      await zone.world.run(zone.world.now + LOAD_MS + 1000);
+      zone.loads.recordDemand('m0');
+      refreshRecords(zone);
+    }
+    expect([...(zone.workers.get('w0')?.models.keys() ?? [])]).to.include('m0');
+    expect([...(zone.workers.get('w1')?.models.keys() ?? [])])
+      .to.include('m5')
+      .and.not.include('m0');
+  });
+
+  // Each lookup covers all workers of the deployment, and reports are made several times a second.
+  it('looks up the loads of other zones once per wish', async () => {
+    const { zone, coordinator } = await slowZone();
+    const lookups: string[] = [];
+    zone.expectedElsewhereInMs.get = (model) => {
+      lookups.push(model);
+      return undefined;
+    };
+    const wishes = coordinator.storeReport()?.message.wishes ?? [];
+    expect(wishes).to.have.length.above(0);
+    expect(lookups).to.have.members(wishes.map(({ model }) => model));
+  });
+
   it('wishes for models that exist nowhere before there is traffic', async () => {
     const { coordinator } = await slowZone();
     const wishes = coordinator.storeReport()?.message.wishes ?? [];
@@ -139,6 +199,16 @@
     expect(coordinator.storeLoads).to.equal(1);
   });
 
+  it('does not use a grant after its machine was suspended beyond the end of the grant', async () => {
+    const { zone, coordinator } = await slowZone();
+    coordinator.access.accept(answer({ grants: [grant('m7')] }));
+    expect(coordinator.access.startInMs(SERVICE, 'm7')).to.equal(0);
+    zone.process.suspend(1500);
+    await zone.world.run(zone.world.now + 1500);
+    expect(coordinator.access.startInMs(SERVICE, 'm7')).to.be.above(0);
+    expect(coordinator.access.grants()).to.deep.equal([]);
+  });
+
   it('loads one model at a time in its turn while the scheduler does not answer', async () => {
     const { zone, coordinator } = await slowZone(4);
     let most = 0;
