--- a/packages/backends/src/load-tracker.ts
+++ b/packages/backends/src/load-tracker.ts
@@ -81,8 +81,8 @@
   readonly updatedAt: number;
 }
 
-/** Prefix of the ids under which waiting requests are reported. */
-const WAITING_PREFIX = 'waiting/';
+/** Start of the ids under which waiting requests are reported. */
+const WAITING_ID_PREFIX = 'waiting/';
 /** Size of a request that no back end has received. */
 const NO_SIZE: WorkSize = { promptTokens: 0, outputTokens: 0 };
 const NO_LOAD: BackEndLoad = { requests: 0, unreadTokens: 0, heldTokens: 0 };
@@ -126,6 +126,20 @@
     return this.ownRequests(waitingId(model, priority));
   }
 
+  /** Returns the requests of all priorities that wait for room on a worker, by model, over all daemons. */
+  waitingByModel(): ReadonlyMap<string, number> {
+    const waiting = new Map<string, number>();
+    const add = (id: string, requests: number): void => {
+      const model = modelOfWaitingId(id);
+      if (model !== undefined && requests > 0) waiting.set(model, (waiting.get(model) ?? 0) + requests);
+    };
+    for (const id of this.ownLoadByBackEnd.keys()) add(id, this.ownRequests(id));
+    for (const report of this.freshReports()) {
+      for (const loads of report.loads.values()) for (const load of loads) add(load.backEndId, load.requests);
+    }
+    return waiting;
+  }
+
   /** Records a request for a model, whether or not a back end can accept it. */
   recordDemand(model: string): void {
     const now = this.clock.monotonic();
@@ -193,6 +207,27 @@
     return requests;
   }
 
+  /**
+   * Returns the requests in progress by back end and target, over all daemons. Reads each report once, where
+   * {@link loadOf} and {@link requestsFor} look up one back end in all reports.
+   */
+  requestsByTarget(): ReadonlyMap<string, ReadonlyMap<string, number>> {
+    const sums = new Map<string, Map<string, number>>();
+    const add = (backEndId: string, target: string, requests: number): void => {
+      if (requests === 0) return;
+      const targets = sums.get(backEndId) ?? new Map<string, number>();
+      if (targets.size === 0) sums.set(backEndId, targets);
+      targets.set(target, (targets.get(target) ?? 0) + requests);
+    };
+    for (const [id, targets] of this.ownLoadByBackEnd)
+      for (const [target, { requests }] of targets) add(id, target, requests);
+    for (const report of this.freshReports()) {
+      for (const loads of report.loads.values())
+        for (const { backEndId, target, requests } of loads) add(backEndId, target, requests);
+    }
+    return sums;
+  }
+
   /**
    * Returns the expected milliseconds until the last request for a model or its adapters ends on a back end; 0 when
    * there is none.
@@ -249,7 +284,7 @@
       const backEndLoads = byBackEnd.get(load.backEndId);
       if (backEndLoads === undefined) byBackEnd.set(load.backEndId, [load]);
       else backEndLoads.push(load);
-      if (load.target !== '' && !load.backEndId.startsWith(WAITING_PREFIX))
+      if (load.target !== '' && !load.backEndId.startsWith(WAITING_ID_PREFIX))
         this.recordUse(load.backEndId, load.target);
     }
     const weights = new Map(demand.map(({ model, weight }) => [model, weight]));
@@ -417,14 +452,22 @@
 
 /** Id under which the requests that wait for a model are reported. */
 function waitingId(model: string, priority: number): string {
-  return `${WAITING_PREFIX}${String(priority)}/${model}`;
+  return `${WAITING_ID_PREFIX}${String(priority)}/${model}`;
+}
+
+/** Returns the model of a {@link waitingId}; undefined for the id of a back end. */
+function modelOfWaitingId(id: string): string | undefined {
+  return id.startsWith(WAITING_ID_PREFIX)
+    ? id.slice(id.indexOf('/', WAITING_ID_PREFIX.length) + 1)
+    : undefined;
 }
 
 function lastUsedKey(backEndId: string, target: string): string {
   return `${backEndId} ${target}`;
 }
 
-function isTargetOfModel(key: string, model: string): boolean {
+/** Whether the key of a target is that of a model or of one of its adapters. */
+export function isTargetOfModel(key: string, model: string): boolean {
   return key === model || (key.startsWith(model) && key.charAt(model.length) === '/');
 }
 
--- a/packages/residency/src/load-planner.ts
+++ b/packages/residency/src/load-planner.ts
@@ -179,7 +179,9 @@
     const view = this.createView(service, engine);
     const candidates = this.candidates(service);
     const spareVictims = (candidate: PlacementCandidate): readonly RankedVictim[] =>
-      view.victimsOf(candidate).filter(({ name }) => view.replicasOf(name) >= MIN_REPLICAS_OF_SPARE_VICTIM);
+      view
+        .replicaVictimsOf(candidate)
+        .filter(({ name }) => view.replicasOf(name) >= MIN_REPLICAS_OF_SPARE_VICTIM);
     return (group, kind) =>
       this.choose(group, candidates, view, {
         storeWaitMs: 0,
@@ -306,7 +308,7 @@
       candidates: available.filter(isUsable),
       victimsOf: group.isAdditionalReplica ? replicaVictimsOf : victimsOf,
       times: this.options.times,
-      storeWaitMs: this.storeWaitMs(group, model.storeLoadMs),
+      storeWaitMs: limits.storeWaitMs ?? this.storeWaitMs(group, model.storeLoadMs),
       ...(hasSlowLoads(engine) ? { paceOf: (id: string) => paces.paceOf(id) } : {}),
       // Scheduled loads wait until they run at full speed.
       storeSlowdown: this.isScheduled(group.service) ? 1 : this.options.link.slowdown(),
--- a/packages/residency/test/replica-spread.test.ts
+++ b/packages/residency/test/replica-spread.test.ts
@@ -125,6 +125,7 @@
   return decideReplicas({
     workers,
     loading: [],
+    waiting: new Map(),
     demandFor,
     mayLoad,
     models,
@@ -166,6 +167,14 @@
     expect(decision).to.include({ model: 'rare', workerId: 'w2', reason: 'capacity' });
   });
 
+  // Requests that wait at the daemons are not in progress on any worker, and a few of them are little demand.
+  it('counts waiting requests as load', () => {
+    const holder = worker('w1', { runs: { hot: 16 }, held: ['hot', 'rare'] });
+    const inputs = { demandFor: (): number => 0.9, waiting: new Map([['rare', 1]]) };
+    const [decision] = decide([holder, worker('w2', { copies: ['rare'] })], inputs);
+    expect(decision).to.include({ model: 'rare', workerId: 'w2', reason: 'capacity', load: 1 });
+  });
+
   it('prefers a worker without busy models to a faster one that would be shared', () => {
     const shared = worker('w3', { pace: 0.6, runs: { warm: 5 }, copies: ['hot'] });
     const slow = worker('w4', { pace: 1.6, copies: ['hot'] });
@@ -229,4 +238,23 @@
     expect(decide([full, lost])).to.deep.equal([]);
     expect(decide([full, lost, worker('w3', { copies: ['hot'] })])[0]).to.include({ workerId: 'w3' });
   });
+
+  it('reads a worker a bounded number of times per pass, however many models there are', () => {
+    const names = Array.from({ length: 200 }, (_, index) => `model-${String(index)}`);
+    let reads = 0;
+    const counted = (of: SpreadWorker): SpreadWorker =>
+      new Proxy(of, {
+        get: (target, name, receiver): unknown => {
+          if (name === 'pace' || name === 'canLoad') reads += 1;
+          return Reflect.get(target, name, receiver);
+        },
+      });
+    const busy = names.map((name) => worker(`w-${name}`, { runs: { [name]: 16 } }));
+    const idle = Array.from({ length: 100 }, (_, index) => worker(`idle-${String(index)}`, {}));
+    const workers = [...busy, ...idle].map(counted);
+    decide(workers, { models: definitionsOf(names) });
+    expect(reads)
+      .to.be.above(0)
+      .and.at.most(workers.length * 5);
+  });
 });
