Bound on the memory that unread answers take on a daemon

Clients that stop reading on many connections made a daemon hold each answer up to the bound of its stream, without a bound for all together. Answers of clients that lag behind are not read on from their workers as the budget fills up, and the answer without progress for the longest is ended as incomplete when it is exceeded.

--- a/packages/forwarding/src/client-answer.ts
+++ b/packages/forwarding/src/client-answer.ts
@@ -6,6 +6,7 @@
 import type { IncomingExchange, ResponseHead, ResponseStream } from '@woodbarrow/runtime';
 import type { StreamEvent } from './event-splitter.js';
 import type { Continuation, StreamPosition } from './stream-position.js';
+import type { AnswerMeter } from './unread-answers.js';
 
 /** State of a client's answer. */
 export type ClientAnswerState = PendingAnswer | EventStreamAnswer | ByteStreamAnswer | EndedAnswer;
@@ -63,6 +64,7 @@
 export class ClientAnswer {
   private current: ClientAnswerState;
   private stream: ResponseStream | undefined;
+  private meter: AnswerMeter | undefined;
 
   constructor(private readonly exchange: IncomingExchange) {
     this.current = this.pendingState();
@@ -88,6 +90,11 @@
     return this.current.kind === 'events' ? this.current.lastEventId : undefined;
   }
 
+  /** Lets a meter observe and delay the writes that follow. */
+  meterWith(meter: AnswerMeter): void {
+    this.meter = meter;
+  }
+
   /** Aborts the connection, so that the client cannot mistake a partial answer for a complete one. */
   abort(): void {
     if (this.current.kind === 'ended') return;
@@ -129,7 +136,7 @@
       },
       write: (events) => {
         this.requireCurrent(state);
-        return writeEvents(stream, position, events);
+        return writeEvents((chunk) => this.writeTo(stream, chunk), position, events);
       },
       complete: () => {
         this.end(state, stream);
@@ -145,7 +152,7 @@
       kind: 'bytes',
       write: (chunk) => {
         this.requireCurrent(state);
-        return stream.write(chunk);
+        return this.writeTo(stream, chunk);
       },
       complete: () => {
         this.end(state, stream);
@@ -161,6 +168,11 @@
     return this.stream;
   }
 
+  private writeTo(stream: ResponseStream, chunk: Uint8Array): Promise<void> | undefined {
+    const drained = stream.write(chunk);
+    return this.meter === undefined ? drained : this.meter.admit(chunk.byteLength, drained);
+  }
+
   private end(expected: ClientAnswerState, stream: ResponseStream): void {
     this.requireCurrent(expected);
     stream.end();
@@ -174,7 +186,7 @@
 }
 
 function writeEvents(
-  stream: ResponseStream,
+  write: (chunk: Uint8Array) => Promise<void> | undefined,
   position: StreamPosition | undefined,
   events: readonly StreamEvent[],
 ): EventWriteResult {
@@ -187,5 +199,5 @@
   }
   const [first] = accepted;
   if (first === undefined) return { continuation, drained: undefined };
-  return { continuation, drained: stream.write(accepted.length === 1 ? first : Buffer.concat(accepted)) };
+  return { continuation, drained: write(accepted.length === 1 ? first : Buffer.concat(accepted)) };
 }
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -17,6 +17,7 @@
 import { mayRunAgain, type Route } from './route.js';
 import type { SendPermit } from './send-permits.js';
 import type { Tenant } from './tenant.js';
+import type { AnswerMeter } from './unread-answers.js';
 import type { RequestFacts } from './wire-dialect.js';
 
 /** Maximum number of sends for one request, whatever their results. */
@@ -50,6 +51,9 @@
   private readonly scope: RequestScope;
   private readonly sender: RequestSender;
   private readonly allowance: RequestAllowance;
+  /** The client does not read its answer, and the memory for unread answers is used up. */
+  private isEndedUnread = false;
+  private hasEnded = false;
 
   constructor(
     private readonly context: ForwardingContext,
@@ -100,15 +104,45 @@
     budget.recordRequest(service.name);
     if (facts.target !== undefined) loads.recordDemand(facts.target.model);
     this.recordAdmission();
+    const meter = this.watchAnswer();
     try {
       await this.sendUntilFinished();
     } finally {
+      this.hasEnded = true;
+      meter?.release();
       this.allowance.refund();
       for (const cancel of cancelTimers) cancel();
       stopWaiting.removeEventListener('abort', stop);
     }
   }
 
+  /** Lets the unread bytes of the answer count against the budget of the daemon, where there is one. */
+  private watchAnswer(): AnswerMeter | undefined {
+    const { exchange, tenant, facts, answer } = this.scope;
+    if (this.context.unread === undefined || exchange.unreadBytes === undefined) return undefined;
+    const meter = this.context.unread.watch({
+      requestId: facts.id,
+      caller:
+        tenant === undefined ? `client ${exchange.clientAddress ?? 'unknown'}` : `tenant ${tenant.name}`,
+      unreadBytes: () => exchange.unreadBytes?.() ?? 0,
+      end: () => {
+        this.endUnread();
+      },
+    });
+    answer.meterWith(meter);
+    return meter;
+  }
+
+  /** Ends the answer as incomplete; one that has been written completely is ended by closing its connection. */
+  private endUnread(): void {
+    if (this.hasEnded) {
+      this.scope.exchange.abort();
+      return;
+    }
+    this.isEndedUnread = true;
+    this.expired.abort();
+  }
+
   private recordAdmission(): void {
     const { facts, route, tenant, service, digest, times } = this.scope;
     this.context.journal.decided('request_admitted', facts.id, {
@@ -341,7 +375,8 @@
   /** Ends a request because time is up, the daemon stops, or the client has disconnected. */
   private finishExpired(): void {
     const { exchange, answer, progress, completion } = this.scope;
-    if (exchange.signal.aborted) completion.recordAbandoned();
+    if (this.isEndedUnread) completion.abortAnswer('the client did not read its answer');
+    else if (exchange.signal.aborted) completion.recordAbandoned();
     else if (answer.hasBegun) completion.abortAnswer('time is up');
     else if (progress.mayHaveRunOn.size > 0) completion.fail('request_timeout', 'time is up');
     else if (progress.isStopping) completion.refuseStopping();
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -8,6 +8,7 @@
 import type { DispatchTotals } from './dispatch-queue.js';
 import type { ForwardingContext } from './forwarding-context.js';
 import { RequestCompletion } from './request-completion.js';
+import { NO_UNREAD_TOTALS, type UnreadTotals } from './unread-answers.js';
 import { TrafficSplitter } from './traffic-splitter.js';
 
 /** Suggested retry delay while this daemon has no configuration or no such service, in milliseconds. */
@@ -37,6 +38,10 @@
     return this.context.dispatch.totals;
   }
 
+  get unreadTotals(): UnreadTotals {
+    return this.context.unread?.totals ?? NO_UNREAD_TOTALS;
+  }
+
   /** Answers one request. Never rejects. */
   async handle(exchange: IncomingExchange): Promise<void> {
     const arrival: Arrival = {
--- a/packages/forwarding/src/forwarding-context.ts
+++ b/packages/forwarding/src/forwarding-context.ts
@@ -12,6 +12,7 @@
 import type { ReplicaSelector } from './replica-selector.js';
 import type { RequestQuota } from './request-quota.js';
 import type { SendPermits } from './send-permits.js';
+import type { UnreadAnswers } from './unread-answers.js';
 import type { WireDialect } from './wire-dialect.js';
 
 export interface ForwardingContext {
@@ -35,6 +36,8 @@
   readonly quota: RequestQuota;
   readonly quarantine: RequestQuarantine;
   readonly journal: RequestJournal;
+  /** Bounds the memory of unread answers; absent where callers do not compete for capacity. */
+  readonly unread?: UnreadAnswers;
   /** Aborts when this daemon stops; requests that have not been sent are then refused. */
   readonly stopWaiting: AbortSignal;
   /** Health of the back ends of a service. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -28,6 +28,8 @@
 export * from './stream-position.js';
 export * from './tenant.js';
 export * from './traffic-splitter.js';
+export * from './unread-answers.js';
+export * from './unread-budget.js';
 export * from './wire-dialect.js';
 export * from './worker-capacity.js';
 export * from './worker-places.js';
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -19,6 +19,7 @@
   type BackendResponse,
   type BackendCall,
   type BackendClient,
+  type Clock,
   type IncomingExchange,
   type ResponseHead,
   type ResponseStream,
@@ -50,6 +51,7 @@
   type RequestQuota,
   type ResidencyOutcome,
   type Route,
+  type UnreadAnswers,
   type SendPermits,
   type WireDialect,
 } from '../src/index.js';
@@ -211,7 +213,12 @@
   quota: RequestQuota['acquire'] = () =>
     Promise.resolve({ kind: 'granted', ticket: { isValid: () => true, refund: () => undefined } });
 
-  constructor(routes: readonly Partial<Route>[], engine?: EngineDefinition, connectionLimit = 100) {
+  constructor(
+    routes: readonly Partial<Route>[],
+    engine?: EngineDefinition,
+    connectionLimit = 100,
+    private readonly createUnread?: (clock: Clock) => UnreadAnswers,
+  ) {
     const service: ServiceDefinition = {
       name: 'service',
       connectionLimit,
@@ -356,6 +363,7 @@
         },
       },
       stopWaiting: this.stop.signal,
+      ...(this.createUnread === undefined ? {} : { unread: this.createUnread(this.process) }),
       healthOf: (name) => this.healthOf(name),
     };
   }
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -25,6 +25,10 @@
   request_failed:
     'The request ended without a complete response and may have run. Response sent, cause, sends.',
   request_abandoned: 'The client disconnected. Sends in progress are cancelled.',
+  unread_answers_paused:
+    'Answers are not read on from their workers since their clients lag behind and unread answers take much of the memory for them; at most one line per second. Paused answers, unread bytes of all answers, the budget.',
+  unread_answer_ended:
+    'An answer was ended as incomplete, as its client did not read and the memory for unread answers was used up. Request, caller (tenant or client address), unread bytes, time since the client last read, unread bytes of all answers, the budget.',
   back_end_limited:
     'A response reported the maximum number of requests per second that its back end accepts from all daemons together. Back end, source (`answer`: the back end itself; `peer`: another daemon that received it), the limit, the previous limit.',
   back_end_unlimited: 'A response no longer reported a rate limit. Back end, source, the previous limit.',
--- a/packages/runtime/src/node-ingress.ts
+++ b/packages/runtime/src/node-ingress.ts
@@ -66,6 +66,7 @@
   readonly headers: Readonly<Record<string, string | undefined>>;
   readonly rawHeaders: RawHeaders;
   readonly signal: AbortSignal;
+  readonly clientAddress: string | undefined;
 
   constructor(
     private readonly request: IncomingMessage,
@@ -76,6 +77,7 @@
     this.target = request.url ?? '/';
     this.headers = request.headers as Readonly<Record<string, string | undefined>>;
     this.rawHeaders = request.rawHeaders;
+    this.clientAddress = request.socket.remoteAddress;
     const controller = new AbortController();
     this.signal = controller.signal;
     response.once('close', () => {
@@ -125,6 +127,11 @@
     this.request.destroy();
   }
 
+  unreadBytes(): number {
+    const { response } = this;
+    return response.destroyed || response.writableFinished ? 0 : response.writableLength;
+  }
+
   /** Whether the client can receive chunks; HTTP/1.0 clients take the end of the connection for the end of the response. */
   private get supportsChunkedEncoding(): boolean {
     return this.request.httpVersionMajor > 1 || this.request.httpVersionMinor > 0;
--- a/packages/runtime/src/streaming-http.ts
+++ b/packages/runtime/src/streaming-http.ts
@@ -28,8 +28,12 @@
   respond(head: ResponseHead, body: Uint8Array): void;
   /** Begins a response whose body is written to the returned {@link ResponseStream}. */
   beginStream(head: ResponseHead): ResponseStream;
-  /** Closes the connection without a complete response. */
+  /** Closes the connection without a complete response; what the client has not received of a response is discarded. */
   abort(): void;
+  /** IP address of the client; absent if unknown. */
+  readonly clientAddress?: string | undefined;
+  /** Returns the bytes of the response that wait in memory for the client to read; 0 after the connection has closed. */
+  unreadBytes?(): number;
 }
 
 /** Body of a response in progress. */
--- a/packages/serving/src/forwarder-assembly.ts
+++ b/packages/serving/src/forwarder-assembly.ts
@@ -27,6 +27,7 @@
 import type { BackendNoticeService } from './backend-notice-service.js';
 import type { ServingPorts } from './ports.js';
 import type { ServingSettings } from './serving-settings.js';
+import { createUnreadAnswers } from './unread-bound.js';
 
 /** Parts of the daemon that handling a request needs. */
 export interface ForwarderParts {
@@ -65,6 +66,7 @@
   const runTimes = new RunTimes();
   const forwarderRandom = random.fork();
   const dispatch = new DispatchQueue(directory, loads, journal, daemonCount, random.fork(), clock);
+  const unread = createUnreadAnswers(settings, clock, parts.log);
   const context = {
     clock,
     client,
@@ -96,6 +98,7 @@
     quarantine: parts.quarantine,
     journal,
     stopWaiting: parts.stopWaiting,
+    ...(unread === undefined ? {} : { unread }),
     healthOf: parts.healthOf,
   };
   return new Forwarder(context, parts.configuration, forwarderRandom);
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -425,6 +425,7 @@
       notices: () => this.noticeService.notices.totals,
       permits: () => this.noticeService.permitTotals,
       dispatch: () => this.forwarder.dispatchTotals,
+      unread: () => this.forwarder.unreadTotals,
       paces: () => this.paces.totals(),
       quotaUse: () => this.quotaGate.usage(),
       quotaGranted: () => this.quotaService.usage(),
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -1,7 +1,7 @@
 /** Metrics that a serving daemon exports. */
 import type { PaceTotals } from '@woodbarrow/backends';
 import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
-import type { DispatchTotals, NoticeTotals } from '@woodbarrow/forwarding';
+import type { DispatchTotals, NoticeTotals, UnreadTotals } from '@woodbarrow/forwarding';
 import type { GateUsage, AllocatorUsage, PermitTotals } from '@woodbarrow/quota';
 import type { ReplicaCounts, StoreScheduleTotals, UnservedDemands } from '@woodbarrow/residency';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
@@ -33,6 +33,8 @@
   readonly permits: () => PermitTotals;
   /** Queue of requests that wait for room on a worker. */
   readonly dispatch: () => DispatchTotals;
+  /** Answers that clients have not read. */
+  readonly unread: () => UnreadTotals;
   readonly paces: () => PaceTotals;
   /** Units of limited tenants used and refused at this daemon, by tenant. */
   readonly quotaUse: () => ReadonlyMap<string, GateUsage>;
@@ -113,6 +115,7 @@
     this.addReplicaGauges(sources);
     this.addNoticeGauges(sources);
     this.addDispatchGauge(sources);
+    this.addUnreadGauges(sources);
     this.addQuotaGauges(sources);
     this.addPaceGauges(sources);
     registry.gauge(
@@ -215,6 +218,25 @@
     );
   }
 
+  private addUnreadGauges({ unread }: MetricSources): void {
+    const { registry } = this;
+    registry.gauge(
+      'woodbarrow_unread_answer_bytes',
+      'Bytes of answers that wait in memory for their clients to read.',
+      () => unread().bytes,
+    );
+    registry.gauge(
+      'woodbarrow_unread_answers_paused',
+      'Answers of which no more is read from the worker until their clients have read.',
+      () => unread().paused,
+    );
+    registry.gauge(
+      'woodbarrow_unread_answers_ended',
+      'Answers ended since the start because their clients did not read and the memory for unread answers was used up.',
+      () => unread().ended,
+    );
+  }
+
   private addPaceGauges({ paces }: MetricSources): void {
     this.registry.gauge('woodbarrow_paced_workers', 'Workers whose pace is known.', () => paces().known);
     this.registry.gauge(
--- a/packages/serving/src/serving-settings.ts
+++ b/packages/serving/src/serving-settings.ts
@@ -27,13 +27,18 @@
   readonly region: string;
   /** Capacity of the machine, in hundredths of a core. */
   readonly capacity: number;
+  /** Memory of the machine in MB. */
+  readonly memoryMb: number;
   readonly ingressAddress: string;
   readonly readinessAddress: string;
   readonly peerAddress: string;
   readonly metrics?: MetricsEndpoint;
   readonly repeats: RepeatSettings;
   readonly quotaAllowance: OvershootAllowance;
-  /** Whether callers compete for capacity; the units of a tenant at its limit then go to the more urgent requests first. */
+  /**
+   * Whether callers compete for capacity; the units of a tenant at its limit then go to the more urgent requests first, and the
+   * memory that unread answers take is bounded.
+   */
   readonly hasContendedCapacity: boolean;
   /** Allowance beyond the rate limit that a back end reports. */
   readonly rateLimitAllowance: OvershootAllowance;
