--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -3,6 +3,7 @@
 import type { ErrorKind } from '@woodbarrow/errors';
 import type { SuspectSlot, Verdict } from '@woodbarrow/quarantine';
 import type { IncomingExchange } from '@woodbarrow/runtime';
+import { ObservedAnswer } from './observed-answer.js';
 import { ABORTED, raceAbort } from './race-abort.js';
 import type { BackendChoice, RefusalReason, SendChoice } from './backend-choice.js';
 import type { ClientAnswer } from './client-answer.js';
@@ -17,7 +18,6 @@
 import { mayRunAgain, type Route } from './route.js';
 import type { SendPermit } from './send-permits.js';
 import type { Tenant } from './tenant.js';
-import type { AnswerMeter } from './unread-answers.js';
 import type { RequestFacts } from './wire-dialect.js';
 
 /** Maximum number of sends for one request, whatever their results. */
@@ -53,7 +53,6 @@
   private readonly allowance: RequestAllowance;
   /** The client does not read its answer, and the memory for unread answers is used up. */
   private isEndedUnread = false;
-  private hasEnded = false;
 
   constructor(
     private readonly context: ForwardingContext,
@@ -104,43 +103,31 @@
     budget.recordRequest(service.name);
     if (facts.target !== undefined) loads.recordDemand(facts.target.model);
     this.recordAdmission();
-    const meter = this.watchAnswer();
+    const releaseAnswer = this.watchAnswer();
     try {
       await this.sendUntilFinished();
     } finally {
-      this.hasEnded = true;
-      meter?.release();
+      releaseAnswer();
       this.allowance.refund();
       for (const cancel of cancelTimers) cancel();
       stopWaiting.removeEventListener('abort', stop);
     }
   }
 
-  /** Lets the unread bytes of the answer count against the budget of the daemon, where there is one. */
-  private watchAnswer(): AnswerMeter | undefined {
+  /** Charges unread bytes of the answer to the budget of the daemon, if any. The result is called when the request has ended. */
+  private watchAnswer(): () => void {
     const { exchange, tenant, facts, answer } = this.scope;
-    if (this.context.unread === undefined || exchange.unreadBytes === undefined) return undefined;
-    const meter = this.context.unread.watch({
-      requestId: facts.id,
-      caller:
-        tenant === undefined ? `client ${exchange.clientAddress ?? 'unknown'}` : `tenant ${tenant.name}`,
-      unreadBytes: () => exchange.unreadBytes?.() ?? 0,
-      end: () => {
-        this.endUnread();
-      },
+    if (this.context.unread === undefined || exchange.unreadBytes === undefined) return () => undefined;
+    const observed = new ObservedAnswer(exchange, facts.id, tenant, () => {
+      this.isEndedUnread = true;
+      this.expired.abort();
     });
+    const meter = this.context.unread.watch(observed);
     answer.meterWith(meter);
-    return meter;
-  }
-
-  /** Ends the answer as incomplete; one that has been written completely is ended by closing its connection. */
-  private endUnread(): void {
-    if (this.hasEnded) {
-      this.scope.exchange.abort();
-      return;
-    }
-    this.isEndedUnread = true;
-    this.expired.abort();
+    return () => {
+      observed.release();
+      meter.release();
+    };
   }
 
   private recordAdmission(): void {
--- a/packages/runtime/test/node-ingress.test.ts
+++ b/packages/runtime/test/node-ingress.test.ts
@@ -55,6 +55,44 @@
     }
   });
 
+  it('reports what a client has not read, and discards it when the exchange is aborted after its end', async () => {
+    const size = 32 * 1024 * 1024;
+    const states: number[] = [];
+    const ingress = await NodeIngress.listen('127.0.0.1:0', LIMITS, (exchange) => {
+      const stream = exchange.beginStream({ status: 200, headers: [] });
+      states.push(exchange.unreadBytes?.() ?? -1);
+      void stream.write(Buffer.alloc(size, 'x'));
+      stream.end();
+      setTimeout(() => {
+        states.push(exchange.unreadBytes?.() ?? -1);
+        exchange.abort();
+        states.push(exchange.unreadBytes?.() ?? -1);
+      }, 100);
+      return Promise.resolve();
+    });
+    try {
+      let text = '';
+      await new Promise<void>((resolve) => {
+        const socket = connect(ingress.port, '127.0.0.1');
+        socket.write('GET / HTTP/1.1\r\nHost: test\r\n\r\n');
+        socket.on('data', (chunk) => (text += chunk.toString('latin1')));
+        socket.on('error', () => undefined);
+        socket.on('close', () => {
+          resolve();
+        });
+        socket.pause();
+        setTimeout(() => socket.resume(), 200);
+      });
+      expect(states[0]).to.be.lessThan(1024);
+      expect(states[1]).to.be.greaterThan(0);
+      expect(states[2]).to.equal(0);
+      expect(text.length).to.be.lessThan(size);
+      expect(text).to.not.match(/\r\n0\r\n/);
+    } finally {
+      await ingress.close();
+    }
+  });
+
   // Without a length, a partial response would look complete after a crash, as the kernel closes the connection normally.
   it('marks a partial response as incomplete for a client without chunked encoding when the process is killed', async () => {
     let begun: () => void = () => undefined;
