--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -19,6 +19,7 @@
   type BackendResponse,
   type BackendCall,
   type BackendClient,
+  type Clock,
   type IncomingExchange,
   type ResponseHead,
   type ResponseStream,
@@ -50,6 +51,7 @@
   type RequestQuota,
   type ResidencyOutcome,
   type Route,
+  type UnreadAnswers,
   type SendPermits,
   type WireDialect,
 } from '../src/index.js';
@@ -216,6 +218,7 @@
     engine?: EngineDefinition,
     connectionLimit = 100,
     private readonly queuesForRoom = true,
+    private readonly createUnread?: (clock: Clock) => UnreadAnswers,
   ) {
     const service: ServiceDefinition = {
       name: 'service',
@@ -361,6 +364,7 @@
         },
       },
       stopWaiting: this.stop.signal,
+      ...(this.createUnread === undefined ? {} : { unread: this.createUnread(this.process) }),
       healthOf: (name) => this.healthOf(name),
     };
   }
