Keep running sums of the pace figures of each worker

paceOf visited every report, and totals() and the choice among plain back ends called it for each worker; combinedReport added up objects in maps for each attached daemon. On a relay with 12 attached daemons, 27 other relays and 4,700 workers this took a large share of a daemon's processor time.

Weights are stored as of one reference time, since all figures decay alike, and in columns by worker number. A running sum over the own figures and the reports that have not expired is updated by differences, and computed anew for a worker where a difference would lose precision or the time of the first figure.

--- a/packages/backends/src/worker-paces.ts
+++ b/packages/backends/src/worker-paces.ts
@@ -4,7 +4,10 @@
  * repeated ones are harmless.
  */
 import type { Clock } from '@woodbarrow/runtime';
+import { FigureColumns } from './figure-columns.js';
 import type { ReportScope } from './load-report.js';
+import { PaceSums } from './pace-sums.js';
+import { WorkerNumbers } from './worker-numbers.js';
 import type { PaceView } from './pace-view.js';
 
 /** Figures of one worker that one daemon, or several, have received. */
@@ -49,68 +52,82 @@
  */
 const REPORT_LIFETIME_MS = 12_000;
 
-interface Observation {
-  readonly pace: number;
-  /** Decayed number of figures as of `updatedAt`. */
-  readonly weight: number;
-  /** Monotonic time. */
-  readonly updatedAt: number;
-  /** Monotonic time of the first figure. */
-  readonly since: number;
-}
+/**
+ * Milliseconds after which the time that stored weights refer to is renewed. The stored weight of a new figure doubles
+ * with each half-life after that time; 500 doublings are within the range of a double, as are 500 halvings.
+ */
+const REFERENCE_LIFETIME_MS = 500 * PACE_HALF_LIFE_MS;
 
 interface SourceReport {
   readonly scope: ReportScope;
   readonly receivedAt: number;
-  readonly observations: Map<string, Observation>;
-}
-
-/** Sum of the figures of one worker. */
-interface FigureSum {
-  paceSum: number;
-  weight: number;
-  since: number;
+  readonly observations: FigureColumns;
+  /** Whether the figures are part of the sums; false once they have expired. */
+  isCounted: boolean;
 }
 
 /** Tracks the pace of all workers. */
 export class WorkerPaces implements PaceView {
   /** Called with the first figure of a worker of which no other daemon has reported any. */
   onLearnt: (backEndId: string, pace: number, percent: number) => void = () => undefined;
-  private readonly own = new Map<string, Observation>();
+  private readonly numbers = new WorkerNumbers();
+  private readonly own = new FigureColumns();
   private readonly reports = new Map<string, SourceReport>();
+  /** Sums of the own figures and those of all reports that have not expired. */
+  private readonly sums = new PaceSums(() => this.countedFigures());
+  /**
+   * Monotonic time that all stored weights refer to. Since all figures decay alike, weights as of one time can be added
+   * and subtracted without computing their decay.
+   */
+  private referenceTime: number;
+  /** Monotonic time before which no report expires. */
+  private nextExpiryAt = Infinity;
 
-  constructor(private readonly clock: Clock) {}
+  constructor(private readonly clock: Clock) {
+    this.referenceTime = clock.monotonic();
+  }
 
   /** Records the figure of an answer, in percent of the usual time. */
   record(backEndId: string, percent: number): void {
     const now = this.clock.monotonic();
-    const isFirst = this.sumOf(backEndId, now).weight === 0;
-    const previous = this.own.get(backEndId);
-    const previousWeight = previous === undefined ? 0 : decayedWeight(previous, now);
-    const weight = previousWeight + 1;
-    const pace = ((previous?.pace ?? 0) * previousWeight + percent / 100) / weight;
-    this.own.set(backEndId, { pace, weight, updatedAt: now, since: previous?.since ?? now });
+    this.expireReports(now);
+    this.renewReferenceTime(now);
+    const isFirst = this.weightAt(backEndId, now) === 0;
+    const worker = this.numbers.assign(backEndId);
+    const weight = this.scaleAt(now);
+    const paceSum = (percent / 100) * weight;
+    this.sums.add(worker, paceSum, weight, now, !this.own.has(worker));
+    this.own.add(worker, paceSum, weight, now);
     if (isFirst) this.onLearnt(backEndId, this.paceOf(backEndId), percent);
   }
 
   paceOf(backEndId: string): number {
     const now = this.clock.monotonic();
-    const sum = this.sumOf(backEndId, now);
-    return sum.weight === 0 ? PRIOR_PACE : dampedPace(sum, now);
+    this.expireReports(now);
+    return this.paceAt(this.numbers.numberOf(backEndId), now, this.scaleAt(now));
   }
 
   /** Returns the decayed number of figures of a worker, over all daemons. */
   weightOf(backEndId: string): number {
-    return this.sumOf(backEndId, this.clock.monotonic()).weight;
+    const now = this.clock.monotonic();
+    this.expireReports(now);
+    return this.weightAt(backEndId, now);
   }
 
   /** Returns the number of workers with a known pace, and the extremes. */
   totals(): PaceTotals {
-    const ids = new Set(this.own.keys());
-    for (const { observations } of this.freshReports()) for (const id of observations.keys()) ids.add(id);
-    const paces = [...ids].map((id) => this.paceOf(id));
-    if (paces.length === 0) return { known: 0, fastest: PRIOR_PACE, slowest: PRIOR_PACE };
-    return { known: paces.length, fastest: Math.min(...paces), slowest: Math.max(...paces) };
+    const now = this.clock.monotonic();
+    this.expireReports(now);
+    if (this.sums.size === 0) return { known: 0, fastest: PRIOR_PACE, slowest: PRIOR_PACE };
+    const scale = this.scaleAt(now);
+    let [fastest, slowest] = [Infinity, -Infinity];
+    for (const [, worker] of this.numbers.entries()) {
+      if (!this.sums.has(worker)) continue;
+      const pace = this.paceAt(worker, now, scale);
+      fastest = Math.min(fastest, pace);
+      slowest = Math.max(slowest, pace);
+    }
+    return { known: this.sums.size, fastest, slowest };
   }
 
   /** Returns the figures that this daemon received itself. */
@@ -121,95 +138,150 @@
   /** Returns the sum of this daemon's own figures and those of sources with the given scopes, except one source. */
   combinedReport(scopes: readonly ReportScope[], excludedSource?: string): PaceEntry[] {
     const now = this.clock.monotonic();
+    this.expireReports(now);
     this.removeDecayed(now);
-    const sums = new Map<string, FigureSum>();
-    addAll(sums, this.own, now);
-    for (const [source, { scope, receivedAt, observations }] of this.reports) {
-      if (source === excludedSource || !scopes.includes(scope)) continue;
-      if (now - receivedAt <= REPORT_LIFETIME_MS) addAll(sums, observations, now);
+    const sum = new FigureColumns(this.own.capacity);
+    sum.addAll(this.own);
+    for (const [source, { scope, observations, isCounted }] of this.reports) {
+      if (isCounted && source !== excludedSource && scopes.includes(scope)) sum.addAll(observations);
     }
-    return [...sums]
-      .map(([backEndId, { paceSum, weight }]) => ({ backEndId, pace: paceSum / weight, weight }))
-      .filter(({ weight }) => weight >= MIN_REPORTED_WEIGHT);
+    const scale = this.scaleAt(now);
+    const entries: PaceEntry[] = [];
+    for (const [backEndId, worker] of this.numbers.entries()) {
+      const stored = sum.weightOf(worker);
+      const weight = stored / scale;
+      if (weight < MIN_REPORTED_WEIGHT) continue;
+      entries.push({ backEndId, pace: sum.paceSumOf(worker) / stored, weight });
+    }
+    return entries;
   }
 
   /** Stores the report of a source, replacing its previous one. */
   acceptReport(source: string, scope: ReportScope, entries: readonly PaceEntry[]): void {
     const now = this.clock.monotonic();
-    const previous = this.reports.get(source)?.observations;
-    const observations = new Map<string, Observation>();
+    this.expireReports(now);
+    this.renewReferenceTime(now);
+    const previous = this.reports.get(source);
+    const scale = this.scaleAt(now);
+    const observations = new FigureColumns(previous?.observations.capacity);
     for (const { backEndId, pace, weight } of entries) {
-      const since = previous?.get(backEndId)?.since ?? now;
-      observations.set(backEndId, { pace, weight, updatedAt: now, since });
+      const worker = this.numbers.assign(backEndId);
+      const since = previous?.observations.sinceOf(worker) ?? Infinity;
+      observations.set(worker, pace * weight * scale, weight * scale, Math.min(since, now));
     }
-    this.reports.set(source, { scope, receivedAt: now, observations });
-    for (const [name, { receivedAt }] of this.reports) {
-      if (now - receivedAt > REPORT_LIFETIME_MS) this.reports.delete(name);
+    this.replaceInSums(previous?.isCounted === true ? previous.observations : undefined, observations);
+    this.reports.set(source, { scope, receivedAt: now, observations, isCounted: true });
+    this.nextExpiryAt = Math.min(this.nextExpiryAt, now + REPORT_LIFETIME_MS);
+    for (const [name, { isCounted }] of this.reports) {
+      if (!isCounted) this.reports.delete(name);
     }
+    this.releaseUnused();
   }
 
   /** Removes all reports of other daemons, for use when the sources of reports change. */
   dropReports(): void {
     this.reports.clear();
+    this.nextExpiryAt = Infinity;
+    this.sums.clear();
+    this.replaceInSums(undefined, this.own);
+    this.releaseUnused();
   }
 
   /** Removes the figures of a worker that is gone. */
   forget(backEndId: string): void {
-    this.own.delete(backEndId);
-    for (const { observations } of this.reports.values()) observations.delete(backEndId);
+    const worker = this.numbers.numberOf(backEndId);
+    if (worker === undefined) return;
+    this.own.delete(worker);
+    for (const { observations } of this.reports.values()) observations.delete(worker);
+    this.sums.delete(worker);
+    this.numbers.release(backEndId);
   }
 
-  private sumOf(backEndId: string, now: number): FigureSum {
-    const sum = { paceSum: 0, weight: 0, since: Infinity };
-    add(sum, this.own.get(backEndId), now);
-    for (const { observations } of this.freshReports()) add(sum, observations.get(backEndId), now);
-    return sum;
+  private paceAt(worker: number | undefined, now: number, scale: number): number {
+    if (worker === undefined || !this.sums.has(worker)) return PRIOR_PACE;
+    const sums = this.sums.upToDate(worker);
+    const stored = sums.weightOf(worker);
+    const weight = stored / scale;
+    if (weight === 0) return PRIOR_PACE;
+    return dampedPace(sums.paceSumOf(worker) / stored, weight, now - sums.sinceOf(worker));
   }
 
-  private *freshReports(): Generator<SourceReport> {
-    const oldest = this.clock.monotonic() - REPORT_LIFETIME_MS;
-    for (const report of this.reports.values()) {
-      if (report.receivedAt >= oldest) yield report;
-    }
+  private weightAt(backEndId: string, now: number): number {
+    const worker = this.numbers.numberOf(backEndId);
+    return worker === undefined ? 0 : this.sums.upToDate(worker).weightOf(worker) / this.scaleAt(now);
   }
 
-  private removeDecayed(now: number): void {
-    for (const [backEndId, observation] of this.own) {
-      if (decayedWeight(observation, now) < MIN_REPORTED_WEIGHT) this.own.delete(backEndId);
+  /** Returns the stored weight of a figure received now. */
+  private scaleAt(now: number): number {
+    return 2 ** ((now - this.referenceTime) / PACE_HALF_LIFE_MS);
+  }
+
+  /** Moves the reference time forward. Whole half-lives scale the stored weights without rounding. */
+  private renewReferenceTime(now: number): void {
+    const ageMs = now - this.referenceTime;
+    if (ageMs <= REFERENCE_LIFETIME_MS) return;
+    const halfLives = Math.floor(ageMs / PACE_HALF_LIFE_MS);
+    const factor = 0.5 ** halfLives;
+    this.referenceTime += halfLives * PACE_HALF_LIFE_MS;
+    this.sums.scale(factor);
+    this.own.scale(factor);
+    for (const { observations } of this.reports.values()) observations.scale(factor);
+  }
+
+  private *countedFigures(): Generator<FigureColumns> {
+    yield this.own;
+    for (const { observations, isCounted } of this.reports.values()) {
+      if (isCounted) yield observations;
     }
   }
-}
 
-/** Returns the mean of the figures, damped towards the usual pace as long as they are few or of one moment. */
-function dampedPace({ paceSum, weight, since }: FigureSum, now: number): number {
-  const independent = Math.min(weight, 1 + (now - since) / INDEPENDENT_FIGURE_MS);
-  const pace = paceSum / weight;
-  return (pace * independent + PRIOR_PACE * PRIOR_WEIGHT) / (independent + PRIOR_WEIGHT);
-}
+  private replaceInSums(previous: FigureColumns | undefined, next: FigureColumns | undefined): void {
+    const capacity = Math.max(previous?.capacity ?? 0, next?.capacity ?? 0);
+    for (let worker = 0; worker < capacity; worker += 1) this.sums.replace(worker, previous, next);
+  }
 
-function addAll(
-  sums: Map<string, FigureSum>,
-  observations: ReadonlyMap<string, Observation>,
-  now: number,
-): void {
-  for (const [backEndId, observation] of observations) {
-    let sum = sums.get(backEndId);
-    if (sum === undefined) {
-      sum = { paceSum: 0, weight: 0, since: Infinity };
-      sums.set(backEndId, sum);
+  /** Releases the numbers of workers without figures. Expired reports still refer to theirs. */
+  private releaseUnused(): void {
+    if (this.numbers.size === this.sums.size) return;
+    for (const { isCounted } of this.reports.values()) if (!isCounted) return;
+    for (const [backEndId, worker] of this.numbers.entries()) {
+      if (!this.sums.has(worker)) this.numbers.release(backEndId);
     }
-    add(sum, observation, now);
   }
-}
 
-function add(sum: FigureSum, observation: Observation | undefined, now: number): void {
-  if (observation === undefined) return;
-  const weight = decayedWeight(observation, now);
-  sum.paceSum += observation.pace * weight;
-  sum.weight += weight;
-  sum.since = Math.min(sum.since, observation.since);
+  /**
+   * Removes expired reports from the sums. The reports are kept until the next one arrives: if it is of the same source,
+   * it continues the times of the first figures.
+   */
+  private expireReports(now: number): void {
+    if (now <= this.nextExpiryAt) return;
+    this.nextExpiryAt = Infinity;
+    for (const report of this.reports.values()) {
+      if (!report.isCounted) continue;
+      if (now - report.receivedAt > REPORT_LIFETIME_MS) {
+        report.isCounted = false;
+        this.replaceInSums(report.observations, undefined);
+      } else this.nextExpiryAt = Math.min(this.nextExpiryAt, report.receivedAt + REPORT_LIFETIME_MS);
+    }
+  }
+
+  private removeDecayed(now: number): void {
+    const minimum = MIN_REPORTED_WEIGHT * this.scaleAt(now);
+    for (let worker = 0; worker < this.own.capacity; worker += 1) {
+      if (!this.own.has(worker) || this.own.weightOf(worker) >= minimum) continue;
+      this.sums.replace(worker, this.own, undefined);
+      this.own.delete(worker);
+    }
+    this.releaseUnused();
+  }
 }
 
-function decayedWeight({ weight, updatedAt }: Observation, now: number): number {
-  return weight * 0.5 ** ((now - updatedAt) / PACE_HALF_LIFE_MS);
+/**
+ * Returns the mean of the figures, damped towards the usual pace as long as they are few or of one moment.
+ *
+ * @param ageMs Milliseconds since the first figure.
+ */
+function dampedPace(pace: number, weight: number, ageMs: number): number {
+  const independent = Math.min(weight, 1 + ageMs / INDEPENDENT_FIGURE_MS);
+  return (pace * independent + PRIOR_PACE * PRIOR_WEIGHT) / (independent + PRIOR_WEIGHT);
 }
