Read the load of a worker once per pass over the dispatch queue

Each pass, at every arrival, end of a run and poll, added up the load of every holder over the reports of all other daemons for each waiting request. A pass now keeps the loads that it has read and drops that of a worker when a place there is taken or returned. Decisions are the same.

--- a/packages/forwarding/src/dispatch-queue.ts
+++ b/packages/forwarding/src/dispatch-queue.ts
@@ -159,8 +159,10 @@
   private schedulePoll(): void {
     this.cancelPoll ??= this.clock.schedule(DISPATCH_POLL_MS, () => {
       this.cancelPoll = undefined;
-      this.giveFreePlaces();
-      for (const waiter of this.inOrder()) this.settleWithoutRoom(waiter);
+      this.places.duringPass(() => {
+        this.giveFreePlaces();
+        for (const waiter of this.inOrder()) this.settleWithoutRoom(waiter);
+      });
       if (this.waiting.size > 0) this.schedulePoll();
     });
   }
@@ -170,7 +172,9 @@
     if (this.isPassing || this.waiting.size === 0) return;
     this.isPassing = true;
     try {
-      for (const waiter of this.inOrder()) this.tryPlace(waiter);
+      this.places.duringPass(() => {
+        for (const waiter of this.inOrder()) this.tryPlace(waiter);
+      });
     } finally {
       this.isPassing = false;
     }
--- a/packages/forwarding/src/worker-places.ts
+++ b/packages/forwarding/src/worker-places.ts
@@ -1,6 +1,7 @@
 /** Places for requests on workers: what the daemons report, and what this daemon has given to requests not yet sent. */
 import type {
   BackEnd,
+  BackEndLoad,
   BackendDirectory,
   EngineDefinition,
   LoadTracker,
@@ -44,6 +45,8 @@
 export class WorkerPlaces {
   private readonly capacity: WorkerCapacity;
   private readonly reservedByBackEnd = new Map<string, Reserved>();
+  /** Loads read in the current pass over the queue; undefined outside of a pass. */
+  private loadsInPass: Map<string, BackEndLoad> | undefined;
   /** Returns the mean duration of the runs of a service in milliseconds; undefined before any run has ended. */
   meanRunMs: (service: string) => number | undefined = () => undefined;
   /** Called when a place was returned without being used. */
@@ -59,6 +62,23 @@
     this.capacity = new WorkerCapacity(random, clock);
   }
 
+  /**
+   * Runs a synchronous pass over the queue. Within it the load of a worker is added up over the reports once rather than
+   * for each waiting request, and again after a place on the worker is taken or returned.
+   */
+  duringPass(pass: () => void): void {
+    if (this.loadsInPass !== undefined) {
+      pass();
+      return;
+    }
+    this.loadsInPass = new Map();
+    try {
+      pass();
+    } finally {
+      this.loadsInPass = undefined;
+    }
+  }
+
   /** Whether this daemon may send a request to a worker now. */
   hasRoom(backEnd: BackEnd, request: PlaceRequest): boolean {
     if (request.isResumption) return this.isFree(backEnd, request);
@@ -80,11 +100,13 @@
     reserved.requests += 1;
     reserved.tokens += tokens;
     this.capacity.noteTaken(backEnd.id, priority);
+    this.loadsInPass?.delete(backEnd.id);
     let isOpen = true;
     return {
       release: (outcome) => {
         if (!isOpen) return;
         isOpen = false;
+        this.loadsInPass?.delete(backEnd.id);
         reserved.requests -= 1;
         reserved.tokens -= tokens;
         if (reserved.requests === 0) this.reservedByBackEnd.delete(backEnd.id);
@@ -97,7 +119,7 @@
 
   /** Returns the requests in progress on a worker, with the places given to requests not yet sent. */
   useOf(backEndId: string, { slots, cacheTokens }: EngineDefinition): WorkerUse {
-    const load = this.loads.loadOf(backEndId);
+    const load = this.loadOf(backEndId);
     const reserved = this.reservedByBackEnd.get(backEndId);
     return {
       requests: load.requests + (reserved?.requests ?? 0),
@@ -114,6 +136,15 @@
     return waiting;
   }
 
+  private loadOf(backEndId: string): BackEndLoad {
+    let load = this.loadsInPass?.get(backEndId);
+    if (load === undefined) {
+      load = this.loads.loadOf(backEndId);
+      this.loadsInPass?.set(backEndId, load);
+    }
+    return load;
+  }
+
   /** Expected competition for a worker, over all models that it holds. */
   private competition(backEnd: BackEnd, { target, priority }: PlaceRequest): Competition {
     const daemons = Math.max(1, this.daemonCount());
@@ -147,6 +178,6 @@
    */
   private endingOn({ id, service }: BackEnd): number {
     const meanMs = this.meanRunMs(service);
-    return meanMs === undefined ? 0 : (this.loads.loadOf(id).requests * LOAD_REPORT_INTERVAL_MS) / meanMs;
+    return meanMs === undefined ? 0 : (this.loadOf(id).requests * LOAD_REPORT_INTERVAL_MS) / meanMs;
   }
 }
