--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -3,6 +3,7 @@
 import type { ErrorKind } from '@woodbarrow/errors';
 import type { SuspectSlot, Verdict } from '@woodbarrow/quarantine';
 import type { IncomingExchange } from '@woodbarrow/runtime';
+import { ObservedAnswer } from './observed-answer.js';
 import { ABORTED, raceAbort } from './race-abort.js';
 import type { BackendChoice, RefusalReason, SendChoice } from './backend-choice.js';
 import type { ClientAnswer } from './client-answer.js';
@@ -50,6 +51,8 @@
   private readonly scope: RequestScope;
   private readonly sender: RequestSender;
   private readonly allowance: RequestAllowance;
+  /** The client does not read its answer, and the memory for unread answers is used up. */
+  private isEndedUnread = false;
 
   constructor(
     private readonly context: ForwardingContext,
@@ -100,15 +103,33 @@
     budget.recordRequest(service.name);
     if (facts.target !== undefined) loads.recordDemand(facts.target.model);
     this.recordAdmission();
+    const releaseAnswer = this.watchAnswer();
     try {
       await this.sendUntilFinished();
     } finally {
+      releaseAnswer();
       this.allowance.refund();
       for (const cancel of cancelTimers) cancel();
       stopWaiting.removeEventListener('abort', stop);
     }
   }
 
+  /** Charges unread bytes of the answer to the budget of the daemon, if any. The result is called when the request has ended. */
+  private watchAnswer(): () => void {
+    const { exchange, tenant, facts, answer } = this.scope;
+    if (this.context.unread === undefined || exchange.unreadBytes === undefined) return () => undefined;
+    const observed = new ObservedAnswer(exchange, facts.id, tenant, () => {
+      this.isEndedUnread = true;
+      this.expired.abort();
+    });
+    const meter = this.context.unread.watch(observed);
+    answer.meterWith(meter);
+    return () => {
+      observed.release();
+      meter.release();
+    };
+  }
+
   private recordAdmission(): void {
     const { facts, route, tenant, service, digest, times } = this.scope;
     this.context.journal.decided('request_admitted', facts.id, {
@@ -346,7 +367,8 @@
   /** Ends a request because time is up, the daemon stops, or the client has disconnected. */
   private finishExpired(): void {
     const { exchange, answer, progress, completion } = this.scope;
-    if (exchange.signal.aborted) completion.recordAbandoned();
+    if (this.isEndedUnread) completion.abortAnswer('the client did not read its answer');
+    else if (exchange.signal.aborted) completion.recordAbandoned();
     else if (answer.hasBegun) completion.abortAnswer('time is up');
     else if (progress.mayHaveRunOn.size > 0) completion.fail('request_timeout', 'time is up');
     else if (progress.isStopping) completion.refuseStopping();
