--- a/packages/residency/src/replica-spread.ts
+++ b/packages/residency/src/replica-spread.ts
@@ -115,9 +115,9 @@
         decided.filter(({ zone }) => zone === worker.zone).length < MAX_DECISIONS_PER_ZONE &&
         this.suits(worker, need),
     );
-    const roomy = usable.filter((worker) => this.victimsFor(worker, need.definition) !== undefined);
-    const unshared = roomy.filter((worker) => this.busyModelsOn(worker) === 0);
-    const worker = leastBy(unshared.length > 0 ? unshared : roomy, (candidate) => this.costOf(candidate));
+    const withRoom = usable.filter((worker) => this.victimsFor(worker, need.definition) !== undefined);
+    const unshared = withRoom.filter((worker) => this.busyModelsOn(worker) === 0);
+    const worker = leastBy(unshared.length > 0 ? unshared : withRoom, (candidate) => this.costOf(candidate));
     if (worker === undefined) return undefined;
     const { definition, ...rest } = need;
     const victims = this.victimsFor(worker, definition) ?? [];
@@ -177,7 +177,7 @@
     return missingMb > 0 ? undefined : victims;
   }
 
-  /** Whether a model has no requests on a worker and is not missed there. */
+  /** Whether a model has no requests on a worker and the other replicas can take over its load. */
   private isEvictable(model: string, worker: SpreadWorker): boolean {
     if ((worker.requestsByModel.get(model) ?? 0) > 0) return false;
     if (isProtectedVictim(model, worker.id, this.presence)) return false;
@@ -205,7 +205,7 @@
   }
 }
 
-/** Returns the requests that a worker runs at the usual pace; a slow worker is not given all its slots' worth. */
+/** Returns the requests that a worker runs at the usual pace; on a slow worker fewer than its slots. */
 function capacityOf({ slots, pace }: SpreadWorker): number {
   return Math.min(slots, slots / pace);
 }
