--- a/packages/forwarding/src/dispatch-queue.ts
+++ b/packages/forwarding/src/dispatch-queue.ts
@@ -104,8 +104,8 @@
       if (!this.waiting.has(waiter)) return;
       const ahead = this.aheadOf(waiter);
       const waitMs = this.expectedWaitMs(waiter, ahead);
-      const isHopeless = waitMs > request.startBy - this.clock.monotonic();
-      if (!request.isResumption && (isHopeless || this.waiting.size > MAX_WAITING_REQUESTS)) {
+      const isTooLate = waitMs > request.startBy - this.clock.monotonic();
+      if (!request.isResumption && (isTooLate || this.waiting.size > MAX_WAITING_REQUESTS)) {
         this.refuse(waiter);
         return;
       }
