Daemons track whether their own connections reach the back ends

Callers saw requests refused or timed out at daemons that had lost all connections to back ends. Log lines and metrics showed single failed sends only: a lost network, a lost worker and workers that are down looked alike, and nothing told since when. Failed connections, unanswered requests and probes now feed a state for each back end and one for the daemon, with log events (path_lost, path_restored, back_ends_unreachable, back_ends_reachable) and metrics. Requests are sent as before.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,6 +33,7 @@
   quarantine: ['errors', 'runtime', 'protocol', 'backends', 'observability'],
   forwarding: ['errors', 'runtime', 'backends', 'coordination', 'observability', 'quarantine'],
   exchange: ['errors', 'runtime', 'protocol', 'peering', 'coordination', 'backends', 'observability'],
+  relaying: ['errors', 'runtime', 'protocol', 'peering', 'backends', 'observability', 'quarantine'],
   residency: [
     'errors',
     'runtime',
@@ -66,6 +67,7 @@
   'platform',
   'protocol',
   'quarantine',
+  'relaying',
   'residency',
   'routing',
   'runtime',
--- a/packages/forwarding/src/send-attempt.ts
+++ b/packages/forwarding/src/send-attempt.ts
@@ -56,6 +56,8 @@
         });
   try {
     const answer = await client.send({
+      backEndId: plan.backEnd.id,
+      requestId: plan.requestId,
       address: plan.backEnd.address,
       method: plan.method,
       target: plan.target,
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -97,6 +97,12 @@
   back_end_seen: 'A back end appeared. Service, zone, state, models.',
   back_end_changed: 'A back end started to drain or accepts requests again. Service, zone, state, models.',
   back_end_gone: 'The record of a back end was removed.',
+  path_lost:
+    'This daemon lost its direct path to a back end. Back end, cause (`not_connected`: no connection opened; `no_answer`: neither a request nor a probe was answered; `no_back_end_reached`: none of the back ends compared was reached).',
+  path_restored: 'The direct path to a back end works again. Back end, time for which it was lost.',
+  back_ends_unreachable:
+    'This daemon reaches no back end over its own connections. Back ends probed, time since the last answer of any.',
+  back_ends_reachable: 'This daemon reaches a back end again. The back end, time for which none was reached.',
   store_lost: 'The store does not respond to this daemon. Kind of records, cause.',
   store_regained: 'The store responds again. Kind of records, failures in between.',
   store_restored:
--- a/packages/runtime/src/node-backend-client.ts
+++ b/packages/runtime/src/node-backend-client.ts
@@ -1,9 +1,9 @@
 /** HTTP client for back ends, based on the HTTP client of Node.js, with a connection pool for each address. */
 import { Agent, request as startRequest, type ClientRequest, type IncomingMessage } from 'node:http';
-import type { Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { HttpNotSentError } from './http.js';
 import { MessageBody } from './message-body.js';
-import type { BackendResponse, BackendCall, BackendClient } from './streaming-http.js';
+import type { BackendResponse, BackendCall, BackendClient, ConnectionProbe } from './streaming-http.js';
 import { parseAddress } from './transport.js';
 
 /** Maximum number of idle connections retained for each address. */
@@ -131,7 +131,7 @@
 }
 
 /** Sends requests to back ends over plain HTTP. */
-export class NodeBackendClient implements BackendClient {
+export class NodeBackendClient implements BackendClient, ConnectionProbe {
   private readonly agents = new Map<string, KeepAliveAgent>();
   private openedCount = 0;
 
@@ -189,6 +189,27 @@
     });
   }
 
+  canConnect(address: string, timeoutMs: number): Promise<boolean> {
+    const { host, port } = parseAddress(address);
+    return new Promise((resolve) => {
+      const socket = connect({ host, port });
+      const finish = (isConnected: boolean): void => {
+        clearTimeout(timer);
+        socket.destroy();
+        resolve(isConnected);
+      };
+      const timer = setTimeout(() => {
+        finish(false);
+      }, timeoutMs);
+      socket.once('connect', () => {
+        finish(true);
+      });
+      socket.on('error', () => {
+        finish(false);
+      });
+    });
+  }
+
   closeIdleConnections(address: string): void {
     const agent = this.agents.get(address);
     if (agent === undefined) return;
--- a/packages/runtime/src/streaming-http.ts
+++ b/packages/runtime/src/streaming-http.ts
@@ -77,6 +77,10 @@
 
 /** A request to a back end. */
 export interface BackendCall {
+  /** Back end that is called; absent for calls to other systems. */
+  readonly backEndId?: string;
+  /** Id of the forwarded request; absent for other calls. */
+  readonly requestId?: string;
   /** `ip:port`. */
   readonly address: string;
   readonly method: string;
@@ -116,3 +120,9 @@
   /** Number of connections opened since the start. */
   readonly connectionsOpened: number;
 }
+
+/** Opens connections only to find out whether that is possible. */
+export interface ConnectionProbe {
+  /** Whether a new connection to an address opens within `timeoutMs` milliseconds; it is closed at once. Never rejects. */
+  canConnect(address: string, timeoutMs: number): Promise<boolean>;
+}
--- a/packages/serving/src/forwarder-assembly.ts
+++ b/packages/serving/src/forwarder-assembly.ts
@@ -25,6 +25,7 @@
 import type { QuotaGate } from '@woodbarrow/quota';
 import { DemandRouter } from '@woodbarrow/residency';
 import type { BackendNoticeService } from './backend-notice-service.js';
+import type { BackendClient } from '@woodbarrow/runtime';
 import type { ServingPorts } from './ports.js';
 import type { ServingSettings } from './serving-settings.js';
 import { createUnreadAnswers } from './unread-bound.js';
@@ -33,6 +34,8 @@
 export interface ForwarderParts {
   readonly settings: ServingSettings;
   readonly ports: ServingPorts;
+  /** Client for forwarded requests. */
+  readonly client: BackendClient;
   readonly configuration: ConfigurationHolder;
   readonly directory: BackendDirectory;
   readonly loads: LoadTracker;
@@ -58,8 +61,8 @@
 
 /** Creates the entry point for client requests. */
 export function assembleForwarder(parts: ForwarderParts): Forwarder {
-  const { settings, ports, directory, loads, paces, affinity, daemonCount, journal } = parts;
-  const { clock, client, dialect, random } = ports;
+  const { settings, ports, client, directory, loads, paces, affinity, daemonCount, journal } = parts;
+  const { clock, dialect, random } = ports;
   const { notices, permits } = parts.notices;
   const demands = createDemandRouter(parts);
   const connections = new ConnectionShare(loads, daemonCount);
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -6,7 +6,7 @@
 import type { RecordEntry, StorePosition } from '@woodbarrow/protocol';
 import type { ProcessProbe, QuarantineEntry, QuarantineStore } from '@woodbarrow/quarantine';
 import type { HealthClient, OrderClient } from '@woodbarrow/residency';
-import type { BackendClient, Clock, Random, Transport } from '@woodbarrow/runtime';
+import type { BackendClient, Clock, ConnectionProbe, Random, Transport } from '@woodbarrow/runtime';
 
 export type { RecordEntry, StorePosition };
 
@@ -95,7 +95,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly transport: Transport;
-  readonly client: BackendClient;
+  readonly client: BackendClient & ConnectionProbe;
   readonly dialect: WireDialect;
   readonly orders: OrderClient;
   readonly probe: ProcessProbe;
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -14,17 +14,20 @@
 import { ownerByRendezvous } from '@woodbarrow/coordination';
 import { LoadQuarantine, RequestQuarantine } from '@woodbarrow/quarantine';
 import { QuotaGate, QuotaService } from '@woodbarrow/quota';
+import { BackendPaths, PathObserver } from '@woodbarrow/relaying';
 import { PaceProbes, ResidencyService } from '@woodbarrow/residency';
 import {
   NodeIngress,
   TaskGroup,
   sleep,
+  type BackendClient,
   type IncomingExchange,
   type IngressLimits,
 } from '@woodbarrow/runtime';
 import { BackendNoticeService } from './backend-notice-service.js';
 import { DeploymentView } from './deployment-view.js';
 import { assembleForwarder } from './forwarder-assembly.js';
+import { HttpPathProbe } from './http-path-probe.js';
 import { LoggedJournal } from './logged-journal.js';
 import { createLoggedPaces } from './logged-paces.js';
 import { listenForMetrics } from './metrics-endpoint.js';
@@ -71,6 +74,8 @@
   private readonly quotaService: QuotaService;
   private readonly quotaGate: QuotaGate;
   private readonly noticeService: BackendNoticeService;
+  private readonly paths: BackendPaths;
+  private readonly client: BackendClient;
   private readonly quarantine: RequestQuarantine;
   private readonly loadQuarantine: LoadQuarantine;
   private readonly records: RecordFollower;
@@ -134,6 +139,8 @@
     this.quotaService = this.createQuotaService();
     this.quotaGate = this.createQuotaGate(coordinators);
     this.noticeService = this.createNoticeService(coordinators);
+    this.paths = this.createPaths();
+    this.client = new PathObserver(ports.client, this.paths, clock);
     this.metrics = this.createMetrics();
     this.forwarder = this.createForwarder(coordinators);
     this.directory.events.on('removed', (backEnd) => {
@@ -141,6 +148,7 @@
       this.paces.forget(backEnd.id);
       this.health.get(backEnd.service)?.forget(backEnd.id);
       this.noticeService.noteRemoved(backEnd.id);
+      this.paths.forget(backEnd.id);
       ports.client.closeIdleConnections(backEnd.address);
     });
     this.directory.events.on('residency', ({ backEndId, target, resident }) => {
@@ -171,6 +179,7 @@
     this.quarantine.start();
     this.quotaService.start();
     this.noticeService.start();
+    this.paths.start();
     this.residency.start();
     this.log.changed('daemon_started', { zone: settings.zone, address: settings.ingressAddress });
   }
@@ -213,6 +222,7 @@
     this.isStopping = true;
     this.tasks.abort();
     this.residency.abort();
+    this.paths.abort();
     this.quarantine.abort();
     this.exchange.abort();
     this.membership.abort();
@@ -326,6 +336,13 @@
     });
   }
 
+  private createPaths(): BackendPaths {
+    const { ports, log, directory } = this;
+    const { clock, client, probe } = ports;
+    const paths = new HttpPathProbe(client, probe);
+    return new BackendPaths({ directory, probe: paths, clock, random: ports.random.fork(), log });
+  }
+
   private createNoticeService(coordinators: CoordinatorDirectory): BackendNoticeService {
     const { settings, ports, log, directory, peers, failures, residency } = this;
     return new BackendNoticeService({
@@ -429,6 +446,7 @@
       dispatch: () => this.forwarder.dispatchTotals,
       unread: () => this.forwarder.unreadTotals,
       paces: () => this.paces.totals(),
+      paths: () => this.paths.totals,
       quotaUse: () => this.quotaGate.usage(),
       quotaUseByPriority: () => this.quotaGate.usageByPriority(),
       quotaGranted: () => this.quotaService.usage(),
@@ -440,6 +458,7 @@
     return assembleForwarder({
       settings: this.settings,
       ports: this.ports,
+      client: this.client,
       configuration: this.configuration,
       directory: this.directory,
       loads: this.loads,
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -4,6 +4,7 @@
 import type { DispatchTotals, NoticeTotals, UnreadTotals } from '@woodbarrow/forwarding';
 import type { AllocatorUsage, GateUsage, PermitTotals, UnitCounts } from '@woodbarrow/quota';
 import type { ReplicaCounts, StoreScheduleTotals, UnservedDemands } from '@woodbarrow/residency';
+import type { PathTotals } from '@woodbarrow/relaying';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
 
 /** Maximum number of tenants listed in each metric. */
@@ -36,6 +37,8 @@
   /** Answers that clients have not read. */
   readonly unread: () => UnreadTotals;
   readonly paces: () => PaceTotals;
+  /** Direct paths to the back ends. */
+  readonly paths: () => PathTotals;
   /** Units of limited tenants used and refused at this daemon, by tenant. */
   readonly quotaUse: () => ReadonlyMap<string, GateUsage>;
   /** Units granted and refused at this daemon, by `tenant/priority`; empty without contended capacity. */
@@ -120,6 +123,7 @@
     this.addUnreadGauges(sources);
     this.addQuotaGauges(sources);
     this.addPaceGauges(sources);
+    this.addPathGauges(sources);
     registry.gauge(
       'woodbarrow_log_lines_dropped',
       'Log lines left out since the start.',
@@ -211,6 +215,26 @@
     );
   }
 
+  private addPathGauges({ paths }: MetricSources): void {
+    const { registry } = this;
+    registry.gauge(
+      'woodbarrow_paths_lost',
+      'Back ends to which the direct path of this daemon is lost.',
+      () => paths().lost,
+    );
+    registry.gauge(
+      'woodbarrow_back_ends_unreachable',
+      '1 while this daemon reaches no back end over its own connections, otherwise 0.',
+      () => (paths().isolated ? 1 : 0),
+    );
+    registry.gauge(
+      'woodbarrow_path_probes',
+      'Probes of direct paths since the start, by result.',
+      () => paths().probes,
+      'result',
+    );
+  }
+
   private addDispatchGauge({ dispatch }: MetricSources): void {
     this.registry.gauge(
       'woodbarrow_dispatch_queue',
