Requests reach back ends by way of other daemons when a daemon has lost its own connections

Cause: a daemon sent over its own connections only; each request spent its time on one worker after the other. Retries, the budget and placement were ruled out: none of 120 retries was denied, and the models were resident.

A daemon whose direct path to a back end is lost now sends by way of a daemon that has one. The relay carries the exchange only: choice, permits, retries, and what the client is told stay at the first daemon, so a request that may run once is sent again only if it certainly did not reach the back end. Responses are pulled piece by piece, which bounds the memory of the relay. When no daemon reaches a back end, requests are refused at once, with spread times to return.

--- a/packages/forwarding/src/backend-choice.ts
+++ b/packages/forwarding/src/backend-choice.ts
@@ -27,6 +27,8 @@
 /** Why a request is refused without having run. */
 export type RefusalReason =
   | 'no_backend'
+  /** Neither this daemon nor one that could relay reaches any back end. */
+  | 'back_ends_unreachable'
   | 'all_excluded'
   | 'model_unavailable'
   | 'model_too_late'
--- a/packages/forwarding/src/backend-health.ts
+++ b/packages/forwarding/src/backend-health.ts
@@ -78,6 +78,15 @@
     return record === undefined ? 1 : Math.max(0.5, record.latencyRatio / this.serviceLatencyRatio);
   }
 
+  /** Ends all backoffs: the failures lay with this daemon's network, and requests now take another path. */
+  clearBackoffs(): void {
+    for (const record of this.records.values()) {
+      record.avoidUntil = 0;
+      record.backoffMs = INITIAL_BACKOFF_MS;
+      record.failureRate = 0;
+    }
+  }
+
   /** Removes the record of a back end that no longer exists. */
   forget(backEndId: string): void {
     this.records.delete(backEndId);
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -5,7 +5,7 @@
 import type { IncomingExchange } from '@woodbarrow/runtime';
 import { ObservedAnswer } from './observed-answer.js';
 import { ABORTED, raceAbort } from './race-abort.js';
-import type { BackendChoice, RefusalReason, SendChoice } from './backend-choice.js';
+import { refusal, type BackendChoice, type RefusalReason, type SendChoice } from './backend-choice.js';
 import type { ClientAnswer } from './client-answer.js';
 import type { ForwardingContext } from './forwarding-context.js';
 import { RequestAllowance, type AllowanceRefusal } from './request-allowance.js';
@@ -329,6 +329,8 @@
   }
 
   private async choose(): Promise<BackendChoice> {
+    const unreachableRetryMs = this.context.unreachableRetryMs?.();
+    if (unreachableRetryMs !== undefined) return refusal('back_ends_unreachable', unreachableRetryMs);
     const { service, facts, route, priority, times, answer, progress, digest } = this.scope;
     const health = this.context.healthOf(service.name);
     const { engine } = service;
--- a/packages/forwarding/src/forwarding-context.ts
+++ b/packages/forwarding/src/forwarding-context.ts
@@ -38,6 +38,11 @@
   readonly journal: RequestJournal;
   /** Bounds the memory of unread answers; absent where callers do not compete for capacity. */
   readonly unread?: UnreadAnswers;
+  /**
+   * Returns the milliseconds after which a client may return while no back end can be reached by any path, different for each call
+   * so that clients do not return together; undefined while requests can be sent. Absent if requests can always be sent.
+   */
+  readonly unreachableRetryMs?: () => number | undefined;
   /** Aborts when this daemon stops; requests that have not been sent are then refused. */
   readonly stopWaiting: AbortSignal;
   /** Health of the back ends of a service. */
--- a/packages/forwarding/src/send-attempt.ts
+++ b/packages/forwarding/src/send-attempt.ts
@@ -75,8 +75,8 @@
     if (load !== undefined) plan.onLoad(load);
     return outcomeOf(verdict, answer, load);
   } catch (error) {
-    if (hasTimedOut) return { kind: 'silent' };
     if (error instanceof HttpNotSentError) return { kind: 'unreachable', detail: errorMessage(error) };
+    if (hasTimedOut) return { kind: 'silent' };
     return { kind: 'broken', detail: errorMessage(error) };
   } finally {
     cancelTimeout?.();
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -84,6 +84,8 @@
     'A holder has received no response from a majority of its witnesses and chooses others. Duration.',
   lease_unconfirmed: 'The renewal of a lease failed. Age of the last confirmation, cause.',
   lease_lost: 'This daemon is no longer the coordinator of a zone. Fence.',
+  zone_handed_over:
+    'This daemon gives up the coordination of a zone because it reaches no worker while other daemons do. Zone, fence, daemons that may take over.',
   lease_released: 'A lease was released at a planned stop. Fence.',
   configuration_applied:
     'A configuration is in effect. Current and previous version, number of routes and services.',
@@ -103,6 +105,10 @@
   back_ends_unreachable:
     'This daemon reaches no back end over its own connections. Back ends probed, time since the last answer of any.',
   back_ends_reachable: 'This daemon reaches a back end again. The back end, time for which none was reached.',
+  isolation_confirmed:
+    'This daemon reaches no back end, and another daemon does: requests go by way of others, and the zones coordinated here are handed over. The back end probed, the daemon that reached it.',
+  request_relayed:
+    'A request is sent to a back end by way of another daemon, since the direct path is lost. Back end, the relay.',
   store_lost: 'The store does not respond to this daemon. Kind of records, cause.',
   store_regained: 'The store responds again. Kind of records, failures in between.',
   store_restored:
--- a/packages/peering/src/peer-network.ts
+++ b/packages/peering/src/peer-network.ts
@@ -1,4 +1,5 @@
-/** Remote calls between daemons, with one outgoing connection to each peer. */
+/** Remote calls between daemons, with one outgoing connection to each peer and channel. */
+import { setMaxListeners } from 'node:events';
 import { WoodbarrowError, isErrorKind, toWoodbarrowError } from '@woodbarrow/errors';
 import {
   PROTOCOL_VERSION,
@@ -32,11 +33,29 @@
 export interface CallOptions {
   /** Timeout of the call in milliseconds. @default 2000 */
   readonly timeoutMs?: number;
+  /**
+   * Connection that carries the call. Bulk data has its own, so that it neither delays control calls nor ends when one of them
+   * finds its connection half open. @default 'control'
+   */
+  readonly channel?: PeerChannel;
+}
+
+export type PeerChannel = 'control' | 'bulk';
+
+/** What a handler knows of the caller. */
+export interface CallContext {
+  /** Aborts when the connection of the caller closes. */
+  readonly disconnected: AbortSignal;
 }
 
 /** Handles a call; an error that it throws reaches the caller with the same kind. */
-export type PeerHandler<Request, Response> = (request: Request) => Promise<Response> | Response;
+export type PeerHandler<Request, Response> = (
+  request: Request,
+  context: CallContext,
+) => Promise<Response> | Response;
 
+/** Signal of calls of a daemon to itself. */
+const NEVER_ABORTED = new AbortController().signal;
 const DEFAULT_CALL_TIMEOUT_MS = 2000;
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
 
@@ -61,7 +80,8 @@
   /** Bytes and messages sent and received. */
   readonly traffic = new TrafficCounters();
   private readonly handlers = new Map<string, PeerHandler<object, object>>();
-  private readonly peers = new Map<Address, Promise<Peer>>();
+  /** Outgoing connections by channel and address. */
+  private readonly peers = new Map<string, Promise<Peer>>();
   private readonly accepted = new Set<Connection>();
   private listener: Listener | undefined;
   private closed = false;
@@ -104,7 +124,11 @@
     if (address === this.address) return this.callSelf(method, request);
     const { clock } = this.options;
     const startedAt = clock.monotonic();
-    const opened = await settleWithin(clock, timeoutMs, this.connectionTo(address));
+    const opened = await settleWithin(
+      clock,
+      timeoutMs,
+      this.connectionTo(address, options.channel ?? 'control'),
+    );
     if (opened.timedOut) throw new WoodbarrowError('peer_unreachable', `no connection to ${address} in time`);
     const remainingMs = timeoutMs - (clock.monotonic() - startedAt);
     const body = await this.exchange(opened.value, address, method.name, request as object, remainingMs);
@@ -130,21 +154,22 @@
   ): Promise<Response> {
     const handler = this.handlers.get(method.name);
     if (handler === undefined) throw new WoodbarrowError('internal', `no handler for method ${method.name}`);
-    return (await handler(request as object)) as Response;
+    return (await handler(request as object, { disconnected: NEVER_ABORTED })) as Response;
   }
 
-  private connectionTo(address: Address): Promise<Peer> {
-    const existing = this.peers.get(address);
+  private connectionTo(address: Address, channel: PeerChannel): Promise<Peer> {
+    const key = `${channel} ${address}`;
+    const existing = this.peers.get(key);
     if (existing !== undefined) return existing;
-    const opening = this.open(address);
-    this.peers.set(address, opening);
+    const opening = this.open(address, key);
+    this.peers.set(key, opening);
     opening.catch(() => {
-      this.removePeer(address, opening);
+      this.removePeer(key, opening);
     });
     return opening;
   }
 
-  private async open(address: Address): Promise<Peer> {
+  private async open(address: Address, key: string): Promise<Peer> {
     if (this.closed)
       throw new WoodbarrowError('peer_unreachable', 'the peer network of this daemon is closed');
     const timeoutMs = this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
@@ -160,12 +185,12 @@
       { type: 'hello', version: PROTOCOL_VERSION, deployment: this.options.deployment },
       'hello',
     );
-    void this.readAnswers(address, peer);
+    void this.readAnswers(address, key, peer);
     return peer;
   }
 
-  private removePeer(address: Address, opening: Promise<Peer>): void {
-    if (this.peers.get(address) === opening) this.peers.delete(address);
+  private removePeer(key: string, opening: Promise<Peer>): void {
+    if (this.peers.get(key) === opening) this.peers.delete(key);
   }
 
   private exchange(
@@ -197,7 +222,7 @@
   }
 
   /** Reads the responses of one outgoing connection until it closes. */
-  private async readAnswers(address: Address, peer: Peer): Promise<void> {
+  private async readAnswers(address: Address, key: string, peer: Peer): Promise<void> {
     try {
       for await (const frame of peer.connection.frames) {
         const envelope = decodeEnvelope(frame);
@@ -208,9 +233,9 @@
     } catch {
       this.traffic.malformedFrames += 1;
     }
-    const current = this.peers.get(address);
+    const current = this.peers.get(key);
     if (current !== undefined && (await current.catch(() => undefined)) === peer)
-      this.removePeer(address, current);
+      this.removePeer(key, current);
     peer.connection.close();
     for (const call of peer.pending.values()) {
       call.cancelTimer();
@@ -241,6 +266,9 @@
   /** Serves the requests of one accepted connection until it closes. */
   private async serve(connection: Connection): Promise<void> {
     this.accepted.add(connection);
+    const closed = new AbortController();
+    // Each exchange that is relayed for the caller adds a listener.
+    setMaxListeners(0, closed.signal);
     let hasHandshake = false;
     try {
       for await (const frame of connection.frames) {
@@ -250,7 +278,7 @@
           hasHandshake = true;
         } else if (envelope.type === 'request') {
           this.traffic.received(envelope.method, frame.byteLength);
-          void this.answer(connection, envelope);
+          void this.answer(connection, envelope, closed.signal);
         }
       }
     } catch {
@@ -258,6 +286,7 @@
     }
     this.accepted.delete(connection);
     connection.close();
+    closed.abort();
   }
 
   private acceptsHello(envelope: Envelope): boolean {
@@ -269,11 +298,15 @@
     return isCompatible;
   }
 
-  private async answer(connection: Connection, request: RequestEnvelope): Promise<void> {
+  private async answer(
+    connection: Connection,
+    request: RequestEnvelope,
+    disconnected: AbortSignal,
+  ): Promise<void> {
     try {
       const handler = this.handlers.get(request.method);
       if (handler === undefined) throw new WoodbarrowError('not_found', `unknown method ${request.method}`);
-      const body = await handler(request.body);
+      const body = await handler(request.body, { disconnected });
       this.transmit(connection, { type: 'response', id: request.id, body }, 'answer');
     } catch (thrown) {
       const error = toWoodbarrowError(thrown);
--- a/packages/protocol/src/backend-messages.ts
+++ b/packages/protocol/src/backend-messages.ts
@@ -23,7 +23,18 @@
 }
 
 /** A notice from a back end, as received by one daemon. */
-export type BackendNews = RateLimitNews | LeavingNews;
+export type BackendNotification = RateLimitNews | LeavingNews;
+
+/** A daemon reaches no back end although others do, or reaches them again. */
+export interface IsolationNews {
+  readonly kind: 'isolation';
+  /** Name of the daemon. */
+  readonly daemon: string;
+  readonly isIsolated: boolean;
+}
+
+/** What one daemon tells all others about the back ends. Kinds that only a newer build knows are ignored. */
+export type BackendNews = BackendNotification | IsolationNews;
 
 /** Forwards back end notices from the daemon that received them to other daemons. */
 export interface BackendNewsMessage {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -11,5 +11,6 @@
 export * from './placement-messages.js';
 export * from './routing-messages.js';
 export * from './grant-messages.js';
+export * from './relay-messages.js';
 export * from './residency-messages.js';
 export * from './store-position.js';
--- a/packages/relaying/src/backend-paths.ts
+++ b/packages/relaying/src/backend-paths.ts
@@ -68,6 +68,8 @@
   /** Monotonic time of the last successful probe. */
   private readonly reachedAt = new Map<string, number>();
   private lastContactAt = -Infinity;
+  /** Monotonic time of the last bytes of each back end. */
+  private readonly contactAt = new Map<string, number>();
   private isolatedSince: number | undefined;
   private nextRecoveryProbeAt = 0;
   private comparedAt = -Infinity;
@@ -107,6 +109,7 @@
   /** Records that bytes of a back end arrived over a direct connection. */
   noteContact(backEndId: string): void {
     this.lastContactAt = this.options.clock.monotonic();
+    this.contactAt.set(backEndId, this.lastContactAt);
     this.downUntil.delete(backEndId);
   }
 
@@ -129,6 +132,11 @@
     return this.options.clock.monotonic() - this.lastContactAt <= forMs;
   }
 
+  /** Whether a back end has sent bytes over a direct connection since a monotonic time. */
+  hasContactSince(backEndId: string, since: number): boolean {
+    return (this.contactAt.get(backEndId) ?? -Infinity) >= since;
+  }
+
   /** Records that other daemons do not reach a back end either. */
   noteDownForOthers(backEndId: string): void {
     this.downUntil.set(backEndId, this.options.clock.monotonic() + DOWN_MS);
@@ -139,6 +147,7 @@
     this.lost.delete(backEndId);
     this.downUntil.delete(backEndId);
     this.reachedAt.delete(backEndId);
+    this.contactAt.delete(backEndId);
   }
 
   private async checkSilent(backEndId: string): Promise<void> {
--- a/packages/relaying/src/path-observer.ts
+++ b/packages/relaying/src/path-observer.ts
@@ -8,6 +8,9 @@
 } from '@woodbarrow/runtime';
 import { SILENCE_BEFORE_PROBE_MS, type BackendPaths } from './backend-paths.js';
 
+/** Minimum duration of a call that ended without an answer for it to count as silence, in milliseconds. */
+const MIN_SILENCE_MS = 200;
+
 /** Client for direct connections whose calls are evidence of the paths. */
 export class PathObserver implements BackendClient {
   constructor(
@@ -38,7 +41,8 @@
     } catch (error) {
       const isAborted = call.signal.aborted;
       if (error instanceof HttpNotSentError && !isAborted) paths.noteNotConnected(backEndId);
-      else if (clock.monotonic() - sentAt >= SILENCE_BEFORE_PROBE_MS) paths.noteSilence(backEndId);
+      else if (clock.monotonic() - sentAt >= MIN_SILENCE_MS && !paths.hasContactSince(backEndId, sentAt))
+        paths.noteSilence(backEndId);
       throw error;
     } finally {
       cancelTimer();
--- a/packages/serving/src/backend-notice-service.ts
+++ b/packages/serving/src/backend-notice-service.ts
@@ -4,7 +4,7 @@
 import { BackendNotices, NoticeGate, type SendPermits } from '@woodbarrow/forwarding';
 import type { CallFailures, EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
-import type { BackendNews } from '@woodbarrow/protocol';
+import type { BackendNews, BackendNotification } from '@woodbarrow/protocol';
 import {
   RateLimitGate,
   RateLimitService,
@@ -25,7 +25,7 @@
   /** Returns the lease of a zone while this daemon holds it. */
   readonly authorityOf: (zone: string) => ZoneAuthority | undefined;
   /** Sends a notice to all other daemons. */
-  readonly announce: (news: BackendNews) => void;
+  readonly announce: (news: BackendNotification) => void;
   readonly peers: PeerNetwork;
   readonly failures: CallFailures;
   readonly clock: Clock;
@@ -68,6 +68,7 @@
   /** Applies notices that other daemons received. */
   applyPeerNews(news: readonly BackendNews[]): void {
     for (const item of news) {
+      if (item.kind === 'isolation') continue;
       // The first response of a back end that is not in the directory yet repeats the notice.
       if (this.options.directory.get(item.backEndId) === undefined) continue;
       this.applyNews(item);
@@ -75,7 +76,7 @@
   }
 
   /** Applies one notice. Kinds that only a newer build knows are ignored. */
-  private applyNews(news: BackendNews): void {
+  private applyNews(news: BackendNotification): void {
     switch (news.kind) {
       case 'leaving':
         this.noteLeaving(news.backEndId, 'peer');
--- a/packages/serving/src/forwarder-assembly.ts
+++ b/packages/serving/src/forwarder-assembly.ts
@@ -25,7 +25,7 @@
 import type { QuotaGate } from '@woodbarrow/quota';
 import { DemandRouter } from '@woodbarrow/residency';
 import type { BackendNoticeService } from './backend-notice-service.js';
-import type { BackendClient } from '@woodbarrow/runtime';
+import type { BackendAccess } from './backend-access.js';
 import type { ServingPorts } from './ports.js';
 import type { ServingSettings } from './serving-settings.js';
 import { createUnreadAnswers } from './unread-bound.js';
@@ -34,8 +34,7 @@
 export interface ForwarderParts {
   readonly settings: ServingSettings;
   readonly ports: ServingPorts;
-  /** Client for forwarded requests. */
-  readonly client: BackendClient;
+  readonly access: BackendAccess;
   readonly configuration: ConfigurationHolder;
   readonly directory: BackendDirectory;
   readonly loads: LoadTracker;
@@ -61,7 +60,7 @@
 
 /** Creates the entry point for client requests. */
 export function assembleForwarder(parts: ForwarderParts): Forwarder {
-  const { settings, ports, client, directory, loads, paces, affinity, daemonCount, journal } = parts;
+  const { settings, ports, access, directory, loads, paces, affinity, daemonCount, journal } = parts;
   const { clock, dialect, random } = ports;
   const { notices, permits } = parts.notices;
   const demands = createDemandRouter(parts);
@@ -72,7 +71,8 @@
   const unread = createUnreadAnswers(settings, clock, parts.log);
   const context = {
     clock,
-    client,
+    client: access.client,
+    unreachableRetryMs: (): number | undefined => access.unreachableRetryMs(),
     dialect,
     directory,
     loads,
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -14,20 +14,13 @@
 import { ownerByRendezvous } from '@woodbarrow/coordination';
 import { LoadQuarantine, RequestQuarantine } from '@woodbarrow/quarantine';
 import { QuotaGate, QuotaService } from '@woodbarrow/quota';
-import { BackendPaths, PathObserver } from '@woodbarrow/relaying';
 import { PaceProbes, ResidencyService } from '@woodbarrow/residency';
-import {
-  NodeIngress,
-  TaskGroup,
-  sleep,
-  type BackendClient,
-  type IncomingExchange,
-  type IngressLimits,
-} from '@woodbarrow/runtime';
+import { NodeIngress, TaskGroup, sleep, type IncomingExchange } from '@woodbarrow/runtime';
+import { BackendAccess } from './backend-access.js';
 import { BackendNoticeService } from './backend-notice-service.js';
 import { DeploymentView } from './deployment-view.js';
 import { assembleForwarder } from './forwarder-assembly.js';
-import { HttpPathProbe } from './http-path-probe.js';
+import { INITIAL_INGRESS_LIMITS, READINESS_LIMITS } from './ingress-limits.js';
 import { LoggedJournal } from './logged-journal.js';
 import { createLoggedPaces } from './logged-paces.js';
 import { listenForMetrics } from './metrics-endpoint.js';
@@ -40,17 +33,6 @@
 
 /** Deployment name that daemons require of each other's connections. */
 const PEER_DEPLOYMENT = 'woodbarrow-serving';
-/** Ingress limits until the configuration has been read. */
-const INITIAL_INGRESS_LIMITS: IngressLimits = {
-  maximumHeaderBytes: 16_384,
-  headerTimeoutMs: 3000,
-  idleTimeoutMs: 15_000,
-};
-const READINESS_LIMITS: IngressLimits = {
-  maximumHeaderBytes: 8192,
-  headerTimeoutMs: 3000,
-  idleTimeoutMs: 60_000,
-};
 /**
  * Time after the start of a planned stop during which requests are still accepted: clients are directed elsewhere only
  * after two failed readiness checks, a second apart. Requests accepted later might not finish within the grace period.
@@ -74,8 +56,7 @@
   private readonly quotaService: QuotaService;
   private readonly quotaGate: QuotaGate;
   private readonly noticeService: BackendNoticeService;
-  private readonly paths: BackendPaths;
-  private readonly client: BackendClient;
+  private readonly access: BackendAccess;
   private readonly quarantine: RequestQuarantine;
   private readonly loadQuarantine: LoadQuarantine;
   private readonly records: RecordFollower;
@@ -107,6 +88,14 @@
     this.directory = new BackendDirectory(clock);
     this.loads = new LoadTracker(clock);
     this.paces = createLoggedPaces(clock, log);
+    this.peers = new PeerNetwork({
+      transport,
+      clock,
+      address: settings.peerAddress,
+      deployment: PEER_DEPLOYMENT,
+    });
+    const instance = clock.wall();
+    this.access = this.createAccess(instance);
     this.quarantine = this.createQuarantine();
     const { directory, quarantine: contents } = this;
     this.loadQuarantine = new LoadQuarantine({ contents, directory, clock, log });
@@ -117,13 +106,6 @@
       log,
       (limits) => this.ingress?.setLimits(limits),
     );
-    this.peers = new PeerNetwork({
-      transport,
-      clock,
-      address: settings.peerAddress,
-      deployment: PEER_DEPLOYMENT,
-    });
-    const instance = clock.wall();
     this.registration = this.createRegistration();
     this.membership = this.createMembership(instance);
     const coordinators = new CoordinatorDirectory(clock, settings.name);
@@ -139,8 +121,6 @@
     this.quotaService = this.createQuotaService();
     this.quotaGate = this.createQuotaGate(coordinators);
     this.noticeService = this.createNoticeService(coordinators);
-    this.paths = this.createPaths();
-    this.client = new PathObserver(ports.client, this.paths, clock);
     this.metrics = this.createMetrics();
     this.forwarder = this.createForwarder(coordinators);
     this.directory.events.on('removed', (backEnd) => {
@@ -148,7 +128,7 @@
       this.paces.forget(backEnd.id);
       this.health.get(backEnd.service)?.forget(backEnd.id);
       this.noticeService.noteRemoved(backEnd.id);
-      this.paths.forget(backEnd.id);
+      this.access.forget(backEnd.id);
       ports.client.closeIdleConnections(backEnd.address);
     });
     this.directory.events.on('residency', ({ backEndId, target, resident }) => {
@@ -179,7 +159,7 @@
     this.quarantine.start();
     this.quotaService.start();
     this.noticeService.start();
-    this.paths.start();
+    this.access.start();
     this.residency.start();
     this.log.changed('daemon_started', { zone: settings.zone, address: settings.ingressAddress });
   }
@@ -205,7 +185,7 @@
     this.ingress?.closeIdle();
     this.stopWaiting.abort();
     while (
-      (this.ingress?.inProgress ?? 0) > 0 &&
+      (this.ingress?.inProgress ?? 0) + this.access.relaysInProgress > 0 &&
       elapsed() < this.settings.stopGraceMs - STOP_EXIT_MARGIN_MS
     ) {
       await sleep(clock, STOP_POLL_MS);
@@ -222,7 +202,7 @@
     this.isStopping = true;
     this.tasks.abort();
     this.residency.abort();
-    this.paths.abort();
+    this.access.abort();
     this.quarantine.abort();
     this.exchange.abort();
     this.membership.abort();
@@ -336,11 +316,26 @@
     });
   }
 
-  private createPaths(): BackendPaths {
-    const { ports, log, directory } = this;
-    const { clock, client, probe } = ports;
-    const paths = new HttpPathProbe(client, probe);
-    return new BackendPaths({ directory, probe: paths, clock, random: ports.random.fork(), log });
+  private createAccess(instance: number): BackendAccess {
+    const { settings, ports, log, directory, peers, failures } = this;
+    return new BackendAccess({
+      settings,
+      ports,
+      instance,
+      directory,
+      peers,
+      members: () => this.membership.eligible(),
+      notices: () => this.noticeService.notices,
+      announce: (news) => {
+        this.exchange.announceNews(news);
+      },
+      onIsolated: () => {
+        for (const health of this.health.values()) health.clearBackoffs();
+      },
+      isStopping: () => this.isStopping,
+      failures,
+      log,
+    });
   }
 
   private createNoticeService(coordinators: CoordinatorDirectory): BackendNoticeService {
@@ -415,6 +410,7 @@
       },
       onBackendNews: (news) => {
         this.noticeService.applyPeerNews(news);
+        this.access.applyNews(news);
       },
       crashMarks: this.quarantine,
       failures: this.failures,
@@ -446,7 +442,7 @@
       dispatch: () => this.forwarder.dispatchTotals,
       unread: () => this.forwarder.unreadTotals,
       paces: () => this.paces.totals(),
-      paths: () => this.paths.totals,
+      access: () => this.access.totals,
       quotaUse: () => this.quotaGate.usage(),
       quotaUseByPriority: () => this.quotaGate.usageByPriority(),
       quotaGranted: () => this.quotaService.usage(),
@@ -458,7 +454,7 @@
     return assembleForwarder({
       settings: this.settings,
       ports: this.ports,
-      client: this.client,
+      access: this.access,
       configuration: this.configuration,
       directory: this.directory,
       loads: this.loads,
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -1,10 +1,10 @@
 /** Metrics that a serving daemon exports. */
+import type { BackendAccessTotals } from './backend-access.js';
 import type { PaceTotals } from '@woodbarrow/backends';
 import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
 import type { DispatchTotals, NoticeTotals, UnreadTotals } from '@woodbarrow/forwarding';
 import type { AllocatorUsage, GateUsage, PermitTotals, UnitCounts } from '@woodbarrow/quota';
 import type { ReplicaCounts, StoreScheduleTotals, UnservedDemands } from '@woodbarrow/residency';
-import type { PathTotals } from '@woodbarrow/relaying';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
 
 /** Maximum number of tenants listed in each metric. */
@@ -37,8 +37,8 @@
   /** Answers that clients have not read. */
   readonly unread: () => UnreadTotals;
   readonly paces: () => PaceTotals;
-  /** Direct paths to the back ends. */
-  readonly paths: () => PathTotals;
+  /** Direct paths to the back ends, and relays. */
+  readonly access: () => BackendAccessTotals;
   /** Units of limited tenants used and refused at this daemon, by tenant. */
   readonly quotaUse: () => ReadonlyMap<string, GateUsage>;
   /** Units granted and refused at this daemon, by `tenant/priority`; empty without contended capacity. */
@@ -215,24 +215,46 @@
     );
   }
 
-  private addPathGauges({ paths }: MetricSources): void {
+  private addPathGauges({ access }: MetricSources): void {
     const { registry } = this;
     registry.gauge(
       'woodbarrow_paths_lost',
       'Back ends to which the direct path of this daemon is lost.',
-      () => paths().lost,
+      () => access().paths.lost,
     );
     registry.gauge(
       'woodbarrow_back_ends_unreachable',
       '1 while this daemon reaches no back end over its own connections, otherwise 0.',
-      () => (paths().isolated ? 1 : 0),
+      () => (access().paths.isolated ? 1 : 0),
     );
     registry.gauge(
       'woodbarrow_path_probes',
       'Probes of direct paths since the start, by result.',
-      () => paths().probes,
+      () => access().paths.probes,
       'result',
     );
+    registry.gauge(
+      'woodbarrow_requests_sent_by_relay',
+      'Requests sent by way of other daemons since the start, by outcome.',
+      () => access().sentByRelay,
+      'outcome',
+    );
+    registry.gauge(
+      'woodbarrow_relays_in_progress',
+      'Requests that this daemon relays for others now.',
+      () => access().relayed.inProgress,
+    );
+    registry.gauge(
+      'woodbarrow_relays_accepted',
+      'Requests that this daemon has relayed for others since the start.',
+      () => access().relayed.accepted,
+    );
+    registry.gauge(
+      'woodbarrow_relays_refused',
+      'Requests that this daemon did not relay for others since the start, by reason.',
+      () => access().relayed.refused,
+      'reason',
+    );
   }
 
   private addDispatchGauge({ dispatch }: MetricSources): void {
