A coordinator that reaches no worker hands its zones over

Its lease needs the store and its witnesses, which it reached, so it kept the zone.

When nobody reaches a worker, nothing is handed over. Orders are not relayed, since a worker tells holders apart by the machine that orders.

--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -73,6 +73,8 @@
   readonly paces?: PaceView;
   /** Reads the pace of workers before there is traffic. @default it is not read */
   readonly paceProbes?: PaceProbes;
+  /** Whether a daemon reaches the workers, as far as is known here. @default all do */
+  readonly reachesWorkers?: (memberId: string) => boolean;
   readonly failures: CallFailures;
   readonly clock: Clock;
   readonly random: Random;
@@ -238,6 +240,25 @@
     this.options.onClaimsChanged();
   }
 
+  /** Releases all leases while this daemon reaches no worker and another one does: its orders would get no answer. */
+  private handOverUnreachedZones(): void {
+    const { self, members, onClaimsChanged, log } = this.options;
+    if (this.held.size === 0 || this.reachesWorkers(self.id)) return;
+    const successors = members().filter(({ id }) => this.reachesWorkers(id));
+    if (successors.length === 0) return;
+    const held = [...this.held.entries()];
+    this.held.clear();
+    for (const [zone, { lease }] of held) {
+      log.warned('zone_handed_over', { zone, fence: lease.fence, successors: successors.length });
+      this.tasks.spawn(`residency.release ${zone}`, () => this.release(zone, lease));
+    }
+    onClaimsChanged();
+  }
+
+  private reachesWorkers(memberId: string): boolean {
+    return this.options.reachesWorkers?.(memberId) ?? true;
+  }
+
   private async release(zone: string, lease: StoreLease): Promise<void> {
     const { log } = this.options;
     try {
@@ -284,6 +305,7 @@
   /** Acquires free zones for which this daemon is the preferred holder. */
   private acquireFreeZones(): Promise<void> {
     if (this.isLeaving || !this.options.isGroupKnown()) return Promise.resolve();
+    this.handOverUnreachedZones();
     for (const zone of this.coordinatedZones()) {
       if (this.held.has(zone) || this.options.coordinators.of(zone) !== undefined) continue;
       if (this.options.clock.monotonic() < (this.retryAt.get(zone) ?? 0)) continue;
@@ -402,9 +424,11 @@
 
   private async renewUntilLost(zone: string, lease: StoreLease, signal: AbortSignal): Promise<void> {
     let pauseMs = RENEW_INTERVAL_MS;
+    const held = this.held.get(zone);
     while (!signal.aborted) {
       await sleep(this.options.clock, pauseMs, signal);
-      if (signal.aborted || !this.held.has(zone)) return;
+      // The zone may have been released, and acquired again, meanwhile.
+      if (signal.aborted || held === undefined || this.held.get(zone) !== held) return;
       try {
         if (!(await lease.renew())) break;
         pauseMs = RENEW_INTERVAL_MS;
@@ -417,6 +441,7 @@
         });
       }
     }
+    if (this.held.get(zone) !== held) return;
     this.held.delete(zone);
     this.options.log.changed('lease_lost', { zone, fence: lease.fence });
   }
@@ -510,7 +535,9 @@
 
   /** Returns the daemon that should acquire a free zone: always the same one, preferably of the zone. */
   private preferredHolder(zone: string): string | undefined {
-    const members = this.options.members();
+    const known = this.options.members();
+    const connected = known.filter(({ id }) => this.reachesWorkers(id));
+    const members = connected.length > 0 ? connected : known;
     const ofZone = members.filter((member) => member.zone === zone);
     return rankByCapacity(zone, ofZone.length > 0 ? ofZone : members)[0]?.id;
   }
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -266,7 +266,8 @@
       loads,
       coordinators,
       leases: ports.leases,
-      orders: ports.orders,
+      orders: this.access.orders,
+      reachesWorkers: (memberId) => this.access.reachesWorkers(memberId),
       serviceOf: (name) => this.serviceOf(name),
       announce: (change) => {
         this.exchange.announce(change);
