A daemon without a direct path does not take sound workers for crashed

Callers could be refused for an hour: a daemon whose connections were reset and then refused took two refused probes for the end of the process and reported the requests in progress as crashing. A refused or unanswered probe now counts only if a daemon with a direct path finds the same. platform/test/reset-connections.test.ts failed before (process_ended_under_request of two sound workers).

--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -358,7 +358,8 @@
 
   private createQuarantine(): RequestQuarantine {
     const { settings, ports, log } = this;
-    const { probe, quarantine: store, clock } = ports;
+    const { quarantine: store, clock } = ports;
+    const { probe } = this.access;
     return new RequestQuarantine({
       daemon: settings.name,
       probe,
