Brittle workers are sent no more than they have room for

The word in the workers' answers was not read, and requests went to full workers.

While a worker says so, each daemon keeps to a fixed share of its slots. Counts of other daemons' requests are some hundred milliseconds old, so only shares that add up to the slots hold near the limit. The rest waits at the daemon as long as it can be in time and is refused otherwise, with times to return that are spread. A daemon whose request is declined leaves the worker alone for a while. Daemons share the word.

--- a/packages/forwarding/src/backend-notice.ts
+++ b/packages/forwarding/src/backend-notice.ts
@@ -14,6 +14,8 @@
   readonly requestsPerSecond: NoticeField<number>;
   /** The back end will exit soon and accepts no new requests. */
   readonly leaving: NoticeField<true>;
+  /** The back end falls over when it has to decline more requests than this in a second for want of room. */
+  readonly declinesPerSecond: NoticeField<number>;
   /** Milliseconds for which this daemon should send no requests to the back end. */
   readonly pauseMs: NoticeField<number>;
 }
@@ -22,5 +24,6 @@
 export const EMPTY_NOTICE: BackendNotice = {
   requestsPerSecond: { kind: 'none' },
   leaving: { kind: 'none' },
+  declinesPerSecond: { kind: 'none' },
   pauseMs: { kind: 'none' },
 };
--- a/packages/forwarding/src/backend-notices.ts
+++ b/packages/forwarding/src/backend-notices.ts
@@ -18,6 +18,14 @@
  */
 const MIN_REQUESTS_PER_SECOND = 0.25;
 
+/** Latest known notice of a back end that it is brittle. */
+export interface ReceivedBrittleness {
+  /** Requests that it may decline in a second; absent if it is no longer brittle. */
+  readonly declinesPerSecond?: number;
+  /** Monotonic time at which the answer with this notice, or without one, arrived. */
+  readonly receivedAt: number;
+}
+
 /** Where a notice comes from: an answer of the back end, or a report of another daemon. */
 type NoticeSource = 'answer' | 'peer';
 
@@ -25,6 +33,8 @@
 export interface NoticeTotals {
   /** Back ends with a rate limit. */
   readonly limited: number;
+  /** Back ends that are brittle. */
+  readonly brittle: number;
   /** Back ends that are paused. */
   readonly paused: number;
   /** Answers with a rate limit. */
@@ -44,11 +54,14 @@
 export class BackendNotices {
   /** Called when an answer changed a rate limit, to report it to the other daemons. */
   onRateLimitChange: (backEndId: string, heard: ReceivedRateLimit) => void = () => undefined;
+  /** Called when an answer shows that a back end has become brittle, or no longer is, to report it to the other daemons. */
+  onBrittlenessChange: (backEndId: string, heard: ReceivedBrittleness) => void = () => undefined;
   /** Called with each answer that announces the exit of its back end. */
   onLeaving: (backEndId: string) => void = () => undefined;
   /** Pauses that back ends requested from this daemon. */
   readonly pauses: BackendPauses;
   private readonly rateLimits = new Map<string, ReceivedRateLimit>();
+  private readonly brittleness = new Map<string, ReceivedBrittleness>();
   /** Malformed fields that have been logged, by back end. */
   private readonly loggedMalformed = new Map<string, Set<keyof BackendNotice>>();
   /** Monotonic time of the last report on each back end. */
@@ -75,9 +88,22 @@
     this.recordMalformed(backEndId, notice);
     this.recordRateLimit(backEndId, notice.requestsPerSecond, sentAt);
     if (notice.leaving.kind === 'said') this.recordLeaving(backEndId);
+    this.recordBrittleness(backEndId, notice.declinesPerSecond, sentAt);
     this.recordPause(backEndId, notice.pauseMs, sentAt);
   }
 
+  /** Records what another daemon reported of the brittleness of a back end, if it is newer. */
+  recordBrittlenessFromPeer(backEndId: string, reported: ReceivedBrittleness): void {
+    const current = this.brittleness.get(backEndId);
+    if (current !== undefined && reported.receivedAt <= current.receivedAt) return;
+    this.storeBrittleness(backEndId, reported, 'peer');
+  }
+
+  /** Requests that a back end may decline in a second before it falls over; undefined if it is not brittle. */
+  declinesPerSecond(backEndId: string): number | undefined {
+    return this.brittleness.get(backEndId)?.declinesPerSecond;
+  }
+
   /**
    * Records a rate limit that another daemon reported, if it is newer. The same limit does not update the time of receipt, since
    * transit makes reported times later than they were.
@@ -104,6 +130,7 @@
   forget(backEndId: string): void {
     this.pauses.forget(backEndId);
     this.rateLimits.delete(backEndId);
+    this.brittleness.delete(backEndId);
     this.loggedMalformed.delete(backEndId);
     this.reportedAt.delete(backEndId);
   }
@@ -113,6 +140,7 @@
     const limited = [...this.rateLimits.values()].filter((heard) => heard.requestsPerSecond !== undefined);
     return {
       limited: limited.length,
+      brittle: [...this.brittleness.values()].filter((heard) => heard.declinesPerSecond !== undefined).length,
       paused: this.pauses.count,
       limitsHeard,
       leavingHeard,
@@ -156,6 +184,27 @@
     else if (field.kind === 'none') this.clearRateLimit(backEndId, sentAt);
   }
 
+  private recordBrittleness(backEndId: string, field: NoticeField<number>, sentAt: number): void {
+    if (field.kind === 'malformed') return;
+    const current = this.brittleness.get(backEndId);
+    const declinesPerSecond = field.kind === 'said' ? field.value : undefined;
+    // The answer to a request sent before the last notice may have been overtaken by it.
+    if (declinesPerSecond === undefined && (current === undefined || sentAt < current.receivedAt)) return;
+    const receivedAt = this.clock.monotonic();
+    const heard = { receivedAt, ...(declinesPerSecond === undefined ? {} : { declinesPerSecond }) };
+    this.storeBrittleness(backEndId, heard, 'answer');
+  }
+
+  private storeBrittleness(backEndId: string, heard: ReceivedBrittleness, source: NoticeSource): void {
+    const before = this.brittleness.get(backEndId)?.declinesPerSecond;
+    const { declinesPerSecond } = heard;
+    this.brittleness.set(backEndId, heard);
+    if (before === declinesPerSecond) return;
+    const event = declinesPerSecond === undefined ? 'back_end_not_brittle' : 'back_end_brittle';
+    this.log.changed(event, { backEnd: backEndId, source, declinesPerSecond });
+    if (source === 'answer') this.onBrittlenessChange(backEndId, heard);
+  }
+
   private recordLeaving(backEndId: string): void {
     this.leavingHeard += 1;
     this.onLeaving(backEndId);
--- a/packages/forwarding/src/connection-queue.ts
+++ b/packages/forwarding/src/connection-queue.ts
@@ -35,11 +35,11 @@
   private readonly averageRunMs = new Map<string, number>();
 
   /**
-   * @param limitOf Maximum number of concurrent requests to one back end of a service.
+   * @param concurrencyOf Maximum number of concurrent requests to these back ends of a service together.
    * @param hasConnection Whether another request may be sent to a back end of a service now.
    */
   constructor(
-    private readonly limitOf: (service: ServiceDefinition) => number,
+    private readonly concurrencyOf: (service: ServiceDefinition, backEndIds: readonly string[]) => number,
     private readonly hasConnection: (service: ServiceDefinition, backEndId: string) => boolean,
   ) {}
 
@@ -103,11 +103,11 @@
   }
 
   /** Expected time to the end of a new request, behind those that wait for the same back ends and are at least as urgent. */
-  private expectedTimeMs({ service, backEndIds, priority }: ConnectionRequest): number {
+  expectedTimeMs({ service, backEndIds, priority }: Omit<ConnectionRequest, 'signal' | 'until'>): number {
     const ahead = [...this.waiting].filter(
       (waiter) => waiter.priority <= priority && waiter.backEndIds.some((id) => backEndIds.includes(id)),
     );
-    const concurrency = this.limitOf(service) * backEndIds.length;
+    const concurrency = this.concurrencyOf(service, backEndIds);
     const runMs = this.averageRunMs.get(service.name) ?? 0;
     return ((ahead.length + 1) * runMs) / concurrency + runMs;
   }
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -14,6 +14,7 @@
 import { RequestSender } from './request-sender.js';
 import { RequestTimes } from './request-times.js';
 import { RunTimeEstimate } from './run-time-estimate.js';
+import { spreadRetryMs } from './retry-spread.js';
 import { requestDigest } from './request-digest.js';
 import { mayRunAgain, type Route } from './route.js';
 import type { SendPermit } from './send-permits.js';
@@ -25,6 +26,11 @@
 /** Time reserved for delivering the answer to the client, in milliseconds. */
 const ANSWER_DELIVERY_MARGIN_MS = 20;
 
+/** Mean time after which a client may return when all back ends were full, in milliseconds. */
+const MEAN_FULL_RETRY_MS = 300;
+/** Refusals that concern many requests at the same time. */
+const SPREAD_REFUSALS: ReadonlySet<RefusalReason> = new Set(['all_excluded', 'connections_exhausted']);
+
 /** Error kinds of refusals for which `no_replica` does not say enough. */
 const REFUSAL_KINDS: Partial<Record<RefusalReason, ErrorKind>> = {
   model_too_late: 'wait_expired',
@@ -203,7 +209,9 @@
   private async awaitConnection(backEndIds: readonly string[] = []): Promise<boolean> {
     if (backEndIds.length === 0) return false;
     const { context, service, priority, arrivedAt, answer, times, expired } = this.scope;
-    const until = answer.hasBegun ? times.resumeBy() : times.startBy();
+    // Behind brittle back ends a longer queue would only make all answers late.
+    const startBy = context.connections.hasBrittle(backEndIds) ? times.targetBy() : times.startBy();
+    const until = answer.hasBegun ? times.resumeBy() : startBy;
     const request = { service, backEndIds, priority, arrivedAt, until, signal: expired };
     return context.connections.queue.wait(request, context.clock);
   }
@@ -362,7 +370,10 @@
     if (this.expired.signal.aborted) this.finishExpired();
     else if (this.scope.progress.mayHaveRunOn.size > 0) this.finishUnserved();
     else {
-      this.scope.completion.refuse(REFUSAL_KINDS[reason] ?? 'no_replica', reason, retryAfterMs);
+      const spreadMs = SPREAD_REFUSALS.has(reason)
+        ? spreadRetryMs(this.scope.facts.id, Math.max(retryAfterMs, MEAN_FULL_RETRY_MS))
+        : retryAfterMs;
+      this.scope.completion.refuse(REFUSAL_KINDS[reason] ?? 'no_replica', reason, spreadMs);
     }
   }
 
@@ -374,7 +385,11 @@
     else if (answer.hasBegun) completion.abortAnswer('time is up');
     else if (progress.mayHaveRunOn.size > 0) completion.fail('request_timeout', 'time is up');
     else if (progress.isStopping) completion.refuseStopping();
-    else completion.refuse('wait_expired', 'time is up', 0);
+    else completion.refuse('wait_expired', 'time is up', this.spreadFullRetryMs());
+  }
+
+  private spreadFullRetryMs(): number {
+    return spreadRetryMs(this.scope.facts.id, MEAN_FULL_RETRY_MS);
   }
 
   /** Ends a request for which no further send is allowed. */
@@ -382,7 +397,8 @@
     const { answer, progress, completion } = this.scope;
     if (answer.hasBegun) completion.abortAnswer('no back end may go on with the answer');
     else if (progress.bufferedFailure !== undefined) completion.forwardFailure(progress.bufferedFailure);
-    else if (progress.mayHaveRunOn.size === 0) completion.refuse('no_replica', 'all back ends declined', 0);
+    else if (progress.mayHaveRunOn.size === 0)
+      completion.refuse('no_replica', 'all back ends declined', this.spreadFullRetryMs());
     else completion.fail('backend_broken', 'no answer after a send that may have run');
   }
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -25,6 +25,7 @@
 export * from './route-table.js';
 export * from './route.js';
 export * from './send-permits.js';
+export * from './slot-share.js';
 export * from './stream-position.js';
 export * from './tenant.js';
 export * from './traffic-splitter.js';
--- a/packages/forwarding/src/request-sender.ts
+++ b/packages/forwarding/src/request-sender.ts
@@ -143,6 +143,7 @@
       context.directory.announce(backEnd.id, missingTarget(backEnd, facts.target), false);
     } else {
       progress.excluded.add(backEnd.id);
+      if (verdict === 'not_run') context.connections.noteDeclined(backEnd.id);
       if (verdict === 'other_incarnation') context.directory.remove(backEnd.id);
     }
     return { kind: 'not_run', arrived: true };
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -32,6 +32,9 @@
   back_end_limited:
     'A response reported the maximum number of requests per second that its back end accepts from all daemons together. Back end, source (`answer`: the back end itself; `peer`: another daemon that received it), the limit, the previous limit.',
   back_end_unlimited: 'A response no longer reported a rate limit. Back end, source, the previous limit.',
+  back_end_brittle:
+    'A response reported that its back end falls over when it has to decline more than a number of requests in a second; no more than it has room for is sent to it. Back end, source (`answer` or `peer`), the number.',
+  back_end_not_brittle: 'A response no longer reported that its back end is brittle. Back end, source.',
   back_end_leaving:
     'A response reported that its back end will exit soon. Back end, source (`answer` or `peer`).',
   back_end_paused:
--- a/packages/protocol/src/backend-messages.ts
+++ b/packages/protocol/src/backend-messages.ts
@@ -22,8 +22,18 @@
   readonly backEndId: string;
 }
 
+/** A back end has become brittle or no longer is. */
+export interface BrittlenessNews {
+  readonly kind: 'brittle';
+  readonly backEndId: string;
+  /** Requests that the back end may decline in a second before it falls over; absent if it is no longer brittle. */
+  readonly declinesPerSecond?: number;
+  /** Milliseconds since the response that showed this. */
+  readonly heardAgoMs: number;
+}
+
 /** A notice from a back end, as received by one daemon. */
-export type BackendNotification = RateLimitNews | LeavingNews;
+export type BackendNotification = RateLimitNews | LeavingNews | BrittlenessNews;
 
 /** A daemon reaches no back end although others do, or reaches them again. */
 export interface IsolationNews {
--- a/packages/serving/src/backend-notice-service.ts
+++ b/packages/serving/src/backend-notice-service.ts
@@ -51,6 +51,11 @@
     this.notices.onRateLimitChange = (backEndId, observedLimit) => {
       announce({ kind: 'rate_limit', backEndId, rateLimit: toReport(observedLimit, clock) });
     };
+    this.notices.onBrittlenessChange = (backEndId, { declinesPerSecond, receivedAt }) => {
+      const heardAgoMs = Math.round(clock.monotonic() - receivedAt);
+      const value = declinesPerSecond === undefined ? {} : { declinesPerSecond };
+      announce({ kind: 'brittle', backEndId, heardAgoMs, ...value });
+    };
     this.notices.onLeaving = (backEndId) => {
       this.noteLeaving(backEndId, 'answer');
     };
@@ -83,6 +88,13 @@
         return;
       case 'rate_limit':
         this.notices.recordFromPeer(news.backEndId, fromReport(news.rateLimit, this.options.clock));
+        return;
+      case 'brittle': {
+        const { backEndId, declinesPerSecond, heardAgoMs } = news;
+        const receivedAt = this.options.clock.monotonic() - heardAgoMs;
+        const value = declinesPerSecond === undefined ? {} : { declinesPerSecond };
+        this.notices.recordBrittlenessFromPeer(backEndId, { receivedAt, ...value });
+      }
     }
   }
 
--- a/packages/serving/src/forwarder-assembly.ts
+++ b/packages/serving/src/forwarder-assembly.ts
@@ -6,7 +6,7 @@
   type ServiceDefinition,
   type WorkerPaces,
 } from '@woodbarrow/backends';
-import type { CoordinatorDirectory } from '@woodbarrow/exchange';
+import type { CoordinatorDirectory, Member } from '@woodbarrow/exchange';
 import {
   ConnectionShare,
   DispatchQueue,
@@ -14,6 +14,7 @@
   PlainSelector,
   ReplicaSelector,
   RetryBudget,
+  SlotShare,
   type BackendHealth,
   type ConfigurationHolder,
   type PromptAffinity,
@@ -42,8 +43,8 @@
   readonly affinity: PromptAffinity;
   readonly coordinators: CoordinatorDirectory;
   readonly peers: PeerNetwork;
-  /** Returns the number of daemons that take requests. */
-  readonly daemonCount: () => number;
+  /** Returns the daemons that take requests, this one included. */
+  readonly members: () => readonly Member[];
   readonly serviceOf: (name: string) => ServiceDefinition | undefined;
   /** Returns the health of the back ends of a service. */
   readonly healthOf: (service: string) => BackendHealth;
@@ -60,11 +61,23 @@
 
 /** Creates the entry point for client requests. */
 export function assembleForwarder(parts: ForwarderParts): Forwarder {
-  const { settings, ports, access, directory, loads, paces, affinity, daemonCount, journal } = parts;
+  const { settings, ports, access, directory, loads, paces, affinity, journal } = parts;
   const { clock, dialect, random } = ports;
   const { notices, permits } = parts.notices;
   const demands = createDemandRouter(parts);
-  const connections = new ConnectionShare(loads, daemonCount);
+  const slots = new SlotShare({
+    daemon: settings.name,
+    members: parts.members,
+    directory,
+    loads,
+    declinesPerSecond: (backEndId) => notices.declinesPerSecond(backEndId),
+    clock,
+  });
+  directory.events.on('removed', ({ id }) => {
+    slots.forget(id);
+  });
+  const daemonCount = (): number => parts.members().length;
+  const connections = new ConnectionShare(loads, daemonCount, slots);
   const runTimes = new RunTimes();
   const forwarderRandom = random.fork();
   const dispatch = new DispatchQueue(directory, loads, journal, daemonCount, random.fork(), clock);
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -464,7 +464,7 @@
       affinity: this.affinity,
       coordinators,
       peers: this.peers,
-      daemonCount: () => this.membership.eligible().length,
+      members: () => this.membership.eligible(),
       serviceOf: (name) => this.serviceOf(name),
       healthOf: (service) => this.healthOf(service),
       notices: this.noticeService,
