--- a/packages/protocol/src/relay-messages.ts
+++ b/packages/protocol/src/relay-messages.ts
@@ -20,8 +20,10 @@
 
 /** Why a relay does not start an exchange. Nothing was sent to the back end. */
 export type RelayRefusal =
-  /** The relay has no direct path to the back end either, or does not know it. */
+  /** The relay has no direct path to this back end either, or does not know it. */
   | 'no_path'
+  /** The relay reaches no back end itself. */
+  | 'isolated'
   /** The relay carries as many exchanges as it can. */
   | 'busy'
   /** The back end has asked the relay for a pause. */
@@ -71,6 +73,8 @@
 }
 
 export interface RelayProbeAnswer {
+  /** Whether the daemon reaches no back end itself. */
+  readonly isIsolated?: boolean;
   /** Result of the probe; absent if the daemon has no direct path to the back end or does not know it. */
   readonly result?: 'running' | 'replaced' | 'refused' | 'unknown';
 }
--- a/packages/relaying/src/relay-peers.ts
+++ b/packages/relaying/src/relay-peers.ts
@@ -6,6 +6,7 @@
 /** Time for which a daemon that could not relay is avoided, in milliseconds, by reason. */
 const AVOIDANCE_MS: Readonly<Record<RelayRefusal | 'no_answer' | 'unsupported', number>> = {
   no_path: 1000,
+  isolated: 1000,
   busy: 200,
   paused: 0,
   stopping: 10_000,
@@ -40,6 +41,8 @@
 /** What one daemon knows of the others as relays. */
 export class RelayPeers {
   private readonly avoided = new Map<string, { readonly until: number; readonly reason: AvoidanceReason }>();
+  /** Monotonic time until which a daemon is not asked for one back end, by `daemon backEndId`. */
+  private readonly noPathUntil = new Map<string, number>();
   private readonly isolatedUntil = new Map<string, number>();
   /** Exchanges of this daemon in progress, by relay. */
   private readonly inProgress = new Map<string, number>();
@@ -55,31 +58,50 @@
    * Returns at most `count` daemons to try in turn. Those in the zone of this daemon or of the back end come first, since traffic
    * then crosses zones once at most; among them those with the least traffic of this daemon for their capacity.
    */
-  candidates({ zone: backEndZone }: Pick<BackEnd, 'zone'>, count: number): RelayCandidate[] {
+  candidates(backEnd: BackEnd, count: number): RelayCandidate[] {
     const { clock, random, zone } = this.options;
     const now = clock.monotonic();
-    const connected = this.others().filter(({ id }) => !this.isIsolated(id));
-    const preferred = connected.filter(({ id }) => (this.avoided.get(id)?.until ?? -Infinity) <= now);
-    const usable = preferred.length > 0 ? preferred : connected.filter(({ id }) => this.mayRecover(id));
+    const hasPath = ({ id }: RelayCandidate): boolean =>
+      (this.noPathUntil.get(noPathKey(id, backEnd.id)) ?? -Infinity) <= now;
     const distance = (peer: RelayCandidate): number =>
-      peer.zone === zone || peer.zone === backEndZone ? 0 : 1;
+      peer.zone === zone || peer.zone === backEnd.zone ? 0 : 1;
     const use = ({ id, capacity }: RelayCandidate): number =>
       ((this.inProgress.get(id) ?? 0) + 1) / Math.max(1, capacity);
     return random
-      .shuffle(usable)
+      .shuffle(this.usable().filter(hasPath))
       .sort((left, right) => distance(left) - distance(right) || use(left) - use(right))
       .slice(0, count);
   }
 
+  /** Whether any daemon may relay, as far as is known. */
+  get hasUsable(): boolean {
+    return this.usable().length > 0;
+  }
+
+  private usable(): RelayCandidate[] {
+    const now = this.options.clock.monotonic();
+    const connected = this.others().filter(({ id }) => !this.isIsolated(id));
+    const preferred = connected.filter(({ id }) => (this.avoided.get(id)?.until ?? -Infinity) <= now);
+    return preferred.length > 0 ? preferred : connected.filter(({ id }) => this.mayRecover(id));
+  }
+
   /** Whether an avoided daemon is better than none: it did not answer once, or had no room. */
   private mayRecover(id: string): boolean {
     const reason = this.avoided.get(id)?.reason;
     return reason === 'no_answer' || reason === 'busy';
   }
 
-  /** Does not use a daemon for a while. */
-  avoid(id: string, reason: AvoidanceReason): void {
-    this.avoided.set(id, { until: this.options.clock.monotonic() + AVOIDANCE_MS[reason], reason });
+  /** Does not use a daemon for a while; for a single back end if only that is out of its reach. */
+  avoid(id: string, reason: AvoidanceReason, backEndId?: string): void {
+    const until = this.options.clock.monotonic() + AVOIDANCE_MS[reason];
+    if (reason !== 'no_path') this.avoided.set(id, { until, reason });
+    else if (backEndId !== undefined) this.noPathUntil.set(noPathKey(id, backEndId), until);
+  }
+
+  /** Removes the state of a back end that no longer exists. */
+  forget(backEndId: string): void {
+    for (const key of this.noPathUntil.keys())
+      if (key.endsWith(` ${backEndId}`)) this.noPathUntil.delete(key);
   }
 
   /** Records a daemon's report on whether it reaches no back end. */
@@ -114,3 +136,7 @@
     return this.options.members().filter(({ id }) => id !== this.options.selfId);
   }
 }
+
+function noPathKey(daemon: string, backEndId: string): string {
+  return `${daemon} ${backEndId}`;
+}
--- a/packages/relaying/src/relay-service.ts
+++ b/packages/relaying/src/relay-service.ts
@@ -82,6 +82,7 @@
     const { directory, paths, client, clock, isStopping, acquire, onHead } = this.options;
     const backEnd = directory.get(message.backEndId);
     if (isStopping()) return this.refuse('stopping');
+    if (paths.isIsolated) return this.refuse('isolated');
     if (backEnd === undefined || !paths.isDirect(backEnd.id)) return this.refuse('no_path');
     if (this.exchanges.size >= MAX_EXCHANGES) return this.refuse('busy');
     const permit = acquire(backEnd);
@@ -121,6 +122,7 @@
   private async onProbe({ backEndId }: RelayProbeMessage): Promise<RelayProbeAnswer> {
     const { directory, paths, probe } = this.options;
     const backEnd = directory.get(backEndId);
+    if (paths.isIsolated) return { isIsolated: true };
     if (backEnd === undefined || !paths.isDirect(backEndId)) return {};
     try {
       return { result: await probe.probe(backEnd) };
--- a/packages/relaying/src/relayed-probe.ts
+++ b/packages/relaying/src/relayed-probe.ts
@@ -46,9 +46,15 @@
       try {
         const message = { backEndId: backEnd.id };
         const options = { timeoutMs: PROBE_CALL_TIMEOUT_MS };
-        const { result } = await peers.call(prober.address, relayProbeMethod, message, options);
+        const { result, isIsolated = false } = await peers.call(
+          prober.address,
+          relayProbeMethod,
+          message,
+          options,
+        );
         if (result !== undefined && result !== 'unknown') return { result, prober };
-        if (result === undefined) relayPeers.avoid(prober.id, 'no_path');
+        if (isIsolated) relayPeers.avoid(prober.id, 'isolated');
+        else if (result === undefined) relayPeers.avoid(prober.id, 'no_path', backEnd.id);
       } catch (error) {
         failures.record('relay_probe', prober.id, error);
       }
--- a/packages/relaying/src/relaying-client.ts
+++ b/packages/relaying/src/relaying-client.ts
@@ -95,7 +95,7 @@
           if (!call.signal.aborted) this.options.relayPeers.avoid(relay.id, 'no_answer');
           throw error;
         }
-        this.options.relayPeers.avoid(relay.id, error.reason);
+        this.options.relayPeers.avoid(relay.id, error.reason, backEnd.id);
         failure = new HttpNotSentError(errorMessage(error), { cause: error });
       }
     }
--- a/packages/runtime/src/node-backend-client.ts
+++ b/packages/runtime/src/node-backend-client.ts
@@ -167,7 +167,8 @@
       });
       request.once('socket', (socket: Socket) => {
         if (!socket.connecting) {
-          sent = true;
+          // A connection that has failed by now carries no byte of this request.
+          sent = !socket.destroyed;
           return;
         }
         connectTimer = setTimeout(() => {
--- a/packages/serving/src/backend-access.ts
+++ b/packages/serving/src/backend-access.ts
@@ -157,9 +157,9 @@
 
   /** Milliseconds after which a client may return while no back end can be reached by any path; undefined while one can. */
   unreachableRetryMs(): number | undefined {
-    const { settings, ports } = this.options;
+    const { ports } = this.options;
     if (!this.paths.isIsolated || !this.relayPeers.hasOthers) return undefined;
-    if (this.relayPeers.candidates(settings, 1).length > 0) return undefined;
+    if (this.relayPeers.hasUsable) return undefined;
     return ports.random.between(MIN_UNREACHABLE_RETRY_MS, MAX_UNREACHABLE_RETRY_MS);
   }
 
@@ -178,6 +178,7 @@
   /** Removes the state of a back end that no longer exists. */
   forget(backEndId: string): void {
     this.paths.forget(backEndId);
+    this.relayPeers.forget(backEndId);
   }
 
   /** A pause binds each daemon whose request was declined, and a relay sent this one. */
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -333,7 +333,7 @@
       onIsolated: () => {
         for (const health of this.health.values()) health.clearBackoffs();
       },
-      isStopping: () => this.isStopping,
+      isStopping: () => this.stopWaiting.signal.aborted,
       failures,
       log,
     });
