--- a/packages/relaying/src/relay-peers.ts
+++ b/packages/relaying/src/relay-peers.ts
@@ -51,7 +51,7 @@
 
   /** Whether there are other daemons at all. */
   get hasOthers(): boolean {
-    return this.others().length > 0;
+    return this.options.members().some(({ id }) => id !== this.options.selfId);
   }
 
   /**
