--- a/packages/forwarding/src/connection-queue.ts
+++ b/packages/forwarding/src/connection-queue.ts
@@ -103,7 +103,7 @@
   }
 
   /** Expected time to the end of a new request, behind those that wait for the same back ends and are at least as urgent. */
-  expectedTimeMs({ service, backEndIds, priority }: Omit<ConnectionRequest, 'signal' | 'until'>): number {
+  private expectedTimeMs({ service, backEndIds, priority }: ConnectionRequest): number {
     const ahead = [...this.waiting].filter(
       (waiter) => waiter.priority <= priority && waiter.backEndIds.some((id) => backEndIds.includes(id)),
     );
