A relay that does not answer does not hold up a cancelled request

Callers could have waited for their answer up to 1.5 s longer than their time: a cancelled exchange waited for the pending call to the relay. The call now fails at once, and a failed exchange is cancelled at the relay. The new test failed before (600 ms instead of at most 10).

--- a/packages/relaying/src/relay-client.ts
+++ b/packages/relaying/src/relay-client.ts
@@ -5,6 +5,7 @@
   relayCancelMethod,
   relayReadMethod,
   relayStartMethod,
+  type PeerMethod,
   type RelayFailure,
   type RelayReadAnswer,
   type RelayRefusal,
@@ -51,6 +52,8 @@
 /** One request by way of one relay. */
 export class RelayClient {
   private hasEnded = false;
+  /** Fails the call that waits for the relay. */
+  private failCall: (error: Error) => void = () => undefined;
 
   constructor(
     private readonly peers: PeerNetwork,
@@ -77,7 +80,8 @@
       const head = await this.readHead();
       return this.toResponse(head, call.signal);
     } catch (error) {
-      this.end();
+      if (error instanceof RelayRefusedError || error instanceof RelayNotConnectedError) this.end();
+      else this.cancel();
       throw error;
     }
   }
@@ -87,14 +91,12 @@
     const message = { exchange: this.exchange, backEndId, requestId, method, target, headers, body };
     let answer: RelayStartAnswer;
     try {
-      const options = { timeoutMs: START_TIMEOUT_MS, channel: 'bulk' } as const;
-      answer = await this.peers.call(this.relay.address, relayStartMethod, message, options);
+      answer = await this.call(relayStartMethod, message, START_TIMEOUT_MS);
     } catch (error) {
       const kind = error instanceof WoodbarrowError ? error.kind : undefined;
       if (kind === 'peer_unreachable') throw new RelayRefusedError('no_answer', errorMessage(error));
       // A build without relays does not know the method.
       if (kind === 'not_found') throw new RelayRefusedError('unsupported', errorMessage(error));
-      this.cancel();
       throw error;
     }
     if (answer.refusal !== undefined) throw new RelayRefusedError(answer.refusal, answer.refusal);
@@ -112,13 +114,22 @@
 
   /** Reads the next piece; without any field if none came in time. */
   private async read(): Promise<RelayReadAnswer> {
-    if (this.hasEnded) throw new Error('request aborted');
     const message = { exchange: this.exchange, waitMs: READ_WAIT_MS };
-    const options = { timeoutMs: READ_WAIT_MS + READ_GRACE_MS, channel: 'bulk' } as const;
-    const answer = await this.peers.call(this.relay.address, relayReadMethod, message, options);
-    // The exchange may have been cancelled meanwhile.
-    if (this.hasEnded) throw new Error('request aborted');
-    return answer;
+    return this.call(relayReadMethod, message, READ_WAIT_MS + READ_GRACE_MS);
+  }
+
+  /** Calls the relay. Fails at once when the exchange is cancelled, even if the relay does not answer. */
+  private call<Request, Response>(
+    method: PeerMethod<Request, Response>,
+    message: Request,
+    timeoutMs: number,
+  ): Promise<Response> {
+    if (this.hasEnded) return Promise.reject(new Error('request aborted'));
+    const cancelled = new Promise<never>((_, reject) => {
+      this.failCall = reject;
+    });
+    const answer = this.peers.call(this.relay.address, method, message, { timeoutMs, channel: 'bulk' });
+    return Promise.race([answer, cancelled]);
   }
 
   private toResponse(head: RelayedHead, signal: AbortSignal): BackendResponse {
@@ -165,6 +176,7 @@
   private end(): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
+    this.failCall(new Error('request aborted'));
     this.onEnded();
   }
 }
--- a/packages/relaying/test/relays.test.ts
+++ b/packages/relaying/test/relays.test.ts
@@ -221,6 +221,20 @@
     expect(world.target.cancelled).to.deep.equal(['r1', 'r2']);
   });
 
+  it('do not hold up a daemon that cancels, even when they do not answer', async () => {
+    const [first, second] = [await world.add(), await world.add()];
+    world.target.answerMs = 5000;
+    world.cutOff(first);
+    const leaving = new AbortController();
+    const failure = failureOf(world.send(first, leaving.signal));
+    await world.cluster.advance(100);
+    second.node.process.pause(3000);
+    leaving.abort();
+    const startedAt = world.cluster.world.now;
+    await world.cluster.settle(failure);
+    expect(world.cluster.world.now - startedAt).to.be.below(10);
+  });
+
   it('pass over daemons that do not know them, are cut off themselves or are gone', async () => {
     const first = await world.add();
     await world.add(false);
