--- a/packages/protocol/src/relay-messages.ts
+++ b/packages/protocol/src/relay-messages.ts
@@ -75,7 +75,7 @@
 export interface RelayProbeAnswer {
   /** Whether the daemon reaches no back end itself. */
   readonly isIsolated?: boolean;
-  /** Result of the probe; absent if the daemon has no direct path to the back end or does not know it. */
+  /** Result of the probe; absent if the daemon is isolated or does not know the back end. */
   readonly result?: 'running' | 'replaced' | 'refused' | 'unknown';
 }
 
--- a/packages/relaying/src/relay-peers.ts
+++ b/packages/relaying/src/relay-peers.ts
@@ -59,18 +59,26 @@
    * then crosses zones once at most; among them those with the least traffic of this daemon for their capacity.
    */
   candidates(backEnd: BackEnd, count: number): RelayCandidate[] {
-    const { clock, random, zone } = this.options;
-    const now = clock.monotonic();
+    const now = this.options.clock.monotonic();
     const hasPath = ({ id }: RelayCandidate): boolean =>
       (this.noPathUntil.get(noPathKey(id, backEnd.id)) ?? -Infinity) <= now;
+    return this.ranked(backEnd, this.usable().filter(hasPath)).slice(0, count);
+  }
+
+  /** Returns at most `count` daemons to ask for a probe: like candidates, also those that have no path to this back end. */
+  probers(backEnd: BackEnd, count: number): RelayCandidate[] {
+    return this.ranked(backEnd, this.usable()).slice(0, count);
+  }
+
+  private ranked(backEnd: BackEnd, daemons: readonly RelayCandidate[]): RelayCandidate[] {
+    const { random, zone } = this.options;
     const distance = (peer: RelayCandidate): number =>
       peer.zone === zone || peer.zone === backEnd.zone ? 0 : 1;
     const use = ({ id, capacity }: RelayCandidate): number =>
       ((this.inProgress.get(id) ?? 0) + 1) / Math.max(1, capacity);
     return random
-      .shuffle(this.usable().filter(hasPath))
-      .sort((left, right) => distance(left) - distance(right) || use(left) - use(right))
-      .slice(0, count);
+      .shuffle(daemons)
+      .sort((left, right) => distance(left) - distance(right) || use(left) - use(right));
   }
 
   /** Whether any daemon may relay, as far as is known. */
--- a/packages/relaying/src/relay-service.ts
+++ b/packages/relaying/src/relay-service.ts
@@ -21,6 +21,9 @@
 /** Exchanges that a relay carries at the same time; each holds at most one piece of a response in memory. */
 const MAX_EXCHANGES = 200;
 
+/** Time for which a removed back end can still be probed, in milliseconds: answers that it left incomplete are judged after that. */
+const REMOVED_RETENTION_MS = 60_000;
+
 /** Permission to use a back end for one exchange. */
 export interface RelayPermit {
   end(): void;
@@ -52,6 +55,8 @@
 /** Relays requests for daemons that have lost their direct paths. Never relays by way of a third daemon. */
 export class RelayService {
   private readonly exchanges = new Map<string, RelayedExchange>();
+  /** Back ends that left the directory lately, with the monotonic time. */
+  private readonly removed = new Map<string, { readonly backEnd: BackEnd; readonly at: number }>();
   private accepted = 0;
   private readonly refused = new Map<RelayRefusal, number>();
 
@@ -59,7 +64,10 @@
 
   /** Registers the message handlers. */
   start(): void {
-    const { peers } = this.options;
+    const { peers, directory } = this.options;
+    directory.events.on('removed', (backEnd) => {
+      this.retainRemoved(backEnd);
+    });
     peers.handle(relayStartMethod, (message, context) => this.onStart(message, context));
     peers.handle(relayReadMethod, ({ exchange, waitMs }) => this.exchangeOf(exchange).read(waitMs));
     peers.handle(relayCancelMethod, ({ exchange }) => {
@@ -119,11 +127,18 @@
     return exchange;
   }
 
+  private retainRemoved(backEnd: BackEnd): void {
+    const now = this.options.clock.monotonic();
+    for (const [id, { at }] of this.removed) if (now - at > REMOVED_RETENTION_MS) this.removed.delete(id);
+    this.removed.set(backEnd.id, { backEnd, at: now });
+  }
+
+  /** A lost path to this one back end is no reason not to probe: the process may have ended. */
   private async onProbe({ backEndId }: RelayProbeMessage): Promise<RelayProbeAnswer> {
     const { directory, paths, probe } = this.options;
-    const backEnd = directory.get(backEndId);
     if (paths.isIsolated) return { isIsolated: true };
-    if (backEnd === undefined || !paths.isDirect(backEndId)) return {};
+    const backEnd = directory.get(backEndId) ?? this.removed.get(backEndId)?.backEnd;
+    if (backEnd === undefined) return {};
     try {
       return { result: await probe.probe(backEnd) };
     } catch (error) {
--- a/packages/relaying/src/relayed-probe.ts
+++ b/packages/relaying/src/relayed-probe.ts
@@ -1,6 +1,6 @@
 /**
- * Probes processes with the help of other daemons: without a direct path, a refused or unanswered probe shows nothing about the
- * process. A daemon that took it for the end of a process would have sound requests quarantined.
+ * Probes processes with the help of other daemons: where the network of this daemon is at fault, a refused or unanswered probe shows
+ * nothing about the process. A daemon that took it for the end of a process would have sound requests quarantined.
  */
 import type { BackEnd } from '@woodbarrow/backends';
 import type { CallFailures } from '@woodbarrow/observability';
@@ -23,18 +23,19 @@
   readonly failures: CallFailures;
 }
 
-/** A probe that only counts a process as refused if a daemon with a direct path finds it so. */
+/** A probe whose failures are checked by other daemons; while this daemon reaches no back end, only theirs count. */
 export class RelayedProbe implements ProcessProbe {
   constructor(private readonly options: RelayedProbeOptions) {}
 
   async probe(backEnd: BackEnd): Promise<ProbeResult> {
     const { direct, paths, relayPeers } = this.options;
     if (!relayPeers.hasOthers) return direct.probe(backEnd);
-    if (paths.isDirect(backEnd.id)) {
-      const result = await direct.probe(backEnd);
-      if (result === 'running' || result === 'replaced') return result;
-    }
-    return (await this.probeByPeers(backEnd))?.result ?? 'unknown';
+    const own = paths.isIsolated ? 'unknown' : await direct.probe(backEnd);
+    if (own === 'running' || own === 'replaced') return own;
+    if (own === 'refused') paths.noteNotConnected(backEnd.id);
+    const checked = await this.probeByPeers(backEnd);
+    if (checked !== undefined) return checked.result;
+    return paths.isIsolated ? 'unknown' : own;
   }
 
   /** Returns the result of another daemon's probe and that daemon; undefined if none could tell. */
@@ -42,7 +43,7 @@
     backEnd: BackEnd,
   ): Promise<{ readonly result: ProbeResult; readonly prober: RelayCandidate } | undefined> {
     const { relayPeers, peers, failures } = this.options;
-    for (const prober of relayPeers.candidates(backEnd, MAX_PROBERS)) {
+    for (const prober of relayPeers.probers(backEnd, MAX_PROBERS)) {
       try {
         const message = { backEndId: backEnd.id };
         const options = { timeoutMs: PROBE_CALL_TIMEOUT_MS };
@@ -54,7 +55,6 @@
         );
         if (result !== undefined && result !== 'unknown') return { result, prober };
         if (isIsolated) relayPeers.avoid(prober.id, 'isolated');
-        else if (result === undefined) relayPeers.avoid(prober.id, 'no_path', backEnd.id);
       } catch (error) {
         failures.record('relay_probe', prober.id, error);
       }
