--- a/packages/relaying/src/relay-peers.ts
+++ b/packages/relaying/src/relay-peers.ts
@@ -9,7 +9,7 @@
   isolated: 1000,
   busy: 200,
   paused: 0,
-  stopping: 10_000,
+  stopping: 1000,
   no_answer: 1500,
   unsupported: 60_000,
 };
