An abort at the end of a response does not end the process

The socket is destroyed with the abort's error after the HTTP client has removed its listener, and an error without a listener ends the process. Each socket to a back end now has a listener.

--- a/packages/runtime/src/node-backend-client.ts
+++ b/packages/runtime/src/node-backend-client.ts
@@ -23,6 +23,8 @@
     this.onOpened();
     const socket = super.createConnection(...parameters) as Socket;
     socket.setNoDelay(true);
+    // An abort at the end of a response destroys the socket when the HTTP client has already removed its own listener.
+    socket.on('error', ignoreError);
     return socket;
   }
 
@@ -39,6 +41,10 @@
   }
 }
 
+function ignoreError(): void {
+  // The HTTP client reports the errors of requests in progress.
+}
+
 function destroyOnData(this: Socket): void {
   this.destroy();
 }
--- a/packages/runtime/test/node-backend-client.test.ts
+++ b/packages/runtime/test/node-backend-client.test.ts
@@ -49,6 +49,24 @@
   return Buffer.concat(chunks).toString();
 }
 
+/** Aborts a request at the moment at which the last byte of its response is read. */
+async function abortAtEnd(client: NodeBackendClient, address: string): Promise<void> {
+  const controller = new AbortController();
+  const response = await client.send({
+    address,
+    method: 'GET',
+    target: '/',
+    headers: ['Host', 'test'],
+    body: new Uint8Array(),
+    signal: controller.signal,
+    connectTimeoutMs: 1000,
+  });
+  const body = response.body[Symbol.asyncIterator]();
+  await body.next();
+  controller.abort();
+  await new Promise((resolve) => setTimeout(resolve, 5));
+}
+
 async function failureOf(promise: Promise<unknown>): Promise<Error | undefined> {
   try {
     await promise;
@@ -64,6 +82,14 @@
     backend.close();
   });
 
+  it('does not end the process when a request is aborted at the end of its response', async () => {
+    backend = new RawBackend((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello');
+    });
+    const address = await backend.listen();
+    for (let run = 0; run < 20; run += 1) await abortAtEnd(client, address);
+  });
+
   it('accepts a response without a length as complete when its connection ends normally', async () => {
     backend = new RawBackend((socket) => socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole'));
     const response = await sendRequest(new NodeBackendClient(), await backend.listen());
