A check of a process that began earlier is repeated

Such a result is not taken over any more. The race was there with short probes; those by way of others are longer.

--- a/packages/quarantine/src/process-state-checker.ts
+++ b/packages/quarantine/src/process-state-checker.ts
@@ -38,9 +38,16 @@
 /** Time for which an ended process is remembered, in milliseconds. */
 const ENDED_RETENTION_MS = 60_000;
 
+interface OngoingCheck {
+  readonly state: Promise<ProcessState>;
+  /** Number of checks requested before this one began. */
+  readonly beganAt: number;
+}
+
 /** Checks processes, with at most one check per process at a time. */
 export class ProcessStateChecker {
-  private readonly checks = new Map<string, Promise<ProcessState>>();
+  private readonly checks = new Map<string, OngoingCheck>();
+  private requestedChecks = 0;
   private readonly endedAt = new Map<string, number>();
 
   constructor(
@@ -58,12 +65,24 @@
    * Never rejects.
    */
   check(backEnd: BackEnd): Promise<ProcessState> {
-    if (this.hasEnded(backEnd.id)) return Promise.resolve('ended');
+    this.requestedChecks += 1;
+    return this.checkSince(backEnd, this.requestedChecks);
+  }
+
+  /** A check that began before it was requested may have found the process running just before its end, and is repeated. */
+  private async checkSince(backEnd: BackEnd, requestedAt: number): Promise<ProcessState> {
+    if (this.hasEnded(backEnd.id)) return 'ended';
     const ongoing = this.checks.get(backEnd.id);
-    if (ongoing !== undefined) return ongoing;
-    const check = this.probeUntilDecided(backEnd).finally(() => this.checks.delete(backEnd.id));
-    this.checks.set(backEnd.id, check);
-    return check;
+    if (ongoing === undefined) return this.startCheck(backEnd);
+    const state = await ongoing.state;
+    const isCurrent = ongoing.beganAt >= requestedAt || state === 'ended';
+    return isCurrent ? state : this.checkSince(backEnd, requestedAt);
+  }
+
+  private startCheck(backEnd: BackEnd): Promise<ProcessState> {
+    const state = this.probeUntilDecided(backEnd).finally(() => this.checks.delete(backEnd.id));
+    this.checks.set(backEnd.id, { state, beganAt: this.requestedChecks });
+    return state;
   }
 
   /**
