--- a/packages/runtime/test/node-backend-client.test.ts
+++ b/packages/runtime/test/node-backend-client.test.ts
@@ -87,6 +87,7 @@
       socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello');
     });
     const address = await backend.listen();
+    const client = new NodeBackendClient();
     for (let run = 0; run < 20; run += 1) await abortAtEnd(client, address);
   });
 
