--- a/packages/relaying/src/backend-paths.ts
+++ b/packages/relaying/src/backend-paths.ts
@@ -57,8 +57,8 @@
 
 /** Direct paths of one daemon to all back ends. */
 export class BackendPaths extends BackgroundService {
-  /** Called when this daemon starts or stops reaching no back end at all. */
-  onIsolationChanged: (isolated: boolean) => void = () => undefined;
+  /** Called when this daemon has stopped reaching any back end. */
+  onIsolated: () => void = () => undefined;
   /** Called when the path to a back end is lost. */
   onLost: (backEndId: string) => void = () => undefined;
   private readonly lost = new Map<string, LostPath>();
@@ -179,7 +179,7 @@
       probed,
       ...(Number.isFinite(lastContactAgoMs) ? { lastContactAgoMs } : {}),
     });
-    this.onIsolationChanged(true);
+    this.onIsolated();
   }
 
   private endIsolation(backEndId: string): void {
@@ -189,7 +189,6 @@
     this.isolatedSince = undefined;
     for (const path of this.lost.values()) path.nextProbeAt = now;
     log.changed('back_ends_reachable', { backEnd: backEndId, forMs });
-    this.onIsolationChanged(false);
   }
 
   private markLost(backEndId: string, cause: PathLossCause): void {
--- a/packages/relaying/src/relay-service.ts
+++ b/packages/relaying/src/relay-service.ts
@@ -1,6 +1,6 @@
 /** The side of a relay: sends requests of other daemons to back ends and hands over the responses. */
 import type { BackEnd, BackendDirectory } from '@woodbarrow/backends';
-import { errorMessage, WoodbarrowError } from '@woodbarrow/errors';
+import { WoodbarrowError } from '@woodbarrow/errors';
 import type { CallContext, PeerNetwork } from '@woodbarrow/peering';
 import {
   relayCancelMethod,
@@ -139,10 +139,6 @@
     if (paths.isIsolated) return { isIsolated: true };
     const backEnd = directory.get(backEndId) ?? this.removed.get(backEndId)?.backEnd;
     if (backEnd === undefined) return {};
-    try {
-      return { result: await probe.probe(backEnd) };
-    } catch (error) {
-      throw new WoodbarrowError('internal', `probe failed: ${errorMessage(error)}`);
-    }
+    return { result: await probe.probe(backEnd) };
   }
 }
--- a/packages/serving/src/backend-access.ts
+++ b/packages/serving/src/backend-access.ts
@@ -78,9 +78,7 @@
     const random = ports.random.fork();
     const pathProbe = new HttpPathProbe(ports.client, ports.probe);
     const paths = new BackendPaths({ directory, probe: pathProbe, clock, random: random.fork(), log });
-    paths.onIsolationChanged = (isIsolated) => {
-      if (isIsolated) options.onIsolated();
-    };
+    paths.onIsolated = options.onIsolated;
     paths.onLost = (backEndId) => {
       // Idle connections may have been cut as well.
       const backEnd = directory.get(backEndId);
