Logs and metrics name the software version of back ends and the attempt that a take-up resumes

The logs of the incident could not tell which version a stream went on at: it had to be joined from the operator's log. The worker's record already held it, but it was checked and dropped. request_sent, request_resumed and back_end_seen name it now, request_admitted names the attempt of Resumes, and woodbarrow_back_ends_by_version counts the versions that serve side by side. No decision depends on any of it.

--- a/packages/backends/src/back-end.ts
+++ b/packages/backends/src/back-end.ts
@@ -22,6 +22,11 @@
   /** Wall clock time at which this incarnation started, in milliseconds; absent if the worker does not report it. */
   readonly startedAt?: number;
   readonly service: string;
+  /**
+   * Version of the software that the worker runs, not of the weights. Events of two versions do not fit into one stream. Absent if
+   * the worker does not name it.
+   */
+  readonly softwareVersion?: string;
   /** Address as `ip:port`; may be reused by another worker after this incarnation has ended. */
   readonly address: string;
   readonly zone: string;
--- a/packages/backends/src/backend-directory.ts
+++ b/packages/backends/src/backend-directory.ts
@@ -108,6 +108,16 @@
     return counts;
   }
 
+  /** Returns the number of back ends of each software version, by `service/version`. */
+  countByVersion(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const { service, softwareVersion } of this.all()) {
+      const key = `${service}/${softwareVersion ?? ''}`;
+      counts.set(key, (counts.get(key) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   get(id: string): BackEnd | undefined {
     return this.entries.get(id)?.backEnd;
   }
--- a/packages/forwarding/src/answer-forwarder.ts
+++ b/packages/forwarding/src/answer-forwarder.ts
@@ -77,7 +77,13 @@
   private resumeStream(client: EventStreamAnswer, sent: SentAnswer): Promise<AttemptResult> {
     const { backEnd, answer } = sent;
     const afterEvent = client.lastEventId;
-    this.recordDecision('request_resumed', { backEnd: backEnd.id, afterEvent, status: answer.status });
+    const { id, softwareVersion } = backEnd;
+    this.recordDecision('request_resumed', {
+      backEnd: id,
+      softwareVersion,
+      afterEvent,
+      status: answer.status,
+    });
     return isEventStream(answer)
       ? this.forwardStream(client, sent)
       : Promise.resolve(this.refuseNonStream(sent));
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -149,6 +149,7 @@
       promptTokens: facts.promptTokens,
       outputTokens: facts.outputTokens,
       resumeAfter: facts.resumeAfter,
+      resumes: facts.resumes,
       leftMs: Math.round(times.remainingMs()),
     });
   }
--- a/packages/forwarding/src/request-sender.ts
+++ b/packages/forwarding/src/request-sender.ts
@@ -63,6 +63,7 @@
     context.journal.decided('request_sent', facts.id, {
       backEnd: backEnd.id,
       zone: backEnd.zone,
+      softwareVersion: backEnd.softwareVersion,
       reason,
       running: context.loads.loadOf(backEnd.id).requests,
       recordAgeMs: Math.round(context.directory.recordAgeMs(backEnd.id)),
--- a/packages/forwarding/src/wire-dialect.ts
+++ b/packages/forwarding/src/wire-dialect.ts
@@ -30,6 +30,8 @@
   readonly promptParts: readonly PromptPart[];
   /** Id of the last event that the client has, if it resumes a stream itself. */
   readonly resumeAfter?: string;
+  /** Id of the request that brought the stream's first event, if the client resumes a stream itself. */
+  readonly resumes?: string;
   /** Digest of the caller's key; the key itself is not stored. Absent if there is no key. */
   readonly keyDigest?: string;
 }
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -4,16 +4,16 @@
  */
 export const LOG_EVENTS = {
   request_admitted:
-    'A request was read and has a route. Route, service, digest of its content (shared by all attempts of one request), model, adapter, last event that the client already has, remaining time.',
+    'A request was read and has a route. Route, service, digest of its content (shared by all attempts of one request), model, adapter, last event that the client already has and the attempt that brought the first one, remaining time.',
   request_queued:
     'All workers that hold the model are full, and the request waits for room on one. Model, number of waiting requests that go first, expected wait.',
   request_sent:
-    'The request is being sent. Back end, reason for the choice, requests in progress there, age of its record, remaining time, time waited for room on a worker.',
+    'The request is being sent. Back end, its zone and software version, reason for the choice, requests in progress there, age of its record, remaining time, time waited for room on a worker.',
   request_declined:
     'A back end did not accept the request or did not respond. Verdict: `not_run`, `not_resident`, `other_incarnation`, `unreachable`, `broken` or `timed_out`.',
   request_repeated: 'A retry is considered. Whether it is allowed, preceding result, remaining retry budget.',
   request_resumed:
-    'A back end was asked to resume a stream and has responded. Event to resume after, status.',
+    'A back end was asked to resume a stream and has responded. Back end, its software version, event to resume after, status.',
   take_up_refused:
     'A response does not continue the part of the stream that the client has received, and counts as a failed send. Back end, reason (`failure`, `not_a_stream`, `begins_anew`, `skips`, `not_rising` or `without_id`), status, last event that the client has, first event of the response.',
   event_torn:
@@ -99,8 +99,9 @@
   record_invalid:
     'A record of the store is invalid and is ignored. Kind, name, revision, reason. Logged once for each reason.',
   back_ends_listed: 'All back ends were listed again. Number of back ends.',
-  back_end_seen: 'A back end appeared. Service, zone, state, models.',
-  back_end_changed: 'A back end started to drain or accepts requests again. Service, zone, state, models.',
+  back_end_seen: 'A back end appeared. Service, software version, zone, state, models.',
+  back_end_changed:
+    'A back end started to drain or accepts requests again. Service, software version, zone, state, models.',
   back_end_gone: 'The record of a back end was removed.',
   path_lost:
     'This daemon lost its direct path to a back end. Back end, cause (`not_connected`: no connection opened; `no_answer`: neither a request nor a probe was answered; `no_back_end_reached`: none of the back ends compared was reached).',
--- a/packages/serving/src/deployment-view.ts
+++ b/packages/serving/src/deployment-view.ts
@@ -54,6 +54,7 @@
     this.log.changed(before === undefined ? 'back_end_seen' : 'back_end_changed', {
       backEnd: backEnd.id,
       service: backEnd.service,
+      softwareVersion: backEnd.softwareVersion,
       zone: backEnd.zone,
       draining: backEnd.draining,
       models: backEnd.models.map((model) => model.name).join(','),
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -426,6 +426,7 @@
     return new ServingMetrics({
       configurationVersion: () => configuration.current?.version ?? 0,
       backEndsByService: () => directory.countByService(),
+      backEndsByVersion: () => directory.countByVersion(),
       peersPresent: () => membership.present().length,
       requestsInProgress: () => this.ingress?.inProgress ?? 0,
       zonesHeld: () => residency.fencesHeld(),
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -14,6 +14,8 @@
 export interface MetricSources {
   readonly configurationVersion: () => number;
   readonly backEndsByService: () => ReadonlyMap<string, number>;
+  /** Back ends known, by `service/version` of their software. */
+  readonly backEndsByVersion: () => ReadonlyMap<string, number>;
   readonly peersPresent: () => number;
   readonly requestsInProgress: () => number;
   readonly zonesHeld: () => ReadonlyMap<string, number>;
@@ -74,6 +76,12 @@
       sources.configurationVersion,
     );
     registry.gauge('woodbarrow_back_ends', 'Back ends known.', sources.backEndsByService, 'service');
+    registry.gauge(
+      'woodbarrow_back_ends_by_version',
+      'Back ends known, by service and version of their software.',
+      sources.backEndsByVersion,
+      'version',
+    );
     registry.gauge('woodbarrow_peers', 'Daemons present, this one included.', sources.peersPresent);
     registry.gauge(
       'woodbarrow_requests_in_progress',
