A resumable stream goes on only at the software version that began it

Cause: the version in a worker's record was checked and dropped, so that a resumption went to any worker that holds the model; and the daemon at which a client takes a stream up knew nothing of the attempt that began it.

A stream is bound to the version that brings its first event. Its daemon copies attempt, service and version to two others, selected by rendezvous hashing of the attempt's id, before or with the first event; a take-up asks the eight preferred daemons. Every later run is chosen among workers of the version alone, loads included. Where the version is unknown, or none of its workers is left, the take-up is refused at once as not run (stream_not_resumable). Why it holds: no run of a bound stream is chosen without the version, and an unbound take-up is possible only where this daemon has seen one version.

Found by the test on the way: a bound stream whose only worker was in backoff waited 2.2 s for a load that no worker could make; where no worker remains to load, nothing is asked for.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,6 +34,7 @@
   forwarding: ['errors', 'runtime', 'backends', 'coordination', 'observability', 'quarantine'],
   exchange: ['errors', 'runtime', 'protocol', 'peering', 'coordination', 'backends', 'observability'],
   relaying: ['errors', 'runtime', 'protocol', 'peering', 'backends', 'observability', 'quarantine'],
+  streams: ['runtime', 'protocol', 'peering', 'coordination', 'backends', 'observability', 'forwarding'],
   residency: [
     'errors',
     'runtime',
@@ -74,6 +75,7 @@
   'serving',
   'settings',
   'standins',
+  'streams',
 ];
 
 const layerRules = Object.entries(layers).map(([name, allowed]) => ({
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -42,6 +42,8 @@
   write_outcome_unknown: { status: 504, ran: 'maybe', retryable: false },
   /** The request's content crashed the processes that ran it; a retry within a client's deadline does not help. */
   request_quarantined: { status: 503, ran: 'no', retryable: false, retryAfterSeconds: 3600 },
+  /** A stream that only another software version, or an unknown one, could go on with. */
+  stream_not_resumable: { status: 503, ran: 'no', retryable: true, retryAfterSeconds: 1 },
   no_replica: { status: 503, ran: 'no', retryable: true, retryAfterSeconds: 1 },
   backend_broken: { status: 502, ran: 'maybe', retryable: false },
   request_timeout: { status: 504, ran: 'maybe', retryable: false },
--- a/packages/exchange/src/peer-exchange.ts
+++ b/packages/exchange/src/peer-exchange.ts
@@ -182,6 +182,14 @@
     return this.topology.isRelay;
   }
 
+  /** Whether the records of this daemon are current: it follows the store, or exchanges reports with a relay that does. */
+  get isViewCurrent(): boolean {
+    if (this.options.records.isFollowing) return true;
+    return (
+      this.topology.isRelay && this.topology.relays.some(({ id }) => this.followerTracker.isFollowing(id))
+    );
+  }
+
   /** Newest position of this daemon among the urgent kinds of records. */
   get newestUrgentPosition(): StorePosition {
     return this.recordTransfer.newestUrgentPosition();
--- a/packages/forwarding/src/answer-forwarder.ts
+++ b/packages/forwarding/src/answer-forwarder.ts
@@ -8,6 +8,7 @@
   type StreamRelayOptions,
   type StreamRelayResult,
 } from './answer-relay.js';
+import { runsVersion } from './backend-choice.js';
 import type { EventStreamAnswer, PendingAnswer } from './client-answer.js';
 import type { StreamSummary } from './request-completion.js';
 import type { AttemptResult, RequestScope } from './request-scope.js';
@@ -15,6 +16,7 @@
 import { isStream, mayRunAgain } from './route.js';
 import type { SendFailures } from './send-failures.js';
 import { StreamPosition } from './stream-position.js';
+import { takeUpPeriodMs } from './stream-take-ups.js';
 
 /** A stream without data for this multiple of the target gap is resumed on another back end. */
 const STALL_GAP_MULTIPLE = 2.5;
@@ -149,12 +151,24 @@
       ...(this.position === undefined ? {} : { position: this.position }),
       idleTimeoutMs: () => this.idleTimeoutMs(backEnd),
       isProcessAlive: () => this.isProcessAlive(backEnd),
+      onBegin: () => {
+        this.recordOrigin(backEnd);
+      },
       onAccepted: () => {
         this.failures.health().record(backEnd.id, 'good', latencyRatio, load?.pacePercent);
       },
     };
   }
 
+  /** Binds a resumable stream to the software version that brings its first event. */
+  private recordOrigin({ softwareVersion }: BackEnd): void {
+    const { context, facts, route, service, progress } = this.scope;
+    if (route.kind !== 'resumable_stream' || softwareVersion === undefined) return;
+    progress.softwareVersion = softwareVersion;
+    const origin = { service: service.name, softwareVersion };
+    context.origins?.record(facts.resumes ?? facts.id, origin, takeUpPeriodMs(route));
+  }
+
   private idleTimeoutMs(backEnd: BackEnd): number | undefined {
     const { route } = this.scope;
     if (route.kind !== 'resumable_stream') return undefined;
@@ -183,7 +197,12 @@
     if (facts.target === undefined || progress.isStopping) return false;
     return context.directory
       .holdersOf(service.name, facts.target)
-      .some(({ id }) => id !== backEnd.id && !progress.excluded.has(id));
+      .some(
+        (other) =>
+          other.id !== backEnd.id &&
+          !progress.excluded.has(other.id) &&
+          runsVersion(other, progress.softwareVersion),
+      );
   }
 
   /** Records an answer that does not continue the client's stream; the client's answer stays unchanged. */
--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -45,6 +45,8 @@
   /** Milliseconds without data after which the stream counts as broken, evaluated before each read; unlimited when undefined. */
   readonly idleTimeoutMs: () => number | undefined;
   readonly isProcessAlive: ProcessCheck;
+  /** Called before the client receives its first event. */
+  readonly onBegin: () => void;
   /** Called once, when the first events of this run have been accepted. */
   readonly onAccepted: () => void;
 }
@@ -168,8 +170,9 @@
   private begin(
     client: PendingAnswer,
     answer: BackendResponse,
-    { position }: StreamRelayOptions,
+    { position, onBegin }: StreamRelayOptions,
   ): EventStreamAnswer {
+    onBegin();
     const headers = this.dialect.answerHeaders(answer.rawHeaders);
     return client.beginEvents({ status: answer.status, headers }, position);
   }
--- a/packages/forwarding/src/backend-choice.ts
+++ b/packages/forwarding/src/backend-choice.ts
@@ -32,6 +32,8 @@
   | 'all_excluded'
   | 'model_unavailable'
   | 'model_too_late'
+  /** No back end is left that runs the software version that began the stream. */
+  | 'software_version_gone'
   | 'client_gone'
   /** All suitable back ends are at their rate limits or have asked for a pause. */
   | 'not_accepting'
@@ -39,6 +41,14 @@
   /** All workers that hold the model are full for longer than the request can wait. */
   | 'workers_full';
 
+/** Suggested delay before a stream without a back end of its version is taken up again, in milliseconds; a worker may be restarted by then. */
+export const VERSION_GONE_RETRY_MS = 1000;
+
+/** Whether a back end runs a software version. @param softwareVersion Any if undefined. */
+export function runsVersion(backEnd: BackEnd, softwareVersion: string | undefined): boolean {
+  return softwareVersion === undefined || backEnd.softwareVersion === softwareVersion;
+}
+
 /** Builds a refusal. @param retryAfterMs Suggested delay before a retry, in milliseconds. */
 export function refusal(reason: RefusalReason, retryAfterMs: number): BackendChoice {
   return { kind: 'refuse', reason, retryAfterMs };
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -34,6 +34,7 @@
 /** Error kinds of refusals for which `no_replica` does not say enough. */
 const REFUSAL_KINDS: Partial<Record<RefusalReason, ErrorKind>> = {
   model_too_late: 'wait_expired',
+  software_version_gone: 'stream_not_resumable',
   workers_full: 'shed',
 };
 
@@ -47,6 +48,8 @@
   readonly tenant?: Tenant;
   readonly service: ServiceDefinition;
   readonly body: Uint8Array;
+  /** Software version that must go on with the stream that the client takes up; any if undefined. */
+  readonly softwareVersion?: string;
   /** Monotonic time in milliseconds. */
   readonly arrivedAt: number;
 }
@@ -68,6 +71,7 @@
     const { exchange, facts, route, arrivedAt } = accepted;
     const times = new RequestTimes(arrivedAt, facts, route, clock);
     const progress = new RequestProgress();
+    progress.softwareVersion = accepted.softwareVersion;
     const completion = new RequestCompletion({
       answer: accepted.answer,
       requestId: facts.id,
@@ -346,7 +350,7 @@
     const { target } = facts;
     const excluded = new Set([...progress.excluded, ...this.context.quarantine.processesToAvoid(digest)]);
     if (engine === undefined || target === undefined) {
-      return this.context.plain.select(service, health, excluded);
+      return this.context.plain.select(service, health, excluded, progress.softwareVersion);
     }
     return this.context.replicas.select(
       {
@@ -359,6 +363,7 @@
         targetBy: times.targetBy(),
         startBy: answer.hasBegun ? times.resumeBy() : times.startBy(),
         isResumption: answer.hasBegun,
+        ...(progress.softwareVersion === undefined ? {} : { softwareVersion: progress.softwareVersion }),
         excluded,
         signal: this.expired.signal,
       },
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -8,6 +8,8 @@
 import type { DispatchTotals } from './dispatch-queue.js';
 import type { ForwardingContext } from './forwarding-context.js';
 import { RequestCompletion } from './request-completion.js';
+import { spreadRetryMs } from './retry-spread.js';
+import { StreamTakeUps } from './stream-take-ups.js';
 import { NO_UNREAD_TOTALS, type UnreadTotals } from './unread-answers.js';
 import { TrafficSplitter } from './traffic-splitter.js';
 
@@ -23,6 +25,7 @@
 /** Accepts the requests of one daemon. */
 export class Forwarder {
   private readonly splitter: TrafficSplitter;
+  private readonly takeUps: StreamTakeUps;
   /** Configuration version that the splitter's state belongs to. */
   private splitVersion = -1;
 
@@ -32,6 +35,7 @@
     random: Random,
   ) {
     this.splitter = new TrafficSplitter(random);
+    this.takeUps = new StreamTakeUps(context.origins, context.journal);
   }
 
   get dispatchTotals(): DispatchTotals {
@@ -91,13 +95,26 @@
     }
     const { tenant } = access;
     this.dropStaleSplits(current);
-    const service = current.services.get(this.splitter.choose(route));
+    const takeUp = await this.takeUps.resolve(route, facts, () => this.splitter.choose(route));
+    if (takeUp.kind === 'refused') {
+      const retryAfterMs = spreadRetryMs(facts.id, takeUp.retryAfterMs);
+      completion.refuse('stream_not_resumable', takeUp.cause, retryAfterMs, { resumes: facts.resumes });
+      return;
+    }
+    const service = current.services.get(takeUp.service ?? this.splitter.choose(route));
     if (service === undefined) {
       completion.refuse('no_replica', 'no_replica', NOT_READY_RETRY_MS);
       return;
     }
     const body = await exchange.readBody(current.limits.maximumBodyBytes);
-    const accepted = { ...arrival, route, service, body, ...(tenant === undefined ? {} : { tenant }) };
+    const accepted = {
+      ...arrival,
+      route,
+      service,
+      body,
+      ...(tenant === undefined ? {} : { tenant }),
+      ...(takeUp.kind === 'bound' ? { softwareVersion: takeUp.softwareVersion } : {}),
+    };
     await new ForwardedRequest(this.context, accepted).run();
   }
 
--- a/packages/forwarding/src/forwarding-context.ts
+++ b/packages/forwarding/src/forwarding-context.ts
@@ -12,6 +12,7 @@
 import type { ReplicaSelector } from './replica-selector.js';
 import type { RequestQuota } from './request-quota.js';
 import type { SendPermits } from './send-permits.js';
+import type { StreamOrigins } from './stream-origins.js';
 import type { UnreadAnswers } from './unread-answers.js';
 import type { WireDialect } from './wire-dialect.js';
 
@@ -36,6 +37,8 @@
   readonly quota: RequestQuota;
   readonly quarantine: RequestQuarantine;
   readonly journal: RequestJournal;
+  /** Where resumable streams began; absent where back ends name no software version. */
+  readonly origins?: StreamOrigins;
   /** Bounds the memory of unread answers; absent where callers do not compete for capacity. */
   readonly unread?: UnreadAnswers;
   /**
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -26,6 +26,7 @@
 export * from './route.js';
 export * from './send-permits.js';
 export * from './slot-share.js';
+export * from './stream-origins.js';
 export * from './stream-position.js';
 export * from './tenant.js';
 export * from './traffic-splitter.js';
--- a/packages/forwarding/src/plain-selector.ts
+++ b/packages/forwarding/src/plain-selector.ts
@@ -7,7 +7,13 @@
   ServiceDefinition,
 } from '@woodbarrow/backends';
 import { leastBy } from '@woodbarrow/runtime';
-import { connectionsExhausted, refusal, type BackendChoice } from './backend-choice.js';
+import {
+  connectionsExhausted,
+  refusal,
+  runsVersion,
+  VERSION_GONE_RETRY_MS,
+  type BackendChoice,
+} from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
 import type { ConnectionShare } from './connection-share.js';
 import type { SendPermits } from './send-permits.js';
@@ -32,10 +38,24 @@
     private readonly paces: PaceView,
   ) {}
 
-  /** Selects a back end. @param excluded Back ends that have declined or failed this request. */
-  select(service: ServiceDefinition, health: BackendHealth, excluded: ReadonlySet<string>): BackendChoice {
-    const available = this.directory.ofService(service.name).filter((backEnd) => !backEnd.draining);
+  /**
+   * Selects a back end.
+   *
+   * @param excluded Back ends that have declined or failed this request.
+   * @param softwareVersion Version that the back end must run; any if undefined.
+   */
+  select(
+    service: ServiceDefinition,
+    health: BackendHealth,
+    excluded: ReadonlySet<string>,
+    softwareVersion?: string,
+  ): BackendChoice {
+    const available = this.directory
+      .ofService(service.name)
+      .filter((backEnd) => !backEnd.draining && runsVersion(backEnd, softwareVersion));
     const eligible = available.filter((backEnd) => !excluded.has(backEnd.id));
+    if (softwareVersion !== undefined && eligible.length === 0)
+      return refusal('software_version_gone', VERSION_GONE_RETRY_MS);
     const hasConnection = this.connections.limiterFor(service);
     const usable = eligible.filter(({ id }) => hasConnection(id) && this.permits.waitMs(id) === 0);
     const ids = available.map((backEnd) => backEnd.id);
--- a/packages/forwarding/src/replica-selector.ts
+++ b/packages/forwarding/src/replica-selector.ts
@@ -14,7 +14,14 @@
   type ServiceDefinition,
 } from '@woodbarrow/backends';
 import { leastBy, type Clock } from '@woodbarrow/runtime';
-import { connectionsExhausted, refusal, type BackendChoice, type SendChoice } from './backend-choice.js';
+import {
+  connectionsExhausted,
+  refusal,
+  runsVersion,
+  VERSION_GONE_RETRY_MS,
+  type BackendChoice,
+  type SendChoice,
+} from './backend-choice.js';
 import type { BackendHealth } from './backend-health.js';
 import type { ConnectionShare } from './connection-share.js';
 import type { DispatchQueue } from './dispatch-queue.js';
@@ -55,6 +62,8 @@
   readonly startBy: number;
   /** Continues a stream whose answer has begun. */
   readonly isResumption: boolean;
+  /** Software version that began the stream and must go on with it; any if undefined. */
+  readonly softwareVersion?: string;
   readonly excluded: ReadonlySet<string>;
   readonly signal: AbortSignal;
 }
@@ -80,6 +89,7 @@
   async select(request: ReplicaRequest, health: BackendHealth): Promise<BackendChoice> {
     const chain = buildPromptChain(request.target, request.facts.promptParts);
     if (request.signal.aborted) return refusal('client_gone', 0);
+    if (!this.isVersionLeft(request)) return refusal('software_version_gone', VERSION_GONE_RETRY_MS);
     const { dispatch } = this;
     const placed =
       dispatch !== undefined && hasSlowLoads(request.engine)
@@ -95,6 +105,8 @@
         ? refusal('model_too_late', UNAVAILABLE_RETRY_MS)
         : this.sendChoice(best, request, chain, 'last_resort');
     }
+    const without = this.unusableIds(request, health);
+    if (!this.canBeLoaded(request, without)) return this.chooseWithoutLoad(request, chain, best);
     const outcome = await this.residency.request(
       {
         service: request.service.name,
@@ -102,7 +114,7 @@
         priority: request.priority,
         targetMs: Math.max(0, request.targetBy - this.clock.monotonic()),
         withinMs,
-        without: this.unusableIds(request, health),
+        without,
       },
       request.signal,
     );
@@ -171,15 +183,49 @@
     const hasConnection = this.connections.limiterFor(request.service);
     return this.directory
       .holdersOf(request.service.name, request.target)
-      .filter(({ id }) => !request.excluded.has(id) && !hasConnection(id) && this.permits.waitMs(id) === 0);
+      .filter((backEnd) => isCandidate(backEnd, request))
+      .filter(({ id }) => !hasConnection(id) && this.permits.waitMs(id) === 0);
+  }
+
+  /** Whether a worker that has not declined or failed this request runs the version that it needs, if any. */
+  private isVersionLeft(request: ReplicaRequest): boolean {
+    if (request.softwareVersion === undefined) return true;
+    return this.directory
+      .ofService(request.service.name)
+      .some((backEnd) => !backEnd.draining && isCandidate(backEnd, request));
+  }
+
+  /** Whether a worker remains that could load the target for a stream that needs a software version. */
+  private canBeLoaded({ service, softwareVersion }: ReplicaRequest, without: readonly string[]): boolean {
+    if (softwareVersion === undefined) return true;
+    const unusable = new Set(without);
+    return this.directory.ofService(service.name).some(({ id, draining }) => !draining && !unusable.has(id));
   }
 
-  /** Ids of workers that declined or failed this request, are in backoff, or accept no requests now. */
+  /** @param best Worker that is used only if there is no other. */
+  private chooseWithoutLoad(
+    request: ReplicaRequest,
+    chain: PromptChain,
+    best: BackEnd | undefined,
+  ): BackendChoice {
+    if (best !== undefined) return this.sendChoice(best, request, chain, 'last_resort');
+    const unconnected = this.unconnectedHolders(request);
+    return unconnected.length > 0
+      ? connectionsExhausted(unconnected, UNAVAILABLE_RETRY_MS)
+      : refusal('software_version_gone', VERSION_GONE_RETRY_MS);
+  }
+
+  /** Ids of workers that declined or failed this request, run another version, are in backoff, or accept no requests now. */
   private unusableIds(request: ReplicaRequest, health: BackendHealth): string[] {
     const avoided = this.directory
       .ofService(request.service.name)
-      .map((backEnd) => backEnd.id)
-      .filter((id) => health.isAvoided(id) || this.permits.waitMs(id) > 0);
+      .filter(
+        (backEnd) =>
+          health.isAvoided(backEnd.id) ||
+          this.permits.waitMs(backEnd.id) > 0 ||
+          !runsVersion(backEnd, request.softwareVersion),
+      )
+      .map((backEnd) => backEnd.id);
     return [...new Set([...request.excluded, ...avoided])].sort();
   }
 
@@ -195,7 +241,7 @@
   }
 
   private canSendTo(backEnd: BackEnd, request: ReplicaRequest): boolean {
-    if (backEnd.draining || request.excluded.has(backEnd.id)) return false;
+    if (backEnd.draining || !isCandidate(backEnd, request)) return false;
     return this.connections.allows(request.service, backEnd.id);
   }
 
@@ -203,7 +249,8 @@
     const hasConnection = this.connections.limiterFor(request.service);
     return this.directory
       .holdersOf(request.service.name, target)
-      .filter(({ id }) => !request.excluded.has(id) && hasConnection(id) && this.permits.waitMs(id) === 0);
+      .filter((backEnd) => isCandidate(backEnd, request))
+      .filter(({ id }) => hasConnection(id) && this.permits.waitMs(id) === 0);
   }
 
   private cheapest(
@@ -277,3 +324,8 @@
     }
   }
 }
+
+/** Whether a worker has not declined or failed the request and runs the software version that it needs, if any. */
+function isCandidate(backEnd: BackEnd, { excluded, softwareVersion }: ReplicaRequest): boolean {
+  return !excluded.has(backEnd.id) && runsVersion(backEnd, softwareVersion);
+}
--- a/packages/forwarding/src/request-journal.ts
+++ b/packages/forwarding/src/request-journal.ts
@@ -3,6 +3,7 @@
 /** Decisions on a request, in the order they may come. */
 export type RequestDecision =
   | 'request_admitted'
+  | 'stream_taken_up'
   | 'request_queued'
   | 'request_sent'
   | 'request_declined'
--- a/packages/forwarding/src/request-scope.ts
+++ b/packages/forwarding/src/request-scope.ts
@@ -41,6 +41,8 @@
   readonly mayHaveRunOn = new Set<string>();
   /** Number of sends so far, whatever their results. */
   sends = 0;
+  /** Software version that brought the first event of the stream; only it may go on. Undefined until then, and for other answers. */
+  softwareVersion: string | undefined;
   isSending = false;
   /** This daemon is stopping, and starts no further send. */
   isStopping = false;
--- /dev/null
+++ b/packages/forwarding/src/stream-origins.ts
@@ -0,0 +1,45 @@
+/** Port: memory of where streams began, shared by all daemons. */
+
+/** Service and software version of the worker that brought the first event of a stream. */
+export interface StreamOrigin {
+  readonly service: string;
+  readonly softwareVersion: string;
+}
+
+/** Where the origin of a stream is known from. */
+export type OriginSource =
+  /** This daemon, which began the stream or keeps a copy for the one that did. */
+  | 'own'
+  /** Another daemon. */
+  | 'peer'
+  /** The service has had only one version for longer than the stream may have lasted. */
+  | 'only_version';
+
+/** Result of looking up a stream. */
+export type OriginLookup =
+  | { readonly kind: 'known'; readonly origin: StreamOrigin; readonly source: OriginSource }
+  /** @param asked Daemons that were asked. @param answered Those of them that answered. */
+  | { readonly kind: 'unknown'; readonly asked: number; readonly answered: number };
+
+/** Remembers where streams began for as long as clients may take them up. */
+export interface StreamOrigins {
+  /**
+   * Records that a stream has begun, before its client receives the first event. A stream that is already recorded keeps its origin and is
+   * kept for longer.
+   *
+   * @param streamId Id of the request that brought the first event.
+   * @param retainMs Milliseconds for which the stream may be taken up.
+   */
+  record(streamId: string, origin: StreamOrigin, retainMs: number): void;
+  /** Looks a stream up here and at other daemons. Never rejects. */
+  find(streamId: string): Promise<OriginLookup>;
+  /** Whether any back end of a service has named a software version. */
+  namesVersions(service: string): boolean;
+  /**
+   * Returns the only software version of a service for as long as `withinMs`; undefined if there were several, or if this daemon cannot
+   * know that there were not.
+   */
+  onlyVersion(service: string, withinMs: number): string | undefined;
+  /** Returns the only software version of a service that this daemon has seen since it started; undefined if there were several. */
+  onlyVersionSeen(service: string): string | undefined;
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -14,3 +14,4 @@
 export * from './relay-messages.js';
 export * from './residency-messages.js';
 export * from './store-position.js';
+export * from './stream-messages.js';
--- a/packages/serving/src/forwarder-assembly.ts
+++ b/packages/serving/src/forwarder-assembly.ts
@@ -19,6 +19,7 @@
   type ConfigurationHolder,
   type PromptAffinity,
   type RequestJournal,
+  type StreamOrigins,
 } from '@woodbarrow/forwarding';
 import type { CallFailures, EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
@@ -49,6 +50,7 @@
   /** Returns the health of the back ends of a service. */
   readonly healthOf: (service: string) => BackendHealth;
   readonly notices: BackendNoticeService;
+  readonly origins: StreamOrigins;
   readonly quota: QuotaGate;
   readonly quarantine: RequestQuarantine;
   readonly loadQuarantine: LoadQuarantine;
@@ -113,6 +115,7 @@
     quota: parts.quota,
     quarantine: parts.quarantine,
     journal,
+    origins: parts.origins,
     stopWaiting: parts.stopWaiting,
     ...(unread === undefined ? {} : { unread }),
     healthOf: parts.healthOf,
--- a/packages/serving/src/logged-journal.ts
+++ b/packages/serving/src/logged-journal.ts
@@ -10,6 +10,7 @@
   'request_declined',
   'request_repeated',
   'request_resumed',
+  'stream_taken_up',
   'take_up_refused',
   'event_torn',
 ]);
@@ -24,6 +25,8 @@
   decided(decision: RequestDecision, requestId: string, facts: DecisionFacts): void {
     this.metrics.countDecision(decision);
     if (decision === 'take_up_refused') this.metrics.countRefusedResume(String(facts['reason']));
+    if (decision === 'stream_taken_up') this.metrics.countTakeUp(String(facts['source']));
+    if (facts['kind'] === 'stream_not_resumable') this.metrics.countTakeUp(String(facts['cause']));
     const details = { request: requestId, ...facts };
     if (WARNING_DECISIONS.has(decision)) this.log.warned(decision, details);
     else this.log.routine(decision, details);
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -13,8 +13,9 @@
 import { PeerNetwork } from '@woodbarrow/peering';
 import { ownerByRendezvous } from '@woodbarrow/coordination';
 import { LoadQuarantine, RequestQuarantine } from '@woodbarrow/quarantine';
-import { QuotaGate, QuotaService } from '@woodbarrow/quota';
+import type { QuotaGate, QuotaService } from '@woodbarrow/quota';
 import { PaceProbes, ResidencyService } from '@woodbarrow/residency';
+import { ObservedVersions, StreamOriginService } from '@woodbarrow/streams';
 import { NodeIngress, TaskGroup, sleep, type IncomingExchange } from '@woodbarrow/runtime';
 import { BackendAccess } from './backend-access.js';
 import { BackendNoticeService } from './backend-notice-service.js';
@@ -28,6 +29,7 @@
 import { MemberRegistration } from './member-registration.js';
 import { MEMBERSHIP_TIMINGS } from './membership-timings.js';
 import type { ServingPorts } from './ports.js';
+import { createQuotaGate, createQuotaService, type QuotaParts } from './quota-assembly.js';
 import { RecordFollower } from './record-follower.js';
 import type { ServingSettings } from './serving-settings.js';
 
@@ -57,6 +59,7 @@
   private readonly quotaGate: QuotaGate;
   private readonly noticeService: BackendNoticeService;
   private readonly access: BackendAccess;
+  private readonly streamOrigins: StreamOriginService;
   private readonly quarantine: RequestQuarantine;
   private readonly loadQuarantine: LoadQuarantine;
   private readonly records: RecordFollower;
@@ -118,9 +121,10 @@
       this.exchange.observeUrgentPosition(era === undefined ? { revision } : { era, revision });
     });
     this.residency = this.createResidency(instance, coordinators);
-    this.quotaService = this.createQuotaService();
-    this.quotaGate = this.createQuotaGate(coordinators);
+    this.quotaService = createQuotaService({ ...this.quotaParts(), residency: this.residency });
+    this.quotaGate = createQuotaGate({ ...this.quotaParts(), coordinators });
     this.noticeService = this.createNoticeService(coordinators);
+    this.streamOrigins = this.createStreamOrigins();
     this.metrics = this.createMetrics();
     this.forwarder = this.createForwarder(coordinators);
     this.directory.events.on('removed', (backEnd) => {
@@ -159,6 +163,7 @@
     this.quarantine.start();
     this.quotaService.start();
     this.noticeService.start();
+    this.streamOrigins.start();
     this.access.start();
     this.residency.start();
     this.log.changed('daemon_started', { zone: settings.zone, address: settings.ingressAddress });
@@ -244,9 +249,11 @@
     });
     membership.events.on('up', (member) => {
       log.changed('peer_up', { peer: member.id, instance: member.instance });
+      this.streamOrigins.notePeerUp(member.id);
     });
     membership.events.on('down', (member) => {
       log.changed('peer_down', { peer: member.id, status: member.status });
+      this.streamOrigins.notePeerDown(member.id);
     });
     return membership;
   }
@@ -288,33 +295,9 @@
     });
   }
 
-  private createQuotaService(): QuotaService {
-    const { settings, ports, log, configuration, peers, residency } = this;
-    return new QuotaService({
-      zones: settings.zones,
-      allowance: settings.quotaAllowance,
-      quotaOf: (tenant) => configuration.current?.tenants?.named(tenant)?.quota,
-      authorityOf: (zone) => residency.leaseHeld(zone),
-      hasPriorities: settings.hasContendedCapacity,
-      peers,
-      clock: ports.clock,
-      log,
-    });
-  }
-
-  private createQuotaGate(coordinators: CoordinatorDirectory): QuotaGate {
-    const { settings, ports, peers, failures } = this;
-    return new QuotaGate({
-      daemon: settings.name,
-      zone: settings.zone,
-      zones: settings.zones,
-      allowance: settings.quotaAllowance,
-      coordinators,
-      peers,
-      failures,
-      clock: ports.clock,
-      ...(settings.hasContendedCapacity ? { prioritiesWith: ports.random.fork() } : {}),
-    });
+  private quotaParts(): QuotaParts {
+    const { settings, ports, peers, configuration, failures, log } = this;
+    return { settings, ports, peers, configuration, failures, log };
   }
 
   private createAccess(instance: number): BackendAccess {
@@ -339,6 +322,20 @@
     });
   }
 
+  private createStreamOrigins(): StreamOriginService {
+    const { settings, ports, directory, peers, failures } = this;
+    const { clock } = ports;
+    return new StreamOriginService({
+      self: settings.name,
+      members: () => this.expectedMembers(),
+      versions: new ObservedVersions(directory, clock, settings.isFirstStart),
+      isViewCurrent: () => this.exchange.isViewCurrent,
+      peers,
+      failures,
+      clock,
+    });
+  }
+
   private createNoticeService(coordinators: CoordinatorDirectory): BackendNoticeService {
     const { settings, ports, log, directory, peers, failures, residency } = this;
     return new BackendNoticeService({
@@ -441,6 +438,7 @@
       quarantine: () => this.quarantine.totals,
       loadQuarantine: () => this.loadQuarantine.totals,
       notices: () => this.noticeService.notices.totals,
+      streamOrigins: () => this.streamOrigins.totals,
       permits: () => this.noticeService.permitTotals,
       dispatch: () => this.forwarder.dispatchTotals,
       unread: () => this.forwarder.unreadTotals,
@@ -469,6 +467,7 @@
       serviceOf: (name) => this.serviceOf(name),
       healthOf: (service) => this.healthOf(service),
       notices: this.noticeService,
+      origins: this.streamOrigins,
       quota: this.quotaGate,
       quarantine: this.quarantine,
       loadQuarantine: this.loadQuarantine,
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -5,6 +5,7 @@
 import type { DispatchTotals, NoticeTotals, UnreadTotals } from '@woodbarrow/forwarding';
 import type { AllocatorUsage, GateUsage, PermitTotals, UnitCounts } from '@woodbarrow/quota';
 import type { ReplicaCounts, StoreScheduleTotals, UnservedDemands } from '@woodbarrow/residency';
+import type { StreamOriginTotals } from '@woodbarrow/streams';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
 
 /** Maximum number of tenants listed in each metric. */
@@ -34,6 +35,8 @@
   readonly loadQuarantine: () => LoadQuarantineTotals;
   readonly notices: () => NoticeTotals;
   readonly permits: () => PermitTotals;
+  /** Streams whose origin this daemon knows. */
+  readonly streamOrigins: () => StreamOriginTotals;
   /** Queue of requests that wait for room on a worker. */
   readonly dispatch: () => DispatchTotals;
   /** Answers that clients have not read. */
@@ -56,6 +59,7 @@
   private readonly requests: Counter;
   private readonly decisions: Counter;
   private readonly refusedResumes: Counter;
+  private readonly takeUps: Counter;
   private readonly durations: Histogram;
 
   constructor(sources: MetricSources) {
@@ -66,6 +70,10 @@
       'woodbarrow_take_ups_refused_total',
       'Answers that could not go on with a stream, by reason.',
     );
+    this.takeUps = registry.counter(
+      'woodbarrow_stream_take_ups_total',
+      'Streams that clients took up, by where their software version was known from, or by the reason of the refusal.',
+    );
     this.durations = registry.histogram(
       'woodbarrow_request_seconds',
       'Time from the arrival of a request to its end, by outcome.',
@@ -132,6 +140,7 @@
     this.addQuotaGauges(sources);
     this.addPaceGauges(sources);
     this.addPathGauges(sources);
+    this.addStreamGauges(sources);
     registry.gauge(
       'woodbarrow_log_lines_dropped',
       'Log lines left out since the start.',
@@ -140,6 +149,20 @@
     );
   }
 
+  private addStreamGauges({ streamOrigins }: MetricSources): void {
+    const { registry } = this;
+    registry.gauge(
+      'woodbarrow_stream_origins',
+      'Streams whose origin is known here, begun here or kept for other daemons.',
+      () => streamOrigins().streams,
+    );
+    registry.gauge(
+      'woodbarrow_stream_origins_dropped',
+      'Streams whose origin was not stored since the start, as there were too many.',
+      () => streamOrigins().dropped,
+    );
+  }
+
   private addUnservedGauges({ unserved }: MetricSources): void {
     const { registry } = this;
     registry.gauge(
@@ -369,6 +392,11 @@
     this.refusedResumes.add({ reason });
   }
 
+  /** Counts a stream that a client took up. @param result Where its version was known from, or why it was refused. */
+  countTakeUp(result: string): void {
+    this.takeUps.add({ result });
+  }
+
   /** Counts a finished request. @param durationMs Time since its arrival. */
   recordRequestEnd(outcome: string, durationMs: number): void {
     this.requests.add({ outcome });
--- /dev/null
+++ b/packages/streams/src/observed-versions.ts
@@ -0,0 +1,82 @@
+/** Software versions of the services' back ends, as this daemon has seen them since it started. */
+import type { BackEnd, BackendDirectory } from '@woodbarrow/backends';
+import type { Clock } from '@woodbarrow/runtime';
+
+/** Versions of one service; times are monotonic, in milliseconds. */
+interface ServiceVersions {
+  /** Time at which the first back end of the service was seen. */
+  readonly observedSince: number;
+  /** Time at which a back end of each version was last present; Infinity while one is. */
+  readonly lastSeenAt: Map<string, number>;
+}
+
+/** Maximum number of versions remembered for one service; the one seen least recently is dropped. */
+const MAX_VERSIONS = 32;
+
+/** Observes the back ends of one daemon. */
+export class ObservedVersions {
+  private readonly services = new Map<string, ServiceVersions>();
+
+  /** @param isHistoryComplete Whether no back end served before this daemon started. */
+  constructor(
+    private readonly directory: BackendDirectory,
+    private readonly clock: Clock,
+    private readonly isHistoryComplete: boolean,
+  ) {
+    directory.events.on('changed', (backEnd) => {
+      this.note(backEnd, Infinity);
+    });
+    directory.events.on('removed', (backEnd) => {
+      this.noteRemoved(backEnd);
+    });
+  }
+
+  /** Whether any back end of a service has named a version. */
+  hasSeen(service: string): boolean {
+    return this.services.has(service);
+  }
+
+  /** Returns the only version that a service has had for `withinMs`; undefined if it had several or was not observed for that long. */
+  onlyWithin(service: string, withinMs: number): string | undefined {
+    const versions = this.services.get(service);
+    if (versions === undefined) return undefined;
+    const since = this.clock.monotonic() - withinMs;
+    if (!this.isHistoryComplete && versions.observedSince > since) return undefined;
+    return onlyElement([...versions.lastSeenAt].filter(([, at]) => at > since).map(([version]) => version));
+  }
+
+  /** Returns the only version of a service that was ever seen; undefined if there were several. */
+  onlySeen(service: string): string | undefined {
+    return onlyElement([...(this.services.get(service)?.lastSeenAt.keys() ?? [])]);
+  }
+
+  private noteRemoved(backEnd: BackEnd): void {
+    const { service, softwareVersion } = backEnd;
+    const isStillPresent = this.directory
+      .ofService(service)
+      .some((other) => other.softwareVersion === softwareVersion);
+    if (!isStillPresent) this.note(backEnd, this.clock.monotonic());
+  }
+
+  private note({ service, softwareVersion }: BackEnd, lastSeenAt: number): void {
+    if (softwareVersion === undefined) return;
+    let versions = this.services.get(service);
+    if (versions === undefined) {
+      versions = { observedSince: this.clock.monotonic(), lastSeenAt: new Map() };
+      this.services.set(service, versions);
+    }
+    versions.lastSeenAt.set(softwareVersion, lastSeenAt);
+    if (versions.lastSeenAt.size > MAX_VERSIONS) dropLeastRecent(versions.lastSeenAt);
+  }
+}
+
+function onlyElement(versions: readonly string[]): string | undefined {
+  return versions.length === 1 ? versions[0] : undefined;
+}
+
+function dropLeastRecent(lastSeenAt: Map<string, number>): void {
+  let oldest: string | undefined;
+  for (const [version, at] of lastSeenAt)
+    if (oldest === undefined || at < (lastSeenAt.get(oldest) ?? Infinity)) oldest = version;
+  if (oldest !== undefined) lastSeenAt.delete(oldest);
+}
