request_admitted names the prompt parts that other requests may share

Ends of processes could not be related to what their requests had in common: contents are digests of whole requests. No decision depends on it.

--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -19,7 +19,7 @@
 import { mayRunAgain, type Route } from './route.js';
 import type { SendPermit } from './send-permits.js';
 import type { Tenant } from './tenant.js';
-import type { RequestFacts } from './wire-dialect.js';
+import { sharedPartIds, type RequestFacts } from './wire-dialect.js';
 
 /** Maximum number of sends for one request, whatever their results. */
 const MAX_SENDS_PER_REQUEST = 6;
@@ -28,6 +28,8 @@
 
 /** Mean time after which a client may return when all back ends were full, in milliseconds. */
 const MEAN_FULL_RETRY_MS = 300;
+/** Maximum length of the prompt parts in a log line. */
+const MAX_LOGGED_PARTS_LENGTH = 160;
 /** Refusals that concern many requests at the same time. */
 const SPREAD_REFUSALS: ReadonlySet<RefusalReason> = new Set(['all_excluded', 'connections_exhausted']);
 
@@ -150,6 +152,7 @@
       model: facts.target?.model,
       adapter: facts.target?.adapter,
       adapterVersion: facts.target?.adapterVersion,
+      sharedParts: sharedPartIds(facts).join(',').slice(0, MAX_LOGGED_PARTS_LENGTH),
       promptTokens: facts.promptTokens,
       outputTokens: facts.outputTokens,
       resumeAfter: facts.resumeAfter,
--- a/packages/forwarding/src/wire-dialect.ts
+++ b/packages/forwarding/src/wire-dialect.ts
@@ -36,6 +36,11 @@
   readonly keyDigest?: string;
 }
 
+/** Returns the ids of the parts of a prompt that other requests may share: all but the last. */
+export function sharedPartIds({ promptParts }: RequestFacts): string[] {
+  return promptParts.slice(0, -1).map(({ id }) => id);
+}
+
 /** Metadata that the daemon adds to a forwarded request. */
 export interface SendFacts {
   /** Milliseconds until the deadline. */
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -4,7 +4,7 @@
  */
 export const LOG_EVENTS = {
   request_admitted:
-    'A request was read and has a route. Route, service, digest of its content (shared by all attempts of one request), model, adapter, last event that the client already has and the attempt that brought the first one, remaining time.',
+    'A request was read and has a route. Route, service, digest of its content (shared by all attempts of one request), model, adapter, ids of the prompt parts that other requests may share, last event that the client already has and the attempt that brought the first one, remaining time.',
   stream_taken_up:
     'A client takes a stream up again after its connection broke. Attempt that brought the first event, last event that the client has, service and software version that the stream goes on at, where the version is known from (`own`, `peer`, `only_version`).',
   request_queued:
