A daemon that has seen no back end yet does not go on with a stream of unknown version

Cause: the service counted as one whose back ends name no version, since none had been seen there. Evidence: request_admitted without stream_taken_up at that daemon, then request_sent once its back ends were listed. Now only known back ends without a version count, and a take-up before that is refused as unknown.

--- a/packages/forwarding/src/stream-origins.ts
+++ b/packages/forwarding/src/stream-origins.ts
@@ -33,8 +33,8 @@
   record(streamId: string, origin: StreamOrigin, retainMs: number): void;
   /** Looks a stream up here and at other daemons. Never rejects. */
   find(streamId: string): Promise<OriginLookup>;
-  /** Whether any back end of a service has named a software version. */
-  namesVersions(service: string): boolean;
+  /** Whether the back ends of a service are known and none of them names a software version. */
+  hasNoVersions(service: string): boolean;
   /**
    * Returns the only software version of a service for as long as `withinMs`; undefined if there were several, or if this daemon cannot
    * know that there were not.
--- a/packages/forwarding/src/stream-take-ups.ts
+++ b/packages/forwarding/src/stream-take-ups.ts
@@ -47,7 +47,7 @@
     const lookup = facts.resumes === undefined ? undefined : await origins.find(facts.resumes);
     if (lookup?.kind === 'known') return this.bind(route, facts, lookup.origin, lookup.source, chooseService);
     const service = chooseService();
-    if (!origins.namesVersions(service)) return { kind: 'unbound', service };
+    if (origins.hasNoVersions(service)) return { kind: 'unbound', service };
     const softwareVersion =
       facts.resumes === undefined
         ? origins.onlyVersionSeen(service)
--- a/packages/streams/src/observed-versions.ts
+++ b/packages/streams/src/observed-versions.ts
@@ -31,9 +31,10 @@
     });
   }
 
-  /** Whether any back end of a service has named a version. */
-  hasSeen(service: string): boolean {
-    return this.services.has(service);
+  /** Whether back ends of a service are known and none names a version. A daemon that has just started knows none yet. */
+  hasNone(service: string): boolean {
+    const backEnds = this.directory.ofService(service);
+    return backEnds.length > 0 && backEnds.every(({ softwareVersion }) => softwareVersion === undefined);
   }
 
   /** Returns the only version that a service has had for `withinMs`; undefined if it had several or was not observed for that long. */
@@ -42,12 +43,24 @@
     if (versions === undefined) return undefined;
     const since = this.clock.monotonic() - withinMs;
     if (!this.isHistoryComplete && versions.observedSince > since) return undefined;
-    return onlyElement([...versions.lastSeenAt].filter(([, at]) => at > since).map(([version]) => version));
+    return this.onlyOf(
+      service,
+      [...versions.lastSeenAt].filter(([, at]) => at > since).map(([version]) => version),
+    );
   }
 
   /** Returns the only version of a service that was ever seen; undefined if there were several. */
   onlySeen(service: string): string | undefined {
-    return onlyElement([...(this.services.get(service)?.lastSeenAt.keys() ?? [])]);
+    return this.onlyOf(service, [...(this.services.get(service)?.lastSeenAt.keys() ?? [])]);
+  }
+
+  /** Events of the directory arrive later than its changes, so that the back ends that are present count as well. */
+  private onlyOf(service: string, seen: readonly string[]): string | undefined {
+    const present = this.directory
+      .ofService(service)
+      .flatMap(({ softwareVersion: version }) => version ?? []);
+    const versions = new Set([...seen, ...present]);
+    return versions.size === 1 ? [...versions][0] : undefined;
   }
 
   private noteRemoved(backEnd: BackEnd): void {
@@ -70,10 +83,6 @@
   }
 }
 
-function onlyElement(versions: readonly string[]): string | undefined {
-  return versions.length === 1 ? versions[0] : undefined;
-}
-
 function dropLeastRecent(lastSeenAt: Map<string, number>): void {
   let oldest: string | undefined;
   for (const [version, at] of lastSeenAt)
--- a/packages/streams/src/stream-origin-service.ts
+++ b/packages/streams/src/stream-origin-service.ts
@@ -81,8 +81,8 @@
     });
   }
 
-  namesVersions(service: string): boolean {
-    return this.options.versions.hasSeen(service);
+  hasNoVersions(service: string): boolean {
+    return this.options.versions.hasNone(service);
   }
 
   onlyVersion(service: string, withinMs: number): string | undefined {
--- a/packages/streams/test/observed-versions.test.ts
+++ b/packages/streams/test/observed-versions.test.ts
@@ -70,12 +70,17 @@
     expect(versions.onlyWithin('models', 10_000)).to.equal(undefined);
   });
 
+  it('are not known to be none before a back end has been seen', () => {
+    const versions = new ObservedVersions(directory, clock, false);
+    expect(versions.hasNone('models')).to.equal(false);
+  });
+
   it('are none for a service whose back ends name none', async () => {
     const versions = new ObservedVersions(directory, clock, true);
     const { softwareVersion, ...unnamed } = backEnd('a1', 'v1');
     expect(softwareVersion).to.equal('v1');
     directory.put(unnamed);
     await world.run(10);
-    expect(versions.hasSeen('models')).to.equal(false);
+    expect(versions.hasNone('models')).to.equal(true);
   });
 });
