Requests that share a prompt part which crashes workers are refused

Cause: crash evidence was kept by the digest of the whole request, so that each such request had one mark.

A prompt part is a content now, with the marks, exchange and stored evidence of requests and loads. A whole answer that one run wrote acquits its parts. A request is refused if one of its parts has three settled marks that neither a single request or load nor parts it does not hold explain; where they do, it runs as a trial. Why it holds: the culprit is never acquitted, and sound requests lack it, so that every mark of a part they share is explained by a part they do not hold.

--- a/packages/forwarding/src/answer-forwarder.ts
+++ b/packages/forwarding/src/answer-forwarder.ts
@@ -105,7 +105,7 @@
     const isProcessAlive = (): Promise<boolean> => this.isProcessAlive(backEnd);
     const result = await this.relay.relayBody(client, answer, idleTimeoutMs, isProcessAlive);
     if (result.kind === 'broken') return this.recordBroken(sent, result);
-    context.quarantine.noteServed(this.scope.digest);
+    this.recordServed();
     const failed = answer.status >= 500;
     const latencyRatio = failed ? undefined : latencyMs / times.expectedMs();
     const health = this.failures.health();
@@ -132,7 +132,7 @@
     const result = await this.relay.relayStream(client, answer, this.streamOptions(sent));
     if (result.kind === 'broken') return this.recordBroken(sent, result);
     if (result.kind === 'refused') return this.recordRefused(sent, result.reason, result.firstEvent);
-    context.quarantine.noteServed(this.scope.digest);
+    this.recordServed();
     // The duration of a resumed run is not that of a whole run.
     if (progress.mayHaveRunOn.size === 1) this.runTimeEstimate.recordRun(context.clock.monotonic() - sentAt);
     completion.recordAnswered(answer.status, backEnd.id, this.streamSummary(firstMs, result.lastEvent));
@@ -160,6 +160,17 @@
     };
   }
 
+  /**
+   * Clears the evidence against the content of a request that got a complete answer, and against its parts if one run wrote all of it:
+   * several runs may complete a stream although each of them crashed its worker.
+   */
+  private recordServed(): void {
+    const { context, digest, parts, progress, facts } = this.scope;
+    context.quarantine.noteServed(digest);
+    if (progress.mayHaveRunOn.size === 1 && facts.resumeAfter === undefined)
+      context.quarantine.notePartsServed(parts);
+  }
+
   /** Binds a resumable stream to the software version that brings its first event. */
   private recordOrigin({ softwareVersion }: BackEnd): void {
     const { context, facts, route, service, progress } = this.scope;
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -1,7 +1,7 @@
 /** Handles one request: chooses a back end, sends, forwards the answer, and retries where the route allows it. */
 import type { BackEnd, ServiceDefinition } from '@woodbarrow/backends';
 import type { ErrorKind } from '@woodbarrow/errors';
-import type { SuspectSlot, Verdict } from '@woodbarrow/quarantine';
+import { partContents, type SuspectSlot, type Verdict } from '@woodbarrow/quarantine';
 import type { IncomingExchange } from '@woodbarrow/runtime';
 import { ObservedAnswer } from './observed-answer.js';
 import { ABORTED, raceAbort } from './race-abort.js';
@@ -84,9 +84,10 @@
       sends: () => progress.sends,
     });
     const digest = requestDigest(exchange, facts.keyDigest ?? '', accepted.body);
+    const parts = partContents(sharedPartIds(facts));
     const priority = accepted.tenant?.priority ?? route.priority;
     const expired = this.expired.signal;
-    this.scope = { ...accepted, context, digest, priority, times, progress, completion, expired };
+    this.scope = { ...accepted, context, digest, parts, priority, times, progress, completion, expired };
     this.sender = new RequestSender(this.scope, new RunTimeEstimate(context.runTimes, facts));
     this.allowance = new RequestAllowance(context.quota, accepted.tenant, facts, expired);
   }
@@ -163,7 +164,7 @@
 
   private async sendUntilFinished(): Promise<void> {
     for (;;) {
-      const delayMs = this.context.quarantine.trialDelayMs(this.scope.digest);
+      const delayMs = this.context.quarantine.trialDelayMs(this.scope.digest, this.scope.parts);
       if (delayMs !== undefined) {
         this.finishAwaitingTrial(delayMs);
         return;
@@ -197,7 +198,11 @@
   private async sendChosen(choice: SendChoice, slot: SuspectSlot): Promise<boolean> {
     // The choice may have taken seconds, in which a quarantine verdict may have arrived.
     if (this.finishIfQuarantined()) return true;
-    const admission = await this.context.quarantine.admit(this.scope.digest, choice.backEnd.id);
+    const admission = await this.context.quarantine.admit(
+      this.scope.digest,
+      choice.backEnd.id,
+      this.scope.parts,
+    );
     if (admission.kind === 'occupied') {
       if (admission.isPostponed !== true) this.scope.progress.excluded.add(choice.backEnd.id);
       return false;
@@ -283,7 +288,8 @@
 
   /** Ends the request if its content is quarantined for crashing workers. Returns whether it did. */
   private finishIfQuarantined(): boolean {
-    const verdict = this.context.quarantine.verdictOf(this.scope.digest);
+    const { quarantine } = this.context;
+    const verdict = quarantine.verdictOf(this.scope.digest) ?? quarantine.verdictOnParts(this.scope.parts);
     if (verdict === undefined) return false;
     if (this.scope.answer.hasBegun || this.scope.progress.mayHaveRunOn.size > 0) this.finishUnserved();
     else this.refuseQuarantined(verdict);
--- a/packages/forwarding/src/request-scope.ts
+++ b/packages/forwarding/src/request-scope.ts
@@ -25,6 +25,8 @@
   readonly arrivedAt: number;
   /** Digest of the content, which all attempts of one request share. */
   readonly digest: string;
+  /** Contents of the prompt parts that other requests may share. */
+  readonly parts: readonly string[];
   readonly times: RequestTimes;
   readonly answer: ClientAnswer;
   readonly completion: RequestCompletion;
--- a/packages/forwarding/src/send-failures.ts
+++ b/packages/forwarding/src/send-failures.ts
@@ -18,11 +18,12 @@
 
   /** Records an answer that broke; the quarantine checks whether the process crashed. */
   recordBroken(backEnd: BackEnd, sentAt: number, detail: string): void {
-    const { context, facts, route, digest } = this.scope;
+    const { context, facts, route, digest, parts } = this.scope;
     this.recordFailure(backEnd, 'broken', detail);
     const current = context.directory.get(backEnd.id);
     context.quarantine.noteBroken({
       content: digest,
+      parts,
       requestId: facts.id,
       route: route.name,
       backEnd,
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -49,6 +49,8 @@
     'The process of a back end exited while it ran a request. Content, back end, time since the request was sent, number of processes that exited while running the content, time until the exit was detected.',
   request_quarantined:
     'A content repeatedly crashed the processes that ran it and is refused from now on. Whether this was observed here, reported by other daemons or read from the store; processes; route and attempt.',
+  prompt_part_quarantined:
+    'A prompt part repeatedly crashed the processes that ran requests with it; such requests are refused from now on. Part, processes.',
   process_ended_under_load:
     'The process of a worker exited before it finished an ordered load. What was loaded (service, model or `model/adapter@version`), content, worker, time since the order, number of processes that exited while loading the content, time until the exit was detected.',
   load_quarantined:
--- a/packages/quarantine/src/crash-marks.ts
+++ b/packages/quarantine/src/crash-marks.ts
@@ -22,7 +22,10 @@
    * for a verdict.
    */
   readonly isTrial?: boolean;
-  /** Hashes of the ids of the requests that ran the content there, at most {@link MAX_ATTEMPTS}, in rising order. */
+  /**
+   * Hashes of the ids of the requests that ran the content there, or of their contents if it is a prompt part; at most
+   * {@link MAX_ATTEMPTS}, in rising order.
+   */
   readonly attempts?: readonly number[];
 }
 
@@ -50,6 +53,7 @@
   private readonly byProcess = new Map<string, Set<string>>();
   private markCount = 0;
   private combinedDigest = 0;
+  private changeCount = 0;
 
   constructor(private readonly clock: Clock) {}
 
@@ -59,6 +63,11 @@
     return this.combinedDigest;
   }
 
+  /** Increases with every change of the marks, but not as they expire. */
+  get version(): number {
+    return this.changeCount;
+  }
+
   /** Number of marks, and of contents with active marks. */
   get totals(): { readonly marks: number; readonly suspects: number } {
     const suspects = this.suspects.length;
@@ -181,6 +190,7 @@
   }
 
   private put(marks: Map<string, CrashMark>, existing: CrashMark | undefined, mark: CrashMark): void {
+    this.changeCount += 1;
     if (existing === undefined) this.markCount += 1;
     else this.combinedDigest ^= digestOfMark(existing);
     this.combinedDigest ^= digestOfMark(mark);
@@ -198,6 +208,7 @@
     const contents = this.byProcess.get(processId);
     contents?.delete(content);
     if (contents?.size === 0) this.byProcess.delete(processId);
+    this.changeCount += 1;
     this.markCount -= 1;
     this.combinedDigest ^= digestOfMark(existing);
   }
--- a/packages/quarantine/src/culprit-search.ts
+++ b/packages/quarantine/src/culprit-search.ts
@@ -9,6 +9,7 @@
  */
 import { CrashMarks, CRASHES_FOR_VERDICT, type CrashMark } from './crash-marks.js';
 import { isLoadContent } from './load-content.js';
+import { isPartContent } from './part-content.js';
 import type { Clock } from '@woodbarrow/runtime';
 
 /**
@@ -85,6 +86,8 @@
 
   /** Returns whether a content is a proven culprit. A culprit remains one until its marks are cleared. */
   isProven(content: string): boolean {
+    // Parts of prompts are judged together with the other parts of a request, see PartSearch.
+    if (isPartContent(content)) return false;
     const marks = this.marks.activeMarksOf(content);
     if (marks.length === 0) return false;
     if (this.culprits.has(content)) return true;
@@ -138,7 +141,9 @@
    * `minCrashes` active marks.
    */
   private rivalsOnProcess(processId: string, content: string, minCrashes: number): string[] {
-    const others = this.marks.contentsOf(processId).filter((other) => other !== content);
+    const others = this.marks
+      .contentsOf(processId)
+      .filter((other) => other !== content && !isPartContent(other));
     return others.filter(
       (other) => !this.culprits.has(other) && this.marks.crashCountOf(other) >= minCrashes,
     );
@@ -179,7 +184,8 @@
   }
 }
 
-function meetsVerdictThreshold(marks: readonly CrashMark[]): boolean {
+/** Whether crashes are enough for a verdict, if nothing else explains them. */
+export function meetsVerdictThreshold(marks: readonly CrashMark[]): boolean {
   return (
     marks.length >= CRASHES_FOR_VERDICT && countConsecutiveCrashes(marks) >= CONSECUTIVE_CRASHES_FOR_VERDICT
   );
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -9,3 +9,5 @@
 export * from './request-quarantine.js';
 export * from './suspect-trials.js';
 export * from './suspect-slots.js';
+export * from './part-content.js';
+export * from './part-search.js';
--- /dev/null
+++ b/packages/quarantine/src/part-search.ts
@@ -0,0 +1,104 @@
+/**
+ * Determines whether a request holds a prompt part that crashes workers. Every part of a request that was running when its process ended is
+ * marked, unless it was part of a complete answer lately, so that sound parts lose their marks and the culprit keeps them. Parts that have
+ * only come together cannot be told apart: a request that holds all of them is refused, and one that holds some of them runs in a
+ * trial, which acquits or convicts them.
+ */
+import type { Clock } from '@woodbarrow/runtime';
+import { CRASHES_FOR_VERDICT, type CrashMark, type CrashMarks } from './crash-marks.js';
+import { EVIDENCE_SETTLE_MS, meetsVerdictThreshold } from './culprit-search.js';
+import { isPartContent } from './part-content.js';
+
+/** Minimum number of crashes of a part that no single other content explains. A request that crashes workers by its body marks its parts too. */
+const MIN_CRASHES_BEYOND_CONTENT = 2;
+/** Minimum number of different requests whose crashes make a part a possible explanation of others' marks. */
+const MIN_REQUESTS_OF_RIVAL = 2;
+/** Maximum age of the list of possible explanations, in milliseconds, besides changes of the marks. */
+const RIVALS_LIFETIME_MS = 1000;
+
+/** What the evidence says about a request. */
+export type PartFinding =
+  | { readonly kind: 'clear' }
+  /** One of its parts may have crashed workers, as may parts that it does not hold. */
+  | { readonly kind: 'suspect'; readonly part: string }
+  /** One of its parts has crashed workers, and no part that it does not hold explains that. */
+  | { readonly kind: 'guilty'; readonly part: string; readonly crashes: readonly CrashMark[] };
+
+const CLEAR: PartFinding = { kind: 'clear' };
+
+/** A part with crashes under several requests. */
+interface Rival {
+  readonly part: string;
+  readonly processes: ReadonlySet<string>;
+}
+
+/** Evaluates the marks of parts at one daemon. */
+export class PartSearch {
+  private rivals: readonly Rival[] = [];
+  private rivalsVersion = -1;
+  private rivalsFoundAt = -Infinity;
+
+  constructor(
+    private readonly marks: CrashMarks,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Judges a request by its parts. @param parts Part contents. */
+  judge(parts: readonly string[]): PartFinding {
+    if (this.marks.isEmpty) return CLEAR;
+    let suspect: string | undefined;
+    for (const part of parts) {
+      const crashes = this.settledCrashes(part);
+      if (!meetsVerdictThreshold(crashes) || this.isExplainedByContent(crashes)) continue;
+      const unexplained = this.withoutRivals(crashes, parts);
+      if (meetsVerdictThreshold(unexplained)) return { kind: 'guilty', part, crashes };
+      suspect ??= part;
+    }
+    return suspect === undefined ? CLEAR : { kind: 'suspect', part: suspect };
+  }
+
+  /** Crashes that other daemons have had time to clear. */
+  private settledCrashes(part: string): readonly CrashMark[] {
+    const marks = this.marks.activeMarksOf(part);
+    if (marks.length < CRASHES_FOR_VERDICT) return [];
+    const settledBefore = this.clock.monotonic() - EVIDENCE_SETTLE_MS;
+    return marks.filter(({ endedAt }) => endedAt <= settledBefore);
+  }
+
+  /** Whether one request or load ran on nearly all of the processes, so that it may have crashed them by something else than the part. */
+  private isExplainedByContent(crashes: readonly CrashMark[]): boolean {
+    const counts = new Map<string, number>();
+    for (const { processId } of crashes)
+      for (const content of this.marks.contentsOf(processId))
+        if (!isPartContent(content)) counts.set(content, (counts.get(content) ?? 0) + 1);
+    const explained = Math.max(0, ...counts.values());
+    return crashes.length - explained < MIN_CRASHES_BEYOND_CONTENT;
+  }
+
+  /** Crashes that no part explains which the request does not hold. */
+  private withoutRivals(crashes: readonly CrashMark[], parts: readonly string[]): readonly CrashMark[] {
+    const others = this.currentRivals().filter(({ part }) => !parts.includes(part));
+    if (others.length === 0) return crashes;
+    return crashes.filter(({ processId }) => !others.some(({ processes }) => processes.has(processId)));
+  }
+
+  private currentRivals(): readonly Rival[] {
+    const now = this.clock.monotonic();
+    const isCurrent =
+      this.rivalsVersion === this.marks.version && now - this.rivalsFoundAt < RIVALS_LIFETIME_MS;
+    if (isCurrent) return this.rivals;
+    this.rivalsVersion = this.marks.version;
+    this.rivalsFoundAt = now;
+    this.rivals = this.marks.suspects.filter(isPartContent).flatMap((part) => {
+      const crashes = this.marks.activeMarksOf(part);
+      if (countRequests(crashes) < MIN_REQUESTS_OF_RIVAL) return [];
+      return [{ part, processes: new Set(crashes.map(({ processId }) => processId)) }];
+    });
+    return this.rivals;
+  }
+}
+
+/** Number of different requests under which a part had crashes; a mark names two at most. */
+function countRequests(crashes: readonly CrashMark[]): number {
+  return new Set(crashes.flatMap(({ attempts = [] }) => attempts)).size;
+}
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -9,10 +9,12 @@
 import type { EventLog } from '@woodbarrow/observability';
 import type { CrashMarkEntry } from '@woodbarrow/protocol';
 import { hashText, settleWithin, sleep, TaskGroup, type Clock, type Random } from '@woodbarrow/runtime';
-import { CrashMarks } from './crash-marks.js';
+import { CRASHES_FOR_VERDICT, CrashMarks, MARK_LIFETIME_MS, type CrashMark } from './crash-marks.js';
 import { CulpritSearch, EVIDENCE_SETTLE_MS } from './culprit-search.js';
 import { CrashBatchRecords } from './crash-batch-records.js';
 import { RecordCache } from './record-cache.js';
+import { isPartContent } from './part-content.js';
+import { PartSearch } from './part-search.js';
 import { ProcessStateChecker, type ProcessState, type ProcessProbe } from './process-state-checker.js';
 import {
   QUARANTINE_MS,
@@ -23,6 +25,7 @@
 } from './quarantine-record.js';
 import { RecordWriter } from './record-writer.js';
 import { DebouncedEvaluation } from './debounced-evaluation.js';
+import { ServedParts } from './served-parts.js';
 import { SuspectRecords } from './suspect-records.js';
 import {
   UNRESTRICTED_ADMISSION,
@@ -53,6 +56,8 @@
   /** Id and route of a request; empty for a load. */
   readonly requestId: string;
   readonly route: string;
+  /** Contents of the prompt parts that other requests may share; absent for a load. */
+  readonly parts?: readonly string[];
   /** Target of a load, as in {@link QuarantineRecord.load}; undefined for a request. */
   readonly load?: string;
   readonly backEnd: BackEnd;
@@ -108,12 +113,18 @@
  */
 const MAX_TURN_WAIT_MS = 2000;
 const TURN_POLL_MS = 100;
+/** Retry delay for callers of a prompt part that is in a trial, in milliseconds. A sound part is acquitted by the first answer. */
+const RETRY_AFTER_PART_TRIAL_MS = 500;
 /** Interval between removals of expired records, in milliseconds. */
 const EXPIRY_INTERVAL_MS = 60_000;
 /** Quarantine of one daemon. */
 export class RequestQuarantine {
   private readonly marks: CrashMarks;
   private readonly search: CulpritSearch;
+  private readonly partSearch: PartSearch;
+  private readonly servedParts: ServedParts;
+  /** Parts whose verdict has been logged. */
+  private readonly reportedParts = new Set<string>();
   private readonly processStates: ProcessStateChecker;
   private readonly slots = new SuspectSlots();
   /** Checks of the processes of broken attempts that are still running, by content. */
@@ -146,6 +157,8 @@
     this.marks = new CrashMarks(clock);
     this.recordCache = new RecordCache(clock);
     this.search = new CulpritSearch(this.marks, clock);
+    this.partSearch = new PartSearch(this.marks, clock);
+    this.servedParts = new ServedParts(clock);
     this.processStates = new ProcessStateChecker(probe, clock, (processId) => {
       this.onProcessEnded(processId);
     });
@@ -191,6 +204,13 @@
     return { ...this.marks.totals, quarantined: this.verdicts.size };
   }
 
+  /** Number of prompt parts for which requests are refused. */
+  get quarantinedPartCount(): number {
+    if (this.marks.isEmpty) return 0;
+    const parts = this.marks.suspects.filter(isPartContent);
+    return parts.filter((part) => this.partSearch.judge([part]).kind === 'guilty').length;
+  }
+
   /** Contents with active marks or a verdict. */
   get suspects(): readonly string[] {
     return [...new Set([...this.marks.suspects, ...this.verdicts.names])];
@@ -228,6 +248,25 @@
     };
   }
 
+  /** Returns the verdict on a request that holds a prompt part which crashes workers; undefined if it may run. */
+  verdictOnParts(parts: readonly string[]): Verdict | undefined {
+    const finding = this.partSearch.judge(parts);
+    if (finding.kind !== 'guilty') return undefined;
+    const { part, crashes } = finding;
+    this.reportPart(part, crashes);
+    const endTimes = crashes.map(({ endedAt }) => endedAt).sort((left, right) => right - left);
+    const decisiveAt = endTimes[CRASHES_FOR_VERDICT - 1] ?? 0;
+    const retryAfterMs = Math.max(1, decisiveAt + MARK_LIFETIME_MS - this.options.clock.monotonic());
+    return { ends: crashes.length, retryAfterMs };
+  }
+
+  private reportPart(part: string, crashes: readonly CrashMark[]): void {
+    if (this.reportedParts.has(part)) return;
+    this.reportedParts.add(part);
+    const processes = crashes.map(({ processId }) => processId);
+    this.options.log.warned('prompt_part_quarantined', { part, processes });
+  }
+
   /**
    * Waits until an attempt of a content may begin and returns its slot. Contents without evidence, and
    * the first retry after a broken response, do not wait. A suspect waits until no other attempt of it
@@ -251,8 +290,12 @@
    * it is in progress or its rivals run first. Returns undefined if it may acquire a slot. Refusing
    * early spares callers a wait until their deadline.
    */
-  trialDelayMs(content: string): number | undefined {
-    if (this.marks.isEmpty || !this.search.requiresTrial(content)) return undefined;
+  trialDelayMs(content: string, parts: readonly string[] = []): number | undefined {
+    if (this.marks.isEmpty) return undefined;
+    const finding = this.partSearch.judge(parts);
+    if (finding.kind === 'suspect' && this.trials.isInProgress(finding.part))
+      return RETRY_AFTER_PART_TRIAL_MS;
+    if (!this.search.requiresTrial(content)) return undefined;
     if (this.slots.isHeld(content) || this.trials.isInProgress(content)) return RETRY_AFTER_TRIAL_MS;
     return this.search.mustWaitForRivals(content) ? RETRY_AFTER_RIVALS_MS : undefined;
   }
@@ -275,8 +318,26 @@
    * whose attempts overlapped when they crashed processes run one attempt at a time on all daemons. The
    * caller must end an admission.
    */
-  async admit(content: string, processId: string): Promise<TrialAdmission> {
+  async admit(content: string, processId: string, parts: readonly string[] = []): Promise<TrialAdmission> {
     if (this.marks.isEmpty) return UNRESTRICTED_ADMISSION;
+    const admission = await this.admitContent(content, processId);
+    const finding = this.partSearch.judge(parts);
+    if (admission.kind !== 'admitted' || finding.kind !== 'suspect') return admission;
+    const trial = await this.trials.begin(finding.part, processId);
+    if (trial.kind !== 'admitted') {
+      admission.end();
+      return trial.kind === 'refused' ? { kind: 'refused', retryAfterMs: RETRY_AFTER_PART_TRIAL_MS } : trial;
+    }
+    return {
+      kind: 'admitted',
+      end: () => {
+        trial.end();
+        admission.end();
+      },
+    };
+  }
+
+  private async admitContent(content: string, processId: string): Promise<TrialAdmission> {
     if (this.search.requiresTrial(content)) {
       if (this.search.mustWaitForRivals(content))
         return { kind: 'refused', retryAfterMs: RETRY_AFTER_RIVALS_MS };
@@ -317,16 +378,18 @@
 
   /** Handles a response that broke off: checks the process and records a crash if it has ended. */
   noteBroken(attempt: BrokenAttempt): void {
-    const { content, backEnd, wasLeaving } = attempt;
+    const { content, backEnd, wasLeaving, parts = [] } = attempt;
     if (wasLeaving) return;
     const endedAt = this.options.clock.monotonic();
     const isTrial = this.trials.hasTrialOn(content, backEnd.id);
     const check = this.processStates.check(backEnd).then((state) => {
-      this.closeCheck(content, check);
+      for (const each of [content, ...parts]) this.closeCheck(each, check);
       if (state === 'ended') this.noteEnded(attempt, endedAt, isTrial);
     });
-    const open = this.openChecks.get(content) ?? new Set();
-    this.openChecks.set(content, open.add(check));
+    for (const each of [content, ...parts]) {
+      const open = this.openChecks.get(each) ?? new Set();
+      this.openChecks.set(each, open.add(check));
+    }
   }
 
   /** Records that a process ended while it ran an attempt. */
@@ -341,6 +404,7 @@
       isTrial,
       ...(attempt.requestId === '' ? {} : { attempts: [hashText(attempt.requestId)] }),
     };
+    this.markParts(attempt, endedAt);
     if (!this.marks.add(mark)) return;
     this.ownAttempts.set(content, attempt);
     this.logEnd(attempt, endedAt);
@@ -351,6 +415,18 @@
     this.schedulePublish();
   }
 
+  /** Marks the parts of a request whose process ended, but for those that were part of a complete answer lately. */
+  private markParts(attempt: ContentAttempt, endedAt: number): void {
+    const { content, backEnd, sentAt, parts = [] } = attempt;
+    const shared = { processId: backEnd.id, begunAt: sentAt, endedAt, isCleared: false };
+    for (const part of parts) {
+      if (this.servedParts.has(part)) continue;
+      if (!this.marks.add({ ...shared, content: part, attempts: [hashText(content)] })) continue;
+      this.ownAttempts.set(part, attempt);
+      this.writeEvidence(part);
+    }
+  }
+
   /** Returns whether a record of the content itself, stored or being written, contains a crash. */
   private isRecorded(content: string, processId: string): boolean {
     if (this.verdicts.isRecorded(content)) return true;
@@ -379,6 +455,14 @@
     this.schedulePublish();
   }
 
+  /** Acquits the parts of a request that got a complete answer. */
+  notePartsServed(parts: readonly string[]): void {
+    if (parts.length === 0) return;
+    this.servedParts.note(parts);
+    if (this.marks.isEmpty) return;
+    for (const part of parts) this.noteServed(part);
+  }
+
   /** Digest of all marks; 0 if there are none. */
   get digest(): number {
     return this.marks.digest;
@@ -394,6 +478,8 @@
     const newMarks = this.marks.merge(entries);
     if (newMarks.length === 0) return;
     for (const { processId } of newMarks) this.processStates.noteEnded(processId);
+    for (const { content, isCleared } of newMarks)
+      if (!isCleared && this.servedParts.has(content)) this.noteServed(content);
     for (const { content } of newMarks) {
       this.noteVerdict(content, 'told');
       this.writeEvidence(content);
@@ -507,6 +593,8 @@
       if (this.marks.crashCountOf(content) === 0) this.ownAttempts.delete(content);
     }
     const { removesRecord } = this.options;
+    for (const part of [...this.reportedParts])
+      if (this.marks.crashCountOf(part) === 0) this.reportedParts.delete(part);
     this.recordCache.pruneRemoved();
     await this.verdicts.removeExpired();
     await this.suspectRecords.removeExpired(removesRecord);
--- /dev/null
+++ b/packages/quarantine/test/part-search.test.ts
@@ -0,0 +1,153 @@
+// Guards against refusing sound requests for parts that they share with crashing ones, and against crashing requests that are never alike.
+import { expect } from 'chai';
+import { partContents, type RequestQuarantine } from '../src/index.js';
+import { QuarantineDeployment, backEndOf } from './quarantine-deployment.js';
+
+/** Time until marks have settled and reached all daemons. */
+const SETTLE_MS = 1500;
+
+describe('prompt parts under which processes ended', () => {
+  let world: QuarantineDeployment;
+  let daemons: RequestQuarantine[];
+  let requests: number;
+  let processes: number;
+
+  beforeEach(() => {
+    world = new QuarantineDeployment();
+    daemons = [world.addDaemon(), world.addDaemon(), world.addDaemon()];
+    requests = 0;
+    processes = 0;
+  });
+
+  function daemonOf(index: number): RequestQuarantine {
+    return daemons[index % daemons.length] as RequestQuarantine;
+  }
+
+  /** Ends a process that runs one request with each of the given lists of parts, at different daemons. */
+  async function crash(...prompts: readonly (readonly string[])[]): Promise<void> {
+    await crashUnder(
+      prompts.map((ids) => {
+        requests += 1;
+        return { ids, content: `c${String(requests)}` };
+      }),
+    );
+  }
+
+  async function crashUnder(
+    running: readonly { readonly ids: readonly string[]; readonly content: string }[],
+  ): Promise<void> {
+    processes += 1;
+    const process = `p${String(processes)}`;
+    const sentAt = world.world.now;
+    await world.advance(50);
+    world.ended.add(process);
+    for (const [index, { ids, content }] of running.entries())
+      daemonOf(processes + index).noteBroken({
+        content,
+        parts: partContents(ids),
+        requestId: content,
+        route: 'route',
+        backEnd: backEndOf(process),
+        wasLeaving: false,
+        sentAt,
+      });
+    await world.advance(SETTLE_MS);
+  }
+
+  function isRefused(...ids: string[]): boolean[] {
+    return daemons.map((daemon) => daemon.verdictOnParts(partContents(ids)) !== undefined);
+  }
+
+  const NOWHERE = [false, false, false];
+  const EVERYWHERE = [true, true, true];
+
+  it('are refused at every daemon after three crashes under different requests, whatever else these hold', async () => {
+    await crash(['aa', 'bad']);
+    await crash(['bad', 'cc']);
+    expect(isRefused('bad')).to.deep.equal(NOWHERE);
+    await crash(['dd', 'bad']);
+    expect(isRefused('bad', 'ee')).to.deep.equal(EVERYWHERE);
+    expect(isRefused('ee', 'bad')).to.deep.equal(EVERYWHERE);
+    expect(isRefused('aa', 'cc', 'dd')).to.deep.equal(NOWHERE);
+  });
+
+  it('are not marked when they were part of a complete answer at any daemon, before the crash or after it', async () => {
+    daemonOf(0).notePartsServed(partContents(['aa']));
+    for (let round = 0; round < 4; round += 1) await crash(['aa', 'bad', 'cc']);
+    daemonOf(2).notePartsServed(partContents(['cc']));
+    await world.advance(SETTLE_MS);
+    expect(isRefused('aa', 'cc')).to.deep.equal(NOWHERE);
+    expect(daemons.map((daemon) => daemon.trialDelayMs('x', partContents(['aa', 'cc'])))).to.deep.equal([
+      undefined,
+      undefined,
+      undefined,
+    ]);
+    expect(isRefused('bad')).to.deep.equal(EVERYWHERE);
+  });
+
+  it('that only came together are refused together, and each of them alone runs in a trial, one at a time', async () => {
+    for (let round = 0; round < 3; round += 1) await crash(['aa', 'bad']);
+    expect(isRefused('aa', 'bad')).to.deep.equal(EVERYWHERE);
+    expect(isRefused('aa', 'zz')).to.deep.equal(NOWHERE);
+    const alone = partContents(['aa', 'zz']);
+    const first = await daemonOf(0).admit('s1', 'sound-process', alone);
+    expect(first.kind).to.equal('admitted');
+    const second = await daemonOf(1).admit('s2', 'sound-process', alone);
+    expect(second).to.include({ kind: 'refused', retryAfterMs: 500 });
+    daemonOf(0).notePartsServed(alone);
+    if (first.kind === 'admitted') first.end();
+    await world.advance(SETTLE_MS);
+    expect((await daemonOf(1).admit('s3', 'sound-process', alone)).kind).to.equal('admitted');
+    expect((await daemonOf(2).admit('s4', 'sound-process', alone)).kind).to.equal('admitted');
+    expect(isRefused('bad', 'zz')).to.deep.equal(EVERYWHERE);
+  });
+
+  it('of sound requests that ran beside two culprits are not refused, though they were marked at every crash', async () => {
+    for (let round = 0; round < 4; round += 1) {
+      await crash(['first', 'bad'], ['first']);
+      await crash(['first', 'worse'], ['first']);
+    }
+    expect(isRefused('first')).to.deep.equal(NOWHERE);
+    expect(isRefused('first', 'bad')).to.deep.equal(EVERYWHERE);
+    expect(isRefused('first', 'worse')).to.deep.equal(EVERYWHERE);
+  });
+
+  it('are not refused for one request that crashes processes by its body, sent again and again', async () => {
+    for (let round = 0; round < 4; round += 1) await crashUnder([{ ids: ['aa', 'cc'], content: 'body' }]);
+    expect(isRefused('aa', 'cc')).to.deep.equal(NOWHERE);
+    expect(daemons.map((daemon) => daemon.verdictOf('body') !== undefined)).to.deep.equal(EVERYWHERE);
+  });
+
+  it('are not refused for a rack that fails under many requests at once', async () => {
+    const sentAt = world.world.now;
+    await world.advance(50);
+    for (let index = 0; index < 6; index += 1) {
+      const process = `rack${String(index)}`;
+      world.ended.add(process);
+      daemonOf(index).noteBroken({
+        content: `r${String(index)}`,
+        parts: partContents(['aa']),
+        requestId: `r${String(index)}`,
+        route: 'route',
+        backEnd: backEndOf(process),
+        wasLeaving: false,
+        sentAt,
+      });
+    }
+    await world.advance(SETTLE_MS);
+    expect(isRefused('aa')).to.deep.equal(NOWHERE);
+  });
+
+  it('stay refused after all daemons were killed, and are free again when their marks are ten minutes old', async () => {
+    for (const ids of [['aa', 'bad'], ['bad'], ['cc', 'bad']]) await crash(ids);
+    await world.advance(3000);
+    world.killAll();
+    daemons = [world.addDaemon(), world.addDaemon(), world.addDaemon()];
+    await world.advance(1000);
+    expect(isRefused('bad', 'dd')).to.deep.equal(EVERYWHERE);
+    const verdict = daemonOf(0).verdictOnParts(partContents(['bad']));
+    expect(verdict?.retryAfterMs).to.be.within(500_000, 600_000);
+    await world.advance(601_000);
+    expect(isRefused('bad')).to.deep.equal(NOWHERE);
+  });
+});
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -436,6 +436,7 @@
       replicas: () => residency.replicaCounts(),
       storeSchedule: () => residency.storeScheduleTotals(),
       quarantine: () => this.quarantine.totals,
+      quarantinedParts: () => this.quarantine.quarantinedPartCount,
       loadQuarantine: () => this.loadQuarantine.totals,
       notices: () => this.noticeService.notices.totals,
       streamOrigins: () => this.streamOrigins.totals,
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -32,6 +32,8 @@
   readonly replicas: () => ReplicaCounts;
   readonly storeSchedule: () => StoreScheduleTotals;
   readonly quarantine: () => QuarantineTotals;
+  /** Prompt parts for which requests are refused. */
+  readonly quarantinedParts: () => number;
   readonly loadQuarantine: () => LoadQuarantineTotals;
   readonly notices: () => NoticeTotals;
   readonly permits: () => PermitTotals;
@@ -363,7 +365,12 @@
     );
   }
 
-  private addQuarantineGauges({ quarantine, loadQuarantine }: MetricSources): void {
+  private addQuarantineGauges({ quarantine, quarantinedParts, loadQuarantine }: MetricSources): void {
+    this.registry.gauge(
+      'woodbarrow_prompt_parts_quarantined',
+      'Prompt parts for which requests are refused, as they crash workers.',
+      quarantinedParts,
+    );
     this.registry.gauge(
       'woodbarrow_quarantine',
       'Pairs of a content and a process that ended under it, contents with such processes, contents that are refused.',
