Streams are remembered under the attempt that began them; clients of a lost version return spread

Found on reading the diff: a request with Resumes but without Last-Event-Id begins a stream, which was remembered under the attempt it named instead of its own; clients whose streams lost their version at once were all told to return after the same second; and a daemon without loans built a list at each choice of a worker. Tests of the id; the others are covered by the tests of refusals and loans.

--- a/packages/forwarding/src/answer-forwarder.ts
+++ b/packages/forwarding/src/answer-forwarder.ts
@@ -16,7 +16,7 @@
 import { isStream, mayRunAgain } from './route.js';
 import type { SendFailures } from './send-failures.js';
 import { StreamPosition } from './stream-position.js';
-import { takeUpPeriodMs } from './stream-take-ups.js';
+import { streamIdOf, takeUpPeriodMs } from './stream-take-ups.js';
 
 /** A stream without data for this multiple of the target gap is resumed on another back end. */
 const STALL_GAP_MULTIPLE = 2.5;
@@ -177,7 +177,7 @@
     if (route.kind !== 'resumable_stream' || softwareVersion === undefined) return;
     progress.softwareVersion = softwareVersion;
     const origin = { service: service.name, softwareVersion };
-    context.origins?.record(facts.resumes ?? facts.id, origin, takeUpPeriodMs(route));
+    context.origins?.record(streamIdOf(facts), origin, takeUpPeriodMs(route));
   }
 
   private idleTimeoutMs(backEnd: BackEnd): number | undefined {
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -31,7 +31,11 @@
 /** Maximum length of the prompt parts in a log line. */
 const MAX_LOGGED_PARTS_LENGTH = 160;
 /** Refusals that concern many requests at the same time. */
-const SPREAD_REFUSALS: ReadonlySet<RefusalReason> = new Set(['all_excluded', 'connections_exhausted']);
+const SPREAD_REFUSALS: ReadonlySet<RefusalReason> = new Set([
+  'all_excluded',
+  'connections_exhausted',
+  'software_version_gone',
+]);
 
 /** Error kinds of refusals for which `no_replica` does not say enough. */
 const REFUSAL_KINDS: Partial<Record<RefusalReason, ErrorKind>> = {
--- a/packages/forwarding/src/stream-take-ups.ts
+++ b/packages/forwarding/src/stream-take-ups.ts
@@ -28,6 +28,11 @@
   return Math.max(MIN_TAKE_UP_PERIOD_MS, timeoutMs * TAKE_UP_TIMEOUT_MULTIPLE);
 }
 
+/** Returns the id under which the origin of a stream is remembered: that of the request that brought its first event. */
+export function streamIdOf({ id, resumes, resumeAfter }: RequestFacts): string {
+  return resumeAfter === undefined ? id : (resumes ?? id);
+}
+
 /** Take-ups at one daemon. */
 export class StreamTakeUps {
   constructor(
--- a/packages/forwarding/test/stream-take-ups.test.ts
+++ b/packages/forwarding/test/stream-take-ups.test.ts
@@ -1,7 +1,7 @@
 // Guards against a stream that its client takes up and that goes on at a software version nobody knows to be its own.
 import { expect } from 'chai';
 import { noopJournal, type Route, type RequestFacts, type StreamOrigins } from '../src/index.js';
-import { StreamTakeUps } from '../src/stream-take-ups.js';
+import { StreamTakeUps, streamIdOf } from '../src/stream-take-ups.js';
 
 const ROUTE: Route = {
   name: 'drafts',
@@ -88,6 +88,13 @@
     expect(await resolve({ onlyVersionSeen: () => 'v1' }, unnamed)).to.include({ softwareVersion: 'v1' });
   });
 
+  it('is remembered under the attempt that brought its first event', () => {
+    expect(streamIdOf(FACTS)).to.equal('r1');
+    const { resumeAfter, ...begun } = FACTS;
+    expect(resumeAfter).to.equal('3');
+    expect(streamIdOf(begun)).to.equal('r2');
+  });
+
   it('is not bound where workers name no version, on other routes, and before its first event', async () => {
     expect(await resolve({ hasNoVersions: () => true })).to.include({ kind: 'unbound' });
     expect(await resolve(undefined)).to.deep.equal({ kind: 'unbound' });
--- a/packages/quota/src/share-loan-service.ts
+++ b/packages/quota/src/share-loan-service.ts
@@ -86,7 +86,9 @@
   }
 
   borrowed(backEndId: string): number {
+    if (this.fromOthers.size === 0) return 0;
     const loans = this.active([...this.fromOthers.values()]);
+    if (loans.length === 0) this.fromOthers.clear();
     return loans.reduce((sum, { requests }) => sum + (requests.get(backEndId) ?? 0), 0);
   }
 
