A daemon that no other one answers goes on with no stream of unknown version

By reading: a daemon that has just been cut off counts as following the store for up to some seconds, and may have seen one version while another has appeared. Where daemons were asked for a stream and none answered, its take-up is refused. Test of the decision.

--- a/packages/forwarding/src/stream-take-ups.ts
+++ b/packages/forwarding/src/stream-take-ups.ts
@@ -22,6 +22,11 @@
   | { readonly kind: 'refused'; readonly cause: 'stream_origin_unknown'; readonly retryAfterMs: number };
 
 const UNBOUND: TakeUp = { kind: 'unbound' };
+const UNKNOWN: TakeUp = {
+  kind: 'refused',
+  cause: 'stream_origin_unknown',
+  retryAfterMs: UNKNOWN_RETRY_MS,
+};
 
 /** Returns the period after its first event in which a stream may be taken up, in milliseconds. */
 export function takeUpPeriodMs({ timeoutMs }: Route): number {
@@ -51,14 +56,15 @@
       return UNBOUND;
     const lookup = facts.resumes === undefined ? undefined : await origins.find(facts.resumes);
     if (lookup?.kind === 'known') return this.bind(route, facts, lookup.origin, lookup.source, chooseService);
+    // A daemon that is cut off from the others may not know of a version that has appeared since.
+    if (lookup !== undefined && lookup.asked > 0 && lookup.answered === 0) return UNKNOWN;
     const service = chooseService();
     if (origins.hasNoVersions(service)) return { kind: 'unbound', service };
     const softwareVersion =
       facts.resumes === undefined
         ? origins.onlyVersionSeen(service)
         : origins.onlyVersion(service, takeUpPeriodMs(route));
-    if (softwareVersion === undefined)
-      return { kind: 'refused', cause: 'stream_origin_unknown', retryAfterMs: UNKNOWN_RETRY_MS };
+    if (softwareVersion === undefined) return UNKNOWN;
     const origin = { service, softwareVersion };
     return this.bind(route, facts, origin, 'only_version', () => service);
   }
--- a/packages/forwarding/test/stream-take-ups.test.ts
+++ b/packages/forwarding/test/stream-take-ups.test.ts
@@ -81,6 +81,14 @@
     expect(periods).to.deep.equal([30_000]);
   });
 
+  it('is refused at a daemon that no other one answers, even if it has seen one version', async () => {
+    const takeUp = await resolve({
+      find: () => Promise.resolve({ kind: 'unknown', asked: 2, answered: 0 }),
+      onlyVersion: () => 'v1',
+    });
+    expect(takeUp).to.include(REFUSED);
+  });
+
   it('is refused for a client that names no attempt, unless one version has been seen', async () => {
     const { resumes, ...unnamed } = FACTS;
     expect(resumes).to.equal('r1');
