request_repeated names what the retry budget consists of; retries are counted by service

The line had the retries left alone, so that a divisor of one could not be told from a share that grew, nor a share from retries earned by own requests. It now names the service, the daemons that share the fixed allowance, the share, what own requests earned and what was spent. Metric woodbarrow_retries_total by service and outcome. No change of behaviour.

--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -344,12 +344,20 @@
     if (mayHaveRun && progress.mayHaveRunOn.size >= route.maximumAttempts) return false;
     if (times.remainingMs() <= ANSWER_DELIVERY_MARGIN_MS) return false;
     const arrived = mayHaveRun || (result.kind === 'not_run' && result.arrived);
-    const allowed = !arrived || this.context.budget.tryRetry(service.name);
+    const { budget } = this.context;
+    const allowed = !arrived || budget.tryRetry(service.name);
+    const { daemons, earned, share, spent } = budget.usage(service.name);
     this.context.journal.decided('request_repeated', facts.id, {
       allowed,
       after: result.kind,
       sends: progress.sends,
-      budgetLeft: Math.floor(this.context.budget.remaining(service.name)),
+      service: service.name,
+      counted: arrived,
+      budgetLeft: Math.floor(earned + share - spent),
+      daemons,
+      earned: Math.floor(earned),
+      share: Math.floor(share),
+      spent,
     });
     return allowed;
   }
--- a/packages/forwarding/src/retry-budget.ts
+++ b/packages/forwarding/src/retry-budget.ts
@@ -18,6 +18,17 @@
 /** Share of the allowance that is used; the rest absorbs differences between the counts of daemons. */
 const BUDGET_SAFETY_FACTOR = 0.75;
 
+/** What one daemon's budget for a service consists of, in retries per window. */
+export interface RetryBudgetUsage {
+  /** Number of daemons by which the fixed allowance is divided. */
+  readonly daemons: number;
+  /** Retries allowed for the requests of this daemon. */
+  readonly earned: number;
+  /** This daemon's share of the fixed allowance. */
+  readonly share: number;
+  readonly spent: number;
+}
+
 interface ServiceCounts {
   readonly requests: SlidingWindow;
   readonly retries: SlidingWindow;
@@ -46,11 +57,21 @@
 
   /** Retries left now; may be fractional. */
   remaining(service: string): number {
+    const { earned, share, spent } = this.usage(service);
+    return earned + share - spent;
+  }
+
+  /** Returns what the budget of a service consists of now, for logs. */
+  usage(service: string): RetryBudgetUsage {
     const counts = this.countsOf(service);
     const { ratio, extra, daemonCount } = this.options;
-    const fixed = extra / Math.max(1, daemonCount());
-    const allowed = BUDGET_SAFETY_FACTOR * (ratio * counts.requests.count() + fixed);
-    return allowed - counts.retries.count();
+    const daemons = Math.max(1, daemonCount());
+    return {
+      daemons,
+      earned: BUDGET_SAFETY_FACTOR * ratio * counts.requests.count(),
+      share: (BUDGET_SAFETY_FACTOR * extra) / daemons,
+      spent: counts.retries.count(),
+    };
   }
 
   private countsOf(service: string): ServiceCounts {
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -13,7 +13,8 @@
     'The request is being sent. Back end, its zone and software version, reason for the choice, requests in progress there, age of its record, remaining time, time waited for room on a worker.',
   request_declined:
     'A back end did not accept the request or did not respond. Verdict: `not_run`, `not_resident`, `other_incarnation`, `unreachable`, `broken` or `timed_out`.',
-  request_repeated: 'A retry is considered. Whether it is allowed, preceding result, remaining retry budget.',
+  request_repeated:
+    'A retry is considered. Whether it is allowed, preceding result, service, whether the preceding send reached a back end and the retry counts, retries left, daemons that share the fixed allowance, retries earned by own requests, share of the fixed allowance, retries spent in the window.',
   request_resumed:
     'A back end was asked to resume a stream and has responded. Back end, its software version, event to resume after, status.',
   take_up_refused:
--- a/packages/serving/src/logged-journal.ts
+++ b/packages/serving/src/logged-journal.ts
@@ -24,6 +24,7 @@
 
   decided(decision: RequestDecision, requestId: string, facts: DecisionFacts): void {
     this.metrics.countDecision(decision);
+    if (decision === 'request_repeated') this.countRetry(facts);
     if (decision === 'take_up_refused') this.metrics.countRefusedResume(String(facts['reason']));
     if (decision === 'stream_taken_up') this.metrics.countTakeUp(String(facts['source']));
     if (facts['kind'] === 'stream_not_resumable') this.metrics.countTakeUp(String(facts['cause']));
@@ -32,6 +33,11 @@
     else this.log.routine(decision, details);
   }
 
+  private countRetry({ service, counted, allowed }: DecisionFacts): void {
+    if (counted !== true) return;
+    this.metrics.countRetry(String(service), allowed === true ? 'allowed' : 'withheld');
+  }
+
   ended(_route: string, outcome: string, durationMs: number): void {
     this.metrics.recordRequestEnd(outcome, durationMs);
   }
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -62,6 +62,7 @@
   private readonly registry = new MetricRegistry();
   private readonly requests: Counter;
   private readonly decisions: Counter;
+  private readonly retries: Counter;
   private readonly refusedResumes: Counter;
   private readonly takeUps: Counter;
   private readonly durations: Histogram;
@@ -70,6 +71,10 @@
     const { registry } = this;
     this.requests = registry.counter('woodbarrow_requests_total', 'Ended requests, by outcome.');
     this.decisions = registry.counter('woodbarrow_request_decisions_total', 'Decisions on requests.');
+    this.retries = registry.counter(
+      'woodbarrow_retries_total',
+      'Retries considered, by service and by whether the retry budget allowed them.',
+    );
     this.refusedResumes = registry.counter(
       'woodbarrow_take_ups_refused_total',
       'Answers that could not go on with a stream, by reason.',
@@ -402,6 +407,11 @@
     this.decisions.add({ decision });
   }
 
+  /** Counts a retry that needed the retry budget. @param outcome Whether it was allowed. */
+  countRetry(service: string, outcome: 'allowed' | 'withheld'): void {
+    this.retries.add({ service, outcome });
+  }
+
   /** Counts a response that could not resume a stream. */
   countRefusedResume(reason: string): void {
     this.refusedResumes.add({ reason });
