Retries of all daemons together stay within the retry budget

Callers and back ends saw more retries over all daemons than the budget allows, up to twice as many, while daemons were killed, restarted or replaced.

Cause: the budget was kept by each process for itself. The fixed allowance was divided by the members a process knew, which is one after a start, and each process had its share anew; retries earned in ten seconds could be spent at once and were forgotten with the process.

Now each request earns part of a retry, which is spent once and expires after a quarter of the window, so that the sum does not depend on processes. The fixed allowance is granted by the coordinators of the zones, as units of quotas are; a successor waits until what its predecessor granted no longer counts. A process that stood still earns nothing from what it reads afterwards. A permit is checked again at the send, and given back if nothing is sent. Until there are allocators the first member of a deployment has a part of the allowance.

--- a/packages/coordination/src/store-lease.ts
+++ b/packages/coordination/src/store-lease.ts
@@ -122,6 +122,7 @@
   /** Monotonic time before which a new holder must not act. */
   private mayActFrom = 0;
   private isHolder = false;
+  private isFirst = false;
   /**
    * Record that prevents the acquisition, with the monotonic time since which it has been observed unchanged.
    */
@@ -146,6 +147,11 @@
     return this.isHolder;
   }
 
+  /** Whether the lease had no holder before this one, so that nobody else can have acted under it. */
+  get isFirstHold(): boolean {
+    return this.isHolder && this.isFirst;
+  }
+
   /** Whether this daemon may act as the holder now. */
   mayAct(): boolean {
     const { clock } = this.options;
@@ -230,7 +236,8 @@
     if (pauseMs === undefined) return this.waitForUnknownHolder(position, remainingMs);
     this.mayActFrom = Math.max(this.mayActFrom, this.options.clock.monotonic() + pauseMs);
     const newRecord = this.createRecord(firstFenceOfEra(era), pauseMs, era);
-    return this.becomeHolder(newRecord, await store.create(name, newRecord), readAt);
+    const isFirst = observedForMs === Infinity;
+    return this.becomeHolder(newRecord, await store.create(name, newRecord), readAt, isFirst);
   }
 
   /**
@@ -405,10 +412,12 @@
     requested: LeaseRecord,
     stored: StoredLease | undefined,
     confirmedAt: number,
+    isFirst = false,
   ): AcquireResult {
     if (stored === undefined || stored.era !== requested.era) return this.waitFor(CONFLICT_RETRY_MS);
     this.markConfirmed(stored, confirmedAt);
     this.isHolder = true;
+    this.isFirst = isFirst;
     this.observed = undefined;
     return { kind: 'held' };
   }
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -12,6 +12,7 @@
 import { RequestCompletion } from './request-completion.js';
 import { RequestProgress, type AttemptResult, type RequestScope } from './request-scope.js';
 import { RequestSender } from './request-sender.js';
+import { RequestRetries } from './request-retries.js';
 import { RequestTimes } from './request-times.js';
 import { RunTimeEstimate } from './run-time-estimate.js';
 import { spreadRetryMs } from './retry-spread.js';
@@ -66,6 +67,7 @@
   private readonly scope: RequestScope;
   private readonly sender: RequestSender;
   private readonly allowance: RequestAllowance;
+  private readonly retries: RequestRetries;
   /** The client does not read its answer, and the memory for unread answers is used up. */
   private isEndedUnread = false;
 
@@ -94,6 +96,7 @@
     this.scope = { ...accepted, context, digest, parts, priority, times, progress, completion, expired };
     this.sender = new RequestSender(this.scope, new RunTimeEstimate(context.runTimes, facts));
     this.allowance = new RequestAllowance(context.quota, accepted.tenant, facts, expired);
+    this.retries = new RequestRetries(context.budget, accepted.service.name, expired);
   }
 
   /** Resolves when the exchange has been answered or aborted. */
@@ -126,6 +129,7 @@
     } finally {
       releaseAnswer();
       this.allowance.refund();
+      this.retries.refund();
       for (const cancel of cancelTimers) cancel();
       stopWaiting.removeEventListener('abort', stop);
     }
@@ -239,6 +243,7 @@
     slot: SuspectSlot,
   ): Promise<boolean> {
     if (!this.allowance.isValid && (await this.finishIfOverQuota())) return true;
+    if (!this.retries.isValid && (await this.finishIfRetryWithheld())) return true;
     const { backEnd } = choice;
     if (!this.acceptsRequests(backEnd)) return false;
     const pendingPermit = this.context.permits.acquire(backEnd, this.expired.signal);
@@ -257,9 +262,9 @@
     return this.sendWith(permit, choice, slot);
   }
 
-  /** Whether a send is still allowed after waiting for a permit: connections may be used up and quota tickets expired by then. */
+  /** Whether a send is still allowed after waiting for a permit: connections may be used up, and quota tickets and retries expired by then. */
   private canStillSend(backEnd: BackEnd): boolean {
-    return this.allowance.isValid && this.acceptsRequests(backEnd);
+    return this.allowance.isValid && this.retries.isValid && this.acceptsRequests(backEnd);
   }
 
   /** Whether the back end still accepts requests; it may have started draining, or be gone, while a load was awaited. */
@@ -279,14 +284,15 @@
       permit.end();
     });
     if (result.kind === 'not_run' && !result.arrived) permit.refund();
+    else this.retries.noteArrived();
     if (result.kind !== 'not_run') this.allowance.consume();
     if (result.kind === 'finished') return true;
     if (this.expired.signal.aborted) {
       this.finishExpired();
       return true;
     }
-    if (this.tryRetry(result)) return false;
-    this.finishUnserved();
+    if (this.canRetryAfter(result) && (await this.acquireRetry(result.kind))) return false;
+    this.finishUnrepeated();
     return true;
   }
 
@@ -334,32 +340,49 @@
     this.scope.completion.refuse('request_quarantined', cause, retryAfterMs);
   }
 
-  /** Whether another send is allowed after a failed one; counts it against the retry budget. */
-  private tryRetry(result: AttemptResult): boolean {
-    const { answer, progress, route, times, service, facts } = this.scope;
+  /** Whether another send can follow a failed one, by the route and the time left. */
+  private canRetryAfter(result: AttemptResult): boolean {
+    const { answer, progress, route, times } = this.scope;
     if (!answer.canContinue) return false;
     if (progress.sends >= MAX_SENDS_PER_REQUEST || progress.isStopping) return false;
     const mayHaveRun = result.kind === 'maybe_run' || result.kind === 'failure';
     if (mayHaveRun && !mayRunAgain(route.kind)) return false;
     if (mayHaveRun && progress.mayHaveRunOn.size >= route.maximumAttempts) return false;
-    if (times.remainingMs() <= ANSWER_DELIVERY_MARGIN_MS) return false;
-    const arrived = mayHaveRun || (result.kind === 'not_run' && result.arrived);
-    const { budget } = this.context;
-    const allowed = !arrived || budget.tryRetry(service.name);
-    const { daemons, earned, share, spent } = budget.usage(service.name);
+    return times.remainingMs() > ANSWER_DELIVERY_MARGIN_MS;
+  }
+
+  /**
+   * Acquires a retry for the next send if it counts as one. Returns whether the request may be sent again.
+   *
+   * @param after Result of the last send, or `permit_expired` if the request waited too long for a back end.
+   */
+  private async acquireRetry(after: AttemptResult['kind'] | 'permit_expired'): Promise<boolean> {
+    const { progress, service, facts } = this.scope;
+    const withheld = await this.retries.acquire();
     this.context.journal.decided('request_repeated', facts.id, {
-      allowed,
-      after: result.kind,
+      allowed: withheld === undefined,
+      after,
       sends: progress.sends,
       service: service.name,
-      counted: arrived,
-      budgetLeft: Math.floor(earned + share - spent),
-      daemons,
-      earned: Math.floor(earned),
-      share: Math.floor(share),
-      spent,
+      counted: this.retries.isCounted,
+      source: this.retries.source,
+      withheld,
+      earnedLeft: this.context.budget.earnedLeft(service.name),
     });
-    return allowed;
+    return withheld === undefined && !this.expired.signal.aborted;
+  }
+
+  /** Renews the retry permit of a request that is about to be sent, or ends the request. Returns whether it has ended. */
+  private async finishIfRetryWithheld(): Promise<boolean> {
+    if (await this.acquireRetry('permit_expired')) return false;
+    this.finishUnrepeated();
+    return true;
+  }
+
+  /** Ends a request that is not sent again. */
+  private finishUnrepeated(): void {
+    if (this.expired.signal.aborted) this.finishExpired();
+    else this.finishUnserved();
   }
 
   private async choose(): Promise<BackendChoice> {
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -16,6 +16,7 @@
 export * from './notice-gate.js';
 export * from './plain-selector.js';
 export * from './prompt-affinity.js';
+export * from './retry-allowance.js';
 export * from './retry-budget.js';
 export * from './replica-selector.js';
 export * from './request-allowance.js';
--- a/packages/forwarding/src/retry-budget.ts
+++ b/packages/forwarding/src/retry-budget.ts
@@ -1,89 +1,62 @@
 /**
- * Limits retries on other back ends. All daemons share one budget for each service: each daemon may use an equal
- * share of a fixed allowance, plus a ratio of its own requests.
+ * Limits retries on other back ends. The deployment has one budget for each service: a ratio of its requests, which each daemon earns with
+ * its own, and a fixed allowance, which is granted to the daemons that need it.
  */
-import { SlidingWindow, type Clock } from '@woodbarrow/runtime';
+import type { Clock, Random } from '@woodbarrow/runtime';
+import { EarnedRetries, type EarnedRetriesOptions, type EarnedRetry } from './earned-retries.js';
+import { NO_ALLOWANCE, type RetryAllowance, type RetryOutcome, type RetryPermit } from './retry-allowance.js';
 
 /** Options of {@link RetryBudget}. */
-export interface RetryBudgetOptions {
-  /** Retries allowed per request. */
-  readonly ratio: number;
-  /** Retries allowed per window over all daemons, regardless of load. */
-  readonly extra: number;
-  readonly windowMs: number;
-  /** Number of daemons that share the budget. */
-  readonly daemonCount: () => number;
+export interface RetryBudgetOptions extends EarnedRetriesOptions {
+  /** Fixed allowance, asked when nothing earned is left. @default none */
+  readonly allowance?: RetryAllowance;
 }
 
-/** Share of the allowance that is used; the rest absorbs differences between the counts of daemons. */
-const BUDGET_SAFETY_FACTOR = 0.75;
-
-/** What one daemon's budget for a service consists of, in retries per window. */
-export interface RetryBudgetUsage {
-  /** Number of daemons by which the fixed allowance is divided. */
-  readonly daemons: number;
-  /** Retries allowed for the requests of this daemon. */
-  readonly earned: number;
-  /** This daemon's share of the fixed allowance. */
-  readonly share: number;
-  readonly spent: number;
-}
-
-interface ServiceCounts {
-  readonly requests: SlidingWindow;
-  readonly retries: SlidingWindow;
-}
-
-/** One daemon's share of the retry budgets. */
+/** Retry budgets as one daemon sees them. */
 export class RetryBudget {
-  private readonly services = new Map<string, ServiceCounts>();
+  private readonly earned: EarnedRetries;
+  private readonly allowance: RetryAllowance;
 
   constructor(
-    private readonly options: RetryBudgetOptions,
+    options: RetryBudgetOptions,
     private readonly clock: Clock,
-  ) {}
+    random: Random,
+  ) {
+    this.earned = new EarnedRetries(options, clock, random);
+    this.allowance = options.allowance ?? NO_ALLOWANCE;
+  }
+
+  /** Works in the background until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.earned.run(signal), this.allowance.run?.(signal)]);
+  }
 
   /** Counts a request for a service. */
   recordRequest(service: string): void {
-    this.countsOf(service).requests.add();
+    this.earned.recordRequest(service);
   }
 
-  /** Consumes one retry. Returns false if the budget is exhausted. */
-  tryRetry(service: string): boolean {
-    if (this.remaining(service) < 1) return false;
-    this.countsOf(service).retries.add();
-    return true;
+  /** Number of earned retries that are left now. */
+  earnedLeft(service: string): number {
+    return this.earned.available(service);
   }
 
-  /** Retries left now; may be fractional. */
-  remaining(service: string): number {
-    const { earned, share, spent } = this.usage(service);
-    return earned + share - spent;
+  /** Acquires one retry. Never rejects. */
+  acquire(service: string, signal: AbortSignal): Promise<RetryOutcome> {
+    const retry = this.earned.take(service);
+    if (retry === undefined) return this.allowance.acquire(service, signal);
+    return Promise.resolve({ kind: 'allowed', permit: this.permitFor(service, retry) });
   }
 
-  /** Returns what the budget of a service consists of now, for logs. */
-  usage(service: string): RetryBudgetUsage {
-    const counts = this.countsOf(service);
-    const { ratio, extra, daemonCount } = this.options;
-    const daemons = Math.max(1, daemonCount());
+  private permitFor(service: string, retry: EarnedRetry): RetryPermit {
+    let isOpen = true;
     return {
-      daemons,
-      earned: BUDGET_SAFETY_FACTOR * ratio * counts.requests.count(),
-      share: (BUDGET_SAFETY_FACTOR * extra) / daemons,
-      spent: counts.retries.count(),
+      source: 'earned',
+      isValid: () => this.clock.elapsed() < retry.expiresAt,
+      refund: () => {
+        if (isOpen) this.earned.refund(service, retry);
+        isOpen = false;
+      },
     };
   }
-
-  private countsOf(service: string): ServiceCounts {
-    let counts = this.services.get(service);
-    if (counts === undefined) {
-      const { windowMs } = this.options;
-      counts = {
-        requests: new SlidingWindow(windowMs, this.clock),
-        retries: new SlidingWindow(windowMs, this.clock),
-      };
-      this.services.set(service, counts);
-    }
-    return counts;
-  }
 }
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -14,7 +14,7 @@
   request_declined:
     'A back end did not accept the request or did not respond. Verdict: `not_run`, `not_resident`, `other_incarnation`, `unreachable`, `broken` or `timed_out`.',
   request_repeated:
-    'A retry is considered. Whether it is allowed, preceding result, service, whether the preceding send reached a back end and the retry counts, retries left, daemons that share the fixed allowance, retries earned by own requests, share of the fixed allowance, retries spent in the window.',
+    'A retry is considered. Whether it is allowed, preceding result, service, whether the preceding send reached a back end and the retry counts against the budget, where the retry comes from (`earned`, `granted`, `first_member`) or why it is withheld (`used_up`, `allocator_starting`, `no_allocator`), earned retries left.',
   request_resumed:
     'A back end was asked to resume a stream and has responded. Back end, its software version, event to resume after, status.',
   take_up_refused:
@@ -101,6 +101,8 @@
     'A configuration is in effect. Current and previous version, number of routes and services.',
   quota_granter_started:
     'This daemon became an allocator of the quotas of tenants. Zone, fence, time until requests are served.',
+  retry_allocator_started:
+    'This daemon became an allocator of the fixed allowance of retries. Zone, retries in each window, time until it grants, whether it is the first of its zone.',
   rate_limit_granter_started:
     'This daemon became the allocator of send permits for the rate-limited back ends of a zone. Zone, fence, time until requests are served.',
   record_invalid:
--- a/packages/protocol/src/grant-messages.ts
+++ b/packages/protocol/src/grant-messages.ts
@@ -74,3 +74,34 @@
 export const rateLimitGrantMethod = definePeerMethod<RateLimitGrantMessage, RateLimitGrantAnswer>(
   'rate_limit.grant',
 );
+
+/** A request for retries of the fixed allowance of a service. */
+export interface RetryGrantMessage extends GrantRequest {
+  /** Zone whose allocator is asked. */
+  readonly zone: string;
+  readonly service: string;
+}
+
+/** Number of retries granted. */
+export interface RetryGrantAnswer extends GrantAnswer {
+  /** Milliseconds until the allocator grants retries; until then those of its predecessor may still count. 0 if it grants now. */
+  readonly startsInMs: number;
+}
+
+export const retryGrantMethod = definePeerMethod<RetryGrantMessage, RetryGrantAnswer>('retries.grant');
+
+/** Retries that were used of the fixed allowance of a service. */
+export interface UsedRetries {
+  readonly service: string;
+  readonly retries: number;
+}
+
+/** Tells the allocator of a zone what the first daemon of the deployment has used of the zone's part, and that it uses no more. */
+export interface FirstMemberRetriesMessage {
+  readonly zone: string;
+  readonly used: readonly UsedRetries[];
+}
+
+export const firstMemberRetriesMethod = definePeerMethod<FirstMemberRetriesMessage, object>(
+  'retries.first_member',
+);
--- a/packages/quota/src/index.ts
+++ b/packages/quota/src/index.ts
@@ -15,3 +15,6 @@
 export * from './usage-rate.js';
 export * from './zone-allocators.js';
 export * from './share-loan-service.js';
+export * from './retry-allocator.js';
+export * from './retry-allowance-gate.js';
+export * from './retry-allowance-service.js';
--- a/packages/quota/src/quota-gate.ts
+++ b/packages/quota/src/quota-gate.ts
@@ -2,7 +2,6 @@
  * Enforces tenants' limits on one daemon. Requests units from the allocator of its own zone first,
  * then from those of the other zones.
  */
-import { rankByRendezvous } from '@woodbarrow/coordination';
 import type { CoordinatorDirectory } from '@woodbarrow/exchange';
 import type { QuotaOutcome, QuotaUrgency, RequestQuota, TenantQuota } from '@woodbarrow/forwarding';
 import type { CallFailures } from '@woodbarrow/observability';
@@ -14,6 +13,7 @@
 import type { UnitCounts } from './priority-usage.js';
 import { UnitGate, type GateUsage, type UnitGateOptions } from './unit-gate.js';
 import type { OvershootAllowance } from './unit-share.js';
+import { zonesInOrder } from './zone-order.js';
 
 /** Options of {@link QuotaGate}. */
 export interface QuotaGateOptions {
@@ -44,7 +44,7 @@
     const common = {
       allowance,
       allocatorCount: zones.length,
-      zonesFor: (tenant: string) => this.zonesInOrder(tenant),
+      zonesFor: (tenant: string) => zonesInOrder(options, tenant),
       requestUnits: (zone: string, tenant: string, wish: GrantRequest) =>
         this.requestUnits(zone, tenant, wish),
       clock,
@@ -76,15 +76,4 @@
   private requestUnits(zone: string, tenant: string, wish: GrantRequest): Promise<GrantAnswer | undefined> {
     return callAllocator(this.options, zone, quotaGrantMethod, { zone, tenant, ...wish });
   }
-
-  /**
-   * Returns this daemon's zone, then the others in an order that depends on the daemon and the tenant,
-   * which spreads the load over the allocators.
-   */
-  private zonesInOrder(tenant: string): string[] {
-    const { zones, zone: own, daemon } = this.options;
-    const others = zones.filter((zone) => zone !== own).map((id) => ({ id }));
-    const ranked = rankByRendezvous(`${tenant} ${daemon}`, others).map(({ id }) => id);
-    return zones.includes(own) ? [own, ...ranked] : ranked;
-  }
 }
--- /dev/null
+++ b/packages/quota/src/retry-allowance-service.ts
@@ -0,0 +1,76 @@
+/** Runs the allocators of the fixed allowance of retries: one for each zone whose lease this daemon holds. */
+import { WoodbarrowError } from '@woodbarrow/errors';
+import type { EventLog } from '@woodbarrow/observability';
+import type { PeerNetwork } from '@woodbarrow/peering';
+import { firstMemberRetriesMethod, retryGrantMethod } from '@woodbarrow/protocol';
+import type { Clock } from '@woodbarrow/runtime';
+import { RetryAllocator, retryShareOf, type RetryAllowanceLimit } from './retry-allocator.js';
+import { ZoneAllocators, type ZoneAuthority } from './zone-allocators.js';
+
+/** Options of {@link RetryAllowanceService}. */
+export interface RetryAllowanceServiceOptions {
+  readonly limit: RetryAllowanceLimit;
+  /** Zones of the deployment. Each has one allocator. */
+  readonly zones: readonly string[];
+  /** Returns the lease of a zone while this daemon holds it. */
+  readonly authorityOf: (zone: string) => ZoneAuthority | undefined;
+  readonly peers: PeerNetwork;
+  readonly clock: Clock;
+  readonly log: EventLog;
+}
+
+/** Serves the calls of other daemons that need retries. */
+export class RetryAllowanceService {
+  private readonly allocators: ZoneAllocators<RetryAllocator>;
+
+  constructor(private readonly options: RetryAllowanceServiceOptions) {
+    const { authorityOf, clock, zones } = options;
+    this.allocators = new ZoneAllocators({
+      authorityOf: (zone) => (zones.includes(zone) ? authorityOf(zone) : undefined),
+      create: (startsAt, zone, isFirst) => this.createAllocator(startsAt, zone, isFirst),
+      clock,
+    });
+  }
+
+  /** Registers the call handler. The peer network must be listening. */
+  start(): void {
+    const { peers } = this.options;
+    peers.handle(retryGrantMethod, ({ zone, service, ...wish }) =>
+      this.activeAllocator(zone).grant(service, wish),
+    );
+    peers.handle(firstMemberRetriesMethod, ({ zone, used }) => {
+      this.activeAllocator(zone).noteFirstMemberEnded(used);
+      return {};
+    });
+  }
+
+  /** Creates and drops allocators after a change of the held zones, so that the time until they grant begins at once. */
+  refreshZones(): void {
+    for (const zone of this.options.zones) this.allocators.of(zone);
+  }
+
+  /** Retries granted by the allocators that run here now, by service. */
+  granted(): ReadonlyMap<string, number> {
+    const sums = new Map<string, number>();
+    for (const { granted } of this.allocators.all())
+      for (const [service, count] of granted) sums.set(service, (sums.get(service) ?? 0) + count);
+    return sums;
+  }
+
+  private createAllocator(startsAt: number, zone: string, isFirst: boolean): RetryAllocator {
+    const { limit, zones, clock, log } = this.options;
+    const { windowMs } = limit;
+    const share = retryShareOf(limit, zones, zone);
+    const allocator = new RetryAllocator({ share, isFirst, windowMs, startsAt, clock });
+    const startsInMs = Math.round(allocator.startsInMs);
+    log.changed('retry_allocator_started', { zone, retries: share.retries, startsInMs, isFirst });
+    return allocator;
+  }
+
+  private activeAllocator(zone: string): RetryAllocator {
+    const allocator = this.allocators.activeOf(zone);
+    if (allocator === undefined)
+      throw new WoodbarrowError('not_leader', `this daemon has no active allocator for zone ${zone}`);
+    return allocator;
+  }
+}
--- a/packages/quota/src/zone-allocators.ts
+++ b/packages/quota/src/zone-allocators.ts
@@ -12,6 +12,8 @@
   mayAct(): boolean;
   /** Returns the milliseconds until this daemon may act. Until then the previous holder may. */
   actsInMs(): number;
+  /** Whether nobody can have acted for the zone before this hold. @default false */
+  readonly isFirstHold?: boolean;
 }
 
 /** Options of {@link ZoneAllocators}. */
@@ -23,9 +25,10 @@
    *
    * @param startsAt Monotonic time from which its buckets fill. By then the previous allocator has
    * stopped granting.
+   * @param isFirst Whether there was no previous allocator for the zone.
    */
-  readonly create: (startsAt: number) => Allocator;
-  readonly onCreated: (zone: string, fence: number, startsInMs: number) => void;
+  readonly create: (startsAt: number, zone: string, isFirst: boolean) => Allocator;
+  readonly onCreated?: (zone: string, fence: number, startsInMs: number) => void;
   readonly clock: Clock;
 }
 
@@ -37,6 +40,8 @@
 /** Allocators of one daemon, by zone. */
 export class ZoneAllocators<Allocator> {
   private readonly held = new Map<string, HeldAllocator<Allocator>>();
+  /** Zones that have had an allocator here. */
+  private readonly known = new Set<string>();
 
   constructor(private readonly options: ZoneAllocatorsOptions<Allocator>) {}
 
@@ -48,12 +53,14 @@
       this.held.delete(zone);
       return undefined;
     }
-    const known = this.held.get(zone);
-    if (known?.fence === authority.fence) return known.allocator;
+    const held = this.held.get(zone);
+    if (held?.fence === authority.fence) return held.allocator;
     const startsInMs = authority.actsInMs();
-    const allocator = create(clock.monotonic() + startsInMs);
+    const isFirst = authority.isFirstHold === true && !this.known.has(zone);
+    this.known.add(zone);
+    const allocator = create(clock.monotonic() + startsInMs, zone, isFirst);
     this.held.set(zone, { fence: authority.fence, allocator });
-    onCreated(zone, authority.fence, startsInMs);
+    onCreated?.(zone, authority.fence, startsInMs);
     return allocator;
   }
 
--- a/packages/quota/test/zone-leases.ts
+++ b/packages/quota/test/zone-leases.ts
@@ -51,6 +51,7 @@
     const { fence, actsAt } = granting;
     return {
       fence,
+      isFirstHold: fence === 1,
       mayAct: () => granting.holder === index && this.world.now >= actsAt,
       actsInMs: () => Math.max(0, actsAt - this.world.now),
     };
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -25,3 +25,4 @@
 export * from './transport.js';
 export * from './undici-client.js';
 export * from './wakeup.js';
+export * from './stall-watch.js';
--- a/packages/serving/src/forwarder-assembly.ts
+++ b/packages/serving/src/forwarder-assembly.ts
@@ -30,6 +30,7 @@
 import type { BackendNoticeService } from './backend-notice-service.js';
 import type { BackendAccess } from './backend-access.js';
 import type { ServingPorts } from './ports.js';
+import { createRetryAllowanceGate } from './quota-assembly.js';
 import type { ServingSettings } from './serving-settings.js';
 import { createUnreadAnswers } from './unread-bound.js';
 
@@ -47,6 +48,8 @@
   readonly peers: PeerNetwork;
   /** Returns the daemons that take requests, this one included. */
   readonly members: () => readonly Member[];
+  /** Whether this process is the first that ever joined the deployment. */
+  readonly isFirstMember: () => boolean;
   readonly serviceOf: (name: string) => ServiceDefinition | undefined;
   /** Returns the health of the back ends of a service. */
   readonly healthOf: (service: string) => BackendHealth;
@@ -62,9 +65,10 @@
   readonly log: EventLog;
 }
 
-/** The entry point for client requests, and the loans of shares of back ends that it uses. */
+/** The entry point for client requests, and the limits over all daemons that it keeps to. */
 export interface AssembledForwarder {
   readonly forwarder: Forwarder;
+  readonly retries: RetryBudget;
   readonly loans: ShareLoanService;
 }
 
@@ -108,6 +112,8 @@
   });
   loans.start();
   const connections: ConnectionShare = new ConnectionShare(loads, daemonCount, slots, loans, clock);
+  const allowance = createRetryAllowanceGate(parts);
+  const retries = new RetryBudget({ ...settings.repeats, allowance }, clock, random.fork());
   const unread = createUnreadAnswers(settings, clock, parts.log);
   const context = {
     clock,
@@ -136,7 +142,7 @@
       paces,
       runTimes,
     ),
-    budget: new RetryBudget({ ...settings.repeats, daemonCount }, clock),
+    budget: retries,
     quota: parts.quota,
     quarantine: parts.quarantine,
     journal,
@@ -145,7 +151,7 @@
     ...(unread === undefined ? {} : { unread }),
     healthOf: parts.healthOf,
   };
-  return { forwarder: new Forwarder(context, parts.configuration, forwarderRandom), loans };
+  return { forwarder: new Forwarder(context, parts.configuration, forwarderRandom), loans, retries };
 }
 
 function createDemandRouter(parts: ForwarderParts): DemandRouter {
--- a/packages/serving/src/logged-journal.ts
+++ b/packages/serving/src/logged-journal.ts
@@ -33,9 +33,8 @@
     else this.log.routine(decision, details);
   }
 
-  private countRetry({ service, counted, allowed }: DecisionFacts): void {
-    if (counted !== true) return;
-    this.metrics.countRetry(String(service), allowed === true ? 'allowed' : 'withheld');
+  private countRetry({ service, counted, source, withheld }: DecisionFacts): void {
+    if (counted === true) this.metrics.countRetry(String(service), String(source ?? withheld));
   }
 
   ended(_route: string, outcome: string, durationMs: number): void {
--- a/packages/serving/src/member-registration.ts
+++ b/packages/serving/src/member-registration.ts
@@ -50,6 +50,7 @@
 export class MemberRegistration {
   private listedMembers: readonly RegisteredMember[] = [];
   private isRegistered = false;
+  private isFirst = false;
   /** Whether the registry was assumed complete when it was last read. */
   private wasCompleteAtLastPoll = false;
   private readonly startedAt: number;
@@ -70,6 +71,11 @@
     return this.wasCompleteAtLastPoll && this.listedMembers.length > 0;
   }
 
+  /** Whether this process is the first that ever joined the deployment. Becomes true once this is certain, for one process at most. */
+  get isFirstMember(): boolean {
+    return this.isFirst;
+  }
+
   /** Whether witnesses of leases held here can be chosen: other daemons are present, or assumed not to exist. */
   get hasResolvedPeers(): boolean {
     if (this.ageMs > SINGLE_DAEMON_TIMEOUT_MS) return true;
@@ -135,8 +141,16 @@
       this.isRegistered ||= members.some(({ id, address }) => id === self.id && address === self.address);
     }
     if (this.isRegistered) return;
-    await registry.join(self);
+    const outcome = await registry.join(self);
     this.isRegistered = true;
+    if (outcome === 'new' && this.listedMembers.length === 0) await this.checkFirst();
+  }
+
+  /** Of several daemons that join at the same time, at most one finds itself alone in a listing made after it joined. */
+  private async checkFirst(): Promise<void> {
+    const { self, registry } = this.options;
+    const members = await registry.listCurrent?.();
+    this.isFirst = members?.length === 1 && members[0]?.id === self.id;
   }
 
   private get isRegistryComplete(): boolean {
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -87,7 +87,13 @@
 export interface MemberRegistry {
   /** Returns the members that have joined; the latest may be missing for some seconds. */
   list(): Promise<RegisteredMember[]>;
-  join(member: RegisteredMember): Promise<void>;
+  /** Adds or updates the entry of a member. Resolves with `new` if no member of this name has ever joined. */
+  join(member: RegisteredMember): Promise<'new' | 'known' | undefined>;
+  /**
+   * Returns all members that joined before the call; undefined if some may be missing, as the store may have been restored from a
+   * copy or an entry cannot be read. @default the latest members cannot be told
+   */
+  listCurrent?(): Promise<RegisteredMember[] | undefined>;
 }
 
 /** External dependencies of a daemon. */
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -6,20 +6,21 @@
   type ServiceDefinition,
   type WorkerPaces,
 } from '@woodbarrow/backends';
-import { BackendHealth, ConfigurationHolder, Forwarder, PromptAffinity } from '@woodbarrow/forwarding';
+import { BackendHealth, ConfigurationHolder, PromptAffinity } from '@woodbarrow/forwarding';
 import { CoordinatorDirectory, PeerExchange, type Member } from '@woodbarrow/exchange';
 import { isPresent, Membership } from '@woodbarrow/membership';
 import { CallFailures, logTaskFailures, type BoundedLog } from '@woodbarrow/observability';
 import { PeerNetwork } from '@woodbarrow/peering';
 import { ownerByRendezvous } from '@woodbarrow/coordination';
 import { LoadQuarantine, RequestQuarantine } from '@woodbarrow/quarantine';
-import type { QuotaGate, QuotaService, ShareLoanService } from '@woodbarrow/quota';
+import type { QuotaGate } from '@woodbarrow/quota';
 import { PaceProbes, ResidencyService } from '@woodbarrow/residency';
 import { ObservedVersions, StreamOriginService } from '@woodbarrow/streams';
 import { NodeIngress, TaskGroup, sleep, type IncomingExchange } from '@woodbarrow/runtime';
 import { BackendAccess } from './backend-access.js';
 import { BackendNoticeService } from './backend-notice-service.js';
 import { DeploymentView } from './deployment-view.js';
+import { expectedMembers } from './expected-members.js';
 import { assembleForwarder, type AssembledForwarder } from './forwarder-assembly.js';
 import { INITIAL_INGRESS_LIMITS, READINESS_LIMITS } from './ingress-limits.js';
 import { LoggedJournal } from './logged-journal.js';
@@ -29,7 +30,12 @@
 import { MemberRegistration } from './member-registration.js';
 import { MEMBERSHIP_TIMINGS } from './membership-timings.js';
 import type { ServingPorts } from './ports.js';
-import { createQuotaGate, createQuotaService, type QuotaParts } from './quota-assembly.js';
+import {
+  createGrantServices,
+  createQuotaGate,
+  type GrantServices,
+  type QuotaParts,
+} from './quota-assembly.js';
 import { RecordFollower } from './record-follower.js';
 import type { ServingSettings } from './serving-settings.js';
 
@@ -55,7 +61,7 @@
   private readonly peers: PeerNetwork;
   private readonly membership: Membership;
   private readonly residency: ResidencyService;
-  private readonly quotaService: QuotaService;
+  private readonly grants: GrantServices;
   private readonly quotaGate: QuotaGate;
   private readonly noticeService: BackendNoticeService;
   private readonly access: BackendAccess;
@@ -64,8 +70,7 @@
   private readonly loadQuarantine: LoadQuarantine;
   private readonly records: RecordFollower;
   private readonly exchange: PeerExchange;
-  private readonly forwarder: Forwarder;
-  private readonly loans: ShareLoanService;
+  private readonly assembled: AssembledForwarder;
   private readonly metrics: ServingMetrics;
   private readonly deploymentView: DeploymentView;
   private readonly tasks: TaskGroup;
@@ -122,12 +127,12 @@
       this.exchange.observeUrgentPosition(era === undefined ? { revision } : { era, revision });
     });
     this.residency = this.createResidency(instance, coordinators);
-    this.quotaService = createQuotaService({ ...this.quotaParts(), residency: this.residency });
+    this.grants = createGrantServices({ ...this.quotaParts(), residency: this.residency });
     this.quotaGate = createQuotaGate({ ...this.quotaParts(), coordinators });
     this.noticeService = this.createNoticeService(coordinators);
     this.streamOrigins = this.createStreamOrigins();
     this.metrics = this.createMetrics();
-    ({ forwarder: this.forwarder, loans: this.loans } = this.createForwarder(coordinators));
+    this.assembled = this.createForwarder(coordinators);
     this.directory.events.on('removed', (backEnd) => {
       this.affinity.forget(backEnd.id);
       this.paces.forget(backEnd.id);
@@ -153,16 +158,17 @@
       this.answerReadiness(exchange),
     );
     this.ingress = await NodeIngress.listen(settings.ingressAddress, INITIAL_INGRESS_LIMITS, (exchange) =>
-      this.forwarder.handle(exchange),
+      this.assembled.forwarder.handle(exchange),
     );
     await this.startMetrics();
     await this.peers.start();
     this.tasks.spawn('feed', (signal) => this.records.run(signal));
     this.tasks.spawn('register', (signal) => this.registration.run(signal));
+    this.tasks.spawn('retry-budget', (signal) => this.assembled.retries.run(signal));
     this.membership.start();
     this.exchange.start();
     this.quarantine.start();
-    this.quotaService.start();
+    this.grants.start();
     this.noticeService.start();
     this.streamOrigins.start();
     this.access.start();
@@ -282,7 +288,7 @@
       },
       onClaimsChanged: () => {
         this.exchange.reportNow();
-        this.quotaService.refreshZones();
+        this.grants.refreshZones();
       },
       handoverPauseMs: settings.handoverPauseMs,
       storeWindow: settings.storeWindow,
@@ -328,7 +334,7 @@
     const { clock } = ports;
     return new StreamOriginService({
       self: settings.name,
-      members: () => this.expectedMembers(),
+      members: () => expectedMembers(this.membership, this.registration),
       versions: new ObservedVersions(directory, clock, settings.isFirstStart),
       isViewCurrent: () => this.exchange.isViewCurrent,
       peers,
@@ -394,7 +400,7 @@
     const { ports, log, loads, paces, peers, records } = this;
     return new PeerExchange({
       self: this.self(),
-      members: () => this.expectedMembers(),
+      members: () => expectedMembers(this.membership, this.registration),
       isGroupKnown: () => this.registration.isGroupKnown,
       peers,
       loads,
@@ -442,14 +448,15 @@
       notices: () => this.noticeService.notices.totals,
       streamOrigins: () => this.streamOrigins.totals,
       permits: () => this.noticeService.permitTotals,
-      dispatch: () => this.forwarder.dispatchTotals,
-      loans: () => this.loans.totals,
-      unread: () => this.forwarder.unreadTotals,
+      dispatch: () => this.assembled.forwarder.dispatchTotals,
+      loans: () => this.assembled.loans.totals,
+      unread: () => this.assembled.forwarder.unreadTotals,
       paces: () => this.paces.totals(),
       access: () => this.access.totals,
       quotaUse: () => this.quotaGate.usage(),
       quotaUseByPriority: () => this.quotaGate.usageByPriority(),
-      quotaGranted: () => this.quotaService.usage(),
+      quotaGranted: () => this.grants.quota.usage(),
+      retriesGranted: () => this.grants.retries.granted(),
       log,
     });
   }
@@ -467,6 +474,7 @@
       coordinators,
       peers: this.peers,
       members: () => this.membership.eligible(),
+      isFirstMember: () => this.registration.isFirstMember,
       serviceOf: (name) => this.serviceOf(name),
       healthOf: (service) => this.healthOf(service),
       notices: this.noticeService,
@@ -486,16 +494,6 @@
     return { id, address, zone, capacity };
   }
 
-  /** Returns the eligible members and, shortly after the start, registered daemons that the membership has not contacted yet. */
-  private expectedMembers(): readonly Member[] {
-    const provisional = this.registration.provisionalMembers.filter(
-      ({ id }) => this.membership.get(id) === undefined,
-    );
-    return provisional.length === 0
-      ? this.membership.eligible()
-      : [...this.membership.eligible(), ...provisional];
-  }
-
   private serviceOf(name: string): ServiceDefinition | undefined {
     return this.configuration.current?.services.get(name);
   }
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -54,6 +54,8 @@
   readonly quotaUseByPriority: () => ReadonlyMap<string, UnitCounts>;
   /** Units granted by the quota allocators that run here, by tenant. */
   readonly quotaGranted: () => ReadonlyMap<string, AllocatorUsage>;
+  /** Retries granted by the allocators that run here, by service. */
+  readonly retriesGranted: () => ReadonlyMap<string, number>;
   readonly log: BoundedLog;
 }
 
@@ -73,7 +75,7 @@
     this.decisions = registry.counter('woodbarrow_request_decisions_total', 'Decisions on requests.');
     this.retries = registry.counter(
       'woodbarrow_retries_total',
-      'Retries considered, by service and by whether the retry budget allowed them.',
+      'Retries considered, by service and by where the retry comes from (earned, granted, first_member) or why it was withheld (used_up, allocator_starting, no_allocator).',
     );
     this.refusedResumes = registry.counter(
       'woodbarrow_take_ups_refused_total',
@@ -139,6 +141,12 @@
       sources.callFailures,
       'call',
     );
+    registry.gauge(
+      'woodbarrow_retries_granted',
+      'Retries of the fixed allowance that the allocators of this daemon have granted, by service.',
+      sources.retriesGranted,
+      'service',
+    );
     this.addUnservedGauges(sources);
     this.addStoreScheduleGauges(sources);
     this.addQuarantineGauges(sources);
@@ -407,8 +415,8 @@
     this.decisions.add({ decision });
   }
 
-  /** Counts a retry that needed the retry budget. @param outcome Whether it was allowed. */
-  countRetry(service: string, outcome: 'allowed' | 'withheld'): void {
+  /** Counts a retry that needed the retry budget. @param outcome Where it comes from, or why it was withheld. */
+  countRetry(service: string, outcome: string): void {
     this.retries.add({ service, outcome });
   }
 
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -3,3 +3,4 @@
 export * from './machine-list.js';
 export * from './platform.js';
 export * from './weight-store.js';
+export * from './retry-windows.js';
