A daemon that has just started divides the limits of workers among all registered daemons

Callers could get failed sends, as a worker resets connections beyond its limit: a daemon that has just started, and had met no other one yet, took the connections and slots of every worker for its own. Members that leave or do not answer were left out at once, while their requests are still in progress.

The divisor of connections, slots and places now counts all present members and, until the membership has met them, the registered ones.

--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -20,7 +20,7 @@
 import { BackendAccess } from './backend-access.js';
 import { BackendNoticeService } from './backend-notice-service.js';
 import { DeploymentView } from './deployment-view.js';
-import { expectedMembers } from './expected-members.js';
+import { expectedMembers, sharingMembers } from './expected-members.js';
 import { assembleForwarder, type AssembledForwarder } from './forwarder-assembly.js';
 import { INITIAL_INGRESS_LIMITS, READINESS_LIMITS } from './ingress-limits.js';
 import { LoggedJournal } from './logged-journal.js';
@@ -473,7 +473,7 @@
       affinity: this.affinity,
       coordinators,
       peers: this.peers,
-      members: () => this.membership.eligible(),
+      members: () => sharingMembers(this.membership, this.registration),
       isFirstMember: () => this.registration.isFirstMember,
       serviceOf: (name) => this.serviceOf(name),
       healthOf: (service) => this.healthOf(service),
