A router that has just started has no saved retries

Engines got up to 50 retries beyond the ratio from each router that was started again: its token bucket began full. Found while looking for the cause of the retries over the budget elsewhere: what one process spent was forgotten with it. The bucket now begins empty and fills by requests and by time.

--- a/packages/runtime/src/retry.ts
+++ b/packages/runtime/src/retry.ts
@@ -26,16 +26,18 @@
   readonly maximumSaved: number;
 }
 
-/** Token bucket filled by first attempts and drained by retries; limits retries to a fixed share of the load. */
+/**
+ * Token bucket filled by first attempts and drained by retries; limits retries to a fixed share of the load. It starts empty, so that a
+ * process that is started again and again has no more retries than one that runs on.
+ */
 export class RetryBudget {
-  private tokens: number;
+  private tokens = 0;
   private lastRefill: number;
 
   constructor(
     private readonly options: RetryBudgetOptions,
     private readonly clock: Clock,
   ) {
-    this.tokens = options.maximumSaved;
     this.lastRefill = clock.monotonic();
   }
 
--- a/packages/runtime/test/primitives.test.ts
+++ b/packages/runtime/test/primitives.test.ts
@@ -60,6 +60,22 @@
     expect(retries).to.be.within(95, 106);
   });
 
+  it('allows no more retries to processes that follow one another than to one that runs on', async () => {
+    const world = new SimulatedWorld();
+    const options = { ratio: 0.1, minimumPerSecond: 5, maximumSaved: 50 };
+    let retries = 0;
+    for (let run = 0; run < 20; run += 1) {
+      const budget = new RetryBudget(options, newProcess(world));
+      for (let attempt = 0; attempt < 100; attempt += 1) {
+        await world.run(world.now + 10);
+        budget.recordAttempt();
+        if (budget.tryRetry()) retries += 1;
+      }
+    }
+    expect(retries).to.be.at.most(20 * (100 * options.ratio + options.minimumPerSecond));
+    expect(retries).to.be.above(10 * (100 * options.ratio + options.minimumPerSecond));
+  });
+
   it('increases delays exponentially up to a maximum', () => {
     const random = new Random(1);
     const options = { initialMs: 10, maximumMs: 100 };
