--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -359,6 +359,7 @@
   private async acquireRetry(after: AttemptResult['kind'] | 'permit_expired'): Promise<boolean> {
     const { progress, service, facts } = this.scope;
     const withheld = await this.retries.acquire();
+    if (this.expired.signal.aborted) return false;
     this.context.journal.decided('request_repeated', facts.id, {
       allowed: withheld === undefined,
       after,
@@ -369,7 +370,7 @@
       withheld,
       earnedLeft: this.context.budget.earnedLeft(service.name),
     });
-    return withheld === undefined && !this.expired.signal.aborted;
+    return withheld === undefined;
   }
 
   /** Renews the retry permit of a request that is about to be sent, or ends the request. Returns whether it has ended. */
--- a/packages/quota/src/first-member-retries.ts
+++ b/packages/quota/src/first-member-retries.ts
@@ -43,7 +43,12 @@
     const used = this.used.get(service) ?? 0;
     if (!isFirstMember() || !this.isValid() || used >= retriesOfFirstMember(limit)) return undefined;
     this.used.set(service, used + 1);
-    return { source: 'first_member', isValid: () => this.isValid(), refund: () => undefined };
+    let isOpen = true;
+    const refund = (): void => {
+      if (isOpen) this.used.set(service, (this.used.get(service) ?? 0) - 1);
+      isOpen = false;
+    };
+    return { source: 'first_member', isValid: () => this.isValid(), refund };
   }
 
   private isValid(): boolean {
