--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -6,7 +6,7 @@
 import process from 'node:process';
 import { setTimeout as pause } from 'node:timers/promises';
 import { keptConnections, newId, send } from '../stand-ins/client.mjs';
-import { Deployment } from '../stand-ins/deployment.mjs';
+import { Deployment, runCase } from '../stand-ins/deployment.mjs';
 import { PlainWorker } from '../stand-ins/worker.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
@@ -145,13 +145,11 @@
   return twice.length > 0 || promised.length > 0 ? 1 : 0;
 }
 
-let code = 2;
-try {
-  code = await main();
-} catch (error) {
-  note(`the case could not run: ${error.message}`);
-  process.stderr.write(`${error.stack}\n`);
-}
-for (const worker of workers) worker.close();
-await deployment.stop(fileURLToPath(new URL('record.txt', import.meta.url)));
-process.exit(code);
+await runCase({
+  deployment,
+  main,
+  cleanUp: () => {
+    for (const worker of workers) worker.close();
+  },
+  recordFile: fileURLToPath(new URL('record.txt', import.meta.url)),
+});
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,167 +1,225 @@
 /**
- * Some workers spoil a few of their answers: they send bytes that are no answer, the head of a `101 Switching Protocols` that nobody asked for.
- * Checks that requests which last longer than the time-out of their route get a final answer within half a second of it, and records how many
- * requests these workers get after the disturbance.
+ * Sound workers fall silent for a second, one after the other, while they write streams that may be resumed; settings files change meanwhile
+ * (SIGHUP). Checks that no daemon closes a client's connection before the end of its stream.
  */
-import { fileURLToPath } from 'node:url';
+import { spawn } from 'node:child_process';
+import { join } from 'node:path';
 import process from 'node:process';
+import { createInterface } from 'node:readline';
 import { setTimeout as pause } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
 import { keptConnections, newId, send } from '../stand-ins/client.mjs';
-import { Deployment } from '../stand-ins/deployment.mjs';
-import { PlainWorker } from '../stand-ins/worker.mjs';
+import { Deployment, ROOT, runCase } from '../stand-ins/deployment.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
-const HOST = 'supplier.example';
-const PATH = '/advance/status';
-const ZONES = ['abdali', 'sahab', 'marka'];
-const WORKER_ZONES = [...ZONES, 'abdali'];
-/** Two of four workers are disturbed; the site file goes to a share of 0.6. */
-const DISTURBED_WORKERS = 2;
-const CLIENTS = 40;
-const DEADLINE_MS = 1500;
-const TIMEOUT_MS = 800;
-/** Time after the time-out within which there has to be an answer, in milliseconds. */
-const ANSWER_SLACK_MS = 500;
-/** Fewer requests without an answer don't break the rule. */
-const MIN_UNANSWERED = 8;
-const MIN_UNANSWERED_SHARE = 0.25;
-const WORK_MS = 40;
-/** Milliseconds from the start of traffic; each window is shorter than the 6.75 s of the site file. */
-const WINDOWS = [
-  [2000, 8000],
-  [10_000, 16_000],
-  [18_000, 24_000],
-];
-const TRAFFIC_MS = 34_000;
-/** Share of the answers of a disturbed worker; the site file goes to 0.05. */
-const SPOILT_SHARE = 0.05;
-const SPOILT_ANSWER = 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n';
+const HOST = 'patio.example';
+const PATH = '/breach/report';
+const ZONES = ['patio-alajuela', 'patio-cartago', 'patio-heredia'];
+const DAEMON_ZONES = [...ZONES, 'patio-alajuela'];
+const WORKERS = 6;
+const SLOTS = 64;
+const MODEL = 'm0';
+/** The site file goes to 159 pieces. */
+const EVENTS = 120;
+const EVENT_MS = 50;
+const CLIENTS = 36;
+const TIMEOUT_MS = 12_000;
+const TRAFFIC_MS = 32_000;
+/** Pauses of the workers: each for a second, one worker at a time; times in milliseconds from the start of traffic. */
+const SILENT_MS = 1000;
+const SILENCES = { first: 4000, last: 28_000, every: 1500 };
+/** Settings files change: one daemon of four at a time, as `hup` with its share of 0.3. */
+const HUPS = { first: 5000, last: 27_000, every: 2000 };
+/** A request counts that is sent so long after the SIGHUP of its machine at most, in milliseconds (`configDeadlineMs`). */
+const HUP_COUNTS_MS = 2000;
+/** So many connections may be closed without an answer at any time. */
+const CLOSES_ALLOWED = 3;
 
-const deployment = new Deployment(ZONES);
+const deployment = new Deployment(DAEMON_ZONES, { region: 'cr-central', bounds: { budgetExtraRetries: 56 } });
 const note = (text) => deployment.note(text);
+const workers = [];
+const runs = new Map();
 let trafficFrom = Infinity;
 
-function trafficMs() {
-  return Date.now() - trafficFrom;
+async function addWorker(zone) {
+  const id = `i-${workers.length + 1}`;
+  const worker = { id, zone, host: deployment.nextWorkerHost() };
+  workers.push(worker);
+  const options = {
+    id,
+    host: worker.host,
+    port: 8080,
+    models: [MODEL],
+    slots: SLOTS,
+    events: EVENTS,
+    eventMs: EVENT_MS,
+  };
+  const file = join(ROOT, 'review/stand-ins/model-worker.mjs');
+  worker.child = spawn('node', [file, JSON.stringify(options)], { stdio: ['ignore', 'pipe', 2, 'ipc'] });
+  await new Promise((resolve) => {
+    createInterface({ input: worker.child.stdout }).on('line', (line) => {
+      const message = JSON.parse(line);
+      if (message.kind === 'listening') resolve();
+      if (message.kind !== 'run') return;
+      runs.set(message.id, [...(runs.get(message.id) ?? []), id]);
+      note(`worker ${id} runs ${message.id}`);
+    });
+  });
+  deployment.store.put('servers', id, {
+    service: 'redactor',
+    address: `${worker.host}:8080`,
+    zone,
+    version: 'v1',
+    slots: SLOTS,
+    state: 'ready',
+    coldRemainingMs: 0,
+    stage: 'prefill_decode',
+    models: [{ name: MODEL, version: 1, adapters: [] }],
+    sequence: 0,
+  });
 }
 
-function isInWindow() {
-  return HAS_TROUBLE && WINDOWS.some(([from, to]) => trafficMs() >= from && trafficMs() < to);
+async function fallSilent(worker) {
+  note(`worker ${worker.id} falls silent for ${SILENT_MS} ms`);
+  worker.child.kill('SIGSTOP');
+  await pause(SILENT_MS);
+  worker.child.kill('SIGCONT');
 }
 
-let spoilt = 0;
+const hups = [];
 
-function answerOrSpoil(connection, request, respond, worker) {
-  if (!isInWindow() || Math.random() >= SPOILT_SHARE) {
-    respond(`answer to ${request.id}\n`);
-    return;
-  }
-  spoilt += 1;
-  note(`worker ${worker.options.id} sends 101 instead of an answer to ${request.id}`);
-  connection.socket.write(SPOILT_ANSWER);
+function changeSettings(daemon) {
+  note(`${daemon.name} gets SIGHUP`);
+  daemon.child.kill('SIGHUP');
+  hups.push({ daemon: daemon.name, at: Date.now() });
 }
 
-const runsAfterwards = new Map();
-
-const workers = WORKER_ZONES.map((zone, index) => {
-  const id = `w${index + 1}`;
-  runsAfterwards.set(id, 0);
-  return new PlainWorker({
-    id,
-    service: 'supplier-portal',
-    zone,
-    workMs: () => WORK_MS * (0.5 + Math.random()),
-    note,
-    beforeRun: () => {
-      if (trafficMs() > WINDOWS.at(-1)[1] + 2000) runsAfterwards.set(id, runsAfterwards.get(id) + 1);
-    },
-    ...(index < DISTURBED_WORKERS ? { answer: answerOrSpoil } : {}),
-  });
-});
-
-async function startDeployment() {
-  await deployment.prepare();
-  for (const worker of workers) {
-    await worker.listen(deployment.nextWorkerHost());
-    deployment.store.put('servers', worker.options.id, worker.record());
+/** Calls `step` with 0, 1, 2, ... at the times of a plan. */
+async function repeat({ first, last, every }, step) {
+  for (let count = 0; first + count * every <= last; count += 1) {
+    await pause(trafficFrom + first + count * every - Date.now());
+    step(count);
   }
-  deployment.store.put('config', 'main', {
-    version: 7,
-    routes: [
-      {
-        name: 'advance-status',
-        host: HOST,
-        pathPrefix: '/advance/',
-        routeKind: 'unsafe',
-        timeoutMs: TIMEOUT_MS,
-        targetLatencyMs: 150,
-        priority: 2,
-        service: 'supplier-portal',
-        maxAttempts: 1,
-      },
-    ],
-    services: [{ name: 'supplier-portal', healthPath: '/health', connectionLimit: 100 }],
-    limits: { maxHeaderBytes: 16384, maxBodyBytes: 4194304, headerTimeoutMs: 3000, idleTimeoutMs: 15000 },
-  });
-  await deployment.start();
 }
 
 const sent = [];
 
 async function runClient(index) {
   const daemon = deployment.daemons[index % deployment.daemons.length];
-  let agent = keptConnections(1);
-  while (trafficMs() < TRAFFIC_MS) {
+  const agent = keptConnections(1);
+  await pause(Math.random() * EVENTS * EVENT_MS);
+  while (Date.now() - trafficFrom < TRAFFIC_MS) {
     const id = newId();
+    const sentAt = Date.now();
     const answer = await send({
       daemon,
       agent,
       id,
       path: PATH,
       host: HOST,
-      body: 'supplier=17',
-      deadlineMs: DEADLINE_MS,
+      body: `report ${id}`,
+      headers: {
+        Model: MODEL,
+        'Token-Counts': `543,${EVENTS * 6}`,
+        'Prompt-Prefix': `5c1e07a2:103,${id}:440`,
+      },
+      deadlineMs: TIMEOUT_MS,
     });
-    sent.push(answer);
-    const outcome = answer.status || (answer.gaveUp ? 'no answer, gave up' : answer.error);
-    note(`client ${index} ${id} at ${daemon.name}: ${outcome} after ${Math.round(answer.tookMs)} ms`);
-    if (answer.gaveUp) {
-      agent.destroy();
-      agent = keptConnections(1);
-    }
-    await pause(40 + Math.random() * 60);
+    const pieces = answer.body.split('\n\n').filter((piece) => piece.startsWith('id: ')).length;
+    const isClosed = !answer.complete && !answer.gaveUp && runs.has(id);
+    const isAfterHup = hups.some(
+      (hup) => hup.daemon === daemon.name && sentAt >= hup.at && sentAt <= hup.at + HUP_COUNTS_MS,
+    );
+    sent.push({ ...answer, pieces, isClosed, isAfterHup });
+    const end = answer.complete ? 'complete' : 'not complete';
+    note(
+      `client ${index} ${id} at ${daemon.name}${answer.reused ? ', kept connection' : ''}: ${answer.status}, ${pieces} pieces, ${end}`,
+    );
+    await pause(50);
   }
   agent.destroy();
 }
 
 async function main() {
-  await startDeployment();
+  await deployment.prepare();
+  for (let index = 0; index < WORKERS; index += 1) await addWorker(ZONES[index % ZONES.length]);
+  deployment.store.put('config', 'main', {
+    version: 7,
+    routes: [
+      {
+        name: 'breach-report',
+        host: HOST,
+        pathPrefix: '/breach/',
+        routeKind: 'streaming',
+        timeoutMs: TIMEOUT_MS,
+        targetLatencyMs: 500,
+        priority: 2,
+        service: 'redactor',
+        maxAttempts: 2,
+        stickySessions: true,
+        resumable: true,
+        gapTargetMs: 150,
+      },
+    ],
+    services: [
+      {
+        name: 'redactor',
+        healthPath: '/health',
+        connectionLimit: 370,
+        engine: {
+          slots: SLOTS,
+          kvCacheTokens: 132632,
+          models: [
+            {
+              name: MODEL,
+              weightsMb: 65100,
+              loadS: 6,
+              adapters: 0,
+              adapterMb: 12,
+              warmS: 1.2,
+              diskLoadS: 2.4,
+            },
+          ],
+          weightsMb: 220000,
+          adapterSlots: 8,
+          loadsPerS: 2.3,
+        },
+      },
+    ],
+    limits: { maxHeaderBytes: 16384, maxBodyBytes: 4194304, headerTimeoutMs: 3000, idleTimeoutMs: 15000 },
+  });
+  await deployment.start();
   await pause(3000);
   trafficFrom = Date.now();
-  await Promise.all(Array.from({ length: CLIENTS }, (_, index) => runClient(index)));
-  const lasting = sent.filter(({ tookMs }) => tookMs > TIMEOUT_MS);
-  const unanswered = lasting.filter(({ tookMs }) => tookMs > TIMEOUT_MS + ANSWER_SLACK_MS);
-  for (const { id } of unanswered) note(`CONFIG: ${id} was without an answer 0.5 s after the time-out`);
-  const served = sent.filter(({ status }) => status === 200).length;
-  const afterwards = [...runsAfterwards].map(([id, count]) => `${id} ${count}`).join(', ');
+  const clients = Array.from({ length: CLIENTS }, (_, index) => runClient(index));
+  const settingsChanges = repeat(HUPS, (count) =>
+    changeSettings(deployment.daemons[count % deployment.daemons.length]),
+  );
+  if (HAS_TROUBLE) await repeat(SILENCES, (count) => void fallSilent(workers[count % workers.length]));
+  await Promise.all([...clients, settingsChanges]);
+  const closed = sent.filter(({ isClosed }) => isClosed);
+  const kept = closed.filter(({ reused }) => reused);
+  const planned = closed.filter(({ isAfterHup }) => isAfterHup);
+  for (const { id, pieces, reused, isAfterHup } of closed)
+    note(
+      `LOST: ${id} closed after ${pieces} of ${EVENTS} pieces, run at ${runs.get(id)}` +
+        `${reused ? ', on a kept connection' : ''}${isAfterHup ? ', sent after a SIGHUP' : ''}`,
+    );
+  const served = sent.filter(({ complete, pieces }) => complete && pieces === EVENTS).length;
   const summary =
-    `${sent.length} requests, ${served} served; ${spoilt} spoilt answers; ${lasting.length} lasted longer than the time-out, ` +
-    `${unanswered.length} of these had no answer 0.5 s later; requests from 2 s after the disturbance on: ${afterwards}`;
+    `${sent.length} streams, ${served} whole, ${closed.length} closed before their end: ${kept.length} on kept connections, ` +
+    `${planned.length} sent within ${HUP_COUNTS_MS / 1000} s after a SIGHUP`;
   note(summary);
   process.stdout.write(`${summary}\n`);
   if (served < sent.length / 4) return 2;
-  const isBroken =
-    unanswered.length >= MIN_UNANSWERED && unanswered.length > lasting.length * MIN_UNANSWERED_SHARE;
-  return isBroken ? 1 : 0;
+  return kept.length > CLOSES_ALLOWED || planned.length > 0 ? 1 : 0;
 }
 
-let code = 2;
-try {
-  code = await main();
-} catch (error) {
-  note(`the case could not run: ${error.message}`);
-  process.stderr.write(`${error.stack}\n`);
-}
-for (const worker of workers) worker.close();
-await deployment.stop(fileURLToPath(new URL('record.txt', import.meta.url)));
-process.exit(code);
+await runCase({
+  deployment,
+  main,
+  cleanUp: () => {
+    for (const { child } of workers) child.kill('SIGKILL');
+  },
+  recordFile: fileURLToPath(new URL('record.txt', import.meta.url)),
+});
--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os';
 import { dirname, join, resolve } from 'node:path';
 import process from 'node:process';
+import { setTimeout } from 'node:timers';
 import { setTimeout as pause } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { Store } from './store.mjs';
@@ -17,7 +18,6 @@
 const CONTROL_PORT = 8144;
 const INTERNAL_PORTS = [7380, 7395];
 const STORE_PORT = 8142;
-const REGION = 'amman';
 const STORE_HOST = 250;
 const FIRST_WORKER_HOST = 100;
 const START_TIMEOUT_MS = 20_000;
@@ -94,9 +94,11 @@
   lines = [];
   startedAt = Date.now();
 
-  /** @param zones Zone of each daemon. */
-  constructor(zones) {
+  /** @param zones Zone of each daemon. @param site Where another site than `haddad-amman` is meant: its region, and bounds that differ. */
+  constructor(zones, { region = 'amman', bounds = {} } = {}) {
     this.zones = zones;
+    this.region = region;
+    this.bounds = { ...BOUNDS, ...bounds };
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
   }
 
@@ -163,8 +165,8 @@
       'serves=front,control',
       `ip=${host}`,
       `zone=${zone}`,
-      `region=${REGION}`,
-      ...zones.map((each) => `zones.${each}=${REGION}`),
+      `region=${this.region}`,
+      ...zones.map((each) => `zones.${each}=${this.region}`),
       `listen.front=${host}:${FRONT_PORT}`,
       `listen.ready=${host}:${READY_PORT}`,
       `listen.control=${host}:${CONTROL_PORT}`,
@@ -185,7 +187,7 @@
       'tolerate.machines=1',
       'tolerate.zones=0',
       'tolerate.regions=0',
-      ...Object.entries(BOUNDS).map(([key, value]) => `bounds.${key}=${value}`),
+      ...Object.entries(this.bounds).map(([key, value]) => `bounds.${key}=${value}`),
       `platform.address=${this.store.address}`,
       'platform.form=objects',
       'platform.writes_per_s=400',
@@ -208,3 +210,28 @@
     writeFileSync(recordFile, `${this.lines.join('\n')}\n`);
   }
 }
+
+/** Longest time that a case takes, in milliseconds. */
+const CASE_LIMIT_MS = 110_000;
+
+/**
+ * Runs a case and ends the process with its exit code: that of `main`, or 2 if it failed, took too long or was interrupted. Whatever happens,
+ * all that was started is ended and the record is written.
+ */
+export async function runCase({ deployment, main, cleanUp, recordFile }) {
+  const interrupted = new Promise((done) => {
+    process.once('SIGTERM', () => done(2));
+    process.once('SIGINT', () => done(2));
+    setTimeout(() => done(2), CASE_LIMIT_MS).unref();
+  });
+  let code = 2;
+  try {
+    code = await Promise.race([main(), interrupted]);
+  } catch (error) {
+    deployment.note(`the case could not run: ${error.message}`);
+    process.stderr.write(`${error.stack}\n`);
+  }
+  cleanUp();
+  await deployment.stop(recordFile);
+  process.exit(code);
+}
