--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,6 +1,6 @@
 /**
- * Sound workers fall silent for a second, one after the other, while they write streams that may be resumed; settings files change meanwhile
- * (SIGHUP). Checks that no daemon closes a client's connection before the end of its stream.
+ * A sound worker falls silent for a second while it writes streams that may be resumed; settings files change meanwhile (SIGHUP). Checks that
+ * no daemon closes a client's connection before the end of its stream.
  */
 import { spawn } from 'node:child_process';
 import { join } from 'node:path';
@@ -16,18 +16,18 @@
 const PATH = '/breach/report';
 const ZONES = ['patio-alajuela', 'patio-cartago', 'patio-heredia'];
 const DAEMON_ZONES = [...ZONES, 'patio-alajuela'];
-const WORKERS = 6;
+const WORKERS = 3;
 const SLOTS = 64;
 const MODEL = 'm0';
 /** The site file goes to 159 pieces. */
 const EVENTS = 120;
 const EVENT_MS = 50;
-const CLIENTS = 36;
+const CLIENTS = 120;
 const TIMEOUT_MS = 12_000;
-const TRAFFIC_MS = 32_000;
-/** Pauses of the workers: each for a second, one worker at a time; times in milliseconds from the start of traffic. */
+const TRAFFIC_MS = 30_000;
+/** Pauses of the workers: each falls silent once, for a second; times in milliseconds from the start of traffic. */
 const SILENT_MS = 1000;
-const SILENCES = { first: 4000, last: 28_000, every: 1500 };
+const SILENCES = { first: 8000, last: 24_000, every: 8000 };
 /** Settings files change: one daemon of four at a time, as `hup` with its share of 0.3. */
 const HUPS = { first: 5000, last: 27_000, every: 2000 };
 /** A request counts that is sent so long after the SIGHUP of its machine at most, in milliseconds (`configDeadlineMs`). */
