Answers that do not name the request in progress are logged and counted

Hypotheses before any change of logic: 1. The meaning of an answer (421, Not-Run) is read before its identity, so that a late second answer to one request turns away the next one. 2. The worker says Not-Run and runs the request all the same. 3. The HTTP client sends a request again by itself on another connection.

request_declined alone cannot tell them apart, as it does not say whose answer was read. answer_unmatched names the request that the answer names; the metric woodbarrow_unmatched_answers counts them.

The connection is then used again while the true answer is still to come, which meets the next request in turn.

--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -13,6 +13,8 @@
     'The request is being sent. Back end, its zone and software version, reason for the choice, requests in progress there, age of its record, remaining time, time waited for room on a worker.',
   request_declined:
     'A back end did not accept the request or did not respond. Verdict: `not_run`, `not_resident`, `other_incarnation`, `unreachable`, `broken` or `timed_out`.',
+  answer_unmatched:
+    'An answer does not name the request that is in progress on its connection. Back end, request that the answer names, status.',
   request_repeated:
     'A retry is considered. Whether it is allowed, preceding result, service, whether the preceding send reached a back end and the retry counts against the budget, where the retry comes from (`earned`, `granted`, `first_member`) or why it is withheld (`used_up`, `allocator_starting`, `no_allocator`), earned retries left.',
   request_resumed:
--- a/packages/runtime/src/node-backend-client.ts
+++ b/packages/runtime/src/node-backend-client.ts
@@ -3,7 +3,13 @@
 import { connect, type Socket } from 'node:net';
 import { HttpNotSentError } from './http.js';
 import { MessageBody } from './message-body.js';
-import type { BackendResponse, BackendCall, BackendClient, ConnectionProbe } from './streaming-http.js';
+import type {
+  BackendResponse,
+  BackendCall,
+  BackendClient,
+  ConnectionProbe,
+  UnmatchedAnswer,
+} from './streaming-http.js';
 import { parseAddress } from './transport.js';
 
 /** Maximum number of idle connections retained for each address. */
@@ -136,11 +142,21 @@
   return (error.cause as NodeJS.ErrnoException).code === 'ECONNREFUSED';
 }
 
+/** Options of {@link NodeBackendClient}. */
+export interface NodeBackendClientOptions {
+  /** Returns the id of the call that an answer names; undefined if it names none. @default answers name no calls */
+  readonly answeredId?: (headers: BackendResponse['headers']) => string | undefined;
+  /** Called for each answer that does not name its call. */
+  readonly onUnmatched?: (answer: UnmatchedAnswer) => void;
+}
+
 /** Sends requests to back ends over plain HTTP. */
 export class NodeBackendClient implements BackendClient, ConnectionProbe {
   private readonly agents = new Map<string, KeepAliveAgent>();
   private openedCount = 0;
 
+  constructor(private readonly options: NodeBackendClientOptions = {}) {}
+
   get connectionsOpened(): number {
     return this.openedCount;
   }
@@ -186,7 +202,9 @@
         });
       });
       request.once('response', (message: IncomingMessage) => {
-        resolve(new NodeBackendResponse(request, message));
+        const response = new NodeBackendResponse(request, message);
+        this.reportUnmatched(call, response);
+        resolve(response);
       });
       request.on('error', (error) => {
         if (sent) reject(error);
@@ -226,6 +244,13 @@
     }
   }
 
+  private reportUnmatched({ backEndId, requestId }: BackendCall, { status, headers }: BackendResponse): void {
+    const { answeredId: idIn, onUnmatched } = this.options;
+    if (idIn === undefined) return;
+    const answeredId = idIn(headers);
+    if (answeredId !== requestId) onUnmatched?.({ backEndId, requestId, answeredId, status });
+  }
+
   private agentOf(address: string): KeepAliveAgent {
     let agent = this.agents.get(address);
     if (agent === undefined) {
--- a/packages/runtime/src/streaming-http.ts
+++ b/packages/runtime/src/streaming-http.ts
@@ -106,6 +106,16 @@
   discard(): void;
 }
 
+/** An answer that does not name the call in progress on its connection. */
+export interface UnmatchedAnswer {
+  readonly backEndId: string | undefined;
+  /** Id of the call in progress; undefined if it has none. */
+  readonly requestId: string | undefined;
+  /** Id that the answer names; undefined if it names none. */
+  readonly answeredId: string | undefined;
+  readonly status: number;
+}
+
 /** Sends requests to back ends over pooled connections. */
 export interface BackendClient {
   /**
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -438,6 +438,7 @@
       storeCalls: () => ports.storeCalls(),
       storeEra: () => ports.storeEra(),
       invalidRecords: () => ports.invalidRecords(),
+      unmatchedAnswers: () => ports.unmatchedAnswers(),
       callFailures: () => this.failures.totals(),
       unserved: () => residency.unserved(),
       replicas: () => residency.replicaCounts(),
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -26,6 +26,7 @@
   readonly storeEra: () => number;
   readonly callFailures: () => ReadonlyMap<string, number>;
   readonly invalidRecords: () => ReadonlyMap<string, number>;
+  readonly unmatchedAnswers: () => ReadonlyMap<string, number>;
   /** Unserved demands of the zones coordinated here, by zone. */
   readonly unserved: () => ReadonlyMap<string, UnservedDemands>;
   /** Additional replicas decided and loaded for the zones coordinated here. */
@@ -135,6 +136,12 @@
       sources.invalidRecords,
       'kind',
     );
+    registry.gauge(
+      'woodbarrow_unmatched_answers',
+      'Answers of back ends since the start that did not name the call in progress on their connection, by what they name (another_call, no_call).',
+      sources.unmatchedAnswers,
+      'named',
+    );
     registry.gauge(
       'woodbarrow_call_failures',
       'Calls to other daemons that failed since the start, by kind.',
