--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -14,7 +14,7 @@
   request_declined:
     'A back end did not accept the request or did not respond. Verdict: `not_run`, `not_resident`, `other_incarnation`, `unreachable`, `broken` or `timed_out`.',
   answer_unmatched:
-    'An answer does not name the request that is in progress on its connection. Back end, request that the answer names, status.',
+    'An answer does not belong to the request in progress on its connection, or names no request where it could belong to another one. Back end, request that the answer names, status, match (`repeated`: a second answer to the request before; `other_call`, `no_call`), outcome (`skipped`: the next answer is awaited; `rejected`: the connection is closed, and the request may have run).',
   request_repeated:
     'A retry is considered. Whether it is allowed, preceding result, service, whether the preceding send reached a back end and the retry counts against the budget, where the retry comes from (`earned`, `granted`, `first_member`) or why it is withheld (`used_up`, `allocator_starting`, `no_allocator`), earned retries left.',
   request_resumed:
--- a/packages/relaying/src/path-observer.ts
+++ b/packages/relaying/src/path-observer.ts
@@ -1,6 +1,7 @@
 /** Passes calls to back ends on unchanged, and reports to {@link BackendPaths} what they show of the direct paths. */
 import {
   HttpNotSentError,
+  UnmatchedAnswerError,
   type BackendCall,
   type BackendClient,
   type BackendResponse,
@@ -41,6 +42,7 @@
     } catch (error) {
       const isAborted = call.signal.aborted;
       if (error instanceof HttpNotSentError && !isAborted) paths.noteNotConnected(backEndId);
+      else if (error instanceof UnmatchedAnswerError) paths.noteContact(backEndId);
       else if (clock.monotonic() - sentAt >= MIN_SILENCE_MS && !paths.hasContactSince(backEndId, sentAt))
         paths.noteSilence(backEndId);
       throw error;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,4 +1,5 @@
 /** Clock, randomness, transport and HTTP interfaces with production and simulated implementations. */
+export { UnmatchedAnswerError, type AnswerMatch, type UnmatchedAnswer } from './answer-matcher.js';
 export * from './async-queue.js';
 export * from './background-service.js';
 export * from './clock.js';
@@ -6,6 +7,7 @@
 export * from './hashing.js';
 export * from './http.js';
 export * from './least-by.js';
+export { MAX_IDLE_CONNECTIONS_PER_ADDRESS } from './keep-alive-agent.js';
 export * from './node-backend-client.js';
 export * from './buffered-response-stream.js';
 export * from './node-ingress.js';
--- a/packages/runtime/src/streaming-http.ts
+++ b/packages/runtime/src/streaming-http.ts
@@ -79,7 +79,7 @@
 export interface BackendCall {
   /** Back end that is called; absent for calls to other systems. */
   readonly backEndId?: string;
-  /** Id of the forwarded request; absent for other calls. */
+  /** Id that the headers carry and the answer names; absent or empty if the call has none. */
   readonly requestId?: string;
   /** `ip:port`. */
   readonly address: string;
@@ -106,22 +106,13 @@
   discard(): void;
 }
 
-/** An answer that does not name the call in progress on its connection. */
-export interface UnmatchedAnswer {
-  readonly backEndId: string | undefined;
-  /** Id of the call in progress; undefined if it has none. */
-  readonly requestId: string | undefined;
-  /** Id that the answer names; undefined if it names none. */
-  readonly answeredId: string | undefined;
-  readonly status: number;
-}
-
 /** Sends requests to back ends over pooled connections. */
 export interface BackendClient {
   /**
    * Resolves when the response head has arrived; the body may still be streaming.
    *
    * @throws HttpNotSentError when no byte of the request can have reached the back end.
+   * @throws UnmatchedAnswerError when the answer may belong to another call; the request may have been received.
    * @throws Error for any other failure; the request may have been received.
    */
   send(call: BackendCall): Promise<BackendResponse>;
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -114,7 +114,7 @@
   readonly storeCalls: () => ReadonlyMap<string, number>;
   /** Era of the store in its last response. */
   readonly storeEra: () => number;
-  /** Answers of back ends since the start that did not name the call in progress on their connection, by what they name. */
+  /** Answers of back ends since the start that did not name the call in progress on their connection, by their match with it. */
   readonly unmatchedAnswers: () => ReadonlyMap<string, number>;
   /** Number of records read since the start that could not be decoded, by kind. */
   readonly invalidRecords: () => ReadonlyMap<string, number>;
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -138,9 +138,9 @@
     );
     registry.gauge(
       'woodbarrow_unmatched_answers',
-      'Answers of back ends since the start that did not name the call in progress on their connection, by what they name (another_call, no_call).',
+      'Answers of back ends since the start that did not name the call in progress on their connection: repeated, other_call, no_call, or sole (the only answer of its connection, and used).',
       sources.unmatchedAnswers,
-      'named',
+      'match',
     );
     registry.gauge(
       'woodbarrow_call_failures',
