request_declined tells an answer without data in time from one that broke off

Hypotheses before any change of logic: 1. A silent answer is given up before it is known whether another run may be had (attempts, retry budget, place): with none, the client's stream is cut. 2. The connection to the worker breaks during the silence (time-out of the socket, or of a relay). 3. The daemon that gets SIGHUP cuts streams.

Until now the detail of all three was 'the answer broke off'.

--- a/packages/forwarding/src/answer-forwarder.ts
+++ b/packages/forwarding/src/answer-forwarder.ts
@@ -232,9 +232,13 @@
     return { kind: 'maybe_run' };
   }
 
-  private recordBroken({ backEnd, sentAt }: SentAnswer, { tornBytes }: BrokenResult): AttemptResult {
+  private recordBroken(
+    { backEnd, sentAt }: SentAnswer,
+    { tornBytes, hasTimedOut }: BrokenResult,
+  ): AttemptResult {
     if (this.scope.expired.aborted) return { kind: 'maybe_run' };
-    const detail = tornBytes === 0 ? 'the answer broke off' : 'the answer ended inside an event';
+    const whole = tornBytes === 0 ? 'the answer broke off' : 'the answer ended inside an event';
+    const detail = hasTimedOut === true ? 'no data in time' : whole;
     if (tornBytes > 0) {
       const afterEvent = this.scope.answer.lastEventId;
       this.recordDecision('event_torn', { backEnd: backEnd.id, afterEvent, tornBytes });
--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -24,6 +24,8 @@
   readonly kind: 'broken';
   /** Bytes of an incomplete event at a regular end of the body; 0 if the connection broke. */
   readonly tornBytes: number;
+  /** Whether the answer was given up because no data arrived in time. */
+  readonly hasTimedOut?: boolean;
 }
 
 /** Result of relaying a stream. */
@@ -95,7 +97,7 @@
     let size = 0;
     for (;;) {
       const step = await reader.next(idleTimeoutMs);
-      if (step.kind === 'broken') return { kind: 'broken', tornBytes: 0 };
+      if (step.kind === 'broken') return { kind: 'broken', tornBytes: 0, hasTimedOut: step.hasTimedOut };
       if (step.kind === 'end') break;
       buffered.push(step.chunk);
       size += step.chunk.byteLength;
@@ -127,7 +129,7 @@
     if (target.kind === 'events') target.startRun();
     for (;;) {
       const step = await reader.next(options.idleTimeoutMs());
-      if (step.kind === 'broken') return this.brokenResult(splitter);
+      if (step.kind === 'broken') return { ...this.brokenResult(splitter), hasTimedOut: step.hasTimedOut };
       if (step.kind === 'end') break;
       this.recordChunkArrival();
       const events = splitter.push(step.chunk);
