--- a/packages/forwarding/src/answer-forwarder.ts
+++ b/packages/forwarding/src/answer-forwarder.ts
@@ -18,11 +18,12 @@
 import { StreamPosition } from './stream-position.js';
 import { streamIdOf, takeUpPeriodMs } from './stream-take-ups.js';
 
-/** A stream without data for this multiple of the target gap is resumed on another back end. */
+/** After this multiple of the target gap without data, another back end is sought that resumes the stream. */
 const STALL_GAP_MULTIPLE = 2.5;
-/** Share of the client's gap limit that a stream may stay without data while no other back end holds the model. */
+/** Share of the client's gap limit without data after which one is sought while no other holds the model. */
 const SOLE_HOLDER_GAP_SHARE = 0.5;
 const EVENT_STREAM_TYPE = 'text/event-stream';
+const FIRST_FAILURE_STATUS = 500;
 
 /** An answer, its back end, and the time at which the request was sent. */
 export interface SentAnswer {
@@ -53,6 +54,11 @@
     this.position = route.kind === 'resumable_stream' ? new StreamPosition(facts.resumeAfter) : undefined;
   }
 
+  /** Whether an answer may take the place of a silent one; a failure may not. */
+  canReplace(answer: BackendResponse): boolean {
+    return this.scope.answer.hasBegun ? isEventStream(answer) : answer.status < FIRST_FAILURE_STATUS;
+  }
+
   /** Forwards an answer as far as it continues what the client has received. */
   async forward(sent: SentAnswer): Promise<AttemptResult> {
     const { answer, progress, route } = this.scope;
@@ -101,9 +107,13 @@
     const { context, route, progress, times, completion } = this.scope;
     const { answer, backEnd, sentAt, load } = sent;
     const latencyMs = context.clock.monotonic() - sentAt;
-    const idleTimeoutMs = this.failures.answerTimeoutMs(progress.mayHaveRunOn.size);
+    const silence = {
+      idleTimeoutMs: () => this.failures.answerTimeoutMs(progress.mayHaveRunOn.size),
+      onSilence: (ready: Promise<void>) => this.scope.replacement.seek(backEnd, ready),
+    };
     const isProcessAlive = (): Promise<boolean> => this.isProcessAlive(backEnd);
-    const result = await this.relay.relayBody(client, answer, idleTimeoutMs, isProcessAlive);
+    const result = await this.relay.relayBody(client, answer, silence, isProcessAlive);
+    if (result.kind === 'replaced') return this.recordReplaced(sent);
     if (result.kind === 'broken') return this.recordBroken(sent, result);
     this.recordServed();
     const failed = answer.status >= 500;
@@ -130,6 +140,7 @@
     const { answer, backEnd, sentAt } = sent;
     const firstMs = times.elapsedMs();
     const result = await this.relay.relayStream(client, answer, this.streamOptions(sent));
+    if (result.kind === 'replaced') return this.recordReplaced(sent);
     if (result.kind === 'broken') return this.recordBroken(sent, result);
     if (result.kind === 'refused') return this.recordRefused(sent, result.reason, result.firstEvent);
     this.recordServed();
@@ -150,6 +161,7 @@
     return {
       ...(this.position === undefined ? {} : { position: this.position }),
       idleTimeoutMs: () => this.idleTimeoutMs(backEnd),
+      onSilence: (ready) => this.scope.replacement.seek(backEnd, ready),
       isProcessAlive: () => this.isProcessAlive(backEnd),
       onBegin: () => {
         this.recordOrigin(backEnd);
@@ -232,13 +244,18 @@
     return { kind: 'maybe_run' };
   }
 
+  private recordReplaced({ backEnd, sentAt }: SentAnswer): AttemptResult {
+    this.failures.recordReplaced(backEnd, sentAt);
+    return { kind: 'replaced' };
+  }
+
   private recordBroken(
     { backEnd, sentAt }: SentAnswer,
-    { tornBytes, hasTimedOut }: BrokenResult,
+    { tornBytes, wasSilent }: BrokenResult,
   ): AttemptResult {
     if (this.scope.expired.aborted) return { kind: 'maybe_run' };
-    const whole = tornBytes === 0 ? 'the answer broke off' : 'the answer ended inside an event';
-    const detail = hasTimedOut === true ? 'no data in time' : whole;
+    const end = tornBytes === 0 ? 'the answer broke off' : 'the answer ended inside an event';
+    const detail = wasSilent === true ? 'its process ended' : end;
     if (tornBytes > 0) {
       const afterEvent = this.scope.answer.lastEventId;
       this.recordDecision('event_torn', { backEnd: backEnd.id, afterEvent, tornBytes });
--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -6,6 +6,7 @@
 import { EventSplitter } from './event-splitter.js';
 import type { BufferedAnswer } from './request-completion.js';
 import type { Continuation, StreamPosition } from './stream-position.js';
+import type { SilenceEnd } from './run-replacement.js';
 import type { WireDialect } from './wire-dialect.js';
 
 /** Answers up to this size, in bytes, are buffered until complete, so that an incomplete one can be replaced. */
@@ -17,15 +18,29 @@
   | { readonly kind: 'passed' }
   /** It is complete and buffered; nothing has been forwarded. */
   | { readonly kind: 'held'; readonly answer: BufferedAnswer }
-  | BrokenResult;
+  | BrokenResult
+  | ReplacedResult;
 
-/** The answer ended early, stalled, or the request's time ran out. */
+/** The answer ended early, or the request's time ran out. */
 export interface BrokenResult {
   readonly kind: 'broken';
   /** Bytes of an incomplete event at a regular end of the body; 0 if the connection broke. */
   readonly tornBytes: number;
-  /** Whether the answer was given up because no data arrived in time. */
-  readonly hasTimedOut?: boolean;
+  /** Whether the answer was silent until its process was known to have ended. */
+  readonly wasSilent?: boolean;
+}
+
+/** The answer was silent, and another run has taken its place. */
+export interface ReplacedResult {
+  readonly kind: 'replaced';
+}
+
+/** How long an answer may be silent, and what happens then. */
+export interface SilenceOptions {
+  /** Milliseconds without data after which another run is sought, evaluated before each read; unlimited when undefined. */
+  readonly idleTimeoutMs: () => number | undefined;
+  /** Called when the answer is silent. @param ready Resolves when the answer can be read on. */
+  readonly onSilence: (ready: Promise<void>) => Promise<SilenceEnd>;
 }
 
 /** Result of relaying a stream. */
@@ -38,14 +53,13 @@
       readonly reason: Exclude<Continuation, 'follows'>;
       readonly firstEvent: string | undefined;
     }
-  | BrokenResult;
+  | BrokenResult
+  | ReplacedResult;
 
 /** Options of {@link AnswerRelay.relayStream}. */
-export interface StreamRelayOptions {
+export interface StreamRelayOptions extends SilenceOptions {
   /** Position of the client in the stream; absent if the stream cannot be resumed, and then event ids are not checked. */
   readonly position?: StreamPosition;
-  /** Milliseconds without data after which the stream counts as broken, evaluated before each read; unlimited when undefined. */
-  readonly idleTimeoutMs: () => number | undefined;
   readonly isProcessAlive: ProcessCheck;
   /** Called before the client receives its first event. */
   readonly onBegin: () => void;
@@ -80,14 +94,13 @@
   }
 
   /**
-   * Reads an answer to its end; one that exceeds the buffer is forwarded while it arrives.
-   *
-   * @param idleTimeoutMs Milliseconds without data after which the answer counts as broken; unlimited when undefined.
+   * Reads an answer to its end; one that exceeds the buffer is forwarded while it arrives. No other run can go on with what the client
+   * has received, so that silence is limited only before.
    */
   async relayBody(
     client: PendingAnswer,
     answer: BackendResponse,
-    idleTimeoutMs: number | undefined,
+    silence: SilenceOptions,
     isProcessAlive: ProcessCheck,
   ): Promise<BodyRelayResult> {
     const reader = new BodyReader(answer, this.clock, isProcessAlive);
@@ -96,8 +109,13 @@
     let byteAnswer: ByteStreamAnswer | undefined;
     let size = 0;
     for (;;) {
-      const step = await reader.next(idleTimeoutMs);
-      if (step.kind === 'broken') return { kind: 'broken', tornBytes: 0, hasTimedOut: step.hasTimedOut };
+      const step = await reader.next(byteAnswer === undefined ? silence.idleTimeoutMs() : undefined);
+      if (step.kind === 'silent') {
+        const end = await this.awaitReader(reader, answer, silence);
+        if (end === undefined) continue;
+        return end;
+      }
+      if (step.kind === 'broken') return { kind: 'broken', tornBytes: 0 };
       if (step.kind === 'end') break;
       buffered.push(step.chunk);
       size += step.chunk.byteLength;
@@ -129,7 +147,13 @@
     if (target.kind === 'events') target.startRun();
     for (;;) {
       const step = await reader.next(options.idleTimeoutMs());
-      if (step.kind === 'broken') return { ...this.brokenResult(splitter), hasTimedOut: step.hasTimedOut };
+      if (step.kind === 'silent') {
+        const end = await this.awaitReader(reader, answer, options);
+        if (end === undefined) continue;
+        this.noteIncompleteEvent(splitter);
+        return end;
+      }
+      if (step.kind === 'broken') return this.brokenResult(splitter);
       if (step.kind === 'end') break;
       this.recordChunkArrival();
       const events = splitter.push(step.chunk);
@@ -187,11 +211,27 @@
     return { kind: 'refused', reason, firstEvent: this.firstEventId };
   }
 
-  private brokenResult({ incompleteEventBytes }: EventSplitter): BrokenResult {
-    this.expectsMoreEvents ||= incompleteEventBytes > 0;
+  /** Waits for a silent answer. Returns how it ended; undefined if it can be read on. */
+  private async awaitReader(
+    reader: BodyReader,
+    answer: BackendResponse,
+    { onSilence }: SilenceOptions,
+  ): Promise<BrokenResult | ReplacedResult | undefined> {
+    const end = await onSilence(reader.whenReady());
+    if (end === 'ready') return undefined;
+    answer.discard();
+    return end === 'replaced' ? { kind: 'replaced' } : { kind: 'broken', tornBytes: 0, wasSilent: true };
+  }
+
+  private brokenResult(splitter: EventSplitter): BrokenResult {
+    this.noteIncompleteEvent(splitter);
     return { kind: 'broken', tornBytes: 0 };
   }
 
+  private noteIncompleteEvent({ incompleteEventBytes }: EventSplitter): void {
+    this.expectsMoreEvents ||= incompleteEventBytes > 0;
+  }
+
   private recordChunkArrival(): void {
     const now = this.clock.monotonic();
     if (this.lastChunkAt !== undefined) this.maxGapMs = Math.max(this.maxGapMs, now - this.lastChunkAt);
--- a/packages/forwarding/src/backend-health.ts
+++ b/packages/forwarding/src/backend-health.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@woodbarrow/runtime';
 
 /** Result of one request to a back end. */
-export type SendResult = 'good' | 'failed_answer' | 'broken' | 'unreachable' | 'timed_out';
+export type SendResult = 'good' | 'failed_answer' | 'broken' | 'stalled' | 'unreachable' | 'timed_out';
 
 /** Weight of the newest result in the moving averages of one back end. */
 const RESULT_WEIGHT = 0.2;
@@ -55,6 +55,12 @@
     }
   }
 
+  /** Records that an answer is silent. Many answers fall silent at once, so that the backoff does not grow with them. */
+  noteSilence(backEndId: string): void {
+    const record = this.recordOf(backEndId);
+    record.avoidUntil = Math.max(record.avoidUntil, this.clock.monotonic() + INITIAL_BACKOFF_MS);
+  }
+
   /** Whether the back end is in backoff and others should be preferred. */
   isAvoided(backEndId: string): boolean {
     const record = this.records.get(backEndId);
--- a/packages/forwarding/src/body-reader.ts
+++ b/packages/forwarding/src/body-reader.ts
@@ -5,8 +5,10 @@
 export type BodyStep =
   | { readonly kind: 'chunk'; readonly chunk: Uint8Array }
   | { readonly kind: 'end' }
-  /** The body is incomplete: the connection broke, the process exited, or no data arrived in time. */
-  | { readonly kind: 'broken'; readonly hasTimedOut: boolean };
+  /** No data arrived in time. The answer is still read: the next read waits for the same data. */
+  | { readonly kind: 'silent' }
+  /** The body is incomplete: the connection broke or the process exited. */
+  | { readonly kind: 'broken' };
 
 /** Returns whether the process behind an answer still runs, or exited as announced. */
 export type ProcessCheck = () => Promise<boolean>;
@@ -14,42 +16,54 @@
 /** Reader of one body. */
 export class BodyReader {
   private readonly iterator: AsyncIterator<Uint8Array>;
+  private readonly endsWithConnection: boolean;
+  /** The read in progress. */
+  private pending: Promise<IteratorResult<Uint8Array>> | undefined;
 
   constructor(
-    private readonly answer: BackendResponse,
+    answer: BackendResponse,
     private readonly clock: Clock,
     private readonly isProcessAlive: ProcessCheck,
   ) {
     this.iterator = answer.body[Symbol.asyncIterator]();
+    this.endsWithConnection = answer.endsWithConnection;
   }
 
   /** Reads the next chunk. Never rejects. @param timeoutMs Milliseconds to wait; unlimited when absent. */
   async next(timeoutMs?: number): Promise<BodyStep> {
     try {
       const step = await this.readChunk(timeoutMs);
-      if (step === undefined) {
-        this.answer.discard();
-        return { kind: 'broken', hasTimedOut: true };
-      }
+      if (step === undefined) return { kind: 'silent' };
+      this.pending = undefined;
       if (step.done !== true) return { kind: 'chunk', chunk: step.value };
-      return (await this.isComplete()) ? { kind: 'end' } : { kind: 'broken', hasTimedOut: false };
+      return (await this.isComplete()) ? { kind: 'end' } : { kind: 'broken' };
     } catch {
-      return { kind: 'broken', hasTimedOut: false };
+      return { kind: 'broken' };
     }
   }
 
+  /** Resolves when the next read need not wait: data has arrived, or the body has ended or failed. Never rejects. */
+  async whenReady(): Promise<void> {
+    this.pending ??= this.iterator.next();
+    await this.pending.then(ignore, ignore);
+  }
+
   /**
    * A body without a length ends when its connection is closed. The connection of a killed process closes in the same way as that
    * of a finished answer, so the process has to be checked.
    */
   private async isComplete(): Promise<boolean> {
-    return !this.answer.endsWithConnection || this.isProcessAlive();
+    return !this.endsWithConnection || this.isProcessAlive();
   }
 
   private async readChunk(timeoutMs?: number): Promise<IteratorResult<Uint8Array> | undefined> {
-    const pending = this.iterator.next();
-    if (timeoutMs === undefined) return pending;
-    const settled = await settleWithin(this.clock, timeoutMs, pending);
+    this.pending ??= this.iterator.next();
+    if (timeoutMs === undefined) return this.pending;
+    const settled = await settleWithin(this.clock, timeoutMs, this.pending);
     return settled.timedOut ? undefined : settled.value;
   }
 }
+
+function ignore(): void {
+  // The next read returns the result.
+}
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -1,24 +1,25 @@
 /** Handles one request: chooses a back end, sends, forwards the answer, and retries where the route allows it. */
-import type { BackEnd, ServiceDefinition } from '@woodbarrow/backends';
+import type { ServiceDefinition } from '@woodbarrow/backends';
 import type { ErrorKind } from '@woodbarrow/errors';
-import { partContents, type SuspectSlot, type Verdict } from '@woodbarrow/quarantine';
+import { partContents, type Verdict } from '@woodbarrow/quarantine';
 import type { IncomingExchange } from '@woodbarrow/runtime';
 import { ObservedAnswer } from './observed-answer.js';
-import { ABORTED, raceAbort } from './race-abort.js';
-import { refusal, type BackendChoice, type RefusalReason, type SendChoice } from './backend-choice.js';
+import type { RefusalReason } from './backend-choice.js';
 import type { ClientAnswer } from './client-answer.js';
 import type { ForwardingContext } from './forwarding-context.js';
+import type { PreparedRun, StopReason } from './prepared-run.js';
 import { RequestAllowance, type AllowanceRefusal } from './request-allowance.js';
 import { RequestCompletion } from './request-completion.js';
 import { RequestProgress, type AttemptResult, type RequestScope } from './request-scope.js';
 import { RequestSender } from './request-sender.js';
 import { RequestRetries } from './request-retries.js';
 import { RequestTimes } from './request-times.js';
+import { RunPreparation } from './run-preparation.js';
+import { SilentRunReplacement, type ReplacingRun, type RunReplacement } from './run-replacement.js';
 import { RunTimeEstimate } from './run-time-estimate.js';
 import { spreadRetryMs } from './retry-spread.js';
 import { requestDigest } from './request-digest.js';
 import { mayRunAgain, type Route } from './route.js';
-import type { SendPermit } from './send-permits.js';
 import type { Tenant } from './tenant.js';
 import { sharedPartIds, type RequestFacts } from './wire-dialect.js';
 
@@ -68,6 +69,8 @@
   private readonly sender: RequestSender;
   private readonly allowance: RequestAllowance;
   private readonly retries: RequestRetries;
+  private readonly preparation: RunPreparation;
+  private readonly replacement: SilentRunReplacement;
   /** The client does not read its answer, and the memory for unread answers is used up. */
   private isEndedUnread = false;
 
@@ -93,10 +96,27 @@
     const parts = partContents(sharedPartIds(facts));
     const priority = accepted.tenant?.priority ?? route.priority;
     const expired = this.expired.signal;
-    this.scope = { ...accepted, context, digest, parts, priority, times, progress, completion, expired };
+    const replacement: RunReplacement = { seek: (...silent) => this.replacement.seek(...silent) };
+    const state = { digest, parts, priority, times, progress, completion, replacement, expired };
+    this.scope = { ...accepted, context, ...state };
     this.sender = new RequestSender(this.scope, new RunTimeEstimate(context.runTimes, facts));
     this.allowance = new RequestAllowance(context.quota, accepted.tenant, facts, expired);
     this.retries = new RequestRetries(context.budget, accepted.service.name, expired);
+    this.preparation = new RunPreparation(this.scope, this.allowance, this.retries);
+    this.replacement = new SilentRunReplacement(this.scope, this.preparation, {
+      allowsAnother: () => this.canRetryAfter({ kind: 'maybe_run' }),
+      noteSilent: () => {
+        this.noteArrived();
+        this.allowance.consume();
+      },
+      begin: (prepared) => this.begin(prepared),
+      concludeFailed: async (replacing) => {
+        await this.conclude(replacing);
+      },
+      refund: () => {
+        this.refund();
+      },
+    });
   }
 
   /** Resolves when the exchange has been answered or aborted. */
@@ -115,7 +135,7 @@
       this.expired.abort();
     });
     const stop = (): void => {
-      if (!progress.isSending) this.expired.abort();
+      if (progress.runsInProgress === 0) this.expired.abort();
       progress.isStopping = true;
     };
     if (stopWaiting.aborted) stop();
@@ -128,8 +148,7 @@
       await this.sendUntilFinished();
     } finally {
       releaseAnswer();
-      this.allowance.refund();
-      this.retries.refund();
+      this.refund();
       for (const cancel of cancelTimers) cancel();
       stopWaiting.removeEventListener('abort', stop);
     }
@@ -172,160 +191,96 @@
 
   private async sendUntilFinished(): Promise<void> {
     for (;;) {
-      const delayMs = this.context.quarantine.trialDelayMs(this.scope.digest, this.scope.parts);
-      if (delayMs !== undefined) {
-        this.finishAwaitingTrial(delayMs);
-        return;
-      }
-      const slot = await this.context.quarantine.acquireSlot(this.scope.digest, this.expired.signal);
-      try {
-        if (await this.trySend(slot)) return;
-      } finally {
-        slot.release();
-      }
-    }
-  }
-
-  /** Chooses a back end and sends once. Returns whether the request has ended. */
-  private async trySend(slot: SuspectSlot): Promise<boolean> {
-    if (this.finishIfQuarantined() || (await this.finishIfOverQuota())) return true;
-    const choice = await this.choose();
-    if (choice.kind === 'refuse') {
-      if (await this.awaitConnection(choice.backEndIds)) return false;
-      this.finishWithoutBackEnd(choice.reason, choice.retryAfterMs);
-      return true;
-    }
-    try {
-      return await this.sendChosen(choice, slot);
-    } finally {
-      choice.place?.release('unused');
+      const next = this.replacement.take() ?? (await this.beginNext());
+      if (next === undefined || (await this.finishRun(next))) return;
     }
   }
 
-  /** Sends to the chosen back end once. Returns whether the request has ended. */
-  private async sendChosen(choice: SendChoice, slot: SuspectSlot): Promise<boolean> {
-    // The choice may have taken seconds, in which a quarantine verdict may have arrived.
-    if (this.finishIfQuarantined()) return true;
-    const admission = await this.context.quarantine.admit(
-      this.scope.digest,
-      choice.backEnd.id,
-      this.scope.parts,
-    );
-    if (admission.kind === 'occupied') {
-      if (admission.isPostponed !== true) this.scope.progress.excluded.add(choice.backEnd.id);
-      return false;
-    }
-    if (admission.kind === 'refused') {
-      this.finishAwaitingTrial(admission.retryAfterMs);
-      return true;
-    }
-    try {
-      return await this.sendTo(choice, slot);
-    } finally {
-      admission.end();
-    }
-  }
-
-  /** Waits while only connections of this daemon are lacking. Returns whether one of the back ends has one again. */
-  private async awaitConnection(backEndIds: readonly string[] = []): Promise<boolean> {
-    if (backEndIds.length === 0) return false;
-    const { context, service, priority, arrivedAt, answer, times, expired } = this.scope;
-    // Behind brittle back ends a longer queue would only make all answers late.
-    const startBy = context.connections.hasBrittle(backEndIds) ? times.targetBy() : times.startBy();
-    const until = answer.hasBegun ? times.resumeBy() : startBy;
-    const request = { service, backEndIds, priority, arrivedAt, until, signal: expired };
-    return context.connections.wait(request, context.clock);
-  }
-
-  /** Obtains a permit and sends. Returns whether the request has ended. */
-  private async sendTo(
-    choice: Extract<BackendChoice, { kind: 'send' }>,
-    slot: SuspectSlot,
-  ): Promise<boolean> {
-    if (!this.allowance.isValid && (await this.finishIfOverQuota())) return true;
-    if (!this.retries.isValid && (await this.finishIfRetryWithheld())) return true;
-    const { backEnd } = choice;
-    if (!this.acceptsRequests(backEnd)) return false;
-    const pendingPermit = this.context.permits.acquire(backEnd, this.expired.signal);
-    const permit = await raceAbort(pendingPermit, this.expired.signal);
-    if (permit === ABORTED) {
-      // Return a permit that is granted after the request has ended.
-      void pendingPermit.then((latePermit) => latePermit?.refund());
-      this.finishExpired();
-      return true;
-    }
-    if (permit === undefined) return false;
-    if (!permit.isValid() || !this.canStillSend(backEnd)) {
-      permit.refund();
-      return false;
+  /** Prepares and sends the next run; undefined if the request has ended instead. */
+  private async beginNext(): Promise<ReplacingRun | undefined> {
+    for (;;) {
+      const preparation = await this.preparation.prepare(this.expired.signal);
+      if (preparation.kind === 'stop') {
+        this.finishStopped(preparation.reason);
+        return undefined;
+      }
+      const next = preparation.kind === 'prepared' ? this.begin(preparation.run) : undefined;
+      if (next !== undefined) return next;
     }
-    return this.sendWith(permit, choice, slot);
-  }
-
-  /** Whether a send is still allowed after waiting for a permit: connections may be used up, and quota tickets and retries expired by then. */
-  private canStillSend(backEnd: BackEnd): boolean {
-    return this.allowance.isValid && this.retries.isValid && this.acceptsRequests(backEnd);
   }
 
-  /** Whether the back end still accepts requests; it may have started draining, or be gone, while a load was awaited. */
-  private acceptsRequests({ id }: BackEnd): boolean {
-    const { directory, connections } = this.context;
-    if (directory.get(id)?.draining !== false) return false;
-    return connections.allows(this.scope.service, id);
+  /** Sends a prepared run; returns it unused and undefined if it is no longer valid. */
+  private begin(prepared: PreparedRun): ReplacingRun | undefined {
+    if (prepared.isValid()) return { prepared, run: this.sender.begin(prepared.choice) };
+    prepared.permit.refund();
+    prepared.release();
+    return undefined;
   }
 
-  private async sendWith(
-    permit: SendPermit,
-    choice: Extract<BackendChoice, { kind: 'send' }>,
-    slot: SuspectSlot,
-  ): Promise<boolean> {
-    slot.assignProcess(choice.backEnd.id);
-    const result = await this.sender.attempt(choice).finally(() => {
-      permit.end();
-    });
-    if (result.kind === 'not_run' && !result.arrived) permit.refund();
-    else this.retries.noteArrived();
-    if (result.kind !== 'not_run') this.allowance.consume();
+  /** Waits for the end of a run. Returns whether the request has ended. */
+  private async finishRun(next: ReplacingRun): Promise<boolean> {
+    const result = await this.conclude(next);
     if (result.kind === 'finished') return true;
+    if (result.kind === 'replaced') return false;
     if (this.expired.signal.aborted) {
       this.finishExpired();
       return true;
     }
-    if (this.canRetryAfter(result) && (await this.acquireRetry(result.kind))) return false;
+    await this.replacement.whenIdle();
+    if (this.canRetryAfter(result) && (await this.preparation.acquireRetry(result.kind))) return false;
     this.finishUnrepeated();
     return true;
   }
 
-  /** Ends the request if its content is quarantined for crashing workers. Returns whether it did. */
-  private finishIfQuarantined(): boolean {
-    const { quarantine } = this.context;
-    const verdict = quarantine.verdictOf(this.scope.digest) ?? quarantine.verdictOnParts(this.scope.parts);
-    if (verdict === undefined) return false;
-    if (this.scope.answer.hasBegun || this.scope.progress.mayHaveRunOn.size > 0) this.finishUnserved();
-    else this.refuseQuarantined(verdict);
-    return true;
+  /** Waits for the end of a run, and returns or consumes what it held. */
+  private async conclude({ prepared, run }: ReplacingRun): Promise<AttemptResult> {
+    const result = await run.finish().finally(prepared.release);
+    // What a replaced run held was consumed when it fell silent.
+    if (result.kind === 'replaced') return result;
+    if (result.kind === 'not_run' && !result.arrived) prepared.permit.refund();
+    else this.noteArrived();
+    if (result.kind !== 'not_run') this.allowance.consume();
+    return result;
   }
 
-  /** Ends a request that has to wait for a quarantine trial. If it has not run, its caller may retry soon. */
-  private finishAwaitingTrial(retryAfterMs: number): void {
-    const { answer, progress, completion } = this.scope;
-    if (answer.hasBegun || progress.mayHaveRunOn.size > 0) this.finishUnserved();
-    else completion.refuse('request_quarantined', 'waits for its trial', retryAfterMs);
+  private noteArrived(): void {
+    this.retries.noteArrived();
   }
 
-  /** Ends the request if the quota of its tenant does not allow it now. Returns whether it did. */
-  private async finishIfOverQuota(): Promise<boolean> {
-    const { times, answer, progress, route } = this.scope;
-    const now = this.context.clock.monotonic();
-    const usefulUntil = answer.hasBegun ? times.resumeBy() : times.targetBy();
-    // All requests of a tenant share its priority, so that only their routes tell which of them come first.
-    const urgency = { priority: route.priority, usefulWaitMs: Math.max(0, usefulUntil - now) };
-    const refusal = await this.allowance.acquire(times.startBy() - now, urgency);
-    if (refusal === undefined) return false;
-    if (this.expired.signal.aborted) this.finishExpired();
-    else if (answer.hasBegun || progress.mayHaveRunOn.size > 0) this.finishUnserved();
-    else this.refuseForQuota(refusal);
-    return true;
+  /** Returns what no run has used. */
+  private refund(): void {
+    this.allowance.refund();
+    this.retries.refund();
+  }
+
+  /** Ends a request that is not sent. */
+  private finishStopped(reason: StopReason): void {
+    const { answer, progress } = this.scope;
+    const mayHaveRun = answer.hasBegun || progress.mayHaveRunOn.size > 0;
+    switch (reason.kind) {
+      case 'quarantined':
+        if (mayHaveRun) this.finishUnserved();
+        else this.refuseQuarantined(reason.verdict);
+        break;
+      case 'awaiting_trial':
+        if (mayHaveRun) this.finishUnserved();
+        else this.scope.completion.refuse('request_quarantined', 'waits for its trial', reason.retryAfterMs);
+        break;
+      case 'over_quota':
+        if (this.expired.signal.aborted) this.finishExpired();
+        else if (mayHaveRun) this.finishUnserved();
+        else this.refuseForQuota(reason.refusal);
+        break;
+      case 'no_back_end':
+        this.finishWithoutBackEnd(reason.reason, reason.retryAfterMs);
+        break;
+      case 'not_repeated':
+        this.finishUnrepeated();
+        break;
+      case 'expired':
+        this.finishExpired();
+        break;
+    }
   }
 
   private refuseForQuota({ kind, retryAfterMs, shortage }: AllowanceRefusal): void {
@@ -340,7 +295,7 @@
     this.scope.completion.refuse('request_quarantined', cause, retryAfterMs);
   }
 
-  /** Whether another send can follow a failed one, by the route and the time left. */
+  /** Whether another send can follow a failed or silent one, by the route and the time left. */
   private canRetryAfter(result: AttemptResult): boolean {
     const { answer, progress, route, times } = this.scope;
     if (!answer.canContinue) return false;
@@ -351,71 +306,12 @@
     return times.remainingMs() > ANSWER_DELIVERY_MARGIN_MS;
   }
 
-  /**
-   * Acquires a retry for the next send if it counts as one. Returns whether the request may be sent again.
-   *
-   * @param after Result of the last send, or `permit_expired` if the request waited too long for a back end.
-   */
-  private async acquireRetry(after: AttemptResult['kind'] | 'permit_expired'): Promise<boolean> {
-    const { progress, service, facts } = this.scope;
-    const withheld = await this.retries.acquire();
-    if (this.expired.signal.aborted) return false;
-    this.context.journal.decided('request_repeated', facts.id, {
-      allowed: withheld === undefined,
-      after,
-      sends: progress.sends,
-      service: service.name,
-      counted: this.retries.isCounted,
-      source: this.retries.source,
-      withheld,
-      earnedLeft: this.context.budget.earnedLeft(service.name),
-    });
-    return withheld === undefined;
-  }
-
-  /** Renews the retry permit of a request that is about to be sent, or ends the request. Returns whether it has ended. */
-  private async finishIfRetryWithheld(): Promise<boolean> {
-    if (await this.acquireRetry('permit_expired')) return false;
-    this.finishUnrepeated();
-    return true;
-  }
-
   /** Ends a request that is not sent again. */
   private finishUnrepeated(): void {
     if (this.expired.signal.aborted) this.finishExpired();
     else this.finishUnserved();
   }
 
-  private async choose(): Promise<BackendChoice> {
-    const unreachableRetryMs = this.context.unreachableRetryMs?.();
-    if (unreachableRetryMs !== undefined) return refusal('back_ends_unreachable', unreachableRetryMs);
-    const { service, facts, route, priority, times, answer, progress, digest } = this.scope;
-    const health = this.context.healthOf(service.name);
-    const { engine } = service;
-    const { target } = facts;
-    const excluded = new Set([...progress.excluded, ...this.context.quarantine.processesToAvoid(digest)]);
-    if (engine === undefined || target === undefined) {
-      return this.context.plain.select(service, health, excluded, progress.softwareVersion);
-    }
-    return this.context.replicas.select(
-      {
-        service,
-        engine,
-        target,
-        facts,
-        priority,
-        targetLatencyMs: route.targetLatencyMs,
-        targetBy: times.targetBy(),
-        startBy: answer.hasBegun ? times.resumeBy() : times.startBy(),
-        isResumption: answer.hasBegun,
-        ...(progress.softwareVersion === undefined ? {} : { softwareVersion: progress.softwareVersion }),
-        excluded,
-        signal: this.expired.signal,
-      },
-      health,
-    );
-  }
-
   /** Ends a request for which no back end was found. */
   private finishWithoutBackEnd(reason: RefusalReason, retryAfterMs: number): void {
     if (this.expired.signal.aborted) this.finishExpired();
--- a/packages/forwarding/src/request-journal.ts
+++ b/packages/forwarding/src/request-journal.ts
@@ -8,6 +8,8 @@
   | 'request_sent'
   | 'request_declined'
   | 'request_repeated'
+  | 'answer_silent'
+  | 'answer_silence_ended'
   | 'request_resumed'
   | 'take_up_refused'
   | 'event_torn'
--- a/packages/forwarding/src/request-scope.ts
+++ b/packages/forwarding/src/request-scope.ts
@@ -6,6 +6,7 @@
 import type { BufferedAnswer, RequestCompletion } from './request-completion.js';
 import type { RequestTimes } from './request-times.js';
 import type { Route } from './route.js';
+import type { RunReplacement } from './run-replacement.js';
 import type { Tenant } from './tenant.js';
 import type { RequestFacts } from './wire-dialect.js';
 
@@ -31,6 +32,7 @@
   readonly answer: ClientAnswer;
   readonly completion: RequestCompletion;
   readonly progress: RequestProgress;
+  readonly replacement: RunReplacement;
   /** Aborts when time is up or the client has disconnected. */
   readonly expired: AbortSignal;
 }
@@ -39,13 +41,16 @@
 export class RequestProgress {
   /** Back ends that are not tried again. */
   readonly excluded = new Set<string>();
+  /** Back ends whose answers are silent now. */
+  readonly silent = new Set<string>();
   /** Back ends on which the request may have run. */
   readonly mayHaveRunOn = new Set<string>();
   /** Number of sends so far, whatever their results. */
   sends = 0;
   /** Software version that brought the first event of the stream; only it may go on. Undefined until then, and for other answers. */
   softwareVersion: string | undefined;
-  isSending = false;
+  /** Two while one run replaces another. */
+  runsInProgress = 0;
   /** This daemon is stopping, and starts no further send. */
   isStopping = false;
   /** Failure of a back end, forwarded to the client if no retry succeeds. */
@@ -60,4 +65,6 @@
   /** May have run, and no complete answer has been forwarded. */
   | { readonly kind: 'maybe_run' }
   /** The back end answered with a failure, which is buffered. */
-  | { readonly kind: 'failure' };
+  | { readonly kind: 'failure' }
+  /** The answer was silent, and another run has taken its place. */
+  | { readonly kind: 'replaced' };
--- a/packages/forwarding/src/request-sender.ts
+++ b/packages/forwarding/src/request-sender.ts
@@ -1,9 +1,10 @@
-/** Sends a request to a chosen back end and handles the outcome. */
-import type { BackEnd, ModelTarget, ReportedLoad, WorkTicket } from '@woodbarrow/backends';
+/** Starts the sends of a request. */
+import type { BackEnd, ReportedLoad } from '@woodbarrow/backends';
 import { AnswerForwarder } from './answer-forwarder.js';
-import type { BackendChoice } from './backend-choice.js';
+import type { SendChoice } from './backend-choice.js';
 import type { BackendNotice } from './backend-notice.js';
-import type { AttemptResult, RequestScope } from './request-scope.js';
+import { RequestRun } from './request-run.js';
+import type { RequestScope } from './request-scope.js';
 import type { RunTimeEstimate } from './run-time-estimate.js';
 import { sendAttempt, type SendOutcome } from './send-attempt.js';
 import { SendFailures } from './send-failures.js';
@@ -21,10 +22,11 @@
     this.answerForwarder = new AnswerForwarder(scope, runTimeEstimate, this.failures);
   }
 
-  /** Sends the request once and forwards the answer. Rejects if writing to the client fails. */
-  async attempt(choice: BackendChoice & { kind: 'send' }): Promise<AttemptResult> {
+  /** Sends the request to the chosen back end. */
+  begin(choice: SendChoice): RequestRun {
     const { backEnd } = choice;
-    const { context, facts, progress, expired, service, priority } = this.scope;
+    const { scope, failures, answerForwarder } = this;
+    const { context, facts, progress, expired } = scope;
     const controller = new AbortController();
     const abort = (): void => {
       controller.abort();
@@ -32,33 +34,20 @@
     expired.addEventListener('abort', abort);
     if (expired.aborted) abort();
     progress.sends += 1;
-    progress.isSending = true;
+    progress.runsInProgress += 1;
     const expectedMs = this.runTimeEstimate.expectedMs();
     const ticket = context.loads.start(backEnd.id, facts.target, { ...facts, expectedMs });
     choice.place?.release('sent');
     const sentAt = context.clock.monotonic();
     this.recordSent(choice);
-    let mayHaveRun = true;
-    try {
-      const outcome = await this.send(backEnd, controller, sentAt);
-      const result = await this.conclude(outcome, backEnd, ticket, sentAt);
-      mayHaveRun = result.kind !== 'not_run';
-      return result;
-    } catch (error) {
-      // Writing to the client failed, so the back end's work is no longer needed.
-      abort();
-      throw error;
-    } finally {
-      progress.isSending = false;
-      ticket.ended();
-      const ranMs = context.clock.monotonic() - sentAt;
-      context.connections.noteEnded(service, backEnd.id, ranMs);
-      context.dispatch.noteEnded(service.name, priority, mayHaveRun ? ranMs : undefined);
+    const head = this.send(backEnd, controller, sentAt);
+    const onEnded = (): void => {
       expired.removeEventListener('abort', abort);
-    }
+    };
+    return new RequestRun({ scope, failures, answerForwarder, choice, abort, onEnded, ticket, head, sentAt });
   }
 
-  private recordSent({ backEnd, reason, queuedMs = 0 }: BackendChoice & { kind: 'send' }): void {
+  private recordSent({ backEnd, reason, queuedMs = 0 }: SendChoice): void {
     const { context, facts, times } = this.scope;
     context.journal.decided('request_sent', facts.id, {
       backEnd: backEnd.id,
@@ -73,8 +62,7 @@
   }
 
   private send(backEnd: BackEnd, controller: AbortController, sentAt: number): Promise<SendOutcome> {
-    const { exchange, context, facts, progress, body } = this.scope;
-    const timeoutMs = this.failures.answerTimeoutMs(progress.mayHaveRunOn.size + 1);
+    const { exchange, context, facts, body } = this.scope;
     const plan = {
       backEnd,
       requestId: facts.id,
@@ -89,9 +77,8 @@
       onLoad: ({ pacePercent }: ReportedLoad) => {
         if (pacePercent !== undefined) context.paces.record(backEnd.id, pacePercent);
       },
-      ...(timeoutMs === undefined ? {} : { timeoutMs }),
     };
-    return sendAttempt(plan, context.client, context.dialect, context.clock);
+    return sendAttempt(plan, context.client, context.dialect);
   }
 
   private requestHeaders(backEnd: BackEnd): string[] {
@@ -105,54 +92,4 @@
       ...(resumeAfter === undefined ? {} : { resumeAfter }),
     });
   }
-
-  private async conclude(
-    outcome: SendOutcome,
-    backEnd: BackEnd,
-    ticket: WorkTicket,
-    sentAt: number,
-  ): Promise<AttemptResult> {
-    const { progress, expired, exchange } = this.scope;
-    switch (outcome.kind) {
-      case 'answered':
-        ticket.begun();
-        return this.answerForwarder.forward({ ...outcome, backEnd, sentAt });
-      case 'declined':
-        return this.recordDeclined(backEnd, outcome.verdict);
-      case 'unreachable':
-        this.failures.recordFailure(backEnd, 'unreachable', outcome.detail);
-        return { kind: 'not_run', arrived: false };
-      case 'silent':
-        this.failures.recordFailure(backEnd, 'timed_out', 'no answer in time');
-        progress.mayHaveRunOn.add(backEnd.id);
-        return { kind: 'maybe_run' };
-      case 'broken':
-        progress.mayHaveRunOn.add(backEnd.id);
-        if (!expired.aborted) this.failures.recordBroken(backEnd, sentAt, outcome.detail);
-        else if (!exchange.signal.aborted) this.failures.health().record(backEnd.id, 'timed_out');
-        return { kind: 'maybe_run' };
-    }
-  }
-
-  private recordDeclined(
-    backEnd: BackEnd,
-    verdict: 'not_run' | 'other_incarnation' | 'not_resident',
-  ): AttemptResult {
-    const { context, facts, progress } = this.scope;
-    context.journal.decided('request_declined', facts.id, { backEnd: backEnd.id, verdict });
-    if (verdict === 'not_resident' && facts.target !== undefined) {
-      context.directory.announce(backEnd.id, missingTarget(backEnd, facts.target), false);
-    } else {
-      progress.excluded.add(backEnd.id);
-      if (verdict === 'not_run') context.connections.noteDeclined(backEnd.id);
-      if (verdict === 'other_incarnation') context.directory.remove(backEnd.id);
-    }
-    return { kind: 'not_run', arrived: true };
-  }
-}
-
-/** Target to remove from the directory: if the model is recorded, only the adapter is missing. */
-function missingTarget(backEnd: BackEnd, target: ModelTarget): ModelTarget {
-  const hasModelRecord = backEnd.models.some((held) => held.name === target.model);
-  return hasModelRecord ? target : { model: target.model };
 }
--- a/packages/forwarding/src/send-attempt.ts
+++ b/packages/forwarding/src/send-attempt.ts
@@ -1,25 +1,26 @@
 /** Sends one request to one back end, up to the head of the answer. */
 import { errorMessage } from '@woodbarrow/errors';
 import type { BackEnd, ReportedLoad } from '@woodbarrow/backends';
-import { HttpNotSentError, type BackendResponse, type BackendClient, type Clock } from '@woodbarrow/runtime';
+import { HttpNotSentError, type BackendResponse, type BackendClient } from '@woodbarrow/runtime';
 import type { BackendNotice } from './backend-notice.js';
 import type { AnswerVerdict, WireDialect } from './wire-dialect.js';
 
 /** Timeout for opening a connection to a back end, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 400;
 
+/** Why a back end turns a request away. */
+export type DeclineVerdict = Extract<AnswerVerdict, 'not_run' | 'other_incarnation' | 'not_resident'>;
+
 /** Result of a send. */
 export type SendOutcome =
   /** The head of the answer arrived; its body is still to be read. */
   | { readonly kind: 'answered'; readonly answer: BackendResponse; readonly load?: ReportedLoad }
   /** The back end states that it did not run the request. */
-  | { readonly kind: 'declined'; readonly verdict: 'not_run' | 'other_incarnation' | 'not_resident' }
+  | { readonly kind: 'declined'; readonly verdict: DeclineVerdict }
   /** The connection failed; the back end did not receive the request. */
   | { readonly kind: 'unreachable'; readonly detail: string }
   /** The back end may have run the request; there is no usable answer. */
-  | { readonly kind: 'broken'; readonly detail: string }
-  /** The back end may have run the request; no answer arrived in time. */
-  | { readonly kind: 'silent' };
+  | { readonly kind: 'broken'; readonly detail: string };
 
 /** Parameters of a send. */
 export interface SendPlan {
@@ -35,25 +36,14 @@
   readonly onNotice: (notice: BackendNotice) => void;
   /** Called with the load in the head of an answer that comes from the back end. */
   readonly onLoad: (load: ReportedLoad) => void;
-  /** Milliseconds to wait for the head of the answer; limited by the controller alone when absent. */
-  readonly timeoutMs?: number;
 }
 
-/** Sends a request and classifies the head of the answer. */
+/** Sends a request and classifies the head of the answer. Never rejects. */
 export async function sendAttempt(
   plan: SendPlan,
   client: BackendClient,
   dialect: WireDialect,
-  clock: Clock,
 ): Promise<SendOutcome> {
-  let hasTimedOut = false;
-  const cancelTimeout =
-    plan.timeoutMs === undefined
-      ? undefined
-      : clock.schedule(plan.timeoutMs, () => {
-          hasTimedOut = true;
-          plan.controller.abort();
-        });
   try {
     const answer = await client.send({
       backEndId: plan.backEnd.id,
@@ -76,10 +66,7 @@
     return outcomeOf(verdict, answer, load);
   } catch (error) {
     if (error instanceof HttpNotSentError) return { kind: 'unreachable', detail: errorMessage(error) };
-    if (hasTimedOut) return { kind: 'silent' };
     return { kind: 'broken', detail: errorMessage(error) };
-  } finally {
-    cancelTimeout?.();
   }
 }
 
--- a/packages/forwarding/src/send-failures.ts
+++ b/packages/forwarding/src/send-failures.ts
@@ -18,8 +18,18 @@
 
   /** Records an answer that broke; the quarantine checks whether the process crashed. */
   recordBroken(backEnd: BackEnd, sentAt: number, detail: string): void {
-    const { context, facts, route, digest, parts } = this.scope;
     this.recordFailure(backEnd, 'broken', detail);
+    this.checkProcess(backEnd, sentAt);
+  }
+
+  /** Records a silent answer that another run has replaced; the process may have ended without closing its connections. */
+  recordReplaced(backEnd: BackEnd, sentAt: number): void {
+    this.recordFailure(backEnd, 'stalled', 'no data in time, replaced by another run');
+    this.checkProcess(backEnd, sentAt);
+  }
+
+  private checkProcess(backEnd: BackEnd, sentAt: number): void {
+    const { context, facts, route, digest, parts } = this.scope;
     const current = context.directory.get(backEnd.id);
     context.quarantine.noteBroken({
       content: digest,
@@ -33,7 +43,7 @@
   }
 
   /**
-   * Milliseconds without data before another back end is tried; undefined if no other may be tried.
+   * Milliseconds without data before another run is sought; undefined if no other may be.
    *
    * @param runCount Number of back ends on which the request may have run, including this one.
    */
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -49,6 +49,7 @@
   type ResidencyClient,
   type ResidencyDemand,
   type RequestQuota,
+  type RetryAllowance,
   type ResidencyOutcome,
   type Route,
   type UnreadAnswers,
@@ -210,6 +211,8 @@
   private readonly health = new Map<string, BackendHealth>();
   /** Grants permits to send; grants all by default. */
   permits: SendPermits = { waitMs: () => 0, acquire: () => Promise.resolve(UNLIMITED_PERMIT) };
+  /** Grants retries; 30 in ten seconds by default. */
+  allowance: RetryAllowance = allowanceOf(30, 10_000, this.process);
   /** Answers quota requests of tenants; grants all by default. */
   quota: RequestQuota['acquire'] = () =>
     Promise.resolve({ kind: 'granted', ticket: { isValid: () => true, refund: () => undefined } });
@@ -353,7 +356,11 @@
         this.runTimes,
       ),
       budget: new RetryBudget(
-        { ratio: 0.2, windowMs: 10_000, allowance: allowanceOf(30, 10_000, this.process) },
+        {
+          ratio: 0.2,
+          windowMs: 10_000,
+          allowance: { acquire: (...wish) => this.allowance.acquire(...wish) },
+        },
         this.process,
         new Random(1),
       ),
@@ -422,6 +429,43 @@
   return { ...answer(status), body: body() };
 }
 
+/** A pause of a scripted answer, in milliseconds. */
+export interface Pause {
+  readonly pauseMs: number;
+}
+
+/** Builds an answer in virtual time; an abort of the call, or giving the answer up, breaks its body. */
+export function timed(
+  world: ForwardingWorld,
+  call: BackendCall,
+  status: number,
+  ...pieces: (string | Pause)[]
+): BackendResponse & { readonly givenUpAt: () => number | undefined } {
+  let giveUp: (error: Error) => void = () => undefined;
+  let givenUpAt: number | undefined;
+  const givenUp = new Promise<never>((_, reject) => {
+    giveUp = (error) => {
+      givenUpAt ??= world.world.now;
+      reject(error);
+    };
+  });
+  givenUp.catch(() => undefined);
+  call.signal.addEventListener('abort', () => {
+    giveUp(new Error('given up'));
+  });
+  async function* body(): AsyncGenerator<Uint8Array> {
+    for (const piece of pieces) {
+      if (typeof piece === 'string') yield encodeText(piece);
+      else await Promise.race([world.wait(piece.pauseMs), givenUp]);
+    }
+  }
+  const discard = (): void => {
+    giveUp(new Error('given up'));
+  };
+  const texts = pieces.filter((piece) => typeof piece === 'string');
+  return { ...answer(status, ...texts), body: body(), discard, givenUpAt: () => givenUpAt };
+}
+
 /** Builds an answer without a length, whose body ends with its connection. */
 export function unframed(status: number, ...pieces: string[]): BackendResponse {
   return { ...answer(status, ...pieces), endsWithConnection: true };
--- a/packages/forwarding/test/worker-pace.test.ts
+++ b/packages/forwarding/test/worker-pace.test.ts
@@ -37,7 +37,6 @@
   });
 
   it('are ignored in answers that come from another worker or answer another request', async () => {
-    const clock = new SimulatedProcess(new SimulatedWorld(), { name: 'd', zone: 'a', region: 'r' });
     const outcomes: [AnswerVerdict, boolean, number][] = [
       ['genuine', true, 1],
       ['not_run', true, 1],
@@ -69,7 +68,7 @@
         readNotice: () => (hasNotice ? EMPTY_NOTICE : undefined),
         readLoad: () => ({ running: 1, waiting: 0, slots: 4, pacePercent: 160 }),
       } as unknown as WireDialect;
-      await sendAttempt(plan, client, dialect, clock);
+      await sendAttempt(plan, client, dialect);
       expect(loads, `${verdict}, notice ${String(hasNotice)}`).to.have.length(expected);
     }
   });
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -12,11 +12,15 @@
   request_sent:
     'The request is being sent. Back end, its zone and software version, reason for the choice, requests in progress there, age of its record, remaining time, time waited for room on a worker.',
   request_declined:
-    'A back end did not accept the request or did not respond. Verdict: `not_run`, `not_resident`, `other_incarnation`, `unreachable`, `broken` or `timed_out`.',
+    'A back end did not accept the request or did not respond. Verdict: `not_run`, `not_resident`, `other_incarnation`, `unreachable`, `broken`, `stalled` (replaced by another run) or `timed_out`.',
   answer_unmatched:
     'An answer does not belong to the request in progress on its connection, or names no request where it could belong to another one. Back end, request that the answer names, status, match (`repeated`: a second answer to the request before; `other_call`, `no_call`), outcome (`skipped`: the next answer is awaited; `rejected`: the connection is closed, and the request may have run).',
   request_repeated:
     'A retry is considered. Whether it is allowed, preceding result, service, whether the preceding send reached a back end and the retry counts against the budget, where the retry comes from (`earned`, `granted`, `first_member`) or why it is withheld (`used_up`, `allocator_starting`, `no_allocator`), earned retries left.',
+  answer_silent:
+    'No data of an answer has arrived for some time; another run is sought while it is still waited for. Back end, last event that the client has.',
+  answer_silence_ended:
+    'The wait for a silent answer has ended. Back end, end (`ready`: it can be read on; `replaced`: another run has taken its place; `process_ended`), time since another run was first sought, back end of that run.',
   request_resumed:
     'A back end was asked to resume a stream and has responded. Back end, its software version, event to resume after, status.',
   take_up_refused:
--- a/packages/serving/src/logged-journal.ts
+++ b/packages/serving/src/logged-journal.ts
@@ -9,6 +9,8 @@
   'request_failed',
   'request_declined',
   'request_repeated',
+  'answer_silent',
+  'answer_silence_ended',
   'request_resumed',
   'stream_taken_up',
   'take_up_refused',
@@ -25,6 +27,7 @@
   decided(decision: RequestDecision, requestId: string, facts: DecisionFacts): void {
     this.metrics.countDecision(decision);
     if (decision === 'request_repeated') this.countRetry(facts);
+    if (decision === 'answer_silence_ended') this.metrics.countSilentAnswer(String(facts['end']));
     if (decision === 'take_up_refused') this.metrics.countRefusedResume(String(facts['reason']));
     if (decision === 'stream_taken_up') this.metrics.countTakeUp(String(facts['source']));
     if (facts['kind'] === 'stream_not_resumable') this.metrics.countTakeUp(String(facts['cause']));
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -66,6 +66,7 @@
   private readonly requests: Counter;
   private readonly decisions: Counter;
   private readonly retries: Counter;
+  private readonly silentAnswers: Counter;
   private readonly refusedResumes: Counter;
   private readonly takeUps: Counter;
   private readonly durations: Histogram;
@@ -78,6 +79,10 @@
       'woodbarrow_retries_total',
       'Retries considered, by service and by where the retry comes from (earned, granted, first_member) or why it was withheld (used_up, allocator_starting, no_allocator).',
     );
+    this.silentAnswers = registry.counter(
+      'woodbarrow_silent_answers_total',
+      'Answers without data for which another run was sought, by how the wait ended (ready, replaced, process_ended).',
+    );
     this.refusedResumes = registry.counter(
       'woodbarrow_take_ups_refused_total',
       'Answers that could not go on with a stream, by reason.',
@@ -432,6 +437,11 @@
     this.refusedResumes.add({ reason });
   }
 
+  /** Counts a silent answer. @param end How the wait for it ended. */
+  countSilentAnswer(end: string): void {
+    this.silentAnswers.add({ end });
+  }
+
   /** Counts a stream that a client took up. @param result Where its version was known from, or why it was refused. */
   countTakeUp(result: string): void {
     this.takeUps.add({ result });
