A relay that stands still for a second does not end the answers that it carries

A daemon without a direct path counted a relay as lost 1 s after a read should have been answered, and cut the stream, as with a silent worker.

--- a/packages/relaying/src/relay-client.ts
+++ b/packages/relaying/src/relay-client.ts
@@ -19,8 +19,8 @@
 const START_TIMEOUT_MS = 600;
 /** Time for which a read waits at the relay, in milliseconds. */
 const READ_WAIT_MS = 500;
-/** Time beyond the wait after which a relay counts as lost, in milliseconds. */
-const READ_GRACE_MS = 1000;
+/** Time beyond the wait after which a relay counts as lost, in milliseconds. Another run is sought long before, see `RunReplacement`. */
+const READ_GRACE_MS = 4000;
 
 /** The relay did not send the request. */
 export class RelayRefusedError extends Error {
