A run that takes over from a silent one is never left behind

Between the moment at which another run had all that it needs and its send, or between its acceptance and the end of the search, data of the silent run could end the search: both runs would have gone on. The search is now checked right before the send, and a run that has taken over always counts. An answer that is not an event stream replaces no stream that its client has taken up.

--- a/packages/forwarding/src/answer-forwarder.ts
+++ b/packages/forwarding/src/answer-forwarder.ts
@@ -56,7 +56,8 @@
 
   /** Whether an answer may take the place of a silent one; a failure may not. */
   canReplace(answer: BackendResponse): boolean {
-    return this.scope.answer.hasBegun ? isEventStream(answer) : answer.status < FIRST_FAILURE_STATUS;
+    const hasEvents = this.scope.answer.hasBegun || this.position?.hasBegun === true;
+    return hasEvents ? isEventStream(answer) : answer.status < FIRST_FAILURE_STATUS;
   }
 
   /** Forwards an answer as far as it continues what the client has received. */
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -106,7 +106,7 @@
     this.replacement = new SilentRunReplacement(this.scope, this.preparation, {
       allowsAnother: () => this.canRetryAfter({ kind: 'maybe_run' }),
       noteSilent: () => {
-        this.noteArrived();
+        this.retries.noteArrived();
         this.allowance.consume();
       },
       begin: (prepared) => this.begin(prepared),
@@ -238,15 +238,11 @@
     // What a replaced run held was consumed when it fell silent.
     if (result.kind === 'replaced') return result;
     if (result.kind === 'not_run' && !result.arrived) prepared.permit.refund();
-    else this.noteArrived();
+    else this.retries.noteArrived();
     if (result.kind !== 'not_run') this.allowance.consume();
     return result;
   }
 
-  private noteArrived(): void {
-    this.retries.noteArrived();
-  }
-
   /** Returns what no run has used. */
   private refund(): void {
     this.allowance.refund();
--- a/packages/forwarding/src/run-replacement.ts
+++ b/packages/forwarding/src/run-replacement.ts
@@ -62,6 +62,8 @@
   private replacing: ReplacingRun | undefined;
   /** Whether another run was sent of which it is not known yet whether it takes over. */
   private isUndecided = false;
+  /** Resolves when time is up or the client has disconnected. */
+  private expiry: Promise<unknown> | undefined;
   /** Preparation in progress; it may outlast the silence for which it began. */
   private preparation: Promise<PreparedRun | undefined> = Promise.resolve(undefined);
 
@@ -108,15 +110,17 @@
         search.abort();
         return end;
       });
+    this.expiry ??= raceAbort(never(), this.scope.expired);
     const replaced = this.replace(search.signal);
-    const ends = [
+    const end = await Promise.race([
       endOf(ready, 'ready'),
       endOf(this.processEnd(backEnd), 'process_ended'),
-      endOf(raceAbort(never(), this.scope.expired), 'expired'),
-    ];
-    const end = await Promise.race([...ends, endOf(replaced.then(whenTrue), 'replaced')]);
+      endOf(this.expiry, 'expired'),
+      endOf(replaced.then(whenTrue), 'replaced'),
+    ]);
     // Once another run was sent, it decides: only one of the two may go on.
-    return this.isUndecided && (await replaced) ? 'replaced' : end;
+    if (this.isUndecided) await replaced;
+    return this.replacing === undefined ? end : 'replaced';
   }
 
   /** Seeks another run until one has taken over or `search` aborts. Returns whether one has taken over. */
@@ -124,6 +128,7 @@
     while (!search.aborted && this.request.allowsAnother()) {
       const prepared = await this.prepare(search);
       if (prepared === undefined) await this.pause(search);
+      else if (search.aborted) this.returnUnused(prepared);
       else if (await this.tryRun(prepared)) return true;
     }
     return false;
@@ -158,15 +163,17 @@
     let preparation = await this.preparing.prepare(search);
     while (preparation.kind === 'again' && !search.aborted)
       preparation = await this.preparing.prepare(search);
-    if (preparation.kind === 'prepared' && !search.aborted) return preparation.run;
-    if (preparation.kind === 'prepared') {
-      preparation.run.permit.refund();
-      preparation.run.release();
-    }
+    if (preparation.kind === 'prepared') return preparation.run;
     this.request.refund();
     return undefined;
   }
 
+  private returnUnused({ permit, release }: PreparedRun): void {
+    permit.refund();
+    release();
+    this.request.refund();
+  }
+
   private async pause(search: AbortSignal): Promise<void> {
     await raceAbort(sleep(this.scope.context.clock, RETRY_INTERVAL_MS), search);
   }
