--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -20,7 +20,7 @@
   answer_silent:
     'No data of an answer has arrived for some time; another run is sought while it is still waited for. Back end, last event that the client has.',
   answer_silence_ended:
-    'The wait for a silent answer has ended. Back end, end (`ready`: it can be read on; `replaced`: another run has taken its place; `process_ended`), time since another run was first sought, back end of that run.',
+    'The wait for a silent answer has ended. Back end, end (`ready`: it can be read on; `replaced`: another run has taken its place; `process_ended`; `expired`: time is up or the client has left), time since another run was first sought, back end of that run.',
   request_resumed:
     'A back end was asked to resume a stream and has responded. Back end, its software version, event to resume after, status.',
   take_up_refused:
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -81,7 +81,7 @@
     );
     this.silentAnswers = registry.counter(
       'woodbarrow_silent_answers_total',
-      'Answers without data for which another run was sought, by how the wait ended (ready, replaced, process_ended).',
+      'Answers without data for which another run was sought, by how the wait ended (ready, replaced, process_ended, expired).',
     );
     this.refusedResumes = registry.counter(
       'woodbarrow_take_ups_refused_total',
