--- a/packages/forwarding/src/run-replacement.ts
+++ b/packages/forwarding/src/run-replacement.ts
@@ -1,6 +1,6 @@
 /**
  * Seeks another run for a request whose answer has gone silent. The silent run is given up only once another one has been granted and
- * its back end has not turned it away, since a sound back end may fall silent for a second or so, and its answer is the client's as
+ * its back end has not turned it away, since a healthy back end may pause briefly, and its answer is the client's as
  * long as there is no other.
  */
 import type { BackEnd } from '@woodbarrow/backends';
