The connection of a skipped answer is closed after the answer that follows it

Callers were refused with back_ends_unreachable once workers had repeated many answers: each skipped answer left a connection open, until the worker's limit was reached and it reset new ones, which counted as lost paths. The HTTP client ends a connection that it does not keep with destroySoon, which the stream over a connection that is read on did not have.

The test of the skipped answer now demands that its connection is closed; it fails before.

--- a/packages/runtime/src/sent-connection.ts
+++ b/packages/runtime/src/sent-connection.ts
@@ -31,6 +31,11 @@
     done();
   }
 
+  /** Called by the HTTP client when the answer has ended. */
+  destroySoon(): void {
+    this.destroy();
+  }
+
   override _destroy(error: Error | null, done: (error: Error | null) => void): void {
     this.socket.destroy();
     done(error);
--- a/packages/runtime/test/node-backend-client.test.ts
+++ b/packages/runtime/test/node-backend-client.test.ts
@@ -233,9 +233,11 @@
     expect([response.status, await textOf(response)]).to.deep.equal([200, 'own']);
     expect(unmatched).to.have.length(1);
     expect(unmatched[0]).to.include({ match: 'repeated', isSkipped: true, requestId: 'b', answeredId: 'a' });
-    // No call may use the connection on which answers were repeated.
+    // No call may use the connection on which answers were repeated, and it must not stay open either.
     expect(await textOf(await call(address, 'c'))).to.equal('answer to c');
     expect(client.connectionsOpened).to.equal(2);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    expect(backend.sockets.map(({ destroyed }) => destroyed)).to.deep.equal([true, false]);
   });
 
   it('returns a response without a length after a skipped answer, and fails it when the connection is reset', async () => {
