Heads of answers are kept for calls without an id only

Clean-up without a change of behaviour. The client joined all headers of each answer to remember its head, which is compared for calls without an id alone (orders, reports, health reads); forwarded requests, the hot path, always have one, and their answers are told apart by it. The pool finds the connection that fits with one search instead of two.

100 tests of the HTTP client, relays, late answers and forwarding pass.

--- a/packages/runtime/src/answer-matcher.ts
+++ b/packages/runtime/src/answer-matcher.ts
@@ -47,7 +47,8 @@
 interface AnsweredCall {
   readonly id: string | undefined;
   readonly operation: string;
-  readonly head: string;
+  /** Undefined if the call has an id, which tells its answer from others. */
+  readonly head: string | undefined;
 }
 
 /** Matches the answers of one client with its calls. */
@@ -86,7 +87,8 @@
   /** Records the answer to a call. */
   noteAnswered(call: BackendCall, connection: object, message: IncomingMessage): void {
     const { requestId: id } = call;
-    this.answered.set(connection, { id, operation: operationOf(call), head: headOf(message) });
+    const head = this.hasId(call) ? undefined : headOf(message);
+    this.answered.set(connection, { id, operation: operationOf(call), head });
   }
 }
 
--- a/packages/runtime/src/keep-alive-agent.ts
+++ b/packages/runtime/src/keep-alive-agent.ts
@@ -23,11 +23,10 @@
   /** Lets the next request use the latest idle connection that fits, if there is one. Returns whether there is. */
   prefer(fits: (socket: Socket) => boolean): boolean {
     for (const sockets of Object.values(this.freeSockets)) {
-      const fitting = sockets?.findLast((socket) => !socket.destroyed && fits(socket));
-      if (sockets === undefined || fitting === undefined) continue;
-      sockets.splice(sockets.indexOf(fitting), 1);
+      const index = sockets?.findLastIndex((socket) => !socket.destroyed && fits(socket)) ?? -1;
+      if (sockets === undefined || index < 0) continue;
       // The pool is a stack.
-      sockets.push(fitting);
+      sockets.push(...sockets.splice(index, 1));
       return true;
     }
     return false;
