Responses of engines count for the call that they name only

With `woodbarrow serve`, a second response of an engine, sent late in the place where the next one is expected, was taken for that to the next call of its connection. A caller was given the answer to another one's request; a completion counted as not started (x-not-started) although its engine ran it, so that it would run again elsewhere; an order that the engine refused counted as executed.

Each call now has an id of its own in x-call-id, which the engine repeats. The HTTP client compares it before anything of the response is read; a response to another call fails the call, which may have run, and closes its connection. An engine that does not repeat ids gets a connection for each call, which carries nothing else. Rejected responses are logged (answer_unmatched) and counted (unmatchedAnswers of the source engines).

--- a/packages/daemon/src/daemon-metrics.ts
+++ b/packages/daemon/src/daemon-metrics.ts
@@ -12,9 +12,11 @@
   platform: PlatformClient,
   jobs: JobService,
 ): void {
-  const { membership, router, coordinator, relay, store, ledger, queues, completions, peers } = daemon;
+  const { membership, engines, router, coordinator, relay, store, ledger, queues, completions, peers } =
+    daemon;
   metrics.addSource('membership', () => ({ ...membership.counters, present: membership.present().length }));
   metrics.addSource('router', () => ({ ...router.counters }));
+  metrics.addSource('engines', () => ({ ...engines.counters }));
   metrics.addSource('coordinator', () => ({ ...coordinator.counters, active: Number(coordinator.isActive) }));
   metrics.addSource('configuration', () => ({ ...relay.counters, revision: store.revision }));
   metrics.addSource('platform', () => ({ ...platform.counters }));
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -60,6 +60,7 @@
   readonly metrics = new Metrics();
   readonly peers: PeerNetwork;
   readonly membership: Membership;
+  readonly engines: EngineClient;
   readonly coordinator: ZoneCoordinator;
   readonly router: Router;
   readonly queues: QueueOwner;
@@ -163,7 +164,13 @@
       onTaskFailure,
     });
     this.claims = new ClaimsClient(LEDGER_GROUP, peers, clock, this.locator);
-    const engines = new EngineClient(http);
+    this.engines = new EngineClient(http, {
+      onUnmatchedAnswer: ({ match, call, origin, requestId }) => {
+        const facts = { request: requestId, call, backEnd: origin, match, outcome: 'rejected' };
+        environment.log.changed('answer_unmatched', facts);
+      },
+    });
+    const { engines } = this;
     this.coordinator = new ZoneCoordinator({
       zone,
       lease: this.coordinatorLease,
--- a/packages/engine/src/engine-client.ts
+++ b/packages/engine/src/engine-client.ts
@@ -2,9 +2,11 @@
 import { WoodbarrowError } from '@woodbarrow/errors';
 import {
   HttpNotSentError,
+  UnmatchedAnswerError,
   encodeText,
   readBody,
   readJson,
+  type HttpCall,
   type HttpClient,
   type HttpResponse,
 } from '@woodbarrow/runtime';
@@ -40,10 +42,34 @@
 
 /** Response header with which an engine reports that it did not start the request. */
 const NOT_STARTED_HEADER = 'x-not-started';
+const REQUEST_ID_HEADER = 'x-request-id';
+
+/** Kinds of calls to an engine. */
+export type EngineCall = 'inventory' | 'order' | 'completion';
+
+/** A response that was rejected because it belongs, or may belong, to another call. */
+export interface UnmatchedEngineAnswer {
+  readonly match: UnmatchedAnswerError['match'];
+  readonly call: EngineCall;
+  readonly origin: string;
+  /** Id of the request; undefined for inventories and orders. */
+  readonly requestId: string | undefined;
+}
+
+/** Options of {@link EngineClient}. */
+export interface EngineClientOptions {
+  readonly onUnmatchedAnswer?: (answer: UnmatchedEngineAnswer) => void;
+}
 
 /** Sends control orders and completions to engines over HTTP. */
 export class EngineClient {
-  constructor(private readonly http: HttpClient) {}
+  readonly counters = { unmatchedAnswers: 0 };
+  private calls = 0;
+
+  constructor(
+    private readonly http: HttpClient,
+    private readonly options: EngineClientOptions = {},
+  ) {}
 
   /**
    * Fetches the inventory of a worker. The worker omits caches that have not changed since `cached`.
@@ -51,7 +77,11 @@
    * @throws WoodbarrowError `peer_unreachable`
    */
   async inventory(origin: string, cached?: Inventory): Promise<Inventory> {
-    const response = await this.sendControlRequest(origin, 'GET', `/inventory${cachesSinceQuery(cached)}`);
+    const response = await this.sendControlRequest(
+      'inventory',
+      origin,
+      `/inventory${cachesSinceQuery(cached)}`,
+    );
     return parseInventory(await readJson(response.body), cached);
   }
 
@@ -62,7 +92,7 @@
    * `peer_unreachable` when there is no response, so that the worker may or may not have received it.
    */
   async order(origin: string, fence: number, order: EngineOrder, cached?: Inventory): Promise<Inventory> {
-    const response = await this.sendControlRequest(origin, 'POST', `/orders${cachesSinceQuery(cached)}`, {
+    const response = await this.sendControlRequest('order', origin, `/orders${cachesSinceQuery(cached)}`, {
       fence,
       order,
     });
@@ -79,13 +109,13 @@
   async complete(call: CompletionCall): Promise<CompletionStart> {
     let response: HttpResponse;
     try {
-      response = await this.http.send({
+      response = await this.send('completion', {
         method: 'POST',
         origin: call.origin,
         path: call.path,
         headers: {
           'content-type': 'application/json',
-          'x-request-id': call.requestId,
+          [REQUEST_ID_HEADER]: call.requestId,
           'x-model': call.model,
           'x-adapter': call.adapter,
           'x-priority': String(call.priority),
@@ -109,14 +139,14 @@
   }
 
   private async sendControlRequest(
+    call: EngineCall,
     origin: string,
-    method: string,
     path: string,
     body?: object,
   ): Promise<HttpResponse> {
     try {
-      return await this.http.send({
-        method,
+      return await this.send(call, {
+        method: body === undefined ? 'GET' : 'POST',
         origin,
         path,
         headers: { 'content-type': 'application/json' },
@@ -127,6 +157,27 @@
       throw new WoodbarrowError('peer_unreachable', `no response from engine ${origin}`, { cause: error });
     }
   }
+
+  /** Sends a call whose response is told from those to other calls by its id. */
+  private async send(kind: EngineCall, call: HttpCall): Promise<HttpResponse> {
+    this.calls += 1;
+    try {
+      return await this.http.send({ ...call, callId: String(this.calls) });
+    } catch (error) {
+      if (error instanceof UnmatchedAnswerError) this.noteUnmatched(kind, call, error.match);
+      throw error;
+    }
+  }
+
+  private noteUnmatched(
+    call: EngineCall,
+    { origin, headers }: HttpCall,
+    match: UnmatchedAnswerError['match'],
+  ): void {
+    this.counters.unmatchedAnswers += 1;
+    const requestId = headers?.[REQUEST_ID_HEADER];
+    this.options.onUnmatchedAnswer?.({ match, call, origin, requestId });
+  }
 }
 
 function cachesSinceQuery(cached: Inventory | undefined): string {
--- a/packages/runtime/src/http.ts
+++ b/packages/runtime/src/http.ts
@@ -35,6 +35,11 @@
   readonly signal?: AbortSignal;
   /** Milliseconds to wait for the response head; no limit when absent. */
   readonly timeoutMs?: number;
+  /**
+   * Unique id of the call, sent as header `x-call-id`. A server that repeats it in its responses lets the client detect a second
+   * response to an earlier call. Each call to a server that does not gets a connection of its own.
+   */
+  readonly callId?: string;
 }
 
 /** Time-out for opening a connection, in milliseconds. */
@@ -46,6 +51,7 @@
    * Resolves when the response head has arrived; the body may still be streaming.
    *
    * @throws HttpNotSentError when no byte of the request can have reached the server.
+   * @throws UnmatchedAnswerError when the response belongs to another call; the request may have been received.
    * @throws Error for any other failure; the request may have been received.
    */
   send(call: HttpCall): Promise<HttpResponse>;
--- a/packages/runtime/src/undici-client.ts
+++ b/packages/runtime/src/undici-client.ts
@@ -1,5 +1,6 @@
 /** HTTP client based on undici. */
 import { Agent, errors, type Dispatcher } from 'undici';
+import { UnmatchedAnswerError } from './answer-matcher.js';
 import {
   CONNECT_TIMEOUT_MS,
   HttpNotSentError,
@@ -17,21 +18,30 @@
   readonly connectTimeoutMs?: number;
 }
 
+/** Header with the id of a call, which the server repeats in its response. */
+export const CALL_ID_HEADER = 'x-call-id';
+
 const DEFAULT_CONNECTIONS = 128;
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
 /** Sends requests over pooled connections. */
 export class UndiciHttpClient implements HttpClient {
   private readonly agent: Agent;
+  /** Connections that carry one call each. */
+  private readonly singleCallAgent: Agent;
+  /** Origins that have repeated the id of a call. */
+  private readonly namingOrigins = new Set<string>();
 
   constructor(options: UndiciHttpClientOptions = {}) {
-    this.agent = new Agent({
+    const agentOptions = {
       connections: options.connections ?? DEFAULT_CONNECTIONS,
       connect: { timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS },
       bodyTimeout: 0,
       headersTimeout: 0,
       pipelining: 1,
-    });
+    };
+    this.agent = new Agent(agentOptions);
+    this.singleCallAgent = new Agent(agentOptions);
   }
 
   async send(call: HttpCall): Promise<HttpResponse> {
@@ -47,14 +57,21 @@
     };
     if (call.signal?.aborted) forward();
     call.signal?.addEventListener('abort', forward);
+    const { callId } = call;
+    const isOnlyCall = callId !== undefined && !this.namingOrigins.has(call.origin);
+    const checkAnswer = checkHeads((headers) => {
+      if (callId !== undefined) this.checkAnswer(call, isOnlyCall, headers[CALL_ID_HEADER]);
+    });
+    const agent = isOnlyCall ? this.singleCallAgent : this.agent;
     try {
-      const response = await this.agent.request({
+      const response = await agent.compose(checkAnswer).request({
         origin: call.origin,
         path: call.path,
         method: call.method,
-        headers: { ...call.headers },
+        headers: { ...call.headers, ...(callId === undefined ? {} : { [CALL_ID_HEADER]: callId }) },
         body: call.body ?? null,
         signal: timeout.signal,
+        reset: isOnlyCall,
       });
       // Aborting destroys the body stream; its error event must be handled even when the body is not being read.
       response.body.on('error', () => undefined);
@@ -66,12 +83,49 @@
     }
   }
 
+  /**
+   * Records whether the server names the calls that it answers.
+   *
+   * @param isOnlyCall Whether the call has a connection of its own.
+   * @throws UnmatchedAnswerError when the response may belong to another call.
+   */
+  private checkAnswer(
+    { origin, callId }: HttpCall,
+    isOnlyCall: boolean,
+    answeredId: string | string[] | undefined,
+  ): void {
+    if (answeredId === callId) {
+      this.namingOrigins.add(origin);
+      return;
+    }
+    this.namingOrigins.delete(origin);
+    if (answeredId !== undefined) throw new UnmatchedAnswerError('other_call');
+    if (!isOnlyCall) throw new UnmatchedAnswerError('no_call');
+  }
+
   /** Closes all connections and aborts requests in progress. */
   async close(): Promise<void> {
-    await this.agent.destroy();
+    await Promise.all([this.agent.destroy(), this.singleCallAgent.destroy()]);
   }
 }
 
+/** Checks the head of each response before anything of it is passed on. A check that throws fails the call and closes its connection. */
+function checkHeads(
+  check: (headers: Dispatcher.ResponseData['headers']) => void,
+): Dispatcher.DispatcherComposeInterceptor {
+  return (dispatch) => (options, handler) =>
+    dispatch(options, {
+      onRequestStart: (controller, context) => handler.onRequestStart?.(controller, context),
+      onResponseStart: (controller, status, headers, statusMessage) => {
+        check(headers);
+        handler.onResponseStart?.(controller, status, headers, statusMessage);
+      },
+      onResponseData: (controller, chunk) => handler.onResponseData?.(controller, chunk),
+      onResponseEnd: (controller, trailers) => handler.onResponseEnd?.(controller, trailers),
+      onResponseError: (controller, error) => handler.onResponseError?.(controller, error),
+    });
+}
+
 function flatten(headers: Dispatcher.ResponseData['headers']): HttpHeaders {
   const result: Record<string, string> = {};
   for (const [name, value] of Object.entries(headers)) {
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod';
 import {
+  CALL_ID_HEADER,
   decodeText,
   encodeText,
   jsonResponse,
@@ -176,15 +177,23 @@
     this.generation += 1;
   }
 
-  /** Serves the control and completion APIs. */
+  /** Serves the control and completion APIs; each response repeats the id of its call. */
   readonly handler: HttpHandler = async (request) => {
+    const response = await this.respond(request);
+    const callId = request.headers[CALL_ID_HEADER];
+    return callId === undefined
+      ? response
+      : { ...response, headers: { ...response.headers, [CALL_ID_HEADER]: callId } };
+  };
+
+  private async respond(request: HttpRequest): Promise<HttpResponse> {
     const [path, query] = request.path.split('?', 2);
     const known = Number(new URLSearchParams(query).get('caches-since') ?? NaN);
     if (path === '/inventory') return jsonResponse(200, this.inventory(known));
     if (path === '/orders') return this.handleOrder(request, known);
     if (path === '/v1/chat/completions' || path === '/v1/completions') return this.complete(request);
     return jsonResponse(404, {});
-  };
+  }
 
   /** Returns the inventory; omits the caches if the client already has their current generation. */
   private inventory(knownCacheGeneration: number): object {
