Informational responses of engines name no call and fail none

A call to an engine that names calls failed as one that may have run when the engine sent an informational response (103) before the final one: its head has no x-call-id. Cause: the check of heads looked at each head. It now looks at final ones only. A refused connection makes the client forget that the origin names calls, so that the record does not grow with engines that are gone.

--- a/packages/engine/test/late-answers.test.ts
+++ b/packages/engine/test/late-answers.test.ts
@@ -39,6 +39,7 @@
     private readonly namesCalls: boolean,
     private readonly answers: readonly Answer[],
     private readonly repeats = true,
+    private readonly sendsEarlyHints = false,
   ) {
     this.server = createServer((socket) => {
       this.sockets.add(socket);
@@ -79,7 +80,8 @@
     const named = this.namesCalls && callId !== undefined ? { 'x-call-id': callId.trim() } : {};
     const headers = { ...answer.headers, ...named, 'content-length': String(body.length) };
     const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
-    return `HTTP/1.1 ${String(answer.status)} Status\r\n${lines.join('')}\r\n${body}`;
+    const hints = this.sendsEarlyHints ? 'HTTP/1.1 103 Early Hints\r\nlink: </>\r\n\r\n' : '';
+    return `${hints}HTTP/1.1 ${String(answer.status)} Status\r\n${lines.join('')}\r\n${body}`;
   }
 }
 
@@ -173,6 +175,18 @@
     expect(engine.sockets.size).to.be.at.most(2);
   });
 
+  // Guards against a call that fails because its engine announced the response first.
+  it('are not mistaken for informational responses, which name no call', async () => {
+    engine = new RepeatingEngine(true, [COMPLETED, COMPLETED, COMPLETED], false, true);
+    const origin = await engine.listen();
+    const client = new EngineClient(http);
+    for (const id of ['r1', 'r2', 'r3']) {
+      const start = await complete(client, origin, id);
+      expect(start.outcome).to.equal('started');
+      if (start.outcome === 'started') await readText(start.response.body);
+    }
+  });
+
   it('are counted and reported', async () => {
     engine = new RepeatingEngine(true, [COMPLETED, COMPLETED, COMPLETED]);
     const origin = await engine.listen();
--- a/packages/runtime/src/undici-client.ts
+++ b/packages/runtime/src/undici-client.ts
@@ -77,7 +77,9 @@
       response.body.on('error', () => undefined);
       return { status: response.statusCode, headers: flatten(response.headers), body: response.body };
     } catch (error) {
-      throw classify(error);
+      const failure = classify(error);
+      if (failure instanceof HttpNotSentError) this.namingOrigins.delete(call.origin);
+      throw failure;
     } finally {
       clearTimeout(timer);
     }
@@ -109,7 +111,7 @@
   }
 }
 
-/** Checks the head of each response before anything of it is passed on. A check that throws fails the call and closes its connection. */
+/** Checks the final head of each response before anything of it is passed on. A check that throws fails the call and closes its connection. */
 function checkHeads(
   check: (headers: Dispatcher.ResponseData['headers']) => void,
 ): Dispatcher.DispatcherComposeInterceptor {
@@ -117,7 +119,8 @@
     dispatch(options, {
       onRequestStart: (controller, context) => handler.onRequestStart?.(controller, context),
       onResponseStart: (controller, status, headers, statusMessage) => {
-        check(headers);
+        const isInformational = status < 200;
+        if (!isInformational) check(headers);
         handler.onResponseStart?.(controller, status, headers, statusMessage);
       },
       onResponseData: (controller, chunk) => handler.onResponseData?.(controller, chunk),
