Tests of quotas under faults: each seed has a time-out of its own

No check had failed: the limit of 60 s, which is there to end a test that hangs, applied to five simulations of 7 to 24 s each.

The same twenty seeds are played with the same checks, each as a test of its own.

--- a/packages/quota/test/quota.test.ts
+++ b/packages/quota/test/quota.test.ts
@@ -19,6 +19,8 @@
   { name: 'small', unitsPerSecond: 16_000, callers: 3 },
 ];
 const SEEDS = [1, 2, 3, 4, 5];
+/** Number of seeds that are played with faults. */
+const FAULT_SEEDS = 20;
 /** Factor by which an overloading tenant exceeds its usual load. */
 const OVERLOAD_FACTOR = 6;
 
@@ -103,17 +105,14 @@
       }
     });
 
-    for (const firstSeed of [1, 6, 11, 16]) {
-      const lastSeed = firstSeed + 4;
-      const seeds = `seeds ${String(firstSeed)} to ${String(lastSeed)}`;
-      it(`hold in every window while daemons and allocators are killed, paused and partitioned, ${seeds}`, async () => {
-        for (let seed = firstSeed; seed <= lastSeed; seed += 1) {
-          const world = await simulate(createQuota, seed, injectFaults);
-          for (const { name } of TENANTS) {
-            const { peakUsage, ran } = world.resultOf(name);
-            expect(peakUsage, `${name} with seed ${String(seed)}`).to.be.below(1);
-            expect(ran).to.be.above(0);
-          }
+    // Each seed has the time-out of a test to itself, as simulated time takes long on a loaded machine.
+    for (let seed = 1; seed <= FAULT_SEEDS; seed += 1) {
+      it(`hold in every window while daemons and allocators are killed, paused and partitioned, seed ${String(seed)}`, async () => {
+        const world = await simulate(createQuota, seed, injectFaults);
+        for (const { name } of TENANTS) {
+          const { peakUsage, ran } = world.resultOf(name);
+          expect(peakUsage, name).to.be.below(1);
+          expect(ran).to.be.above(0);
         }
       });
     }
