HTTP client: heads are checked for calls with ids only

Every call of the client went through a check of the response's head, also calls to the platform and from the command line, which have no id. The choice of connections and the check are now made in one place, and calls without an id take none. Connections that carry one call come from an agent without keep-alive and need no option at each call.

The tests of late second answers of engines now show that second answers were sent, or that each call had a connection of its own; before, they would have passed without either.

--- a/packages/engine/test/late-answers.test.ts
+++ b/packages/engine/test/late-answers.test.ts
@@ -25,7 +25,18 @@
 const DECLINED: Answer = { status: 503, headers: { 'x-not-started': 'true' }, body: {} };
 const COMPLETED: Answer = { status: 200, body: { id: 'completed' } };
 
-/** Engine that sends a second answer to the request before when the next one arrives on the same connection. */
+/** Behaviour of a {@link RepeatingEngine}. */
+interface EngineBehaviour {
+  /** Answers to the requests, in their order; then each is completed. */
+  readonly answers?: readonly Answer[];
+  /** Whether answers repeat the id of their call. @default true */
+  readonly namesCalls?: boolean;
+  /** Whether a second answer to the request before is sent when the next one arrives on the same connection. @default true */
+  readonly repeats?: boolean;
+  readonly sendsEarlyHints?: boolean;
+}
+
+/** Engine that sends late second answers. */
 class RepeatingEngine {
   readonly sockets = new Set<Socket>();
   /** Requests received. */
@@ -34,13 +45,7 @@
   repeated = 0;
   private readonly server: Server;
 
-  /** @param namesCalls Whether answers repeat the id of their call. */
-  constructor(
-    private readonly namesCalls: boolean,
-    private readonly answers: readonly Answer[],
-    private readonly repeats = true,
-    private readonly sendsEarlyHints = false,
-  ) {
+  constructor(private readonly behaviour: EngineBehaviour) {
     this.server = createServer((socket) => {
       this.sockets.add(socket);
       let lastAnswer = '';
@@ -49,7 +54,7 @@
         const head = chunk.toString('latin1');
         const closes = /^connection: close/im.test(head);
         const answer = this.answerTo(head);
-        if (lastAnswer === '' || !this.repeats) socket.write(answer);
+        if (lastAnswer === '' || this.behaviour.repeats === false) socket.write(answer);
         else {
           this.repeated += 1;
           socket.write(lastAnswer);
@@ -73,14 +78,15 @@
   }
 
   private answerTo(head: string): string {
-    const answer = this.answers[this.requests] ?? COMPLETED;
+    const { answers = [], namesCalls = true, sendsEarlyHints = false } = this.behaviour;
+    const answer = answers[this.requests] ?? COMPLETED;
     this.requests += 1;
     const [, callId] = /^x-call-id: (.*)$/im.exec(head) ?? [];
     const body = JSON.stringify(answer.body);
-    const named = this.namesCalls && callId !== undefined ? { 'x-call-id': callId.trim() } : {};
+    const named = namesCalls && callId !== undefined ? { 'x-call-id': callId.trim() } : {};
     const headers = { ...answer.headers, ...named, 'content-length': String(body.length) };
     const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
-    const hints = this.sendsEarlyHints ? 'HTTP/1.1 103 Early Hints\r\nlink: </>\r\n\r\n' : '';
+    const hints = sendsEarlyHints ? 'HTTP/1.1 103 Early Hints\r\nlink: </>\r\n\r\n' : '';
     return `${hints}HTTP/1.1 ${String(answer.status)} Status\r\n${lines.join('')}\r\n${body}`;
   }
 }
@@ -119,10 +125,16 @@
     engine.close();
   });
 
+  /** Checks that second answers were sent, unless each call had a connection of its own. */
+  function expectRepeats(namesCalls: boolean): void {
+    if (namesCalls) expect(engine.repeated, 'second answers').to.be.above(0);
+    else expect(engine.sockets.size, 'connections').to.equal(engine.requests);
+  }
+
   // Guards against a run that is started again at another engine because the answer to an earlier call declined it.
   for (const namesCalls of [true, false])
     it(`do not decline the next completion of an engine that names ${namesCalls ? '' : 'no '}calls`, async () => {
-      engine = new RepeatingEngine(namesCalls, [COMPLETED, DECLINED, COMPLETED]);
+      engine = new RepeatingEngine({ namesCalls, answers: [COMPLETED, DECLINED, COMPLETED] });
       const origin = await engine.listen();
       const client = new EngineClient(http);
       const outcomes: string[] = [];
@@ -133,13 +145,14 @@
       }
       expect(engine.requests).to.equal(3);
       expect(outcomes[2], outcomes.join(', ')).to.not.equal('not_run');
+      expectRepeats(namesCalls);
     });
 
   // Guards against the answer to one request that reaches the caller of another.
   for (const namesCalls of [true, false])
     it(`do not reach the caller of the next completion if the engine names ${namesCalls ? '' : 'no '}calls`, async () => {
       const bodies = ['one', 'two', 'three'].map((id) => ({ status: 200, body: { id } }));
-      engine = new RepeatingEngine(namesCalls, bodies);
+      engine = new RepeatingEngine({ namesCalls, answers: bodies });
       const origin = await engine.listen();
       const client = new EngineClient(http);
       for (const { body } of bodies) {
@@ -147,24 +160,26 @@
         if (start.outcome === 'started')
           expect(JSON.parse(await readText(start.response.body))).to.deep.equal(body);
       }
+      expectRepeats(namesCalls);
     });
 
   // Guards against an order that counts as executed although the engine has refused it.
   for (const namesCalls of [true, false])
     it(`do not confirm the next order to an engine that names ${namesCalls ? '' : 'no '}calls`, async () => {
       const done = { status: 200, body: { ...INVENTORY, hostCache: [], diskCache: [] } };
-      engine = new RepeatingEngine(namesCalls, [done, done, { status: 507, body: {} }]);
+      engine = new RepeatingEngine({ namesCalls, answers: [done, done, { status: 507, body: {} }] });
       const origin = await engine.listen();
       const client = new EngineClient(http);
       const order = { type: 'unload', model: 'm0' } as const;
       await client.order(origin, 1, order);
       await failureOf(client.order(origin, 2, order));
       expect(await failureOf(client.order(origin, 3, order))).to.not.equal(undefined);
+      expectRepeats(namesCalls);
     });
 
   // Guards against a new connection for every call.
   it('cost no connection while there are none, if the engine names calls', async () => {
-    engine = new RepeatingEngine(true, [], false);
+    engine = new RepeatingEngine({ repeats: false });
     const origin = await engine.listen();
     const client = new EngineClient(http);
     for (let call = 0; call < 10; call += 1) {
@@ -177,7 +192,7 @@
 
   // Guards against a call that fails because its engine announced the response first.
   it('are not mistaken for informational responses, which name no call', async () => {
-    engine = new RepeatingEngine(true, [COMPLETED, COMPLETED, COMPLETED], false, true);
+    engine = new RepeatingEngine({ repeats: false, sendsEarlyHints: true });
     const origin = await engine.listen();
     const client = new EngineClient(http);
     for (const id of ['r1', 'r2', 'r3']) {
@@ -188,7 +203,7 @@
   });
 
   it('are counted and reported', async () => {
-    engine = new RepeatingEngine(true, [COMPLETED, COMPLETED, COMPLETED]);
+    engine = new RepeatingEngine({});
     const origin = await engine.listen();
     const reported: string[] = [];
     const client = new EngineClient(http, {
--- a/packages/runtime/src/undici-client.ts
+++ b/packages/runtime/src/undici-client.ts
@@ -41,7 +41,8 @@
       pipelining: 1,
     };
     this.agent = new Agent(agentOptions);
-    this.singleCallAgent = new Agent(agentOptions);
+    // A value of 0 makes undici close each connection after its response.
+    this.singleCallAgent = new Agent({ ...agentOptions, pipelining: 0 });
   }
 
   async send(call: HttpCall): Promise<HttpResponse> {
@@ -57,21 +58,14 @@
     };
     if (call.signal?.aborted) forward();
     call.signal?.addEventListener('abort', forward);
-    const { callId } = call;
-    const isOnlyCall = callId !== undefined && !this.namingOrigins.has(call.origin);
-    const checkAnswer = checkHeads((headers) => {
-      if (callId !== undefined) this.checkAnswer(call, isOnlyCall, headers[CALL_ID_HEADER]);
-    });
-    const agent = isOnlyCall ? this.singleCallAgent : this.agent;
     try {
-      const response = await agent.compose(checkAnswer).request({
+      const response = await this.dispatcherOf(call).request({
         origin: call.origin,
         path: call.path,
         method: call.method,
-        headers: { ...call.headers, ...(callId === undefined ? {} : { [CALL_ID_HEADER]: callId }) },
+        headers: { ...call.headers, ...(call.callId === undefined ? {} : { [CALL_ID_HEADER]: call.callId }) },
         body: call.body ?? null,
         signal: timeout.signal,
-        reset: isOnlyCall,
       });
       // Aborting destroys the body stream; its error event must be handled even when the body is not being read.
       response.body.on('error', () => undefined);
@@ -85,6 +79,18 @@
     }
   }
 
+  /** Returns what sends a call. Until its server has named a call, each one has a connection of its own. */
+  private dispatcherOf(call: HttpCall): Dispatcher {
+    if (call.callId === undefined) return this.agent;
+    const isOnlyCall = !this.namingOrigins.has(call.origin);
+    const agent = isOnlyCall ? this.singleCallAgent : this.agent;
+    return agent.compose(
+      checkHeads((headers) => {
+        this.checkAnswer(call, isOnlyCall, headers[CALL_ID_HEADER]);
+      }),
+    );
+  }
+
   /**
    * Records whether the server names the calls that it answers.
    *
