--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -68,7 +68,7 @@
     version: 7,
     routes: [
       route('safe', 'safe', 'portal'),
-      route('unsafe', 'unsafe', 'portal', { maxAttempts: 1 }),
+      route('unsafe', 'unsafe', 'portal', { maxAttempts: 1, timeoutMs: 1500 }),
       route('model', 'unsafe', 'models', { maxAttempts: 1, timeoutMs: 9000 }),
       route('stream', 'streaming', 'models', { maxAttempts: 1, timeoutMs: 15_000, gapTargetMs: 400 }),
     ],
--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -13,6 +13,9 @@
 let remainingMs;
 let sequence = 0;
 let beat = 0;
+let runs = 0;
+/** One of so many answers is spoilt; none if 0. */
+let spoilsEach = 0;
 let underWay;
 let address;
 
@@ -26,7 +29,7 @@
     address: options.advertise ?? address,
     zone,
     version: '1',
-    slots: 8,
+    slots: options.slots ?? 8,
     state,
     ...left,
   };
@@ -123,8 +126,18 @@
     return;
   }
   tell('run', { request: requestId, method: request.method, target: request.url, bytes: body.length });
-  if (model !== '' && options.events !== undefined) return void writeStream(request, requestId);
+  if (model !== '' && options.events !== undefined) {
+    writeStream(request, requestId);
+    return;
+  }
+  runs += 1;
+  const isSpoilt = spoilsEach > 0 && runs % spoilsEach === 0;
   setTimeout(() => {
+    if (isSpoilt) {
+      tell('spoilt', { request: requestId });
+      request.socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n');
+      return;
+    }
     response.writeHead(200, { 'Request-Id': requestId, 'Server-Stamp': `stamp.${id}` });
     response.end(`answer to ${requestId} by ${id}\n`);
   }, options.workMs ?? 20);
@@ -174,6 +187,7 @@
 server.keepAliveTimeout = 20_000;
 
 process.on('message', (message) => {
+  if (message.spoilsEach !== undefined) spoilsEach = message.spoilsEach;
   if (message.state !== undefined) {
     state = message.state;
     remainingMs = message.remainingMs;
