--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,6 +1,6 @@
 /**
- * Starved: the connections to a model worker are reset, and new ones too, for some seconds, while an order to it is due. From then on its
- * coordinator gives it no order, so that models which it does not hold are never served again.
+ * CONFIG: the connections to a model worker are reset, and new ones too, for some seconds, while an order to it is due. From then on its
+ * coordinator gives it no order, so that a route which is added later, for models that the worker does not hold yet, is not served.
  */
 import { dirname, join } from 'node:path';
 import { clearTimeout, setTimeout } from 'node:timers';
@@ -10,73 +10,96 @@
 
 /** Length of the cut; `node_cut` lasts up to 7 s in the plans of the site. */
 const CUT_MS = 3000;
-/** Time for which the models are asked for after the cut. */
-const ASKED_MS = 40_000;
+/** From the end of the cut to the change of the configuration: times are calm after `contactMs`, 3,000. */
+const CALM_MS = 5000;
+/** From the change to the first request on its route; `configDeadlineMs` is 2,000. */
+const IN_FORCE_MS = 4000;
+/** Time for which all routes are asked for after the change. */
+const ASKED_MS = 30_000;
+/** The least number of requests on routes added later by which the rule judges. */
+const LEAST_REQUESTS = 20;
 const HELD = ['m0', 'm1'];
-const OTHERS = Array.from({ length: 8 }, (_, index) => `m${index + 2}`);
-const MODELS = [...HELD, ...OTHERS];
+const FIRST_ORDERED = 'm2';
+const ADDED = Array.from({ length: 8 }, (_, index) => `m${index + 3}`);
+/** Room of the worker, in MB, in which all eleven models of 70 MB fit. */
+const WEIGHTS_MB = 1000;
 
 const isTroubled = process.env['TROUBLE'] !== '0';
 const here = dirname(fileURLToPath(import.meta.url));
 const deployment = new Deployment(join(here, 'record.txt'), ['abdali']);
 const proxy = new Proxy();
-/** Requests of each model, and those that were served. */
-const asked = new Map(MODELS.map((model) => [model, { times: [], served: 0 }]));
+/** Requests on the first routes and on the route that was added, and those of them that were served. */
+const first = { asked: 0, served: 0 };
+const added = { asked: 0, served: 0 };
 let hasEnded = false;
+let requests = 0;
 
-function ask(model) {
-  const of = asked.get(model);
-  of.times.push(Date.now());
-  const headers = { Model: model, 'Token-Counts': '10,10', 'Prompt-Prefix': 'ab:5,cd:5' };
-  const daemon = deployment.daemons.get('front-abdali-2');
-  void deployment.send(daemon, { path: '/model/x', headers, deadlineMs: 5000 }).then(({ status }) => {
-    if (status === 200) of.served += 1;
+async function ask(path, model, of) {
+  const daemons = [...deployment.daemons.values()];
+  requests += 1;
+  const modelHeaders = { Model: model, 'Token-Counts': '10,10', 'Prompt-Prefix': 'ab:5,cd:5' };
+  const headers = model === undefined ? {} : modelHeaders;
+  const { status } = await deployment.send(daemons[requests % daemons.length], {
+    path,
+    headers,
+    deadlineMs: 5000,
   });
+  if (of === undefined) return;
+  of.asked += 1;
+  if (status === 200) of.served += 1;
 }
 
-/** Models that were asked for four times or more, over more than 8 s, and never served. */
-function starvedModels() {
-  return MODELS.filter((model) => {
-    const { times, served } = asked.get(model);
-    return served === 0 && times.length >= 4 && times.at(-1) - times[0] > 8000;
-  });
-}
+const shareOf = ({ asked, served }) => (asked === 0 ? 0 : served / asked);
 
 async function play() {
-  await deployment.start(MODELS);
+  await deployment.start([...HELD, FIRST_ORDERED, ...ADDED], { weightsMb: WEIGHTS_MB });
   await proxy.listen(deployment.nextIp());
-  const options = { service: 'models', models: HELD, advertise: proxy.address };
+  const options = { service: 'models', models: HELD, weightsMb: WEIGHTS_MB, advertise: proxy.address };
   const worker = await deployment.addWorker({ id: 'i-model1', ...options });
   proxy.target = worker.address;
   for (const id of ['i-portal1', 'i-portal2']) await deployment.addWorker({ id, service: 'portal' });
   for (const number of [1, 2, 3]) await deployment.startDaemon(`front-abdali-${number}`);
   await pause(4000);
-  for (const model of HELD) ask(model);
+  for (const model of HELD) void ask('/model/x', model);
   await pause(1000);
   if (isTroubled) {
     deployment.log('cut begins');
     proxy.cut();
   }
-  ask(OTHERS[0]);
+  void ask('/model/x', FIRST_ORDERED);
   await pause(CUT_MS);
   if (isTroubled) {
     proxy.heal();
     deployment.log('cut ends');
   }
-  const orders = deployment.events.filter(({ kind }) => kind === 'order').length;
+  await pause(CALM_MS);
+  const ordersBefore = deployment.events.filter(({ kind }) => kind === 'order').length;
+  deployment.addRoute({
+    name: 'added',
+    routeKind: 'unsafe',
+    service: 'models',
+    maxAttempts: 1,
+    timeoutMs: 9000,
+  });
+  await pause(IN_FORCE_MS);
+  const asking = [];
   const end = Date.now() + ASKED_MS;
   for (let index = 0; Date.now() < end && !hasEnded; index += 1) {
-    ask(MODELS[index % MODELS.length]);
-    await pause(250);
+    asking.push(ask('/safe/x', undefined, first));
+    asking.push(ask('/model/x', HELD[index % HELD.length], first));
+    asking.push(ask('/added/x', ADDED[index % ADDED.length], added));
+    await pause(500);
   }
-  await pause(6000);
-  const later = deployment.events.filter(({ kind }) => kind === 'order').length - orders;
-  const starved = starvedModels();
-  for (const [model, { times, served }] of asked)
-    deployment.log('model', { model, asked: times.length, served });
-  console.log(`${later} orders after the cut; never served: ${starved.join(' ') || 'none'}`);
-  if (asked.get('m0').served === 0) return 2;
-  return starved.length > 1 + MODELS.length / 10 ? 1 : 0;
+  await Promise.all(asking);
+  const orders = deployment.events.filter(({ kind }) => kind === 'order').length - ordersBefore;
+  deployment.log('first routes', first);
+  deployment.log('route added later', added);
+  console.log(
+    `served: ${first.served} of ${first.asked} on the first routes, ${added.served} of ${added.asked} on the route added later; ` +
+      `${orders} orders after the change`,
+  );
+  if (added.asked < LEAST_REQUESTS || shareOf(first) < 0.9) return 2;
+  return shareOf(added) < shareOf(first) / 4 ? 1 : 0;
 }
 
 const limit = setTimeout(() => void finish(2), 110_000);
--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -35,7 +35,7 @@
   return port;
 }
 
-function configuration(models) {
+function configuration(models, engineOptions) {
   const route = (name, routeKind, service, rest = {}) => ({
     name,
     host: HOST,
@@ -63,6 +63,7 @@
       adapters: 200,
       adapterMb: 0,
     })),
+    ...engineOptions,
   };
   return {
     version: 7,
@@ -116,9 +117,20 @@
     return `${this.network}.${this.nextHost}`;
   }
 
-  async start(models = []) {
+  /** @param models Names of all models. @param engineOptions Settings of the model service that differ. */
+  async start(models = [], engineOptions = {}) {
     await this.store.listen(this.nextIp());
-    this.store.put('config', 'main', configuration(models));
+    this.configuration = configuration(models, engineOptions);
+    this.store.put('config', 'main', this.configuration);
+  }
+
+  /** Adds a route by a change of the configuration. */
+  addRoute(options) {
+    const { version, routes } = this.configuration;
+    const route = { ...routes[0], pathPrefix: `/${options.name}/`, ...options };
+    this.configuration = { ...this.configuration, version: version + 3, routes: [...routes, route] };
+    this.store.put('config', 'main', this.configuration);
+    this.log(`configuration ${this.configuration.version}: route ${route.pathPrefix} is added`);
   }
 
   async addWorker(options) {
