--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -32,14 +32,16 @@
 const first = { asked: 0, served: 0 };
 const added = { asked: 0, served: 0 };
 let hasEnded = false;
+/** Of three requests in a row, each goes to the same daemon, the next three to the next one. */
 let requests = 0;
 
 async function ask(path, model, of) {
   const daemons = [...deployment.daemons.values()];
+  const daemon = daemons[Math.floor(requests / 3) % daemons.length];
   requests += 1;
   const modelHeaders = { Model: model, 'Token-Counts': '10,10', 'Prompt-Prefix': 'ab:5,cd:5' };
   const headers = model === undefined ? {} : modelHeaders;
-  const { status } = await deployment.send(daemons[requests % daemons.length], {
+  const { status } = await deployment.send(daemon, {
     path,
     headers,
     deadlineMs: 5000,
