Leases: the pause of a record binds every successor

Cause: the time from which a new holder may act depended on how it took the lease. After a refusal only the witnesses' last contact counted; those of a holder that never knew of its lease have none, so the pause was 0, although the replaced record names 3,000 ms. The log of the case tells: the refusal's lastContactAgoMs is the age of the witnesses, and no order has the fence of the second holder. Related: a holder that is killed after it named other witnesses in a write whose answer was lost left witnesses that never heard it, and a pause of 0 after it had acted until the write.

One function now takes all evidence (who wrote the record, when it was seen or reported first, its pause, the refusal) to the latest of the moments that it requires, for every way of taking a lease. A record names the rest of the pause in each write, also at a release. By induction no chain of records shortens a pause: a successor counts from when it first saw the record, which is after it was written.

The simulation chose all machines as witnesses, which hid the fault; it can now choose a few.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -13,5 +13,6 @@
 export * from './store-lease.js';
 export * from './lease-record.js';
 export * from './lease-witness.js';
+export * from './handover-pause.js';
 export * from './holder-contact.js';
 export * from './relay-topology.js';
--- a/packages/coordination/src/lease-record.ts
+++ b/packages/coordination/src/lease-record.ts
@@ -24,8 +24,8 @@
   /** Daemons whose majority the holder must be in contact with; empty where there are too few. */
   readonly witnesses: readonly WitnessId[];
   /**
-   * Milliseconds after the start of this write before which the holder must not act. A restarted holder waits
-   * for them again.
+   * Milliseconds after this write before which nobody may act under the lease: neither the holder, also after a
+   * restart, nor a successor, whichever way it acquires the lease.
    */
   readonly pauseMs: number;
   /**
--- a/packages/coordination/src/lease-witness.ts
+++ b/packages/coordination/src/lease-witness.ts
@@ -12,8 +12,8 @@
 
 /** Milliseconds for which a holder may act after it sent a request that a witness accepted. */
 export const CONTACT_LIFETIME_MS = 1500;
-/** Allowance for different clock rates, as a share of the contact lifetime. */
-const CLOCK_DRIFT_SHARE = 0.02;
+/** Allowance for different clock rates, as a share of a time that is measured on two machines. */
+export const CLOCK_DRIFT_SHARE = 0.02;
 
 /** Position of a lease's record; the era is absent from daemons without support for eras. */
 interface LeasePosition {
--- a/packages/coordination/src/store-lease.ts
+++ b/packages/coordination/src/store-lease.ts
@@ -15,6 +15,7 @@
  */
 import type { StorePosition } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
+import { handoverPause, type HandoverPauseReason } from './handover-pause.js';
 import { HolderContact } from './holder-contact.js';
 import {
   firstFenceOfEra,
@@ -25,7 +26,7 @@
   type LeaseRecordStore,
   type StoredLease,
 } from './lease-record.js';
-import { areSameWitnesses, CONTACT_LIFETIME_MS, type WitnessId } from './lease-witness.js';
+import { areSameWitnesses, CLOCK_DRIFT_SHARE, type WitnessId } from './lease-witness.js';
 
 /**
  * A holder's report, passed on by other daemons, of its last confirmed write, with the position of the
@@ -91,8 +92,6 @@
  * the store does not respond.
  */
 const DEFAULT_LIFETIME_MS = 10_000;
-/** Allowance for different clock rates, as a share of the lifetime. */
-const CLOCK_DRIFT_SHARE = 0.02;
 /**
  * Milliseconds for which an era must have been observed before every daemon is asked to refuse the previous
  * holder. Longer than a call to the store, so that no daemon still waits for a response that would make it
@@ -101,11 +100,6 @@
 const ERA_SETTLING_MS = 2000;
 /** Pause before a retry after the record was changed concurrently, in milliseconds. */
 const CONFLICT_RETRY_MS = 300;
-/**
- * Maximum time for which an action may be in flight when its holder is refused, in milliseconds: the timeout
- * of an order.
- */
-const IN_FLIGHT_ACTION_MS = 500;
 /**
  * Milliseconds without an answer after which a witness is replaced at the next renewal: two rounds of
  * requests.
@@ -121,11 +115,10 @@
   private confirmedAt = -Infinity;
   /** Monotonic time before which a new holder must not act. */
   private mayActFrom = 0;
+  private pausedBy: HandoverPauseReason = 'none';
   private isHolder = false;
   private isFirst = false;
-  /**
-   * Record that prevents the acquisition, with the monotonic time since which it has been observed unchanged.
-   */
+  /** Position of the last record read, with the latest possible time of its write in monotonic time. */
   private observed: LeaseConfirmation | undefined;
   /** Whether a write with other witnesses was sent and not confirmed: the record may name either set. */
   private hasUnconfirmedWitnesses = false;
@@ -175,6 +168,11 @@
     return this.isHolder && this.options.clock.elapsed() < this.mayActUntil();
   }
 
+  /** Which evidence determined the time before which this daemon must not act after it acquired the lease. */
+  get pauseReason(): HandoverPauseReason {
+    return this.pausedBy;
+  }
+
   /** Milliseconds since the store last confirmed this daemon as the holder. */
   confirmedAgoMs(): number {
     return this.options.clock.elapsed() - this.confirmedAt;
@@ -207,15 +205,13 @@
     const readAt = clock.elapsed();
     if (current === undefined) return this.acquireWithoutRecord(readAt, refused);
     if (isFromEarlierEra(current)) return this.acquireFromEarlierEra(current, readAt, refused);
+    this.observe(current, now, reported);
     const { record, revision } = current;
     const isHeldByOther = record.holder !== this.options.holder && record.holder !== '';
-    const remainingMs = isHeldByOther ? this.remainingLifetimeMs(current, now, reported) : 0;
+    const remainingMs = isHeldByOther ? this.remainingLifetimeMs(current, now) : 0;
     const isRefused = refused?.by === 'witnesses' && isSamePosition(refused, current);
     if (remainingMs > 0 && !isRefused) return this.waitFor(remainingMs, current);
-    // Stays in effect if the write is not answered, since it may still be carried out.
-    const pauseMs =
-      remainingMs > 0 && isRefused ? this.pauseAfterRefusalMs(refused) : this.pauseAfterHolderMs(record);
-    this.mayActFrom = Math.max(this.mayActFrom, now + pauseMs);
+    const pauseMs = this.pauseAfter(now, remainingMs > 0 ? refused : undefined, current);
     const newRecord = this.createRecord(nextFence(current), pauseMs, current.era);
     return this.becomeHolder(newRecord, await store.replace(name, newRecord, revision), readAt);
   }
@@ -232,9 +228,9 @@
     const { era, observedForMs } = store.currentEra();
     const position = { era, revision: 0 };
     const remainingMs = this.lifetimeMs * (1 + CLOCK_DRIFT_SHARE) - observedForMs;
-    const pauseMs = remainingMs > 0 ? this.pauseAfterUnknownHolderMs(position, refused) : 0;
-    if (pauseMs === undefined) return this.waitForUnknownHolder(position, remainingMs);
-    this.mayActFrom = Math.max(this.mayActFrom, this.options.clock.monotonic() + pauseMs);
+    const refusal = remainingMs > 0 ? refusalByEverybody(position, refused) : undefined;
+    if (remainingMs > 0 && refusal === undefined) return this.waitForUnknownHolder(position, remainingMs);
+    const pauseMs = this.pauseAfter(this.options.clock.monotonic(), refusal);
     const newRecord = this.createRecord(firstFenceOfEra(era), pauseMs, era);
     const isFirst = observedForMs === Infinity;
     return this.becomeHolder(newRecord, await store.create(name, newRecord), readAt, isFirst);
@@ -252,24 +248,41 @@
     const { store, name, clock } = this.options;
     const now = clock.monotonic();
     const position = { era: current.era, revision: current.revision };
-    const remainingMs = this.remainingLifetimeMs(current, now, undefined);
-    const pauseMs = remainingMs > 0 ? this.pauseAfterUnknownHolderMs(position, refused) : 0;
-    if (pauseMs === undefined) return this.waitForUnknownHolder(position, remainingMs);
-    this.mayActFrom = Math.max(this.mayActFrom, now + pauseMs);
+    this.observe(current, now);
+    const remainingMs = this.remainingLifetimeMs(current, now);
+    const refusal = remainingMs > 0 ? refusalByEverybody(position, refused) : undefined;
+    if (remainingMs > 0 && refusal === undefined) return this.waitForUnknownHolder(position, remainingMs);
+    const pauseMs = this.pauseAfter(now, refusal, current);
     const newRecord = this.createRecord(nextFence(current), pauseMs, current.era);
     return this.becomeHolder(newRecord, await store.replace(name, newRecord, current.revision), readAt);
   }
 
   /**
-   * Pause before the first action after every daemon has refused the unknown holder, in milliseconds;
-   * undefined if they have not.
+   * Moves the time before which this daemon must not act to what is now known of earlier holders, and returns the
+   * remaining pause in milliseconds. It stays in effect if the write that follows is not answered, since that may
+   * still be carried out.
    */
-  private pauseAfterUnknownHolderMs(
-    position: StorePosition,
-    refused: RefusedHolder | undefined,
-  ): number | undefined {
-    if (refused?.by !== 'everybody' || !isSamePosition(refused, position)) return undefined;
-    return this.pauseAfterRefusalMs(refused);
+  private pauseAfter(now: number, refused: RefusedHolder | undefined, replaced?: StoredLease): number {
+    const { handoverPauseMs, holder } = this.options;
+    const { actsFrom, reason } = handoverPause({
+      now,
+      handoverPauseMs,
+      ...(refused === undefined ? {} : { lastContactAgoMs: refused.lastContactAgoMs }),
+      ...(replaced === undefined
+        ? {}
+        : {
+            replaced: {
+              record: replaced.record,
+              writtenBefore: this.observed?.at ?? now,
+              isOwn: replaced.record.holder === holder,
+            },
+          }),
+    });
+    if (actsFrom > this.mayActFrom) {
+      this.mayActFrom = actsFrom;
+      this.pausedBy = reason;
+    }
+    return Math.max(0, this.mayActFrom - now);
   }
 
   private waitForUnknownHolder(position: StorePosition, remainingMs: number): AcquireResult {
@@ -316,7 +329,7 @@
     if (!this.isInContact()) return true;
     const era = current?.era ?? store.currentEra().era;
     const { record } = this.stored;
-    const newRecord = { ...record, era, renewal: record.renewal + 1, pauseMs: this.remainingPauseMs(record) };
+    const newRecord = { ...record, era, renewal: record.renewal + 1, pauseMs: this.remainingPauseMs() };
     const stored =
       current === undefined
         ? await store.create(name, newRecord)
@@ -334,7 +347,8 @@
     if (!this.isHolder || this.stored === undefined) return;
     const { record, revision } = this.stored;
     this.isHolder = false;
-    await this.options.store.replace(this.options.name, { ...record, holder: '' }, revision);
+    const released = { ...record, holder: '', pauseMs: this.remainingPauseMs() };
+    await this.options.store.replace(this.options.name, released, revision);
   }
 
   private async confirmByWrite(): Promise<boolean> {
@@ -351,7 +365,7 @@
       era,
       renewal: record.renewal + 1,
       witnesses,
-      pauseMs: this.remainingPauseMs(record),
+      pauseMs: this.remainingPauseMs(),
     };
     const renewed = await store.replace(name, newRecord, revision);
     if (renewed?.era !== era) return false;
@@ -359,9 +373,9 @@
     return true;
   }
 
-  /** Pause that a restarted process of this machine would have to wait for, in milliseconds. */
-  private remainingPauseMs({ pauseMs }: LeaseRecord): number {
-    return this.options.clock.monotonic() >= this.mayActFrom ? 0 : pauseMs;
+  /** Milliseconds for which this daemon still waits for earlier holders; its successor may have to as well. */
+  private remainingPauseMs(): number {
+    return Math.ceil(Math.max(0, this.mayActFrom - this.options.clock.monotonic()));
   }
 
   private markConfirmed(stored: StoredLease, at: number): void {
@@ -384,24 +398,6 @@
     );
   }
 
-  /**
-   * Pause before the first action after a released record or this machine's own record of an earlier run, in
-   * milliseconds.
-   */
-  private pauseAfterHolderMs({ holder, pauseMs }: LeaseRecord): number {
-    if (holder === '') return this.options.handoverPauseMs;
-    return holder === this.options.holder ? pauseMs : 0;
-  }
-
-  /**
-   * Pause after a refusal, in milliseconds. The previous holder may have acted until its contact expired, and
-   * its last action may still be in flight.
-   */
-  private pauseAfterRefusalMs({ lastContactAgoMs }: RefusedHolder): number {
-    const lapsedAgoMs = Math.max(0, lastContactAgoMs - CONTACT_LIFETIME_MS);
-    return Math.max(0, this.options.handoverPauseMs + IN_FLIGHT_ACTION_MS - lapsedAgoMs);
-  }
-
   /**
    * Becomes the holder if the write was confirmed in the era that it was intended for.
    *
@@ -426,16 +422,22 @@
     return { kind: 'waiting', retryAfterMs, ...(stored === undefined ? {} : { stored }) };
   }
 
-  private remainingLifetimeMs(
-    { record, era, revision }: StoredLease,
+  /** Notes that a record has been read, or was reported by its holder. */
+  private observe(
+    { era, revision }: StoredLease,
     now: number,
-    reported: LeaseConfirmation | undefined,
-  ): number {
+    reported: LeaseConfirmation | undefined = undefined,
+  ): void {
     const position = { era, revision };
-    let since = now;
-    if (this.observed !== undefined && isSamePosition(this.observed, position)) since = this.observed.at;
-    if (reported !== undefined && isSamePosition(reported, position)) since = Math.min(since, reported.at);
-    this.observed = { ...position, at: since };
+    let at = now;
+    if (this.observed !== undefined && isSamePosition(this.observed, position)) at = this.observed.at;
+    if (reported !== undefined && isSamePosition(reported, position)) at = Math.min(at, reported.at);
+    this.observed = { ...position, at };
+  }
+
+  /** Milliseconds until the last record read has been observed unchanged for its lifetime. */
+  private remainingLifetimeMs({ record }: StoredLease, now: number): number {
+    const since = this.observed?.at ?? now;
     return since + Math.max(record.lifetimeMs, this.lifetimeMs) * (1 + CLOCK_DRIFT_SHARE) - now;
   }
 
@@ -457,3 +459,11 @@
     };
   }
 }
+
+/** Returns the refusal if every daemon has refused any holder under the position. */
+function refusalByEverybody(
+  position: StorePosition,
+  refused: RefusedHolder | undefined,
+): RefusedHolder | undefined {
+  return refused?.by === 'everybody' && isSamePosition(refused, position) ? refused : undefined;
+}
--- a/packages/coordination/test/lease-simulation.ts
+++ b/packages/coordination/test/lease-simulation.ts
@@ -43,6 +43,8 @@
   faults = NO_FAULTS;
   /** Machines whose calls fail. */
   readonly unreachableMachines = new Set<string>();
+  /** Whether the answer to the write of a record is lost; the write is carried out. */
+  losesAnswerTo: (record: LeaseRecord) => boolean = () => false;
   private stored: StoredRecord | undefined;
   private revision = 0;
   private era = FIRST_ERA;
@@ -72,17 +74,21 @@
       observed.since = process.monotonic();
       observed.era = era;
     };
-    const call = async (apply: () => StoredRecord | undefined): Promise<StoredLease | undefined> => {
-      const { era, kept } = await this.call(process, () => ({ era: this.era, kept: apply() }));
+    const call = async (
+      apply: () => StoredRecord | undefined,
+      written?: LeaseRecord,
+    ): Promise<StoredLease | undefined> => {
+      const { era, kept } = await this.call(process, () => ({ era: this.era, kept: apply() }), written);
       noteEra(era);
       return kept === undefined ? undefined : { ...kept, era };
     };
     return {
       currentEra: () => ({ era: observed.era, observedForMs: process.monotonic() - observed.since }),
       read: () => call(() => this.stored),
-      create: (_name, record) => call(() => (this.stored === undefined ? this.write(record) : undefined)),
+      create: (_name, record) =>
+        call(() => (this.stored === undefined ? this.write(record) : undefined), record),
       replace: (_name, record, revision) =>
-        call(() => (this.stored?.revision === revision ? this.write(record) : undefined)),
+        call(() => (this.stored?.revision === revision ? this.write(record) : undefined), record),
     };
   }
 
@@ -94,9 +100,10 @@
     return this.stored;
   }
 
-  private call<T>(process: SimulatedProcess, apply: () => T): Promise<T> {
+  private call<T>(process: SimulatedProcess, apply: () => T, written?: LeaseRecord): Promise<T> {
     const draw = this.random.next();
-    const { refused, answerLost, appliedLate } = this.faults;
+    const isAnswerLost = written !== undefined && this.losesAnswerTo(written);
+    const { refused, answerLost, appliedLate } = isAnswerLost ? { ...NO_FAULTS, answerLost: 1 } : this.faults;
     return new Promise((resolve, reject) => {
       const fail = (): void => {
         process.deliver(() => {
@@ -159,11 +166,16 @@
   private readonly reported = new Map<string, LeaseConfirmation>();
   private runCount = 0;
 
-  /** @param hasWitnesses Whether holders name all other machines as witnesses. */
+  /**
+   * @param hasWitnesses Whether holders name other machines as witnesses.
+   * @param options Number of witnesses of a lease, all other machines by default, and the pause between two holders. With few
+   * witnesses, two holders may have none in common.
+   */
   constructor(
     seed: number,
     private readonly hasWitnesses = false,
     private readonly lifetimeMs = LIFETIME_MS,
+    private readonly options: { readonly witnessCount?: number; readonly pauseMs?: number } = {},
   ) {
     this.random = new Random(seed);
     this.store = new SimulatedStore(this.world, this.random.fork());
@@ -181,8 +193,8 @@
       holder: machine,
       instance,
       lifetimeMs: this.lifetimeMs,
-      chooseWitnesses: () => this.othersOf(machine),
-      handoverPauseMs: handover ? PAUSE_MS : 0,
+      chooseWitnesses: (current, unresponsive) => this.chooseWitnesses(machine, current, unresponsive),
+      handoverPauseMs: handover ? (this.options.pauseMs ?? PAUSE_MS) : 0,
       store: this.store.client(process),
       clock: process,
     });
@@ -208,10 +220,22 @@
       .catch(() => undefined);
   }
 
-  private othersOf(machine: string): WitnessId[] {
+  private chooseWitnesses(
+    machine: string,
+    current: readonly WitnessId[],
+    unresponsive: readonly WitnessId[],
+  ): WitnessId[] {
     if (!this.hasWitnesses) return [];
     const others = [...this.runsByMachine].filter(([name]) => name !== machine);
-    return others.map(([id, { instance }]) => ({ id, instance }));
+    const all = others.map(([id, { instance }]) => ({ id, instance }));
+    const { witnessCount = Infinity } = this.options;
+    if (witnessCount >= all.length) return all;
+    const isUsable = ({ id }: WitnessId): boolean => !unresponsive.some((witness) => witness.id === id);
+    const isCurrent = ({ id, instance }: WitnessId): boolean =>
+      current.some((witness) => witness.id === id && witness.instance === instance);
+    const usable = this.random.shuffle(all.filter(isUsable));
+    const ranked = [...usable.filter(isCurrent), ...usable.filter((each) => !isCurrent(each))];
+    return ranked.slice(0, witnessCount);
   }
 
   /** Sends a request to a witness; calls back with the answer, or with undefined after the timeout. */
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -93,7 +93,8 @@
   load_finished:
     'A load has completed. Worker, model, time until the evicted models were unloaded, total time.',
   load_failed: 'A load has failed. Worker, model, cause.',
-  lease_gained: 'This daemon became the coordinator of a zone. Fence, time until it may act.',
+  lease_gained:
+    'This daemon became the coordinator of a zone. Fence, time until it may act, evidence that determined it.',
   lease_holder_refused:
     'A majority of the witnesses of a lease refuse its holder, which is then replaced. Holder, time since its last response.',
   lease_out_of_contact:
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -13,6 +13,7 @@
   StoreLease,
   rankByCapacity,
   type AcquireResult,
+  type HandoverPauseReason,
   type LeaseRecordStore,
   type StoredLease,
 } from '@woodbarrow/coordination';
@@ -116,6 +117,7 @@
   private readonly acquiring = new Set<string>();
   /** Monotonic time before which a zone's lease is not requested again. */
   private readonly retryAt = new Map<string, number>();
+  private readonly pausesByReason = new Map<HandoverPauseReason, number>();
   private isLeaving = false;
   private readonly contacts: LeaseContacts;
   private readonly storeSchedule: StoreScheduleService;
@@ -229,6 +231,15 @@
     return addReplicaCounts(counts);
   }
 
+  /** Returns how often a zone was acquired here, by the evidence that determined the pause before the first order. */
+  handoverPauses(): ReadonlyMap<HandoverPauseReason, number> {
+    return this.pausesByReason;
+  }
+
+  private countPause(reason: HandoverPauseReason): void {
+    this.pausesByReason.set(reason, (this.pausesByReason.get(reason) ?? 0) + 1);
+  }
+
   /** Releases all leases on a planned stop. */
   async leave(): Promise<void> {
     this.isLeaving = true;
@@ -348,7 +359,9 @@
       zone,
       fence: lease.fence,
       actsInMs: Math.round(lease.actsInMs()),
+      pausedBy: lease.pauseReason,
     });
+    this.countPause(lease.pauseReason);
     this.held.set(zone, { lease, residency: this.createCoordinator(zone, lease) });
     this.tasks.spawn(`residency.renew ${zone}`, (signal) => this.renewUntilLost(zone, lease, signal));
     this.tasks.spawn(`residency.contact ${zone}`, (signal) => this.maintainContact(zone, lease, signal));
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -434,6 +434,7 @@
       peersPresent: () => membership.present().length,
       requestsInProgress: () => this.ingress?.inProgress ?? 0,
       zonesHeld: () => residency.fencesHeld(),
+      handoverPauses: () => residency.handoverPauses(),
       connectionsOpened: () => ports.client.connectionsOpened,
       storeCalls: () => ports.storeCalls(),
       storeEra: () => ports.storeEra(),
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -20,6 +20,8 @@
   readonly peersPresent: () => number;
   readonly requestsInProgress: () => number;
   readonly zonesHeld: () => ReadonlyMap<string, number>;
+  /** Zones acquired since the start, by the evidence that determined the pause before the first order. */
+  readonly handoverPauses: () => ReadonlyMap<string, number>;
   readonly connectionsOpened: () => number;
   readonly storeCalls: () => ReadonlyMap<string, number>;
   /** Era of the store in its last response. */
@@ -119,6 +121,12 @@
       sources.zonesHeld,
       'zone',
     );
+    registry.gauge(
+      'woodbarrow_lease_pauses',
+      'Zones acquired since the start, by what determined the pause before the first order.',
+      sources.handoverPauses,
+      'reason',
+    );
     registry.gauge(
       'woodbarrow_back_end_connections',
       'Connections opened to back ends since the start.',
