Leases: a release waits for the orders of its holder

Cause: the release was written while an order was on its way, and a successor waits for the pause from the release alone. With no order open, a release is as fast as before.

worker-orders.test.ts and lease-handover.test.ts each have a test for it; both need the new calls. lease_released tells inFlightMs.

--- a/packages/coordination/src/store-lease.ts
+++ b/packages/coordination/src/store-lease.ts
@@ -339,16 +339,20 @@
   }
 
   /**
-   * Releases the lease, so that other daemons need not wait for its lifetime.
+   * Releases the lease, so that other daemons need not wait for its lifetime. This daemon does not act from the call on.
    *
+   * @param settleActions Waits for the actions in progress; resolves with the milliseconds for which one that got no
+   * answer may still take effect.
    * @throws Errors of the store.
    */
-  async release(): Promise<void> {
+  async release(settleActions: () => Promise<number> = () => Promise.resolve(0)): Promise<void> {
     if (!this.isHolder || this.stored === undefined) return;
-    const { record, revision } = this.stored;
     this.isHolder = false;
-    const released = { ...record, holder: '', pauseMs: this.remainingPauseMs() };
-    await this.options.store.replace(this.options.name, released, revision);
+    const inFlightMs = Math.ceil(await settleActions());
+    const { record, revision } = this.stored;
+    const afterActionMs = inFlightMs > 0 ? this.options.handoverPauseMs + inFlightMs : 0;
+    const pauseMs = Math.max(this.remainingPauseMs(), afterActionMs);
+    await this.options.store.replace(this.options.name, { ...record, holder: '', pauseMs }, revision);
   }
 
   private async confirmByWrite(): Promise<boolean> {
--- a/packages/coordination/test/lease-handover.test.ts
+++ b/packages/coordination/test/lease-handover.test.ts
@@ -85,6 +85,25 @@
     }
   });
 
+  it('keeps the pause after an order that was still on its way when the lease was released', async () => {
+    for (let seed = 800; seed < 810; seed += 1) {
+      const simulation = startSimulation(seed);
+      await simulation.world.run(6000);
+      const holder = simulation.actions.at(-1)?.machine ?? '';
+      const releasedAt = simulation.world.now;
+      const inFlightMs = 1200;
+      simulation.release(holder, () => Promise.resolve(inFlightMs));
+      await simulation.world.run(releasedAt + 100);
+      simulation.kill(holder);
+      await simulation.world.run(releasedAt + 12_000);
+      const next = simulation.actions.find(({ machine }) => machine !== holder);
+      expect(next?.at, `seed ${String(seed)}`).to.be.within(
+        releasedAt + inFlightMs + PAUSE_MS,
+        releasedAt + inFlightMs + PAUSE_MS + 1000,
+      );
+    }
+  });
+
   for (const firstSeed of [740, 760, 780]) {
     const lastSeed = firstSeed + 19;
     it(`never has two holders act within the pause, with stops, kills, suspensions, new machines and store faults (seeds ${String(firstSeed)} to ${String(lastSeed)})`, async () => {
--- a/packages/coordination/test/lease-simulation.ts
+++ b/packages/coordination/test/lease-simulation.ts
@@ -211,12 +211,12 @@
     this.runsByMachine.get(machine)?.process.kill();
   }
 
-  /** Releases the lease if the machine holds it. */
-  release(machine: string): void {
+  /** Releases the lease if the machine holds it. @param settleActions See {@link StoreLease.release}. */
+  release(machine: string, settleActions?: () => Promise<number>): void {
     // The store may be faulty; the others then wait for the lifetime.
     void this.runsByMachine
       .get(machine)
-      ?.lease.release()
+      ?.lease.release(settleActions)
       .catch(() => undefined);
   }
 
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -103,7 +103,8 @@
   lease_lost: 'This daemon is no longer the coordinator of a zone. Fence.',
   zone_handed_over:
     'This daemon gives up the coordination of a zone because it reaches no worker while other daemons do. Zone, fence, daemons that may take over.',
-  lease_released: 'A lease was released at a planned stop. Fence.',
+  lease_released:
+    'A lease was released. Fence, milliseconds for which an order that got no answer may still reach its worker.',
   configuration_applied:
     'A configuration is in effect. Current and previous version, number of routes and services.',
   quota_granter_started:
--- a/packages/residency/src/order-sender.ts
+++ b/packages/residency/src/order-sender.ts
@@ -54,10 +54,19 @@
 /** Number of conflicts after which a lower sequence in a report is accepted. */
 const CONFLICTS_BEFORE_SEQUENCE_RESET = 3;
 
+/**
+ * Milliseconds for which an order that got no answer may still reach the worker: a sound worker may read nothing for
+ * about a second.
+ */
+const MAX_ORDER_DELAY_MS = 1500;
+
 /** Sends orders to one incarnation of a worker. */
 export class OrderSender {
   private sequence: number | undefined;
   private lastSentAt = -Infinity;
+  /** Call in progress, if there is one; and the monotonic start of the last call that got no answer. */
+  private calling: Promise<unknown> = Promise.resolve();
+  private lastUnansweredSentAt = -Infinity;
   private sending: Promise<unknown> = Promise.resolve();
   private queued = 0;
   /** Number of consecutive unanswered calls, and the monotonic time at which the last call ended. */
@@ -231,15 +240,18 @@
     const sentAt = clock.monotonic();
     this.lastSentAt = sentAt;
     const backEnd = this.backEnd();
-    const outcome = await orders.send(backEnd, {
+    const call = orders.send(backEnd, {
       operation,
       target,
       holder: authority.holder,
       fence,
       expectedSequence,
     });
+    this.calling = call;
+    const outcome = await call;
     this.lastSentAt = clock.monotonic();
     const isAnswered = outcome !== 'unknown' && outcome !== 'unreachable';
+    if (outcome === 'unknown') this.lastUnansweredSentAt = sentAt;
     this.recordAnswer(isAnswered);
     if (operation === 'load' && (outcome === 'accepted' || outcome === 'unknown'))
       this.options.quarantine.noteOrdered(backEnd, target, sentAt);
@@ -256,6 +268,16 @@
     return isAnswered ? outcome : 'unknown';
   }
 
+  /**
+   * Waits for the call in progress. Resolves with the milliseconds for which an order that got no answer may still
+   * reach the worker.
+   */
+  async settleCalls(): Promise<number> {
+    await this.calling;
+    const ageMs = this.options.clock.monotonic() - this.lastUnansweredSentAt;
+    return Math.max(0, MAX_ORDER_DELAY_MS - ageMs);
+  }
+
   private recordAnswer(isAnswered: boolean): void {
     this.unansweredCalls = isAnswered ? 0 : this.unansweredCalls + 1;
     this.lastCallAt = this.options.clock.monotonic();
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -245,8 +245,8 @@
     this.isLeaving = true;
     const held = [...this.held.entries()];
     this.held.clear();
-    for (const [zone, { lease }] of held) {
-      await this.release(zone, lease);
+    for (const [zone, { lease, residency }] of held) {
+      await this.release(zone, lease, residency);
     }
     this.options.onClaimsChanged();
   }
@@ -259,9 +259,9 @@
     if (successors.length === 0) return;
     const held = [...this.held.entries()];
     this.held.clear();
-    for (const [zone, { lease }] of held) {
+    for (const [zone, { lease, residency }] of held) {
       log.warned('zone_handed_over', { zone, fence: lease.fence, successors: successors.length });
-      this.tasks.spawn(`residency.release ${zone}`, () => this.release(zone, lease));
+      this.tasks.spawn(`residency.release ${zone}`, () => this.release(zone, lease, residency));
     }
     onClaimsChanged();
   }
@@ -270,11 +270,15 @@
     return this.options.reachesWorkers?.(memberId) ?? true;
   }
 
-  private async release(zone: string, lease: StoreLease): Promise<void> {
+  private async release(zone: string, lease: StoreLease, residency: ZoneResidency): Promise<void> {
     const { log } = this.options;
+    let inFlightMs = 0;
     try {
-      await lease.release();
-      log.changed('lease_released', { zone, fence: lease.fence });
+      await lease.release(async () => {
+        inFlightMs = await residency.settleOrders();
+        return inFlightMs;
+      });
+      log.changed('lease_released', { zone, fence: lease.fence, inFlightMs: Math.round(inFlightMs) });
     } catch (error) {
       // Other daemons acquire it once it expires or its witnesses refuse this daemon.
       log.warned('lease_unconfirmed', {
--- a/packages/residency/src/worker-orders.ts
+++ b/packages/residency/src/worker-orders.ts
@@ -121,6 +121,11 @@
     return Math.max(0, this.adapterWindowUntil - now);
   }
 
+  /** See {@link OrderSender.settleCalls}. */
+  settleCalls(): Promise<number> {
+    return this.sender.settleCalls();
+  }
+
   /** Returns the expected milliseconds until an adapter of a resident model is resident. */
   adapterReadyMs(target: AdapterTarget): number {
     return this.residents.isResident(target) ? 0 : this.busyMs + this.adapters.waitMs();
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -263,6 +263,15 @@
     if (!workers.some((worker) => worker.isSynchronized)) await prepared;
   }
 
+  /**
+   * Waits for the orders in progress. Resolves with the milliseconds for which one that got no answer may still reach its
+   * worker.
+   */
+  async settleOrders(): Promise<number> {
+    const delays = await Promise.all([...this.workers.values()].map((worker) => worker.settleCalls()));
+    return Math.max(0, ...delays);
+  }
+
   /** Removes a worker that is gone. */
   forget(backEndId: string): void {
     this.workers.delete(backEndId);
--- a/packages/residency/test/worker-orders.test.ts
+++ b/packages/residency/test/worker-orders.test.ts
@@ -72,6 +72,19 @@
     expect(tookMs - (takenAt - startedAt)).to.be.within(LOAD_MS, LOAD_MS + MAX_NOTICE_DELAY_MS);
   });
 
+  /** Guards against a lease that is released while an order of its holder is still on its way to a silent worker. */
+  it('tells for how long an order without an answer may still arrive, once its call has ended', async () => {
+    expect(await zone.settle(worker.settleCalls())).to.equal(0);
+    zone.orders.faults = { answerLost: 0, appliedLate: 1 };
+    const startedAt = zone.world.now;
+    void worker.swap({ model: 'm5', victims: [], unloadMs: 0, loadMs: LOAD_MS, source: 'disk' });
+    await zone.world.run(startedAt + 5);
+    const remainingMs = await zone.settle(worker.settleCalls());
+    const waitedMs = zone.world.now - startedAt;
+    expect(waitedMs).to.be.above(300);
+    expect(remainingMs + waitedMs).to.be.within(1450, 1550);
+  });
+
   it('eventually loads a model when orders are unanswered or executed late', async () => {
     for (let seed = 70; seed < 90; seed += 1) {
       const other = new ZoneWorld(seed);
