Orders: an uncertain order is settled by sending it again

Cause: such an order was settled only by a report with a higher sequence, which comes only if the order or a later one arrives, and no later one was given. Ruled out: health, the configuration, the quarantine. Evidence: load_failed with outcome unknown, then reports of the very sequence of the order, no worker_learnt.

A worker executes an order only at the sequence that it names. The same order is now sent again once the worker is idle and answers: it is executed now, or is answered as done or in conflict, and late copies are void. Several of one worker are repeated one after the other. A refused connection has not sent anything and leaves nothing uncertain. The wait ends with the lease, and orders of a hold that has ended are not given under the fence of the next one.

--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -93,6 +93,11 @@
   load_finished:
     'A load has completed. Worker, model, time until the evicted models were unloaded, total time.',
   load_failed: 'A load has failed. Worker, model, cause.',
+  order_uncertain:
+    'An order to a worker ended without an answer: it may be executed now, later or never. Worker, operation, target, sequence.',
+  order_settled:
+    'The outcome of an uncertain order no longer matters: the worker has accepted an order since (by sequence), or answered the same order sent again (by repeat). Worker, operation, target, time since it became uncertain.',
+  order_not_repeated: 'An uncertain order could not be sent again. Worker, cause.',
   lease_gained:
     'This daemon became the coordinator of a zone. Fence, time until it may act, evidence that determined it.',
   lease_holder_refused:
--- a/packages/residency/src/index.ts
+++ b/packages/residency/src/index.ts
@@ -1,4 +1,5 @@
 /** Decides which model is resident on which worker. */
+export * from './coordination-counters.js';
 export * from './local-copies.js';
 export * from './demand-router.js';
 export * from './lease-contacts.js';
@@ -27,6 +28,7 @@
 export * from './store-schedule-service.js';
 export * from './store-wish-order.js';
 export * from './store-wishes.js';
+export * from './uncertain-orders.js';
 export * from './unserved-models.js';
 export * from './worker-orders.js';
 export * from './zone-reachability.js';
--- a/packages/residency/src/order-sender.ts
+++ b/packages/residency/src/order-sender.ts
@@ -2,18 +2,28 @@
  * Sends orders to one worker, one at a time. Every order carries the number of orders that the worker has
  * accepted, so that an order whose answer was lost becomes void once another has been accepted in its place.
  */
-import { targetKey, type BackEnd, type BackendDirectory, type ModelTarget } from '@woodbarrow/backends';
+import {
+  hasAdapter,
+  servesTarget,
+  targetKey,
+  type BackEnd,
+  type BackendDirectory,
+  type ModelTarget,
+} from '@woodbarrow/backends';
 import { WoodbarrowError } from '@woodbarrow/errors';
 import type { EventLog } from '@woodbarrow/observability';
 import type { LoadQuarantine } from '@woodbarrow/quarantine';
 import { sleep, type Clock } from '@woodbarrow/runtime';
 import type { OrderClient, OrderOutcome, WorkerReport } from './order-client.js';
+import { UncertainOrders, type UncertainOrderTotals } from './uncertain-orders.js';
 
 /** Authority to give orders, derived from a lease. */
 export interface OrderAuthority {
   readonly holder: string;
   /** Returns the fence for an order. @throws WoodbarrowError `lease_lost` when no order may be given now. */
   currentFence(): number;
+  /** Whether no order may ever be given again under this authority. */
+  isRevoked(): boolean;
 }
 
 /** Options of {@link OrderSender}. */
@@ -24,6 +34,7 @@
   readonly authority: OrderAuthority;
   /** Notified of loads, so that a crash under a load is detected. */
   readonly quarantine: LoadQuarantine;
+  readonly uncertainTotals: UncertainOrderTotals;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly signal: AbortSignal;
@@ -72,10 +83,13 @@
   /** Number of consecutive unanswered calls, and the monotonic time at which the last call ended. */
   private unansweredCalls = 0;
   private lastCallAt = -Infinity;
-  /** Highest sequence of an order whose outcome is unknown. */
-  private uncertainSequence = -1;
+  private readonly uncertain: UncertainOrders;
+  /** Loads that were sent again to settle their outcome, and whose result is not known yet. */
+  private repeatedLoads: ModelTarget[] = [];
 
-  constructor(private readonly options: OrderSenderOptions) {}
+  constructor(private readonly options: OrderSenderOptions) {
+    this.uncertain = new UncertainOrders({ ...options, totals: options.uncertainTotals });
+  }
 
   /** Expected number of orders accepted by the worker; undefined until the first report. */
   get expectedSequence(): number | undefined {
@@ -111,9 +125,39 @@
 
   /** Whether a report reflects the outcome of all orders sent so far. */
   isSettled(report: WorkerReport): boolean {
+    this.uncertain.settleBelow(report.sequence);
+    return this.isIdle(report) && this.uncertain.isEmpty;
+  }
+
+  /**
+   * Sends the orders whose outcome is unknown once more, if the worker has nothing else to do. An order that never arrived
+   * is executed now; one that may still arrive is either this one or void after it. Without this, a worker that no attempt
+   * reached would never show that it has nothing to settle.
+   *
+   * @param report Latest report of the worker.
+   * @throws WoodbarrowError `lease_lost` when no order may be given now.
+   */
+  async repeatUncertain(report: WorkerReport): Promise<void> {
+    if (this.uncertain.isEmpty || !this.isIdle(report)) return;
+    await this.enqueue(() => this.repeatUncertainAt(report.sequence));
+  }
+
+  /** Whether the worker has nothing to do, as far as a report of all calls so far tells. */
+  private isIdle(report: WorkerReport): boolean {
     const mayLag = this.options.clock.monotonic() - this.lastSentAt <= REPORT_LAG_MS;
-    const isIdle = !report.busy && report.incoming.length === 0 && this.queued === 0;
-    return isIdle && !mayLag && report.sequence > this.uncertainSequence;
+    return !report.busy && report.incoming.length === 0 && this.queued === 0 && !mayLag;
+  }
+
+  private async repeatUncertainAt(sequence: number): Promise<void> {
+    for (const { operation, target } of this.uncertain.all) {
+      const outcome = await this.sendOnce(operation, target, sequence);
+      if (outcome === 'gone') this.handleRefusal(outcome);
+      // The worker is busy with another order, or cannot be reached: its next report tells.
+      if (outcome === 'conflict' || outcome === 'unknown' || outcome === 'unreachable') return;
+      if (operation === 'load') this.repeatedLoads.push(target);
+      this.uncertain.settle(operation, target);
+      if (outcome === 'accepted') return;
+    }
   }
 
   /** Reports the result of a load to the quarantine. */
@@ -126,9 +170,12 @@
     else quarantine.noteFailed(backEnd, target);
   }
 
-  /** Adopts the sequence of a report. */
-  adoptSequence(report: WorkerReport): void {
+  /** Adopts the sequence of a report that reflects all orders, and the results of loads that were sent again. */
+  adopt(report: WorkerReport): void {
     this.sequence = report.sequence;
+    const repeated = this.repeatedLoads;
+    this.repeatedLoads = [];
+    for (const target of repeated) this.recordLoadResult(target, isListed(report, target));
   }
 
   /**
@@ -138,14 +185,7 @@
    * are expected.
    */
   send(operation: 'load' | 'unload', target: ModelTarget, busyMs = 0): Promise<FinalOutcome> {
-    this.queued += 1;
-    const result = this.sending.then(() => this.sendUntilSettled(operation, target, busyMs));
-    this.sending = result
-      .catch(() => undefined)
-      .finally(() => {
-        this.queued -= 1;
-      });
-    return result;
+    return this.enqueue(() => this.sendUntilSettled(operation, target, busyMs));
   }
 
   /**
@@ -157,8 +197,13 @@
    * @param withinMs Timeout in milliseconds.
    */
   awaitLoaded(target: ModelTarget, withinMs: number): Promise<FinalOutcome> {
+    return this.enqueue(() => this.repeatUntilDone(target, withinMs));
+  }
+
+  /** Runs a task once all earlier ones have ended. */
+  private enqueue<T>(task: () => Promise<T>): Promise<T> {
     this.queued += 1;
-    const result = this.sending.then(() => this.repeatUntilDone(target, withinMs));
+    const result = this.sending.then(task);
     this.sending = result
       .catch(() => undefined)
       .finally(() => {
@@ -174,8 +219,9 @@
     while (!signal.aborted && clock.monotonic() - startedAt < withinMs) {
       const outcome = await this.sendOnce('load', target, this.sequence ?? 0);
       if (outcome === 'done') return 'done';
-      if (outcome !== 'accepted' && outcome !== 'conflict' && outcome !== 'unknown')
-        return this.handleRefusal(outcome);
+      const isPending = outcome === 'accepted' || outcome === 'conflict';
+      const isUnanswered = outcome === 'unknown' || outcome === 'unreachable';
+      if (!isPending && !isUnanswered) return this.handleRefusal(outcome);
       await sleep(clock, busyPauseMs(clock.monotonic() - startedAt), signal);
       if (clock.monotonic() - reportedAt <= REPORT_LAG_MS) continue;
       reportedAt = clock.monotonic();
@@ -208,10 +254,16 @@
       // A load of a resident target does not advance the sequence.
       if (outcome === 'accepted' || (outcome === 'done' && operation === 'unload'))
         this.sequence = (this.sequence ?? 0) + 1;
-      if (outcome === 'accepted' || outcome === 'done') return outcome;
+      if (outcome === 'accepted' || outcome === 'done') {
+        this.uncertain.settle(operation, target);
+        return outcome;
+      }
       if (outcome === 'unknown') {
         isUncertain = true;
-        this.uncertainSequence = Math.max(this.uncertainSequence, this.sequence ?? 0);
+        this.uncertain.add(operation, target, this.sequence ?? 0);
+        await sleep(clock, UNKNOWN_PAUSE_MS, signal);
+      } else if (outcome === 'unreachable') {
+        // The process may come back. This attempt has not reached it and leaves nothing to settle.
         await sleep(clock, UNKNOWN_PAUSE_MS, signal);
       } else if (outcome === 'conflict' && !isUncertain && clock.monotonic() - startedAt < busyMs) {
         attempt -= 1;
@@ -224,6 +276,7 @@
         await sleep(clock, CONFLICT_PAUSE_MS, signal);
         if (await this.hasForeignOrder(conflicts)) return isUncertain ? 'unknown' : 'surprised';
       } else {
+        this.uncertain.settle(operation, target);
         return this.handleRefusal(outcome);
       }
     }
@@ -264,8 +317,7 @@
       sequence: expectedSequence,
       outcome,
     });
-    // An unreachable worker may come back, so the order is retried like one whose answer was lost.
-    return isAnswered ? outcome : 'unknown';
+    return outcome;
   }
 
   /**
@@ -296,3 +348,9 @@
 function busyPauseMs(busyForMs: number): number {
   return Math.max(MIN_BUSY_PAUSE_MS, busyForMs * BUSY_PAUSE_SHARE);
 }
+
+function isListed(report: WorkerReport, target: ModelTarget): boolean {
+  const held = report.models.find(({ name }) => name === target.model);
+  if (held === undefined || !hasAdapter(target)) return held !== undefined;
+  return held.adapters.some((copy) => servesTarget(copy, target));
+}
--- a/packages/residency/src/residency-service.ts
+++ b/packages/residency/src/residency-service.ts
@@ -13,7 +13,6 @@
   StoreLease,
   rankByCapacity,
   type AcquireResult,
-  type HandoverPauseReason,
   type LeaseRecordStore,
   type StoredLease,
 } from '@woodbarrow/coordination';
@@ -32,6 +31,7 @@
   type ZoneClaim,
 } from '@woodbarrow/protocol';
 import { BackgroundService, sleep, type Clock, type Random } from '@woodbarrow/runtime';
+import { CoordinationCounters } from './coordination-counters.js';
 import { LeaseContacts, type KnownMember, type RunningMember } from './lease-contacts.js';
 import type { OrderClient } from './order-client.js';
 import { addReplicaCounts, type ReplicaCounts } from './replica-spreader.js';
@@ -111,13 +111,13 @@
 
 /** Leases and coordinators of one daemon. */
 export class ResidencyService extends BackgroundService {
+  readonly counters = new CoordinationCounters();
   private readonly leases = new Map<string, StoreLease>();
   private readonly held = new Map<string, HeldZone>();
   /** Zones whose lease is being acquired. */
   private readonly acquiring = new Set<string>();
   /** Monotonic time before which a zone's lease is not requested again. */
   private readonly retryAt = new Map<string, number>();
-  private readonly pausesByReason = new Map<HandoverPauseReason, number>();
   private isLeaving = false;
   private readonly contacts: LeaseContacts;
   private readonly storeSchedule: StoreScheduleService;
@@ -231,15 +231,6 @@
     return addReplicaCounts(counts);
   }
 
-  /** Returns how often a zone was acquired here, by the evidence that determined the pause before the first order. */
-  handoverPauses(): ReadonlyMap<HandoverPauseReason, number> {
-    return this.pausesByReason;
-  }
-
-  private countPause(reason: HandoverPauseReason): void {
-    this.pausesByReason.set(reason, (this.pausesByReason.get(reason) ?? 0) + 1);
-  }
-
   /** Releases all leases on a planned stop. */
   async leave(): Promise<void> {
     this.isLeaving = true;
@@ -365,7 +356,7 @@
       actsInMs: Math.round(lease.actsInMs()),
       pausedBy: lease.pauseReason,
     });
-    this.countPause(lease.pauseReason);
+    this.counters.countAcquisition(lease.pauseReason);
     this.held.set(zone, { lease, residency: this.createCoordinator(zone, lease) });
     this.tasks.spawn(`residency.renew ${zone}`, (signal) => this.renewUntilLost(zone, lease, signal));
     this.tasks.spawn(`residency.contact ${zone}`, (signal) => this.maintainContact(zone, lease, signal));
@@ -479,6 +470,7 @@
       log,
       storeWindow,
       quarantine,
+      uncertainOrders: this.counters.uncertainOrders,
       ...(paces === undefined ? {} : { paces }),
       ...(paceProbes === undefined ? {} : { paceProbes }),
       signal: this.tasks.signal,
--- a/packages/residency/src/worker-orders.ts
+++ b/packages/residency/src/worker-orders.ts
@@ -16,6 +16,7 @@
 import type { OrderClient, WorkerReport } from './order-client.js';
 import { OrderSender, REPORT_LAG_MS, type FinalOutcome, type OrderAuthority } from './order-sender.js';
 import { ResidentSet } from './resident-set.js';
+import type { UncertainOrderTotals } from './uncertain-orders.js';
 
 /** Options of {@link WorkerOrders}. */
 export interface WorkerOrdersOptions {
@@ -28,6 +29,7 @@
   /** Records the duration of loads and unloads. */
   readonly times: LoadTimes;
   readonly quarantine: LoadQuarantine;
+  readonly uncertainTotals: UncertainOrderTotals;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly signal: AbortSignal;
@@ -353,24 +355,36 @@
   }
 
   private async resynchronizeUntilSettled(): Promise<void> {
-    const { signal, clock, directory, backEndId } = this.options;
+    const { signal, clock, directory, backEndId, authority } = this.options;
     await sleep(clock, REPORT_LAG_MS, signal);
-    while (!signal.aborted && directory.get(backEndId) !== undefined) {
+    while (!signal.aborted && directory.get(backEndId) !== undefined && !authority.isRevoked()) {
       const report = this.queuedSwaps > 0 ? undefined : await this.tryReport();
       if (report !== undefined && this.sender.isSettled(report)) {
         this.adoptReport(report);
         return;
       }
+      if (report !== undefined) await this.tryRepeatUncertain(report);
       await sleep(clock, RESYNC_INTERVAL_MS, signal);
     }
   }
 
+  private async tryRepeatUncertain(report: WorkerReport): Promise<void> {
+    try {
+      await this.sender.repeatUncertain(report);
+    } catch (error) {
+      this.options.log.warned('order_not_repeated', {
+        backEnd: this.backEndId,
+        cause: errorMessage(error),
+      });
+    }
+  }
+
   private adoptReport(report: WorkerReport): void {
     const { clock, engine, announce, log, backEndId } = this.options;
     const definitions = engine()?.models;
     if (definitions === undefined) return;
     const before = [...this.residents.models.keys()];
-    this.sender.adoptSequence(report);
+    this.sender.adopt(report);
     this.residents.replace(report.models, definitions, clock.monotonic());
     this.synchronized = true;
     const names = report.models.map((held) => held.name);
--- a/packages/residency/src/zone-residency.ts
+++ b/packages/residency/src/zone-residency.ts
@@ -36,6 +36,7 @@
 import { StoreAccess } from './store-access.js';
 import { StoreLink } from './store-link.js';
 import { INITIAL_SCHEDULED_LOADS } from './store-schedule.js';
+import type { UncertainOrderTotals } from './uncertain-orders.js';
 import { WorkerOrders } from './worker-orders.js';
 
 /** Options of {@link ZoneResidency}. */
@@ -70,6 +71,7 @@
   readonly otherZones?: OtherZones;
   /** Reads the pace of workers before there is traffic. @default it is not read */
   readonly paceProbes?: PaceProbes;
+  readonly uncertainOrders: UncertainOrderTotals;
   /** Notifies all daemons of a change of residency. */
   readonly announce: (change: ResidencyChange) => void;
 }
@@ -111,9 +113,12 @@
   private readonly scheduledLink: StoreLink;
   /** The zone's access to the weight store for services with slow loads. */
   readonly access: StoreAccess;
+  /** Fence under which this coordinator gives orders. */
+  private readonly fence: number;
 
   constructor(private readonly options: ZoneResidencyOptions) {
     const { clock, random, zone, zones } = options;
+    this.fence = options.lease.fence;
     const shared = { clock, random, zoneCount: () => zones().length };
     this.link = new StoreLink({
       ...shared,
@@ -384,10 +389,15 @@
       directory,
       loads,
       orders,
-      authority: { holder, currentFence: () => this.currentFence() },
+      authority: {
+        holder,
+        currentFence: () => this.currentFence(),
+        isRevoked: () => this.isRevoked,
+      },
       engine: () => this.options.serviceOf(service)?.engine,
       times: this.times,
       quarantine,
+      uncertainTotals: this.options.uncertainOrders,
       clock,
       log,
       signal,
@@ -399,11 +409,17 @@
     return worker;
   }
 
+  /** Whether this daemon has lost or released the lease since, even if it has acquired it again. */
+  private get isRevoked(): boolean {
+    const { lease } = this.options;
+    return !lease.isHeld || lease.fence !== this.fence;
+  }
+
   private currentFence(): number {
     const { lease } = this.options;
-    if (!lease.mayAct())
+    if (this.isRevoked || !lease.mayAct())
       throw new WoodbarrowError('lease_lost', `the lease on ${this.options.zone} does not allow orders now`);
-    return lease.fence;
+    return this.fence;
   }
 
   private async resultWithin<T>(promise: Promise<T>, withinMs: number): Promise<T | undefined> {
--- a/packages/residency/test/crashing-loads-world.ts
+++ b/packages/residency/test/crashing-loads-world.ts
@@ -12,7 +12,7 @@
   type QuarantineStore,
 } from '@woodbarrow/quarantine';
 import { Random, SimulatedProcess, SimulatedWorld, type Clock } from '@woodbarrow/runtime';
-import { ZoneResidency } from '../src/index.js';
+import { ZoneResidency, UncertainOrderTotals } from '../src/index.js';
 import { daemonQuarantine, type DaemonQuarantine } from './load-quarantines.js';
 import { SimulatedOrderClient, SimulatedWorker } from './simulated-workers.js';
 import { ENGINE, SERVICE, inMemoryLeaseStore } from './zone-world.js';
@@ -216,6 +216,7 @@
       storeWindow: { windowMs: 5000, overshoot: 1 },
       storeLoadsInOtherZones: () => 0,
       quarantine: quarantine.loads,
+      uncertainOrders: new UncertainOrderTotals(),
       expectedElsewhereInMs: (model) => this.expectedElsewhereInMs(name, model),
       announce: ({ backEndId, resident, ...target }) => {
         this.directory.announce(backEndId, target, resident);
--- a/packages/residency/test/simulated-workers.ts
+++ b/packages/residency/test/simulated-workers.ts
@@ -204,9 +204,14 @@
   }
 }
 
+/** How calls fail while the links to all workers are cut. No call reaches a worker. */
+export type LinkCut = 'reset' | 'refused' | 'silent';
+
 /** Sends orders and requests reports for one coordinator's process. */
 export class SimulatedOrderClient implements OrderClient {
   faults: OrderFaults = { answerLost: 0, appliedLate: 0 };
+  /** Set while the links are cut. */
+  cut: LinkCut | undefined;
 
   constructor(
     private readonly world: SimulatedWorld,
@@ -227,7 +232,10 @@
           });
         });
       };
-      if (worker === undefined) {
+      if (this.cut !== undefined) {
+        const failsAfterMs = this.cut === 'silent' ? ORDER_TIMEOUT_MS : ROUND_TRIP_MS / 2;
+        answer(this.cut === 'refused' ? 'unreachable' : 'unknown', failsAfterMs);
+      } else if (worker === undefined) {
         answer('unknown', ORDER_TIMEOUT_MS);
       } else if (draw < appliedLate) {
         this.world.schedule(this.random.between(2000, 12_000), () => void worker.take(order));
@@ -248,9 +256,10 @@
 
   report(backEnd: BackEnd): Promise<WorkerReport | undefined> {
     return new Promise((resolve) => {
-      this.world.schedule(ROUND_TRIP_MS, () => {
+      const isCut = this.cut !== undefined;
+      this.world.schedule(this.cut === 'silent' ? ORDER_TIMEOUT_MS : ROUND_TRIP_MS, () => {
         const worker = this.workers.get(backEnd.id);
-        const report = worker?.hasExited === true ? undefined : worker?.report();
+        const report = isCut || worker?.hasExited === true ? undefined : worker?.report();
         this.process.deliver(() => {
           resolve(report);
         });
--- a/packages/residency/test/worker-orders.test.ts
+++ b/packages/residency/test/worker-orders.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { silentLog } from '@woodbarrow/observability';
-import { LoadTimes, WorkerOrders, type SwapOrder } from '../src/index.js';
+import { LoadTimes, UncertainOrderTotals, WorkerOrders, type SwapOrder } from '../src/index.js';
 import { ZONE, ZoneWorld } from './zone-world.js';
 
 /** Time of a load and of an unload on the test worker, in milliseconds. */
@@ -20,10 +20,11 @@
       directory: zone.directory,
       loads: zone.loads,
       orders: zone.orders,
-      authority: { holder: 'daemon', currentFence: () => 1 },
+      authority: { holder: 'daemon', currentFence: () => 1, isRevoked: () => false },
       engine: () => zone.engine,
       times: new LoadTimes(),
       quarantine: zone.quarantine.loads,
+      uncertainTotals: new UncertainOrderTotals(),
       clock: zone.process,
       log: silentLog,
       signal: new AbortController().signal,
--- a/packages/residency/test/zone-world.ts
+++ b/packages/residency/test/zone-world.ts
@@ -4,7 +4,7 @@
 import { silentLog } from '@woodbarrow/observability';
 import type { ResidencyDemandAnswer } from '@woodbarrow/protocol';
 import { Random, SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
-import { ZoneResidency } from '../src/index.js';
+import { UncertainOrderTotals, ZoneResidency } from '../src/index.js';
 import { daemonQuarantine, type DaemonQuarantine } from './load-quarantines.js';
 import {
   ADAPTER_SLOTS,
@@ -117,6 +117,7 @@
       storeWindow: { windowMs: 5000, overshoot: 1 },
       storeLoadsInOtherZones: () => this.storeLoadsInOtherZones(),
       quarantine: this.quarantine.loads,
+      uncertainOrders: new UncertainOrderTotals(),
       expectedElsewhereInMs: (model) => this.expectedElsewhereInMs.get(model) ?? Infinity,
       announce: ({ backEndId, resident, ...target }) => {
         this.directory.announce(backEndId, target, resident);
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -22,6 +22,8 @@
   readonly zonesHeld: () => ReadonlyMap<string, number>;
   /** Zones acquired since the start, by the evidence that determined the pause before the first order. */
   readonly handoverPauses: () => ReadonlyMap<string, number>;
+  /** Orders to workers whose outcome was unknown, and those of them that were settled, by how. */
+  readonly uncertainOrders: () => ReadonlyMap<string, number>;
   readonly connectionsOpened: () => number;
   readonly storeCalls: () => ReadonlyMap<string, number>;
   /** Era of the store in its last response. */
@@ -127,6 +129,12 @@
       sources.handoverPauses,
       'reason',
     );
+    registry.gauge(
+      'woodbarrow_uncertain_orders',
+      'Orders to workers whose outcome was unknown, and those of them that were settled, since the start.',
+      sources.uncertainOrders,
+      'state',
+    );
     registry.gauge(
       'woodbarrow_back_end_connections',
       'Connections opened to back ends since the start.',
