Adapters: an order that may not be given does not keep the slot

Where the lease forbade an order for a moment (its witnesses did not answer), the adapter of that order stayed in the state loading or unloading for as long as this daemon coordinated the zone: it was never loaded again on that worker, and its slot was taken.

Cause: the order threw lease_lost past the place that reads the worker's state again after a failed order. Any order that fails this way now has the state read again, as models' swaps had.

worker-orders.test.ts, "loads adapters again after the lease forbade their orders for a while": failed before (a4 never loaded), passes.

--- a/packages/residency/src/adapter-orders.ts
+++ b/packages/residency/src/adapter-orders.ts
@@ -15,7 +15,7 @@
 } from '@woodbarrow/backends';
 import { sleep, type Clock } from '@woodbarrow/runtime';
 import type { WorkerReport } from './order-client.js';
-import { REPORT_LAG_MS, type OrderSender } from './order-sender.js';
+import { REPORT_LAG_MS, type FinalOutcome, type OrderSender } from './order-sender.js';
 import type { ResidentSet } from './resident-set.js';
 
 /** Options of {@link AdapterOrders}. */
@@ -93,8 +93,8 @@
   }
 
   private async orderLoad(target: AdapterTarget): Promise<boolean> {
-    const { residents, sender } = this.options;
-    const outcome = await sender.send('load', target);
+    const { residents } = this.options;
+    const outcome = await this.sendOrder('load', target);
     if (outcome === 'done') return this.markResident(target);
     if (outcome === 'accepted') return this.awaitLoaded(target);
     // Only a refusal proves that nothing was loaded. After any other outcome the adapter may be there or
@@ -104,6 +104,19 @@
     return false;
   }
 
+  /**
+   * Sends an order. An order that may not be given leaves the adapter in the state of a change in progress, so the worker's
+   * state is read again.
+   */
+  private async sendOrder(operation: 'load' | 'unload', target: AdapterTarget): Promise<FinalOutcome> {
+    try {
+      return await this.options.sender.send(operation, target);
+    } catch (error) {
+      this.options.onUnknownOutcome();
+      throw error;
+    }
+  }
+
   /** Acquires a slot for an adapter, in order of request. */
   private acquireSlot(target: AdapterTarget, deadline: number): Promise<boolean> {
     const taken = this.slotQueue.then(() => this.waitForSlot(target, deadline));
@@ -158,10 +171,10 @@
   }
 
   private async unload(victim: AdapterTarget): Promise<boolean> {
-    const { residents, sender, announce, onUnknownOutcome } = this.options;
+    const { residents, announce, onUnknownOutcome } = this.options;
     residents.setAdapter(victim, 'unloading');
     announce(victim, false);
-    const outcome = await sender.send('unload', victim);
+    const outcome = await this.sendOrder('unload', victim);
     if (outcome === 'done') {
       residents.dropAdapter(victim);
       return true;
--- a/packages/residency/test/worker-orders.test.ts
+++ b/packages/residency/test/worker-orders.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { WoodbarrowError } from '@woodbarrow/errors';
 import { silentLog } from '@woodbarrow/observability';
 import { LoadTimes, UncertainOrderTotals, WorkerOrders, type SwapOrder } from '../src/index.js';
 import { ZONE, ZoneWorld } from './zone-world.js';
@@ -12,15 +13,24 @@
 describe('WorkerOrders', () => {
   let zone: ZoneWorld;
   let worker: WorkerOrders;
+  let mayOrder: boolean;
 
   beforeEach(async () => {
+    mayOrder = true;
     zone = new ZoneWorld(61, 1);
     worker = new WorkerOrders({
       backEndId: 'w0',
       directory: zone.directory,
       loads: zone.loads,
       orders: zone.orders,
-      authority: { holder: 'daemon', currentFence: () => 1, isRevoked: () => false },
+      authority: {
+        holder: 'daemon',
+        currentFence: () => {
+          if (!mayOrder) throw new WoodbarrowError('lease_lost', 'no orders now');
+          return 1;
+        },
+        isRevoked: () => false,
+      },
       engine: () => zone.engine,
       times: new LoadTimes(),
       quarantine: zone.quarantine.loads,
@@ -86,6 +96,19 @@
     expect(remainingMs + waitedMs).to.be.within(1450, 1550);
   });
 
+  /** Guards against adapters that keep their slot for good after the lease forbade an order for a moment. */
+  it('loads adapters again after the lease forbade their orders for a while', async () => {
+    const load = (adapter: string): Promise<boolean> =>
+      zone.settle(worker.loadAdapter({ model: 'm0', adapter }, 500).catch(() => false));
+    for (const adapter of ['a1', 'a2', 'a3']) expect(await load(adapter)).to.equal(true);
+    mayOrder = false;
+    // The first needs the slot of another one, whose unload is forbidden as well.
+    for (const adapter of ['a4', 'a5', 'a6']) expect(await load(adapter)).to.equal(false);
+    mayOrder = true;
+    await zone.world.run(zone.world.now + 2000);
+    for (const adapter of ['a4', 'a1', 'a5', 'a6']) expect(await load(adapter), adapter).to.equal(true);
+  });
+
   it('eventually loads a model when orders are unanswered or executed late', async () => {
     for (let seed = 70; seed < 90; seed += 1) {
       const other = new ZoneWorld(seed);
