Streams: versions and origins outlive all daemons

A report from a system like this one: after a kill of all daemons beside a release, streams taken up ran to their end joined from two versions. Here it happened in two ways (streams-after-restart.test.ts, three daemons on loopback, 24 streams): for a client that names no attempt, and for all 24 where the settings still named the first start of the deployment. In all other cases none of the streams went on within 8 s, although one version alone had served, or both still did.

Cause: nothing that outlives all daemons told at which versions streams can have begun. "The only version seen since the start" proves nothing of before.

The store now holds the versions of each service at which a stream may have begun that can still be taken up: a write when one appears and one when it has been gone for as long as such a stream may last. With one version, streams go on after one read. While there are several, each daemon stores the origins of its streams in batches, bounded in number and in writes. A record from before a restore of the store proves nothing. A client that names no attempt goes on only where the service can have had one version; a process whose name had joined before does not believe in the first start.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,7 +34,16 @@
   forwarding: ['errors', 'runtime', 'backends', 'coordination', 'observability', 'quarantine'],
   exchange: ['errors', 'runtime', 'protocol', 'peering', 'coordination', 'backends', 'observability'],
   relaying: ['errors', 'runtime', 'protocol', 'peering', 'backends', 'observability', 'quarantine'],
-  streams: ['runtime', 'protocol', 'peering', 'coordination', 'backends', 'observability', 'forwarding'],
+  streams: [
+    'errors',
+    'runtime',
+    'protocol',
+    'peering',
+    'coordination',
+    'backends',
+    'observability',
+    'forwarding',
+  ],
   residency: [
     'errors',
     'runtime',
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -29,6 +29,7 @@
 export * from './share-loans.js';
 export * from './slot-share.js';
 export * from './stream-origins.js';
+export { takeUpPeriodMs } from './stream-take-ups.js';
 export * from './stream-position.js';
 export * from './tenant.js';
 export * from './traffic-splitter.js';
--- a/packages/forwarding/src/stream-origins.ts
+++ b/packages/forwarding/src/stream-origins.ts
@@ -13,7 +13,9 @@
   /** Another daemon. */
   | 'peer'
   /** The service has had only one version for longer than the stream may have lasted. */
-  | 'only_version';
+  | 'only_version'
+  /** A record of the store: all streams that may be taken up have begun at one version, or where this one began. */
+  | 'store';
 
 /** Result of looking up a stream. */
 export type OriginLookup =
@@ -40,6 +42,11 @@
    * know that there were not.
    */
   onlyVersion(service: string, withinMs: number): string | undefined;
-  /** Returns the only software version of a service that this daemon has seen since it started; undefined if there were several. */
-  onlyVersionSeen(service: string): string | undefined;
+  /**
+   * Returns the only software version at which a stream of the service can have begun, according to the store; undefined if there are
+   * several or it is not known. Never rejects.
+   */
+  onlyVersionRecorded(service: string): Promise<string | undefined>;
+  /** Looks up the origin of a stream that a daemon has stored; undefined if none has. Never rejects. */
+  findRecorded(streamId: string): Promise<StreamOrigin | undefined>;
 }
--- a/packages/forwarding/src/stream-take-ups.ts
+++ b/packages/forwarding/src/stream-take-ups.ts
@@ -60,13 +60,21 @@
     if (lookup !== undefined && lookup.asked > 0 && lookup.answered === 0) return UNKNOWN;
     const service = chooseService();
     if (origins.hasNoVersions(service)) return { kind: 'unbound', service };
-    const softwareVersion =
-      facts.resumes === undefined
-        ? origins.onlyVersionSeen(service)
-        : origins.onlyVersion(service, takeUpPeriodMs(route));
-    if (softwareVersion === undefined) return UNKNOWN;
-    const origin = { service, softwareVersion };
-    return this.bind(route, facts, origin, 'only_version', () => service);
+    const softwareVersion = origins.onlyVersion(service, takeUpPeriodMs(route));
+    if (softwareVersion !== undefined)
+      return this.bind(route, facts, { service, softwareVersion }, 'only_version', () => service);
+    const origin = await this.findInStore(origins, service, facts.resumes);
+    return origin === undefined ? UNKNOWN : this.bind(route, facts, origin, 'store', () => service);
+  }
+
+  private async findInStore(
+    origins: StreamOrigins,
+    service: string,
+    resumes: string | undefined,
+  ): Promise<StreamOrigin | undefined> {
+    const softwareVersion = await origins.onlyVersionRecorded(service);
+    if (softwareVersion !== undefined) return { service, softwareVersion };
+    return resumes === undefined ? undefined : origins.findRecorded(resumes);
   }
 
   /** Goes on at the service that began the stream while the route still leads to it. */
--- a/packages/forwarding/test/stream-take-ups.test.ts
+++ b/packages/forwarding/test/stream-take-ups.test.ts
@@ -35,7 +35,8 @@
     find: () => Promise.resolve({ kind: 'unknown', asked: 2, answered: 2 }),
     hasNoVersions: () => false,
     onlyVersion: () => undefined,
-    onlyVersionSeen: () => undefined,
+    onlyVersionRecorded: () => Promise.resolve(undefined),
+    findRecorded: () => Promise.resolve(undefined),
     ...known,
   };
 }
@@ -64,9 +65,22 @@
     expect(takeUp).to.deep.equal({ kind: 'bound', service: 'models-a', softwareVersion: 'v2' });
   });
 
-  it('is refused when nobody knows where it began, whatever versions have been seen', async () => {
+  it('is refused when nobody knows where it began, whatever versions serve now', async () => {
     expect(await resolve({})).to.include(REFUSED);
-    expect(await resolve({ onlyVersionSeen: () => 'v1' })).to.include(REFUSED);
+  });
+
+  it('goes on at the only version, or at the origin, that the store has recorded', async () => {
+    const onlyVersionRecorded = (): Promise<string> => Promise.resolve('v1');
+    expect(await resolve({ onlyVersionRecorded })).to.deep.equal({
+      kind: 'bound',
+      service: 'models-a',
+      softwareVersion: 'v1',
+    });
+    const origin = { service: 'models-b', softwareVersion: 'v2' };
+    expect(await resolve({ findRecorded: () => Promise.resolve(origin) })).to.deep.equal({
+      kind: 'bound',
+      ...origin,
+    });
   });
 
   it('goes on at the only version that the service has had while the stream may have lasted', async () => {
@@ -89,11 +103,13 @@
     expect(takeUp).to.include(REFUSED);
   });
 
-  it('is refused for a client that names no attempt, unless one version has been seen', async () => {
+  it('is refused for a client that names no attempt, unless it can have begun at one version only', async () => {
     const { resumes, ...unnamed } = FACTS;
     expect(resumes).to.equal('r1');
     expect(await resolve({}, unnamed)).to.include(REFUSED);
-    expect(await resolve({ onlyVersionSeen: () => 'v1' }, unnamed)).to.include({ softwareVersion: 'v1' });
+    expect(await resolve({ onlyVersion: () => 'v1' }, unnamed)).to.include({ softwareVersion: 'v1' });
+    const onlyVersionRecorded = (): Promise<string> => Promise.resolve('v1');
+    expect(await resolve({ onlyVersionRecorded }, unnamed)).to.include({ softwareVersion: 'v1' });
   });
 
   it('is remembered under the attempt that brought its first event', () => {
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -6,7 +6,16 @@
   request_admitted:
     'A request was read and has a route. Route, service, digest of its content (shared by all attempts of one request), model, adapter, ids of the prompt parts that other requests may share, last event that the client already has and the attempt that brought the first one, remaining time.',
   stream_taken_up:
-    'A client takes a stream up again after its connection broke. Attempt that brought the first event, last event that the client has, service and software version that the stream goes on at, where the version is known from (`own`, `peer`, `only_version`).',
+    'A client takes a stream up again after its connection broke. Attempt that brought the first event, last event that the client has, service and software version that the stream goes on at, where the version is known from (`own`, `peer`, `only_version`, `store`).',
+  stream_versions_recorded:
+    'The store now names the software versions at which streams of a service may have begun that can still be taken up. Service, versions, place of this daemon among the writers.',
+  stream_versions_not_recorded:
+    'The software versions of a service could not be recorded; tried again. Service, cause.',
+  stream_origins_stored:
+    'This daemon stores where its streams began, as their service has more than one software version. Number of streams.',
+  stream_origins_not_stored:
+    'The origins of streams could not be stored; tried again. Number of streams, cause.',
+  stream_records_unread: 'Records about streams could not be read from the store. Cause.',
   request_queued:
     'All workers that hold the model are full, and the request waits for room on one. Model, number of waiting requests that go first, expected wait.',
   request_sent:
--- a/packages/serving/src/member-registration.ts
+++ b/packages/serving/src/member-registration.ts
@@ -51,6 +51,7 @@
   private listedMembers: readonly RegisteredMember[] = [];
   private isRegistered = false;
   private isFirst = false;
+  private joinOutcome: 'new' | 'known' | undefined;
   /** Whether the registry was assumed complete when it was last read. */
   private wasCompleteAtLastPoll = false;
   private readonly startedAt: number;
@@ -76,6 +77,11 @@
     return this.isFirst;
   }
 
+  /** Whether no process of this name had joined the deployment before this one. */
+  get isNewMember(): boolean {
+    return this.joinOutcome === 'new';
+  }
+
   /** Whether witnesses of leases held here can be chosen: other daemons are present, or assumed not to exist. */
   get hasResolvedPeers(): boolean {
     if (this.ageMs > SINGLE_DAEMON_TIMEOUT_MS) return true;
@@ -139,10 +145,12 @@
       const members = await registry.list();
       this.listedMembers = members.filter(({ address }) => address !== self.address);
       this.isRegistered ||= members.some(({ id, address }) => id === self.id && address === self.address);
+      if (this.isRegistered) this.joinOutcome ??= 'known';
     }
     if (this.isRegistered) return;
     const outcome = await registry.join(self);
     this.isRegistered = true;
+    this.joinOutcome ??= outcome;
     if (outcome === 'new' && this.listedMembers.length === 0) await this.checkFirst();
   }
 
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -3,12 +3,14 @@
 import type { LeaseRecordStore } from '@woodbarrow/coordination';
 import type { ListingOrigin, RecordHandlers } from '@woodbarrow/exchange';
 import type { ForwardingConfiguration, WireDialect } from '@woodbarrow/forwarding';
-import type { RecordEntry, StorePosition } from '@woodbarrow/protocol';
+import type { RecordEntry, StorePosition, StreamOriginEntry } from '@woodbarrow/protocol';
 import type { ProcessProbe, QuarantineEntry, QuarantineStore } from '@woodbarrow/quarantine';
 import type { HealthClient, OrderClient } from '@woodbarrow/residency';
 import type { BackendClient, Clock, ConnectionProbe, Random, Transport } from '@woodbarrow/runtime';
+import type { StreamRecordStore } from '@woodbarrow/streams';
 
-export type { RecordEntry, StorePosition };
+export type { RecordEntry, StorePosition, StreamOriginEntry };
+export type { StoredVersionRecord, StreamRecordStore, VersionRecord } from '@woodbarrow/streams';
 
 /** Receives the records of the deployment. Methods are called in the order of the changes. */
 export interface DeploymentSink {
@@ -109,6 +111,7 @@
   readonly quarantine: QuarantineStore;
   readonly leases: LeaseRecordStore;
   readonly registry: MemberRegistry;
+  readonly streamRecords: StreamRecordStore;
   readonly feed: DeploymentFeed;
   /** Calls to the store since the start, by operation, kind of record and outcome. */
   readonly storeCalls: () => ReadonlyMap<string, number>;
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -15,7 +15,6 @@
 import { LoadQuarantine, RequestQuarantine } from '@woodbarrow/quarantine';
 import type { QuotaGate } from '@woodbarrow/quota';
 import { PaceProbes, ResidencyService } from '@woodbarrow/residency';
-import { ObservedVersions, StreamOriginService } from '@woodbarrow/streams';
 import { NodeIngress, TaskGroup, sleep, type IncomingExchange } from '@woodbarrow/runtime';
 import { BackendAccess } from './backend-access.js';
 import { BackendNoticeService } from './backend-notice-service.js';
@@ -26,7 +25,7 @@
 import { LoggedJournal } from './logged-journal.js';
 import { createLoggedPaces } from './logged-paces.js';
 import { listenForMetrics } from './metrics-endpoint.js';
-import { ServingMetrics } from './serving-metrics.js';
+import { residencyMetrics, ServingMetrics } from './serving-metrics.js';
 import { MemberRegistration } from './member-registration.js';
 import { MEMBERSHIP_TIMINGS } from './membership-timings.js';
 import type { ServingPorts } from './ports.js';
@@ -38,6 +37,7 @@
 } from './quota-assembly.js';
 import { RecordFollower } from './record-follower.js';
 import type { ServingSettings } from './serving-settings.js';
+import { assembleStreamOrigins, type AssembledStreamOrigins } from './stream-origins-assembly.js';
 
 /** Deployment name that daemons require of each other's connections. */
 const PEER_DEPLOYMENT = 'woodbarrow-serving';
@@ -65,7 +65,7 @@
   private readonly quotaGate: QuotaGate;
   private readonly noticeService: BackendNoticeService;
   private readonly access: BackendAccess;
-  private readonly streamOrigins: StreamOriginService;
+  private readonly streamOrigins: AssembledStreamOrigins;
   private readonly quarantine: RequestQuarantine;
   private readonly loadQuarantine: LoadQuarantine;
   private readonly records: RecordFollower;
@@ -170,7 +170,8 @@
     this.quarantine.start();
     this.grants.start();
     this.noticeService.start();
-    this.streamOrigins.start();
+    this.streamOrigins.service.start();
+    this.tasks.spawn('stream-records', (signal) => this.streamOrigins.record(signal));
     this.access.start();
     this.residency.start();
     this.log.changed('daemon_started', { zone: settings.zone, address: settings.ingressAddress });
@@ -256,11 +257,11 @@
     });
     membership.events.on('up', (member) => {
       log.changed('peer_up', { peer: member.id, instance: member.instance });
-      this.streamOrigins.notePeerUp(member.id);
+      this.streamOrigins.service.notePeerUp(member.id);
     });
     membership.events.on('down', (member) => {
       log.changed('peer_down', { peer: member.id, status: member.status });
-      this.streamOrigins.notePeerDown(member.id);
+      this.streamOrigins.service.notePeerDown(member.id);
     });
     return membership;
   }
@@ -329,17 +330,21 @@
     });
   }
 
-  private createStreamOrigins(): StreamOriginService {
-    const { settings, ports, directory, peers, failures } = this;
-    const { clock } = ports;
-    return new StreamOriginService({
+  private createStreamOrigins(): AssembledStreamOrigins {
+    const { settings, ports, directory, peers, failures, log } = this;
+    return assembleStreamOrigins({
       self: settings.name,
       members: () => expectedMembers(this.membership, this.registration),
-      versions: new ObservedVersions(directory, clock, settings.isFirstStart),
+      configuration: () => this.configuration.current,
+      directory,
       isViewCurrent: () => this.exchange.isViewCurrent,
+      // The settings may still name the first start when a process is started again.
+      knowsHistory: () => settings.isFirstStart && this.registration.isNewMember,
+      records: ports.streamRecords,
       peers,
       failures,
-      clock,
+      clock: ports.clock,
+      log,
     });
   }
 
@@ -433,23 +438,19 @@
       backEndsByVersion: () => directory.countByVersion(),
       peersPresent: () => membership.present().length,
       requestsInProgress: () => this.ingress?.inProgress ?? 0,
-      zonesHeld: () => residency.fencesHeld(),
-      handoverPauses: () => residency.counters.handoverPauses,
-      uncertainOrders: () => residency.counters.uncertainOrders.totals,
       connectionsOpened: () => ports.client.connectionsOpened,
       storeCalls: () => ports.storeCalls(),
       storeEra: () => ports.storeEra(),
       invalidRecords: () => ports.invalidRecords(),
       unmatchedAnswers: () => ports.unmatchedAnswers(),
       callFailures: () => this.failures.totals(),
-      unserved: () => residency.unserved(),
-      replicas: () => residency.replicaCounts(),
-      storeSchedule: () => residency.storeScheduleTotals(),
+      ...residencyMetrics(residency),
       quarantine: () => this.quarantine.totals,
       quarantinedParts: () => this.quarantine.quarantinedPartCount,
       loadQuarantine: () => this.loadQuarantine.totals,
       notices: () => this.noticeService.notices.totals,
-      streamOrigins: () => this.streamOrigins.totals,
+      streamOriginRecords: () => this.streamOrigins.recordTotals(),
+      streamOrigins: () => this.streamOrigins.service.totals,
       permits: () => this.noticeService.permitTotals,
       dispatch: () => this.assembled.forwarder.dispatchTotals,
       loans: () => this.assembled.loans.totals,
@@ -481,7 +482,7 @@
       serviceOf: (name) => this.serviceOf(name),
       healthOf: (service) => this.healthOf(service),
       notices: this.noticeService,
-      origins: this.streamOrigins,
+      origins: this.streamOrigins.service,
       quota: this.quotaGate,
       quarantine: this.quarantine,
       loadQuarantine: this.loadQuarantine,
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -4,7 +4,12 @@
 import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
 import type { DispatchTotals, NoticeTotals, UnreadTotals } from '@woodbarrow/forwarding';
 import type { AllocatorUsage, GateUsage, PermitTotals, ShareLoanTotals, UnitCounts } from '@woodbarrow/quota';
-import type { ReplicaCounts, StoreScheduleTotals, UnservedDemands } from '@woodbarrow/residency';
+import type {
+  ReplicaCounts,
+  ResidencyService,
+  StoreScheduleTotals,
+  UnservedDemands,
+} from '@woodbarrow/residency';
 import type { StreamOriginTotals } from '@woodbarrow/streams';
 import { MetricRegistry, type BoundedLog, type Counter, type Histogram } from '@woodbarrow/observability';
 
@@ -43,6 +48,8 @@
   readonly notices: () => NoticeTotals;
   readonly permits: () => PermitTotals;
   /** Streams whose origin this daemon knows. */
+  /** Writes of the origins of streams to the store, and streams in the last of them. */
+  readonly streamOriginRecords: () => { readonly writes: number; readonly streams: number };
   readonly streamOrigins: () => StreamOriginTotals;
   /** Queue of requests that wait for room on a worker. */
   readonly dispatch: () => DispatchTotals;
@@ -64,6 +71,23 @@
   readonly log: BoundedLog;
 }
 
+/** Returns the sources that a daemon's residency service provides. */
+export function residencyMetrics(
+  residency: ResidencyService,
+): Pick<
+  MetricSources,
+  'zonesHeld' | 'handoverPauses' | 'uncertainOrders' | 'unserved' | 'replicas' | 'storeSchedule'
+> {
+  return {
+    zonesHeld: () => residency.fencesHeld(),
+    handoverPauses: () => residency.counters.handoverPauses,
+    uncertainOrders: () => residency.counters.uncertainOrders.totals,
+    unserved: () => residency.unserved(),
+    replicas: () => residency.replicaCounts(),
+    storeSchedule: () => residency.storeScheduleTotals(),
+  };
+}
+
 /** Counters and histograms that the daemon updates, and gauges that are read when metrics are rendered. */
 export class ServingMetrics {
   private readonly registry = new MetricRegistry();
@@ -129,6 +153,12 @@
       sources.handoverPauses,
       'reason',
     );
+    registry.gauge(
+      'woodbarrow_stream_origin_records',
+      'Writes of the origins of streams to the store since the start, and streams in the last of them.',
+      () => new Map(Object.entries(sources.streamOriginRecords())),
+      'of',
+    );
     registry.gauge(
       'woodbarrow_uncertain_orders',
       'Orders to workers whose outcome was unknown, and those of them that were settled, since the start.',
--- a/packages/streams/src/observed-versions.ts
+++ b/packages/streams/src/observed-versions.ts
@@ -4,6 +4,8 @@
 
 /** Versions of one service; times are monotonic, in milliseconds. */
 interface ServiceVersions {
+  /** Time at which a version was last seen for the first time. */
+  lastAppearedAt: number;
   /** Time at which the first back end of the service was seen. */
   readonly observedSince: number;
   /** Time at which a back end of each version was last present; Infinity while one is. */
@@ -15,13 +17,14 @@
 
 /** Observes the back ends of one daemon. */
 export class ObservedVersions {
-  private readonly services = new Map<string, ServiceVersions>();
+  private readonly observed = new Map<string, ServiceVersions>();
+  private onVersionAppeared: () => void = () => undefined;
 
-  /** @param isHistoryComplete Whether no back end served before this daemon started. */
+  /** @param knowsHistory Whether no back end served before this daemon started. */
   constructor(
     private readonly directory: BackendDirectory,
     private readonly clock: Clock,
-    private readonly isHistoryComplete: boolean,
+    private readonly knowsHistory: () => boolean,
   ) {
     directory.events.on('changed', (backEnd) => {
       this.note(backEnd, Infinity);
@@ -39,7 +42,7 @@
 
   /** Returns the only version that a service has had for `withinMs`; undefined if it had several or was not observed for that long. */
   onlyWithin(service: string, withinMs: number): string | undefined {
-    const versions = this.services.get(service);
+    const versions = this.observed.get(service);
     if (versions === undefined) return undefined;
     const since = this.clock.monotonic() - withinMs;
     if (!this.isHistoryComplete && versions.observedSince > since) return undefined;
@@ -49,9 +52,44 @@
     );
   }
 
-  /** Returns the only version of a service that was ever seen; undefined if there were several. */
-  onlySeen(service: string): string | undefined {
-    return this.onlyOf(service, [...(this.services.get(service)?.lastSeenAt.keys() ?? [])]);
+  /** Returns the only version among those given and all that were ever seen of a service; undefined if there are several. */
+  onlyWith(service: string, versions: readonly string[]): string | undefined {
+    return this.onlyOf(service, [...versions, ...(this.observed.get(service)?.lastSeenAt.keys() ?? [])]);
+  }
+
+  /** Whether no back end served before this daemon started. */
+  get isHistoryComplete(): boolean {
+    return this.knowsHistory();
+  }
+
+  /** Calls back whenever a service has a version that was not seen before. */
+  onAppeared(callback: () => void): void {
+    this.onVersionAppeared = callback;
+  }
+
+  /** Returns the services with back ends that name a version. */
+  services(): readonly string[] {
+    return [...this.observed.keys()];
+  }
+
+  /** Returns the versions of a service that were present within the last `withinMs`, in alphabetical order. */
+  seenWithin(service: string, withinMs: number): string[] {
+    const since = this.clock.monotonic() - withinMs;
+    const lastSeenAt = this.observed.get(service)?.lastSeenAt ?? new Map<string, number>();
+    return [...lastSeenAt]
+      .filter(([, at]) => at > since)
+      .map(([version]) => version)
+      .sort();
+  }
+
+  /** Returns the monotonic time since which a service has been observed; Infinity if it has not. */
+  observedSince(service: string): number {
+    return this.observed.get(service)?.observedSince ?? Infinity;
+  }
+
+  /** Returns the monotonic time at which a service last had a version that was not seen before. */
+  lastAppearedAt(service: string): number {
+    return this.observed.get(service)?.lastAppearedAt ?? -Infinity;
   }
 
   /** Events of the directory arrive later than its changes, so that the back ends that are present count as well. */
@@ -73,12 +111,18 @@
 
   private note({ service, softwareVersion }: BackEnd, lastSeenAt: number): void {
     if (softwareVersion === undefined) return;
-    let versions = this.services.get(service);
+    let versions = this.observed.get(service);
     if (versions === undefined) {
-      versions = { observedSince: this.clock.monotonic(), lastSeenAt: new Map() };
-      this.services.set(service, versions);
+      const now = this.clock.monotonic();
+      versions = { observedSince: now, lastAppearedAt: now, lastSeenAt: new Map() };
+      this.observed.set(service, versions);
     }
+    const isNew = !versions.lastSeenAt.has(softwareVersion);
     versions.lastSeenAt.set(softwareVersion, lastSeenAt);
+    if (isNew) {
+      versions.lastAppearedAt = this.clock.monotonic();
+      this.onVersionAppeared();
+    }
     if (versions.lastSeenAt.size > MAX_VERSIONS) dropLeastRecent(versions.lastSeenAt);
   }
 }
--- a/packages/streams/src/stream-origin-service.ts
+++ b/packages/streams/src/stream-origin-service.ts
@@ -7,6 +7,8 @@
   type KeepStreamOriginsMessage,
 } from '@woodbarrow/protocol';
 import type { ObservedVersions } from './observed-versions.js';
+import type { OriginRecorder } from './origin-recorder.js';
+import type { RecordedStreams } from './recorded-streams.js';
 import { toEntry, toOrigin } from './origin-entries.js';
 import {
   OriginReplication,
@@ -24,6 +26,8 @@
   readonly versions: ObservedVersions;
   /** Whether the back ends that this daemon knows are current: it follows the store, or another daemon that does. */
   readonly isViewCurrent: () => boolean;
+  readonly recorded: RecordedStreams;
+  readonly originRecorder: OriginRecorder;
 }
 
 /** Number of streams known, and counts since the start. */
@@ -57,7 +61,9 @@
   record(streamId: string, origin: StreamOrigin, retainMs: number): void {
     if (streamId === '') return;
     const stored = this.table.put(streamId, origin, retainMs);
-    if (stored !== undefined) this.replication.add(streamId, stored);
+    if (stored === undefined) return;
+    this.replication.add(streamId, stored);
+    this.options.originRecorder.add(streamId, stored);
   }
 
   async find(streamId: string): Promise<OriginLookup> {
@@ -90,8 +96,13 @@
     return isViewCurrent() ? versions.onlyWithin(service, withinMs) : undefined;
   }
 
-  onlyVersionSeen(service: string): string | undefined {
-    return this.options.versions.onlySeen(service);
+  async onlyVersionRecorded(service: string): Promise<string | undefined> {
+    const { recorded, isViewCurrent } = this.options;
+    return isViewCurrent() ? recorded.onlyVersion(service) : undefined;
+  }
+
+  findRecorded(streamId: string): Promise<StreamOrigin | undefined> {
+    return this.options.recorded.find(streamId);
   }
 
   /** Gives streams with too few copies another holder. @param peerId Daemon that has appeared or was restarted. */
--- a/packages/streams/test/observed-versions.test.ts
+++ b/packages/streams/test/observed-versions.test.ts
@@ -31,7 +31,7 @@
   });
 
   it('are one only after it was observed for the whole period', async () => {
-    const versions = new ObservedVersions(directory, clock, false);
+    const versions = new ObservedVersions(directory, clock, () => false);
     directory.put(backEnd('a1', 'v1'));
     await world.run(9000);
     expect(versions.onlyWithin('models', 10_000)).to.equal(undefined);
@@ -40,28 +40,28 @@
   });
 
   it('are known from the start where nothing served before', async () => {
-    const versions = new ObservedVersions(directory, clock, true);
+    const versions = new ObservedVersions(directory, clock, () => true);
     directory.put(backEnd('a1', 'v1'));
     await world.run(10);
     expect(versions.onlyWithin('models', 10_000)).to.equal('v1');
   });
 
   it('include one whose last back end left within the period', async () => {
-    const versions = new ObservedVersions(directory, clock, true);
+    const versions = new ObservedVersions(directory, clock, () => true);
     directory.put(backEnd('a1', 'v1'));
     directory.put(backEnd('b1', 'v2'));
     await world.run(1000);
     directory.remove('a1');
     await world.run(10_000);
     expect(versions.onlyWithin('models', 10_000)).to.equal(undefined);
-    expect(versions.onlySeen('models')).to.equal(undefined);
+    expect(versions.onlyWith('models', [])).to.equal(undefined);
     await world.run(11_100);
     expect(versions.onlyWithin('models', 10_000)).to.equal('v2');
-    expect(versions.onlySeen('models')).to.equal(undefined);
+    expect(versions.onlyWith('models', [])).to.equal(undefined);
   });
 
   it('keep a version while another of its back ends is present', async () => {
-    const versions = new ObservedVersions(directory, clock, true);
+    const versions = new ObservedVersions(directory, clock, () => true);
     for (const id of ['a1', 'a2']) directory.put(backEnd(id, 'v1'));
     directory.put(backEnd('b1', 'v2'));
     await world.run(10);
@@ -71,12 +71,12 @@
   });
 
   it('are not known to be none before a back end has been seen', () => {
-    const versions = new ObservedVersions(directory, clock, false);
+    const versions = new ObservedVersions(directory, clock, () => false);
     expect(versions.hasNone('models')).to.equal(false);
   });
 
   it('are none for a service whose back ends name none', async () => {
-    const versions = new ObservedVersions(directory, clock, true);
+    const versions = new ObservedVersions(directory, clock, () => true);
     const { softwareVersion, ...unnamed } = backEnd('a1', 'v1');
     expect(softwareVersion).to.equal('v1');
     directory.put(unnamed);
--- a/packages/streams/test/stream-origins.test.ts
+++ b/packages/streams/test/stream-origins.test.ts
@@ -4,7 +4,14 @@
 import { CallFailures, silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster, type SimulatedNode } from '@woodbarrow/peering';
 import { expect } from 'chai';
-import { ObservedVersions, StreamOriginService, type StreamPeer } from '../src/index.js';
+import {
+  ObservedVersions,
+  OriginRecorder,
+  RecordedStreams,
+  StreamOriginService,
+  type StreamPeer,
+} from '../src/index.js';
+import { InMemoryStreamRecords } from './in-memory-stream-records.js';
 
 const V1: StreamOrigin = { service: 'models', softwareVersion: 'v1' };
 const STREAMS = Array.from({ length: 40 }, (_, index) => `s${String(index)}`);
@@ -25,10 +32,18 @@
   async add(name: string, hasService = true): Promise<Daemon> {
     const node = await this.cluster.add(name);
     const { process: clock, peers } = node;
+    const versions = new ObservedVersions(new BackendDirectory(clock), clock, () => false);
+    const shared = { self: name, versions, records: new InMemoryStreamRecords(), clock, log: silentLog };
     const service = new StreamOriginService({
       self: name,
       members: () => this.peersOf(),
-      versions: new ObservedVersions(new BackendDirectory(clock), clock, false),
+      versions,
+      recorded: new RecordedStreams(shared),
+      originRecorder: new OriginRecorder({
+        ...shared,
+        takeUpPeriodMs: () => RETAIN_MS,
+        memberCount: () => 1,
+      }),
       isViewCurrent: () => true,
       peers,
       failures: new CallFailures(clock, silentLog),
