Workers: bytes without end are bounded in bytes and time

Here events and comments were read for 4 s, bodies of declines until the process ended.

Cause: four readers of what is not passed on had no bound of their own, and the splitter of events copied all pending bytes at each chunk. An event, or comments between events, now end the answer as broken beyond 256 KB; the body of a decline is read for 64 KB and 1 s at most; 32 interim responses fail the send as one that may have run.

Log event and counter answer_overlong.

--- a/packages/forwarding/src/answer-forwarder.ts
+++ b/packages/forwarding/src/answer-forwarder.ts
@@ -8,6 +8,7 @@
   type StreamRelayOptions,
   type StreamRelayResult,
 } from './answer-relay.js';
+import { MAX_EVENT_BYTES } from './event-splitter.js';
 import { runsVersion } from './backend-choice.js';
 import type { EventStreamAnswer, PendingAnswer } from './client-answer.js';
 import type { StreamSummary } from './request-completion.js';
@@ -252,11 +253,17 @@
 
   private recordBroken(
     { backEnd, sentAt }: SentAnswer,
-    { tornBytes, wasSilent }: BrokenResult,
+    { tornBytes, wasSilent, isOverlong }: BrokenResult,
   ): AttemptResult {
     if (this.scope.expired.aborted) return { kind: 'maybe_run' };
     const end = tornBytes === 0 ? 'the answer broke off' : 'the answer ended inside an event';
     const detail = wasSilent === true ? 'its process ended' : end;
+    if (isOverlong === true)
+      this.recordDecision('answer_overlong', {
+        backEnd: backEnd.id,
+        part: 'event',
+        limitBytes: MAX_EVENT_BYTES,
+      });
     if (tornBytes > 0) {
       const afterEvent = this.scope.answer.lastEventId;
       this.recordDecision('event_torn', { backEnd: backEnd.id, afterEvent, tornBytes });
@@ -266,7 +273,7 @@
   }
 
   private recordDecision(
-    decision: 'request_resumed' | 'take_up_refused' | 'event_torn',
+    decision: 'request_resumed' | 'take_up_refused' | 'event_torn' | 'answer_overlong',
     facts: Readonly<Record<string, string | number | undefined>>,
   ): void {
     this.scope.context.journal.decided(decision, this.scope.facts.id, facts);
--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -28,6 +28,8 @@
   readonly tornBytes: number;
   /** Whether the answer was silent until its process was known to have ended. */
   readonly wasSilent?: boolean;
+  /** Whether an event, or comments between events, exceeded their limit. */
+  readonly isOverlong?: boolean;
 }
 
 /** The answer was silent, and another run has taken its place. */
@@ -157,6 +159,10 @@
       if (step.kind === 'end') break;
       this.recordChunkArrival();
       const events = splitter.push(step.chunk);
+      if (splitter.isOverlong) {
+        answer.discard();
+        return { ...this.brokenResult(splitter), isOverlong: true };
+      }
       if (events.length === 0) continue;
       this.firstEventId ??= events.find(({ id }) => id !== undefined)?.id;
       if (target.kind === 'not_begun') {
--- a/packages/forwarding/src/request-journal.ts
+++ b/packages/forwarding/src/request-journal.ts
@@ -13,6 +13,7 @@
   | 'request_resumed'
   | 'take_up_refused'
   | 'event_torn'
+  | 'answer_overlong'
   | 'request_answered'
   | 'request_refused'
   | 'request_failed'
--- a/packages/forwarding/src/request-sender.ts
+++ b/packages/forwarding/src/request-sender.ts
@@ -6,7 +6,7 @@
 import { RequestRun } from './request-run.js';
 import type { RequestScope } from './request-scope.js';
 import type { RunTimeEstimate } from './run-time-estimate.js';
-import { sendAttempt, type SendOutcome } from './send-attempt.js';
+import { sendAttempt, type OverlongPart, type SendOutcome } from './send-attempt.js';
 import { SendFailures } from './send-failures.js';
 
 /** Sends of one request. */
@@ -77,8 +77,11 @@
       onLoad: ({ pacePercent }: ReportedLoad) => {
         if (pacePercent !== undefined) context.paces.record(backEnd.id, pacePercent);
       },
+      onOverlong: (part: OverlongPart) => {
+        context.journal.decided('answer_overlong', facts.id, { backEnd: backEnd.id, part });
+      },
     };
-    return sendAttempt(plan, context.client, context.dialect);
+    return sendAttempt(plan, context.client, context.dialect, context.clock);
   }
 
   private requestHeaders(backEnd: BackEnd): string[] {
--- a/packages/forwarding/src/send-attempt.ts
+++ b/packages/forwarding/src/send-attempt.ts
@@ -1,7 +1,14 @@
 /** Sends one request to one back end, up to the head of the answer. */
 import { errorMessage } from '@woodbarrow/errors';
 import type { BackEnd, ReportedLoad } from '@woodbarrow/backends';
-import { HttpNotSentError, type BackendResponse, type BackendClient } from '@woodbarrow/runtime';
+import {
+  HttpNotSentError,
+  TooManyInterimResponsesError,
+  type BackendClient,
+  type BackendResponse,
+  type Clock,
+} from '@woodbarrow/runtime';
+import { drainAnswer } from './answer-drain.js';
 import type { BackendNotice } from './backend-notice.js';
 import type { AnswerVerdict, WireDialect } from './wire-dialect.js';
 
@@ -11,6 +18,9 @@
 /** Why a back end turns a request away. */
 export type DeclineVerdict = Extract<AnswerVerdict, 'not_run' | 'other_incarnation' | 'not_resident'>;
 
+/** Part of an answer that exceeded its limit, so that the connection was closed. */
+export type OverlongPart = 'interim_responses' | 'declined_body' | 'event';
+
 /** Result of a send. */
 export type SendOutcome =
   /** The head of the answer arrived; its body is still to be read. */
@@ -36,6 +46,8 @@
   readonly onNotice: (notice: BackendNotice) => void;
   /** Called with the load in the head of an answer that comes from the back end. */
   readonly onLoad: (load: ReportedLoad) => void;
+  /** Called when a part of the answer exceeds its limit. */
+  readonly onOverlong: (part: OverlongPart) => void;
 }
 
 /** Sends a request and classifies the head of the answer. Never rejects. */
@@ -43,6 +55,7 @@
   plan: SendPlan,
   client: BackendClient,
   dialect: WireDialect,
+  clock: Clock,
 ): Promise<SendOutcome> {
   try {
     const answer = await client.send({
@@ -63,35 +76,32 @@
     const isFromBackEnd = notice !== undefined && verdict !== 'foreign' && verdict !== 'other_incarnation';
     const load = isFromBackEnd ? dialect.readLoad(answer.headers) : undefined;
     if (load !== undefined) plan.onLoad(load);
+    if (isDecline(verdict)) {
+      void drainDeclined(answer, clock, plan);
+      return { kind: 'declined', verdict };
+    }
     return outcomeOf(verdict, answer, load);
   } catch (error) {
+    if (error instanceof TooManyInterimResponsesError) plan.onOverlong('interim_responses');
     if (error instanceof HttpNotSentError) return { kind: 'unreachable', detail: errorMessage(error) };
     return { kind: 'broken', detail: errorMessage(error) };
   }
 }
 
 function outcomeOf(
-  verdict: AnswerVerdict,
+  verdict: 'genuine' | 'foreign',
   answer: BackendResponse,
   load: ReportedLoad | undefined,
 ): SendOutcome {
-  switch (verdict) {
-    case 'genuine':
-      return { kind: 'answered', answer, ...(load === undefined ? {} : { load }) };
-    case 'foreign':
-      answer.discard();
-      return { kind: 'broken', detail: 'foreign answer' };
-    default:
-      void drain(answer);
-      return { kind: 'declined', verdict };
-  }
+  if (verdict === 'genuine') return { kind: 'answered', answer, ...(load === undefined ? {} : { load }) };
+  answer.discard();
+  return { kind: 'broken', detail: 'foreign answer' };
 }
 
-/** Reads and discards the body, so that its connection can be reused. */
-async function drain(answer: BackendResponse): Promise<void> {
-  try {
-    for await (const chunk of answer.body) void chunk;
-  } catch {
-    // A broken connection needs no draining.
-  }
+function isDecline(verdict: AnswerVerdict): verdict is DeclineVerdict {
+  return verdict !== 'genuine' && verdict !== 'foreign';
+}
+
+async function drainDeclined(answer: BackendResponse, clock: Clock, { onOverlong }: SendPlan): Promise<void> {
+  if (await drainAnswer(answer, clock)) onOverlong('declined_body');
 }
--- a/packages/forwarding/test/worker-pace.test.ts
+++ b/packages/forwarding/test/worker-pace.test.ts
@@ -57,7 +57,9 @@
         controller: new AbortController(),
         onNotice: () => undefined,
         onLoad: (load: ReportedLoad) => loads.push(load),
+        onOverlong: () => undefined,
       };
+      const clock = new SimulatedProcess(new SimulatedWorld(), { name: 'd', zone: 'a', region: 'r' });
       const client = {
         connectionsOpened: 0,
         closeIdleConnections: () => undefined,
@@ -68,7 +70,7 @@
         readNotice: () => (hasNotice ? EMPTY_NOTICE : undefined),
         readLoad: () => ({ running: 1, waiting: 0, slots: 4, pacePercent: 160 }),
       } as unknown as WireDialect;
-      await sendAttempt(plan, client, dialect);
+      await sendAttempt(plan, client, dialect, clock);
       expect(loads, `${verdict}, notice ${String(hasNotice)}`).to.have.length(expected);
     }
   });
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -24,6 +24,8 @@
     'A back end did not accept the request or did not respond. Verdict: `not_run`, `not_resident`, `other_incarnation`, `unreachable`, `broken`, `stalled` (replaced by another run) or `timed_out`.',
   answer_unmatched:
     'An answer does not belong to the request in progress on its connection, or names no request where it could belong to another one. Back end, request that the answer names, status, match (`repeated`: a second answer to the request before; `other_call`, `no_call`), outcome (`skipped`: the next answer is awaited; `rejected`: the connection is closed, and the request may have run).',
+  answer_overlong:
+    'A part of an answer exceeded its limit, and its connection was closed. Back end, part (`event`: an event or comments without an end, which counts as a broken answer; `declined_body`: the body of a decline, which stands; `interim_responses`: no final answer, the request may have run).',
   request_repeated:
     'A retry is considered. Whether it is allowed, preceding result, service, whether the preceding send reached a back end and the retry counts against the budget, where the retry comes from (`earned`, `granted`, `first_member`) or why it is withheld (`used_up`, `allocator_starting`, `no_allocator`), earned retries left.',
   answer_silent:
--- a/packages/runtime/src/backend-exchange.ts
+++ b/packages/runtime/src/backend-exchange.ts
@@ -12,6 +12,16 @@
 /** Maximum size of the body of an answer that is skipped, in bytes; beyond it the connection is closed. */
 const MAX_SKIPPED_BYTES = 64 * 1024;
 
+/** Maximum number of interim (1xx) responses before the final one. */
+const MAX_INTERIM_RESPONSES = 32;
+
+/** The back end sent interim responses without a final one; it may have received the request. */
+export class TooManyInterimResponsesError extends Error {
+  constructor() {
+    super(`more than ${String(MAX_INTERIM_RESPONSES)} interim responses`);
+  }
+}
+
 /** Options of {@link BackendExchange}. */
 export interface BackendExchangeOptions {
   readonly agent: Agent;
@@ -86,6 +96,11 @@
 
   private awaitAnswer(request: ClientRequest): void {
     this.current = request;
+    let interimCount = 0;
+    request.on('information', () => {
+      interimCount += 1;
+      if (interimCount > MAX_INTERIM_RESPONSES) request.destroy(new TooManyInterimResponsesError());
+    });
     request.once('response', (message: IncomingMessage) => {
       this.onAnswer(request, message);
     });
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -8,6 +8,7 @@
 export * from './http.js';
 export * from './least-by.js';
 export { MAX_IDLE_CONNECTIONS_PER_ADDRESS } from './keep-alive-agent.js';
+export { TooManyInterimResponsesError } from './backend-exchange.js';
 export * from './node-backend-client.js';
 export * from './buffered-response-stream.js';
 export * from './node-ingress.js';
