Orders: a worker that is found gone while an uncertain order is repeated ends the round

The round went on with the next uncertain order, which failed as the worker had left the directory, and was logged as not repeated. Found by reading; 15 tests of unanswered orders and worker orders pass.

--- a/packages/residency/src/order-sender.ts
+++ b/packages/residency/src/order-sender.ts
@@ -151,11 +151,14 @@
   private async repeatUncertainAt(sequence: number): Promise<void> {
     for (const { operation, target } of this.uncertain.all) {
       const outcome = await this.sendOnce(operation, target, sequence);
-      if (outcome === 'gone') this.handleRefusal(outcome);
       // The worker is busy with another order, or cannot be reached: its next report tells.
       if (outcome === 'conflict' || outcome === 'unknown' || outcome === 'unreachable') return;
-      if (operation === 'load') this.repeatedLoads.push(target);
       this.uncertain.settle(operation, target);
+      if (outcome === 'gone') {
+        this.handleRefusal(outcome);
+        return;
+      }
+      if (operation === 'load') this.repeatedLoads.push(target);
       if (outcome === 'accepted') return;
     }
   }
