--- a/packages/forwarding/src/earned-retries.ts
+++ b/packages/forwarding/src/earned-retries.ts
@@ -1,16 +1,9 @@
-/**
- * Retries that the requests of one daemon earn. Each is spent once and expires soon, so that the retries of all daemons stay within the
- * ratio however many processes follow one another and wherever their clients go: no process has to know what another one has spent.
- *
- * In a window W all daemons together spend at most what was earned in W and one lifetime before it, which is
- * `EARNED_SHARE x (1 + LIFETIME_SHARE)` of the ratio under steady traffic.
- */
-import { StallWatch, type Clock, type Random } from '@woodbarrow/runtime';
+/** Retries that the requests of one daemon earn, by service: as many as every window allows it, see {@link RetryWindowBound}. */
+import { StallWatch, type Clock } from '@woodbarrow/runtime';
+import { RetryWindowBound, type RetryTimes } from './retry-window-bound.js';
 
-/** Share of the ratio that requests earn; the rest covers retries that were earned shortly before a window and are spent in it. */
-const EARNED_SHARE = 0.75;
-/** Lifetime of an earned retry as a share of the window. */
-const LIFETIME_SHARE = 0.25;
+/** Maximum time that a request is on its way to a daemon that runs, in milliseconds. */
+const REQUEST_TRANSIT_MS = 150;
 
 /** Options of {@link EarnedRetries}. */
 export interface EarnedRetriesOptions {
@@ -20,28 +13,24 @@
   readonly windowMs: number;
 }
 
-/** An earned retry. */
-export interface EarnedRetry {
-  /** Elapsed time at which it expires, in milliseconds. */
-  readonly expiresAt: number;
+/** A retry that counts against the requests of this daemon. */
+export interface CountedRetry {
+  /** Whether every window still allows it; check right before it is sent. */
+  isAllowed(): boolean;
+  /** Takes it back, as it was not sent. Further calls have no effect. */
+  refund(): void;
+  /** Sets the latest time at which it may have reached a back end, as elapsed time in milliseconds. */
+  settle(mayArriveUntil: number): void;
 }
 
-interface ServiceRetries {
-  /** Part of the next retry that has been earned. */
-  fraction: number;
-  /** Earliest expiry first. */
-  unspent: EarnedRetry[];
-}
-
-/** Earned retries of one daemon, by service. */
+/** Earned retries of one daemon. */
 export class EarnedRetries {
-  private readonly services = new Map<string, ServiceRetries>();
+  private readonly bounds = new Map<string, RetryWindowBound>();
   private readonly stalls: StallWatch;
 
   constructor(
     private readonly options: EarnedRetriesOptions,
     private readonly clock: Clock,
-    private readonly random: Random,
   ) {
     this.stalls = new StallWatch(clock);
   }
@@ -51,48 +40,57 @@
     return this.stalls.run(signal);
   }
 
-  /** Adds what one request earns. */
-  recordRequest(service: string): void {
-    // After a stall the process reads requests that were sent long before, which belong to an earlier window.
-    if (this.stalls.isCatchingUp) return;
-    const { ratio, windowMs } = this.options;
-    const retries = this.retriesOf(service);
-    retries.fraction += EARNED_SHARE * ratio;
-    for (; retries.fraction >= 1; retries.fraction -= 1)
-      retries.unspent.push({ expiresAt: this.clock.elapsed() + LIFETIME_SHARE * windowMs });
+  /** Counts a request. @param waitedMs Time since its head was read, in milliseconds. */
+  recordRequest(service: string, waitedMs = 0): void {
+    const sentFrom = this.stalls.arrivedFrom - waitedMs - REQUEST_TRANSIT_MS;
+    this.boundOf(service).addRequest(sentFrom, this.clock.elapsed());
   }
 
   /** Number of retries that can be spent now. */
   available(service: string): number {
-    return this.unexpired(service).length;
+    return Math.max(0, Math.floor(this.allowance(service)));
+  }
+
+  /** Spends a retry; undefined if there is none. It counts until it is known when it reached a back end. */
+  take(service: string): CountedRetry | undefined {
+    return this.allowance(service) < 1 ? undefined : this.count(service, -Infinity);
   }
 
-  /** Spends the retry that expires first; undefined if there is none. */
-  take(service: string): EarnedRetry | undefined {
-    return this.unexpired(service).shift();
+  /**
+   * Counts a retry that was granted from elsewhere and may arrive when its allocator no longer counts it.
+   *
+   * @param countsFrom Elapsed time in milliseconds until which its allocator assumes that it has arrived.
+   */
+  countLate(service: string, countsFrom: number): CountedRetry {
+    return this.count(service, countsFrom);
   }
 
-  /** Returns a retry that was not sent. */
-  refund(service: string, retry: EarnedRetry): void {
-    const retries = this.retriesOf(service);
-    retries.unspent.push(retry);
-    retries.unspent.sort((left, right) => left.expiresAt - right.expiresAt);
+  private count(service: string, countsFrom: number): CountedRetry {
+    const bound = this.boundOf(service);
+    const retry: RetryTimes = { countsFrom, mayArriveUntil: Infinity };
+    bound.addRetry(retry);
+    return {
+      isAllowed: () => this.allowance(service) >= 0,
+      refund: () => {
+        bound.removeRetry(retry);
+      },
+      settle: (mayArriveUntil) => {
+        retry.mayArriveUntil = mayArriveUntil;
+        if (mayArriveUntil < countsFrom) bound.removeRetry(retry);
+      },
+    };
   }
 
-  private unexpired(service: string): EarnedRetry[] {
-    const retries = this.retriesOf(service);
-    const now = this.clock.elapsed();
-    retries.unspent = retries.unspent.filter(({ expiresAt }) => expiresAt > now);
-    return retries.unspent;
+  private allowance(service: string): number {
+    return this.boundOf(service).allowance(this.clock.elapsed());
   }
 
-  private retriesOf(service: string): ServiceRetries {
-    let retries = this.services.get(service);
-    if (retries === undefined) {
-      // At random, so that daemons that start together do not earn their first retries at the same moment.
-      retries = { fraction: -this.random.next(), unspent: [] };
-      this.services.set(service, retries);
+  private boundOf(service: string): RetryWindowBound {
+    let bound = this.bounds.get(service);
+    if (bound === undefined) {
+      bound = new RetryWindowBound(this.options.ratio, this.options.windowMs);
+      this.bounds.set(service, bound);
     }
-    return retries;
+    return bound;
   }
 }
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -101,7 +101,7 @@
     this.scope = { ...accepted, context, ...state };
     this.sender = new RequestSender(this.scope, new RunTimeEstimate(context.runTimes, facts));
     this.allowance = new RequestAllowance(context.quota, accepted.tenant, facts, expired);
-    this.retries = new RequestRetries(context.budget, accepted.service.name, expired);
+    this.retries = new RequestRetries(context.budget, accepted.service.name, clock, expired);
     this.preparation = new RunPreparation(this.scope, this.allowance, this.retries);
     this.replacement = new SilentRunReplacement(this.scope, this.preparation, {
       allowsAnother: () => this.canRetryAfter({ kind: 'maybe_run' }),
@@ -140,7 +140,7 @@
     };
     if (stopWaiting.aborted) stop();
     stopWaiting.addEventListener('abort', stop);
-    budget.recordRequest(service.name);
+    budget.recordRequest(service.name, times.elapsedMs());
     if (facts.target !== undefined) loads.recordDemand(facts.target.model);
     this.recordAdmission();
     const releaseAnswer = this.watchAnswer();
@@ -211,10 +211,14 @@
 
   /** Sends a prepared run; returns it unused and undefined if it is no longer valid. */
   private begin(prepared: PreparedRun): ReplacingRun | undefined {
-    if (prepared.isValid()) return { prepared, run: this.sender.begin(prepared.choice) };
-    prepared.permit.refund();
-    prepared.release();
-    return undefined;
+    if (!prepared.isValid()) {
+      prepared.permit.refund();
+      prepared.release();
+      return undefined;
+    }
+    const run = this.sender.begin(prepared.choice);
+    this.retries.noteSent(run.head);
+    return { prepared, run };
   }
 
   /** Waits for the end of a run. Returns whether the request has ended. */
--- a/packages/forwarding/src/request-quota.ts
+++ b/packages/forwarding/src/request-quota.ts
@@ -8,6 +8,8 @@
   isValid(): boolean;
   /** Returns the units of a request that did not run. */
   refund(): void;
+  /** Elapsed time in milliseconds at which it expires. @default never */
+  readonly expiresAt?: number;
 }
 
 /** How urgently a request needs its units. */
--- a/packages/forwarding/src/request-run.ts
+++ b/packages/forwarding/src/request-run.ts
@@ -32,6 +32,11 @@
     return this.options.choice.backEnd;
   }
 
+  /** Head of the answer. Never rejects. */
+  get head(): Promise<SendOutcome> {
+    return this.options.head;
+  }
+
   /** Waits for the head of the answer. Returns whether it has arrived by then and cannot take the place of a silent answer. */
   async failsWithin(limitMs: number): Promise<boolean> {
     const { scope, head, answerForwarder } = this.options;
--- a/packages/forwarding/src/retry-allowance.ts
+++ b/packages/forwarding/src/retry-allowance.ts
@@ -9,28 +9,41 @@
   /** No allocator responded in time. */
   | 'no_allocator';
 
-/** A retry that may be sent once. */
-export interface RetryPermit {
+/** A retry of the fixed allowance. */
+export interface AllowedRetry {
   /**
-   * `earned` by requests of this daemon, `granted` from the fixed allowance of the deployment by an allocator, or from the part of it
-   * that the `first_member` of the deployment has.
+   * `granted` by an allocator, or from the part of the allowance that the `first_member` of the deployment has.
    */
-  readonly source: 'earned' | 'granted' | 'first_member';
+  readonly source: 'granted' | 'first_member';
   /** Whether the retry may still be sent. Check right before it is sent. */
   isValid(): boolean;
   /** Returns the permit of a retry that did not reach a back end. */
   refund(): void;
+  /** Elapsed time in milliseconds until which the allowance counts it as on its way. @default always */
+  readonly countedUntil?: number;
+}
+
+/** A retry that may be sent once. */
+export interface RetryPermit extends Pick<AllowedRetry, 'isValid' | 'refund'> {
+  /** `earned` by requests of this daemon, or from the fixed allowance. */
+  readonly source: 'earned' | AllowedRetry['source'];
+  /**
+   * Must be called once it is known when a retry that was sent has reached a back end.
+   *
+   * @param mayArriveUntil Latest possible elapsed time in milliseconds.
+   */
+  settle(mayArriveUntil: number): void;
 }
 
 /** Result of a request for a retry. */
-export type RetryOutcome =
-  | { readonly kind: 'allowed'; readonly permit: RetryPermit }
+export type RetryOutcome<Permit = RetryPermit> =
+  | { readonly kind: 'allowed'; readonly permit: Permit }
   | { readonly kind: 'withheld'; readonly reason: RetryWithheldReason };
 
 /** Grants retries from the fixed allowance. */
 export interface RetryAllowance {
   /** Acquires one retry. Never rejects, and resolves within a fraction of a second. */
-  acquire(service: string, signal: AbortSignal): Promise<RetryOutcome>;
+  acquire(service: string, signal: AbortSignal): Promise<RetryOutcome<AllowedRetry>>;
   /** Work in the background until `signal` aborts. @default none */
   run?(signal: AbortSignal): Promise<void>;
 }
--- a/packages/forwarding/src/retry-budget.ts
+++ b/packages/forwarding/src/retry-budget.ts
@@ -2,9 +2,15 @@
  * Limits retries on other back ends. The deployment has one budget for each service: a ratio of its requests, which each daemon earns with
  * its own, and a fixed allowance, which is granted to the daemons that need it.
  */
-import type { Clock, Random } from '@woodbarrow/runtime';
-import { EarnedRetries, type EarnedRetriesOptions, type EarnedRetry } from './earned-retries.js';
-import { NO_ALLOWANCE, type RetryAllowance, type RetryOutcome, type RetryPermit } from './retry-allowance.js';
+import type { Clock } from '@woodbarrow/runtime';
+import { EarnedRetries, type CountedRetry, type EarnedRetriesOptions } from './earned-retries.js';
+import {
+  NO_ALLOWANCE,
+  type AllowedRetry,
+  type RetryAllowance,
+  type RetryOutcome,
+  type RetryPermit,
+} from './retry-allowance.js';
 
 /** Options of {@link RetryBudget}. */
 export interface RetryBudgetOptions extends EarnedRetriesOptions {
@@ -17,12 +23,8 @@
   private readonly earned: EarnedRetries;
   private readonly allowance: RetryAllowance;
 
-  constructor(
-    options: RetryBudgetOptions,
-    private readonly clock: Clock,
-    random: Random,
-  ) {
-    this.earned = new EarnedRetries(options, clock, random);
+  constructor(options: RetryBudgetOptions, clock: Clock) {
+    this.earned = new EarnedRetries(options, clock);
     this.allowance = options.allowance ?? NO_ALLOWANCE;
   }
 
@@ -31,9 +33,9 @@
     await Promise.all([this.earned.run(signal), this.allowance.run?.(signal)]);
   }
 
-  /** Counts a request for a service. */
-  recordRequest(service: string): void {
-    this.earned.recordRequest(service);
+  /** Counts a request for a service. @param waitedMs Time since its head was read, in milliseconds. */
+  recordRequest(service: string, waitedMs = 0): void {
+    this.earned.recordRequest(service, waitedMs);
   }
 
   /** Number of earned retries that are left now. */
@@ -42,21 +44,40 @@
   }
 
   /** Acquires one retry. Never rejects. */
-  acquire(service: string, signal: AbortSignal): Promise<RetryOutcome> {
+  async acquire(service: string, signal: AbortSignal): Promise<RetryOutcome> {
     const retry = this.earned.take(service);
-    if (retry === undefined) return this.allowance.acquire(service, signal);
-    return Promise.resolve({ kind: 'allowed', permit: this.permitFor(service, retry) });
+    if (retry !== undefined) return { kind: 'allowed', permit: earnedPermit(retry) };
+    const outcome = await this.allowance.acquire(service, signal);
+    if (outcome.kind === 'withheld') return outcome;
+    return { kind: 'allowed', permit: this.countedWhenLate(service, outcome.permit) };
   }
 
-  private permitFor(service: string, retry: EarnedRetry): RetryPermit {
-    let isOpen = true;
+  /** A retry that may arrive when the allowance no longer counts it counts as an earned one from then on. */
+  private countedWhenLate(service: string, allowed: AllowedRetry): RetryPermit {
+    const late = this.earned.countLate(service, allowed.countedUntil ?? Infinity);
     return {
-      source: 'earned',
-      isValid: () => this.clock.elapsed() < retry.expiresAt,
+      source: allowed.source,
+      isValid: () => allowed.isValid(),
       refund: () => {
-        if (isOpen) this.earned.refund(service, retry);
-        isOpen = false;
+        late.refund();
+        allowed.refund();
+      },
+      settle: (mayArriveUntil) => {
+        late.settle(mayArriveUntil);
       },
     };
   }
 }
+
+function earnedPermit(retry: CountedRetry): RetryPermit {
+  return {
+    source: 'earned',
+    isValid: () => retry.isAllowed(),
+    refund: () => {
+      retry.refund();
+    },
+    settle: (mayArriveUntil) => {
+      retry.settle(mayArriveUntil);
+    },
+  };
+}
--- /dev/null
+++ b/packages/forwarding/src/retry-window-bound.ts
@@ -0,0 +1,121 @@
+/**
+ * Bounds the retries of one daemon for one service in every window, so that the retries of all daemons stay within the ratio for any traffic
+ * and any order in which processes end and start.
+ *
+ * For each start s of a window W, retries that arrive in [s, s + W] are at most the ratio times the mean of the daemon's own requests in
+ * [s, s + W] and in [s - W/2, s + W/2]. All daemons use the same mean, so their bounds add up to the mean of the deployment's requests in
+ * these two spans, which is never above the larger one. A process that ends takes its unused part along; its successor begins with nothing.
+ */
+
+/** Requests of the two spans that each count half. */
+const SPANS = 2;
+/** Resolution of window starts. */
+const BUCKETS_PER_HALF_WINDOW = 50;
+const BUCKETS_PER_WINDOW = 2 * BUCKETS_PER_HALF_WINDOW;
+/** Requests count from half a window before the oldest window that is still open. */
+const BUCKETS = BUCKETS_PER_WINDOW + BUCKETS_PER_HALF_WINDOW + 2;
+/** Maximum time from the check of a retry until it reaches its back end if its process ends meanwhile, in milliseconds. */
+export const RETRY_TRANSIT_MS = 500;
+
+/** Times of a retry, as elapsed times in milliseconds. */
+export interface RetryTimes {
+  /** Time from which it counts. */
+  readonly countsFrom: number;
+  /** Latest time at which it may reach a back end; Infinity while this is unknown. */
+  mayArriveUntil: number;
+}
+
+/** Requests and retries of one service. All times are elapsed times in milliseconds. */
+export class RetryWindowBound {
+  private readonly bucketMs: number;
+  /** Requests by the bucket of the earliest time at which they may have been sent, as a ring. */
+  private readonly sent = new Float64Array(BUCKETS);
+  /** Requests by the bucket in which they were read, as a ring. */
+  private readonly read = new Float64Array(BUCKETS);
+  private newestBucket = -BUCKETS;
+  private retries: RetryTimes[] = [];
+
+  constructor(
+    private readonly ratio: number,
+    private readonly windowMs: number,
+  ) {
+    this.bucketMs = windowMs / BUCKETS_PER_WINDOW;
+  }
+
+  /** Counts a request that was sent at `sentFrom` or later, and has been read now. */
+  addRequest(sentFrom: number, now: number): void {
+    this.advanceTo(now);
+    increment(this.read, this.newestBucket);
+    const bucket = Math.floor(sentFrom / this.bucketMs);
+    if (bucket > this.newestBucket - BUCKETS) increment(this.sent, bucket);
+  }
+
+  addRetry(retry: RetryTimes): void {
+    this.retries.push(retry);
+  }
+
+  removeRetry(retry: RetryTimes): void {
+    this.retries = this.retries.filter((each) => each !== retry);
+  }
+
+  /** Returns how many further retries every window allows; negative if those that wait to be sent are no longer allowed. */
+  allowance(now: number): number {
+    this.advanceTo(now);
+    this.retries = this.retries.filter(({ mayArriveUntil }) => mayArriveUntil >= now - this.windowMs);
+    const oldest = this.newestBucket - BUCKETS_PER_WINDOW;
+    // A retry that is checked now may arrive in windows that start later.
+    const latest = Math.floor((now + RETRY_TRANSIT_MS) / this.bucketMs);
+    const arrivingFrom = this.arrivingFrom(oldest, latest, now);
+    const sentFrom = this.sumsFrom(this.sent);
+    const readFrom = this.sumsFrom(this.read);
+    let allowance = Infinity;
+    for (let bucket = oldest; bucket <= latest; bucket += 1) {
+      // Windows may start anywhere in the bucket, so that requests count only from the next one on.
+      const inWindow = sentFrom(bucket + 1);
+      const earlier = bucket - BUCKETS_PER_HALF_WINDOW;
+      const inEarlierSpan = Math.max(0, sentFrom(earlier + 1) - readFrom(earlier + BUCKETS_PER_WINDOW));
+      const retries = arrivingFrom[bucket - oldest] ?? 0;
+      allowance = Math.min(allowance, (this.ratio * (inWindow + inEarlierSpan)) / SPANS - retries);
+    }
+    return allowance;
+  }
+
+  /** Number of retries that may arrive in a window which starts in each bucket, from `oldest` to `latest`. */
+  private arrivingFrom(oldest: number, latest: number, now: number): Float64Array {
+    const counts = new Float64Array(latest - oldest + 1);
+    for (const { countsFrom, mayArriveUntil } of this.retries) {
+      if (countsFrom > now) continue;
+      const bucket = Math.floor(Math.min(mayArriveUntil / this.bucketMs, latest));
+      if (bucket >= oldest) increment(counts, bucket - oldest);
+    }
+    for (let index = counts.length - 2; index >= 0; index -= 1)
+      counts[index] = (counts[index] ?? 0) + (counts[index + 1] ?? 0);
+    return counts;
+  }
+
+  /** Returns the number of requests from a bucket on, as a function of the bucket. */
+  private sumsFrom(ring: Float64Array): (bucket: number) => number {
+    const sums = new Float64Array(BUCKETS + 1);
+    const first = this.newestBucket - BUCKETS + 1;
+    for (let index = BUCKETS - 1; index >= 0; index -= 1)
+      sums[index] = (sums[index + 1] ?? 0) + (ring[slotOf(first + index)] ?? 0);
+    return (bucket) => sums[Math.max(0, bucket - first)] ?? 0;
+  }
+
+  private advanceTo(now: number): void {
+    const bucket = Math.floor(now / this.bucketMs);
+    const from = Math.max(this.newestBucket + 1, bucket - BUCKETS + 1);
+    for (let each = from; each <= bucket; each += 1) this.sent[slotOf(each)] = this.read[slotOf(each)] = 0;
+    this.newestBucket = Math.max(this.newestBucket, bucket);
+  }
+}
+
+function slotOf(bucket: number): number {
+  return ((bucket % BUCKETS) + BUCKETS) % BUCKETS;
+}
+
+/** Adds one to a bucket of a ring, or to an element of an array that is not longer than a ring. */
+function increment(counts: Float64Array, bucket: number): void {
+  const slot = slotOf(bucket);
+  counts[slot] = (counts[slot] ?? 0) + 1;
+}
--- a/packages/forwarding/test/parts.test.ts
+++ b/packages/forwarding/test/parts.test.ts
@@ -7,6 +7,7 @@
   RouteTable,
   StreamPosition,
   TrafficSplitter,
+  type RetryAllowance,
   type Route,
   type StreamEvent,
 } from '../src/index.js';
@@ -80,7 +81,7 @@
   it('allows a ratio of the requests, and the fixed allowance once that is spent', async () => {
     const { process } = simulatedClock();
     const allowance = allowanceOf(7, 10_000, process);
-    const budget = new RetryBudget({ ...options, allowance }, process, new Random(1));
+    const budget = new RetryBudget({ ...options, allowance }, process);
     for (let request = 0; request < 100; request += 1) budget.recordRequest('s');
     const earned = budget.earnedLeft('s');
     expect(earned).to.be.within(10, 0.2 * 100);
@@ -91,31 +92,63 @@
   it('allows nothing to a daemon that has just started and is granted nothing, however many follow one another', async () => {
     const { process } = simulatedClock();
     for (let run = 0; run < 20; run += 1)
-      expect(await count(new RetryBudget(options, process, new Random(run)), 5)).to.equal(0);
+      expect(await count(new RetryBudget(options, process), 5)).to.equal(0);
   });
 
   it('forgets what was earned long before, which a failed predecessor or the daemons that had its clients may have spent', async () => {
     const { world, process } = simulatedClock();
-    const budget = new RetryBudget(options, process, new Random(1));
+    const budget = new RetryBudget(options, process);
     for (let request = 0; request < 100; request += 1) budget.recordRequest('s');
-    await world.run(2501);
+    await world.run(options.windowMs / 2);
     expect(budget.earnedLeft('s')).to.equal(0);
   });
 
-  it('gives back a retry that was not sent, once and until it expires', async () => {
-    const { world, process } = simulatedClock();
-    const budget = new RetryBudget(options, process, new Random(1));
-    for (let request = 0; request < 20; request += 1) budget.recordRequest('s');
+  it('gives back a retry that was not sent', async () => {
+    const { process } = simulatedClock();
+    const budget = new RetryBudget(options, process);
+    for (let request = 0; request < 40; request += 1) budget.recordRequest('s');
     const earned = budget.earnedLeft('s');
     const outcome = await budget.acquire('s', signal);
     if (outcome.kind !== 'allowed') throw new Error('no retry');
+    expect(budget.earnedLeft('s')).to.equal(earned - 1);
     outcome.permit.refund();
     outcome.permit.refund();
     expect(budget.earnedLeft('s')).to.equal(earned);
-    await world.run(2501);
+  });
+
+  it('does not send a retry that was acquired for requests of long ago', async () => {
+    const { world, process } = simulatedClock();
+    const budget = new RetryBudget(options, process);
+    for (let request = 0; request < 40; request += 1) budget.recordRequest('s');
+    const outcome = await budget.acquire('s', signal);
+    if (outcome.kind !== 'allowed') throw new Error('no retry');
+    expect(outcome.permit.isValid()).to.equal(true);
+    await world.run(options.windowMs / 2);
     expect(outcome.permit.isValid()).to.equal(false);
-    outcome.permit.refund();
-    expect(budget.earnedLeft('s')).to.equal(0);
+  });
+
+  it('counts a granted retry that has not arrived when its allocator takes it for arrived', async () => {
+    const { world, process } = simulatedClock();
+    const countedUntil = 1000;
+    const acquire: RetryAllowance['acquire'] = () => {
+      const permit = {
+        source: 'granted',
+        countedUntil,
+        isValid: () => true,
+        refund: () => undefined,
+      } as const;
+      return Promise.resolve({ kind: 'allowed', permit });
+    };
+    const budget = new RetryBudget({ ...options, allowance: { acquire } }, process);
+    const granted = [await budget.acquire('s', signal), await budget.acquire('s', signal)];
+    await world.run(countedUntil);
+    for (let request = 0; request < 40; request += 1) budget.recordRequest('s');
+    const [late, early] = granted.map((outcome) => (outcome.kind === 'allowed' ? outcome.permit : undefined));
+    expect(budget.earnedLeft('s')).to.equal(2);
+    early?.settle(countedUntil - 1);
+    expect(budget.earnedLeft('s')).to.equal(3);
+    late?.settle(process.elapsed());
+    expect(budget.earnedLeft('s')).to.equal(3);
   });
 });
 
--- a/packages/forwarding/test/simulated-exchange.ts
+++ b/packages/forwarding/test/simulated-exchange.ts
@@ -362,7 +362,6 @@
           allowance: { acquire: (...wish) => this.allowance.acquire(...wish) },
         },
         this.process,
-        new Random(1),
       ),
       quota: { acquire: (...wish) => this.quota(...wish) },
       quarantine: this.quarantine,
--- a/packages/quota/src/first-member-retries.ts
+++ b/packages/quota/src/first-member-retries.ts
@@ -2,7 +2,7 @@
  * Retries of the fixed allowance for the first daemon of a deployment, until there are allocators. Afterwards it tells the allocators how
  * many it used, so that they need not leave out the rest.
  */
-import type { RetryPermit } from '@woodbarrow/forwarding';
+import { RETRY_TRANSIT_MS, type AllowedRetry } from '@woodbarrow/forwarding';
 import { firstMemberRetriesMethod, type UsedRetries } from '@woodbarrow/protocol';
 import { sleep, type Clock } from '@woodbarrow/runtime';
 import { callAllocator, type AllocatorAccess } from './call-allocator.js';
@@ -38,7 +38,7 @@
   }
 
   /** Takes one retry; undefined if there is none. */
-  take(service: string): RetryPermit | undefined {
+  take(service: string): AllowedRetry | undefined {
     const { isFirstMember, limit } = this.options;
     const used = this.used.get(service) ?? 0;
     if (!isFirstMember() || !this.isValid() || used >= retriesOfFirstMember(limit)) return undefined;
@@ -48,7 +48,8 @@
       if (isOpen) this.used.set(service, (this.used.get(service) ?? 0) - 1);
       isOpen = false;
     };
-    return { source: 'first_member', isValid: () => this.isValid(), refund };
+    const countedUntil = this.endsAt + RETRY_TRANSIT_MS;
+    return { source: 'first_member', countedUntil, isValid: () => this.isValid(), refund };
   }
 
   private isValid(): boolean {
--- a/packages/quota/src/retry-allocator.ts
+++ b/packages/quota/src/retry-allocator.ts
@@ -6,6 +6,7 @@
  * granted, and grants nothing until that no longer counts either. Before there is any allocator, the first daemon of the deployment may
  * use a part of the allowance, which the first allocators leave out.
  */
+import { RETRY_TRANSIT_MS } from '@woodbarrow/forwarding';
 import type { GrantRequest, RetryGrantAnswer, UsedRetries } from '@woodbarrow/protocol';
 import { SlidingWindow, type Clock } from '@woodbarrow/runtime';
 
@@ -24,8 +25,6 @@
 export const FIRST_MEMBER_MS = 5000;
 /** Time for which a granted retry may be sent, counted from when it was requested, in milliseconds. */
 export const RETRY_LIFETIME_MS = 500;
-/** Maximum time from the check of a permit until the retry reaches its back end, in milliseconds. */
-const TRANSIT_MS = 500;
 
 /** Retries that one zone grants. */
 export interface RetryShare {
@@ -48,7 +47,7 @@
 
 /** Time for which a granted retry counts, in milliseconds. */
 export function retryHoldMs(windowMs: number): number {
-  return windowMs + RETRY_LIFETIME_MS + TRANSIT_MS;
+  return windowMs + RETRY_LIFETIME_MS + RETRY_TRANSIT_MS;
 }
 
 /** Divides the retries of an allowance among the zones in whole numbers; the remainder goes to the first zones by name. */
--- a/packages/quota/src/retry-allowance-gate.ts
+++ b/packages/quota/src/retry-allowance-gate.ts
@@ -1,10 +1,11 @@
 /** Acquires retries of the fixed allowance for the requests of one daemon, from the allocators of the zones. */
-import type {
-  QuotaOutcome,
-  RetryAllowance,
-  RetryOutcome,
-  RetryPermit,
-  RetryWithheldReason,
+import {
+  RETRY_TRANSIT_MS,
+  type AllowedRetry,
+  type QuotaOutcome,
+  type RetryAllowance,
+  type RetryOutcome,
+  type RetryWithheldReason,
 } from '@woodbarrow/forwarding';
 import { retryGrantMethod, type GrantAnswer, type GrantRequest } from '@woodbarrow/protocol';
 import { callAllocator } from './call-allocator.js';
@@ -51,15 +52,16 @@
     return this.firstMember.report(signal);
   }
 
-  async acquire(service: string, signal: AbortSignal): Promise<RetryOutcome> {
+  async acquire(service: string, signal: AbortSignal): Promise<RetryOutcome<AllowedRetry>> {
     if (this.options.limit.extra === 0) return { kind: 'withheld', reason: 'used_up' };
     const first = this.firstMember.take(service);
     if (first !== undefined) return { kind: 'allowed', permit: first };
     const outcome = await this.withinMaxWait(this.gate.acquire(service, this.limit, 1, 0, signal));
     if (outcome === undefined) return { kind: 'withheld', reason: 'no_allocator' };
     if (outcome.kind !== 'granted') return { kind: 'withheld', reason: this.reasonFor(outcome.kind) };
-    const permit: RetryPermit = { source: 'granted', ...outcome.ticket };
-    return { kind: 'allowed', permit };
+    const { ticket } = outcome;
+    const countedUntil = (ticket.expiresAt ?? Infinity) + RETRY_TRANSIT_MS;
+    return { kind: 'allowed', permit: { ...ticket, source: 'granted', countedUntil } };
   }
 
   /** Resolves with undefined if the allocators do not respond in time; a retry that they grant later serves another request. */
--- a/packages/quota/src/unit-gate.ts
+++ b/packages/quota/src/unit-gate.ts
@@ -282,6 +282,7 @@
     state.used += units;
     let isOpen = true;
     return {
+      expiresAt: taken.earliestExpiresAt,
       isValid: () => clock.elapsed() < taken.earliestExpiresAt,
       refund: () => {
         if (!isOpen) return;
--- a/packages/quota/test/retry-world.ts
+++ b/packages/quota/test/retry-world.ts
@@ -1,6 +1,6 @@
 /** Simulates daemons whose requests fail, and counts the retries of all processes as they arrive at the back ends. */
 import { CoordinatorDirectory } from '@woodbarrow/exchange';
-import { RetryBudget, type RetryOutcome } from '@woodbarrow/forwarding';
+import { RetryBudget, type RetryOutcome, type RetryPermit } from '@woodbarrow/forwarding';
 import { CallFailures, silentLog } from '@woodbarrow/observability';
 import { SimulatedCluster, type SimulatedNode } from '@woodbarrow/peering';
 import { Random, SlidingWindow, type SimulatedProcess } from '@woodbarrow/runtime';
@@ -23,6 +23,7 @@
 const MEAN_CHOICE_MS = 40;
 const MAX_TRANSIT_MS = 300;
 const SERVICE = 's';
+const noop = (): void => undefined;
 
 /** The part of a retry budget that requests use. */
 export interface TestedBudget {
@@ -175,12 +176,16 @@
     for (let sends = 1; fails && sends < MAX_SENDS; sends += 1) {
       const permit = await this.acquire(budget, process);
       if (permit === undefined) return;
-      this.arriveSoon(id);
+      this.arriveSoon(id, () => {
+        process.deliver(() => {
+          permit.settle(process.elapsed());
+        });
+      });
     }
   }
 
   /** Acquires a permit that is still valid after a back end has been chosen. */
-  private async acquire(budget: TestedBudget, process: SimulatedProcess): Promise<object | undefined> {
+  private async acquire(budget: TestedBudget, process: SimulatedProcess): Promise<RetryPermit | undefined> {
     for (;;) {
       const outcome = await budget.acquire(SERVICE, new AbortController().signal);
       if (outcome.kind === 'withheld') return undefined;
@@ -188,13 +193,15 @@
         process.schedule(this.random.exponential(MEAN_CHOICE_MS), resolve);
       });
       if (outcome.permit.isValid()) return outcome.permit;
+      outcome.permit.refund();
     }
   }
 
   /** A request that has been sent arrives even if its process ends. */
-  private arriveSoon(id: string): void {
+  private arriveSoon(id: string, onArrival: () => void = noop): void {
     this.cluster.world.schedule(this.random.between(0, MAX_TRANSIT_MS), () => {
       this.arrivals.push({ id, at: this.now });
+      onArrival();
     });
   }
 }
@@ -214,7 +221,7 @@
     failures,
     clock,
   });
-  const budget = new RetryBudget({ ...LIMITS, allowance }, clock, node.random);
+  const budget = new RetryBudget({ ...LIMITS, allowance }, clock);
   void budget.run(new AbortController().signal);
   return budget;
 };
@@ -232,7 +239,7 @@
       const allowed = 0.75 * (ratio * requests.count() + extra / world.alive().length);
       if (allowed - retries.count() < 1) return Promise.resolve({ kind: 'withheld', reason: 'used_up' });
       retries.add();
-      const permit = { source: 'earned', isValid: () => true, refund: () => undefined } as const;
+      const permit = { source: 'earned', isValid: () => true, refund: noop, settle: noop } as const;
       return Promise.resolve({ kind: 'allowed', permit });
     },
   };
--- a/packages/runtime/src/stall-watch.ts
+++ b/packages/runtime/src/stall-watch.ts
@@ -2,9 +2,9 @@
 import { sleep, type Clock } from './clock.js';
 
 /** Interval at which the process notes that it runs, in milliseconds. */
-const NOTE_INTERVAL_MS = 250;
+const NOTE_INTERVAL_MS = 100;
 /** Time between two notes from which on the process has stood still, in milliseconds. */
-const STALL_MS = 750;
+const STALL_MS = 250;
 /** Time after a stall in which the process still reads what arrived meanwhile, in milliseconds. */
 const CATCH_UP_MS = 1000;
 
@@ -13,6 +13,8 @@
   private isRunning = false;
   /** Elapsed time of the last note, in milliseconds. */
   private notedAt = 0;
+  /** Elapsed time at which the last stall began. */
+  private stalledFrom = -Infinity;
   private catchingUpUntil = -Infinity;
 
   constructor(private readonly clock: Clock) {}
@@ -28,16 +30,21 @@
     this.isRunning = false;
   }
 
-  /** Whether what the process reads now may have arrived long ago, as it stood still until lately. */
-  get isCatchingUp(): boolean {
+  /** Elapsed time in milliseconds before which nothing can have arrived that this process reads now. */
+  get arrivedFrom(): number {
     // After a stall, timers and messages run in any order.
     if (this.isRunning) this.note();
-    return this.clock.elapsed() < this.catchingUpUntil;
+    const now = this.clock.elapsed();
+    return now < this.catchingUpUntil ? this.stalledFrom : now - STALL_MS;
   }
 
   private note(): void {
     const now = this.clock.elapsed();
-    if (now - this.notedAt > STALL_MS) this.catchingUpUntil = now + CATCH_UP_MS;
+    if (now - this.notedAt > STALL_MS) {
+      // A stall during the catch-up prolongs it, and what arrived in the first one may still be unread.
+      if (this.notedAt >= this.catchingUpUntil) this.stalledFrom = this.notedAt;
+      this.catchingUpUntil = now + CATCH_UP_MS;
+    }
     this.notedAt = now;
   }
 }
--- a/packages/serving/src/forwarder-assembly.ts
+++ b/packages/serving/src/forwarder-assembly.ts
@@ -113,7 +113,7 @@
   loans.start();
   const connections: ConnectionShare = new ConnectionShare(loads, daemonCount, slots, loans, clock);
   const allowance = createRetryAllowanceGate(parts);
-  const retries = new RetryBudget({ ...settings.repeats, allowance }, clock, random.fork());
+  const retries = new RetryBudget({ ...settings.repeats, allowance }, clock);
   const unread = createUnreadAnswers(settings, clock, parts.log);
   const context = {
     clock,
