--- a/packages/forwarding/src/earned-retries.ts
+++ b/packages/forwarding/src/earned-retries.ts
@@ -1,9 +1,11 @@
-/** Retries that the requests of one daemon earn, by service: as many as every window allows it, see {@link RetryWindowBound}. */
+/** Retries that requests earn, by service: as many as every window allows, see {@link RetryWindowBound}. */
 import { StallWatch, type Clock } from '@woodbarrow/runtime';
-import { RetryWindowBound, type RetryTimes } from './retry-window-bound.js';
+import { RetryWindowBound, type RequestCount, type RetryTimes } from './retry-window-bound.js';
 
 /** Maximum time that a request is on its way to a daemon that runs, in milliseconds. */
 const REQUEST_TRANSIT_MS = 150;
+/** Maximum time from the check of a retry until it reaches its back end if its process ends meanwhile, in milliseconds. */
+export const RETRY_TRANSIT_MS = 500;
 
 /** Options of {@link EarnedRetries}. */
 export interface EarnedRetriesOptions {
@@ -11,6 +13,8 @@
   readonly ratio: number;
   /** Window in which the ratio holds, in milliseconds. */
   readonly windowMs: number;
+  /** Maximum time from when a retry is taken or last checked until it reaches its back end, in milliseconds. @default {@link RETRY_TRANSIT_MS} */
+  readonly transitMs?: number;
 }
 
 /** A retry that counts against the requests of this daemon. */
@@ -23,7 +27,7 @@
   settle(mayArriveUntil: number): void;
 }
 
-/** Earned retries of one daemon. */
+/** Retries earned by the requests of one daemon, or by those of several daemons that one counts for all. */
 export class EarnedRetries {
   private readonly bounds = new Map<string, RetryWindowBound>();
   private readonly stalls: StallWatch;
@@ -46,6 +50,17 @@
     this.boundOf(service).addRequest(sentFrom, this.clock.elapsed());
   }
 
+  /** Counts requests that another daemon has read and no longer counts. */
+  addRequests(service: string, counts: readonly RequestCount[]): void {
+    const from = this.stalls.arrivedFrom - REQUEST_TRANSIT_MS;
+    this.boundOf(service).addRequests(counts, from, this.clock.elapsed());
+  }
+
+  /** Returns the requests of a service and no longer counts them; none if retries that still count were earned with them. */
+  takeRequests(service: string): readonly RequestCount[] {
+    return this.boundOf(service).takeRequests(this.clock.elapsed());
+  }
+
   /** Number of retries that can be spent now. */
   available(service: string): number {
     return Math.max(0, Math.floor(this.allowance(service)));
@@ -88,7 +103,8 @@
   private boundOf(service: string): RetryWindowBound {
     let bound = this.bounds.get(service);
     if (bound === undefined) {
-      bound = new RetryWindowBound(this.options.ratio, this.options.windowMs);
+      const { ratio, windowMs, transitMs = RETRY_TRANSIT_MS } = this.options;
+      bound = new RetryWindowBound(ratio, windowMs, transitMs);
       this.bounds.set(service, bound);
     }
     return bound;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -19,7 +19,7 @@
 export * from './earned-retries.js';
 export * from './retry-allowance.js';
 export * from './retry-budget.js';
-export { RETRY_TRANSIT_MS } from './retry-window-bound.js';
+export type { RequestCount } from './retry-window-bound.js';
 export * from './replica-selector.js';
 export * from './request-allowance.js';
 export * from './request-journal.js';
--- a/packages/forwarding/src/request-retries.ts
+++ b/packages/forwarding/src/request-retries.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@woodbarrow/runtime';
 import type { RetryPermit, RetryWithheldReason } from './retry-allowance.js';
 import type { RetryBudget } from './retry-budget.js';
-import { RETRY_TRANSIT_MS } from './retry-window-bound.js';
+import { RETRY_TRANSIT_MS } from './earned-retries.js';
 import type { SendOutcome } from './send-attempt.js';
 
 /** Acquires and holds the permit for the next send of one request, once an earlier send has reached a back end. */
--- a/packages/forwarding/src/retry-allowance.ts
+++ b/packages/forwarding/src/retry-allowance.ts
@@ -1,4 +1,5 @@
 /** Port: the fixed allowance of retries that all daemons share. */
+import type { RequestCount } from './retry-window-bound.js';
 
 /** Why a retry is withheld. */
 export type RetryWithheldReason =
@@ -42,8 +43,16 @@
 
 /** Grants retries from the fixed allowance. */
 export interface RetryAllowance {
-  /** Acquires one retry. Never rejects, and resolves within a fraction of a second. */
-  acquire(service: string, signal: AbortSignal): Promise<RetryOutcome<AllowedRetry>>;
+  /**
+   * Acquires one retry. Never rejects, and resolves within a fraction of a second.
+   *
+   * @param takeRequests Returns the requests of this daemon that are too few to earn a retry, which it counts no longer.
+   */
+  acquire(
+    service: string,
+    signal: AbortSignal,
+    takeRequests: () => readonly RequestCount[],
+  ): Promise<RetryOutcome<AllowedRetry>>;
   /** Work in the background until `signal` aborts. @default none */
   run?(signal: AbortSignal): Promise<void>;
 }
--- a/packages/forwarding/src/retry-budget.ts
+++ b/packages/forwarding/src/retry-budget.ts
@@ -11,6 +11,7 @@
   type RetryOutcome,
   type RetryPermit,
 } from './retry-allowance.js';
+import type { RequestCount } from './retry-window-bound.js';
 
 /** Options of {@link RetryBudget}. */
 export interface RetryBudgetOptions extends EarnedRetriesOptions {
@@ -47,7 +48,8 @@
   async acquire(service: string, signal: AbortSignal): Promise<RetryOutcome> {
     const retry = this.earned.take(service);
     if (retry !== undefined) return { kind: 'allowed', permit: earnedPermit(retry) };
-    const outcome = await this.allowance.acquire(service, signal);
+    const takeRequests = (): readonly RequestCount[] => this.earned.takeRequests(service);
+    const outcome = await this.allowance.acquire(service, signal, takeRequests);
     if (outcome.kind === 'withheld') return outcome;
     return { kind: 'allowed', permit: this.countedWhenLate(service, outcome.permit) };
   }
--- a/packages/forwarding/src/retry-window-bound.ts
+++ b/packages/forwarding/src/retry-window-bound.ts
@@ -14,8 +14,15 @@
 const BUCKETS_PER_WINDOW = 2 * BUCKETS_PER_HALF_WINDOW;
 /** Requests count from half a window before the oldest window that is still open. */
 const BUCKETS = BUCKETS_PER_WINDOW + BUCKETS_PER_HALF_WINDOW + 2;
-/** Maximum time from the check of a retry until it reaches its back end if its process ends meanwhile, in milliseconds. */
-export const RETRY_TRANSIT_MS = 500;
+/** Requests that a daemon counted within one bucket. */
+export interface RequestCount {
+  /** Milliseconds since the start of the bucket. */
+  readonly agoMs: number;
+  /** Requests that may have been sent from this bucket on. */
+  readonly sent: number;
+  /** Requests that were read in it. */
+  readonly read: number;
+}
 
 /** Times of a retry, as elapsed times in milliseconds. */
 export interface RetryTimes {
@@ -35,9 +42,11 @@
   private newestBucket = -BUCKETS;
   private retries: RetryTimes[] = [];
 
+  /** @param transitMs Maximum time from the check of a retry until it reaches its back end if its process ends meanwhile, in milliseconds. */
   constructor(
     private readonly ratio: number,
     private readonly windowMs: number,
+    private readonly transitMs: number,
   ) {
     this.bucketMs = windowMs / BUCKETS_PER_WINDOW;
   }
@@ -45,9 +54,34 @@
   /** Counts a request that was sent at `sentFrom` or later, and has been read now. */
   addRequest(sentFrom: number, now: number): void {
     this.advanceTo(now);
-    increment(this.read, this.newestBucket);
-    const bucket = Math.floor(sentFrom / this.bucketMs);
-    if (bucket > this.newestBucket - BUCKETS) increment(this.sent, bucket);
+    this.addTo(this.read, this.newestBucket, 1);
+    this.addTo(this.sent, Math.floor(sentFrom / this.bucketMs), 1);
+  }
+
+  /** Counts requests of another daemon, whose spans began at `agoMs` before `from` or later. */
+  addRequests(counts: readonly RequestCount[], from: number, now: number): void {
+    this.advanceTo(now);
+    for (const { agoMs, sent, read } of counts) {
+      const spanEnd = Math.min(now, now - agoMs + this.bucketMs);
+      this.addTo(this.sent, Math.floor((from - agoMs) / this.bucketMs), sent);
+      this.addTo(this.read, Math.floor(spanEnd / this.bucketMs), read);
+    }
+  }
+
+  /** Removes and returns all requests, unless retries that still count were earned with them. */
+  takeRequests(now: number): readonly RequestCount[] {
+    this.advanceTo(now);
+    this.dropOldRetries(now);
+    if (this.retries.some(({ countsFrom }) => countsFrom <= now)) return [];
+    const counts: RequestCount[] = [];
+    for (let bucket = this.newestBucket - BUCKETS + 1; bucket <= this.newestBucket; bucket += 1) {
+      const slot = slotOf(bucket);
+      const [sent = 0, read = 0] = [this.sent[slot], this.read[slot]];
+      if (sent + read > 0) counts.push({ agoMs: now - bucket * this.bucketMs, sent, read });
+    }
+    this.sent.fill(0);
+    this.read.fill(0);
+    return counts;
   }
 
   addRetry(retry: RetryTimes): void {
@@ -61,10 +95,10 @@
   /** Returns how many further retries every window allows; negative if those that wait to be sent are no longer allowed. */
   allowance(now: number): number {
     this.advanceTo(now);
-    this.retries = this.retries.filter(({ mayArriveUntil }) => mayArriveUntil >= now - this.windowMs);
+    this.dropOldRetries(now);
     const oldest = this.newestBucket - BUCKETS_PER_WINDOW;
     // A retry that is checked now may arrive in windows that start later.
-    const latest = Math.floor((now + RETRY_TRANSIT_MS) / this.bucketMs);
+    const latest = Math.floor((now + this.transitMs) / this.bucketMs);
     const arrivingFrom = this.arrivingFrom(oldest, latest, now);
     const sentFrom = this.sumsFrom(this.sent);
     const readFrom = this.sumsFrom(this.read);
@@ -86,7 +120,7 @@
     for (const { countsFrom, mayArriveUntil } of this.retries) {
       if (countsFrom > now) continue;
       const bucket = Math.floor(Math.min(mayArriveUntil / this.bucketMs, latest));
-      if (bucket >= oldest) increment(counts, bucket - oldest);
+      if (bucket >= oldest) counts[bucket - oldest] = (counts[bucket - oldest] ?? 0) + 1;
     }
     for (let index = counts.length - 2; index >= 0; index -= 1)
       counts[index] = (counts[index] ?? 0) + (counts[index + 1] ?? 0);
@@ -102,6 +136,17 @@
     return (bucket) => sums[Math.max(0, bucket - first)] ?? 0;
   }
 
+  private dropOldRetries(now: number): void {
+    this.retries = this.retries.filter(({ mayArriveUntil }) => mayArriveUntil >= now - this.windowMs);
+  }
+
+  /** Adds to a bucket that is not older than the ring. */
+  private addTo(ring: Float64Array, bucket: number, count: number): void {
+    if (bucket <= this.newestBucket - BUCKETS) return;
+    const slot = slotOf(bucket);
+    ring[slot] = (ring[slot] ?? 0) + count;
+  }
+
   private advanceTo(now: number): void {
     const bucket = Math.floor(now / this.bucketMs);
     const from = Math.max(this.newestBucket + 1, bucket - BUCKETS + 1);
@@ -113,9 +158,3 @@
 function slotOf(bucket: number): number {
   return ((bucket % BUCKETS) + BUCKETS) % BUCKETS;
 }
-
-/** Adds one to a bucket of a ring, or to an element of an array that is not longer than a ring. */
-function increment(counts: Float64Array, bucket: number): void {
-  const slot = slotOf(bucket);
-  counts[slot] = (counts[slot] ?? 0) + 1;
-}
--- a/packages/protocol/src/grant-messages.ts
+++ b/packages/protocol/src/grant-messages.ts
@@ -75,11 +75,23 @@
   'rate_limit.grant',
 );
 
-/** A request for retries of the fixed allowance of a service. */
+/** Requests that a daemon counted within a short span. */
+export interface RequestCountEntry {
+  /** Milliseconds since the start of the span. */
+  readonly agoMs: number;
+  /** Requests that may have been sent from this span on. */
+  readonly sent: number;
+  /** Requests that were read in it. */
+  readonly read: number;
+}
+
+/** A request for retries of a service. */
 export interface RetryGrantMessage extends GrantRequest {
   /** Zone whose allocator is asked. */
   readonly zone: string;
   readonly service: string;
+  /** Requests of the daemon that the allocator counts from now on, as they are too few to earn a retry there. @default none */
+  readonly requests?: readonly RequestCountEntry[];
 }
 
 /** Number of retries granted. */
--- a/packages/quota/src/retry-allocator.ts
+++ b/packages/quota/src/retry-allocator.ts
@@ -1,12 +1,13 @@
 /**
- * Grants retries of the fixed allowance for one zone while this daemon holds the zone's lease. The allowance is divided among the zones,
- * not among the daemons, so that it does not depend on which daemons know each other, and any daemon can use all of it.
+ * Grants retries for one zone while this daemon holds the zone's lease: those that pooled requests of daemons with few requests earn, and
+ * those of the fixed allowance. The allowance is divided among the zones, not among the daemons, so that it does not depend on which
+ * daemons know each other, and any daemon can use all of it.
  *
  * A granted retry counts until it is a window old and can no longer reach a back end. An allocator does not know what its predecessor
  * granted, and grants nothing until that no longer counts either. Before there is any allocator, the first daemon of the deployment may
  * use a part of the allowance, which the first allocators leave out.
  */
-import { RETRY_TRANSIT_MS } from '@woodbarrow/forwarding';
+import { RETRY_TRANSIT_MS, type EarnedRetries } from '@woodbarrow/forwarding';
 import type { GrantRequest, RetryGrantAnswer, UsedRetries } from '@woodbarrow/protocol';
 import { SlidingWindow, type Clock } from '@woodbarrow/runtime';
 
@@ -17,8 +18,11 @@
   readonly windowMs: number;
 }
 
+/** Earned retries of a pool of requests. */
+export type RetryPool = Pick<EarnedRetries, 'take'>;
+
 /** Share of the allowance that allocators grant. */
-const GRANTED_SHARE = 0.95;
+const GRANTED_SHARE = 0.97;
 /** Share of the allowance that the first daemon of a deployment may use before there are allocators. */
 const FIRST_MEMBER_SHARE = 0.6;
 /** Time after its start during which it may use that share: longer than it takes to find out that no other daemon is there, and to take the leases. */
@@ -26,6 +30,9 @@
 /** Time for which a granted retry may be sent, counted from when it was requested, in milliseconds. */
 export const RETRY_LIFETIME_MS = 500;
 
+/** Maximum time from the grant of a retry until it reaches its back end, in milliseconds. */
+export const GRANT_TRANSIT_MS = RETRY_LIFETIME_MS + RETRY_TRANSIT_MS;
+
 /** Retries that one zone grants. */
 export interface RetryShare {
   /** Retries in each window. */
@@ -37,6 +44,7 @@
 /** Options of {@link RetryAllocator}. */
 export interface RetryAllocatorOptions {
   readonly share: RetryShare;
+  readonly pool: RetryPool;
   /** Whether the zone had no allocator before. */
   readonly isFirst: boolean;
   readonly windowMs: number;
@@ -47,7 +55,7 @@
 
 /** Time for which a granted retry counts, in milliseconds. */
 export function retryHoldMs(windowMs: number): number {
-  return windowMs + RETRY_LIFETIME_MS + RETRY_TRANSIT_MS;
+  return windowMs + GRANT_TRANSIT_MS;
 }
 
 /** Divides the retries of an allowance among the zones in whole numbers; the remainder goes to the first zones by name. */
@@ -109,15 +117,28 @@
   /** Grants the retries that requests of a daemon wait for, or as many as are left. */
   grant(service: string, { queued, needed }: GrantRequest): RetryGrantAnswer {
     const { startsInMs, limit } = this;
-    const lifetimeMs = RETRY_LIFETIME_MS;
-    if (startsInMs > 0) return { granted: 0, lifetimeMs, left: 0, retryAfterMs: startsInMs, startsInMs };
+    const wanted = Math.ceil(Math.max(queued, needed));
+    const earned = this.grantEarned(service, wanted);
     const window = this.windowOf(service);
-    const free = Math.max(0, limit - window.count());
-    const granted = Math.min(free, Math.ceil(Math.max(queued, needed)));
-    for (let count = 0; count < granted; count += 1) window.add();
+    const free = startsInMs > 0 ? 0 : Math.max(0, limit - window.count());
+    const allowed = Math.min(free, wanted - earned);
+    for (let count = 0; count < allowed; count += 1) window.add();
+    const granted = earned + allowed;
     this.granted.set(service, (this.granted.get(service) ?? 0) + granted);
-    const retryAfterMs = granted >= needed || limit === 0 ? 0 : window.waitMs(limit);
-    return { granted, lifetimeMs, left: free - granted, retryAfterMs, startsInMs };
+    const waitMs = startsInMs > 0 ? startsInMs : window.waitMs(limit);
+    const retryAfterMs = granted >= needed || limit === 0 ? 0 : waitMs;
+    return { granted, lifetimeMs: RETRY_LIFETIME_MS, left: free - allowed, retryAfterMs, startsInMs };
+  }
+
+  /** Grants retries that the pool has earned. It is not told when they arrive. */
+  private grantEarned(service: string, wanted: number): number {
+    const { pool, clock } = this.options;
+    for (let count = 0; count < wanted; count += 1) {
+      const retry = pool.take(service);
+      if (retry === undefined) return count;
+      retry.settle(clock.elapsed() + GRANT_TRANSIT_MS);
+    }
+    return wanted;
   }
 
   private windowOf(service: string): SlidingWindow {
--- a/packages/quota/src/retry-allowance-gate.ts
+++ b/packages/quota/src/retry-allowance-gate.ts
@@ -3,17 +3,23 @@
   RETRY_TRANSIT_MS,
   type AllowedRetry,
   type QuotaOutcome,
+  type RequestCount,
   type RetryAllowance,
   type RetryOutcome,
   type RetryWithheldReason,
 } from '@woodbarrow/forwarding';
-import { retryGrantMethod, type GrantAnswer, type GrantRequest } from '@woodbarrow/protocol';
+import {
+  retryGrantMethod,
+  type GrantAnswer,
+  type GrantRequest,
+  type RetryGrantMessage,
+} from '@woodbarrow/protocol';
 import { callAllocator } from './call-allocator.js';
 import { FirstMemberRetries, type FirstMemberRetriesOptions } from './first-member-retries.js';
 import { ResponsiveAllocators } from './responsive-allocators.js';
 import { UnitGate } from './unit-gate.js';
 import type { UnitLimit } from './unit-share.js';
-import { zonesInOrder, type ZonePlace } from './zone-order.js';
+import { poolZoneOf, zonesInOrder, type ZonePlace } from './zone-order.js';
 
 /** Options of {@link RetryAllowanceGate}. */
 export interface RetryAllowanceGateOptions extends FirstMemberRetriesOptions, ZonePlace {}
@@ -32,6 +38,8 @@
   /** Zones whose allocator answered last that it does not grant yet. */
   private readonly startingZones = new Set<string>();
   private readonly firstMember: FirstMemberRetries;
+  /** Return the requests of this daemon that an allocator may count instead, by service. */
+  private readonly takeRequests = new Map<string, () => readonly RequestCount[]>();
 
   constructor(private readonly options: RetryAllowanceGateOptions) {
     const { limit, zones, clock } = options;
@@ -52,7 +60,12 @@
     return this.firstMember.report(signal);
   }
 
-  async acquire(service: string, signal: AbortSignal): Promise<RetryOutcome<AllowedRetry>> {
+  async acquire(
+    service: string,
+    signal: AbortSignal,
+    takeRequests: () => readonly RequestCount[],
+  ): Promise<RetryOutcome<AllowedRetry>> {
+    this.takeRequests.set(service, takeRequests);
     if (this.options.limit.extra === 0) return { kind: 'withheld', reason: 'used_up' };
     const first = this.firstMember.take(service);
     if (first !== undefined) return { kind: 'allowed', permit: first };
@@ -85,12 +98,20 @@
     return this.startingZones.size > 0 ? 'allocator_starting' : 'used_up';
   }
 
+  /** All daemons send their requests to the same zone, so that they add up to whole retries. */
+  private pooledRequests(zone: string, service: string): Pick<RetryGrantMessage, 'requests'> {
+    if (zone !== poolZoneOf(service, this.options.zones)) return {};
+    const requests = this.takeRequests.get(service)?.() ?? [];
+    return requests.length === 0 ? {} : { requests };
+  }
+
   private async requestRetries(
     zone: string,
     service: string,
     wish: GrantRequest,
   ): Promise<GrantAnswer | undefined> {
-    const answer = await callAllocator(this.options, zone, retryGrantMethod, { zone, service, ...wish });
+    const message = { zone, service, ...wish, ...this.pooledRequests(zone, service) };
+    const answer = await callAllocator(this.options, zone, retryGrantMethod, message);
     if (answer === undefined) this.responsive.recordSilence(zone);
     else this.responsive.recordAnswer(zone);
     if (answer !== undefined && answer.startsInMs > 0) this.startingZones.add(zone);
--- a/packages/quota/src/retry-allowance-service.ts
+++ b/packages/quota/src/retry-allowance-service.ts
@@ -1,15 +1,21 @@
 /** Runs the allocators of the fixed allowance of retries: one for each zone whose lease this daemon holds. */
 import { WoodbarrowError } from '@woodbarrow/errors';
+import { EarnedRetries, type EarnedRetriesOptions } from '@woodbarrow/forwarding';
 import type { EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import { firstMemberRetriesMethod, retryGrantMethod } from '@woodbarrow/protocol';
 import type { Clock } from '@woodbarrow/runtime';
-import { RetryAllocator, retryShareOf, type RetryAllowanceLimit } from './retry-allocator.js';
+import {
+  GRANT_TRANSIT_MS,
+  RetryAllocator,
+  retryShareOf,
+  type RetryAllowanceLimit,
+} from './retry-allocator.js';
 import { ZoneAllocators, type ZoneAuthority } from './zone-allocators.js';
 
 /** Options of {@link RetryAllowanceService}. */
 export interface RetryAllowanceServiceOptions {
-  readonly limit: RetryAllowanceLimit;
+  readonly limit: RetryAllowanceLimit & EarnedRetriesOptions;
   /** Zones of the deployment. Each has one allocator. */
   readonly zones: readonly string[];
   /** Returns the lease of a zone while this daemon holds it. */
@@ -22,9 +28,12 @@
 /** Serves the calls of other daemons that need retries. */
 export class RetryAllowanceService {
   private readonly allocators: ZoneAllocators<RetryAllocator>;
+  /** Requests of daemons that have too few to earn a retry. */
+  private readonly pool: EarnedRetries;
 
   constructor(private readonly options: RetryAllowanceServiceOptions) {
-    const { authorityOf, clock, zones } = options;
+    const { authorityOf, clock, zones, limit } = options;
+    this.pool = new EarnedRetries({ ...limit, transitMs: GRANT_TRANSIT_MS }, clock);
     this.allocators = new ZoneAllocators({
       authorityOf: (zone) => (zones.includes(zone) ? authorityOf(zone) : undefined),
       create: (startsAt, zone, isFirst) => this.createAllocator(startsAt, zone, isFirst),
@@ -35,15 +44,22 @@
   /** Registers the call handler. The peer network must be listening. */
   start(): void {
     const { peers } = this.options;
-    peers.handle(retryGrantMethod, ({ zone, service, ...wish }) =>
-      this.activeAllocator(zone).grant(service, wish),
-    );
+    peers.handle(retryGrantMethod, ({ zone, service, requests, ...wish }) => {
+      const allocator = this.activeAllocator(zone);
+      if (requests !== undefined) this.pool.addRequests(service, requests);
+      return allocator.grant(service, wish);
+    });
     peers.handle(firstMemberRetriesMethod, ({ zone, used }) => {
       this.activeAllocator(zone).noteFirstMemberEnded(used);
       return {};
     });
   }
 
+  /** Notices stalls of the process until `signal` aborts. */
+  run(signal: AbortSignal): Promise<void> {
+    return this.pool.run(signal);
+  }
+
   /** Creates and drops allocators after a change of the held zones, so that the time until they grant begins at once. */
   refreshZones(): void {
     for (const zone of this.options.zones) this.allocators.of(zone);
@@ -61,7 +77,7 @@
     const { limit, zones, clock, log } = this.options;
     const { windowMs } = limit;
     const share = retryShareOf(limit, zones, zone);
-    const allocator = new RetryAllocator({ share, isFirst, windowMs, startsAt, clock });
+    const allocator = new RetryAllocator({ share, pool: this.pool, isFirst, windowMs, startsAt, clock });
     const startsInMs = Math.round(allocator.startsInMs);
     log.changed('retry_allocator_started', { zone, retries: share.retries, startsInMs, isFirst });
     return allocator;
--- a/packages/quota/src/zone-order.ts
+++ b/packages/quota/src/zone-order.ts
@@ -20,3 +20,11 @@
   const ranked = rankByRendezvous(`${subject} ${daemon}`, others).map(({ id }) => id);
   return zones.includes(own) ? [own, ...ranked] : ranked;
 }
+
+/** Returns the zone that is first for a subject, the same for all daemons; undefined without zones. */
+export function poolZoneOf(subject: string, zones: readonly string[]): string | undefined {
+  return rankByRendezvous(
+    subject,
+    zones.map((id) => ({ id })),
+  )[0]?.id;
+}
--- a/packages/quota/test/retry-allocator.test.ts
+++ b/packages/quota/test/retry-allocator.test.ts
@@ -1,8 +1,10 @@
 // Guards against retries that two allocators of a zone grant for the same window, and against zones that together grant more than the allowance.
+import { EarnedRetries } from '@woodbarrow/forwarding';
 import { SimulatedProcess, SimulatedWorld } from '@woodbarrow/runtime';
 import { expect } from 'chai';
 import {
   FIRST_MEMBER_MS,
+  GRANT_TRANSIT_MS,
   retriesOfFirstMember,
   RetryAllocator,
   retryHoldMs,
@@ -28,7 +30,14 @@
 
   function createAllocator(isFirst: boolean): RetryAllocator {
     const share = { retries: 5, retriesAtFirst: 3 };
-    return new RetryAllocator({ share, isFirst, windowMs: WINDOW_MS, startsAt: 0, clock });
+    return new RetryAllocator({
+      share,
+      pool: { take: () => undefined },
+      isFirst,
+      windowMs: WINDOW_MS,
+      startsAt: 0,
+      clock,
+    });
   }
 
   it('of all zones and the first daemon together use no more than the allowance, whatever the number of zones', () => {
@@ -81,4 +90,34 @@
     await world.run(retryHoldMs(WINDOW_MS) + 1);
     expect(allocator.grant(SERVICE, wish)).to.include({ granted: 1, startsInMs: 0 });
   });
+
+  it('grant what the requests of several daemons earn together, each of which has too few, also right after a predecessor', () => {
+    const limits = { ratio: 0.2, windowMs: WINDOW_MS };
+    const pool = new EarnedRetries({ ...limits, transitMs: GRANT_TRANSIT_MS }, clock);
+    const share = { retries: 0, retriesAtFirst: 0 };
+    const allocator = new RetryAllocator({
+      share,
+      pool,
+      isFirst: false,
+      windowMs: WINDOW_MS,
+      startsAt: 0,
+      clock,
+    });
+    for (let daemon = 0; daemon < 5; daemon += 1) {
+      const few = new EarnedRetries(limits, clock);
+      for (let request = 0; request < 8; request += 1) few.recordRequest(SERVICE);
+      expect(few.take(SERVICE)).to.equal(undefined);
+      pool.addRequests(SERVICE, few.takeRequests(SERVICE));
+      expect(few.takeRequests(SERVICE)).to.deep.equal([]);
+    }
+    expect(ask(allocator, 10)).to.equal(4);
+    expect(ask(allocator, 10)).to.equal(0);
+  });
+
+  it('leave requests to a daemon that has earned a retry with them', () => {
+    const daemon = new EarnedRetries({ ratio: 0.2, windowMs: WINDOW_MS }, clock);
+    for (let request = 0; request < 10; request += 1) daemon.recordRequest(SERVICE);
+    expect(daemon.take(SERVICE)).not.to.equal(undefined);
+    expect(daemon.takeRequests(SERVICE)).to.deep.equal([]);
+  });
 });
--- a/packages/quota/test/retry-world.ts
+++ b/packages/quota/test/retry-world.ts
@@ -140,6 +140,7 @@
       log: silentLog,
     });
     service.start();
+    void service.run(new AbortController().signal);
     this.publishClaims(daemon, clock, service);
     return daemon;
   }
--- a/packages/serving/src/quota-assembly.ts
+++ b/packages/serving/src/quota-assembly.ts
@@ -30,8 +30,8 @@
   readonly quota: QuotaService;
   /** Allocators of the fixed allowance of retries. */
   readonly retries: RetryAllowanceService;
-  /** Registers the call handlers. The peer network must be listening. */
-  start(): void;
+  /** Registers the call handlers, and works until `signal` aborts. The peer network must be listening. */
+  run(signal: AbortSignal): Promise<void>;
   /** Must be called after each change of the zones that this daemon coordinates. */
   refreshZones(): void;
 }
@@ -70,8 +70,9 @@
   return {
     quota,
     retries,
-    start: () => {
+    run: (signal) => {
       for (const service of services) service.start();
+      return retries.run(signal);
     },
     refreshZones: () => {
       for (const service of services) service.refreshZones();
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -168,7 +168,7 @@
     this.membership.start();
     this.exchange.start();
     this.quarantine.start();
-    this.grants.start();
+    this.tasks.spawn('grants', (signal) => this.grants.run(signal));
     this.noticeService.start();
     this.streamOrigins.service.start();
     this.tasks.spawn('stream-records', (signal) => this.streamOrigins.record(signal));
