--- a/packages/quarantine/src/culprit-search.ts
+++ b/packages/quarantine/src/culprit-search.ts
@@ -51,6 +51,9 @@
  */
 const CRASHES_FOR_UNCONDITIONAL_VERDICT = CRASHES_FOR_VERDICT + 1;
 
+/** Number of attempts that have ended with their processes from which on a content runs one attempt at a time. */
+const MIN_ENDED_ATTEMPTS_FOR_SERIAL_RUNS = 2;
+
 /** Evaluates the marks of one daemon. */
 export class CulpritSearch {
   /**
@@ -112,14 +115,14 @@
   }
 
   /**
-   * Returns whether attempts of a content must not overlap on any daemons: earlier ones did when they crashed processes, so
-   * that its callers send several at once.
+   * Returns whether attempts of a content must not overlap on any daemons, as two of them or more have ended with their processes. It does
+   * not matter whether a proven culprit ran there as well: the content may be a second one.
    */
   requiresSerialRuns(content: string): boolean {
     if (isLoadContent(content)) return false;
-    const marks = this.unexplainedCrashes(content);
+    const marks = this.marks.activeMarksOf(content);
     const attemptCount = marks.reduce((total, { attempts = [] }) => total + Math.max(1, attempts.length), 0);
-    return attemptCount > countConsecutiveCrashes(marks) && !this.isProven(content);
+    return attemptCount >= MIN_ENDED_ATTEMPTS_FOR_SERIAL_RUNS && !this.isProven(content);
   }
 
   /**
--- a/packages/quarantine/test/concurrent-attempts.test.ts
+++ b/packages/quarantine/test/concurrent-attempts.test.ts
@@ -3,6 +3,8 @@
 import { QuarantineDeployment } from './quarantine-deployment.js';
 
 const CONTENT = 'crashes';
+/** Another content that crashes processes. */
+const CULPRIT = 'culprit';
 const DAEMONS = 4;
 /** Time from the start of a run until the process crashes, in milliseconds. */
 const CRASH_AFTER_MS = 50;
@@ -39,6 +41,25 @@
     await Promise.all(attempts);
   }
 
+  /** Sends attempts together to a process that a proven culprit ends with them. */
+  async sendBesideCulprit(count: number): Promise<void> {
+    const { deployment } = this;
+    const worker = `w${String(this.worker)}`;
+    const culpritSentAt = this.now;
+    await this.sendTogether(count);
+    for (const daemon of deployment.daemons)
+      deployment.breakOff(daemon, CULPRIT, worker, culpritSentAt, `${worker}-c`);
+    await deployment.advance(5000);
+  }
+
+  /** Ends processes under the culprit alone, until it is refused. */
+  async proveCulprit(): Promise<void> {
+    const { deployment } = this;
+    for (const [index, daemon] of deployment.daemons.entries())
+      await deployment.crashUnder(daemon, CULPRIT, `culprit-${String(index)}`);
+    expect(deployment.records.has(CULPRIT)).to.equal(true);
+  }
+
   /** Sends one attempt as a request does; a process that has ended is replaced by the next one. */
   private async attempt(daemon: RequestQuarantine, choose: () => string, requestId: string): Promise<void> {
     for (;;) {
@@ -98,6 +119,17 @@
     });
   }
 
+  // Guards against a second culprit that is sent freely, as all its processes count as ended by the first one.
+  it('are sent at most three times more after three of them ended processes that another content ended as well', async () => {
+    const callers = new ConcurrentCallers();
+    await callers.sendBesideCulprit(3);
+    await callers.sendBesideCulprit(1);
+    await callers.proveCulprit();
+    await callers.sendTogether(4);
+    await callers.sendTogether(4);
+    expect(callers.lateSends).to.be.at.most(MAX_LATE_SENDS);
+  });
+
   it('run one after the other, and all once one of them has been served', async () => {
     const callers = new ConcurrentCallers();
     await callers.sendTogether(2);
