--- a/packages/forwarding/src/run-preparation.ts
+++ b/packages/forwarding/src/run-preparation.ts
@@ -1,6 +1,6 @@
 /** Prepares the next run of a request: chooses a back end and obtains what the send needs. */
 import type { BackEnd } from '@woodbarrow/backends';
-import type { SuspectSlot } from '@woodbarrow/quarantine';
+import type { SuspectSlot, TrialAdmission } from '@woodbarrow/quarantine';
 import { refusal, type BackendChoice } from './backend-choice.js';
 import { Releases, type Preparation, type StopReason } from './prepared-run.js';
 import { ABORTED, raceAbort } from './race-abort.js';
@@ -78,8 +78,15 @@
     const verdict = this.verdict();
     if (verdict !== undefined) return stop(verdict);
     const { backEnd } = choice;
-    const admitted = await this.admit(backEnd, releases);
-    if (admitted !== undefined) return admitted;
+    const admission = await this.scope.context.quarantine.admit(
+      this.scope.digest,
+      backEnd.id,
+      this.scope.parts,
+    );
+    if (admission.kind !== 'admitted') return this.withoutAdmission(backEnd, admission);
+    releases.add(() => {
+      admission.end();
+    });
     const unpaid = await this.renewPermits(signal);
     if (unpaid !== undefined) return stop(unpaid);
     if (!this.acceptsRequests(backEnd)) return { kind: 'again' };
@@ -98,7 +105,7 @@
     const release = (): void => {
       releases.releaseAll();
     };
-    const isValid = (): boolean => permit.isValid() && this.canStillSend(backEnd);
+    const isValid = (): boolean => permit.isValid() && this.canStillSend(backEnd, admission);
     return { kind: 'prepared', run: { choice, permit, isValid, release } };
   }
 
@@ -108,20 +115,15 @@
     return verdict === undefined ? undefined : { kind: 'quarantined', verdict };
   }
 
-  /** Acquires the admission of the quarantine. Returns what to do if it is not granted. */
-  private async admit({ id }: BackEnd, releases: Releases): Promise<Preparation | undefined> {
-    const { context, digest, parts, progress } = this.scope;
-    const admission = await context.quarantine.admit(digest, id, parts);
-    if (admission.kind === 'occupied') {
-      if (admission.isPostponed !== true) progress.excluded.add(id);
-      return { kind: 'again' };
-    }
+  /** What to do if the quarantine does not admit a request to a back end now. */
+  private withoutAdmission(
+    { id }: BackEnd,
+    admission: Exclude<TrialAdmission, { readonly kind: 'admitted' }>,
+  ): Preparation {
     if (admission.kind === 'refused')
       return stop({ kind: 'awaiting_trial', retryAfterMs: admission.retryAfterMs });
-    releases.add(() => {
-      admission.end();
-    });
-    return undefined;
+    if (admission.isPostponed !== true) this.scope.progress.excluded.add(id);
+    return { kind: 'again' };
   }
 
   /** Acquires quota and retry again if they have expired. Returns the reason if they are not granted. */
@@ -144,8 +146,13 @@
     return signal.aborted ? { kind: 'expired' } : { kind: 'over_quota', refusal: refused };
   }
 
-  /** Whether a send is still allowed after waiting for a permit: connections may be used up, and quota tickets and retries expired by then. */
-  private canStillSend(backEnd: BackEnd): boolean {
+  /**
+   * Whether a send is still allowed after waiting for a permit: connections may be used up, quota tickets and retries expired, and processes
+   * ended under other attempts by then.
+   */
+  private canStillSend(backEnd: BackEnd, admission: TrialAdmission): boolean {
+    const { context, digest } = this.scope;
+    if (!context.quarantine.allowsSend(digest, admission)) return false;
     return this.allowance.isValid && this.retries.isValid && this.acceptsRequests(backEnd);
   }
 
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -337,6 +337,21 @@
     };
   }
 
+  /**
+   * Whether an admitted attempt may still be sent. One that was admitted without restriction may have waited while processes were found
+   * to have ended under other attempts of its content.
+   */
+  allowsSend(content: string, admission: TrialAdmission): boolean {
+    if (this.marks.isEmpty) return true;
+    if (this.verdictOf(content) !== undefined) return false;
+    return admission !== UNRESTRICTED_ADMISSION || !this.requiresPermission(content);
+  }
+
+  /** Whether an attempt of a content needs a record that one daemon alone can create. */
+  private requiresPermission(content: string): boolean {
+    return this.search.requiresTrial(content) || this.search.requiresSerialRuns(content);
+  }
+
   private async admitContent(content: string, processId: string): Promise<TrialAdmission> {
     if (this.search.requiresTrial(content)) {
       if (this.search.mustWaitForRivals(content))
--- a/packages/quarantine/test/concurrent-attempts.test.ts
+++ b/packages/quarantine/test/concurrent-attempts.test.ts
@@ -130,6 +130,17 @@
     expect(callers.lateSends).to.be.at.most(MAX_LATE_SENDS);
   });
 
+  // Guards against attempts that wait for a connection or a permit while processes end under others of their content.
+  it('that were admitted before two of them ended processes are not sent afterwards', async () => {
+    const callers = new ConcurrentCallers();
+    const [daemon] = callers.deployment.daemons as [RequestQuarantine];
+    const admission = await daemon.admit(CONTENT, 'w9');
+    expect(daemon.allowsSend(CONTENT, admission)).to.equal(true);
+    await callers.sendTogether(2);
+    expect(daemon.allowsSend(CONTENT, admission)).to.equal(false);
+    expect(daemon.allowsSend('other', admission)).to.equal(true);
+  });
+
   it('run one after the other, and all once one of them has been served', async () => {
     const callers = new ConcurrentCallers();
     await callers.sendTogether(2);
--- a/packages/quarantine/test/quarantine-deployment.ts
+++ b/packages/quarantine/test/quarantine-deployment.ts
@@ -10,9 +10,6 @@
   type QuarantineRecord,
 } from '../src/index.js';
 
-/** Delay until published marks reach other daemons, in milliseconds. */
-const PUBLISH_LATENCY_MS = 300;
-
 /** Simulates a deployment as the quarantine observes it. */
 export class QuarantineDeployment {
   readonly world = new SimulatedWorld();
@@ -24,6 +21,10 @@
   /** Daemons that exchange no marks with others. */
   readonly partitioned = new Set<RequestQuarantine>();
   isStoreDown = false;
+  /** Delay until published marks reach other daemons, in milliseconds. */
+  publishLatencyMs = 300;
+  /** Delay until daemons learn of a change of the store, in milliseconds. */
+  storeLatencyMs = 0;
   private readonly clock = new SimulatedProcess(this.world, { name: 'scene', zone: 'a', region: 'r' });
   private started = 0;
 
@@ -48,19 +49,25 @@
         create: (record) => {
           if (this.isStoreDown) return Promise.reject(new Error('store down'));
           if (!this.entries.has(record.content)) this.entries.set(record.content, record);
-          for (const each of this.daemons) each.handleRecordStored(record);
+          this.notifyDaemons((each) => {
+            each.handleRecordStored(record);
+          });
           return Promise.resolve();
         },
         claim: (record) => {
           if (this.isStoreDown) return Promise.reject(new Error('store down'));
           if (this.entries.has(record.content)) return Promise.resolve(false);
           this.entries.set(record.content, record);
-          for (const each of this.daemons) each.handleRecordStored(record);
+          this.notifyDaemons((each) => {
+            each.handleRecordStored(record);
+          });
           return Promise.resolve(true);
         },
         remove: (content) => {
           this.entries.delete(content);
-          for (const each of this.daemons) each.handleRecordRemoved(content);
+          this.notifyDaemons((each) => {
+            each.handleRecordRemoved(content);
+          });
           return Promise.resolve();
         },
       },
@@ -70,7 +77,7 @@
       log: silentLog,
     });
     daemon.onMarksChanged = () => {
-      this.clock.schedule(PUBLISH_LATENCY_MS, () => {
+      this.clock.schedule(this.publishLatencyMs, () => {
         this.publishFrom(daemon);
       });
     };
@@ -106,6 +113,22 @@
     for (const daemon of this.daemons.splice(0)) daemon.abort();
   }
 
+  /** Kills one daemon and starts another one with the stored records. */
+  replace(daemon: RequestQuarantine): void {
+    this.daemons.splice(this.daemons.indexOf(daemon), 1);
+    daemon.abort();
+    this.addDaemon();
+  }
+
+  /** Tells all daemons of a change of the store. */
+  private notifyDaemons(tell: (daemon: RequestQuarantine) => void): void {
+    if (this.storeLatencyMs === 0) this.daemons.forEach(tell);
+    else
+      this.clock.schedule(this.storeLatencyMs, () => {
+        this.daemons.forEach(tell);
+      });
+  }
+
   /** Runs a content through a daemon and ends its process. */
   async crashUnder(daemon: RequestQuarantine, content: string, processId: string, ranMs = 50): Promise<void> {
     const sentAt = this.world.now;
