--- a/packages/quarantine/src/quarantine-record.ts
+++ b/packages/quarantine/src/quarantine-record.ts
@@ -63,7 +63,8 @@
 
 /**
  * The right to run a content in a trial. Held by the daemon that created the record until the record
- * is removed.
+ * is removed. It stays if the process ended, or if the daemon has not told how the run ended, so that
+ * the number of such runs is limited whatever daemons know of each other.
  */
 export interface TrialRecord {
   /** Name of the record, see {@link trialName}. */
@@ -89,9 +90,9 @@
   return `suspect-${content}`;
 }
 
-/** Returns the name of the record of a content's trial. */
-export function trialName(content: string): string {
-  return `trial-${content}`;
+/** Returns the name of the record of a content's trial. @param failed Number of its earlier trials whose records stay. */
+export function trialName(content: string, failed = 0): string {
+  return failed === 0 ? `trial-${content}` : `trial-${content}-${String(failed)}`;
 }
 
 /** Port to the stored records. A call that throws may still have taken effect. */
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -184,6 +184,7 @@
       writer: this.writer,
       removesRecord: options.removesRecord,
       whenSettled: (content) => this.awaitTrialOutcome(content),
+      hasCrashed: (content, processId) => this.marks.hasActiveMark(content, processId),
     });
   }
 
@@ -463,6 +464,7 @@
     if (!this.marks.clear(content)) return;
     this.options.log.changed('suspect_cleared', { content, load });
     this.suspectRecords.discard(content);
+    this.trials.discard(content);
     this.verdicts.forget(content);
     this.crashBatches.removeInactive();
     this.slots.wake(content);
@@ -614,5 +616,6 @@
     await this.verdicts.removeExpired();
     await this.suspectRecords.removeExpired(removesRecord);
     await this.crashBatches.removeExpired(removesRecord);
+    await this.trials.removeExpired(removesRecord);
   }
 }
--- a/packages/quarantine/src/suspect-trials.ts
+++ b/packages/quarantine/src/suspect-trials.ts
@@ -4,13 +4,22 @@
  * that only one daemon can create; it names the process, so that others avoid it. A daemon that cannot
  * reach the store runs no trials. Serial runs, of contents whose attempts overlapped when they crashed
  * processes, use the same records.
+ *
+ * A record is removed once the run is known not to have ended its process. Otherwise it stays, and the next run needs a further record, of
+ * which there are only a few for each content: this bounds the runs even if marks are lost or late.
  */
 import { errorMessage } from '@woodbarrow/errors';
+import { MARK_LIFETIME_MS } from './crash-marks.js';
+import { isPartContent } from './part-content.js';
 import { trialName, type TrialRecord } from './quarantine-record.js';
 import type { RecordWriter } from './record-writer.js';
 
 /** Time after which the trial of a crashed daemon ends, in milliseconds. Covers the longest requests. */
 export const TRIAL_LIFETIME_MS = 30_000;
+/** Number of trials of a content that may end their process, or whose end may remain unknown. */
+const MAX_FAILED_TRIALS = 3;
+/** Retry delay for callers of a content that has had all its trials, in milliseconds. */
+const RETRY_AFTER_LAST_TRIAL_MS = 60_000;
 /**
  * Retry delay for callers of a content that is in a trial, in milliseconds. Most requests complete
  * sooner.
@@ -56,6 +65,8 @@
   readonly removesRecord: (name: string) => boolean;
   /** Resolves when the outcome of a run of a content is known. */
   readonly whenSettled: (content: string) => Promise<void>;
+  /** Whether a process is known to have ended while it ran a content. */
+  readonly hasCrashed: (content: string, processId: string) => boolean;
 }
 
 /** Trials as observed by one daemon. */
@@ -94,12 +105,14 @@
     kind: 'isolated' | 'serial' = 'isolated',
   ): Promise<TrialAdmission> {
     if (this.isInProgress(content)) return refused(RETRY_AFTER_TRIAL_MS);
+    const failed = this.recordsOf(content).length;
+    if (failed >= MAX_FAILED_TRIALS) return refused(RETRY_AFTER_LAST_TRIAL_MS);
     if (this.processesOfOthers(content).includes(processId)) return { kind: 'occupied' };
     const { clock, daemon, store, log } = this.options.writer.options;
     this.ownTrials.set(content, processId);
     if (kind === 'isolated') this.isolated.add(content);
     const record = {
-      content: trialName(content),
+      content: trialName(content, failed),
       trial: content,
       processId,
       foundBy: daemon,
@@ -123,6 +136,8 @@
     const name = record.content;
     if (this.observedTrials.has(name)) return;
     this.observedTrials.set(name, { record, seenAt: clock.monotonic() });
+    // A part of a prompt is shared by sound requests, and is judged by its marks alone.
+    if (!isPartContent(record.trial)) return;
     clock.schedule(TRIAL_LIFETIME_MS, () => {
       const isOrphaned =
         this.observedTrials.get(name)?.record === record && !this.ownTrials.has(record.trial);
@@ -138,9 +153,33 @@
   /** Returns whether a content is in a trial on any daemon. */
   isInProgress(content: string): boolean {
     if (this.ownTrials.has(content)) return true;
-    const trial = this.observedTrials.get(trialName(content));
     const now = this.options.writer.options.clock.monotonic();
-    return trial !== undefined && now - trial.seenAt < TRIAL_LIFETIME_MS;
+    return this.recordsOf(content).some(
+      ({ record, seenAt }) =>
+        now - seenAt < TRIAL_LIFETIME_MS && !this.options.hasCrashed(content, record.processId),
+    );
+  }
+
+  /** Removes the records of the ended trials of a content that has run well. */
+  discard(content: string): void {
+    const ownProcess = this.ownTrials.get(content);
+    for (const { record } of this.recordsOf(content))
+      if (record.processId !== ownProcess) this.remove(record.content);
+  }
+
+  /** Removes records whose marks have expired. @param mayRemove Whether this daemon is responsible for a record. */
+  async removeExpired(mayRemove: (name: string) => boolean): Promise<void> {
+    const records = [...this.observedTrials.values()].map(({ record }) => record);
+    await this.options.writer.removeExpired(records, MARK_LIFETIME_MS, mayRemove);
+  }
+
+  private recordsOf(content: string): ObservedTrial[] {
+    return [...this.observedTrials.values()].filter(({ record }) => record.trial === content);
+  }
+
+  private remove(name: string): void {
+    this.observedTrials.delete(name);
+    this.options.writer.remove(name);
   }
 
   private forgetOwn(content: string): void {
@@ -149,7 +188,7 @@
   }
 
   private admit(record: TrialRecord): TrialAdmission {
-    const { writer, whenSettled } = this.options;
+    const { writer, whenSettled, hasCrashed } = this.options;
     const { content: name, trial: content, processId } = record;
     this.handleStored(record);
     writer.options.log.changed('suspect_tried', { content, backEnd: processId });
@@ -160,8 +199,7 @@
       writer.options.tasks.spawn('suspect trial', async () => {
         await whenSettled(content);
         this.forgetOwn(content);
-        this.observedTrials.delete(name);
-        writer.remove(name);
+        if (isPartContent(content) || !hasCrashed(content, processId)) this.remove(name);
       });
     };
     return { kind: 'admitted', end };
--- a/packages/quarantine/test/concurrent-attempts.test.ts
+++ b/packages/quarantine/test/concurrent-attempts.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import type { RequestQuarantine } from '../src/index.js';
+import { TRIAL_LIFETIME_MS, type RequestQuarantine } from '../src/index.js';
 import { QuarantineDeployment } from './quarantine-deployment.js';
 
 const CONTENT = 'crashes';
@@ -41,6 +41,19 @@
     await Promise.all(attempts);
   }
 
+  /** Sends one attempt and kills its daemon as the process ends, so that nobody sees the answer break off. */
+  async sendAndKill(): Promise<void> {
+    const [daemon] = this.deployment.daemons;
+    if (daemon === undefined) return;
+    const worker = `w${String(this.worker)}`;
+    this.worker += 1;
+    const attempt = this.attempt(daemon, () => worker, worker);
+    await this.deployment.advance(CRASH_AFTER_MS - 1);
+    this.deployment.replace(daemon);
+    await this.deployment.advance(TRIAL_LIFETIME_MS + 1000);
+    await attempt;
+  }
+
   /** Sends attempts together to a process that a proven culprit ends with them. */
   async sendBesideCulprit(count: number): Promise<void> {
     const { deployment } = this;
@@ -102,6 +115,11 @@
   }
 }
 
+/** Names of the stored records of trials. */
+function trialsIn({ entries }: QuarantineDeployment): string[] {
+  return [...entries].filter(([, entry]) => 'trial' in entry).map(([name]) => name);
+}
+
 // Guards against a content that several daemons send to the same process at once, again and again: each attempt counts as one
 // that ended a process, and processes alone reach the number for a verdict too late.
 describe('attempts of one content at several daemons at once', () => {
@@ -130,6 +148,29 @@
     expect(callers.lateSends).to.be.at.most(MAX_LATE_SENDS);
   });
 
+  // Guards against a permission that is given out again because the daemon that had it was killed with its process.
+  it('are sent at most three times more when the daemon of each further attempt is killed', async () => {
+    const callers = new ConcurrentCallers();
+    await callers.sendTogether(3);
+    for (let attempt = 0; attempt < 6; attempt += 1) await callers.sendAndKill();
+    expect(callers.lateSends).to.be.at.most(MAX_LATE_SENDS);
+    expect(callers.refused).to.be.above(0);
+  });
+
+  it('leave no record of failed trials once one of them has been served', async () => {
+    const callers = new ConcurrentCallers();
+    await callers.sendTogether(3);
+    await callers.sendAndKill();
+    const { deployment } = callers;
+    const [daemon] = deployment.daemons as [RequestQuarantine];
+    const admission = await daemon.admit(CONTENT, 'w9');
+    expect(trialsIn(deployment)).to.have.length(2);
+    daemon.noteServed(CONTENT);
+    if (admission.kind === 'admitted') admission.end();
+    await deployment.advance(1000);
+    expect(trialsIn(deployment)).to.deep.equal([]);
+  });
+
   // Guards against attempts that wait for a connection or a permit while processes end under others of their content.
   it('that were admitted before two of them ended processes are not sent afterwards', async () => {
     const callers = new ConcurrentCallers();
