--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -78,7 +78,9 @@
   load_refused:
     'A demand was refused immediately because its model or adapter is quarantined. Model or adapter, number of processes that exited while loading it, time after which to retry.',
   suspect_tried:
-    'A content that may have crashed processes, as may the contents that ran beside it, runs in isolation from other suspects as a trial. Content, back end.',
+    'A content that may have crashed processes, as may the contents that ran beside it, runs as a trial: in isolation from other suspects, or only one attempt of it at a time. Content, back end, earlier trials that ended their process or whose end is unknown.',
+  suspect_trials_used_up:
+    'A content has had all its trials and is refused until one of its records expires. Content, processes of the trials.',
   suspect_cleared:
     'A suspected content was run or loaded successfully. Content; for a load also what it loads.',
   quarantine_lifted: 'The record of a quarantined content was removed, so that it may run again. Content.',
@@ -127,6 +129,8 @@
     'This daemon became an allocator of the quotas of tenants. Zone, fence, time until requests are served.',
   retry_allocator_started:
     'This daemon became an allocator of the fixed allowance of retries. Zone, retries in each window, time until it grants, whether it is the first of its zone.',
+  retry_pool_started:
+    'Daemons with too few requests to earn a retry hand them over to this allocator, which grants what they earn together. Zone, service; logged once for each service.',
   rate_limit_granter_started:
     'This daemon became the allocator of send permits for the rate-limited back ends of a zone. Zone, fence, time until requests are served.',
   record_invalid:
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -90,6 +90,8 @@
   readonly suspects: number;
   /** Contents that are refused. */
   readonly quarantined: number;
+  /** Contents without a verdict that this daemon refused as they have had all their trials. */
+  readonly untried: number;
 }
 
 /**
@@ -202,7 +204,8 @@
   }
 
   get totals(): QuarantineTotals {
-    return { ...this.marks.totals, quarantined: this.verdicts.size };
+    const { usedUpCount: untried } = this.trials;
+    return { ...this.marks.totals, quarantined: this.verdicts.size, untried };
   }
 
   /** Number of prompt parts for which requests are refused. */
--- a/packages/quarantine/src/suspect-trials.ts
+++ b/packages/quarantine/src/suspect-trials.ts
@@ -78,8 +78,16 @@
   /** Contents of {@link ownTrials} that run apart from other suspects. */
   private readonly isolated = new Set<string>();
 
+  /** Contents that have been refused as they have had all their trials. */
+  private readonly usedUp = new Set<string>();
+
   constructor(private readonly options: SuspectTrialsOptions) {}
 
+  /** Number of contents that have been refused as they have had all their trials. */
+  get usedUpCount(): number {
+    return this.usedUp.size;
+  }
+
   /** Returns whether this daemon has a trial, not only a serial run, of a content on a process. */
   hasTrialOn(content: string, processId: string): boolean {
     return this.isolated.has(content) && this.ownTrials.get(content) === processId;
@@ -106,7 +114,7 @@
   ): Promise<TrialAdmission> {
     if (this.isInProgress(content)) return refused(RETRY_AFTER_TRIAL_MS);
     const failed = this.recordsOf(content).length;
-    if (failed >= MAX_FAILED_TRIALS) return refused(RETRY_AFTER_LAST_TRIAL_MS);
+    if (failed >= MAX_FAILED_TRIALS) return this.refuseFurtherTrial(content);
     if (this.processesOfOthers(content).includes(processId)) return { kind: 'occupied' };
     const { clock, daemon, store, log } = this.options.writer.options;
     this.ownTrials.set(content, processId);
@@ -119,7 +127,7 @@
       at: clock.wall(),
     };
     try {
-      if (await store.claim(record)) return this.admit(record);
+      if (await store.claim(record)) return this.admit(record, failed);
       this.forgetOwn(content);
       return refused(RETRY_AFTER_TRIAL_MS);
     } catch (error) {
@@ -147,6 +155,9 @@
 
   /** Handles a removed record. Returns whether a record of that name existed. */
   handleRemoved(name: string): boolean {
+    const trial = this.observedTrials.get(name);
+    if (trial === undefined) return false;
+    this.usedUp.delete(trial.record.trial);
     return this.observedTrials.delete(name);
   }
 
@@ -178,7 +189,7 @@
   }
 
   private remove(name: string): void {
-    this.observedTrials.delete(name);
+    this.handleRemoved(name);
     this.options.writer.remove(name);
   }
 
@@ -187,11 +198,20 @@
     this.isolated.delete(content);
   }
 
-  private admit(record: TrialRecord): TrialAdmission {
+  private refuseFurtherTrial(content: string): TrialAdmission {
+    if (!this.usedUp.has(content)) {
+      this.usedUp.add(content);
+      const processes = this.recordsOf(content).map(({ record }) => record.processId);
+      this.options.writer.options.log.warned('suspect_trials_used_up', { content, processes });
+    }
+    return refused(RETRY_AFTER_LAST_TRIAL_MS);
+  }
+
+  private admit(record: TrialRecord, failed: number): TrialAdmission {
     const { writer, whenSettled, hasCrashed } = this.options;
     const { content: name, trial: content, processId } = record;
     this.handleStored(record);
-    writer.options.log.changed('suspect_tried', { content, backEnd: processId });
+    writer.options.log.changed('suspect_tried', { content, backEnd: processId, failed });
     let hasEnded = false;
     const end = (): void => {
       if (hasEnded) return;
--- a/packages/quota/src/retry-allowance-service.ts
+++ b/packages/quota/src/retry-allowance-service.ts
@@ -1,6 +1,6 @@
 /** Runs the allocators of the fixed allowance of retries: one for each zone whose lease this daemon holds. */
 import { WoodbarrowError } from '@woodbarrow/errors';
-import { EarnedRetries, type EarnedRetriesOptions } from '@woodbarrow/forwarding';
+import { EarnedRetries, type EarnedRetriesOptions, type RequestCount } from '@woodbarrow/forwarding';
 import type { EventLog } from '@woodbarrow/observability';
 import type { PeerNetwork } from '@woodbarrow/peering';
 import { firstMemberRetriesMethod, retryGrantMethod } from '@woodbarrow/protocol';
@@ -25,11 +25,20 @@
   readonly log: EventLog;
 }
 
+/** Counts of the allocators of one daemon since their start, by service. */
+export interface RetryGrantTotals {
+  /** Retries granted. */
+  readonly granted: ReadonlyMap<string, number>;
+  /** Requests that daemons handed over as they had too few to earn a retry. */
+  readonly pooledRequests: ReadonlyMap<string, number>;
+}
+
 /** Serves the calls of other daemons that need retries. */
 export class RetryAllowanceService {
   private readonly allocators: ZoneAllocators<RetryAllocator>;
   /** Requests of daemons that have too few to earn a retry. */
   private readonly pool: EarnedRetries;
+  private readonly pooledRequests = new Map<string, number>();
 
   constructor(private readonly options: RetryAllowanceServiceOptions) {
     const { authorityOf, clock, zones, limit } = options;
@@ -46,7 +55,7 @@
     const { peers } = this.options;
     peers.handle(retryGrantMethod, ({ zone, service, requests, ...wish }) => {
       const allocator = this.activeAllocator(zone);
-      if (requests !== undefined) this.pool.addRequests(service, requests);
+      if (requests !== undefined) this.addToPool(zone, service, requests);
       return allocator.grant(service, wish);
     });
     peers.handle(firstMemberRetriesMethod, ({ zone, used }) => {
@@ -65,12 +74,21 @@
     for (const zone of this.options.zones) this.allocators.of(zone);
   }
 
-  /** Retries granted by the allocators that run here now, by service. */
-  granted(): ReadonlyMap<string, number> {
-    const sums = new Map<string, number>();
-    for (const { granted } of this.allocators.all())
-      for (const [service, count] of granted) sums.set(service, (sums.get(service) ?? 0) + count);
-    return sums;
+  get totals(): RetryGrantTotals {
+    const granted = new Map<string, number>();
+    for (const allocator of this.allocators.all())
+      for (const [service, count] of allocator.granted)
+        granted.set(service, (granted.get(service) ?? 0) + count);
+    return { granted, pooledRequests: this.pooledRequests };
+  }
+
+  /** Counts requests that a daemon hands over. */
+  private addToPool(zone: string, service: string, requests: readonly RequestCount[]): void {
+    this.pool.addRequests(service, requests);
+    const before = this.pooledRequests.get(service);
+    if (before === undefined) this.options.log.changed('retry_pool_started', { zone, service });
+    const count = requests.reduce((total, { read }) => total + read, 0);
+    this.pooledRequests.set(service, (before ?? 0) + count);
   }
 
   private createAllocator(startsAt: number, zone: string, isFirst: boolean): RetryAllocator {
--- a/packages/serving/src/serving-daemon.ts
+++ b/packages/serving/src/serving-daemon.ts
@@ -460,7 +460,7 @@
       quotaUse: () => this.quotaGate.usage(),
       quotaUseByPriority: () => this.quotaGate.usageByPriority(),
       quotaGranted: () => this.grants.quota.usage(),
-      retriesGranted: () => this.grants.retries.granted(),
+      retryGrants: () => this.grants.retries.totals,
       log,
     });
   }
--- a/packages/serving/src/serving-metrics.ts
+++ b/packages/serving/src/serving-metrics.ts
@@ -1,9 +1,17 @@
 /** Metrics that a serving daemon exports. */
 import type { BackendAccessTotals } from './backend-access.js';
+import { addRetryGrantGauges } from './retry-grant-gauges.js';
 import type { PaceTotals } from '@woodbarrow/backends';
 import type { LoadQuarantineTotals, QuarantineTotals } from '@woodbarrow/quarantine';
 import type { DispatchTotals, NoticeTotals, UnreadTotals } from '@woodbarrow/forwarding';
-import type { AllocatorUsage, GateUsage, PermitTotals, ShareLoanTotals, UnitCounts } from '@woodbarrow/quota';
+import type {
+  AllocatorUsage,
+  GateUsage,
+  PermitTotals,
+  RetryGrantTotals,
+  ShareLoanTotals,
+  UnitCounts,
+} from '@woodbarrow/quota';
 import type {
   ReplicaCounts,
   ResidencyService,
@@ -67,7 +75,7 @@
   /** Units granted by the quota allocators that run here, by tenant. */
   readonly quotaGranted: () => ReadonlyMap<string, AllocatorUsage>;
   /** Retries granted by the allocators that run here, by service. */
-  readonly retriesGranted: () => ReadonlyMap<string, number>;
+  readonly retryGrants: () => RetryGrantTotals;
   readonly log: BoundedLog;
 }
 
@@ -199,12 +207,7 @@
       sources.callFailures,
       'call',
     );
-    registry.gauge(
-      'woodbarrow_retries_granted',
-      'Retries of the fixed allowance that the allocators of this daemon have granted, by service.',
-      sources.retriesGranted,
-      'service',
-    );
+    addRetryGrantGauges(registry, sources.retryGrants);
     this.addUnservedGauges(sources);
     this.addStoreScheduleGauges(sources);
     this.addQuarantineGauges(sources);
@@ -452,7 +455,7 @@
     );
     this.registry.gauge(
       'woodbarrow_quarantine',
-      'Pairs of a content and a process that ended under it, contents with such processes, contents that are refused.',
+      'Pairs of a content and a process that ended under it, contents with such processes, contents that are refused, contents that have had all their trials.',
       () => new Map(Object.entries(quarantine())),
       'of',
     );
