--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -291,7 +291,7 @@
 
   /**
    * Returns the retry delay of a content that requires a trial but cannot run now, because a trial of
-   * it is in progress or its rivals run first. Returns undefined if it may acquire a slot. Refusing
+   * it is in progress, its rivals run first, or it has had all its trials. Returns undefined if it may acquire a slot. Refusing
    * early spares callers a wait until their deadline.
    */
   trialDelayMs(content: string, parts: readonly string[] = []): number | undefined {
@@ -299,6 +299,9 @@
     const finding = this.partSearch.judge(parts);
     if (finding.kind === 'suspect' && this.trials.isInProgress(finding.part))
       return RETRY_AFTER_PART_TRIAL_MS;
+    if (!this.requiresPermission(content)) return undefined;
+    const usedUpForMs = this.trials.usedUpForMs(content);
+    if (usedUpForMs !== undefined) return usedUpForMs;
     if (!this.search.requiresTrial(content)) return undefined;
     if (this.slots.isHeld(content) || this.trials.isInProgress(content)) return RETRY_AFTER_TRIAL_MS;
     return this.search.mustWaitForRivals(content) ? RETRY_AFTER_RIVALS_MS : undefined;
@@ -568,6 +571,7 @@
     if (this.marks.clear(content)) this.schedulePublish();
     if (!this.options.removesRecord(content)) return;
     this.suspectRecords.discard(content);
+    this.trials.discard(content);
     this.crashBatches.removeInactive();
   }
 
--- a/packages/quarantine/src/suspect-trials.ts
+++ b/packages/quarantine/src/suspect-trials.ts
@@ -18,8 +18,6 @@
 export const TRIAL_LIFETIME_MS = 30_000;
 /** Number of trials of a content that may end their process, or whose end may remain unknown. */
 const MAX_FAILED_TRIALS = 3;
-/** Retry delay for callers of a content that has had all its trials, in milliseconds. */
-const RETRY_AFTER_LAST_TRIAL_MS = 60_000;
 /**
  * Retry delay for callers of a content that is in a trial, in milliseconds. Most requests complete
  * sooner.
@@ -114,7 +112,7 @@
   ): Promise<TrialAdmission> {
     if (this.isInProgress(content)) return refused(RETRY_AFTER_TRIAL_MS);
     const failed = this.recordsOf(content).length;
-    if (failed >= MAX_FAILED_TRIALS) return this.refuseFurtherTrial(content);
+    if (failed >= MAX_FAILED_TRIALS) return refused(this.usedUpForMs(content) ?? RETRY_AFTER_TRIAL_MS);
     if (this.processesOfOthers(content).includes(processId)) return { kind: 'occupied' };
     const { clock, daemon, store, log } = this.options.writer.options;
     this.ownTrials.set(content, processId);
@@ -171,6 +169,20 @@
     );
   }
 
+  /** Returns the milliseconds for which a content has no further trial; undefined if it has one, or the outcome of its last one is open. */
+  usedUpForMs(content: string): number | undefined {
+    const trials = this.recordsOf(content);
+    if (trials.length < MAX_FAILED_TRIALS || this.isInProgress(content)) return undefined;
+    const { clock, log } = this.options.writer.options;
+    if (!this.usedUp.has(content)) {
+      this.usedUp.add(content);
+      const processes = trials.map(({ record }) => record.processId);
+      log.warned('suspect_trials_used_up', { content, processes });
+    }
+    const firstSeenAt = Math.min(...trials.map(({ seenAt }) => seenAt));
+    return Math.max(RETRY_AFTER_TRIAL_MS, firstSeenAt + MARK_LIFETIME_MS - clock.monotonic());
+  }
+
   /** Removes the records of the ended trials of a content that has run well. */
   discard(content: string): void {
     const ownProcess = this.ownTrials.get(content);
@@ -198,15 +210,6 @@
     this.isolated.delete(content);
   }
 
-  private refuseFurtherTrial(content: string): TrialAdmission {
-    if (!this.usedUp.has(content)) {
-      this.usedUp.add(content);
-      const processes = this.recordsOf(content).map(({ record }) => record.processId);
-      this.options.writer.options.log.warned('suspect_trials_used_up', { content, processes });
-    }
-    return refused(RETRY_AFTER_LAST_TRIAL_MS);
-  }
-
   private admit(record: TrialRecord, failed: number): TrialAdmission {
     const { writer, whenSettled, hasCrashed } = this.options;
     const { content: name, trial: content, processId } = record;
--- a/packages/quarantine/test/concurrent-attempts.test.ts
+++ b/packages/quarantine/test/concurrent-attempts.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { TRIAL_LIFETIME_MS, type RequestQuarantine } from '../src/index.js';
+import { MARK_LIFETIME_MS, TRIAL_LIFETIME_MS, type RequestQuarantine } from '../src/index.js';
 import { QuarantineDeployment } from './quarantine-deployment.js';
 
 const CONTENT = 'crashes';
@@ -155,6 +155,20 @@
     for (let attempt = 0; attempt < 6; attempt += 1) await callers.sendAndKill();
     expect(callers.lateSends).to.be.at.most(MAX_LATE_SENDS);
     expect(callers.refused).to.be.above(0);
+    // Refused at once until the first of the three records expires.
+    const [daemon] = callers.deployment.daemons as [RequestQuarantine];
+    expect(daemon.trialDelayMs(CONTENT)).to.be.within(MARK_LIFETIME_MS / 2, MARK_LIFETIME_MS);
+  });
+
+  it('may run again once the verdict on them is lifted, whatever trials they had', async () => {
+    const callers = new ConcurrentCallers();
+    for (let round = 0; round < 4; round += 1) await callers.sendTogether(2);
+    const { deployment } = callers;
+    expect(deployment.records.has(CONTENT)).to.equal(true);
+    expect(trialsIn(deployment)).not.to.deep.equal([]);
+    deployment.lift(CONTENT);
+    await deployment.advance(1000);
+    expect(trialsIn(deployment)).to.deep.equal([]);
   });
 
   it('leave no record of failed trials once one of them has been served', async () => {
--- a/packages/quota/src/retry-allowance-gate.ts
+++ b/packages/quota/src/retry-allowance-gate.ts
@@ -66,7 +66,6 @@
     takeRequests: () => readonly RequestCount[],
   ): Promise<RetryOutcome<AllowedRetry>> {
     this.takeRequests.set(service, takeRequests);
-    if (this.options.limit.extra === 0) return { kind: 'withheld', reason: 'used_up' };
     const first = this.firstMember.take(service);
     if (first !== undefined) return { kind: 'allowed', permit: first };
     const outcome = await this.withinMaxWait(this.gate.acquire(service, this.limit, 1, 0, signal));
