--- a/packages/forwarding/src/retry-window-bound.ts
+++ b/packages/forwarding/src/retry-window-bound.ts
@@ -14,6 +14,11 @@
 const BUCKETS_PER_WINDOW = 2 * BUCKETS_PER_HALF_WINDOW;
 /** Requests count from half a window before the oldest window that is still open. */
 const BUCKETS = BUCKETS_PER_WINDOW + BUCKETS_PER_HALF_WINDOW + 2;
+/** Retries that the requests of a window must earn for a daemon to keep them. With fewer, spans hardly ever earn a whole one. */
+const MIN_EARNED_PER_WINDOW = 8;
+/** Shortest time for which the rate of requests is estimated, as a share of the window. */
+const MIN_RATE_SHARE = 0.1;
+
 /** Requests that a daemon counted within one bucket. */
 export interface RequestCount {
   /** Milliseconds since the start of the bucket. */
@@ -40,6 +45,8 @@
   /** Requests by the bucket in which they were read, as a ring. */
   private readonly read = new Float64Array(BUCKETS);
   private newestBucket = -BUCKETS;
+  /** Time of the first request that counts here. */
+  private countedSince = Infinity;
   private retries: RetryTimes[] = [];
 
   /** @param transitMs Maximum time from the check of a retry until it reaches its back end if its process ends meanwhile, in milliseconds. */
@@ -54,6 +61,7 @@
   /** Counts a request that was sent at `sentFrom` or later, and has been read now. */
   addRequest(sentFrom: number, now: number): void {
     this.advanceTo(now);
+    this.countedSince = Math.min(this.countedSince, now);
     this.addTo(this.read, this.newestBucket, 1);
     this.addTo(this.sent, Math.floor(sentFrom / this.bucketMs), 1);
   }
@@ -68,11 +76,13 @@
     }
   }
 
-  /** Removes and returns all requests, unless retries that still count were earned with them. */
+  /** Removes and returns all requests if they are few, unless retries that still count were earned with them. */
   takeRequests(now: number): readonly RequestCount[] {
     this.advanceTo(now);
     this.dropOldRetries(now);
+    if (this.earnedPerWindow(now) >= MIN_EARNED_PER_WINDOW) return [];
     if (this.retries.some(({ countsFrom }) => countsFrom <= now)) return [];
+    this.countedSince = Infinity;
     const counts: RequestCount[] = [];
     for (let bucket = this.newestBucket - BUCKETS + 1; bucket <= this.newestBucket; bucket += 1) {
       const slot = slotOf(bucket);
@@ -84,6 +94,13 @@
     return counts;
   }
 
+  /** Retries that the requests earn in a window at the rate at which they have come. */
+  private earnedPerWindow(now: number): number {
+    const spanMs = Math.min(now - this.countedSince, BUCKETS * this.bucketMs);
+    const total = this.read.reduce((sum, count) => sum + count, 0);
+    return (this.ratio * total) / Math.max(MIN_RATE_SHARE, spanMs / this.windowMs);
+  }
+
   addRetry(retry: RetryTimes): void {
     this.retries.push(retry);
   }
--- a/packages/quota/src/retry-allowance-gate.ts
+++ b/packages/quota/src/retry-allowance-gate.ts
@@ -99,7 +99,8 @@
 
   /** All daemons send their requests to the same zone, so that they add up to whole retries. */
   private pooledRequests(zone: string, service: string): Pick<RetryGrantMessage, 'requests'> {
-    if (zone !== poolZoneOf(service, this.options.zones)) return {};
+    const { zones, coordinators } = this.options;
+    if (zone !== poolZoneOf(service, zones) || coordinators.of(zone) === undefined) return {};
     const requests = this.takeRequests.get(service)?.() ?? [];
     return requests.length === 0 ? {} : { requests };
   }
