--- a/packages/forwarding/src/answer-forwarder.ts
+++ b/packages/forwarding/src/answer-forwarder.ts
@@ -117,8 +117,9 @@
     const result = await this.relay.relayBody(client, answer, silence, isProcessAlive);
     if (result.kind === 'replaced') return this.recordReplaced(sent);
     if (result.kind === 'broken') return this.recordBroken(sent, result);
-    this.recordServed();
     const failed = answer.status >= 500;
+    // A back end may answer with a failure without having run the request.
+    if (!failed) this.recordServed();
     const latencyRatio = failed ? undefined : latencyMs / times.expectedMs();
     const health = this.failures.health();
     health.record(backEnd.id, failed ? 'failed_answer' : 'good', latencyRatio, load?.pacePercent);
