--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -322,7 +322,7 @@
   /**
    * Decides whether a content may be sent to a process now, and if not, after which delay the caller
    * may retry. Contents that cannot be distinguished by their crashes run only in trials, and those
-   * whose attempts overlapped when they crashed processes run one attempt at a time on all daemons. The
+   * of which two attempts have ended with their processes run one attempt at a time on all daemons. The
    * caller must end an admission.
    */
   async admit(content: string, processId: string, parts: readonly string[] = []): Promise<TrialAdmission> {
--- a/packages/quarantine/src/suspect-trials.ts
+++ b/packages/quarantine/src/suspect-trials.ts
@@ -2,7 +2,7 @@
  * Runs trials of contents that cannot be distinguished by their crashes. A trial runs a content apart
  * from other suspects, and at most once at a time in the deployment. The right to a trial is a record
  * that only one daemon can create; it names the process, so that others avoid it. A daemon that cannot
- * reach the store runs no trials. Serial runs, of contents whose attempts overlapped when they crashed
+ * reach the store runs no trials. Serial runs, of contents of which two attempts have ended with their
  * processes, use the same records.
  *
  * A record is removed once the run is known not to have ended its process. Otherwise it stays, and the next run needs a further record, of
@@ -129,7 +129,7 @@
       this.forgetOwn(content);
       return refused(RETRY_AFTER_TRIAL_MS);
     } catch (error) {
-      // The record may have been created nevertheless; it is then removed after its lifetime.
+      // The record may have been created nevertheless; it then counts as a failed trial until it expires.
       this.forgetOwn(content);
       log.warned('quarantine_not_written', { content, failures: 1, cause: errorMessage(error) });
       return refused(RETRY_AFTER_STORE_FAILURE_MS);
